--- /dev/null
+++ b/crates/cli/src/cmd/demo.rs
@@ -0,0 +1,88 @@
+//! `briartray demo`: a whole fleet on loopback, in this process.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use briartray_node::logs;
+use gumdrop::Options;
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+use super::CommandError;
+use crate::demo::{DemoFleet, DemoPlan};
+
+/// How often a running demonstration looks whether it should end.
+const END_CHECK: Duration = Duration::from_millis(100);
+
+/// How long the fleet may take to be ready.
+const READY_WAIT: Duration = Duration::from_secs(30);
+
+#[derive(Debug, Options)]
+pub(super) struct DemoOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        no_short,
+        help = "where callers connect",
+        meta = "ADDRESS",
+        default = "127.0.0.1:8080"
+    )]
+    listen: SocketAddr,
+    #[options(
+        no_short,
+        help = "where operators connect",
+        meta = "ADDRESS",
+        default = "127.0.0.1:8081"
+    )]
+    operator: SocketAddr,
+    #[options(no_short, help = "end by itself after this time", meta = "N")]
+    seconds: Option<u64>,
+    #[options(
+        no_short,
+        help = "folder for durable state; a temporary one by default",
+        meta = "FOLDER"
+    )]
+    data_folder: Option<PathBuf>,
+    #[options(no_short, help = "least severe log level", meta = "LEVEL", default = "warn")]
+    log_level: String,
+}
+
+pub(super) fn run(options: &DemoOptions) -> Result<(), CommandError> {
+    logs::start(&options.log_level);
+    let plan = DemoPlan {
+        listen: options.listen,
+        operator: options.operator,
+        data_folder: options.data_folder.clone(),
+        ..DemoPlan::default()
+    };
+    let fleet = DemoFleet::start(&plan).map_err(CommandError::unusable)?;
+    if !fleet.wait_until_ready(READY_WAIT) {
+        return Err(CommandError::refused("no replica became whole; look at the log"));
+    }
+    let address = fleet.caller_address();
+    println!("callers    http://{address}");
+    println!("operators  http://{}", fleet.operator_address());
+    println!("data       {}", fleet.data_folder().display());
+    println!(
+        "try        curl http://{address}/v1/completions -H 'content-type: application/json' \
+         -d '{{\"model\":\"desk\",\"prompt\":\"status of lot 7\",\"max_tokens\":8,\"stream\":true}}'"
+    );
+    wait_for_signal(options.seconds.map(Duration::from_secs))?;
+    fleet.stop();
+    Ok(())
+}
+
+/// Waits for an interrupt, at most for `limit`.
+pub(super) fn wait_for_signal(limit: Option<Duration>) -> Result<(), CommandError> {
+    let stopped = Arc::new(AtomicBool::new(false));
+    for signal in [SIGINT, SIGTERM] {
+        signal_hook::flag::register(signal, Arc::clone(&stopped)).map_err(CommandError::refused)?;
+    }
+    let started = Instant::now();
+    while !stopped.load(Ordering::Relaxed) && limit.is_none_or(|limit| started.elapsed() < limit) {
+        std::thread::sleep(END_CHECK);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/cmd/mod.rs
@@ -0,0 +1,111 @@
+//! One module per subcommand.
+//!
+//! Exit codes: 0 done, 1 refused or failed, 2 wrong usage or input that cannot be used.
+
+mod check;
+mod demo;
+mod groups;
+mod operator;
+mod rules;
+mod stand_in;
+mod status;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use snafu::Snafu;
+
+/// The whole command line.
+#[derive(Debug, Options)]
+pub struct CommandLine {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Subcommand>,
+}
+
+#[derive(Debug, Options)]
+enum Subcommand {
+    #[options(help = "run a whole fleet on loopback in this process")]
+    Demo(demo::DemoOptions),
+    #[options(help = "check settings files")]
+    Check(check::CheckOptions),
+    #[options(help = "apply or show rules")]
+    Rules(rules::RulesOptions),
+    #[options(help = "show what control knows in short")]
+    Status(status::StatusOptions),
+    #[options(help = "show every group")]
+    Groups(groups::GroupsOptions),
+    #[options(help = "run a stand-in engine")]
+    StandIn(stand_in::StandInOptions),
+}
+
+/// Why a subcommand failed.
+#[derive(Debug, Snafu)]
+pub(crate) enum CommandError {
+    /// The request was understood and refused, or failed on the way.
+    #[snafu(display("{message}"))]
+    Refused { message: String },
+    /// The input cannot be used.
+    #[snafu(display("{message}"))]
+    Unusable { message: String },
+}
+
+impl CommandError {
+    pub(crate) fn refused(message: impl ToString) -> Self {
+        Self::Refused { message: message.to_string() }
+    }
+
+    pub(crate) fn unusable(message: impl ToString) -> Self {
+        Self::Unusable { message: message.to_string() }
+    }
+}
+
+/// How a subcommand prints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) enum OutputFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// For scripts.
+    Json,
+}
+
+impl std::str::FromStr for OutputFormat {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err("use text or json"),
+        }
+    }
+}
+
+/// Runs the subcommand that was named.
+pub fn run(line: &CommandLine) -> ExitCode {
+    let Some(command) = &line.command else {
+        println!("Usage: briartray COMMAND [OPTIONS]\n\n{}", CommandLine::usage());
+        println!("\nCommands:\n{}", CommandLine::command_list().unwrap_or_default());
+        return ExitCode::from(2);
+    };
+    let done = match command {
+        Subcommand::Demo(options) => demo::run(options),
+        Subcommand::Check(options) => check::run(options),
+        Subcommand::Rules(options) => rules::run(options),
+        Subcommand::Status(options) => status::run(options),
+        Subcommand::Groups(options) => groups::run(options),
+        Subcommand::StandIn(options) => stand_in::run(options),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("briartray: {error}");
+            ExitCode::from(match error {
+                CommandError::Refused { .. } => 1,
+                CommandError::Unusable { .. } => 2,
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/demo.rs
@@ -0,0 +1,239 @@
+//! A whole fleet on loopback in one process: control, entry, agents and stand-in engines.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use briartray_model::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
+use briartray_model::settings::{
+    AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
+    EndpointSettings, EntrySettings, LogSettings, TraceSettings, UnconfirmedPolicy,
+};
+use briartray_node::{DaemonError, RunningDaemon};
+use briartray_standin::engine::{EngineSettings, StandinEngine};
+use briartray_web::ListenError;
+use snafu::Snafu;
+use tempfile::TempDir;
+
+/// Rules that a demonstration starts with.
+const DEMO_RULES: &str = include_str!("../../../examples/demo/rules.yaml");
+
+/// Secret between the processes of a demonstration; it never leaves loopback.
+const DEMO_TOKEN: &str = "demonstration-only";
+
+/// How often readiness is looked at.
+const READY_CHECK: Duration = Duration::from_millis(20);
+
+/// Why a demonstration could not start.
+#[derive(Debug, Snafu)]
+pub enum DemoError {
+    /// A role could not start.
+    #[snafu(display("{source}"), context(false))]
+    Daemon {
+        /// Why.
+        source: DaemonError,
+    },
+    /// A stand-in could not start.
+    #[snafu(display("{source}"), context(false))]
+    Listen {
+        /// Why.
+        source: ListenError,
+    },
+    /// Files or ports are not to be had.
+    #[snafu(display("{source}; free a port or name another data folder"), context(false))]
+    System {
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// What a demonstration consists of.
+#[derive(Debug, Clone)]
+pub struct DemoPlan {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where operators connect.
+    pub operator: SocketAddr,
+    /// Folder for durable state; a temporary one when absent.
+    pub data_folder: Option<PathBuf>,
+    /// Engines, each on a host of its own.
+    pub engines: u32,
+    /// Time of one engine step.
+    pub step: Duration,
+    /// Rule document.
+    pub rules: String,
+}
+
+impl Default for DemoPlan {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            operator: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            data_folder: None,
+            engines: 4,
+            step: Duration::from_millis(8),
+            rules: DEMO_RULES.to_owned(),
+        }
+    }
+}
+
+/// A running demonstration.
+pub struct DemoFleet {
+    /// Control and entry in one.
+    front: RunningDaemon,
+    agents: Vec<RunningDaemon>,
+    engines: Vec<StandinEngine>,
+    folder: PathBuf,
+    _temporary: Option<TempDir>,
+}
+
+impl DemoFleet {
+    /// Starts everything that `plan` names.
+    ///
+    /// # Errors
+    /// A `DemoError` that names the remedy.
+    pub fn start(plan: &DemoPlan) -> Result<Self, DemoError> {
+        let (folder, temporary) = make_folder(plan.data_folder.as_deref())?;
+        let rules = folder.join("first-rules.yaml");
+        std::fs::write(&rules, &plan.rules)?;
+        let peer = ControlPeer { node: NodeName::new("front"), link: free_address()? };
+        let cluster = ClusterSettings { token: DEMO_TOKEN.to_owned(), control: vec![peer.clone()] };
+        let front = RunningDaemon::start(&front_settings(plan, &cluster, &peer, &folder, rules))?;
+        let mut engines = Vec::new();
+        let mut agents = Vec::new();
+        for number in 0..plan.engines {
+            let engine = StandinEngine::start(EngineSettings {
+                listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+                step: plan.step,
+            })?;
+            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, engine.address()))?);
+            engines.push(engine);
+        }
+        Ok(Self { front, agents, engines, folder, _temporary: temporary })
+    }
+
+    /// Waits until a request would be taken; `false` when `limit` passes first.
+    pub fn wait_until_ready(&self, limit: Duration) -> bool {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if self.front.entry.as_ref().is_some_and(|entry| entry.is_ready()) {
+                return true;
+            }
+            std::thread::sleep(READY_CHECK);
+        }
+        false
+    }
+
+    /// Where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        let entry = self.front.entry.as_ref().expect("a demonstration has an entry");
+        entry.address()
+    }
+
+    /// Where operators connect.
+    pub fn operator_address(&self) -> SocketAddr {
+        let control = self.front.control.as_ref().expect("a demonstration has a control role");
+        control.operator_address()
+    }
+
+    /// Where the engines listen.
+    pub fn engine_addresses(&self) -> Vec<SocketAddr> {
+        self.engines.iter().map(StandinEngine::address).collect()
+    }
+
+    /// Folder for durable state.
+    pub fn data_folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Stops the agent with this number, as if its process had been killed.
+    pub fn stop_agent(&self, number: usize) {
+        if let Some(agent) = self.agents.get(number) {
+            agent.stop();
+        }
+    }
+
+    /// Stops everything.
+    pub fn stop(&self) {
+        self.front.stop();
+        for agent in &self.agents {
+            agent.stop();
+        }
+        for engine in &self.engines {
+            engine.stop();
+        }
+    }
+}
+
+fn make_folder(given: Option<&Path>) -> std::io::Result<(PathBuf, Option<TempDir>)> {
+    match given {
+        Some(folder) => {
+            std::fs::create_dir_all(folder)?;
+            Ok((folder.to_owned(), None))
+        }
+        None => {
+            let temporary = tempfile::Builder::new().prefix("briartray-demo-").tempdir()?;
+            Ok((temporary.path().to_owned(), Some(temporary)))
+        }
+    }
+}
+
+/// An address that is free now; agents must know it before control listens on it.
+fn free_address() -> std::io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+fn front_settings(
+    plan: &DemoPlan,
+    cluster: &ClusterSettings,
+    peer: &ControlPeer,
+    folder: &Path,
+    rules: PathBuf,
+) -> DaemonSettings {
+    DaemonSettings {
+        node: peer.node.clone(),
+        zone: ZoneName::new("local-a"),
+        cluster: cluster.clone(),
+        log: LogSettings::default(),
+        trace: TraceSettings::default(),
+        entry: Some(EntrySettings {
+            listen: plan.listen,
+            max_open_requests: 4096,
+            max_body_bytes: 1024 * 1024,
+            when_rules_unconfirmed: UnconfirmedPolicy::Refuse,
+        }),
+        control: Some(ControlSettings {
+            link: peer.link,
+            operator: plan.operator,
+            operator_token: None,
+            data_folder: folder.join("control"),
+            first_rules: Some(rules),
+        }),
+        agent: None,
+    }
+}
+
+fn agent_settings(cluster: &ClusterSettings, number: u32, engine: SocketAddr) -> DaemonSettings {
+    DaemonSettings {
+        node: NodeName::new(&format!("agent-{number}")),
+        zone: ZoneName::new("local-a"),
+        cluster: cluster.clone(),
+        log: LogSettings::default(),
+        trace: TraceSettings::default(),
+        entry: None,
+        control: None,
+        agent: Some(AgentSettings {
+            link: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            host: HostName::new(&format!("host-{number}")),
+            domain: DomainName::new("rack-1"),
+            provider: ProviderName::new("local"),
+            accelerators: 8,
+            endpoint: EndpointSettings {
+                address: engine,
+                service: ServiceName::new("desk"),
+                kind: EndpointKind::Engine,
+                checks_fencing: false,
+            },
+        }),
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,3 @@
+//! Control state: the aggregates that must survive, and the commands that change them.
+
+pub mod state;
--- /dev/null
+++ b/crates/control/src/state/command.rs
@@ -0,0 +1,98 @@
+//! Commands of the control log and what comes of them.
+
+use briartray_model::message::{GroupMember, LedgerReply, LedgerRequest};
+use briartray_model::names::{
+    ChangeId, DomainName, FencingNumber, GroupId, HostName, ProviderName, RevisionNumber,
+    ServiceName, ZoneName,
+};
+use briartray_model::plain_value;
+
+plain_value! {
+    /// One change of the control state.
+    pub enum ControlCommand {
+        /// Replace the rule document.
+        ApplyRules {
+            /// The operator's id for the change; a resend carries the same.
+            change: ChangeId,
+            /// Revision that must be in force, when the operator named one.
+            expect: Option<RevisionNumber>,
+            /// The document in YAML.
+            text: String,
+        },
+        /// Form a group.
+        FormGroup(GroupProposal),
+        /// Dissolve a group and free its hosts.
+        DissolveGroup {
+            /// The group.
+            group: GroupId,
+        },
+        /// Change the ledger of claims.
+        Ledger(LedgerRequest),
+    }
+
+    /// A group to be formed.
+    pub struct GroupProposal {
+        /// Service it serves.
+        pub service: ServiceName,
+        /// Availability zone of the first host.
+        pub zone: ZoneName,
+        /// Fabric domain of the first host.
+        pub domain: DomainName,
+        /// Provider of all hosts.
+        pub provider: ProviderName,
+        /// Members in order.
+        pub members: Vec<GroupMember>,
+        /// How many attempts may be in flight.
+        pub capacity: u32,
+    }
+
+    /// What a command did.
+    pub enum CommandOutcome {
+        /// The rules are replaced.
+        RulesAccepted {
+            /// The new revision.
+            revision: RevisionNumber,
+        },
+        /// Another change came first.
+        RulesConflict {
+            /// The revision in force.
+            revision: RevisionNumber,
+        },
+        /// The document does not hold.
+        RulesInvalid {
+            /// What is wrong.
+            detail: String,
+        },
+        /// A known change id came with another document.
+        ChangeReused {
+            /// The id.
+            change: ChangeId,
+        },
+        /// The group exists.
+        GroupFormed {
+            /// The group.
+            group: GroupId,
+            /// Its fencing number.
+            fencing: FencingNumber,
+        },
+        /// The group was not formed: a host is in another group.
+        HostTaken {
+            /// The host.
+            host: HostName,
+            /// The group that holds it.
+            group: GroupId,
+        },
+        /// The group is gone.
+        GroupDissolved {
+            /// The group.
+            group: GroupId,
+        },
+        /// There is no such group.
+        GroupUnknown {
+            /// The group.
+            group: GroupId,
+        },
+        /// What the ledger answered.
+        Ledger(LedgerReply),
+    }
+}
--- /dev/null
+++ b/crates/control/src/state/mod.rs
@@ -0,0 +1,44 @@
+//! The replicated state: four aggregates, changed only by applying commands in log order.
+//!
+//! Applying is deterministic: no clocks, no randomness, no input or output.
+
+mod command;
+mod groups;
+mod ledger;
+mod rules;
+mod stops;
+
+pub use command::{CommandOutcome, ControlCommand, GroupProposal};
+pub use groups::{GroupRegistry, HostSeat, RegisteredGroup};
+pub use ledger::ClaimLedger;
+pub use rules::{AcceptedRules, RuleShelf};
+pub use stops::StopBook;
+
+use serde::{Deserialize, Serialize};
+
+/// Everything that control hosts agree on.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct ControlState {
+    /// The rule book and its history of changes.
+    pub rules: RuleShelf,
+    /// Groups, hosts and fencing numbers.
+    pub groups: GroupRegistry,
+    /// Planned stops.
+    pub stops: StopBook,
+    /// Calls that may not be repeated.
+    pub ledger: ClaimLedger,
+}
+
+impl ControlState {
+    /// Applies one committed command.
+    pub fn apply(&mut self, command: &ControlCommand) -> CommandOutcome {
+        match command {
+            ControlCommand::ApplyRules { change, expect, text } => {
+                self.rules.apply(*change, *expect, text)
+            }
+            ControlCommand::FormGroup(proposal) => self.groups.form(proposal),
+            ControlCommand::DissolveGroup { group } => self.groups.dissolve(*group),
+            ControlCommand::Ledger(request) => CommandOutcome::Ledger(self.ledger.apply(request)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/state/rules.rs
@@ -0,0 +1,69 @@
+//! The rule book as accepted, and the outcome of every change that was sent.
+
+use briartray_model::SortedTable;
+use briartray_model::names::{ChangeId, RevisionNumber};
+use briartray_model::rules::RuleDocument;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use super::CommandOutcome;
+
+/// The rule document in force.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct AcceptedRules {
+    /// Its revision; zero before the first change.
+    pub revision: RevisionNumber,
+    /// The document in YAML.
+    pub text: String,
+}
+
+/// The rule book aggregate.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct RuleShelf {
+    current: AcceptedRules,
+    changes: SortedTable<ChangeId, ChangeRecord>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct ChangeRecord {
+    digest: [u8; 32],
+    outcome: CommandOutcome,
+}
+
+impl RuleShelf {
+    /// The document in force.
+    pub fn current(&self) -> &AcceptedRules {
+        &self.current
+    }
+
+    /// Applies one change; a resend gets the first outcome again.
+    pub fn apply(
+        &mut self,
+        change: ChangeId,
+        expect: Option<RevisionNumber>,
+        text: &str,
+    ) -> CommandOutcome {
+        let digest: [u8; 32] = Sha256::digest(text.as_bytes()).into();
+        if let Some(record) = self.changes.get(&change) {
+            if record.digest == digest {
+                return record.outcome.clone();
+            }
+            return CommandOutcome::ChangeReused { change };
+        }
+        let outcome = self.replace(expect, text);
+        self.changes.insert(change, ChangeRecord { digest, outcome: outcome.clone() });
+        outcome
+    }
+
+    fn replace(&mut self, expect: Option<RevisionNumber>, text: &str) -> CommandOutcome {
+        if expect.is_some_and(|revision| revision != self.current.revision) {
+            return CommandOutcome::RulesConflict { revision: self.current.revision };
+        }
+        if let Err(error) = RuleDocument::parse(text) {
+            return CommandOutcome::RulesInvalid { detail: error.to_string() };
+        }
+        let revision = self.current.revision.next();
+        self.current = AcceptedRules { revision, text: text.to_owned() };
+        CommandOutcome::RulesAccepted { revision }
+    }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,17 @@
+//! Values shared by every briartray package: names, time, rules, settings and the messages that
+//! the system's own processes exchange. Nothing here performs input or output except loading a
+//! settings file.
+
+#[macro_use]
+mod derives;
+
+pub mod codec;
+pub mod message;
+pub mod names;
+pub mod rules;
+pub mod settings;
+mod table;
+mod time;
+
+pub use table::SortedTable;
+pub use time::TimePoint;
--- /dev/null
+++ b/crates/model/src/message/mod.rs
@@ -0,0 +1,20 @@
+//! Messages between the system's own processes, one module per conversation.
+//!
+//! Every message is a plain value encoded by [`crate::codec`]. A conversation is one stream: the
+//! side that opens it sends a request type, the other side answers with a reply type.
+
+mod dispatch;
+mod fleet;
+mod ledger;
+mod watch;
+
+pub use dispatch::{
+    AgentReply, CallOutcome, CallTarget, DispatchOrder, EntryRequest, HeaderField, LoadReport,
+    RefusalReason, TombstoneState, TraceContext,
+};
+pub use fleet::{
+    AgentReport, ControlDirective, GroupAssignment, GroupMember, HostAnnouncement, MemberReply,
+    MemberRequest,
+};
+pub use ledger::{ClaimKey, KeptAnswer, LedgerReply, LedgerRequest};
+pub use watch::{GroupRecord, LeavingMark, RoutingSnapshot, WatchReply, WatchRequest};
--- /dev/null
+++ b/crates/model/src/message/watch.rs
@@ -0,0 +1,75 @@
+//! Entry to control: rules, groups and leaving marks, under a lease.
+
+use std::net::SocketAddr;
+
+use crate::names::{
+    DomainName, FencingNumber, GroupId, HostName, LeaseNonce, NodeName, ProviderName,
+    RevisionNumber, ServiceName, ZoneName,
+};
+
+plain_value! {
+    /// One renewal by a watcher.
+    pub struct WatchRequest {
+        /// The watching process.
+        pub node: NodeName,
+        /// Pairs the lease with this request; timed by the watcher from sending.
+        pub nonce: LeaseNonce,
+        /// Version of the snapshot the watcher has adopted; zero for none.
+        pub adopted: u64,
+    }
+
+    /// Answer to a renewal.
+    pub struct WatchReply {
+        /// The request's nonce.
+        pub nonce: LeaseNonce,
+        /// How long the rules may be held as confirmed, in milliseconds from sending.
+        pub lease_ms: u32,
+        /// A newer snapshot, when there is one.
+        pub snapshot: Option<RoutingSnapshot>,
+    }
+
+    /// Everything an entry needs to decide.
+    #[derive(Default)]
+    pub struct RoutingSnapshot {
+        /// Version of the snapshot; grows with every change of any part.
+        pub version: u64,
+        /// Revision of the rule book.
+        pub revision: RevisionNumber,
+        /// The rule document as accepted, in YAML.
+        pub rules: String,
+        /// Groups that exist, in id order.
+        pub groups: Vec<GroupRecord>,
+        /// Endpoints that are leaving.
+        pub leaving: Vec<LeavingMark>,
+    }
+
+    /// One group as entries see it.
+    pub struct GroupRecord {
+        /// The group.
+        pub group: GroupId,
+        /// Its fencing number.
+        pub fencing: FencingNumber,
+        /// Service it serves.
+        pub service: ServiceName,
+        /// Availability zone of its first host.
+        pub zone: ZoneName,
+        /// Fabric domain of its first host.
+        pub domain: DomainName,
+        /// Provider of its hosts.
+        pub provider: ProviderName,
+        /// Its first host.
+        pub first: HostName,
+        /// Where the first host's agent listens.
+        pub link: SocketAddr,
+        /// Whether its first host reported it whole.
+        pub whole: bool,
+        /// How many attempts it may have in flight.
+        pub capacity: u32,
+    }
+
+    /// A group that takes no new work.
+    pub struct LeavingMark {
+        /// Which group.
+        pub group: GroupId,
+    }
+}
--- /dev/null
+++ b/crates/model/src/rules/document.rs
@@ -0,0 +1,161 @@
+//! The document as operators write it.
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use super::RuleAction;
+use crate::names::{ProviderName, RuleName, ServiceName, TeamName, ZoneName};
+
+/// Why a rule document was refused.
+#[derive(Debug, Snafu)]
+pub enum RuleError {
+    /// The text is not a rule document.
+    #[snafu(display("rule document, line {line}, column {column}: {detail}"))]
+    Malformed {
+        /// Line, from one.
+        line: u64,
+        /// Column, from one.
+        column: u64,
+        /// What is wrong and what is expected.
+        detail: String,
+    },
+}
+
+/// One rule document.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RuleDocument {
+    /// Services that are offered.
+    #[serde(default)]
+    pub services: Vec<ServiceDeclaration>,
+    /// Teams that may call.
+    #[serde(default)]
+    pub teams: Vec<TeamDeclaration>,
+    /// Rules in order.
+    #[serde(default)]
+    pub rules: Vec<RuleEntry>,
+}
+
+plain_choice! {
+    /// What stands behind a service.
+    #[derive(Default)]
+    pub enum ServiceKind {
+        /// A model engine.
+        #[default]
+        Engine,
+        /// A plain HTTP service.
+        Plain,
+    }
+}
+
+/// One service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceDeclaration {
+    /// Its name.
+    pub name: ServiceName,
+    /// What stands behind it.
+    #[serde(default)]
+    pub kind: ServiceKind,
+    /// Models that callers may name; the service name itself always works.
+    #[serde(default)]
+    pub models: Vec<String>,
+    /// Hosts in one replica.
+    #[serde(default = "one")]
+    pub hosts_per_replica: u32,
+    /// Replicas wanted.
+    #[serde(default = "one")]
+    pub replicas: u32,
+    /// Attempts in flight per replica.
+    #[serde(default = "default_capacity")]
+    pub capacity: u32,
+}
+
+/// One team.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TeamDeclaration {
+    /// Its name.
+    pub name: TeamName,
+}
+
+/// One rule.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RuleEntry {
+    /// Its name.
+    pub rule: RuleName,
+    /// When it matches; an empty condition always does.
+    #[serde(default)]
+    pub when: RuleCondition,
+    /// What it decides.
+    pub then: RuleAction,
+}
+
+/// When a rule matches: every field that is given must hold.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RuleCondition {
+    /// Any of these teams.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub team: Vec<TeamName>,
+    /// Any of these services.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub service: Vec<ServiceName>,
+    /// Any of these models.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub model: Vec<String>,
+    /// A path that starts with any of these.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub path: Vec<String>,
+    /// Any of these availability zones.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub zone: Vec<ZoneName>,
+    /// Any of these providers.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub provider: Vec<ProviderName>,
+    /// Whether the answer is a stream.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub stream: Option<bool>,
+    /// Whether the call carries an `Idempotency-Key`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub keyed: Option<bool>,
+}
+
+impl RuleDocument {
+    /// Reads a document from YAML.
+    ///
+    /// # Errors
+    /// `RuleError::Malformed` with line and column when the text does not fit.
+    pub fn parse(text: &str) -> Result<Self, RuleError> {
+        serde_saphyr::from_str(text).map_err(|error| {
+            let location = error.location();
+            RuleError::Malformed {
+                line: location.map_or(0, |place| place.line()),
+                column: location.map_or(0, |place| place.column()),
+                detail: error.without_snippet().to_string(),
+            }
+        })
+    }
+
+    /// The service called `name`.
+    pub fn service(&self, name: &str) -> Option<&ServiceDeclaration> {
+        self.services.iter().find(|service| service.name.as_str() == name)
+    }
+
+    /// The service that offers `model`.
+    pub fn service_of_model(&self, model: &str) -> Option<&ServiceDeclaration> {
+        self.services.iter().find(|service| {
+            service.kind == ServiceKind::Engine
+                && (service.name.as_str() == model || service.models.iter().any(|m| m == model))
+        })
+    }
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn default_capacity() -> u32 {
+    64
+}
--- /dev/null
+++ b/crates/model/src/rules/mod.rs
@@ -0,0 +1,17 @@
+//! The rule document: services, teams, and an ordered list of when-then rules.
+//!
+//! For each kind of decision the first rule counts whose condition matches and whose `then` names
+//! that kind. The document is one YAML file that operators keep in version control.
+
+mod action;
+mod book;
+mod document;
+
+pub use action::{
+    AdmitAction, KeyPolicy, PlaceAction, RetryAction, RouteAction, RuleAction, StopAction,
+};
+pub use book::{DecisionFacts, DecisionKind, RuleBook};
+pub use document::{
+    RuleCondition, RuleDocument, RuleEntry, RuleError, ServiceDeclaration, ServiceKind,
+    TeamDeclaration,
+};
--- /dev/null
+++ b/crates/model/src/table.rs
@@ -0,0 +1,124 @@
+//! A map kept as a sorted vector, the collection of the house style.
+
+use serde::{Deserialize, Serialize};
+
+/// Key-value pairs in ascending key order, found by binary search.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SortedTable<K, V> {
+    entries: Vec<(K, V)>,
+}
+
+impl<K, V> Default for SortedTable<K, V> {
+    fn default() -> Self {
+        Self { entries: Vec::new() }
+    }
+}
+
+impl<K: Ord, V> SortedTable<K, V> {
+    /// An empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The value under `key`.
+    pub fn get(&self, key: &K) -> Option<&V> {
+        self.position(key).ok().map(|index| &self.entries[index].1)
+    }
+
+    /// The value under `key`, to change.
+    pub fn get_mut(&mut self, key: &K) -> Option<&mut V> {
+        self.position(key).ok().map(|index| &mut self.entries[index].1)
+    }
+
+    /// The value under `key`, made by `make` when missing.
+    pub fn get_or_insert_with(&mut self, key: K, make: impl FnOnce() -> V) -> &mut V {
+        let index = match self.position(&key) {
+            Ok(index) => index,
+            Err(index) => {
+                self.entries.insert(index, (key, make()));
+                index
+            }
+        };
+        &mut self.entries[index].1
+    }
+
+    /// Stores `value` under `key`; returns the value it replaces.
+    pub fn insert(&mut self, key: K, value: V) -> Option<V> {
+        match self.position(&key) {
+            Ok(index) => Some(std::mem::replace(&mut self.entries[index].1, value)),
+            Err(index) => {
+                self.entries.insert(index, (key, value));
+                None
+            }
+        }
+    }
+
+    /// Takes the value under `key` out.
+    pub fn remove(&mut self, key: &K) -> Option<V> {
+        self.position(key).ok().map(|index| self.entries.remove(index).1)
+    }
+
+    /// Whether `key` is present.
+    pub fn contains_key(&self, key: &K) -> bool {
+        self.position(key).is_ok()
+    }
+
+    /// How many pairs there are.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there is no pair.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// The pairs in key order.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = (&K, &V)> + ExactSizeIterator {
+        self.entries.iter().map(|(key, value)| (key, value))
+    }
+
+    /// The pairs in key order, values to change.
+    pub fn iter_mut(&mut self) -> impl DoubleEndedIterator<Item = (&K, &mut V)> {
+        self.entries.iter_mut().map(|(key, value)| (&*key, value))
+    }
+
+    /// The keys in order.
+    pub fn keys(&self) -> impl DoubleEndedIterator<Item = &K> + ExactSizeIterator {
+        self.entries.iter().map(|(key, _)| key)
+    }
+
+    /// The values in key order.
+    pub fn values(&self) -> impl DoubleEndedIterator<Item = &V> + ExactSizeIterator {
+        self.entries.iter().map(|(_, value)| value)
+    }
+
+    /// The values in key order, to change.
+    pub fn values_mut(&mut self) -> impl DoubleEndedIterator<Item = &mut V> {
+        self.entries.iter_mut().map(|(_, value)| value)
+    }
+
+    /// Keeps the pairs for which `keep` holds.
+    pub fn retain(&mut self, mut keep: impl FnMut(&K, &mut V) -> bool) {
+        self.entries.retain_mut(|(key, value)| keep(key, value));
+    }
+
+    /// Drops every pair.
+    pub fn clear(&mut self) {
+        self.entries.clear();
+    }
+
+    fn position(&self, key: &K) -> Result<usize, usize> {
+        self.entries.binary_search_by(|(candidate, _)| candidate.cmp(key))
+    }
+}
+
+impl<K: Ord, V> FromIterator<(K, V)> for SortedTable<K, V> {
+    fn from_iter<I: IntoIterator<Item = (K, V)>>(pairs: I) -> Self {
+        let mut table = Self::new();
+        for (key, value) in pairs {
+            table.insert(key, value);
+        }
+        table
+    }
+}
--- /dev/null
+++ b/crates/model/src/time.rs
@@ -0,0 +1,23 @@
+//! Monotonic time as a plain number, so that decisions can be stepped and replayed.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Microseconds on the local monotonic clock of one process; never compared between hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TimePoint(pub u64);
+
+impl TimePoint {
+    /// The point `span` after this one.
+    pub fn after(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+
+    /// The time from `earlier` to this point; zero when `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/endpoint.rs
@@ -0,0 +1,123 @@
+//! Calling the endpoint over HTTP and reading its answer piece by piece.
+
+use std::io::{BufRead, BufReader, Read};
+use std::time::Duration;
+
+use attohttpc::{Method, RequestBuilder, ResponseReader};
+use briartray_model::message::DispatchOrder;
+use briartray_model::settings::EndpointSettings;
+use snafu::Snafu;
+
+/// Longest line of an event stream, in bytes.
+const MAX_EVENT_BYTES: u64 = 1024 * 1024;
+
+/// Largest answer that is not a stream, in bytes.
+const MAX_ANSWER_BYTES: u64 = 8 * 1024 * 1024;
+
+/// Time to connect to the endpoint, which runs on the same host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Why a call failed.
+#[derive(Debug, Snafu)]
+pub(super) enum EndpointError {
+    /// No connection; nothing was sent.
+    #[snafu(display("endpoint cannot be reached: {detail}; check that it runs"))]
+    Unreachable { detail: String },
+    /// The call broke; it may have run.
+    #[snafu(display("endpoint call broke: {detail}; look at the endpoint's log"))]
+    Broken { detail: String },
+}
+
+/// An answer whose head has come.
+pub(super) struct EndpointAnswer {
+    pub(super) status: u16,
+    pub(super) content_type: String,
+    length: Option<u64>,
+    body: BufReader<ResponseReader>,
+}
+
+/// Calls the endpoint for `order`.
+pub(super) fn call(
+    settings: &EndpointSettings,
+    order: &DispatchOrder,
+) -> Result<EndpointAnswer, EndpointError> {
+    let url = format!("http://{}{}", settings.address, order.target.path);
+    let method = Method::from_bytes(order.target.method.as_bytes())
+        .map_err(|error| EndpointError::Unreachable { detail: error.to_string() })?;
+    let deadline = Duration::from_millis(u64::from(order.deadline_ms.max(1)));
+    let mut request = RequestBuilder::new(method, url)
+        .connect_timeout(CONNECT_TIMEOUT)
+        .read_timeout(deadline)
+        .timeout(deadline)
+        .follow_redirects(false)
+        .header("x-request-id", order.attempt.to_string())
+        .header("traceparent", order.trace.to_header())
+        .header("x-priority", order.priority.to_string());
+    for field in &order.target.headers {
+        let name = attohttpc::header::HeaderName::from_bytes(field.name.as_bytes());
+        let value = attohttpc::header::HeaderValue::from_str(&field.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            request = request.header(name, value);
+        }
+    }
+    let response = request.bytes(order.body.as_slice()).send().map_err(describe)?;
+    let (status, headers, body) = response.split();
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    Ok(EndpointAnswer {
+        status: status.as_u16(),
+        content_type: text("content-type").unwrap_or("application/octet-stream").to_owned(),
+        length: text("content-length").and_then(|length| length.parse().ok()),
+        body: BufReader::new(body),
+    })
+}
+
+fn describe(error: attohttpc::Error) -> EndpointError {
+    let refused = match error.kind() {
+        attohttpc::ErrorKind::Io(cause) => cause.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
+    };
+    let detail = error.to_string();
+    if refused { EndpointError::Unreachable { detail } } else { EndpointError::Broken { detail } }
+}
+
+impl EndpointAnswer {
+    /// Whether the answer is an event stream.
+    pub(super) fn is_stream(&self) -> bool {
+        self.status == 200 && self.content_type.starts_with("text/event-stream")
+    }
+
+    /// The data of the next event; `None` at the stream's end mark.
+    pub(super) fn next_event(&mut self) -> Result<Option<Vec<u8>>, EndpointError> {
+        loop {
+            let mut line = Vec::new();
+            let read = (&mut self.body)
+                .take(MAX_EVENT_BYTES)
+                .read_until(b'\n', &mut line)
+                .map_err(|error| EndpointError::Broken { detail: error.to_string() })?;
+            if read == 0 {
+                // A stream that stops without its end mark was cut; it must not look whole.
+                let detail = "the stream ended without its end mark".to_owned();
+                return Err(EndpointError::Broken { detail });
+            }
+            let text = line.trim_ascii_end();
+            if let Some(data) = text.strip_prefix(b"data:") {
+                let data = data.trim_ascii_start();
+                return Ok((data != b"[DONE]").then(|| data.to_vec()));
+            }
+        }
+    }
+
+    /// The whole body.
+    pub(super) fn whole_body(&mut self) -> Result<Vec<u8>, EndpointError> {
+        let mut body = Vec::new();
+        (&mut self.body)
+            .take(MAX_ANSWER_BYTES)
+            .read_to_end(&mut body)
+            .map_err(|error| EndpointError::Broken { detail: error.to_string() })?;
+        if self.length.is_some_and(|length| length != body.len() as u64) {
+            let detail = "the body is shorter than announced".to_owned();
+            return Err(EndpointError::Broken { detail });
+        }
+        Ok(body)
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/mod.rs
@@ -0,0 +1,105 @@
+//! The agent role: one small process beside one endpoint.
+//!
+//! The control thread owns the host's promise and the gate of its group; traffic threads read the
+//! gate's state as a snapshot that is swapped as a whole.
+
+mod core;
+mod endpoint;
+mod member;
+mod serve;
+mod session;
+mod shared;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use briartray_link::{CallKind, ClientSettings, LinkClient, LinkServer, LinkStream};
+use briartray_model::message::HostAnnouncement;
+use briartray_model::settings::{AgentSettings, DaemonSettings};
+use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
+use crossbeam::channel::{Sender, bounded};
+
+use self::core::{AgentCore, AgentInput};
+use self::shared::AgentShared;
+use crate::{DaemonError, new_incarnation};
+
+/// Inputs that may wait for the control thread.
+const INPUT_QUEUE: usize = 1024;
+
+/// Time to connect to another process.
+const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1000);
+
+/// A running agent role.
+pub struct AgentNode {
+    link: LinkServer,
+    shared: Arc<AgentShared>,
+    inputs: Sender<AgentInput>,
+}
+
+impl AgentNode {
+    /// Starts the agent beside its endpoint.
+    ///
+    /// # Errors
+    /// A `DaemonError` when its port cannot be used.
+    pub fn start(settings: &DaemonSettings, role: &AgentSettings) -> Result<Self, DaemonError> {
+        let shared = Arc::new(AgentShared::new(role));
+        let (inputs, queue) = bounded(INPUT_QUEUE);
+        let handler = {
+            let (shared, inputs) = (Arc::clone(&shared), inputs.clone());
+            Box::new(move |stream| accept(stream, &shared, &inputs))
+        };
+        let link = LinkServer::start(role.link, &settings.cluster.token, handler)?;
+        let client = LinkClient::start(
+            "agent-link",
+            ClientSettings {
+                token: settings.cluster.token.clone(),
+                connect_timeout: CONNECT_TIMEOUT,
+            },
+        )?;
+        let announcement = announce(settings, role, link.address());
+        let peers = settings.cluster.control.iter().map(|peer| peer.link).collect();
+        let session = session::start(client.clone(), peers, announcement, inputs.clone())?;
+        let core = AgentCore::new(Arc::clone(&shared), client, session, inputs.clone());
+        spawn_worker("agent", 4 * WORKER_STACK_BYTES, move || core.run(&queue))?;
+        Ok(Self { link, shared, inputs })
+    }
+
+    /// Where other processes connect.
+    pub fn link_address(&self) -> SocketAddr {
+        self.link.address()
+    }
+
+    /// Stops the role.
+    pub fn stop(&self) {
+        self.shared.close();
+        let _ = self.inputs.send(AgentInput::Stop);
+        self.link.stop();
+    }
+}
+
+fn announce(settings: &DaemonSettings, role: &AgentSettings, link: SocketAddr) -> HostAnnouncement {
+    HostAnnouncement {
+        host: role.host.clone(),
+        zone: settings.zone.clone(),
+        domain: role.domain.clone(),
+        provider: role.provider.clone(),
+        service: role.endpoint.service.clone(),
+        accelerators: role.accelerators,
+        link,
+        checks_fencing: role.endpoint.checks_fencing,
+        incarnation: new_incarnation(),
+        leaving: false,
+    }
+}
+
+fn accept(stream: LinkStream, shared: &Arc<AgentShared>, inputs: &Sender<AgentInput>) {
+    let (shared, inputs) = (Arc::clone(shared), inputs.clone());
+    let run = move || match stream.kind {
+        CallKind::Dispatch => serve::serve(&stream, &shared),
+        CallKind::Member => member::serve(&stream, &inputs),
+        kind => log::warn!("a {kind} call came to an agent and was closed"),
+    };
+    if let Err(error) = spawn_worker("agent-stream", WORKER_STACK_BYTES, run) {
+        log::error!("cannot serve a stream: {error}; raise the thread limit");
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/shared.rs
@@ -0,0 +1,118 @@
+//! What the agent's control thread shares with its traffic threads.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use briartray_model::TimePoint;
+use briartray_model::message::{DispatchOrder, LoadReport, RefusalReason};
+use briartray_model::names::{FencingNumber, GroupId};
+use briartray_model::settings::AgentSettings;
+use briartray_routing::attempt::AttemptBook;
+
+use crate::ClockReader;
+
+/// The gate as traffic threads see it.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub(super) struct GateView {
+    /// Group whose first host this is.
+    pub(super) group: GroupId,
+    /// Its fencing number; zero when this host is no first host.
+    pub(super) fencing: FencingNumber,
+    /// Until when every member's lease is held.
+    pub(super) whole_until: Option<TimePoint>,
+    /// How many attempts may be in flight.
+    pub(super) capacity: u32,
+}
+
+/// State shared between the threads of one agent.
+#[derive(Debug)]
+pub(super) struct AgentShared {
+    pub(super) settings: AgentSettings,
+    pub(super) clock: ClockReader,
+    gate: ArcSwap<GateView>,
+    closed: AtomicBool,
+    in_flight: AtomicU32,
+    attempts: Mutex<AttemptBook>,
+}
+
+impl AgentShared {
+    pub(super) fn new(settings: &AgentSettings) -> Self {
+        Self {
+            settings: settings.clone(),
+            clock: ClockReader::start(),
+            gate: ArcSwap::from_pointee(GateView::default()),
+            closed: AtomicBool::new(false),
+            in_flight: AtomicU32::new(0),
+            attempts: Mutex::new(AttemptBook::new()),
+        }
+    }
+
+    /// Publishes the gate's state.
+    pub(super) fn publish(&self, view: GateView) {
+        self.gate.store(std::sync::Arc::new(view));
+    }
+
+    /// Takes no new work from now on.
+    pub(super) fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Why `order` must not run now, if so.
+    ///
+    /// The time is read after the view: a process that slept in between finds the lease gone.
+    pub(super) fn refusal(&self, order: &DispatchOrder) -> Option<RefusalReason> {
+        if self.closed.load(Ordering::SeqCst) {
+            return Some(RefusalReason::Leaving);
+        }
+        let gate = self.gate.load();
+        if (gate.group, gate.fencing) != (order.group, order.fencing) {
+            return Some(RefusalReason::WrongGroup);
+        }
+        if !self.is_whole(&gate) {
+            return Some(RefusalReason::GroupNotWhole);
+        }
+        (self.in_flight.load(Ordering::SeqCst) >= gate.capacity).then_some(RefusalReason::QueueFull)
+    }
+
+    /// Whether the group of `order` is still whole at its fencing number.
+    pub(super) fn still_whole(&self, order: &DispatchOrder) -> bool {
+        let gate = self.gate.load();
+        (gate.group, gate.fencing) == (order.group, order.fencing) && self.is_whole(&gate)
+    }
+
+    /// The load to report.
+    pub(super) fn load(&self) -> LoadReport {
+        LoadReport {
+            in_flight: self.in_flight.load(Ordering::SeqCst),
+            queued: 0,
+            capacity: self.gate.load().capacity,
+            step_micros: 0,
+        }
+    }
+
+    /// Counts an attempt in; it is counted out when the guard is dropped.
+    pub(super) fn count_in(&self) -> InFlightGuard<'_> {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        InFlightGuard(&self.in_flight)
+    }
+
+    /// The attempts seen so far.
+    pub(super) fn attempts(&self) -> MutexGuard<'_, AttemptBook> {
+        self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_whole(&self, gate: &GateView) -> bool {
+        gate.whole_until.is_some_and(|until| self.clock.now() < until)
+    }
+}
+
+/// Counts one attempt in flight.
+#[derive(Debug)]
+pub(super) struct InFlightGuard<'a>(&'a AtomicU32);
+
+impl Drop for InFlightGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/fleet.rs
@@ -0,0 +1,198 @@
+//! What the control thread knows of agents: who is connected and what they report.
+
+use std::time::Duration;
+
+use briartray_control::state::GroupRegistry;
+use briartray_link::LinkWriter;
+use briartray_model::message::{AgentReport, ControlDirective, GroupRecord, HostAnnouncement};
+use briartray_model::names::{FencingNumber, GroupId, HostName};
+use briartray_model::{SortedTable, TimePoint};
+use briartray_placement::planner::{FleetView, GroupView, HostView};
+
+use super::input::SessionId;
+
+/// How long a host that went away is remembered.
+const FORGET_AFTER: Duration = Duration::from_secs(3600);
+
+#[derive(Debug)]
+struct KnownHost {
+    announcement: HostAnnouncement,
+    session: Option<SessionId>,
+    since: TimePoint,
+    told: Option<FencingNumber>,
+}
+
+#[derive(Debug)]
+struct GroupHealth {
+    fencing: FencingNumber,
+    whole: bool,
+    since: TimePoint,
+}
+
+/// Connected agents and the state of groups; rebuilt from reports after a restart.
+#[derive(Debug, Default)]
+pub(super) struct FleetRoster {
+    sessions: SortedTable<SessionId, LinkWriter>,
+    hosts: SortedTable<HostName, KnownHost>,
+    health: SortedTable<GroupId, GroupHealth>,
+}
+
+impl FleetRoster {
+    pub(super) fn open(&mut self, session: SessionId, writer: LinkWriter) {
+        self.sessions.insert(session, writer);
+    }
+
+    pub(super) fn close(&mut self, now: TimePoint, session: SessionId) {
+        self.sessions.remove(&session);
+        for host in self.hosts.values_mut().filter(|host| host.session == Some(session)) {
+            host.session = None;
+            host.since = now;
+        }
+    }
+
+    /// Takes a report; `true` when entries must learn of it.
+    pub(super) fn report(
+        &mut self,
+        now: TimePoint,
+        session: SessionId,
+        report: AgentReport,
+    ) -> bool {
+        match report {
+            AgentReport::Announce(announcement) => {
+                self.announce(now, session, announcement);
+                false
+            }
+            AgentReport::GroupState { group, fencing, whole, .. } => {
+                self.group_state(now, group, fencing, whole)
+            }
+            AgentReport::Drained { host } => {
+                log::info!(host = host.as_str(); "host has no work left");
+                false
+            }
+        }
+    }
+
+    fn announce(&mut self, now: TimePoint, session: SessionId, announcement: HostAnnouncement) {
+        let known = self.hosts.get(&announcement.host);
+        let same_session = known.is_some_and(|host| host.session == Some(session));
+        let since = if same_session { known.map_or(now, |host| host.since) } else { now };
+        let told = if same_session { known.and_then(|host| host.told) } else { None };
+        self.hosts.insert(
+            announcement.host.clone(),
+            KnownHost { announcement, session: Some(session), since, told },
+        );
+    }
+
+    fn group_state(
+        &mut self,
+        now: TimePoint,
+        group: GroupId,
+        fencing: FencingNumber,
+        whole: bool,
+    ) -> bool {
+        let before = self.health.get(&group).map(|health| (health.fencing, health.whole));
+        if before.is_some_and(|(known, _)| known > fencing) || before == Some((fencing, whole)) {
+            return false;
+        }
+        log::info!(group = group.0, whole = whole; "group state changed");
+        self.health.insert(group, GroupHealth { fencing, whole, since: now });
+        true
+    }
+
+    /// Tells every connected agent its membership, once for each fencing number.
+    pub(super) fn direct(&mut self, registry: &GroupRegistry) {
+        for (name, host) in self.hosts.iter_mut() {
+            let seat = registry.seat(name);
+            if host.told == Some(seat.fencing) {
+                continue;
+            }
+            let Some(writer) = host.session.and_then(|session| self.sessions.get(&session)) else {
+                continue;
+            };
+            let directive = match seat.group.and_then(|group| registry.group(group)) {
+                Some(group) => ControlDirective::Assign(group.assignment.clone()),
+                None => ControlDirective::Free { fencing: seat.fencing },
+            };
+            // A full queue is not waited for: the directive goes out on a later tick.
+            if writer.try_send(&directive).unwrap_or(false) {
+                host.told = Some(seat.fencing);
+            }
+        }
+    }
+
+    /// Forgets hosts that went away long ago and groups that are gone.
+    pub(super) fn prune(&mut self, now: TimePoint, registry: &GroupRegistry) {
+        self.hosts.retain(|name, host| {
+            host.session.is_some()
+                || registry.seat(name).group.is_some()
+                || now.since(host.since) < FORGET_AFTER
+        });
+        self.health.retain(|group, _| registry.group(*group).is_some());
+    }
+
+    pub(super) fn announcement(&self, host: &HostName) -> Option<&HostAnnouncement> {
+        self.hosts.get(host).map(|host| &host.announcement)
+    }
+
+    /// The fleet as a planner sees it.
+    pub(super) fn view(&self, registry: &GroupRegistry) -> FleetView {
+        let hosts = self
+            .hosts
+            .iter()
+            .map(|(name, host)| {
+                let view = HostView {
+                    announcement: host.announcement.clone(),
+                    present: host.session.is_some(),
+                    since: host.since,
+                    group: registry.seat(name).group,
+                };
+                (name.clone(), view)
+            })
+            .collect();
+        let groups = registry
+            .groups()
+            .map(|group| {
+                let id = group.assignment.group;
+                let view = GroupView {
+                    group: id,
+                    service: group.assignment.service.clone(),
+                    members: group.assignment.members.iter().map(|m| m.host.clone()).collect(),
+                    whole: self.is_whole(id),
+                    since: self.health.get(&id).map_or(TimePoint::default(), |h| h.since),
+                };
+                (id, view)
+            })
+            .collect();
+        FleetView { hosts, groups }
+    }
+
+    /// The groups as entries see them.
+    pub(super) fn records(&self, registry: &GroupRegistry) -> Vec<GroupRecord> {
+        registry
+            .groups()
+            .filter_map(|group| {
+                let first = group.assignment.members.first()?;
+                Some(GroupRecord {
+                    group: group.assignment.group,
+                    fencing: group.assignment.fencing,
+                    service: group.assignment.service.clone(),
+                    zone: group.zone.clone(),
+                    domain: group.domain.clone(),
+                    provider: group.provider.clone(),
+                    first: first.host.clone(),
+                    link: first.link,
+                    whole: self.is_whole(group.assignment.group),
+                    capacity: group.assignment.capacity,
+                })
+            })
+            .collect()
+    }
+
+    pub(super) fn connected_hosts(&self) -> usize {
+        self.hosts.values().filter(|host| host.session.is_some()).count()
+    }
+
+    fn is_whole(&self, group: GroupId) -> bool {
+        self.health.get(&group).is_some_and(|health| health.whole)
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/input.rs
@@ -0,0 +1,43 @@
+//! What reaches the control thread.
+
+use briartray_control::state::{CommandOutcome, ControlCommand};
+use briartray_link::LinkWriter;
+use briartray_model::message::{AgentReport, LedgerRequest, WatchRequest};
+use crossbeam::channel::Sender;
+use serde_json::Value;
+
+/// Number of one agent's stream, unique in the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct SessionId(pub(super) u64);
+
+/// One input of the control thread.
+#[derive(Debug)]
+pub(super) enum ControlInput {
+    /// An agent opened a stream.
+    FleetOpened { session: SessionId, writer: LinkWriter },
+    /// An agent reported.
+    FleetReport { session: SessionId, report: AgentReport },
+    /// An agent's stream is gone.
+    FleetClosed { session: SessionId },
+    /// An entry renews its lease.
+    Watch { request: WatchRequest, writer: LinkWriter },
+    /// An entry asks the ledger.
+    Ledger { request: LedgerRequest, writer: LinkWriter },
+    /// An operator changes something.
+    Propose { command: ControlCommand, reply: Sender<CommandOutcome> },
+    /// An operator looks at something.
+    Inspect { what: InspectKind, reply: Sender<Value> },
+    /// The process ends.
+    Stop,
+}
+
+/// What an operator may look at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum InspectKind {
+    /// Revision, hosts and groups in short.
+    Status,
+    /// Every group.
+    Groups,
+    /// The rule document.
+    Rules,
+}
--- /dev/null
+++ b/crates/node/src/control/operator.rs
@@ -0,0 +1,128 @@
+//! The operators' port: HTTP and JSON behind a bearer token.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use briartray_control::state::{CommandOutcome, ControlCommand};
+use briartray_model::names::{ChangeId, RevisionNumber};
+use briartray_model::settings::ControlSettings;
+use briartray_web::{HttpListener, JsonReply, ListenError, header_value, read_body, reply_json};
+use crossbeam::channel::{Sender, bounded};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tiny_http::{Method, Request};
+
+use super::input::{ControlInput, InspectKind};
+
+/// Largest operator request, in bytes.
+const MAX_BODY: usize = 4 * 1024 * 1024;
+
+/// How long the control thread may take to answer.
+const ANSWER_WAIT: Duration = Duration::from_secs(20);
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ApplyCall {
+    change: String,
+    expect: Option<u64>,
+    text: String,
+}
+
+/// Starts the operators' port.
+pub(super) fn listen(
+    role: &ControlSettings,
+    max_open: u32,
+    inputs: Sender<ControlInput>,
+) -> Result<HttpListener, ListenError> {
+    let token = role.operator_token.clone();
+    let handler = Arc::new(move |request| handle(request, token.as_deref(), &inputs));
+    HttpListener::start(role.operator, max_open, handler)
+}
+
+fn handle(mut request: Request, token: Option<&str>, inputs: &Sender<ControlInput>) {
+    let reply = match token {
+        Some(token) if !shows_token(&request, token) => {
+            problem(401, "unauthorized", "send the operator token as a bearer token")
+        }
+        _ => answer(&mut request, inputs),
+    };
+    reply_json(request, &reply);
+}
+
+fn shows_token(request: &Request, token: &str) -> bool {
+    header_value(request, "authorization")
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .is_some_and(|shown| shown == token)
+}
+
+fn answer(request: &mut Request, inputs: &Sender<ControlInput>) -> JsonReply {
+    let path = request.url().split('?').next().unwrap_or_default().to_owned();
+    match (request.method(), path.as_str()) {
+        (Method::Get, "/v1/status") => inspect(inputs, InspectKind::Status),
+        (Method::Get, "/v1/groups") => inspect(inputs, InspectKind::Groups),
+        (Method::Get, "/v1/rules") => inspect(inputs, InspectKind::Rules),
+        (Method::Post, "/v1/rules") => apply_rules(request, inputs),
+        _ => problem(404, "unknown_call", "see the operators' guide for the calls"),
+    }
+}
+
+fn inspect(inputs: &Sender<ControlInput>, what: InspectKind) -> JsonReply {
+    let (reply, answer) = bounded(1);
+    if inputs.send(ControlInput::Inspect { what, reply }).is_err() {
+        return no_answer();
+    }
+    answer.recv_timeout(ANSWER_WAIT).map_or_else(|_| no_answer(), |body| JsonReply::new(200, body))
+}
+
+fn apply_rules(request: &mut Request, inputs: &Sender<ControlInput>) -> JsonReply {
+    let call = match read_call(request) {
+        Ok(call) => call,
+        Err(detail) => return problem(400, "bad_request", &detail),
+    };
+    let Some(change) = ChangeId::parse(&call.change) else {
+        return problem(400, "bad_change_id", "send a change id of 32 hexadecimal digits");
+    };
+    let expect = call.expect.map(RevisionNumber);
+    let command = ControlCommand::ApplyRules { change, expect, text: call.text };
+    let (reply, answer) = bounded(1);
+    if inputs.send(ControlInput::Propose { command, reply }).is_err() {
+        return no_answer();
+    }
+    answer.recv_timeout(ANSWER_WAIT).map_or_else(|_| no_answer(), |outcome| describe(&outcome))
+}
+
+fn read_call(request: &mut Request) -> Result<ApplyCall, String> {
+    let body = read_body(request, MAX_BODY).map_err(|error| error.to_string())?;
+    serde_json::from_slice(&body).map_err(|error| error.to_string())
+}
+
+fn describe(outcome: &CommandOutcome) -> JsonReply {
+    match outcome {
+        CommandOutcome::RulesAccepted { revision } => {
+            JsonReply::new(200, json!({ "outcome": "accepted", "revision": revision.0 }))
+        }
+        CommandOutcome::RulesConflict { revision } => problem_with(
+            409,
+            "revision_conflict",
+            "another change came first; look at the rules in force and try again",
+            &json!({ "revision": revision.0 }),
+        ),
+        CommandOutcome::RulesInvalid { detail } => problem(422, "rules_invalid", detail),
+        CommandOutcome::ChangeReused { .. } => {
+            problem(409, "change_reused", "use a new change id for another document")
+        }
+        other => problem(500, "unexpected", &format!("{other:?}")),
+    }
+}
+
+fn no_answer() -> JsonReply {
+    problem(503, "no_answer", "the outcome is not known; send the same change id again")
+}
+
+fn problem(status: u16, code: &str, message: &str) -> JsonReply {
+    JsonReply::new(status, json!({ "code": code, "message": message }))
+}
+
+fn problem_with(status: u16, code: &str, message: &str, more: &Value) -> JsonReply {
+    JsonReply::new(status, json!({ "code": code, "message": message, "details": more }))
+}
--- /dev/null
+++ b/crates/node/src/control/streams.rs
@@ -0,0 +1,75 @@
+//! Turning link streams into inputs of the control thread.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use briartray_link::{CallKind, LinkError, LinkReader, LinkStream, LinkWriter};
+use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
+use crossbeam::channel::Sender;
+use serde::de::DeserializeOwned;
+
+use super::input::{ControlInput, SessionId};
+
+/// How long a reader waits before it looks again; a dead path is noticed by the link itself.
+const READ_WAIT: Duration = Duration::from_secs(60);
+
+static NEXT_SESSION: AtomicU64 = AtomicU64::new(1);
+
+/// Serves one accepted stream on a thread of its own.
+pub(super) fn accept(stream: LinkStream, inputs: &Sender<ControlInput>) {
+    let inputs = inputs.clone();
+    let run = move || match stream.kind {
+        CallKind::Fleet => serve_fleet(&stream, &inputs),
+        CallKind::Watch => serve_watch(&stream, &inputs),
+        CallKind::Ledger => serve_ledger(&stream, &inputs),
+        kind => log::warn!("a {kind} call came to a control host and was closed"),
+    };
+    if let Err(error) = spawn_worker("control-stream", WORKER_STACK_BYTES, run) {
+        log::error!("cannot serve a stream: {error}; raise the thread limit");
+    }
+}
+
+fn serve_fleet(stream: &LinkStream, inputs: &Sender<ControlInput>) {
+    let session = SessionId(NEXT_SESSION.fetch_add(1, Ordering::Relaxed));
+    let opened = ControlInput::FleetOpened { session, writer: stream.writer.clone() };
+    if inputs.send(opened).is_err() {
+        return;
+    }
+    forward(stream, inputs, |report, _| ControlInput::FleetReport { session, report });
+    let _ = inputs.send(ControlInput::FleetClosed { session });
+}
+
+fn serve_watch(stream: &LinkStream, inputs: &Sender<ControlInput>) {
+    forward(stream, inputs, |request, writer| ControlInput::Watch { request, writer });
+}
+
+fn serve_ledger(stream: &LinkStream, inputs: &Sender<ControlInput>) {
+    forward(stream, inputs, |request, writer| ControlInput::Ledger { request, writer });
+}
+
+/// Passes each message on until the stream ends.
+fn forward<T: DeserializeOwned>(
+    stream: &LinkStream,
+    inputs: &Sender<ControlInput>,
+    wrap: impl Fn(T, LinkWriter) -> ControlInput,
+) {
+    while let Some(message) = next_message(&stream.reader) {
+        if inputs.send(wrap(message, stream.writer.clone())).is_err() {
+            return;
+        }
+    }
+}
+
+fn next_message<T: DeserializeOwned>(reader: &LinkReader) -> Option<T> {
+    loop {
+        match reader.receive(READ_WAIT) {
+            Ok(message) => return Some(message),
+            Err(LinkError::TimedOut) => {}
+            Err(LinkError::Ended) => return None,
+            Err(error) => {
+                log::debug!("a stream to control ended: {error}");
+                return None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/daemon.rs
@@ -0,0 +1,86 @@
+//! One daemon process: the roles its settings name.
+
+use briartray_link::LinkError;
+use briartray_model::settings::DaemonSettings;
+use briartray_web::ListenError;
+use snafu::Snafu;
+
+use crate::agent::AgentNode;
+use crate::control::ControlNode;
+use crate::entry::EntryNode;
+
+/// Why a role could not start.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// A link could not start.
+    #[snafu(display("{source}"), context(false))]
+    Link {
+        /// Why.
+        source: LinkError,
+    },
+    /// An HTTP port could not start.
+    #[snafu(display("{source}"), context(false))]
+    Listen {
+        /// Why.
+        source: ListenError,
+    },
+    /// A thread could not start.
+    #[snafu(display("cannot start a thread: {source}; check the process limits"), context(false))]
+    Thread {
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The first rules could not be read.
+    #[snafu(display("first rules {path}: {detail}; correct the file and start again"))]
+    FirstRules {
+        /// The file.
+        path: String,
+        /// What is wrong.
+        detail: String,
+    },
+}
+
+/// The roles that run in this process.
+pub struct RunningDaemon {
+    /// The control role.
+    pub control: Option<ControlNode>,
+    /// The entry role.
+    pub entry: Option<EntryNode>,
+    /// The agent role.
+    pub agent: Option<AgentNode>,
+}
+
+impl RunningDaemon {
+    /// Starts the roles that `settings` names.
+    ///
+    /// # Errors
+    /// A `DaemonError` that names the remedy.
+    pub fn start(settings: &DaemonSettings) -> Result<Self, DaemonError> {
+        let control = match &settings.control {
+            Some(role) => Some(ControlNode::start(settings, role)?),
+            None => None,
+        };
+        let agent = match &settings.agent {
+            Some(role) => Some(AgentNode::start(settings, role)?),
+            None => None,
+        };
+        let entry = match &settings.entry {
+            Some(role) => Some(EntryNode::start(settings, role)?),
+            None => None,
+        };
+        Ok(Self { control, entry, agent })
+    }
+
+    /// Stops the roles, those before callers first.
+    pub fn stop(&self) {
+        if let Some(entry) = &self.entry {
+            entry.stop();
+        }
+        if let Some(agent) = &self.agent {
+            agent.stop();
+        }
+        if let Some(control) = &self.control {
+            control.stop();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/api.rs
@@ -0,0 +1,194 @@
+//! The callers' HTTP interface.
+
+use std::sync::Arc;
+
+use briartray_model::message::{CallTarget, HeaderField, TraceContext};
+use briartray_model::names::{RequestId, TeamName};
+use briartray_model::rules::{DecisionFacts, ServiceKind};
+use briartray_web::{BodyError, JsonReply, header_value, read_body, reply_json};
+use serde::Deserialize;
+use serde_json::json;
+use tiny_http::{Method, Request};
+
+use super::call::{CallPlan, run_call};
+use super::output::CallerOutput;
+use super::refusal::{CallRefusal, RefusalCode};
+use super::shared::{EntryShared, EntryView};
+use crate::{new_request, new_span};
+
+/// Team of callers that name none.
+const DEFAULT_TEAM: &str = "default";
+
+/// Headers that are passed on to the endpoint.
+const PASSED_HEADERS: [&str; 3] = ["content-type", "accept", "idempotency-key"];
+
+#[derive(Debug, Deserialize)]
+struct CallHead {
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// Handles one request.
+pub(super) fn handle(request: Request, shared: &Arc<EntryShared>) {
+    let path = request.url().split('?').next().unwrap_or_default().to_owned();
+    match path.as_str() {
+        "/healthz" => reply_json(request, &JsonReply::new(200, json!({ "alive": true }))),
+        "/readyz" => reply_json(request, &readiness(shared)),
+        "/v1/models" => reply_json(request, &models(&shared.view())),
+        _ => handle_call(request, &path, shared),
+    }
+}
+
+fn readiness(shared: &EntryShared) -> JsonReply {
+    let ready = shared.is_ready();
+    JsonReply::new(if ready { 200 } else { 503 }, json!({ "ready": ready }))
+}
+
+fn models(view: &EntryView) -> JsonReply {
+    let names = view.book.document().services.iter().filter(|s| s.kind == ServiceKind::Engine);
+    let data: Vec<_> = names
+        .flat_map(|service| {
+            std::iter::once(service.name.as_str()).chain(service.models.iter().map(String::as_str))
+        })
+        .map(|id| json!({ "id": id, "object": "model", "owned_by": "briartray" }))
+        .collect();
+    JsonReply::new(200, json!({ "object": "list", "data": data }))
+}
+
+fn handle_call(mut request: Request, path: &str, shared: &Arc<EntryShared>) {
+    let id = new_request();
+    let view = shared.view();
+    match plan_call(&mut request, path, id, shared, &view) {
+        Ok(plan) => run_call(shared, &view, &plan, CallerOutput::new(id, request)),
+        Err(refusal) => reply_json(request, &refusal.reply(id)),
+    }
+}
+
+fn plan_call(
+    request: &mut Request,
+    path: &str,
+    id: RequestId,
+    shared: &EntryShared,
+    view: &EntryView,
+) -> Result<CallPlan, CallRefusal> {
+    if shared.is_stopped() {
+        let message = "this entry is stopping; connect again through the balancer";
+        return Err(CallRefusal::not_run(RefusalCode::Stopping, message));
+    }
+    if !shared.rules_hold(view) {
+        let message = "this entry cannot confirm its rules; try again in a second";
+        return Err(CallRefusal::not_run(RefusalCode::RulesUnconfirmed, message));
+    }
+    let team = caller_team(request, view)?;
+    let body = read_body(request, shared.settings.max_body_bytes).map_err(refuse_body)?;
+    let (service, model, stream, target_path) = match service_path(path) {
+        Some((service, rest)) => {
+            let known = view.book.document().service(service);
+            let plain = known.filter(|declared| declared.kind == ServiceKind::Plain);
+            let declared = plain.ok_or_else(|| {
+                let message = format!("service {service:?} is not offered; see the rules");
+                CallRefusal::not_run(RefusalCode::UnknownService, &message)
+            })?;
+            let query = request.url().split_once('?').map_or("", |(_, query)| query);
+            let target = if query.is_empty() { rest.to_owned() } else { format!("{rest}?{query}") };
+            (declared.name.clone(), None, false, target)
+        }
+        None => {
+            let head = read_head(request, path, &body)?;
+            let declared = view.book.document().service_of_model(&head.model).ok_or_else(|| {
+                let message = format!("model {:?} is not offered; see /v1/models", head.model);
+                CallRefusal::not_run(RefusalCode::UnknownModel, &message)
+            })?;
+            (declared.name.clone(), Some(head.model), head.stream, path.to_owned())
+        }
+    };
+    let facts = DecisionFacts {
+        team: Some(team.as_str()),
+        service: Some(service.as_str()),
+        model: model.as_deref(),
+        path: Some(path),
+        zone: Some(shared.zone.as_str()),
+        stream: Some(stream),
+        keyed: Some(header_value(request, "idempotency-key").is_some()),
+        provider: None,
+    };
+    let (rule, admit) = view.book.admit(&facts);
+    if !admit.allow {
+        let by = rule.map_or("the default", |name| name.as_str());
+        let message = format!("rule {by:?} does not allow this request; ask your operator");
+        return Err(CallRefusal::not_run(RefusalCode::Forbidden, &message));
+    }
+    let (_, retry) = view.book.retry(&facts);
+    Ok(CallPlan {
+        id,
+        service: service.clone(),
+        team: team.clone(),
+        trace: trace_of(request),
+        target: target_of(request, target_path),
+        body,
+        stream,
+        admit,
+        retry,
+    })
+}
+
+fn caller_team(request: &Request, view: &EntryView) -> Result<TeamName, CallRefusal> {
+    let name = header_value(request, "x-briartray-team").unwrap_or(DEFAULT_TEAM);
+    let teams = &view.book.document().teams;
+    if teams.is_empty() || teams.iter().any(|team| team.name.as_str() == name) {
+        return Ok(TeamName::new(name));
+    }
+    let message = format!("team {name:?} is not known; send x-briartray-team with a known team");
+    Err(CallRefusal::not_run(RefusalCode::UnknownTeam, &message))
+}
+
+fn refuse_body(error: BodyError) -> CallRefusal {
+    let code = match error {
+        BodyError::TooLarge { .. } => RefusalCode::BodyTooLarge,
+        BodyError::Broken { .. } => RefusalCode::BadRequest,
+    };
+    CallRefusal::not_run(code, &error.to_string())
+}
+
+/// Splits `/services/NAME/rest` into name and `/rest`.
+fn service_path(path: &str) -> Option<(&str, &str)> {
+    let rest = path.strip_prefix("/services/")?;
+    let end = rest.find('/').unwrap_or(rest.len());
+    let (name, tail) = rest.split_at(end);
+    Some((name, if tail.is_empty() { "/" } else { tail }))
+}
+
+fn read_head(request: &Request, path: &str, body: &[u8]) -> Result<CallHead, CallRefusal> {
+    if path != "/v1/completions" && path != "/v1/chat/completions" {
+        let message = "this path is not served; see the guide for the calls";
+        return Err(CallRefusal::not_run(RefusalCode::UnknownPath, message));
+    }
+    if *request.method() != Method::Post {
+        let message = "use POST for this path";
+        return Err(CallRefusal::not_run(RefusalCode::WrongMethod, message));
+    }
+    serde_json::from_slice(body).map_err(|error| {
+        let message = format!("the body is not a completion request: {error}");
+        CallRefusal::not_run(RefusalCode::BadRequest, &message)
+    })
+}
+
+fn trace_of(request: &Request) -> TraceContext {
+    let given = header_value(request, "traceparent").and_then(TraceContext::parse);
+    let trace_id = given.map_or_else(rand::random, |context| context.trace_id);
+    let sampled = given.is_none_or(|context| context.sampled);
+    TraceContext { trace_id, span_id: new_span(), sampled }
+}
+
+fn target_of(request: &Request, path: String) -> CallTarget {
+    let headers = PASSED_HEADERS
+        .iter()
+        .filter_map(|name| {
+            let value = header_value(request, name)?.to_owned();
+            Some(HeaderField { name: (*name).to_owned(), value })
+        })
+        .collect();
+    CallTarget { method: request.method().to_string(), path, headers }
+}
--- /dev/null
+++ b/crates/node/src/entry/mod.rs
@@ -0,0 +1,69 @@
+//! The entry role: takes callers' requests, decides, and relays to a group's first host.
+
+mod api;
+mod call;
+mod output;
+mod refusal;
+mod shared;
+mod watch;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use briartray_link::{ClientSettings, LinkClient};
+use briartray_model::settings::{DaemonSettings, EntrySettings};
+use briartray_web::HttpListener;
+
+pub use refusal::{CallRefusal, RefusalCode};
+
+use self::shared::EntryShared;
+use crate::DaemonError;
+
+/// Time to connect to an agent.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// A running entry role.
+pub struct EntryNode {
+    listener: HttpListener,
+    shared: Arc<EntryShared>,
+}
+
+impl EntryNode {
+    /// Starts the entry.
+    ///
+    /// # Errors
+    /// A `DaemonError` when its port cannot be used.
+    pub fn start(settings: &DaemonSettings, role: &EntrySettings) -> Result<Self, DaemonError> {
+        let link = LinkClient::start(
+            "entry-link",
+            ClientSettings {
+                token: settings.cluster.token.clone(),
+                connect_timeout: CONNECT_TIMEOUT,
+            },
+        )?;
+        let shared = Arc::new(EntryShared::new(settings, role, link));
+        let peers = settings.cluster.control.iter().map(|peer| peer.link).collect();
+        watch::start(Arc::clone(&shared), peers)?;
+        let calls = Arc::clone(&shared);
+        let handler = Arc::new(move |request| api::handle(request, &calls));
+        let listener = HttpListener::start(role.listen, role.max_open_requests, handler)?;
+        Ok(Self { listener, shared })
+    }
+
+    /// Where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Whether the entry would take a request now.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Takes no more requests; those that run go on.
+    pub fn stop(&self) {
+        self.shared.stop();
+        self.listener.stop();
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/refusal.rs
@@ -0,0 +1,121 @@
+//! What a caller is told when it gets no answer.
+
+use briartray_model::message::CallOutcome;
+use briartray_model::names::RequestId;
+use briartray_web::JsonReply;
+use serde_json::{Value, json};
+
+/// Stable codes of refusals.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalCode {
+    /// The path is not served.
+    UnknownPath,
+    /// The method does not fit the path.
+    WrongMethod,
+    /// The body is too large.
+    BodyTooLarge,
+    /// The body is not what the call needs.
+    BadRequest,
+    /// The model is not offered.
+    UnknownModel,
+    /// The service is not offered.
+    UnknownService,
+    /// The team is not known.
+    UnknownTeam,
+    /// A rule forbids the request.
+    Forbidden,
+    /// The entry's rules are not confirmed.
+    RulesUnconfirmed,
+    /// No whole replica takes the request now.
+    NoReplica,
+    /// The replica broke off.
+    ReplicaFailed,
+    /// The deadline passed.
+    DeadlinePassed,
+    /// The entry is stopping.
+    Stopping,
+}
+
+impl RefusalCode {
+    /// The code as callers see it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::UnknownPath => "unknown_path",
+            Self::WrongMethod => "wrong_method",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BadRequest => "bad_request",
+            Self::UnknownModel => "unknown_model",
+            Self::UnknownService => "unknown_service",
+            Self::UnknownTeam => "unknown_team",
+            Self::Forbidden => "forbidden",
+            Self::RulesUnconfirmed => "rules_unconfirmed",
+            Self::NoReplica => "no_replica",
+            Self::ReplicaFailed => "replica_failed",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::Stopping => "stopping",
+        }
+    }
+
+    fn status(self) -> u16 {
+        match self {
+            Self::UnknownPath | Self::UnknownModel | Self::UnknownService => 404,
+            Self::WrongMethod => 405,
+            Self::BodyTooLarge => 413,
+            Self::BadRequest => 400,
+            Self::UnknownTeam => 401,
+            Self::Forbidden => 403,
+            Self::RulesUnconfirmed | Self::NoReplica | Self::Stopping => 503,
+            Self::ReplicaFailed => 502,
+            Self::DeadlinePassed => 504,
+        }
+    }
+}
+
+/// One refusal.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CallRefusal {
+    /// Stable code.
+    pub code: RefusalCode,
+    /// What to do about it.
+    pub message: String,
+    /// Effect of the request.
+    pub outcome: CallOutcome,
+}
+
+impl CallRefusal {
+    /// A refusal of a request that was not run.
+    pub fn not_run(code: RefusalCode, message: &str) -> Self {
+        Self { code, message: message.to_owned(), outcome: CallOutcome::NotRun }
+    }
+
+    /// A failure whose effect is not known.
+    pub fn unknown(code: RefusalCode, message: &str) -> Self {
+        Self { code, message: message.to_owned(), outcome: CallOutcome::Unknown }
+    }
+
+    /// The body of the refusal.
+    pub fn body(&self, request: RequestId) -> Value {
+        json!({
+            "code": self.code.as_str(),
+            "message": self.message,
+            "request_id": request.to_string(),
+            "outcome": self.outcome,
+            "error": {
+                "code": self.code.as_str(),
+                "message": self.message,
+                "type": "briartray",
+            },
+        })
+    }
+
+    /// The whole reply, with `Retry-After` where trying again makes sense.
+    pub fn reply(&self, request: RequestId) -> JsonReply {
+        let reply = JsonReply::new(self.code.status(), self.body(request))
+            .with_header("X-Request-Id", request.to_string());
+        if self.code.status() == 503 {
+            reply.with_header("Retry-After", "1".to_owned())
+        } else {
+            reply
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,14 @@
+//! The roles of the daemon: entry, control and agent, with the input and output around their
+//! decisions.
+
+pub mod agent;
+mod clock;
+pub mod control;
+mod daemon;
+pub mod entry;
+mod ids;
+pub mod logs;
+
+pub use clock::ClockReader;
+pub use daemon::{DaemonError, RunningDaemon};
+pub use ids::{new_attempt, new_change, new_incarnation, new_request, new_span};
--- /dev/null
+++ b/crates/placement/src/planner/first_come.rs
@@ -0,0 +1,55 @@
+//! The naive planner: dissolve what has lost a member, form groups from whatever is free.
+
+use briartray_model::names::{DomainName, HostName, ProviderName};
+use briartray_model::rules::{RuleBook, ServiceDeclaration};
+
+use super::{FleetView, HostView, PlanAction};
+
+/// Plans without looking ahead: first come, first grouped.
+pub fn plan_first_come(view: &FleetView, book: &RuleBook) -> Vec<PlanAction> {
+    let mut actions = dissolve_broken(view);
+    for service in &book.document().services {
+        form_missing(view, service, &mut actions);
+    }
+    actions
+}
+
+fn dissolve_broken(view: &FleetView) -> Vec<PlanAction> {
+    view.groups
+        .values()
+        .filter(|group| {
+            group.members.iter().any(|host| !view.hosts.get(host).is_some_and(|h| h.present))
+        })
+        .map(|group| PlanAction::Dissolve { group: group.group })
+        .collect()
+}
+
+fn form_missing(view: &FleetView, service: &ServiceDeclaration, actions: &mut Vec<PlanAction>) {
+    let have = view.groups.values().filter(|group| group.service == service.name).count();
+    let wanted = (service.replicas as usize).saturating_sub(have);
+    let size = service.hosts_per_replica as usize;
+    let mut free: Vec<&HostView> =
+        view.hosts.values().filter(|host| is_free(host, service)).collect();
+    free.sort_by(|a, b| seat_key(a).cmp(&seat_key(b)));
+    let same_seat = |a: &&HostView, b: &&HostView| place(a) == place(b);
+    let sets = free.chunk_by(same_seat).flat_map(|run| run.chunks_exact(size.max(1)));
+    for set in sets.take(wanted) {
+        let members = set.iter().map(|host| host.announcement.host.clone()).collect();
+        actions.push(PlanAction::Form { service: service.name.clone(), members });
+    }
+}
+
+fn is_free(host: &HostView, service: &ServiceDeclaration) -> bool {
+    host.present
+        && host.group.is_none()
+        && !host.announcement.leaving
+        && host.announcement.service == service.name
+}
+
+fn place(host: &HostView) -> (&ProviderName, &DomainName) {
+    (&host.announcement.provider, &host.announcement.domain)
+}
+
+fn seat_key(host: &HostView) -> (&ProviderName, &DomainName, &HostName) {
+    (&host.announcement.provider, &host.announcement.domain, &host.announcement.host)
+}
--- /dev/null
+++ b/crates/routing/src/choice/mod.rs
@@ -0,0 +1,5 @@
+//! Choosing the replica that serves a request.
+
+mod replica;
+
+pub use replica::ReplicaTable;
--- /dev/null
+++ b/crates/web/src/reply.rs
@@ -0,0 +1,80 @@
+//! Whole replies.
+
+use serde_json::{Value, json};
+use tiny_http::{Header, Request, Response};
+
+/// A JSON reply with its status and extra headers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JsonReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Value,
+    /// Extra headers.
+    pub headers: Vec<(&'static str, String)>,
+}
+
+impl JsonReply {
+    /// A reply with `status` and `body`.
+    pub fn new(status: u16, body: Value) -> Self {
+        Self { status, body, headers: Vec::new() }
+    }
+
+    /// A refusal of a request that was not looked at yet.
+    pub fn refusal(status: u16, code: &str) -> Self {
+        let message = "the request was not looked at; try again in a second";
+        let body = json!({
+            "code": code,
+            "message": message,
+            "request_id": null,
+            "outcome": "not_run",
+            "error": { "code": code, "message": message, "type": "briartray" },
+        });
+        Self { status, body, headers: vec![("Retry-After", "1".to_owned())] }
+    }
+
+    /// The same reply with one more header.
+    #[must_use]
+    pub fn with_header(mut self, name: &'static str, value: String) -> Self {
+        self.headers.push((name, value));
+        self
+    }
+}
+
+/// Sends a JSON reply; a caller that has gone is not an error.
+pub fn reply_json(request: Request, reply: &JsonReply) {
+    let mut response = Response::from_string(reply.body.to_string())
+        .with_status_code(reply.status)
+        .with_header(make_header("Content-Type", "application/json"));
+    for (name, value) in &reply.headers {
+        response.add_header(make_header(name, value));
+    }
+    if let Err(error) = request.respond(response) {
+        log::debug!("caller went before its reply: {error}");
+    }
+}
+
+/// Sends a whole body of another type.
+pub fn reply_text(request: Request, status: u16, content_type: &str, body: Vec<u8>) {
+    let response = Response::from_data(body)
+        .with_status_code(status)
+        .with_header(make_header("Content-Type", content_type));
+    if let Err(error) = request.respond(response) {
+        log::debug!("caller went before its reply: {error}");
+    }
+}
+
+/// The value of the header `name`, if the request has it.
+pub fn header_value<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request
+        .headers()
+        .iter()
+        .find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name))
+        .map(|header| header.value.as_str())
+}
+
+fn make_header(name: &str, value: &str) -> Header {
+    Header::from_bytes(name.as_bytes(), value.as_bytes()).unwrap_or_else(|()| {
+        Header::from_bytes(&b"X-Header-Dropped"[..], &b"1"[..]).expect("a constant header is valid")
+    })
+}
