Separate the parts that grow side by side

Cause: the control thread, the entry's call loop and its single attempt stood in one file each, and a command's outcome was awaited in place, which an agreement between several hosts cannot do.

Change: commands are submitted with the one who waits for the outcome; planning, one attempt and metrics have files of their own; /metrics on the entry and the operators' port.

Conclusion: agreement, planner, requests and product parts can proceed without meeting in the same functions.

--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -1,21 +1,17 @@
-//! The control thread: applies commands, plans groups, answers entries and operators.
+//! The control thread: submits commands, plans groups, answers entries and operators.
 
 use std::time::Duration;
 
-use briartray_control::state::{CommandOutcome, ControlCommand, ControlState, GroupProposal};
+use briartray_control::state::{CommandOutcome, ControlCommand, ControlState};
 use briartray_link::LinkWriter;
-use briartray_model::TimePoint;
-use briartray_model::message::{
-    GroupMember, LedgerReply, LedgerRequest, RoutingSnapshot, WatchReply, WatchRequest,
-};
-use briartray_model::names::{HostName, ServiceName};
+use briartray_model::message::{LedgerReply, RoutingSnapshot, WatchReply, WatchRequest};
 use briartray_model::rules::RuleBook;
-use briartray_placement::planner::{PlanAction, plan_first_come};
-use crossbeam::channel::{Receiver, RecvTimeoutError};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use serde_json::{Value, json};
 
 use super::fleet::FleetRoster;
 use super::input::{ControlInput, InspectKind};
+use super::planning::PlanDriver;
 use crate::ClockReader;
 
 /// Time between two rounds of planning.
@@ -24,12 +20,24 @@
 /// How long an entry may hold its rules as confirmed, in milliseconds from its request.
 const RULES_LEASE_MS: u32 = 3000;
 
+/// Who waits for the outcome of a command.
+#[derive(Debug)]
+pub(super) enum ProposalOrigin {
+    /// The planner, which looks at the state again on its next round.
+    Planner,
+    /// An operator.
+    Operator(Sender<CommandOutcome>),
+    /// An entry that asked the ledger.
+    Ledger(LinkWriter),
+}
+
 /// State and soft knowledge of one control host.
 pub(super) struct ControlCore {
     clock: ClockReader,
     state: ControlState,
     book: RuleBook,
     roster: FleetRoster,
+    planner: PlanDriver,
     snapshot_version: u64,
 }
 
@@ -40,6 +48,7 @@
             state: ControlState::default(),
             book: RuleBook::default(),
             roster: FleetRoster::default(),
+            planner: PlanDriver::default(),
             snapshot_version: 1,
         }
     }
@@ -61,10 +70,16 @@
         }
     }
 
-    /// Applies `command` and what follows from it.
-    pub(super) fn propose(&mut self, command: &ControlCommand) -> CommandOutcome {
+    /// Submits `command`; whoever waits learns the outcome once it is committed and applied.
+    pub(super) fn submit(&mut self, command: &ControlCommand, origin: ProposalOrigin) {
         let outcome = self.state.apply(command);
-        match &outcome {
+        self.follow_up(&outcome);
+        answer(origin, outcome);
+    }
+
+    /// Does what follows from a command that was applied.
+    fn follow_up(&mut self, outcome: &CommandOutcome) {
+        match outcome {
             CommandOutcome::RulesAccepted { .. } => self.adopt_rules(),
             CommandOutcome::GroupFormed { .. } | CommandOutcome::GroupDissolved { .. } => {
                 self.snapshot_version += 1;
@@ -72,7 +87,6 @@
             }
             _ => {}
         }
-        outcome
     }
 
     fn adopt_rules(&mut self) {
@@ -95,10 +109,11 @@
             }
             ControlInput::FleetClosed { session } => self.roster.close(now, session),
             ControlInput::Watch { request, writer } => self.answer_watch(&request, &writer),
-            ControlInput::Ledger { request, writer } => self.answer_ledger(request, &writer),
+            ControlInput::Ledger { request, writer } => {
+                self.submit(&ControlCommand::Ledger(request), ProposalOrigin::Ledger(writer));
+            }
             ControlInput::Propose { command, reply } => {
-                let outcome = self.propose(&command);
-                let _ = reply.send(outcome);
+                self.submit(&command, ProposalOrigin::Operator(reply));
             }
             ControlInput::Inspect { what, reply } => {
                 let _ = reply.send(self.inspect(what));
@@ -111,43 +126,12 @@
         let now = self.clock.now();
         self.roster.prune(now, &self.state.groups);
         self.roster.direct(&self.state.groups);
-        self.plan(now);
-    }
-
-    fn plan(&mut self, _now: TimePoint) {
         let view = self.roster.view(&self.state.groups);
-        for action in plan_first_come(&view, &self.book) {
-            let command = match action {
-                PlanAction::Form { service, members } => self.form_command(&service, &members),
-                PlanAction::Dissolve { group } => Some(ControlCommand::DissolveGroup { group }),
-            };
-            if let Some(command) = command {
-                let outcome = self.propose(&command);
-                log::info!("plan: {outcome:?}");
-            }
+        for command in self.planner.step(&view, &self.book) {
+            self.submit(&command, ProposalOrigin::Planner);
         }
     }
 
-    fn form_command(&self, service: &ServiceName, members: &[HostName]) -> Option<ControlCommand> {
-        let first = self.roster.announcement(members.first()?)?;
-        let capacity = self.book.document().service(service.as_str())?.capacity;
-        let members = members
-            .iter()
-            .map(|host| {
-                let announcement = self.roster.announcement(host)?;
-                Some(GroupMember { host: host.clone(), link: announcement.link })
-            })
-            .collect::<Option<Vec<_>>>()?;
-        Some(ControlCommand::FormGroup(GroupProposal {
-            service: service.clone(),
-            zone: first.zone.clone(),
-            domain: first.domain.clone(),
-            provider: first.provider.clone(),
-            members,
-            capacity,
-        }))
-    }
-
     fn answer_watch(&mut self, request: &WatchRequest, writer: &LinkWriter) {
         let newer = request.adopted != self.snapshot_version;
         let reply = WatchReply {
@@ -159,15 +143,6 @@
         let _ = writer.try_send(&reply);
     }
 
-    fn answer_ledger(&mut self, request: LedgerRequest, writer: &LinkWriter) {
-        let outcome = self.propose(&ControlCommand::Ledger(request));
-        let reply = match outcome {
-            CommandOutcome::Ledger(reply) => reply,
-            _ => LedgerReply::Unavailable,
-        };
-        let _ = writer.try_send(&reply);
-    }
-
     fn snapshot(&self) -> RoutingSnapshot {
         let rules = self.state.rules.current();
         RoutingSnapshot {
@@ -193,3 +168,19 @@
         }
     }
 }
+
+fn answer(origin: ProposalOrigin, outcome: CommandOutcome) {
+    match origin {
+        ProposalOrigin::Planner => log::info!("plan: {outcome:?}"),
+        ProposalOrigin::Operator(reply) => {
+            let _ = reply.send(outcome);
+        }
+        ProposalOrigin::Ledger(writer) => {
+            let reply = match outcome {
+                CommandOutcome::Ledger(reply) => reply,
+                _ => LedgerReply::Unavailable,
+            };
+            let _ = writer.try_send(&reply);
+        }
+    }
+}
--- a/crates/node/src/control/fleet.rs
+++ b/crates/node/src/control/fleet.rs
@@ -130,10 +130,6 @@
         self.health.retain(|group, _| registry.group(*group).is_some());
     }
 
-    pub(super) fn announcement(&self, host: &HostName) -> Option<&HostAnnouncement> {
-        self.hosts.get(host).map(|host| &host.announcement)
-    }
-
     /// The fleet as a planner sees it.
     pub(super) fn view(&self, registry: &GroupRegistry) -> FleetView {
         let hosts = self
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod input;
 mod operator;
+mod planning;
 mod streams;
 
 use std::net::SocketAddr;
@@ -14,8 +15,9 @@
 use briartray_web::{HttpListener, WORKER_STACK_BYTES, spawn_worker};
 use crossbeam::channel::{Sender, bounded};
 
-use self::core::ControlCore;
+use self::core::{ControlCore, ProposalOrigin};
 use self::input::ControlInput;
+use crate::metrics::MetricsHub;
 use crate::{ClockReader, DaemonError, new_change};
 
 /// Inputs that may wait for the control thread.
@@ -39,7 +41,11 @@
     ///
     /// # Errors
     /// A `DaemonError` when a port or the first rules cannot be used.
-    pub fn start(settings: &DaemonSettings, role: &ControlSettings) -> Result<Self, DaemonError> {
+    pub fn start(
+        settings: &DaemonSettings,
+        role: &ControlSettings,
+        metrics: &MetricsHub,
+    ) -> Result<Self, DaemonError> {
         let mut core = ControlCore::new(ClockReader::start());
         if let Some(path) = &role.first_rules {
             adopt_first_rules(&mut core, path)?;
@@ -49,7 +55,8 @@
         let stream_inputs = inputs.clone();
         let handler = Box::new(move |stream| streams::accept(stream, &stream_inputs));
         let link = LinkServer::start(role.link, &settings.cluster.token, handler)?;
-        let operator = operator::listen(role, MAX_OPERATOR_REQUESTS, inputs.clone())?;
+        let operator =
+            operator::listen(role, MAX_OPERATOR_REQUESTS, inputs.clone(), metrics.clone())?;
         Ok(Self { link, operator, inputs })
     }
 
@@ -76,8 +83,10 @@
         |detail: String| DaemonError::FirstRules { path: path.display().to_string(), detail };
     let text = std::fs::read_to_string(path).map_err(|error| refused(error.to_string()))?;
     let command = ControlCommand::ApplyRules { change: new_change(), expect: None, text };
-    match core.propose(&command) {
-        CommandOutcome::RulesInvalid { detail } => Err(refused(detail)),
+    let (reply, outcome) = bounded(1);
+    core.submit(&command, ProposalOrigin::Operator(reply));
+    match outcome.try_recv() {
+        Ok(CommandOutcome::RulesInvalid { detail }) => Err(refused(detail)),
         _ => Ok(()),
     }
 }
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -6,13 +6,16 @@
 use briartray_control::state::{CommandOutcome, ControlCommand};
 use briartray_model::names::{ChangeId, RevisionNumber};
 use briartray_model::settings::ControlSettings;
-use briartray_web::{HttpListener, JsonReply, ListenError, header_value, read_body, reply_json};
+use briartray_web::{
+    HttpListener, JsonReply, ListenError, header_value, read_body, reply_json, reply_text,
+};
 use crossbeam::channel::{Sender, bounded};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tiny_http::{Method, Request};
 
 use super::input::{ControlInput, InspectKind};
+use crate::metrics::{METRICS_TYPE, MetricsHub};
 
 /// Largest operator request, in bytes.
 const MAX_BODY: usize = 4 * 1024 * 1024;
@@ -33,19 +36,27 @@
     role: &ControlSettings,
     max_open: u32,
     inputs: Sender<ControlInput>,
+    metrics: MetricsHub,
 ) -> Result<HttpListener, ListenError> {
     let token = role.operator_token.clone();
-    let handler = Arc::new(move |request| handle(request, token.as_deref(), &inputs));
+    let handler = Arc::new(move |request| handle(request, token.as_deref(), &inputs, &metrics));
     HttpListener::start(role.operator, max_open, handler)
 }
 
-fn handle(mut request: Request, token: Option<&str>, inputs: &Sender<ControlInput>) {
-    let reply = match token {
-        Some(token) if !shows_token(&request, token) => {
-            problem(401, "unauthorized", "send the operator token as a bearer token")
-        }
-        _ => answer(&mut request, inputs),
-    };
+fn handle(
+    mut request: Request,
+    token: Option<&str>,
+    inputs: &Sender<ControlInput>,
+    metrics: &MetricsHub,
+) {
+    if token.is_some_and(|token| !shows_token(&request, token)) {
+        let reply = problem(401, "unauthorized", "send the operator token as a bearer token");
+        return reply_json(request, &reply);
+    }
+    if request.url() == "/metrics" {
+        return reply_text(request, 200, METRICS_TYPE, metrics.render().into_bytes());
+    }
+    let reply = answer(&mut request, inputs);
     reply_json(request, &reply);
 }
 
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -8,6 +8,7 @@
 use crate::agent::AgentNode;
 use crate::control::ControlNode;
 use crate::entry::EntryNode;
+use crate::metrics::MetricsHub;
 
 /// Why a role could not start.
 #[derive(Debug, Snafu)]
@@ -56,8 +57,9 @@
     /// # Errors
     /// A `DaemonError` that names the remedy.
     pub fn start(settings: &DaemonSettings) -> Result<Self, DaemonError> {
+        let metrics = MetricsHub::default();
         let control = match &settings.control {
-            Some(role) => Some(ControlNode::start(settings, role)?),
+            Some(role) => Some(ControlNode::start(settings, role, &metrics)?),
             None => None,
         };
         let agent = match &settings.agent {
@@ -65,7 +67,7 @@
             None => None,
         };
         let entry = match &settings.entry {
-            Some(role) => Some(EntryNode::start(settings, role)?),
+            Some(role) => Some(EntryNode::start(settings, role, &metrics)?),
             None => None,
         };
         Ok(Self { control, entry, agent })
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -5,7 +5,7 @@
 use briartray_model::message::{CallTarget, HeaderField, TraceContext};
 use briartray_model::names::{RequestId, TeamName};
 use briartray_model::rules::{DecisionFacts, ServiceKind};
-use briartray_web::{BodyError, JsonReply, header_value, read_body, reply_json};
+use briartray_web::{BodyError, JsonReply, header_value, read_body, reply_json, reply_text};
 use serde::Deserialize;
 use serde_json::json;
 use tiny_http::{Method, Request};
@@ -14,6 +14,7 @@
 use super::output::CallerOutput;
 use super::refusal::{CallRefusal, RefusalCode};
 use super::shared::{EntryShared, EntryView};
+use crate::metrics::METRICS_TYPE;
 use crate::{new_request, new_span};
 
 /// Team of callers that name none.
@@ -36,6 +37,9 @@
     match path.as_str() {
         "/healthz" => reply_json(request, &JsonReply::new(200, json!({ "alive": true }))),
         "/readyz" => reply_json(request, &readiness(shared)),
+        "/metrics" => {
+            reply_text(request, 200, METRICS_TYPE, shared.hub.render().into_bytes());
+        }
         "/v1/models" => reply_json(request, &models(&shared.view())),
         _ => handle_call(request, &path, shared),
     }
@@ -62,7 +66,10 @@
     let view = shared.view();
     match plan_call(&mut request, path, id, shared, &view) {
         Ok(plan) => run_call(shared, &view, &plan, CallerOutput::new(id, request)),
-        Err(refusal) => reply_json(request, &refusal.reply(id)),
+        Err(refusal) => {
+            shared.metrics.ended(refusal.code.as_str());
+            reply_json(request, &refusal.reply(id));
+        }
     }
 }
 
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry role: takes callers' requests, decides, and relays to a group's first host.
 
 mod api;
+mod attempt;
 mod call;
 mod output;
 mod refusal;
@@ -19,6 +20,7 @@
 
 use self::shared::EntryShared;
 use crate::DaemonError;
+use crate::metrics::MetricsHub;
 
 /// Time to connect to an agent.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -34,7 +36,11 @@
     ///
     /// # Errors
     /// A `DaemonError` when its port cannot be used.
-    pub fn start(settings: &DaemonSettings, role: &EntrySettings) -> Result<Self, DaemonError> {
+    pub fn start(
+        settings: &DaemonSettings,
+        role: &EntrySettings,
+        metrics: &MetricsHub,
+    ) -> Result<Self, DaemonError> {
         let link = LinkClient::start(
             "entry-link",
             ClientSettings {
@@ -42,7 +48,7 @@
                 connect_timeout: CONNECT_TIMEOUT,
             },
         )?;
-        let shared = Arc::new(EntryShared::new(settings, role, link));
+        let shared = Arc::new(EntryShared::new(settings, role, link, metrics));
         let peers = settings.cluster.control.iter().map(|peer| peer.link).collect();
         watch::start(Arc::clone(&shared), peers)?;
         let calls = Arc::clone(&shared);
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -14,6 +14,7 @@
 use briartray_routing::choice::ReplicaTable;
 
 use crate::ClockReader;
+use crate::metrics::{MetricsHub, RequestMetrics};
 
 /// What the entry decides on.
 #[derive(Debug, Default)]
@@ -31,19 +32,28 @@
     pub(super) settings: EntrySettings,
     pub(super) clock: ClockReader,
     pub(super) link: LinkClient,
+    pub(super) hub: MetricsHub,
+    pub(super) metrics: RequestMetrics,
     view: ArcSwap<EntryView>,
     replicas: Mutex<ReplicaTable>,
     stopped: AtomicBool,
 }
 
 impl EntryShared {
-    pub(super) fn new(settings: &DaemonSettings, role: &EntrySettings, link: LinkClient) -> Self {
+    pub(super) fn new(
+        settings: &DaemonSettings,
+        role: &EntrySettings,
+        link: LinkClient,
+        hub: &MetricsHub,
+    ) -> Self {
         Self {
             node: settings.node.clone(),
             zone: settings.zone.clone(),
             settings: role.clone(),
             clock: ClockReader::start(),
             link,
+            hub: hub.clone(),
+            metrics: hub.add(RequestMetrics::register),
             view: ArcSwap::from_pointee(EntryView::default()),
             replicas: Mutex::new(ReplicaTable::new()),
             stopped: AtomicBool::new(false),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod entry;
 mod ids;
 pub mod logs;
+pub mod metrics;
 
 pub use clock::ClockReader;
 pub use daemon::{DaemonError, RunningDaemon};
