--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -1,5 +1,8 @@
 //! Fixtures: a whole fleet in the test's process, and a caller.
 
+// Each test file uses a part of them.
+#![allow(dead_code)]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,3 +44,13 @@
         .collect();
     (text, whole)
 }
+
+/// Sends `body` to `path` under an `Idempotency-Key`; returns status and text of the answer.
+pub fn post_once(address: SocketAddr, path: &str, key: &str, body: &Value) -> (u16, String) {
+    let response = attohttpc::post(format!("http://{address}{path}"))
+        .header("idempotency-key", key)
+        .bytes(body.to_string().into_bytes())
+        .send()
+        .expect("the entry answers");
+    (response.status().as_u16(), response.text().expect("the answer is text"))
+}
--- a/crates/control/src/state/ledger.rs
+++ b/crates/control/src/state/ledger.rs
@@ -1,35 +1,76 @@
 //! Calls that may not be repeated: each key is claimed once, for good.
+//!
+//! A claim is never forgotten by itself. Memory is bounded by refusing new claims once the ledger
+//! is full, and by keeping only the newest answers; an operator may forget the oldest claims whose
+//! outcome is known.
+
+use std::collections::VecDeque;
 
 use briartray_model::SortedTable;
-use briartray_model::message::{ClaimKey, KeptAnswer, LedgerReply, LedgerRequest};
+use briartray_model::message::{
+    ClaimKey, KeptAnswer, LedgerReply, LedgerRequest, MAX_KEPT_ANSWER_BYTES,
+};
 use briartray_model::names::AttemptId;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 /// Claims that the ledger holds at most.
-const MAX_CLAIMS: usize = 1_000_000;
+pub const MAX_CLAIMS: usize = 500_000;
+
+/// Bytes of answers that the ledger holds at most; the oldest answers go first.
+pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Parts of the ledger; an insertion moves the claims of one part only.
+const SHARDS: usize = 1024;
+
+/// Team and key, folded to a fixed size so that long keys take no more memory than short ones.
+type ClaimId = [u8; 32];
+
+/// Where a claim stands.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+enum ClaimState {
+    /// Claimed; whether the call ran is not known.
+    Pending,
+    /// Ran, with its answer.
+    Answered(KeptAnswer),
+    /// Ran; the answer was too large or is no longer kept.
+    Settled,
+}
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct ClaimRecord {
+    /// Position among all claims ever made.
+    order: u64,
     digest: [u8; 32],
     attempt: AttemptId,
-    answer: Option<KeptAnswer>,
+    state: ClaimState,
 }
 
 /// The ledger aggregate.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct ClaimLedger {
-    claims: SortedTable<ClaimKey, ClaimRecord>,
+    shards: Vec<SortedTable<ClaimId, ClaimRecord>>,
+    count: usize,
+    last_order: u64,
+    /// Claims whose answer is kept, in order of completion.
+    kept: VecDeque<ClaimId>,
+    kept_bytes: usize,
 }
 
 impl ClaimLedger {
     /// Claims that are held.
     pub fn len(&self) -> usize {
-        self.claims.len()
+        self.count
     }
 
     /// Whether no claim is held.
     pub fn is_empty(&self) -> bool {
-        self.claims.is_empty()
+        self.count == 0
+    }
+
+    /// Bytes of answers that are held.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
     }
 
     /// Applies one request.
@@ -37,45 +78,125 @@
         match request {
             LedgerRequest::Claim { key, digest, attempt } => self.claim(key, digest, *attempt),
             LedgerRequest::Complete { key, attempt, answer } => {
-                self.complete(key, *attempt, answer)
+                self.complete(key, *attempt, answer.as_ref())
             }
             LedgerRequest::Release { key, attempt } => self.release(key, *attempt),
         }
     }
 
+    /// Forgets the oldest claims whose outcome is known, except the `keep` newest claims; returns
+    /// how many. A forgotten key could run again, so only an operator decides this.
+    pub fn forget(&mut self, keep: u64) -> usize {
+        let oldest_kept = self.last_order.saturating_sub(keep);
+        let before = self.count;
+        for shard in &mut self.shards {
+            shard.retain(|_, record| {
+                record.order > oldest_kept || record.state == ClaimState::Pending
+            });
+        }
+        self.count = self.shards.iter().map(SortedTable::len).sum();
+        let kept = std::mem::take(&mut self.kept);
+        self.kept = kept.into_iter().filter(|id| self.record(id).is_some()).collect();
+        self.kept_bytes = self.kept.iter().map(|id| self.answer_size(id)).sum();
+        before - self.count
+    }
+
     fn claim(&mut self, key: &ClaimKey, digest: &[u8; 32], attempt: AttemptId) -> LedgerReply {
-        if let Some(record) = self.claims.get(key) {
-            return match &record.answer {
+        let id = claim_id(key);
+        if let Some(record) = self.record(&id) {
+            return match &record.state {
                 _ if record.digest != *digest => LedgerReply::Mismatch,
-                Some(answer) => LedgerReply::Answered(answer.clone()),
+                ClaimState::Answered(answer) => LedgerReply::Answered(answer.clone()),
+                ClaimState::Settled => LedgerReply::AnswerNotKept,
                 // The claim's own reply was lost and is asked for again.
-                None if record.attempt == attempt => LedgerReply::Claimed,
-                None => LedgerReply::Pending { attempt: record.attempt },
+                ClaimState::Pending if record.attempt == attempt => LedgerReply::Claimed,
+                ClaimState::Pending => LedgerReply::Pending { attempt: record.attempt },
             };
         }
-        if self.claims.len() >= MAX_CLAIMS {
+        if self.count >= MAX_CLAIMS {
             return LedgerReply::Full;
         }
-        let record = ClaimRecord { digest: *digest, attempt, answer: None };
-        self.claims.insert(key.clone(), record);
+        self.last_order += 1;
+        self.count += 1;
+        let order = self.last_order;
+        let record = ClaimRecord { order, digest: *digest, attempt, state: ClaimState::Pending };
+        self.shard_mut(&id).insert(id, record);
         LedgerReply::Claimed
     }
 
-    fn complete(&mut self, key: &ClaimKey, attempt: AttemptId, answer: &KeptAnswer) -> LedgerReply {
-        if let Some(record) = self.claims.get_mut(key)
-            && record.attempt == attempt
-            && record.answer.is_none()
-        {
-            record.answer = Some(answer.clone());
+    fn complete(
+        &mut self,
+        key: &ClaimKey,
+        attempt: AttemptId,
+        answer: Option<&KeptAnswer>,
+    ) -> LedgerReply {
+        let id = claim_id(key);
+        let Some(record) = self.shard_mut(&id).get_mut(&id) else { return LedgerReply::Recorded };
+        if record.attempt != attempt || record.state != ClaimState::Pending {
+            return LedgerReply::Recorded;
+        }
+        match answer.filter(|answer| answer.size() <= MAX_KEPT_ANSWER_BYTES) {
+            None => record.state = ClaimState::Settled,
+            Some(answer) => {
+                record.state = ClaimState::Answered(answer.clone());
+                self.kept.push_back(id);
+                self.kept_bytes += answer.size();
+                self.drop_old_answers();
+            }
         }
         LedgerReply::Recorded
     }
 
+    fn drop_old_answers(&mut self) {
+        while self.kept_bytes > MAX_ANSWER_BYTES
+            && let Some(oldest) = self.kept.pop_front()
+        {
+            self.kept_bytes -= self.answer_size(&oldest);
+            if let Some(record) = self.shard_mut(&oldest).get_mut(&oldest) {
+                record.state = ClaimState::Settled;
+            }
+        }
+    }
+
     fn release(&mut self, key: &ClaimKey, attempt: AttemptId) -> LedgerReply {
-        let held = self.claims.get(key);
-        if held.is_some_and(|record| record.attempt == attempt && record.answer.is_none()) {
-            self.claims.remove(key);
+        let id = claim_id(key);
+        let held = self
+            .record(&id)
+            .is_some_and(|record| record.attempt == attempt && record.state == ClaimState::Pending);
+        if held {
+            self.shard_mut(&id).remove(&id);
+            self.count -= 1;
         }
         LedgerReply::Recorded
     }
+
+    fn record(&self, id: &ClaimId) -> Option<&ClaimRecord> {
+        self.shards.get(shard_of(id))?.get(id)
+    }
+
+    fn answer_size(&self, id: &ClaimId) -> usize {
+        match self.record(id).map(|record| &record.state) {
+            Some(ClaimState::Answered(answer)) => answer.size(),
+            _ => 0,
+        }
+    }
+
+    fn shard_mut(&mut self, id: &ClaimId) -> &mut SortedTable<ClaimId, ClaimRecord> {
+        if self.shards.is_empty() {
+            self.shards.resize_with(SHARDS, SortedTable::new);
+        }
+        &mut self.shards[shard_of(id)]
+    }
+}
+
+fn shard_of(id: &ClaimId) -> usize {
+    usize::from(u16::from_le_bytes([id[0], id[1]])) % SHARDS
+}
+
+fn claim_id(key: &ClaimKey) -> ClaimId {
+    let mut digest = Sha256::new();
+    digest.update((key.team.as_str().len() as u64).to_le_bytes());
+    digest.update(key.team.as_str());
+    digest.update(&key.key);
+    digest.finalize().into()
 }
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -1,7 +1,7 @@
 //! The side that opens streams.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use briartray_model::SortedTable;
 use bytes::Bytes;
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use crate::connection::watch_path;
+use crate::connection::{PathProof, is_answered, watch_path};
 use crate::stream::{LinkReader, LinkWriter, StreamEnds, pair, pump_in, pump_out};
 use crate::{CallKind, LinkError, PROTOCOL_VERSION, TOKEN_HEADER, VERSION_HEADER};
 
@@ -43,12 +43,17 @@
     address: SocketAddr,
     kind: CallKind,
     ends: StreamEnds,
+    /// Connections that were asked for before this moment are not used.
+    since: Option<Instant>,
 }
 
+/// Tells the connections to one address apart.
+type Generation = u64;
+
 #[derive(Debug)]
 enum PoolEvent {
-    Opened(SocketAddr, Result<SendRequest<Bytes>, String>),
-    Closed(SocketAddr),
+    Opened(SocketAddr, Generation, Result<SendRequest<Bytes>, String>),
+    Closed(SocketAddr, Generation),
 }
 
 impl LinkClient {
@@ -71,72 +76,145 @@
 
     /// Opens a stream of `kind` to `address`. Errors of connecting come out of the reader.
     pub fn open(&self, address: SocketAddr, kind: CallKind) -> (LinkWriter, LinkReader) {
+        self.enqueue(address, kind, None)
+    }
+
+    /// As [`LinkClient::open`], but over a connection that was asked for at `since` or later.
+    ///
+    /// When a connection has gone silent, streams that still use it find out one by one; the
+    /// first one makes a new connection and the others share it.
+    pub fn open_since(
+        &self,
+        address: SocketAddr,
+        kind: CallKind,
+        since: Instant,
+    ) -> (LinkWriter, LinkReader) {
+        self.enqueue(address, kind, Some(since))
+    }
+
+    fn enqueue(
+        &self,
+        address: SocketAddr,
+        kind: CallKind,
+        since: Option<Instant>,
+    ) -> (LinkWriter, LinkReader) {
         let (writer, reader, ends) = pair();
         // A closed queue drops the ends, and the reader then reports the end of the stream.
-        let _ = self.opens.blocking_send(OpenCall { address, kind, ends });
+        let _ = self.opens.blocking_send(OpenCall { address, kind, ends, since });
         (writer, reader)
     }
 }
 
-/// One peer of the pool: connected, or calls that wait for the connection.
+/// One peer of the pool.
 #[derive(Debug)]
-enum PoolEntry {
+struct PoolEntry {
+    generation: Generation,
+    asked: Instant,
+    state: PoolState,
+}
+
+/// Connected, or calls that wait for the connection.
+#[derive(Debug)]
+enum PoolState {
     Connecting(Vec<OpenCall>),
     Connected(SendRequest<Bytes>),
 }
 
 async fn run_pool(settings: ClientSettings, mut queue: mpsc::Receiver<OpenCall>) {
     let (events, mut event_queue) = mpsc::unbounded_channel();
-    let mut pool: SortedTable<SocketAddr, PoolEntry> = SortedTable::new();
+    let mut pool = LinkPool { settings, events, entries: SortedTable::new(), last_generation: 0 };
     loop {
         tokio::select! {
             call = queue.recv() => match call {
-                Some(call) => accept_call(&settings, &mut pool, &events, call),
+                Some(call) => pool.accept(call),
                 None => return,
             },
             Some(event) = event_queue.recv() => match event {
-                // The connection's own task reports its end, before a successor can be made.
-                PoolEvent::Closed(address) => {
-                    pool.remove(&address);
-                }
-                PoolEvent::Opened(address, outcome) => {
-                    let Some(PoolEntry::Connecting(waiting)) = pool.remove(&address) else {
-                        continue;
-                    };
-                    match outcome {
-                        Ok(sender) => {
-                            for call in waiting {
-                                start_call(&settings, sender.clone(), call);
-                            }
-                            pool.insert(address, PoolEntry::Connected(sender));
-                        }
-                        Err(detail) => {
-                            for call in waiting {
-                                fail_call(call, LinkError::Connect { address, detail: detail.clone() });
-                            }
-                        }
-                    }
+                PoolEvent::Closed(address, generation) => pool.close(address, generation),
+                PoolEvent::Opened(address, generation, outcome) => {
+                    pool.opened(address, generation, outcome);
                 }
             },
         }
     }
 }
 
-fn accept_call(
-    settings: &ClientSettings,
-    pool: &mut SortedTable<SocketAddr, PoolEntry>,
-    events: &mpsc::UnboundedSender<PoolEvent>,
-    call: OpenCall,
-) {
-    let address = call.address;
-    match pool.get_mut(&address) {
-        Some(PoolEntry::Connected(sender)) => start_call(settings, sender.clone(), call),
-        Some(PoolEntry::Connecting(waiting)) => waiting.push(call),
-        None => {
-            pool.insert(address, PoolEntry::Connecting(vec![call]));
-            tokio::spawn(connect(address, settings.connect_timeout, events.clone()));
+/// Connections by address, at most one in use for each.
+struct LinkPool {
+    settings: ClientSettings,
+    events: mpsc::UnboundedSender<PoolEvent>,
+    entries: SortedTable<SocketAddr, PoolEntry>,
+    last_generation: Generation,
+}
+
+impl LinkPool {
+    fn accept(&mut self, call: OpenCall) {
+        let usable = |entry: &&mut PoolEntry| call.since.is_none_or(|since| entry.asked >= since);
+        match self.entries.get_mut(&call.address).filter(usable) {
+            Some(PoolEntry { state: PoolState::Connected(sender), .. }) => {
+                start_call(&self.settings, sender.clone(), call);
+            }
+            Some(PoolEntry { state: PoolState::Connecting(waiting), .. }) => waiting.push(call),
+            None => self.connect(call),
+        }
+    }
+
+    /// Makes a new connection; one that is replaced serves its open streams until they end.
+    fn connect(&mut self, call: OpenCall) {
+        let address = call.address;
+        self.last_generation += 1;
+        let generation = self.last_generation;
+        let mut waiting = vec![call];
+        if let Some(PoolEntry { state: PoolState::Connecting(earlier), .. }) =
+            self.entries.remove(&address)
+        {
+            waiting.extend(earlier);
+        }
+        let state = PoolState::Connecting(waiting);
+        self.entries.insert(address, PoolEntry { generation, asked: Instant::now(), state });
+        let timeout = self.settings.connect_timeout;
+        tokio::spawn(connect(address, generation, timeout, self.events.clone()));
+    }
+
+    fn opened(
+        &mut self,
+        address: SocketAddr,
+        generation: Generation,
+        outcome: Result<SendRequest<Bytes>, String>,
+    ) {
+        let Some(entry) = self.entries.get_mut(&address) else { return };
+        if entry.generation != generation {
+            return;
+        }
+        match outcome {
+            Ok(sender) => {
+                let connected = PoolState::Connected(sender.clone());
+                let before = std::mem::replace(&mut entry.state, connected);
+                for call in waiting_calls(before) {
+                    start_call(&self.settings, sender.clone(), call);
+                }
+            }
+            Err(detail) => {
+                let Some(entry) = self.entries.remove(&address) else { return };
+                for call in waiting_calls(entry.state) {
+                    fail_call(call, LinkError::Connect { address, detail: detail.clone() });
+                }
+            }
         }
     }
+
+    fn close(&mut self, address: SocketAddr, generation: Generation) {
+        if self.entries.get(&address).is_some_and(|entry| entry.generation == generation) {
+            self.entries.remove(&address);
+        }
+    }
+}
+
+fn waiting_calls(state: PoolState) -> Vec<OpenCall> {
+    match state {
+        PoolState::Connecting(waiting) => waiting,
+        PoolState::Connected(_) => Vec::new(),
+    }
 }
 
 fn fail_call(mut call: OpenCall, error: LinkError) {
@@ -144,7 +222,12 @@
 }
 
 /// Connects, reports the outcome, then drives the connection until it fails or goes silent.
-async fn connect(address: SocketAddr, timeout: Duration, events: mpsc::UnboundedSender<PoolEvent>) {
+async fn connect(
+    address: SocketAddr,
+    generation: Generation,
+    timeout: Duration,
+    events: mpsc::UnboundedSender<PoolEvent>,
+) {
     let attempt = async {
         let socket = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
         socket.set_nodelay(true).map_err(|error| error.to_string())?;
@@ -155,27 +238,31 @@
             .await
             .map_err(|error| error.to_string())
     };
-    let outcome = match tokio::time::timeout(timeout, attempt).await {
-        Ok(outcome) => outcome,
-        Err(_) => Err("no answer in time".to_owned()),
+    let failed = |detail: &str| {
+        let _ = events.send(PoolEvent::Opened(address, generation, Err(detail.to_owned())));
     };
-    match outcome {
-        Err(detail) => {
-            let _ = events.send(PoolEvent::Opened(address, Err(detail)));
-        }
-        Ok((sender, mut connection)) => {
-            let ping = connection.ping_pong();
-            let _ = events.send(PoolEvent::Opened(address, Ok(sender)));
-            match ping {
-                Some(ping) => tokio::select! {
-                    _ = connection => {}
-                    () = watch_path(ping) => log::warn!("link to {address} went silent"),
-                },
-                None => drop(connection.await),
-            }
-            let _ = events.send(PoolEvent::Closed(address));
-        }
+    let (sender, mut connection) = match tokio::time::timeout(timeout, attempt).await {
+        Ok(Ok(parts)) => parts,
+        Ok(Err(detail)) => return failed(&detail),
+        Err(_) => return failed("no answer in time"),
+    };
+    let Some(mut ping) = connection.ping_pong() else { return failed("no pings") };
+    let mut connection = std::pin::pin!(connection);
+    // A stopped process still accepts connections in its kernel. Nothing is sent before the other
+    // end has answered once, so what waits for it is certain not to have left.
+    let answered = tokio::select! {
+        _ = &mut connection => false,
+        answered = is_answered(&mut ping, timeout) => answered,
+    };
+    if !answered {
+        return failed("the process does not answer");
+    }
+    let _ = events.send(PoolEvent::Opened(address, generation, Ok(sender)));
+    tokio::select! {
+        _ = connection => {}
+        () = watch_path(ping, PathProof::new()) => log::warn!("link to {address} went silent"),
     }
+    let _ = events.send(PoolEvent::Closed(address, generation));
 }
 
 fn start_call(settings: &ClientSettings, sender: SendRequest<Bytes>, call: OpenCall) {
@@ -183,7 +270,7 @@
 }
 
 async fn run_call(token: String, sender: SendRequest<Bytes>, call: OpenCall) {
-    let OpenCall { address, kind, ends } = call;
+    let OpenCall { address, kind, ends, .. } = call;
     let StreamEnds { outgoing, mut incoming } = ends;
     let opened = async {
         let mut sender = sender.ready().await?;
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -12,6 +12,7 @@
 mod stream;
 
 pub use client::{ClientSettings, LinkClient};
+pub use connection::PathProof;
 pub use error::LinkError;
 pub use frame::MAX_FRAME_BYTES;
 pub use server::{LinkServer, LinkStream};
--- a/crates/link/src/stream.rs
+++ b/crates/link/src/stream.rs
@@ -164,6 +164,8 @@
                 let _ = stream.flow_control().release_capacity(data.len());
                 buffer.extend(&data);
             }
+            // The other end let go of this one stream; the connection itself is sound.
+            Some(Err(error)) if error.is_reset() && error.is_remote() => return,
             Some(Err(error)) => {
                 incoming.push(Err(LinkError::Broken { detail: error.to_string() })).await;
                 return;
--- a/crates/model/src/message/dispatch.rs
+++ b/crates/model/src/message/dispatch.rs
@@ -25,6 +25,13 @@
         Tombstone {
             /// Which attempt.
             attempt: AttemptId,
+            /// Time since the entry sent the dispatch, in milliseconds on its own clock.
+            age_ms: u32,
+        },
+        /// The entry has the whole answer; the agent may drop its buffer.
+        Received {
+            /// Which attempt.
+            attempt: AttemptId,
         },
     }
 
@@ -40,6 +47,8 @@
         pub group: GroupId,
         /// Fencing number under which the entry knows the group.
         pub fencing: FencingNumber,
+        /// Start of the agent process that is meant; another one refuses the order.
+        pub incarnation: u64,
         /// Rules revision under which the entry decided.
         pub revision: RevisionNumber,
         /// Service asked for.
@@ -143,6 +152,13 @@
             attempt: AttemptId,
             /// What the agent knows of it.
             state: TombstoneState,
+            /// Start of the agent process that answers.
+            incarnation: u64,
+        },
+        /// The attempt, or the part of it that was asked for, is not here.
+        NotHeld {
+            /// Which attempt.
+            attempt: AttemptId,
         },
     }
 
@@ -179,6 +195,8 @@
         StaleRules,
         /// The endpoint could not be reached; nothing was sent to it.
         EndpointUnreachable,
+        /// The order was on its way for longer than the agent remembers tombstones.
+        TooOld,
     }
 
     /// What a caller is told about the effect of a request.
@@ -193,8 +211,10 @@
 
     /// What an agent knows of an attempt when asked for a tombstone.
     pub enum TombstoneState {
-        /// It had not come; it will be refused if it does.
+        /// It was not handed to the endpoint; it will be refused if it comes.
         NeverRuns,
+        /// The agent may have forgotten it, or has no room to remember the tombstone.
+        CannotTell,
         /// It came and is running.
         Running,
         /// It came and ended.
@@ -202,6 +222,23 @@
     }
 }
 
+impl AgentReply {
+    /// The attempt that the frame belongs to.
+    pub fn attempt(&self) -> AttemptId {
+        match self {
+            Self::Accepted { attempt }
+            | Self::Refused { attempt, .. }
+            | Self::Head { attempt, .. }
+            | Self::Chunk { attempt, .. }
+            | Self::Progress { attempt, .. }
+            | Self::End { attempt, .. }
+            | Self::Failed { attempt, .. }
+            | Self::Tombstone { attempt, .. }
+            | Self::NotHeld { attempt } => *attempt,
+        }
+    }
+}
+
 /// Trace and span identity as in the W3C `traceparent` header.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
 pub struct TraceContext {
--- a/crates/model/src/message/mod.rs
+++ b/crates/model/src/message/mod.rs
@@ -16,5 +16,8 @@
     AgentReport, ControlDirective, GroupAssignment, GroupMember, HostAnnouncement, MemberReply,
     MemberRequest,
 };
-pub use ledger::{ClaimKey, KeptAnswer, LedgerReply, LedgerRequest};
+pub use ledger::{
+    ClaimKey, KeptAnswer, KeptBody, LedgerAnswer, LedgerCall, LedgerReply, LedgerRequest,
+    MAX_KEPT_ANSWER_BYTES, MAX_KEY_BYTES, call_digest,
+};
 pub use watch::{GroupRecord, LeavingMark, RoutingSnapshot, WatchReply, WatchRequest};
--- a/crates/model/src/message/watch.rs
+++ b/crates/model/src/message/watch.rs
@@ -61,6 +61,8 @@
         pub first: HostName,
         /// Where the first host's agent listens.
         pub link: SocketAddr,
+        /// Start of the first host's agent process.
+        pub incarnation: u64,
         /// Whether its first host reported it whole.
         pub whole: bool,
         /// How many attempts it may have in flight.
--- a/crates/model/src/rules/action.rs
+++ b/crates/model/src/rules/action.rs
@@ -106,11 +106,15 @@
     pub budget_percent: u32,
     /// Wait before the first retry, in milliseconds.
     pub backoff_ms: u32,
+    /// Whether the call may run twice; when absent, engine calls may and plain services' calls may
+    /// unless their method changes something.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub repeatable: Option<bool>,
 }
 
 impl Default for RetryAction {
     fn default() -> Self {
-        Self { attempts: 3, budget_percent: 20, backoff_ms: 5 }
+        Self { attempts: 3, budget_percent: 20, backoff_ms: 5, repeatable: None }
     }
 }
 
--- a/crates/node/src/agent/endpoint.rs
+++ b/crates/node/src/agent/endpoint.rs
@@ -5,7 +5,9 @@
 
 use attohttpc::{Method, RequestBuilder, ResponseReader};
 use briartray_model::message::DispatchOrder;
-use briartray_model::settings::EndpointSettings;
+use briartray_model::names::AttemptId;
+use briartray_model::settings::{EndpointKind, EndpointSettings};
+use serde::Deserialize;
 use snafu::Snafu;
 
 /// Longest line of an event stream, in bytes.
@@ -26,13 +28,29 @@
     /// The call broke; it may have run.
     #[snafu(display("endpoint call broke: {detail}; look at the endpoint's log"))]
     Broken { detail: String },
+    /// The answer names another request.
+    #[snafu(display(
+        "the endpoint answered {given:?} where {attempt} was asked; it mixes up its answers, \
+         restart it"
+    ))]
+    Crossed { attempt: AttemptId, given: String },
+}
+
+/// The part of an engine's answer that names the request.
+#[derive(Debug, Deserialize)]
+struct AnswerName {
+    id: Option<String>,
 }
 
 /// An answer whose head has come.
 pub(super) struct EndpointAnswer {
     pub(super) status: u16,
     pub(super) content_type: String,
+    attempt: AttemptId,
+    kind: EndpointKind,
     length: Option<u64>,
+    /// Whether a cut of the body can be told from its end.
+    framed: bool,
     body: BufReader<ResponseReader>,
 }
 
@@ -63,10 +81,21 @@
     let response = request.bytes(order.body.as_slice()).send().map_err(describe)?;
     let (status, headers, body) = response.split();
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    // A plain service need not name the request, but when it does it must be this one.
+    if let Some(given) = text("x-request-id")
+        && !names(given, order.attempt)
+    {
+        return CrossedSnafu { attempt: order.attempt, given }.fail();
+    }
     Ok(EndpointAnswer {
+        attempt: order.attempt,
+        kind: settings.kind,
         status: status.as_u16(),
         content_type: text("content-type").unwrap_or("application/octet-stream").to_owned(),
         length: text("content-length").and_then(|length| length.parse().ok()),
+        framed: text("content-length").is_some()
+            || text("transfer-encoding").is_some()
+            || matches!(status.as_u16(), 204 | 304),
         body: BufReader::new(body),
     })
 }
@@ -102,22 +131,54 @@
             let text = line.trim_ascii_end();
             if let Some(data) = text.strip_prefix(b"data:") {
                 let data = data.trim_ascii_start();
-                return Ok((data != b"[DONE]").then(|| data.to_vec()));
+                if data == b"[DONE]" {
+                    return Ok(None);
+                }
+                self.check_name(data)?;
+                return Ok(Some(data.to_vec()));
             }
         }
     }
 
     /// The whole body.
     pub(super) fn whole_body(&mut self) -> Result<Vec<u8>, EndpointError> {
+        if !self.framed {
+            // Such a body ends with the connection, and so does one that was cut.
+            let detail = "the body has neither a length nor chunks".to_owned();
+            return Err(EndpointError::Broken { detail });
+        }
         let mut body = Vec::new();
         (&mut self.body)
             .take(MAX_ANSWER_BYTES)
             .read_to_end(&mut body)
             .map_err(|error| EndpointError::Broken { detail: error.to_string() })?;
         if self.length.is_some_and(|length| length != body.len() as u64) {
-            let detail = "the body is shorter than announced".to_owned();
+            let detail = "the body is cut, or over the limit for answers".to_owned();
             return Err(EndpointError::Broken { detail });
         }
+        self.check_name(&body)?;
         Ok(body)
     }
+
+    /// Refuses a piece of an engine's answer that belongs to another request.
+    ///
+    /// An engine that batches may hand a late or mixed-up piece to the wrong connection. The
+    /// caller would read somebody else's text as an answer, with nothing to show for it but the
+    /// id inside.
+    fn check_name(&self, piece: &[u8]) -> Result<(), EndpointError> {
+        if self.kind != EndpointKind::Engine || self.status != 200 {
+            return Ok(());
+        }
+        let named = serde_json::from_slice::<AnswerName>(piece).ok().and_then(|name| name.id);
+        let given = named.unwrap_or_default();
+        if names(&given, self.attempt) {
+            return Ok(());
+        }
+        CrossedSnafu { attempt: self.attempt, given }.fail()
+    }
+}
+
+/// Whether `given` names `attempt`; engines may put a prefix of their own before it.
+fn names(given: &str, attempt: AttemptId) -> bool {
+    given.ends_with(&attempt.to_string())
 }
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod core;
 mod endpoint;
 mod member;
+mod running;
 mod serve;
 mod session;
 mod shared;
@@ -21,7 +22,7 @@
 
 use self::core::{AgentCore, AgentInput};
 use self::shared::AgentShared;
-use crate::{DaemonError, new_incarnation};
+use crate::DaemonError;
 
 /// Inputs that may wait for the control thread.
 const INPUT_QUEUE: usize = 1024;
@@ -56,7 +57,7 @@
                 connect_timeout: CONNECT_TIMEOUT,
             },
         )?;
-        let announcement = announce(settings, role, link.address());
+        let announcement = announce(settings, role, &shared, link.address());
         let peers = settings.cluster.control.iter().map(|peer| peer.link).collect();
         let session = session::start(client.clone(), peers, announcement, inputs.clone())?;
         let core = AgentCore::new(Arc::clone(&shared), client, session, inputs.clone());
@@ -77,7 +78,12 @@
     }
 }
 
-fn announce(settings: &DaemonSettings, role: &AgentSettings, link: SocketAddr) -> HostAnnouncement {
+fn announce(
+    settings: &DaemonSettings,
+    role: &AgentSettings,
+    shared: &AgentShared,
+    link: SocketAddr,
+) -> HostAnnouncement {
     HostAnnouncement {
         host: role.host.clone(),
         zone: settings.zone.clone(),
@@ -87,7 +93,7 @@
         accelerators: role.accelerators,
         link,
         checks_fencing: role.endpoint.checks_fencing,
-        incarnation: new_incarnation(),
+        incarnation: shared.incarnation,
         leaving: false,
     }
 }
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -1,22 +1,28 @@
-//! Serving one dispatch stream of an entry.
+//! Serving entries: one stream for each question, one endpoint call for each attempt.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use briartray_link::{LinkError, LinkStream, LinkWriter};
 use briartray_model::message::{
-    AgentReply, CallOutcome, DispatchOrder, EntryRequest, RefusalReason,
+    AgentReply, CallOutcome, DispatchOrder, EntryRequest, RefusalReason, TombstoneState,
 };
 use briartray_model::names::AttemptId;
-use briartray_routing::attempt::BeginDecision;
+use briartray_routing::attempt::{AnswerEnd, AnswerHead, BeginDecision, BufferItem, BufferReader};
+use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
 
-use super::endpoint::{self, EndpointError};
+use super::endpoint::{self, EndpointAnswer, EndpointError};
+use super::running::{RESUME_GRACE, RunningAttempt};
 use super::shared::AgentShared;
 
 /// How long the first message of a stream may take.
 const FIRST_WAIT: Duration = Duration::from_secs(10);
 
+/// How long the entry may take to confirm that it has the whole answer.
+const CONFIRM_WAIT: Duration = Duration::from_secs(3);
+
 /// Serves one stream.
-pub(super) fn serve(stream: &LinkStream, shared: &AgentShared) {
+pub(super) fn serve(stream: &LinkStream, shared: &Arc<AgentShared>) {
     let request = match stream.reader.receive::<EntryRequest>(FIRST_WAIT) {
         Ok(request) => request,
         Err(error) => {
@@ -25,15 +31,20 @@
         }
     };
     let served = match request {
-        EntryRequest::Dispatch(order) => dispatch(&order, shared, &stream.writer),
-        EntryRequest::Tombstone { attempt } => {
-            let state = shared.attempts().tombstone(attempt);
-            stream.writer.send(&AgentReply::Tombstone { attempt, state })
+        EntryRequest::Dispatch(order) => dispatch(order, shared, stream),
+        EntryRequest::Resume { attempt, offset } => resume(attempt, offset, shared, stream),
+        EntryRequest::Tombstone { attempt, age_ms } => {
+            let age = Duration::from_millis(age_ms.into()) + stream.proof.age();
+            let state = shared.attempts().tombstone(shared.clock.now(), attempt, age);
+            tell_state(&stream.writer, shared, attempt, state)
         }
-        EntryRequest::Resume { attempt, .. } | EntryRequest::Cancel { attempt } => {
-            let detail = "the attempt is not known here".to_owned();
-            let outcome = CallOutcome::Unknown;
-            stream.writer.send(&AgentReply::Failed { attempt, outcome, detail })
+        EntryRequest::Cancel { attempt } => {
+            let state = cancel(attempt, shared);
+            tell_state(&stream.writer, shared, attempt, state)
+        }
+        EntryRequest::Received { attempt } => {
+            shared.held().remove(&attempt);
+            Ok(())
         }
     };
     if let Err(error) = served {
@@ -42,30 +53,89 @@
 }
 
 fn dispatch(
-    order: &DispatchOrder,
-    shared: &AgentShared,
-    writer: &LinkWriter,
+    order: DispatchOrder,
+    shared: &Arc<AgentShared>,
+    stream: &LinkStream,
 ) -> Result<(), LinkError> {
     let attempt = order.attempt;
-    if let Some(reason) = shared.refusal(order) {
-        return refuse(writer, shared, attempt, reason);
+    if let Some(reason) = shared.refusal(&order) {
+        return refuse(&stream.writer, shared, attempt, reason);
     }
-    match shared.attempts().begin(attempt) {
-        BeginDecision::Start => {}
-        BeginDecision::Tombstoned => {
-            return refuse(writer, shared, attempt, RefusalReason::Tombstoned);
-        }
+    let begun = shared.attempts().begin(shared.clock.now(), attempt, stream.proof.age());
+    let reason = match begun {
+        BeginDecision::Start => return start(order, shared, stream),
         BeginDecision::Duplicate => {
             let detail = "the attempt came before".to_owned();
             let outcome = CallOutcome::Unknown;
-            return writer.send(&AgentReply::Failed { attempt, outcome, detail });
+            return stream.writer.send(&AgentReply::Failed { attempt, outcome, detail });
         }
-    }
+        BeginDecision::Tombstoned => RefusalReason::Tombstoned,
+        BeginDecision::TooOld => RefusalReason::TooOld,
+        BeginDecision::Full => RefusalReason::QueueFull,
+    };
+    refuse(&stream.writer, shared, attempt, reason)
+}
+
+/// Calls the endpoint on a thread of its own, so that the call outlives this stream.
+fn start(
+    order: DispatchOrder,
+    shared: &Arc<AgentShared>,
+    stream: &LinkStream,
+) -> Result<(), LinkError> {
+    let attempt = order.attempt;
+    let running = Arc::new(RunningAttempt::new(order, shared.clock));
+    let reader = running.change(|buffer| buffer.attach(0));
+    shared.held().insert(attempt, Arc::clone(&running));
     let in_flight = shared.count_in();
-    let served = run(order, shared, writer);
-    drop(in_flight);
-    shared.attempts().end(attempt);
-    served
+    let (owner, task) = (Arc::clone(shared), Arc::clone(&running));
+    let call = move || {
+        let end = run_endpoint(&owner, &task);
+        let started = !matches!(end, AnswerEnd::Refused(_));
+        owner.attempts().end(owner.clock.now(), attempt, started);
+        drop(in_flight);
+        task.finish(end);
+    };
+    if let Err(error) = spawn_worker("agent-call", WORKER_STACK_BYTES, call) {
+        log::error!("cannot start a call: {error}; raise the thread limit");
+        shared.attempts().end(shared.clock.now(), attempt, false);
+        running.finish(AnswerEnd::Refused(RefusalReason::QueueFull));
+    }
+    stream.writer.send(&AgentReply::Accepted { attempt })?;
+    match reader {
+        Some(reader) => relay(&running, reader, shared, stream),
+        None => Ok(()),
+    }
+}
+
+fn resume(
+    attempt: AttemptId,
+    offset: u64,
+    shared: &Arc<AgentShared>,
+    stream: &LinkStream,
+) -> Result<(), LinkError> {
+    let running = shared.held().get(&attempt).cloned();
+    let reader = running.as_ref().and_then(|held| held.change(|buffer| buffer.attach(offset)));
+    match (running, reader) {
+        (Some(running), Some(reader)) => relay(&running, reader, shared, stream),
+        _ => stream.writer.send(&AgentReply::NotHeld { attempt }),
+    }
+}
+
+fn cancel(attempt: AttemptId, shared: &AgentShared) -> TombstoneState {
+    let running = shared.held().get(&attempt).cloned();
+    let Some(running) = running else { return TombstoneState::CannotTell };
+    running.cancel();
+    TombstoneState::Running
+}
+
+fn tell_state(
+    writer: &LinkWriter,
+    shared: &AgentShared,
+    attempt: AttemptId,
+    state: TombstoneState,
+) -> Result<(), LinkError> {
+    let incarnation = shared.incarnation;
+    writer.send(&AgentReply::Tombstone { attempt, state, incarnation })
 }
 
 fn refuse(
@@ -77,54 +147,118 @@
     writer.send(&AgentReply::Refused { attempt, reason, load: shared.load() })
 }
 
-fn run(order: &DispatchOrder, shared: &AgentShared, writer: &LinkWriter) -> Result<(), LinkError> {
-    let attempt = order.attempt;
-    writer.send(&AgentReply::Accepted { attempt })?;
+/// Sends the answer from the reader's position on; holds it for a while when the stream breaks.
+fn relay(
+    running: &Arc<RunningAttempt>,
+    mut reader: BufferReader,
+    shared: &AgentShared,
+    stream: &LinkStream,
+) -> Result<(), LinkError> {
+    let attempt = running.order.attempt;
+    let sent = send_all(running, &mut reader, shared, stream);
+    if matches!(sent, Ok(true)) {
+        shared.held().remove(&attempt);
+        return Ok(());
+    }
+    running.detach(&reader);
+    std::thread::sleep(RESUME_GRACE);
+    if running.is_over() {
+        shared.held().remove(&attempt);
+    }
+    sent.map(drop)
+}
+
+/// Sends until the end; `true` when the entry has the whole answer.
+fn send_all(
+    running: &RunningAttempt,
+    reader: &mut BufferReader,
+    shared: &AgentShared,
+    stream: &LinkStream,
+) -> Result<bool, LinkError> {
+    let attempt = running.order.attempt;
+    loop {
+        let reply = match running.next(reader) {
+            BufferItem::Head(AnswerHead { status, content_type }) => {
+                AgentReply::Head { attempt, status, content_type }
+            }
+            BufferItem::Chunk { sequence, data } => AgentReply::Chunk { attempt, sequence, data },
+            BufferItem::Nothing => {
+                AgentReply::Progress { attempt, next_sequence: reader.next_sequence() }
+            }
+            BufferItem::Superseded => return Ok(false),
+            BufferItem::End { count, end } => {
+                stream.writer.send(&end_reply(attempt, count, end, shared))?;
+                return Ok(is_confirmed(stream));
+            }
+        };
+        stream.writer.send(&reply)?;
+    }
+}
+
+fn end_reply(attempt: AttemptId, count: u64, end: AnswerEnd, shared: &AgentShared) -> AgentReply {
+    let load = shared.load();
+    match end {
+        AnswerEnd::Whole => AgentReply::End { attempt, count, load },
+        AnswerEnd::Refused(reason) => AgentReply::Refused { attempt, reason, load },
+        AnswerEnd::Failed { outcome, detail } => AgentReply::Failed { attempt, outcome, detail },
+    }
+}
+
+/// Whether the entry confirmed the end, or closed the stream in order.
+fn is_confirmed(stream: &LinkStream) -> bool {
+    match stream.reader.receive::<EntryRequest>(CONFIRM_WAIT) {
+        Ok(_) | Err(LinkError::Ended) => true,
+        Err(_) => false,
+    }
+}
+
+/// Calls the endpoint and fills the buffer.
+fn run_endpoint(shared: &AgentShared, running: &RunningAttempt) -> AnswerEnd {
     // Time may have passed since the gate was asked; the endpoint is called only under a lease.
-    if !shared.still_whole(order) {
-        return refuse(writer, shared, attempt, RefusalReason::GroupNotWhole);
+    if !shared.still_whole(&running.order) {
+        return AnswerEnd::Refused(RefusalReason::GroupNotWhole);
     }
-    let mut answer = match endpoint::call(&shared.settings.endpoint, order) {
+    let mut answer = match endpoint::call(&shared.settings.endpoint, &running.order) {
         Ok(answer) => answer,
         Err(EndpointError::Unreachable { detail }) => {
             log::warn!("endpoint unreachable: {detail}");
-            return refuse(writer, shared, attempt, RefusalReason::EndpointUnreachable);
+            return AnswerEnd::Refused(RefusalReason::EndpointUnreachable);
         }
-        Err(error) => return fail(writer, attempt, &error.to_string()),
+        Err(error) => return failed(&error.to_string()),
     };
     let (status, content_type) = (answer.status, answer.content_type.clone());
-    writer.send(&AgentReply::Head { attempt, status, content_type })?;
-    let mut count = 0;
-    if answer.is_stream() {
-        loop {
-            match answer.next_event() {
-                Ok(Some(data)) => {
-                    if !shared.still_whole(order) {
-                        return fail(writer, attempt, "the group lost a member");
-                    }
-                    writer.send(&AgentReply::Chunk { attempt, sequence: count, data })?;
-                    count += 1;
-                }
-                Ok(None) => break,
-                Err(error) => return fail(writer, attempt, &error.to_string()),
-            }
-        }
-    } else {
-        match answer.whole_body() {
-            Ok(data) => {
-                writer.send(&AgentReply::Chunk { attempt, sequence: 0, data })?;
-                count = 1;
-            }
-            Err(error) => return fail(writer, attempt, &error.to_string()),
-        }
+    running.change(|buffer| buffer.push_head(AnswerHead { status, content_type }));
+    match fill(&mut answer, shared, running) {
+        Ok(()) if shared.still_whole(&running.order) => AnswerEnd::Whole,
+        Ok(()) => failed("the group lost a member"),
+        Err(detail) => failed(&detail),
     }
-    if !shared.still_whole(order) {
-        return fail(writer, attempt, "the group lost a member");
+}
+
+/// Moves the endpoint's answer into the buffer; returning early closes the endpoint's connection,
+/// which stops its stream.
+fn fill(
+    answer: &mut EndpointAnswer,
+    shared: &AgentShared,
+    running: &RunningAttempt,
+) -> Result<(), String> {
+    if !answer.is_stream() {
+        let data = answer.whole_body().map_err(|error| error.to_string())?;
+        return push(running, data);
     }
-    writer.send(&AgentReply::End { attempt, count, load: shared.load() })
+    while let Some(data) = answer.next_event().map_err(|error| error.to_string())? {
+        if !shared.still_whole(&running.order) {
+            return Err("the group lost a member".to_owned());
+        }
+        push(running, data)?;
+    }
+    Ok(())
+}
+
+fn push(running: &RunningAttempt, data: Vec<u8>) -> Result<(), String> {
+    if running.push(data) { Ok(()) } else { Err("nobody waits for the answer".to_owned()) }
 }
 
-fn fail(writer: &LinkWriter, attempt: AttemptId, detail: &str) -> Result<(), LinkError> {
-    let outcome = CallOutcome::Unknown;
-    writer.send(&AgentReply::Failed { attempt, outcome, detail: detail.to_owned() })
+fn failed(detail: &str) -> AnswerEnd {
+    AnswerEnd::Failed { outcome: CallOutcome::Unknown, detail: detail.to_owned() }
 }
--- a/crates/node/src/agent/shared.rs
+++ b/crates/node/src/agent/shared.rs
@@ -1,16 +1,18 @@
 //! What the agent's control thread shares with its traffic threads.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use briartray_model::SortedTable;
 use briartray_model::TimePoint;
 use briartray_model::message::{DispatchOrder, LoadReport, RefusalReason};
-use briartray_model::names::{FencingNumber, GroupId};
+use briartray_model::names::{AttemptId, FencingNumber, GroupId};
 use briartray_model::settings::AgentSettings;
-use briartray_routing::attempt::AttemptBook;
+use briartray_routing::attempt::{AttemptBook, BookLimits};
 
-use crate::ClockReader;
+use super::running::RunningAttempt;
+use crate::{ClockReader, new_incarnation};
 
 /// The gate as traffic threads see it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -30,10 +32,13 @@
 pub(super) struct AgentShared {
     pub(super) settings: AgentSettings,
     pub(super) clock: ClockReader,
+    /// Number of this start of the process.
+    pub(super) incarnation: u64,
     gate: ArcSwap<GateView>,
     closed: AtomicBool,
     in_flight: AtomicU32,
     attempts: Mutex<AttemptBook>,
+    held: Mutex<SortedTable<AttemptId, Arc<RunningAttempt>>>,
 }
 
 impl AgentShared {
@@ -41,16 +46,18 @@
         Self {
             settings: settings.clone(),
             clock: ClockReader::start(),
+            incarnation: new_incarnation(),
             gate: ArcSwap::from_pointee(GateView::default()),
             closed: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
-            attempts: Mutex::new(AttemptBook::new()),
+            attempts: Mutex::new(AttemptBook::new(BookLimits::default())),
+            held: Mutex::new(SortedTable::new()),
         }
     }
 
     /// Publishes the gate's state.
     pub(super) fn publish(&self, view: GateView) {
-        self.gate.store(std::sync::Arc::new(view));
+        self.gate.store(Arc::new(view));
     }
 
     /// Takes no new work from now on.
@@ -65,6 +72,11 @@
         if self.closed.load(Ordering::SeqCst) {
             return Some(RefusalReason::Leaving);
         }
+        // An order for an earlier start of this process may have been held up on its way; its
+        // tombstone went with that process.
+        if order.incarnation != self.incarnation {
+            return Some(RefusalReason::WrongGroup);
+        }
         let gate = self.gate.load();
         if (gate.group, gate.fencing) != (order.group, order.fencing) {
             return Some(RefusalReason::WrongGroup);
@@ -92,9 +104,19 @@
     }
 
     /// Counts an attempt in; it is counted out when the guard is dropped.
-    pub(super) fn count_in(&self) -> InFlightGuard<'_> {
+    pub(super) fn count_in(self: &Arc<Self>) -> InFlightGuard {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
-        InFlightGuard(&self.in_flight)
+        InFlightGuard(Arc::clone(self))
+    }
+
+    /// Attempts handed to the endpoint and not ended.
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// The answers that are held, by attempt.
+    pub(super) fn held(&self) -> MutexGuard<'_, SortedTable<AttemptId, Arc<RunningAttempt>>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The attempts seen so far.
@@ -109,10 +131,10 @@
 
 /// Counts one attempt in flight.
 #[derive(Debug)]
-pub(super) struct InFlightGuard<'a>(&'a AtomicU32);
+pub(super) struct InFlightGuard(Arc<AgentShared>);
 
-impl Drop for InFlightGuard<'_> {
+impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
     }
 }
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 
 use super::fleet::FleetRoster;
-use super::input::{ControlInput, InspectKind};
+use super::input::{ControlInput, InspectKind, LedgerPort};
 use super::planning::PlanDriver;
 use crate::ClockReader;
 
@@ -28,7 +28,7 @@
     /// An operator.
     Operator(Sender<CommandOutcome>),
     /// An entry that asked the ledger.
-    Ledger(LinkWriter),
+    Ledger(LedgerPort),
 }
 
 /// State and soft knowledge of one control host.
@@ -109,8 +109,8 @@
             }
             ControlInput::FleetClosed { session } => self.roster.close(now, session),
             ControlInput::Watch { request, writer } => self.answer_watch(&request, &writer),
-            ControlInput::Ledger { request, writer } => {
-                self.submit(&ControlCommand::Ledger(request), ProposalOrigin::Ledger(writer));
+            ControlInput::Ledger { request, port } => {
+                self.submit(&ControlCommand::Ledger(request), ProposalOrigin::Ledger(port));
             }
             ControlInput::Propose { command, reply } => {
                 self.submit(&command, ProposalOrigin::Operator(reply));
@@ -175,12 +175,12 @@
         ProposalOrigin::Operator(reply) => {
             let _ = reply.send(outcome);
         }
-        ProposalOrigin::Ledger(writer) => {
+        ProposalOrigin::Ledger(port) => {
             let reply = match outcome {
                 CommandOutcome::Ledger(reply) => reply,
                 _ => LedgerReply::Unavailable,
             };
-            let _ = writer.try_send(&reply);
+            port.answer(reply);
         }
     }
 }
--- a/crates/node/src/control/fleet.rs
+++ b/crates/node/src/control/fleet.rs
@@ -58,10 +58,7 @@
         report: AgentReport,
     ) -> bool {
         match report {
-            AgentReport::Announce(announcement) => {
-                self.announce(now, session, announcement);
-                false
-            }
+            AgentReport::Announce(announcement) => self.announce(now, session, announcement),
             AgentReport::GroupState { group, fencing, whole, .. } => {
                 self.group_state(now, group, fencing, whole)
             }
@@ -72,8 +69,16 @@
         }
     }
 
-    fn announce(&mut self, now: TimePoint, session: SessionId, announcement: HostAnnouncement) {
+    /// Takes an announcement; `true` when entries must learn that the agent restarted.
+    fn announce(
+        &mut self,
+        now: TimePoint,
+        session: SessionId,
+        announcement: HostAnnouncement,
+    ) -> bool {
         let known = self.hosts.get(&announcement.host);
+        let restarted =
+            known.is_none_or(|host| host.announcement.incarnation != announcement.incarnation);
         let same_session = known.is_some_and(|host| host.session == Some(session));
         let since = if same_session { known.map_or(now, |host| host.since) } else { now };
         let told = if same_session { known.and_then(|host| host.told) } else { None };
@@ -81,6 +86,7 @@
             announcement.host.clone(),
             KnownHost { announcement, session: Some(session), since, told },
         );
+        restarted
     }
 
     fn group_state(
@@ -177,6 +183,10 @@
                     provider: group.provider.clone(),
                     first: first.host.clone(),
                     link: first.link,
+                    incarnation: self
+                        .hosts
+                        .get(&first.host)
+                        .map_or(0, |host| host.announcement.incarnation),
                     whole: self.is_whole(group.assignment.group),
                     capacity: group.assignment.capacity,
                 })
--- a/crates/node/src/control/input.rs
+++ b/crates/node/src/control/input.rs
@@ -2,7 +2,9 @@
 
 use briartray_control::state::{CommandOutcome, ControlCommand};
 use briartray_link::LinkWriter;
-use briartray_model::message::{AgentReport, LedgerRequest, WatchRequest};
+use briartray_model::message::{
+    AgentReport, LedgerAnswer, LedgerReply, LedgerRequest, WatchRequest,
+};
 use crossbeam::channel::Sender;
 use serde_json::Value;
 
@@ -10,6 +12,20 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct SessionId(pub(super) u64);
 
+/// Where the answer to one call on a ledger stream goes.
+#[derive(Debug, Clone)]
+pub(super) struct LedgerPort {
+    pub(super) number: u64,
+    pub(super) answers: Sender<LedgerAnswer>,
+}
+
+impl LedgerPort {
+    /// Answers the call; the stream may be gone.
+    pub(super) fn answer(&self, reply: LedgerReply) {
+        let _ = self.answers.send(LedgerAnswer { number: self.number, reply });
+    }
+}
+
 /// One input of the control thread.
 #[derive(Debug)]
 pub(super) enum ControlInput {
@@ -22,7 +38,7 @@
     /// An entry renews its lease.
     Watch { request: WatchRequest, writer: LinkWriter },
     /// An entry asks the ledger.
-    Ledger { request: LedgerRequest, writer: LinkWriter },
+    Ledger { request: LedgerRequest, port: LedgerPort },
     /// An operator changes something.
     Propose { command: ControlCommand, reply: Sender<CommandOutcome> },
     /// An operator looks at something.
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use briartray_link::{CallKind, LinkError, LinkReader, LinkStream, LinkWriter};
+use briartray_model::message::{LedgerAnswer, LedgerCall};
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
-use crossbeam::channel::Sender;
+use crossbeam::channel::{Sender, unbounded};
 use serde::de::DeserializeOwned;
 
-use super::input::{ControlInput, SessionId};
+use super::input::{ControlInput, LedgerPort, SessionId};
 
 /// How long a reader waits before it looks again; a dead path is noticed by the link itself.
 const READ_WAIT: Duration = Duration::from_secs(60);
@@ -44,7 +45,25 @@
 }
 
 fn serve_ledger(stream: &LinkStream, inputs: &Sender<ControlInput>) {
-    forward(stream, inputs, |request, writer| ControlInput::Ledger { request, writer });
+    // The control thread never waits for a stream; answers go out on a thread of their own. There
+    // are never more of them than the entry has calls in flight, which it bounds.
+    let (answers, queue) = unbounded::<LedgerAnswer>();
+    let writer = stream.writer.clone();
+    let send_all = move || {
+        while let Ok(answer) = queue.recv() {
+            if writer.send(&answer).is_err() {
+                return;
+            }
+        }
+    };
+    if let Err(error) = spawn_worker("ledger-answers", WORKER_STACK_BYTES, send_all) {
+        log::error!("cannot serve a ledger stream: {error}; raise the thread limit");
+        return;
+    }
+    forward(stream, inputs, |call: LedgerCall, _| ControlInput::Ledger {
+        request: call.request,
+        port: LedgerPort { number: call.number, answers: answers.clone() },
+    });
 }
 
 /// Passes each message on until the stream ends.
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -10,7 +10,8 @@
 use serde_json::json;
 use tiny_http::{Method, Request};
 
-use super::call::{CallPlan, run_call};
+use super::call::CallPlan;
+use super::once::{self, check_key};
 use super::output::CallerOutput;
 use super::refusal::{CallRefusal, RefusalCode};
 use super::shared::{EntryShared, EntryView};
@@ -65,7 +66,7 @@
     let id = new_request();
     let view = shared.view();
     match plan_call(&mut request, path, id, shared, &view) {
-        Ok(plan) => run_call(shared, &view, &plan, CallerOutput::new(id, request)),
+        Ok(plan) => once::run(shared, &view, &plan, CallerOutput::new(id, request)),
         Err(refusal) => {
             shared.metrics.ended(refusal.code.as_str());
             reply_json(request, &refusal.reply(id));
@@ -128,6 +129,9 @@
         return Err(CallRefusal::not_run(RefusalCode::Forbidden, &message));
     }
     let (_, retry) = view.book.retry(&facts);
+    let key = check_key(header_value(request, "idempotency-key"), admit.idempotency_key)?;
+    let repeatable = key.is_none()
+        && retry.repeatable.unwrap_or_else(|| model.is_some() || is_safe(request.method()));
     Ok(CallPlan {
         id,
         service: service.clone(),
@@ -138,9 +142,16 @@
         stream,
         admit,
         retry,
+        repeatable,
+        key,
     })
 }
 
+/// Whether a call with this method changes nothing, by HTTP's own rules.
+fn is_safe(method: &Method) -> bool {
+    matches!(method, Method::Get | Method::Head | Method::Options)
+}
+
 fn caller_team(request: &Request, view: &EntryView) -> Result<TeamName, CallRefusal> {
     let name = header_value(request, "x-briartray-team").unwrap_or(DEFAULT_TEAM);
     let teams = &view.book.document().teams;
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -1,11 +1,14 @@
-//! One attempt at a request: dispatch to one group and relay its answer.
+//! One attempt at a request: the input and output around an [`AttemptTracker`].
 
-use briartray_link::{CallKind, LinkError, LinkReader};
+use std::time::{Duration, Instant};
+
+use briartray_link::{CallKind, LinkReader, LinkWriter};
 use briartray_model::TimePoint;
 use briartray_model::message::{
     AgentReply, CallOutcome, DispatchOrder, EntryRequest, GroupRecord, LoadReport, RefusalReason,
 };
 use briartray_model::names::AttemptId;
+use briartray_routing::attempt::{AttemptTracker, TrackerAction, TrackerPlan};
 
 use super::call::CallPlan;
 use super::output::CallerOutput;
@@ -13,12 +16,22 @@
 use super::shared::{EntryShared, EntryView};
 use crate::new_attempt;
 
+/// How long an agent may take to take note that a caller has gone.
+const CANCEL_WAIT: Duration = Duration::from_millis(500);
+
+/// Age of a connection up to which it counts as new; shorter than any silence that is acted on, so
+/// that the streams of one dead connection share its successor.
+const FRESH_CONNECTION: Duration = Duration::from_millis(1000);
+
 /// How one attempt ended.
 pub(super) enum AttemptEnd {
     /// The caller has its whole answer, or went away.
     Answered(Option<LoadReport>),
     /// Not run; another replica may be asked.
     Refused(RefusalReason, Option<LoadReport>),
+    /// Ended without an answer of which the caller saw anything; the call may be repeated, so
+    /// another replica may be asked.
+    Lost(CallRefusal),
     /// Ended without a whole answer.
     Failed(CallRefusal),
 }
@@ -31,6 +44,12 @@
     body: Vec<u8>,
 }
 
+/// The stream that the attempt uses now.
+struct AttemptStream {
+    writer: LinkWriter,
+    reader: LinkReader,
+}
+
 /// Runs one attempt; hands the output back unless the caller was answered.
 pub(super) fn run_attempt(
     shared: &EntryShared,
@@ -38,75 +57,162 @@
     plan: &CallPlan,
     record: &GroupRecord,
     deadline: TimePoint,
-    mut output: CallerOutput,
+    output: CallerOutput,
 ) -> (AttemptEnd, Option<CallerOutput>) {
     let attempt = new_attempt();
     let order = order_for(shared, view, plan, record, attempt, deadline);
+    let tracker = AttemptTracker::new(
+        shared.clock.now(),
+        TrackerPlan {
+            attempt,
+            incarnation: record.incarnation,
+            repeatable: plan.repeatable,
+            deadline,
+        },
+    );
     let (writer, reader) = shared.link.open(record.link, CallKind::Dispatch);
-    if let Err(error) = writer.send(&EntryRequest::Dispatch(order)) {
+    let stream = AttemptStream { writer, reader };
+    if let Err(error) = stream.writer.send(&EntryRequest::Dispatch(order)) {
         // The reader tells why the stream is gone, and with it whether anything was sent.
         log::debug!("dispatch was not taken: {error}");
     }
-    let mut answer = WholeAnswer::default();
-    let mut next_sequence = 0_u64;
-    loop {
-        let reply = match receive(shared, &reader, deadline) {
-            Ok(reply) => reply,
-            Err(error) => return (describe_error(&error), Some(output)),
-        };
-        if attempt_of(&reply) != attempt {
-            shared.metrics.crossed.inc();
-            log::warn!("an answer to another attempt was dropped");
-            continue;
-        }
-        match reply {
-            AgentReply::Accepted { .. } | AgentReply::Progress { .. } => {}
-            AgentReply::Refused { reason, load, .. } => {
-                return (AttemptEnd::Refused(reason, Some(load)), Some(output));
-            }
-            AgentReply::Head { status, content_type, .. } => {
-                answer.status = status;
-                answer.content_type = content_type;
-            }
-            AgentReply::Chunk { sequence, data, .. } => {
-                if sequence != next_sequence {
-                    return (broken("a piece of the answer is missing"), Some(output));
+    let run =
+        AttemptRun { shared, record, attempt, tracker, stream, answer: WholeAnswer::default() };
+    run.follow(output)
+}
+
+struct AttemptRun<'a> {
+    shared: &'a EntryShared,
+    record: &'a GroupRecord,
+    attempt: AttemptId,
+    tracker: AttemptTracker,
+    stream: AttemptStream,
+    answer: WholeAnswer,
+}
+
+impl AttemptRun<'_> {
+    fn follow(mut self, mut output: CallerOutput) -> (AttemptEnd, Option<CallerOutput>) {
+        loop {
+            let (action, quiet) = self.next_action();
+            match action {
+                TrackerAction::Wait => {
+                    if quiet && output.check_caller().is_err() {
+                        return (self.caller_gone(), None);
+                    }
                 }
-                next_sequence += 1;
-                if !is_event_stream(&answer) {
-                    answer.body.extend_from_slice(&data);
-                } else if let Err(error) = output.event(&data) {
-                    log::debug!("caller went away: {error}");
-                    return (AttemptEnd::Answered(None), None);
+                TrackerAction::Crossed => {
+                    self.shared.metrics.crossed.inc();
+                    log::warn!("an answer to another attempt was dropped");
                 }
-            }
-            AgentReply::End { count, load, .. } => {
-                if count != next_sequence {
-                    return (broken("the answer is not whole"), Some(output));
+                TrackerAction::Head { status, content_type } => {
+                    self.answer.status = status;
+                    self.answer.content_type = content_type;
+                }
+                TrackerAction::Deliver(data) if !self.answer.is_event_stream() => {
+                    self.answer.body.extend_from_slice(&data);
+                }
+                TrackerAction::Deliver(data) => {
+                    self.tracker.mark_shown();
+                    if output.event(&data).is_err() {
+                        return (self.caller_gone(), None);
+                    }
+                }
+                TrackerAction::Finish(load) => {
+                    let _ =
+                        self.stream.writer.send(&EntryRequest::Received { attempt: self.attempt });
+                    self.answer.deliver(output);
+                    return (AttemptEnd::Answered(Some(load)), None);
+                }
+                TrackerAction::Reconnect { request, wait } => self.reconnect(&request, wait),
+                TrackerAction::Refused(reason, load) => {
+                    return (AttemptEnd::Refused(reason, load), Some(output));
+                }
+                TrackerAction::Lost { outcome, retryable, detail } => {
+                    self.cancel();
+                    let refusal = lost(outcome, &detail);
+                    let end = if retryable { AttemptEnd::Lost } else { AttemptEnd::Failed };
+                    return (end(refusal), Some(output));
                 }
-                finish(output, answer);
-                return (AttemptEnd::Answered(Some(load)), None);
+                TrackerAction::Late => {
+                    // The caller's time is up: it gets its answer now, the agent is told after.
+                    let message =
+                        "no whole answer came before the deadline; look up whether it ran";
+                    let refusal = CallRefusal::unknown(RefusalCode::DeadlinePassed, message);
+                    self.cancel();
+                    return (AttemptEnd::Failed(refusal), Some(output));
+                }
+            }
+        }
+    }
+
+    /// Waits for one event; tells also whether it was a progress mark.
+    fn next_action(&mut self) -> (TrackerAction, bool) {
+        let wait = self.tracker.wait(self.shared.clock.now());
+        let received = self.stream.reader.receive::<AgentReply>(wait);
+        let now = self.shared.clock.now();
+        match received {
+            Ok(reply) => {
+                let quiet = matches!(reply, AgentReply::Progress { .. });
+                (self.tracker.on_reply(now, reply), quiet)
             }
-            AgentReply::Failed { outcome, detail, .. } => {
-                return (failed(outcome, &detail), Some(output));
+            Err(briartray_link::LinkError::TimedOut) => (self.tracker.on_silence(now), false),
+            Err(error) => {
+                log::debug!("attempt {} lost its stream: {error}", self.attempt);
+                (self.tracker.on_break(now, error.nothing_sent()), false)
             }
-            AgentReply::Tombstone { .. } => {}
         }
     }
-}
 
-fn finish(output: CallerOutput, answer: WholeAnswer) {
-    if is_event_stream(&answer) {
-        if let Err(error) = output.finish_events() {
-            log::debug!("caller went away: {error}");
+    /// Asks again over a connection that is newer than the one that failed.
+    fn reconnect(&mut self, request: &EntryRequest, wait: Duration) {
+        std::thread::sleep(wait);
+        let now = Instant::now();
+        let since = now.checked_sub(FRESH_CONNECTION).unwrap_or(now);
+        let (writer, reader) =
+            self.shared.link.open_since(self.record.link, CallKind::Dispatch, since);
+        if let Err(error) = writer.send(request) {
+            log::debug!("a question to an agent was not taken: {error}");
+        }
+        self.stream = AttemptStream { writer, reader };
+    }
+
+    fn caller_gone(&self) -> AttemptEnd {
+        log::debug!("caller of attempt {} went away", self.attempt);
+        self.cancel();
+        AttemptEnd::Answered(None)
+    }
+
+    /// Tells the agent that nobody waits any more, so that the engine stops generating.
+    fn cancel(&self) {
+        let (link, address, attempt) = (self.shared.link.clone(), self.record.link, self.attempt);
+        let ask = move || {
+            let (writer, reader) = link.open(address, CallKind::Dispatch);
+            let sent = writer.send(&EntryRequest::Cancel { attempt });
+            let answered = sent.and_then(|()| reader.receive::<AgentReply>(CANCEL_WAIT));
+            if let Err(error) = answered {
+                log::debug!("attempt {attempt} was not cancelled: {error}");
+            }
+        };
+        if let Err(error) =
+            briartray_web::spawn_worker("cancel", briartray_web::WORKER_STACK_BYTES, ask)
+        {
+            log::error!("cannot cancel an attempt: {error}; raise the thread limit");
         }
-    } else {
-        output.whole(answer.status, &answer.content_type, answer.body);
     }
 }
 
-fn is_event_stream(answer: &WholeAnswer) -> bool {
-    answer.status == 200 && answer.content_type.starts_with("text/event-stream")
+impl WholeAnswer {
+    fn is_event_stream(&self) -> bool {
+        self.status == 200 && self.content_type.starts_with("text/event-stream")
+    }
+
+    fn deliver(self, output: CallerOutput) {
+        if !self.is_event_stream() {
+            output.whole(self.status, &self.content_type, self.body);
+        } else if let Err(error) = output.finish_events() {
+            log::debug!("caller went away: {error}");
+        }
+    }
 }
 
 fn order_for(
@@ -124,6 +230,7 @@
         trace: plan.trace,
         group: record.group,
         fencing: record.fencing,
+        incarnation: record.incarnation,
         revision: view.snapshot.revision,
         service: plan.service.clone(),
         team: plan.team.clone(),
@@ -132,47 +239,11 @@
         stream: plan.stream,
         priority: plan.admit.priority,
         deadline_ms: u32::try_from(left).unwrap_or(u32::MAX),
-        once: false,
+        once: !plan.repeatable,
     }
 }
 
-fn receive(
-    shared: &EntryShared,
-    reader: &LinkReader,
-    deadline: TimePoint,
-) -> Result<AgentReply, LinkError> {
-    reader.receive(deadline.since(shared.clock.now()))
-}
-
-fn describe_error(error: &LinkError) -> AttemptEnd {
-    if error.nothing_sent() {
-        return AttemptEnd::Refused(RefusalReason::EndpointUnreachable, None);
-    }
-    if matches!(error, LinkError::TimedOut) {
-        let message = "no whole answer came before the deadline; look up whether it ran";
-        return AttemptEnd::Failed(CallRefusal::unknown(RefusalCode::DeadlinePassed, message));
-    }
-    broken(&error.to_string())
-}
-
-fn broken(detail: &str) -> AttemptEnd {
-    failed(CallOutcome::Unknown, detail)
-}
-
-fn failed(outcome: CallOutcome, detail: &str) -> AttemptEnd {
+fn lost(outcome: CallOutcome, detail: &str) -> CallRefusal {
     let message = format!("{detail}; look up whether it ran before you send it again");
-    AttemptEnd::Failed(CallRefusal { code: RefusalCode::ReplicaFailed, message, outcome })
-}
-
-fn attempt_of(reply: &AgentReply) -> AttemptId {
-    match reply {
-        AgentReply::Accepted { attempt }
-        | AgentReply::Refused { attempt, .. }
-        | AgentReply::Head { attempt, .. }
-        | AgentReply::Chunk { attempt, .. }
-        | AgentReply::Progress { attempt, .. }
-        | AgentReply::End { attempt, .. }
-        | AgentReply::Failed { attempt, .. }
-        | AgentReply::Tombstone { attempt, .. } => *attempt,
-    }
+    CallRefusal { code: RefusalCode::ReplicaFailed, message, outcome }
 }
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -23,6 +23,10 @@
     pub(super) stream: bool,
     pub(super) admit: AdmitAction,
     pub(super) retry: RetryAction,
+    /// Whether the call may run a second time.
+    pub(super) repeatable: bool,
+    /// The caller's `Idempotency-Key`, if any.
+    pub(super) key: Option<String>,
 }
 
 /// Runs `plan` and answers the caller.
@@ -34,6 +38,8 @@
 ) {
     let deadline = shared.clock.now().after(Duration::from_millis(plan.admit.deadline_ms.into()));
     let mut excluded: Vec<GroupId> = Vec::new();
+    // Once an attempt may have run, a refusal by another replica no longer means `not_run`.
+    let mut lost: Option<CallRefusal> = None;
     for _ in 0..plan.retry.attempts.max(1) {
         let chosen = shared.replicas().choose(
             &view.snapshot,
@@ -55,6 +61,14 @@
                 let Some(back) = back else { return };
                 output = back;
             }
+            (AttemptEnd::Lost(refusal), back) => {
+                log::debug!(group = record.group.0; "attempt lost: {}", refusal.message);
+                shared.replicas().release(record.group, None);
+                excluded.push(record.group);
+                let Some(back) = back else { return };
+                output = back;
+                lost = Some(refusal);
+            }
             (AttemptEnd::Failed(refusal), back) => {
                 shared.replicas().release(record.group, None);
                 shared.metrics.ended(refusal.code.as_str());
@@ -65,7 +79,8 @@
             }
         }
     }
-    shared.metrics.ended(RefusalCode::NoReplica.as_str());
     let message = "no whole replica takes the request now; try again in a second";
-    output.refuse(&CallRefusal::not_run(RefusalCode::NoReplica, message));
+    let refusal = lost.unwrap_or_else(|| CallRefusal::not_run(RefusalCode::NoReplica, message));
+    shared.metrics.ended(refusal.code.as_str());
+    output.refuse(&refusal);
 }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,6 +3,8 @@
 mod api;
 mod attempt;
 mod call;
+mod claims;
+mod once;
 mod output;
 mod refusal;
 mod shared;
@@ -18,6 +20,7 @@
 
 pub use refusal::{CallRefusal, RefusalCode};
 
+use self::claims::ClaimClient;
 use self::shared::EntryShared;
 use crate::DaemonError;
 use crate::metrics::MetricsHub;
@@ -48,8 +51,9 @@
                 connect_timeout: CONNECT_TIMEOUT,
             },
         )?;
-        let shared = Arc::new(EntryShared::new(settings, role, link, metrics));
-        let peers = settings.cluster.control.iter().map(|peer| peer.link).collect();
+        let peers: Vec<_> = settings.cluster.control.iter().map(|peer| peer.link).collect();
+        let claims = ClaimClient::start(link.clone(), peers.clone())?;
+        let shared = Arc::new(EntryShared::new(settings, role, link, claims, metrics));
         watch::start(Arc::clone(&shared), peers)?;
         let calls = Arc::clone(&shared);
         let handler = Arc::new(move |request| api::handle(request, &calls));
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -34,6 +34,18 @@
     DeadlinePassed,
     /// The entry is stopping.
     Stopping,
+    /// The call needs an `Idempotency-Key`, or the one it has cannot be used.
+    BadKey,
+    /// The key was used with another body.
+    KeyReused,
+    /// The key was claimed before and its outcome is not known.
+    InProgress,
+    /// The call under this key ran; its answer is not kept.
+    AnswerNotKept,
+    /// The ledger of claims does not answer.
+    LedgerUnavailable,
+    /// The ledger holds as many claims as it may.
+    LedgerFull,
 }
 
 impl RefusalCode {
@@ -53,6 +65,12 @@
             Self::ReplicaFailed => "replica_failed",
             Self::DeadlinePassed => "deadline_passed",
             Self::Stopping => "stopping",
+            Self::BadKey => "bad_key",
+            Self::KeyReused => "key_reused",
+            Self::InProgress => "in_progress",
+            Self::AnswerNotKept => "answer_not_kept",
+            Self::LedgerUnavailable => "ledger_unavailable",
+            Self::LedgerFull => "ledger_full",
         }
     }
 
@@ -61,10 +79,16 @@
             Self::UnknownPath | Self::UnknownModel | Self::UnknownService => 404,
             Self::WrongMethod => 405,
             Self::BodyTooLarge => 413,
-            Self::BadRequest => 400,
+            Self::BadRequest | Self::BadKey => 400,
+            Self::InProgress | Self::AnswerNotKept => 409,
+            Self::KeyReused => 422,
             Self::UnknownTeam => 401,
             Self::Forbidden => 403,
-            Self::RulesUnconfirmed | Self::NoReplica | Self::Stopping => 503,
+            Self::RulesUnconfirmed
+            | Self::NoReplica
+            | Self::Stopping
+            | Self::LedgerUnavailable
+            | Self::LedgerFull => 503,
             Self::ReplicaFailed => 502,
             Self::DeadlinePassed => 504,
         }
@@ -93,6 +117,11 @@
         Self { code, message: message.to_owned(), outcome: CallOutcome::Unknown }
     }
 
+    /// A refusal of a request that ran.
+    pub fn ran(code: RefusalCode, message: &str) -> Self {
+        Self { code, message: message.to_owned(), outcome: CallOutcome::Ran }
+    }
+
     /// The body of the refusal.
     pub fn body(&self, request: RequestId) -> Value {
         json!({
@@ -112,7 +141,7 @@
     pub fn reply(&self, request: RequestId) -> JsonReply {
         let reply = JsonReply::new(self.code.status(), self.body(request))
             .with_header("X-Request-Id", request.to_string());
-        if self.code.status() == 503 {
+        if self.code.status() == 503 || self.code == RefusalCode::InProgress {
             reply.with_header("Retry-After", "1".to_owned())
         } else {
             reply
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -13,6 +13,7 @@
 use briartray_model::settings::{DaemonSettings, EntrySettings, UnconfirmedPolicy};
 use briartray_routing::choice::ReplicaTable;
 
+use super::claims::ClaimClient;
 use crate::ClockReader;
 use crate::metrics::{MetricsHub, RequestMetrics};
 
@@ -32,6 +33,7 @@
     pub(super) settings: EntrySettings,
     pub(super) clock: ClockReader,
     pub(super) link: LinkClient,
+    pub(super) claims: ClaimClient,
     pub(super) hub: MetricsHub,
     pub(super) metrics: RequestMetrics,
     view: ArcSwap<EntryView>,
@@ -44,6 +46,7 @@
         settings: &DaemonSettings,
         role: &EntrySettings,
         link: LinkClient,
+        claims: ClaimClient,
         hub: &MetricsHub,
     ) -> Self {
         Self {
@@ -52,6 +55,7 @@
             settings: role.clone(),
             clock: ClockReader::start(),
             link,
+            claims,
             hub: hub.clone(),
             metrics: hub.add(RequestMetrics::register),
             view: ArcSwap::from_pointee(EntryView::default()),
