Check and explain rule documents, match them by an index

Cause: a mistake in a document (a rule that can never decide, a name that is not declared) was accepted in silence, and every decision looked at every rule.

Change: `rules check` names mistakes by line, `rules explain` shows the decider and why the earlier rules are passed over, `apply` refuses documents with errors; decisions look only at rules of their kind and service.

Time per decision not measured.

Conclusion: operators see what a document does before it is in force.

--- a/crates/control/src/state/rules.rs
+++ b/crates/control/src/state/rules.rs
@@ -2,7 +2,7 @@
 
 use briartray_model::SortedTable;
 use briartray_model::names::{ChangeId, RevisionNumber};
-use briartray_model::rules::RuleDocument;
+use briartray_model::rules::accept_rules;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -59,7 +59,7 @@
         if expect.is_some_and(|revision| revision != self.current.revision) {
             return CommandOutcome::RulesConflict { revision: self.current.revision };
         }
-        if let Err(error) = RuleDocument::parse(text) {
+        if let Err(error) = accept_rules(text) {
             return CommandOutcome::RulesInvalid { detail: error.to_string() };
         }
         let revision = self.current.revision.next();
--- a/crates/model/src/rules/action.rs
+++ b/crates/model/src/rules/action.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::DecisionKind;
+
 /// The `then` part of a rule; each kind that is present is decided by the rule.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -23,6 +25,19 @@
     pub stop: Option<StopAction>,
 }
 
+impl RuleAction {
+    /// Whether the rule decides `kind`.
+    pub fn decides(&self, kind: DecisionKind) -> bool {
+        match kind {
+            DecisionKind::Admit => self.admit.is_some(),
+            DecisionKind::Route => self.route.is_some(),
+            DecisionKind::Retry => self.retry.is_some(),
+            DecisionKind::Place => self.place.is_some(),
+            DecisionKind::Stop => self.stop.is_some(),
+        }
+    }
+}
+
 /// Whether a call may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/model/src/rules/book.rs
+++ b/crates/model/src/rules/book.rs
@@ -1,7 +1,10 @@
 //! Finding the rule that counts.
 
-use super::{AdmitAction, PlaceAction, RetryAction, RouteAction, RuleCondition, RuleEntry};
-use super::{RuleDocument, RuleError, StopAction};
+use super::index::RuleIndex;
+use super::{
+    AdmitAction, PlaceAction, RetryAction, RouteAction, RuleAction, RuleCondition, RuleDocument,
+    RuleError, StopAction,
+};
 use crate::names::{RevisionNumber, RuleName};
 
 plain_choice! {
@@ -20,6 +23,27 @@
     }
 }
 
+impl DecisionKind {
+    /// Every kind.
+    pub const ALL: [Self; 5] = [Self::Admit, Self::Route, Self::Retry, Self::Place, Self::Stop];
+
+    /// The kind as rules name it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Admit => "admit",
+            Self::Route => "route",
+            Self::Retry => "retry",
+            Self::Place => "place",
+            Self::Stop => "stop",
+        }
+    }
+
+    /// The kind called `text`.
+    pub fn parse(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.as_str() == text)
+    }
+}
+
 /// What is known when a decision is made; `None` where a fact does not apply.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct DecisionFacts<'a> {
@@ -46,6 +70,7 @@
 pub struct RuleBook {
     revision: RevisionNumber,
     document: RuleDocument,
+    index: RuleIndex,
 }
 
 impl RuleBook {
@@ -54,7 +79,9 @@
     /// # Errors
     /// As [`RuleDocument::parse`].
     pub fn build(revision: RevisionNumber, text: &str) -> Result<Self, RuleError> {
-        Ok(Self { revision, document: RuleDocument::parse(text)? })
+        let document = RuleDocument::parse(text)?;
+        let index = RuleIndex::build(&document);
+        Ok(Self { revision, document, index })
     }
 
     /// Revision of the document.
@@ -69,53 +96,61 @@
 
     /// Admission for `facts`, with the rule that decided; the default when none matches.
     pub fn admit(&self, facts: &DecisionFacts<'_>) -> (Option<&RuleName>, AdmitAction) {
-        self.first(facts, |entry| entry.then.admit.as_ref())
+        self.first(DecisionKind::Admit, facts, |then| then.admit.as_ref())
     }
 
     /// Choice of replica for `facts`.
     pub fn route(&self, facts: &DecisionFacts<'_>) -> (Option<&RuleName>, RouteAction) {
-        self.first(facts, |entry| entry.then.route.as_ref())
+        self.first(DecisionKind::Route, facts, |then| then.route.as_ref())
     }
 
     /// Retries for `facts`.
     pub fn retry(&self, facts: &DecisionFacts<'_>) -> (Option<&RuleName>, RetryAction) {
-        self.first(facts, |entry| entry.then.retry.as_ref())
+        self.first(DecisionKind::Retry, facts, |then| then.retry.as_ref())
     }
 
     /// Placement for `facts`.
     pub fn place(&self, facts: &DecisionFacts<'_>) -> (Option<&RuleName>, PlaceAction) {
-        self.first(facts, |entry| entry.then.place.as_ref())
+        self.first(DecisionKind::Place, facts, |then| then.place.as_ref())
     }
 
     /// Planned stops for `facts`.
     pub fn stop(&self, facts: &DecisionFacts<'_>) -> (Option<&RuleName>, StopAction) {
-        self.first(facts, |entry| entry.then.stop.as_ref())
+        self.first(DecisionKind::Stop, facts, |then| then.stop.as_ref())
     }
 
     fn first<A: Clone + Default>(
         &self,
+        kind: DecisionKind,
         facts: &DecisionFacts<'_>,
-        pick: impl Fn(&RuleEntry) -> Option<&A>,
+        pick: impl Fn(&RuleAction) -> Option<&A>,
     ) -> (Option<&RuleName>, A) {
-        self.document
-            .rules
-            .iter()
-            .filter(|entry| entry.when.matches(facts))
-            .find_map(|entry| pick(entry).map(|action| (Some(&entry.rule), action.clone())))
-            .unwrap_or_else(|| (None, A::default()))
+        let decider = self.index.first(kind, facts).map(|at| &self.document.rules[at]);
+        match decider.and_then(|entry| pick(&entry.then).map(|action| (&entry.rule, action))) {
+            Some((rule, action)) => (Some(rule), action.clone()),
+            None => (None, A::default()),
+        }
     }
 }
 
 impl RuleCondition {
-    /// Whether every field that is given holds for `facts`.
+    /// Whether every field that is given holds for `facts`, field by field.
     pub fn matches(&self, facts: &DecisionFacts<'_>) -> bool {
         any_of(&self.team, facts.team, |name| name.as_str())
             && any_of(&self.service, facts.service, |name| name.as_str())
             && any_of(&self.model, facts.model, String::as_str)
             && any_of(&self.zone, facts.zone, |name| name.as_str())
             && any_of(&self.provider, facts.provider, |name| name.as_str())
-            && any_prefix(&self.path, facts.path)
-            && (self.stream.is_none() || self.stream == facts.stream)
+            && self.path_matches(facts)
+            && self.flags_match(facts)
+    }
+
+    pub(super) fn path_matches(&self, facts: &DecisionFacts<'_>) -> bool {
+        any_prefix(&self.path, facts.path)
+    }
+
+    pub(super) fn flags_match(&self, facts: &DecisionFacts<'_>) -> bool {
+        (self.stream.is_none() || self.stream == facts.stream)
             && (self.keyed.is_none() || self.keyed == facts.keyed)
     }
 }
--- a/crates/model/src/rules/document.rs
+++ b/crates/model/src/rules/document.rs
@@ -19,6 +19,14 @@
         /// What is wrong and what is expected.
         detail: String,
     },
+    /// The text is a rule document with a mistake in it.
+    #[snafu(display("rule document, line {line}: {detail}"))]
+    Refused {
+        /// Line, from one.
+        line: u64,
+        /// What is wrong and what to do about it.
+        detail: String,
+    },
 }
 
 /// One rule document.
@@ -128,14 +136,7 @@
     /// # Errors
     /// `RuleError::Malformed` with line and column when the text does not fit.
     pub fn parse(text: &str) -> Result<Self, RuleError> {
-        serde_saphyr::from_str(text).map_err(|error| {
-            let location = error.location();
-            RuleError::Malformed {
-                line: location.map_or(0, |place| place.line()),
-                column: location.map_or(0, |place| place.column()),
-                detail: error.without_snippet().to_string(),
-            }
-        })
+        serde_saphyr::from_str(text).map_err(|error| malformed(&error))
     }
 
     /// The service called `name`.
@@ -152,6 +153,16 @@
     }
 }
 
+/// The parser's error with its place.
+pub(super) fn malformed(error: &serde_saphyr::Error) -> RuleError {
+    let location = error.location();
+    RuleError::Malformed {
+        line: location.map_or(0, |place| place.line()),
+        column: location.map_or(0, |place| place.column()),
+        detail: error.without_snippet().to_string(),
+    }
+}
+
 fn one() -> u32 {
     1
 }
--- a/crates/model/src/rules/mod.rs
+++ b/crates/model/src/rules/mod.rs
@@ -5,13 +5,18 @@
 
 mod action;
 mod book;
+mod check;
 mod document;
+mod explain;
+mod index;
 
 pub use action::{
     AdmitAction, KeyPolicy, PlaceAction, RetryAction, RouteAction, RuleAction, StopAction,
 };
 pub use book::{DecisionFacts, DecisionKind, RuleBook};
+pub use check::{FindingLevel, RuleFinding, accept_rules, check_rules};
 pub use document::{
     RuleCondition, RuleDocument, RuleEntry, RuleError, ServiceDeclaration, ServiceKind,
     TeamDeclaration,
 };
+pub use explain::{RuleStep, RuleVerdict};
--- a/crates/model/src/table.rs
+++ b/crates/model/src/table.rs
@@ -25,6 +25,12 @@
         self.position(key).ok().map(|index| &self.entries[index].1)
     }
 
+    /// The value whose key `compare` finds equal; `compare` must follow the key order.
+    pub fn find(&self, mut compare: impl FnMut(&K) -> std::cmp::Ordering) -> Option<&V> {
+        let found = self.entries.binary_search_by(|(key, _)| compare(key));
+        found.ok().map(|index| &self.entries[index].1)
+    }
+
     /// The value under `key`, to change.
     pub fn get_mut(&mut self, key: &K) -> Option<&mut V> {
         self.position(key).ok().map(|index| &mut self.entries[index].1)
