An attempt that may have run keeps later refusals from saying not_run

Cause: after an attempt of unknown effect another replica may refuse, and the refusal said not_run for the whole request. Change: the caller's output remembers it and says unknown.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -29,9 +29,6 @@
     Answered(Option<LoadReport>),
     /// Not run; another replica may be asked.
     Refused(RefusalReason, Option<LoadReport>),
-    /// Ended without an answer of which the caller saw anything; the call may be repeated, so
-    /// another replica may be asked.
-    Lost(CallRefusal),
     /// Ended without a whole answer.
     Failed(CallRefusal),
 }
@@ -127,11 +124,10 @@
                 TrackerAction::Refused(reason, load) => {
                     return (AttemptEnd::Refused(reason, load), Some(output));
                 }
-                TrackerAction::Lost { outcome, retryable, detail } => {
+                TrackerAction::Lost { outcome, detail } => {
                     self.cancel();
-                    let refusal = lost(outcome, &detail);
-                    let end = if retryable { AttemptEnd::Lost } else { AttemptEnd::Failed };
-                    return (end(refusal), Some(output));
+                    output.mark_may_have_run();
+                    return (AttemptEnd::Failed(lost(outcome, &detail)), Some(output));
                 }
                 TrackerAction::Late => {
                     // The caller's time is up: it gets its answer now, the agent is told after.
@@ -139,6 +135,7 @@
                         "no whole answer came before the deadline; look up whether it ran";
                     let refusal = CallRefusal::unknown(RefusalCode::DeadlinePassed, message);
                     self.cancel();
+                    output.mark_may_have_run();
                     return (AttemptEnd::Failed(refusal), Some(output));
                 }
             }
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -38,8 +38,6 @@
 ) {
     let deadline = shared.clock.now().after(Duration::from_millis(plan.admit.deadline_ms.into()));
     let mut excluded: Vec<GroupId> = Vec::new();
-    // Once an attempt may have run, a refusal by another replica no longer means `not_run`.
-    let mut lost: Option<CallRefusal> = None;
     for _ in 0..plan.retry.attempts.max(1) {
         let chosen = shared.replicas().choose(
             &view.snapshot,
@@ -61,14 +59,6 @@
                 let Some(back) = back else { return };
                 output = back;
             }
-            (AttemptEnd::Lost(refusal), back) => {
-                log::debug!(group = record.group.0; "attempt lost: {}", refusal.message);
-                shared.replicas().release(record.group, None);
-                excluded.push(record.group);
-                let Some(back) = back else { return };
-                output = back;
-                lost = Some(refusal);
-            }
             (AttemptEnd::Failed(refusal), back) => {
                 shared.replicas().release(record.group, None);
                 shared.metrics.ended(refusal.code.as_str());
@@ -80,7 +70,7 @@
         }
     }
     let message = "no whole replica takes the request now; try again in a second";
-    let refusal = lost.unwrap_or_else(|| CallRefusal::not_run(RefusalCode::NoReplica, message));
+    let refusal = CallRefusal::not_run(RefusalCode::NoReplica, message);
     shared.metrics.ended(refusal.code.as_str());
     output.refuse(&refusal);
 }
--- a/crates/node/src/entry/output.rs
+++ b/crates/node/src/entry/output.rs
@@ -68,11 +68,12 @@
     request: Option<Request>,
     events: Option<EventWriter>,
     record: Option<AnswerRecord>,
+    may_have_run: bool,
 }
 
 impl CallerOutput {
     pub(super) fn new(id: RequestId, request: Request) -> Self {
-        Self { id, request: Some(request), events: None, record: None }
+        Self { id, request: Some(request), events: None, record: None, may_have_run: false }
     }
 
     /// Collects the answer and tells `hook` how the call ended, before the caller learns of it.
@@ -80,6 +81,14 @@
         self.record = Some(AnswerRecord { hook, events: Vec::new(), bytes: 0 });
     }
 
+    /// Notes that an attempt ended without a known effect.
+    ///
+    /// Another replica may be asked after it and refuse. That replica did not run the request, but
+    /// the first one may have, so nothing said later may call it not run.
+    pub(super) fn mark_may_have_run(&mut self) {
+        self.may_have_run = true;
+    }
+
     /// Writes one event; the first one writes the head as well.
     ///
     /// # Errors
@@ -136,6 +145,10 @@
 
     /// Tells the caller that there is no answer, or that the one it reads is not whole.
     pub(super) fn refuse(mut self, refusal: &CallRefusal) {
+        let mut refusal = refusal.clone();
+        if self.may_have_run && refusal.outcome == CallOutcome::NotRun {
+            refusal.outcome = CallOutcome::Unknown;
+        }
         if let Some(record) = self.record.take() {
             (record.hook)(match refusal.outcome {
                 CallOutcome::NotRun => OnceEnd::NotRun,
--- a/crates/routing/src/attempt/tracker.rs
+++ b/crates/routing/src/attempt/tracker.rs
@@ -67,8 +67,6 @@
     Lost {
         /// What may be said about its effect.
         outcome: CallOutcome,
-        /// Whether another replica may be asked.
-        retryable: bool,
         /// What went wrong.
         detail: String,
     },
@@ -246,12 +244,11 @@
     }
 
     fn lost_as(&self, outcome: CallOutcome, detail: &str) -> TrackerAction {
-        let retryable = self.plan.repeatable && !self.shown;
         // Only a refusal proves that nothing ran; whatever else an agent says is not taken for it.
         let outcome = match outcome {
             CallOutcome::Ran => CallOutcome::Ran,
             CallOutcome::NotRun | CallOutcome::Unknown => CallOutcome::Unknown,
         };
-        TrackerAction::Lost { outcome, retryable, detail: detail.to_owned() }
+        TrackerAction::Lost { outcome, detail: detail.to_owned() }
     }
 }
