Planned stops: committed marks, groups drain, hosts told when they may stop

Cause: a host could only leave by being killed, which cut off its requests. Change: the stop book holds planned stops of hosts, groups, zones and providers; control checks them against the stop rules, marks groups leaving once replacements stand, tells first hosts to leave and hosts when they may stop; a command of the planner waits until the group it ends has no work left. SIGTERM ends an entry and an agent the same way, within a bound from settings. briartray stop plan, list and cancel. Conclusion: wired; what is left is proof under load.

--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 mod rules;
 mod stand_in;
 mod status;
+mod stop;
 
 use std::process::ExitCode;
 
@@ -38,6 +39,8 @@
     Groups(groups::GroupsOptions),
     #[options(help = "run a stand-in engine")]
     StandIn(stand_in::StandInOptions),
+    #[options(help = "plan, list and cancel planned stops")]
+    Stop(stop::StopOptions),
 }
 
 /// Why a subcommand failed.
@@ -97,6 +100,7 @@
         Subcommand::Status(options) => status::run(options),
         Subcommand::Groups(options) => groups::run(options),
         Subcommand::StandIn(options) => stand_in::run(options),
+        Subcommand::Stop(options) => stop::run(options),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -7,7 +7,7 @@
 use briartray_model::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
 use briartray_model::settings::{
     AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
-    EndpointSettings, EntrySettings, LogSettings, TraceSettings, UnconfirmedPolicy,
+    EndpointSettings, EntrySettings, LogSettings, StopSettings, TraceSettings, UnconfirmedPolicy,
 };
 use briartray_node::{DaemonError, RunningDaemon};
 use briartray_standin::engine::{EngineSettings, StandinEngine};
@@ -196,6 +196,7 @@
         cluster: cluster.clone(),
         log: LogSettings::default(),
         trace: TraceSettings::default(),
+        stop: StopSettings::default(),
         entry: Some(EntrySettings {
             listen: plan.listen,
             max_open_requests: 4096,
@@ -220,6 +221,7 @@
         cluster: cluster.clone(),
         log: LogSettings::default(),
         trace: TraceSettings::default(),
+        stop: StopSettings::default(),
         entry: None,
         control: None,
         agent: Some(AgentSettings {
--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -3,10 +3,12 @@
 use briartray_model::message::{GroupMember, LedgerReply, LedgerRequest};
 use briartray_model::names::{
     ChangeId, DomainName, FencingNumber, GroupId, HostName, ProviderName, RevisionNumber,
-    ServiceName, ZoneName,
+    ServiceName, StopId, ZoneName,
 };
 use briartray_model::plain_value;
 
+use super::StopPlan;
+
 plain_value! {
     /// One change of the control state.
     pub enum ControlCommand {
@@ -28,6 +30,23 @@
         },
         /// Change the ledger of claims.
         Ledger(LedgerRequest),
+        /// Forget the oldest claims whose outcome is known.
+        ForgetClaims {
+            /// Newest claims that stay in any case.
+            keep: u64,
+        },
+        /// Plan a stop.
+        PlanStop {
+            /// Revision of the stop book that the stop was checked against.
+            expect: u64,
+            /// The stop.
+            plan: StopPlan,
+        },
+        /// Take a planned stop back.
+        CancelStop {
+            /// The stop.
+            stop: StopId,
+        },
     }
 
     /// A group to be formed.
@@ -94,5 +113,30 @@
         },
         /// What the ledger answered.
         Ledger(LedgerReply),
+        /// Claims are forgotten.
+        ClaimsForgotten {
+            /// How many.
+            count: usize,
+        },
+        /// The stop is planned.
+        StopPlanned {
+            /// The stop.
+            stop: StopId,
+        },
+        /// The stop is not planned.
+        StopRefused {
+            /// Why.
+            reason: String,
+        },
+        /// The stop is taken back.
+        StopCancelled {
+            /// The stop.
+            stop: StopId,
+        },
+        /// There never was such a stop.
+        StopUnknown {
+            /// The stop.
+            stop: StopId,
+        },
     }
 }
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -10,9 +10,9 @@
 
 pub use command::{CommandOutcome, ControlCommand, GroupProposal};
 pub use groups::{GroupRegistry, HostSeat, RegisteredGroup};
-pub use ledger::ClaimLedger;
+pub use ledger::{ClaimLedger, MAX_ANSWER_BYTES, MAX_CLAIMS};
 pub use rules::{AcceptedRules, RuleShelf};
-pub use stops::StopBook;
+pub use stops::{HostPlace, MAX_STOPS, StopBook, StopPlan, StopTarget};
 
 use serde::{Deserialize, Serialize};
 
@@ -39,6 +39,11 @@
             ControlCommand::FormGroup(proposal) => self.groups.form(proposal),
             ControlCommand::DissolveGroup { group } => self.groups.dissolve(*group),
             ControlCommand::Ledger(request) => CommandOutcome::Ledger(self.ledger.apply(request)),
+            ControlCommand::ForgetClaims { keep } => {
+                CommandOutcome::ClaimsForgotten { count: self.ledger.forget(*keep) }
+            }
+            ControlCommand::PlanStop { expect, plan } => self.stops.plan(*expect, plan),
+            ControlCommand::CancelStop { stop } => self.stops.cancel(*stop),
         }
     }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -12,6 +12,9 @@
 /// Exit code for settings or addresses that cannot be used.
 const EXIT_UNUSABLE: u8 = 2;
 
+/// Exit code when work in progress was cut off by a second signal.
+const EXIT_CUT_OFF: i32 = 1;
+
 #[derive(Debug, Options)]
 struct DaemonOptions {
     #[options(help = "print this help")]
@@ -40,6 +43,19 @@
     log::info!(node = settings.node.as_str(); "started");
     signals.forever().next();
     log::info!("stopping");
-    daemon.stop();
+    end_on_second_signal(signals);
+    if !daemon.drain(&settings.stop) {
+        log::warn!("work was left after {} ms; raise stop.wait_ms", settings.stop.wait_ms);
+    }
     Ok(())
 }
+
+/// Ends the process at once when it is told a second time.
+fn end_on_second_signal(mut signals: Signals) {
+    std::thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            log::warn!("ended by a second signal; work in progress is cut off");
+            std::process::exit(EXIT_CUT_OFF);
+        }
+    });
+}
--- a/crates/model/src/message/fleet.rs
+++ b/crates/model/src/message/fleet.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::names::{
-    DomainName, FencingNumber, GroupId, HostName, LeaseNonce, ProviderName, RevisionNumber,
-    ServiceName, ZoneName,
+    DomainName, FencingNumber, GroupId, HostName, LeaseNonce, ProviderName, ServiceName, ZoneName,
 };
 
 plain_value! {
@@ -47,10 +46,12 @@
             /// Members whose lease is missing.
             missing: Vec<HostName>,
         },
-        /// No work is left on a host that was told to leave.
+        /// No work is left at a group that was told to leave; sent by its first host.
         Drained {
             /// Which host.
             host: HostName,
+            /// Fencing number of the group.
+            fencing: FencingNumber,
         },
     }
 
@@ -63,11 +64,19 @@
             /// Highest fencing number that control has given out for this host.
             fencing: FencingNumber,
         },
-        /// Take no new work, finish what runs, then report `Drained`.
+        /// The group that the host leads takes no new work, finishes what runs, and then reports
+        /// `Drained`.
         Leave {
-            /// Rules revision under which the stop was committed.
-            revision: RevisionNumber,
+            /// Fencing number of the group; another group of the host is not concerned.
+            fencing: FencingNumber,
+        },
+        /// The group that the host leads takes work again.
+        Stay {
+            /// Fencing number of the group.
+            fencing: FencingNumber,
         },
+        /// The host takes part in no work any more and may be shut down.
+        MayStop,
     }
 
     /// Membership of one group.
--- a/crates/model/src/settings/mod.rs
+++ b/crates/model/src/settings/mod.rs
@@ -6,5 +6,5 @@
 pub use load::{SettingsError, load, parse};
 pub use types::{
     AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
-    EndpointSettings, EntrySettings, LogSettings, TraceSettings, UnconfirmedPolicy,
+    EndpointSettings, EntrySettings, LogSettings, StopSettings, TraceSettings, UnconfirmedPolicy,
 };
--- a/crates/model/src/settings/types.rs
+++ b/crates/model/src/settings/types.rs
@@ -23,6 +23,9 @@
     /// Traces.
     #[serde(default)]
     pub trace: TraceSettings,
+    /// What happens when the process is told to end.
+    #[serde(default)]
+    pub stop: StopSettings,
     /// Present when the process stands before callers.
     #[serde(default)]
     pub entry: Option<EntrySettings>,
@@ -76,6 +79,23 @@
     pub file: Option<PathBuf>,
 }
 
+/// What happens when a process is told to end by SIGTERM.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StopSettings {
+    /// Time between saying that the process is not ready and taking no more requests, in
+    /// milliseconds; longer than the balancer's check interval.
+    pub notice_ms: u32,
+    /// Longest time that work in progress may take to end, in milliseconds.
+    pub wait_ms: u32,
+}
+
+impl Default for StopSettings {
+    fn default() -> Self {
+        Self { notice_ms: 3000, wait_ms: 150_000 }
+    }
+}
+
 /// What an entry does when its rules lease has run out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/node/src/agent/core.rs
+++ b/crates/node/src/agent/core.rs
@@ -65,6 +65,8 @@
     inputs: Sender<AgentInput>,
     promise: HostPromise,
     lead: Option<LeadRole>,
+    /// Whether control knows that the group it told to leave has no work left.
+    told_drained: bool,
 }
 
 impl AgentCore {
@@ -75,7 +77,7 @@
         inputs: Sender<AgentInput>,
     ) -> Self {
         let promise = HostPromise::new(shared.clock.now());
-        Self { shared, client, session, inputs, promise, lead: None }
+        Self { shared, client, session, inputs, promise, lead: None, told_drained: false }
     }
 
     /// Runs until told to stop.
@@ -90,13 +92,17 @@
                 Err(RecvTimeoutError::Timeout) => {}
             }
             self.report_state(false);
+            self.report_drained();
         }
     }
 
     fn handle(&mut self, input: AgentInput) {
         match input {
             AgentInput::Directive(directive) => self.direct(directive),
-            AgentInput::SessionOpened => self.report_state(true),
+            AgentInput::SessionOpened => {
+                self.report_state(true);
+                self.told_drained = false;
+            }
             AgentInput::MemberAsk { request, writer } => self.answer_member(&request, &writer),
             AgentInput::LeaseAnswer { lease, reply } => self.take_answer(&lease, reply.as_ref()),
             AgentInput::Stop => {}
@@ -111,7 +117,12 @@
                     self.drop_lead();
                 }
             }
-            ControlDirective::Leave { .. } => self.shared.close(),
+            ControlDirective::Leave { fencing } => {
+                self.shared.set_leaving(fencing, true);
+                self.told_drained = false;
+            }
+            ControlDirective::Stay { fencing } => self.shared.set_leaving(fencing, false),
+            ControlDirective::MayStop => self.shared.allow_stop(),
         }
     }
 
@@ -199,6 +210,17 @@
         self.shared.publish(view);
     }
 
+    /// Tells control once when the group that leaves has no work left.
+    fn report_drained(&mut self) {
+        let Some(lead) = &self.lead else { return };
+        let fencing = lead.gate.fencing();
+        if self.told_drained || !self.shared.is_drained(fencing) {
+            return;
+        }
+        let host = self.shared.settings.host.clone();
+        self.told_drained = self.session.report(&AgentReport::Drained { host, fencing });
+    }
+
     /// Tells control when the group became whole or broke, or when `always` asks for it.
     fn report_state(&mut self, always: bool) {
         let now = self.shared.clock.now();
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -13,6 +13,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use briartray_link::{CallKind, ClientSettings, LinkClient, LinkServer, LinkStream};
 use briartray_model::message::HostAnnouncement;
@@ -21,6 +22,7 @@
 use crossbeam::channel::{Sender, bounded};
 
 use self::core::{AgentCore, AgentInput};
+use self::session::SessionHandle;
 use self::shared::AgentShared;
 use crate::DaemonError;
 
@@ -28,12 +30,19 @@
 const INPUT_QUEUE: usize = 1024;
 
 /// Time to connect to another process.
-const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1000);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Time between two looks at the work that is left.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+
+/// How long a host that is leaving waits for a control host to answer at all.
+const ALONE_WAIT: Duration = Duration::from_secs(10);
 
 /// A running agent role.
 pub struct AgentNode {
     link: LinkServer,
     shared: Arc<AgentShared>,
+    session: SessionHandle,
     inputs: Sender<AgentInput>,
 }
 
@@ -60,9 +69,9 @@
         let announcement = announce(settings, role, &shared, link.address());
         let peers = settings.cluster.control.iter().map(|peer| peer.link).collect();
         let session = session::start(client.clone(), peers, announcement, inputs.clone())?;
-        let core = AgentCore::new(Arc::clone(&shared), client, session, inputs.clone());
+        let core = AgentCore::new(Arc::clone(&shared), client, session.clone(), inputs.clone());
         spawn_worker("agent", 4 * WORKER_STACK_BYTES, move || core.run(&queue))?;
-        Ok(Self { link, shared, inputs })
+        Ok(Self { link, shared, session, inputs })
     }
 
     /// Where other processes connect.
@@ -70,6 +79,25 @@
         self.link.address()
     }
 
+    /// Leaves as by a planned stop: the group takes no new work and finishes what runs. Returns
+    /// when the host may be shut down, or after `limit`; `false` when work was left.
+    ///
+    /// A host that leads no group still holds its group together, so it stays until control says
+    /// that the group has no work left.
+    pub fn drain(&self, limit: Duration) -> bool {
+        let started = Instant::now();
+        self.session.leave();
+        self.shared.leave_group();
+        while started.elapsed() < limit {
+            let alone = !self.session.is_open() && started.elapsed() > ALONE_WAIT;
+            if self.shared.is_idle() && (self.shared.may_stop() || alone) {
+                return true;
+            }
+            std::thread::sleep(DRAIN_CHECK);
+        }
+        false
+    }
+
     /// Stops the role.
     pub fn stop(&self) {
         self.shared.close();
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -13,7 +13,7 @@
 
 use super::endpoint::{self, EndpointAnswer, EndpointError};
 use super::running::{RESUME_GRACE, RunningAttempt};
-use super::shared::AgentShared;
+use super::shared::{AgentShared, InFlightGuard};
 
 /// How long the first message of a stream may take.
 const FIRST_WAIT: Duration = Duration::from_secs(10);
@@ -58,12 +58,13 @@
     stream: &LinkStream,
 ) -> Result<(), LinkError> {
     let attempt = order.attempt;
+    let in_flight = shared.count_in();
     if let Some(reason) = shared.refusal(&order) {
         return refuse(&stream.writer, shared, attempt, reason);
     }
     let begun = shared.attempts().begin(shared.clock.now(), attempt, stream.proof.age());
     let reason = match begun {
-        BeginDecision::Start => return start(order, shared, stream),
+        BeginDecision::Start => return start(order, in_flight, shared, stream),
         BeginDecision::Duplicate => {
             let detail = "the attempt came before".to_owned();
             let outcome = CallOutcome::Unknown;
@@ -79,6 +80,7 @@
 /// Calls the endpoint on a thread of its own, so that the call outlives this stream.
 fn start(
     order: DispatchOrder,
+    in_flight: InFlightGuard,
     shared: &Arc<AgentShared>,
     stream: &LinkStream,
 ) -> Result<(), LinkError> {
@@ -86,7 +88,6 @@
     let running = Arc::new(RunningAttempt::new(order, shared.clock));
     let reader = running.change(|buffer| buffer.attach(0));
     shared.held().insert(attempt, Arc::clone(&running));
-    let in_flight = shared.count_in();
     let (owner, task) = (Arc::clone(shared), Arc::clone(&running));
     let call = move || {
         let end = run_endpoint(&owner, &task);
--- a/crates/node/src/agent/session.rs
+++ b/crates/node/src/agent/session.rs
@@ -23,9 +23,25 @@
 pub(super) struct SessionHandle {
     writer: Arc<Mutex<Option<LinkWriter>>>,
     running: Arc<AtomicBool>,
+    leaving: Arc<AtomicBool>,
 }
 
 impl SessionHandle {
+    /// Announces from now on that the host is on its way out.
+    pub(super) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether there is a session with a control host.
+    pub(super) fn is_open(&self) -> bool {
+        self.writer.lock().unwrap_or_else(PoisonError::into_inner).is_some()
+    }
+
+    fn announcement(&self, said: &HostAnnouncement) -> AgentReport {
+        let leaving = self.leaving.load(Ordering::Relaxed);
+        AgentReport::Announce(HostAnnouncement { leaving, ..said.clone() })
+    }
+
     /// Sends `report`; `false` when there is no session that takes it now.
     pub(super) fn report(&self, report: &AgentReport) -> bool {
         let writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner).clone();
@@ -53,6 +69,7 @@
     let handle = SessionHandle {
         writer: Arc::new(Mutex::new(None)),
         running: Arc::new(AtomicBool::new(true)),
+        leaving: Arc::new(AtomicBool::new(false)),
     };
     let session = handle.clone();
     spawn_worker("session", WORKER_STACK_BYTES, move || {
@@ -77,8 +94,7 @@
     inputs: &Sender<AgentInput>,
 ) {
     let (writer, reader) = client.open(peer, CallKind::Fleet);
-    let announce = AgentReport::Announce(announcement.clone());
-    if writer.send(&announce).is_err() {
+    if writer.send(&session.announcement(announcement)).is_err() {
         return;
     }
     session.set(Some(writer.clone()));
@@ -93,7 +109,7 @@
                 }
             }
             Err(LinkError::TimedOut) => {
-                if writer.send(&announce).is_err() {
+                if writer.send(&session.announcement(announcement)).is_err() {
                     return;
                 }
             }
--- a/crates/node/src/agent/shared.rs
+++ b/crates/node/src/agent/shared.rs
@@ -1,6 +1,6 @@
 //! What the agent's control thread shares with its traffic threads.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
@@ -36,6 +36,10 @@
     pub(super) incarnation: u64,
     gate: ArcSwap<GateView>,
     closed: AtomicBool,
+    /// Fencing number of the group that takes no new work; zero for none.
+    leaving: AtomicU64,
+    /// Whether control said that the host may be shut down.
+    may_stop: AtomicBool,
     in_flight: AtomicU32,
     attempts: Mutex<AttemptBook>,
     held: Mutex<SortedTable<AttemptId, Arc<RunningAttempt>>>,
@@ -49,6 +53,8 @@
             incarnation: new_incarnation(),
             gate: ArcSwap::from_pointee(GateView::default()),
             closed: AtomicBool::new(false),
+            leaving: AtomicU64::new(0),
+            may_stop: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
             attempts: Mutex::new(AttemptBook::new(BookLimits::default())),
             held: Mutex::new(SortedTable::new()),
@@ -65,6 +71,44 @@
         self.closed.store(true, Ordering::SeqCst);
     }
 
+    /// Notes that the host takes part in no work any more.
+    pub(super) fn allow_stop(&self) {
+        self.may_stop.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether control said that the host may be shut down.
+    pub(super) fn may_stop(&self) -> bool {
+        self.may_stop.load(Ordering::SeqCst)
+    }
+
+    /// Lets the group that this host leads, if any, take no new work.
+    pub(super) fn leave_group(&self) {
+        self.set_leaving(self.gate.load().fencing, true);
+    }
+
+    /// Lets the group under `fencing` take no new work, or take it again.
+    pub(super) fn set_leaving(&self, fencing: FencingNumber, leaving: bool) {
+        if leaving {
+            self.leaving.store(fencing.0, Ordering::SeqCst);
+        } else {
+            let change = |known| (known == fencing.0).then_some(0);
+            let _ = self.leaving.fetch_update(Ordering::SeqCst, Ordering::SeqCst, change);
+        }
+    }
+
+    /// Whether the group under `fencing` takes no new work and has none left.
+    ///
+    /// An order is counted in before it looks whether the group leaves, so that no order slips in
+    /// after this was found true.
+    pub(super) fn is_drained(&self, fencing: FencingNumber) -> bool {
+        self.leaving.load(Ordering::SeqCst) == fencing.0 && self.is_idle()
+    }
+
+    /// Whether no attempt runs and no answer is on its way to an entry.
+    pub(super) fn is_idle(&self) -> bool {
+        self.in_flight.load(Ordering::SeqCst) == 0 && self.held().is_empty()
+    }
+
     /// Why `order` must not run now, if so.
     ///
     /// The time is read after the view: a process that slept in between finds the lease gone.
@@ -81,10 +125,14 @@
         if (gate.group, gate.fencing) != (order.group, order.fencing) {
             return Some(RefusalReason::WrongGroup);
         }
+        if self.leaving.load(Ordering::SeqCst) == gate.fencing.0 {
+            return Some(RefusalReason::Leaving);
+        }
         if !self.is_whole(&gate) {
             return Some(RefusalReason::GroupNotWhole);
         }
-        (self.in_flight.load(Ordering::SeqCst) >= gate.capacity).then_some(RefusalReason::QueueFull)
+        // The order itself is counted.
+        (self.in_flight.load(Ordering::SeqCst) > gate.capacity).then_some(RefusalReason::QueueFull)
     }
 
     /// Whether the group of `order` is still whole at its fencing number.
@@ -109,11 +157,6 @@
         InFlightGuard(Arc::clone(self))
     }
 
-    /// Attempts handed to the endpoint and not ended.
-    pub(super) fn in_flight(&self) -> u32 {
-        self.in_flight.load(Ordering::SeqCst)
-    }
-
     /// The answers that are held, by attempt.
     pub(super) fn held(&self) -> MutexGuard<'_, SortedTable<AttemptId, Arc<RunningAttempt>>> {
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -4,7 +4,10 @@
 
 use briartray_control::state::{CommandOutcome, ControlCommand, ControlState};
 use briartray_link::LinkWriter;
-use briartray_model::message::{LedgerReply, RoutingSnapshot, WatchReply, WatchRequest};
+use briartray_model::TimePoint;
+use briartray_model::message::{
+    LeavingMark, LedgerReply, RoutingSnapshot, WatchReply, WatchRequest,
+};
 use briartray_model::rules::RuleBook;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use serde_json::{Value, json};
@@ -12,6 +15,7 @@
 use super::fleet::FleetRoster;
 use super::input::{ControlInput, InspectKind, LedgerPort};
 use super::planning::PlanDriver;
+use super::stops::{self, StopDriver};
 use crate::ClockReader;
 
 /// Time between two rounds of planning.
@@ -38,6 +42,7 @@
     book: RuleBook,
     roster: FleetRoster,
     planner: PlanDriver,
+    stops: StopDriver,
     snapshot_version: u64,
 }
 
@@ -49,6 +54,7 @@
             book: RuleBook::default(),
             roster: FleetRoster::default(),
             planner: PlanDriver::default(),
+            stops: StopDriver::default(),
             snapshot_version: 1,
         }
     }
@@ -113,7 +119,11 @@
                 self.submit(&ControlCommand::Ledger(request), ProposalOrigin::Ledger(port));
             }
             ControlInput::Propose { command, reply } => {
-                self.submit(&command, ProposalOrigin::Operator(reply));
+                let view = self.roster.view(&self.state.groups);
+                match stops::check_stop(&self.state.stops, &view, &self.book, command) {
+                    Ok(command) => self.submit(&command, ProposalOrigin::Operator(reply)),
+                    Err(refusal) => answer(ProposalOrigin::Operator(reply), refusal),
+                }
             }
             ControlInput::Inspect { what, reply } => {
                 let _ = reply.send(self.inspect(what));
@@ -126,10 +136,26 @@
         let now = self.clock.now();
         self.roster.prune(now, &self.state.groups);
         self.roster.direct(&self.state.groups);
-        let view = self.roster.view(&self.state.groups);
+        let mut view = self.roster.view(&self.state.groups);
+        stops::mark_hosts(&mut view, &self.state.stops);
         for command in self.planner.step(&view, &self.book) {
-            self.submit(&command, ProposalOrigin::Planner);
+            let drained = |group| self.roster.is_drained(&self.state.groups, group);
+            if !self.stops.holds_back(now, &command, &view, drained) {
+                self.submit(&command, ProposalOrigin::Planner);
+            }
+        }
+        self.carry_out_stops(now);
+    }
+
+    fn carry_out_stops(&mut self, now: TimePoint) {
+        let groups = &self.state.groups;
+        let view = self.roster.view(groups);
+        if self.stops.update(now, &view, &self.state.stops, &self.book) {
+            self.snapshot_version += 1;
         }
+        let drained = |group| self.roster.is_drained(groups, group);
+        let stoppable = stops::stoppable(&view, &self.state.stops, drained);
+        self.roster.direct_stops(groups, self.stops.leaving(), &stoppable);
     }
 
     fn answer_watch(&mut self, request: &WatchRequest, writer: &LinkWriter) {
@@ -150,7 +176,12 @@
             revision: rules.revision,
             rules: rules.text.clone(),
             groups: self.roster.records(&self.state.groups),
-            leaving: Vec::new(),
+            leaving: self
+                .stops
+                .leaving()
+                .iter()
+                .map(|group| LeavingMark { group: *group })
+                .collect(),
         }
     }
 
@@ -163,6 +194,11 @@
                 "groups": self.state.groups.groups().count(),
                 "claims": self.state.ledger.len(),
             }),
+            InspectKind::Stops => {
+                let view = self.roster.view(&self.state.groups);
+                let drained = |group| self.roster.is_drained(&self.state.groups, group);
+                self.stops.list(&self.state.stops, &view, &self.book, drained)
+            }
             InspectKind::Groups => json!(self.roster.records(&self.state.groups)),
             InspectKind::Rules => json!({ "revision": rules.revision.0, "text": rules.text }),
         }
--- a/crates/node/src/control/fleet.rs
+++ b/crates/node/src/control/fleet.rs
@@ -20,6 +20,9 @@
     session: Option<SessionId>,
     since: TimePoint,
     told: Option<FencingNumber>,
+    /// Whether its group was told to leave, with the group's fencing number.
+    told_leave: Option<(FencingNumber, bool)>,
+    told_may_stop: bool,
 }
 
 #[derive(Debug)]
@@ -35,6 +38,8 @@
     sessions: SortedTable<SessionId, LinkWriter>,
     hosts: SortedTable<HostName, KnownHost>,
     health: SortedTable<GroupId, GroupHealth>,
+    /// Fencing numbers of groups that have no work left.
+    drained: SortedTable<HostName, FencingNumber>,
 }
 
 impl FleetRoster {
@@ -62,8 +67,9 @@
             AgentReport::GroupState { group, fencing, whole, .. } => {
                 self.group_state(now, group, fencing, whole)
             }
-            AgentReport::Drained { host } => {
-                log::info!(host = host.as_str(); "host has no work left");
+            AgentReport::Drained { host, fencing } => {
+                log::info!(host = host.as_str(); "group has no work left");
+                self.drained.insert(host, fencing);
                 false
             }
         }
@@ -81,10 +87,20 @@
             known.is_none_or(|host| host.announcement.incarnation != announcement.incarnation);
         let same_session = known.is_some_and(|host| host.session == Some(session));
         let since = if same_session { known.map_or(now, |host| host.since) } else { now };
-        let told = if same_session { known.and_then(|host| host.told) } else { None };
+        let earlier = known.filter(|_| same_session);
+        let told = earlier.and_then(|host| host.told);
+        let told_leave = earlier.and_then(|host| host.told_leave);
+        let told_may_stop = earlier.is_some_and(|host| host.told_may_stop);
         self.hosts.insert(
             announcement.host.clone(),
-            KnownHost { announcement, session: Some(session), since, told },
+            KnownHost {
+                announcement,
+                session: Some(session),
+                since,
+                told,
+                told_leave,
+                told_may_stop,
+            },
         );
         restarted
     }
@@ -126,6 +142,56 @@
         }
     }
 
+    /// Tells the first hosts of `leaving` groups to leave, the others to stay, and the hosts in
+    /// `stoppable` that they may stop; each once.
+    pub(super) fn direct_stops(
+        &mut self,
+        registry: &GroupRegistry,
+        leaving: &[GroupId],
+        stoppable: &[HostName],
+    ) {
+        for group in registry.groups() {
+            let Some(first) = group.assignment.members.first() else { continue };
+            let fencing = group.assignment.fencing;
+            let leaves = leaving.contains(&group.assignment.group);
+            let Some(host) = self.hosts.get_mut(&first.host) else { continue };
+            // The host must know its group before it can leave it.
+            if host.told != Some(fencing) || host.told_leave == Some((fencing, leaves)) {
+                continue;
+            }
+            if !leaves {
+                self.drained.remove(&first.host);
+            }
+            let directive = if leaves {
+                ControlDirective::Leave { fencing }
+            } else {
+                ControlDirective::Stay { fencing }
+            };
+            let session = host.session.and_then(|session| self.sessions.get(&session));
+            if session.is_some_and(|writer| writer.try_send(&directive).unwrap_or(false)) {
+                host.told_leave = Some((fencing, leaves));
+            }
+        }
+        for (name, host) in self.hosts.iter_mut() {
+            let may_stop = stoppable.contains(name);
+            if !may_stop || host.told_may_stop {
+                host.told_may_stop = may_stop;
+                continue;
+            }
+            let session = host.session.and_then(|session| self.sessions.get(&session));
+            let directive = ControlDirective::MayStop;
+            host.told_may_stop =
+                session.is_some_and(|writer| writer.try_send(&directive).unwrap_or(false));
+        }
+    }
+
+    /// Whether the first host of `group` reported that no work is left.
+    pub(super) fn is_drained(&self, registry: &GroupRegistry, group: GroupId) -> bool {
+        let Some(group) = registry.group(group) else { return true };
+        let first = group.assignment.members.first();
+        first.and_then(|first| self.drained.get(&first.host)) == Some(&group.assignment.fencing)
+    }
+
     /// Forgets hosts that went away long ago and groups that are gone.
     pub(super) fn prune(&mut self, now: TimePoint, registry: &GroupRegistry) {
         self.hosts.retain(|name, host| {
@@ -134,6 +200,7 @@
                 || now.since(host.since) < FORGET_AFTER
         });
         self.health.retain(|group, _| registry.group(*group).is_some());
+        self.drained.retain(|host, fencing| registry.seat(host).fencing == *fencing);
     }
 
     /// The fleet as a planner sees it.
--- a/crates/node/src/control/input.rs
+++ b/crates/node/src/control/input.rs
@@ -56,4 +56,6 @@
     Groups,
     /// The rule document.
     Rules,
+    /// Every planned stop.
+    Stops,
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod input;
 mod operator;
 mod planning;
+mod stops;
 mod streams;
 
 use std::net::SocketAddr;
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -3,14 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briartray_control::state::{CommandOutcome, ControlCommand};
-use briartray_model::names::{ChangeId, RevisionNumber};
+use briartray_control::state::{CommandOutcome, ControlCommand, StopPlan, StopTarget};
+use briartray_model::names::{
+    ChangeId, GroupId, HostName, ProviderName, RevisionNumber, StopId, ZoneName,
+};
 use briartray_model::settings::ControlSettings;
 use briartray_web::{
     HttpListener, JsonReply, ListenError, header_value, read_body, reply_json, reply_text,
 };
 use crossbeam::channel::{Sender, bounded};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use tiny_http::{Method, Request};
 
@@ -31,6 +34,48 @@
     text: String,
 }
 
+/// A stop; exactly one of the targets is named.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StopCall {
+    change: String,
+    target: StopName,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum StopName {
+    Host(String),
+    Group(u64),
+    Zone(String),
+    Provider(String),
+}
+
+impl StopCall {
+    fn into_command(self) -> Result<ControlCommand, String> {
+        let change = read_change(&self.change)?;
+        let target = match &self.target {
+            StopName::Host(host) => StopTarget::Host(HostName::new(host)),
+            StopName::Group(group) => StopTarget::Group(GroupId(*group), Vec::new()),
+            StopName::Zone(zone) => StopTarget::Zone(ZoneName::new(zone)),
+            StopName::Provider(provider) => StopTarget::Provider(ProviderName::new(provider)),
+        };
+        Ok(ControlCommand::PlanStop { expect: 0, plan: StopPlan { change, target } })
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CancelCall {
+    stop: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ForgetCall {
+    keep: u64,
+}
+
 /// Starts the operators' port.
 pub(super) fn listen(
     role: &ControlSettings,
@@ -73,6 +118,19 @@
         (Method::Get, "/v1/groups") => inspect(inputs, InspectKind::Groups),
         (Method::Get, "/v1/rules") => inspect(inputs, InspectKind::Rules),
         (Method::Post, "/v1/rules") => apply_rules(request, inputs),
+        (Method::Get, "/v1/stops") => inspect(inputs, InspectKind::Stops),
+        (Method::Post, "/v1/stops") => match read_call::<StopCall>(request) {
+            Ok(call) => propose(inputs, call.into_command()),
+            Err(detail) => problem(400, "bad_request", &detail),
+        },
+        (Method::Post, "/v1/stops/cancel") => match read_call::<CancelCall>(request) {
+            Ok(call) => propose(inputs, Ok(ControlCommand::CancelStop { stop: StopId(call.stop) })),
+            Err(detail) => problem(400, "bad_request", &detail),
+        },
+        (Method::Post, "/v1/claims/forget") => match read_call::<ForgetCall>(request) {
+            Ok(call) => propose(inputs, Ok(ControlCommand::ForgetClaims { keep: call.keep })),
+            Err(detail) => problem(400, "bad_request", &detail),
+        },
         _ => problem(404, "unknown_call", "see the operators' guide for the calls"),
     }
 }
@@ -86,15 +144,25 @@
 }
 
 fn apply_rules(request: &mut Request, inputs: &Sender<ControlInput>) -> JsonReply {
-    let call = match read_call(request) {
+    let call = match read_call::<ApplyCall>(request) {
         Ok(call) => call,
         Err(detail) => return problem(400, "bad_request", &detail),
     };
-    let Some(change) = ChangeId::parse(&call.change) else {
-        return problem(400, "bad_change_id", "send a change id of 32 hexadecimal digits");
-    };
     let expect = call.expect.map(RevisionNumber);
-    let command = ControlCommand::ApplyRules { change, expect, text: call.text };
+    let command = read_change(&call.change).map(|change| ControlCommand::ApplyRules {
+        change,
+        expect,
+        text: call.text,
+    });
+    propose(inputs, command)
+}
+
+/// Proposes a command and waits for its outcome.
+fn propose(inputs: &Sender<ControlInput>, command: Result<ControlCommand, String>) -> JsonReply {
+    let command = match command {
+        Ok(command) => command,
+        Err(detail) => return problem(400, "bad_change_id", &detail),
+    };
     let (reply, answer) = bounded(1);
     if inputs.send(ControlInput::Propose { command, reply }).is_err() {
         return no_answer();
@@ -102,7 +170,12 @@
     answer.recv_timeout(ANSWER_WAIT).map_or_else(|_| no_answer(), |outcome| describe(&outcome))
 }
 
-fn read_call(request: &mut Request) -> Result<ApplyCall, String> {
+fn read_change(text: &str) -> Result<ChangeId, String> {
+    let remedy = "send a change id of 32 hexadecimal digits";
+    ChangeId::parse(text).ok_or_else(|| remedy.to_owned())
+}
+
+fn read_call<T: DeserializeOwned>(request: &mut Request) -> Result<T, String> {
     let body = read_body(request, MAX_BODY).map_err(|error| error.to_string())?;
     serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
@@ -122,6 +195,19 @@
         CommandOutcome::ChangeReused { .. } => {
             problem(409, "change_reused", "use a new change id for another document")
         }
+        CommandOutcome::StopPlanned { stop } => {
+            JsonReply::new(200, json!({ "outcome": "planned", "stop": stop.0 }))
+        }
+        CommandOutcome::StopRefused { reason } => problem(409, "stop_refused", reason),
+        CommandOutcome::StopCancelled { stop } => {
+            JsonReply::new(200, json!({ "outcome": "cancelled", "stop": stop.0 }))
+        }
+        CommandOutcome::StopUnknown { .. } => {
+            problem(404, "stop_unknown", "there never was such a stop; list the stops")
+        }
+        CommandOutcome::ClaimsForgotten { count } => {
+            JsonReply::new(200, json!({ "outcome": "forgotten", "claims": count }))
+        }
         other => problem(500, "unexpected", &format!("{other:?}")),
     }
 }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -1,7 +1,9 @@
 //! One daemon process: the roles its settings name.
 
+use std::time::{Duration, Instant};
+
 use briartray_link::LinkError;
-use briartray_model::settings::DaemonSettings;
+use briartray_model::settings::{DaemonSettings, StopSettings};
 use briartray_web::ListenError;
 use snafu::Snafu;
 
@@ -73,6 +75,19 @@
         Ok(Self { control, entry, agent })
     }
 
+    /// Ends the roles as by a planned stop, those before callers first: nothing in progress is cut
+    /// off unless it outlasts the settings' limit. `false` when work was left.
+    pub fn drain(&self, settings: &StopSettings) -> bool {
+        let notice = Duration::from_millis(settings.notice_ms.into());
+        let limit = Duration::from_millis(settings.wait_ms.into());
+        let started = Instant::now();
+        let entry = self.entry.as_ref().is_none_or(|entry| entry.drain(notice, limit));
+        let left = limit.saturating_sub(started.elapsed());
+        let agent = self.agent.as_ref().is_none_or(|agent| agent.drain(left));
+        self.stop();
+        entry && agent
+    }
+
     /// Stops the roles, those before callers first.
     pub fn stop(&self) {
         if let Some(entry) = &self.entry {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -12,7 +12,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use briartray_link::{ClientSettings, LinkClient};
 use briartray_model::settings::{DaemonSettings, EntrySettings};
@@ -28,6 +28,9 @@
 /// Time to connect to an agent.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Time between two looks at the requests that are left.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+
 /// A running entry role.
 pub struct EntryNode {
     listener: HttpListener,
@@ -71,6 +74,23 @@
         self.shared.is_ready()
     }
 
+    /// Says that it is not ready, goes on for `notice` so that the balancer sees it, then refuses
+    /// new requests and finishes open ones. Returns when none is left, or after `limit`; `false`
+    /// when some were left.
+    pub fn drain(&self, notice: Duration, limit: Duration) -> bool {
+        let started = Instant::now();
+        self.shared.announce_stop();
+        std::thread::sleep(notice.min(limit));
+        self.shared.stop();
+        while started.elapsed() < limit {
+            if self.listener.open_requests() == 0 {
+                return true;
+            }
+            std::thread::sleep(DRAIN_CHECK);
+        }
+        false
+    }
+
     /// Takes no more requests; those that run go on.
     pub fn stop(&self) {
         self.shared.stop();
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -38,6 +38,8 @@
     pub(super) metrics: RequestMetrics,
     view: ArcSwap<EntryView>,
     replicas: Mutex<ReplicaTable>,
+    /// Whether the balancer is told to send nothing more.
+    stop_announced: AtomicBool,
     stopped: AtomicBool,
 }
 
@@ -60,6 +62,7 @@
             metrics: hub.add(RequestMetrics::register),
             view: ArcSwap::from_pointee(EntryView::default()),
             replicas: Mutex::new(ReplicaTable::new()),
+            stop_announced: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
         }
     }
@@ -77,6 +80,10 @@
         self.replicas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(super) fn announce_stop(&self) {
+        self.stop_announced.store(true, Ordering::SeqCst);
+    }
+
     pub(super) fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
     }
@@ -95,6 +102,7 @@
     pub(super) fn is_ready(&self) -> bool {
         let view = self.view();
         !self.is_stopped()
+            && !self.stop_announced.load(Ordering::SeqCst)
             && self.rules_hold(&view)
             && view.snapshot.groups.iter().any(|record| record.whole)
     }
