Rules leases as plain structs: who may still decide under older rules

Cause: a change was answered as accepted as soon as it was applied, while entries went on under the old rules; a new leader knew of no lease at all.

Change: a roster of entries in the replicated state, a book of their leases on the leader, a holder on the entry that counts from the moment of asking. Two terms: a bound, or none until an operator strikes the entry off.

--- /dev/null
+++ b/crates/control/src/lease/terms.rs
@@ -0,0 +1,47 @@
+//! How long rules may be held without a confirmation.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Part of a lease that is not relied on, against clocks that run at different speeds.
+///
+/// Clocks of ordinary hosts differ by well under one part in a thousand; one part in a hundred
+/// leaves room for hosts whose clock is being corrected.
+const DRIFT_DIVISOR: u32 = 100;
+
+/// What an entry does once its lease has run out without a renewal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HoldPolicy {
+    /// Go on under the last confirmed rules for this long in all, in milliseconds, then refuse.
+    BoundedMs(u64),
+    /// Go on under the last confirmed rules. Changes are accepted only when every entry has
+    /// adopted them or an operator has struck off the entries that did not.
+    UntilForgotten,
+}
+
+/// Terms that the leader states with every grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseTerms {
+    /// Time from an entry's request within which the rules count as confirmed.
+    pub lease: Duration,
+    /// What happens after that.
+    pub hold: HoldPolicy,
+}
+
+impl LeaseTerms {
+    /// Time from its request for which an entry may decide; `None` without a bound.
+    pub fn usable(&self) -> Option<Duration> {
+        self.longest().map(|longest| longest - longest / DRIFT_DIVISOR)
+    }
+
+    /// Time from its answer for which the leader must reckon with the entry; `None` without a
+    /// bound.
+    pub fn longest(&self) -> Option<Duration> {
+        match self.hold {
+            HoldPolicy::BoundedMs(hold) => Some(self.lease.max(Duration::from_millis(hold))),
+            HoldPolicy::UntilForgotten => None,
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,3 +1,4 @@
 //! Control state: the aggregates that must survive, and the commands that change them.
 
+pub mod lease;
 pub mod state;
--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -2,7 +2,7 @@
 
 use briartray_model::message::{GroupMember, LedgerReply, LedgerRequest};
 use briartray_model::names::{
-    ChangeId, DomainName, FencingNumber, GroupId, HostName, ProviderName, RevisionNumber,
+    ChangeId, DomainName, FencingNumber, GroupId, HostName, NodeName, ProviderName, RevisionNumber,
     ServiceName, ZoneName,
 };
 use briartray_model::plain_value;
@@ -26,6 +26,16 @@
             /// The group.
             group: GroupId,
         },
+        /// Let an entry hold a rules lease.
+        RegisterEntry {
+            /// The entry.
+            node: NodeName,
+        },
+        /// Strike an entry off.
+        ForgetEntry {
+            /// The entry.
+            node: NodeName,
+        },
         /// Change the ledger of claims.
         Ledger(LedgerRequest),
     }
@@ -92,6 +102,26 @@
             /// The group.
             group: GroupId,
         },
+        /// The entry may hold a lease.
+        EntryRegistered {
+            /// The entry.
+            node: NodeName,
+        },
+        /// The entry is struck off.
+        EntryForgotten {
+            /// The entry.
+            node: NodeName,
+        },
+        /// There is no such entry.
+        EntryUnknown {
+            /// The entry.
+            node: NodeName,
+        },
+        /// No more entries can be registered.
+        EntriesFull {
+            /// How many there may be.
+            limit: usize,
+        },
         /// What the ledger answered.
         Ledger(LedgerReply),
     }
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -3,12 +3,14 @@
 //! Applying is deterministic: no clocks, no randomness, no input or output.
 
 mod command;
+mod entries;
 mod groups;
 mod ledger;
 mod rules;
 mod stops;
 
 pub use command::{CommandOutcome, ControlCommand, GroupProposal};
+pub use entries::EntryRoster;
 pub use groups::{GroupRegistry, HostSeat, RegisteredGroup};
 pub use ledger::ClaimLedger;
 pub use rules::{AcceptedRules, RuleShelf};
@@ -23,6 +25,8 @@
     pub rules: RuleShelf,
     /// Groups, hosts and fencing numbers.
     pub groups: GroupRegistry,
+    /// Entries that may hold a rules lease.
+    pub entries: EntryRoster,
     /// Planned stops.
     pub stops: StopBook,
     /// Calls that may not be repeated.
@@ -38,6 +42,8 @@
             }
             ControlCommand::FormGroup(proposal) => self.groups.form(proposal),
             ControlCommand::DissolveGroup { group } => self.groups.dissolve(*group),
+            ControlCommand::RegisterEntry { node } => self.entries.register(node),
+            ControlCommand::ForgetEntry { node } => self.entries.forget(node),
             ControlCommand::Ledger(request) => CommandOutcome::Ledger(self.ledger.apply(request)),
         }
     }
