--- /dev/null
+++ b/crates/link/tests/handshake.rs
@@ -0,0 +1,135 @@
+//! Who may open a stream, and what bytes of strangers do to the others.
+
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use briartray_link::{CallKind, ClientSettings, LinkClient, LinkError, LinkServer, LinkStream};
+use http::{Request, StatusCode};
+
+/// Generous, because a busy machine is no failure.
+const WAIT: Duration = Duration::from_secs(30);
+
+const TOKEN: &str = "the deployment's secret";
+
+/// A server that answers each number with the next one.
+fn counting_server() -> LinkServer {
+    let handler = |stream: LinkStream| {
+        std::thread::spawn(move || {
+            while let Ok(number) = stream.reader.receive::<u64>(WAIT) {
+                if stream.writer.send(&(number + 1)).is_err() {
+                    return;
+                }
+            }
+        });
+    };
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    LinkServer::start(address, TOKEN, Box::new(handler)).expect("the server starts")
+}
+
+fn client(token: &str) -> LinkClient {
+    let settings = ClientSettings { token: token.to_owned(), connect_timeout: WAIT };
+    LinkClient::start("test-link", settings).expect("the client starts")
+}
+
+/// Sends one number and returns the answer.
+fn ask(client: &LinkClient, address: SocketAddr) -> Result<u64, LinkError> {
+    let (writer, reader) = client.open(address, CallKind::Dispatch);
+    let _ = writer.send(&41_u64);
+    reader.receive(WAIT)
+}
+
+/// Opens a stream with `headers` and returns the status of the answer.
+fn raw_status(address: SocketAddr, path: &str, headers: &[(&str, &str)]) -> StatusCode {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    runtime.block_on(async {
+        let socket = tokio::net::TcpStream::connect(address).await.expect("the server listens");
+        let (sender, connection) = h2::client::handshake(socket).await.expect("h2 is spoken");
+        tokio::spawn(connection);
+        let mut request = Request::builder().method("POST").uri(format!("http://{address}{path}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(()).expect("the request is valid");
+        let mut sender = sender.ready().await.expect("the connection holds");
+        let (response, _body) = sender.send_request(request, true).expect("the request is sent");
+        response.await.expect("the server answers").status()
+    })
+}
+
+#[test]
+fn peer_with_the_secret_is_served() {
+    let server = counting_server();
+
+    let answer = ask(&client(TOKEN), server.address());
+
+    assert_matches!(answer, Ok(42));
+}
+
+#[test]
+fn stranger_is_refused_before_any_message() {
+    // A process of another deployment, or an attacker on the network, opens a stream. It learns
+    // nothing but the remedy, and what it sent is never decoded.
+    let server = counting_server();
+
+    let answer = ask(&client("another secret"), server.address());
+
+    assert_matches!(answer, Err(LinkError::Handshake { status: 401, remedy, .. })
+        if remedy.contains("cluster.token"));
+}
+
+#[test]
+fn peer_of_another_version_is_refused() {
+    // During an upgrade a process of another version connects. Its messages could decode into
+    // something else, so none is taken.
+    let server = counting_server();
+
+    let headers = [("x-briartray-token", TOKEN), ("x-briartray-version", "0")];
+    let status = raw_status(server.address(), "/dispatch", &headers);
+
+    assert_eq!(status, StatusCode::UPGRADE_REQUIRED);
+}
+
+#[test]
+fn unknown_kind_of_call_is_refused() {
+    let server = counting_server();
+
+    let headers = [("x-briartray-token", TOKEN), ("x-briartray-version", "1")];
+    let status = raw_status(server.address(), "/no-such-call", &headers);
+
+    assert_eq!(status, StatusCode::NOT_FOUND);
+}
+
+#[test]
+fn connection_that_speaks_no_h2_disturbs_nobody() {
+    // Something sends plain noise to the link port. Peers that are connected go on.
+    let server = counting_server();
+    let peer = client(TOKEN);
+    let before = ask(&peer, server.address());
+
+    for length in [1_usize, 24, 4096, 100_000] {
+        let mut noise = TcpStream::connect(server.address()).expect("the server listens");
+        let bytes: Vec<u8> = (0..length).map(|at| (at * 31 % 251) as u8).collect();
+        let _ = noise.write_all(&bytes);
+    }
+    let after = ask(&peer, server.address());
+
+    assert_matches!((before, after), (Ok(42), Ok(42)));
+}
+
+#[test]
+fn address_without_a_listener_is_told_apart() {
+    // Nothing listens at the address. The caller may be told that nothing was sent, which is what
+    // makes another try safe.
+    let free = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
+    let unused = free.local_addr().expect("it has an address");
+    drop(free);
+
+    let answer = ask(&client(TOKEN), unused);
+
+    assert!(answer.expect_err("nobody answers").nothing_sent());
+}
--- /dev/null
+++ b/crates/model/tests/decoders.rs
@@ -0,0 +1,186 @@
+//! Every decoder against bytes that no peer of ours would send.
+//!
+//! A decoder must answer with an error, never with a panic or with memory that the bytes do not
+//! account for.
+
+use std::net::SocketAddr;
+
+use briartray_model::codec::{decode, encode};
+use briartray_model::message::{
+    AgentReply, AgentReport, CallTarget, ClaimKey, ControlDirective, DispatchOrder, EntryRequest,
+    GroupAssignment, GroupMember, GroupRecord, HeaderField, LedgerReply, LedgerRequest, LoadReport,
+    MemberReply, MemberRequest, RefusalReason, RoutingSnapshot, TraceContext, WatchReply,
+    WatchRequest,
+};
+use briartray_model::names::{AttemptId, FencingNumber, GroupId, LeaseNonce, RequestId};
+use briartray_model::rules::RuleDocument;
+use briartray_model::settings;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+const CASES: u32 = 3000;
+
+fn runner() -> TestRunner {
+    let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, random)
+}
+
+/// Feeds random bytes, and damaged encodings of `sample`, to the decoder of its type.
+fn feed<T: Serialize + DeserializeOwned>(sample: &T) {
+    let valid = encode(sample).expect("the sample encodes");
+    let damage = vec((any::<prop::sample::Index>(), any::<u8>()), 1..4);
+    let input = (vec(any::<u8>(), 0..300), damage, any::<prop::sample::Index>());
+    runner()
+        .run(&input, |(noise, damage, cut)| {
+            let _ = decode::<T>(&noise);
+            let mut damaged = valid.clone();
+            for (position, byte) in damage {
+                let position = position.index(damaged.len());
+                damaged[position] = byte;
+            }
+            let _ = decode::<T>(&damaged);
+            damaged.truncate(cut.index(valid.len()));
+            let _ = decode::<T>(&damaged);
+            Ok(())
+        })
+        .expect("no input makes a decoder panic");
+    assert!(decode::<T>(&valid).is_ok(), "the undamaged sample decodes");
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7000))
+}
+
+fn order() -> DispatchOrder {
+    DispatchOrder {
+        attempt: AttemptId(7),
+        request: RequestId(8),
+        trace: TraceContext { trace_id: 1, span_id: 2, sampled: true },
+        group: GroupId(3),
+        fencing: FencingNumber(4),
+        revision: Default::default(),
+        service: "desk".into(),
+        team: "traders".into(),
+        target: CallTarget {
+            method: "POST".to_owned(),
+            path: "/v1/completions".to_owned(),
+            headers: vec![HeaderField { name: "accept".to_owned(), value: "*/*".to_owned() }],
+        },
+        body: b"{}".to_vec(),
+        stream: true,
+        priority: 100,
+        deadline_ms: 1000,
+        once: false,
+    }
+}
+
+fn assignment() -> GroupAssignment {
+    GroupAssignment {
+        group: GroupId(1),
+        fencing: FencingNumber(2),
+        service: "desk".into(),
+        members: vec![GroupMember { host: "host-1".into(), link: address() }],
+        capacity: 8,
+    }
+}
+
+fn snapshot() -> RoutingSnapshot {
+    RoutingSnapshot {
+        version: 5,
+        rules: "rules: []".to_owned(),
+        groups: vec![GroupRecord {
+            group: GroupId(1),
+            fencing: FencingNumber(2),
+            service: "desk".into(),
+            zone: "a".into(),
+            domain: "rack".into(),
+            provider: "local".into(),
+            first: "host-1".into(),
+            link: address(),
+            whole: true,
+            capacity: 8,
+        }],
+        ..RoutingSnapshot::default()
+    }
+}
+
+#[test]
+fn dispatch_messages_survive_any_bytes() {
+    feed(&EntryRequest::Dispatch(order()));
+    feed(&AgentReply::Refused {
+        attempt: AttemptId(7),
+        reason: RefusalReason::QueueFull,
+        load: LoadReport::default(),
+    });
+    feed(&AgentReply::Chunk { attempt: AttemptId(7), sequence: 3, data: vec![1, 2, 3] });
+}
+
+#[test]
+fn fleet_messages_survive_any_bytes() {
+    feed(&ControlDirective::Assign(assignment()));
+    feed(&AgentReport::Drained { host: "host-1".into() });
+    feed(&MemberRequest::Lease {
+        group: GroupId(1),
+        fencing: FencingNumber(2),
+        nonce: LeaseNonce(3),
+    });
+    feed(&MemberReply::Refused { nonce: LeaseNonce(3), fencing: FencingNumber(2) });
+}
+
+#[test]
+fn watch_and_ledger_messages_survive_any_bytes() {
+    let key = ClaimKey { team: "traders".into(), key: "lot-7".to_owned() };
+    feed(&WatchRequest { node: "entry-1".into(), nonce: LeaseNonce(1), adopted: 2 });
+    feed(&WatchReply { nonce: LeaseNonce(1), lease_ms: 3000, snapshot: Some(snapshot()) });
+    feed(&LedgerRequest::Claim { key, digest: [7; 32], attempt: AttemptId(7) });
+    feed(&LedgerReply::Pending { attempt: AttemptId(7) });
+}
+
+#[test]
+fn length_far_over_the_bytes_costs_no_memory() {
+    // The first bytes announce a text of four thousand million bytes that never comes. Trusting
+    // the announcement would exhaust the memory of the process.
+    let bytes = [252, 255, 255, 255, 255, 1, 2, 3];
+
+    let refused = decode::<String>(&bytes);
+
+    assert!(refused.is_err());
+}
+
+#[test]
+fn bytes_behind_a_message_are_refused() {
+    let mut bytes = encode(&LedgerReply::Claimed).expect("the sample encodes");
+    bytes.push(0);
+
+    let refused = decode::<LedgerReply>(&bytes);
+
+    assert!(refused.is_err());
+}
+
+#[test]
+fn documents_survive_any_text() {
+    let path = std::path::Path::new("generated.yaml");
+    let text = "[ -~\\n]{0,120}";
+
+    runner()
+        .run(&text, |text| {
+            let _ = RuleDocument::parse(&text);
+            let _ = settings::parse(path, &text);
+            let _ = TraceContext::parse(&text);
+            Ok(())
+        })
+        .expect("no text makes a parser panic");
+}
+
+#[test]
+fn trace_header_reads_what_it_writes() {
+    let context = TraceContext { trace_id: 0xabc, span_id: 0xdef, sampled: true };
+
+    let read = TraceContext::parse(&context.to_header());
+
+    assert_eq!(read, Some(context));
+}
