Stand-ins with batching, faults and run logs; load and measure commands

Cause: the first stand-in engine slept for each request by itself, so load never showed, and nothing could be asked what truly ran. Change: an engine with one stepping thread (batch limit, priorities, prefix cache, late and gappy events, lagging load, resume, cancel, blobs, orders), a plain service, a weight store, faults by setting and over HTTP, run logs; 'briartray load' (open loop, HdrHistogram, checks, audit against run logs); 'briartray measure overhead'; the demonstration runs a plain service too. Conclusion: the path can be measured with every answer checked.

--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -69,6 +69,12 @@
         "try        curl http://{address}/v1/completions -H 'content-type: application/json' \
          -d '{{\"model\":\"desk\",\"prompt\":\"status of lot 7\",\"max_tokens\":8,\"stream\":true}}'"
     );
+    for engine in fleet.engine_addresses() {
+        println!("engine     {engine}");
+    }
+    for service in fleet.service_addresses() {
+        println!("service    {service}");
+    }
     wait_for_signal(options.seconds.map(Duration::from_secs))?;
     fleet.stop();
     Ok(())
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -5,6 +5,8 @@
 mod check;
 mod demo;
 mod groups;
+mod load;
+mod measure;
 mod operator;
 mod rules;
 mod stand_in;
@@ -36,8 +38,12 @@
     Status(status::StatusOptions),
     #[options(help = "show every group")]
     Groups(groups::GroupsOptions),
-    #[options(help = "run a stand-in engine")]
+    #[options(help = "run a stand-in engine, service or weight store")]
     StandIn(stand_in::StandInOptions),
+    #[options(help = "put load on an entry and check every answer")]
+    Load(load::LoadOptions),
+    #[options(help = "run a measurement")]
+    Measure(measure::MeasureOptions),
 }
 
 /// Why a subcommand failed.
@@ -97,6 +103,8 @@
         Subcommand::Status(options) => status::run(options),
         Subcommand::Groups(options) => groups::run(options),
         Subcommand::StandIn(options) => stand_in::run(options),
+        Subcommand::Load(options) => load::run(options),
+        Subcommand::Measure(options) => measure::run(options),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -11,6 +11,8 @@
 };
 use briartray_node::{DaemonError, RunningDaemon};
 use briartray_standin::engine::{EngineSettings, StandinEngine};
+use briartray_standin::fault::FaultPlan;
+use briartray_standin::service::{ServiceSettings, StandinService};
 use briartray_web::ListenError;
 use snafu::Snafu;
 use tempfile::TempDir;
@@ -58,8 +60,14 @@
     pub data_folder: Option<PathBuf>,
     /// Engines, each on a host of its own.
     pub engines: u32,
+    /// Plain services, each on a host of its own.
+    pub services: u32,
     /// Time of one engine step.
     pub step: Duration,
+    /// Faults of every engine.
+    pub engine_faults: FaultPlan,
+    /// Faults of every plain service.
+    pub service_faults: FaultPlan,
     /// Rule document.
     pub rules: String,
 }
@@ -71,7 +79,10 @@
             operator: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             data_folder: None,
             engines: 4,
+            services: 2,
             step: Duration::from_millis(8),
+            engine_faults: FaultPlan::default(),
+            service_faults: FaultPlan::default(),
             rules: DEMO_RULES.to_owned(),
         }
     }
@@ -83,6 +94,7 @@
     front: RunningDaemon,
     agents: Vec<RunningDaemon>,
     engines: Vec<StandinEngine>,
+    services: Vec<StandinService>,
     folder: PathBuf,
     _temporary: Option<TempDir>,
 }
@@ -102,14 +114,26 @@
         let mut engines = Vec::new();
         let mut agents = Vec::new();
         for number in 0..plan.engines {
-            let engine = StandinEngine::start(EngineSettings {
-                listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-                step: plan.step,
-            })?;
-            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, engine.address()))?);
+            let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+            let settings = EngineSettings::new(listen)
+                .step(plan.step)
+                .seed(u64::from(number))
+                .faults(plan.engine_faults.clone());
+            let engine = StandinEngine::start(settings)?;
+            let endpoint = endpoint_settings(engine.address(), "desk", EndpointKind::Engine);
+            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, endpoint))?);
             engines.push(engine);
         }
-        Ok(Self { front, agents, engines, folder, _temporary: temporary })
+        let mut services = Vec::new();
+        for number in plan.engines..plan.engines + plan.services {
+            let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+            let settings = ServiceSettings::new(listen).faults(plan.service_faults.clone());
+            let service = StandinService::start(settings)?;
+            let endpoint = endpoint_settings(service.address(), "ledger", EndpointKind::Plain);
+            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, endpoint))?);
+            services.push(service);
+        }
+        Ok(Self { front, agents, engines, services, folder, _temporary: temporary })
     }
 
     /// Waits until a request would be taken; `false` when `limit` passes first.
@@ -141,6 +165,21 @@
         self.engines.iter().map(StandinEngine::address).collect()
     }
 
+    /// Where the plain services listen.
+    pub fn service_addresses(&self) -> Vec<SocketAddr> {
+        self.services.iter().map(StandinService::address).collect()
+    }
+
+    /// The engines, to ask what they ran.
+    pub fn engines(&self) -> &[StandinEngine] {
+        &self.engines
+    }
+
+    /// The plain services, to ask what they ran.
+    pub fn services(&self) -> &[StandinService] {
+        &self.services
+    }
+
     /// Folder for durable state.
     pub fn data_folder(&self) -> &Path {
         &self.folder
@@ -162,6 +201,9 @@
         for engine in &self.engines {
             engine.stop();
         }
+        for service in &self.services {
+            service.stop();
+        }
     }
 }
 
@@ -213,7 +255,15 @@
     }
 }
 
-fn agent_settings(cluster: &ClusterSettings, number: u32, engine: SocketAddr) -> DaemonSettings {
+fn endpoint_settings(address: SocketAddr, service: &str, kind: EndpointKind) -> EndpointSettings {
+    EndpointSettings { address, service: ServiceName::new(service), kind, checks_fencing: false }
+}
+
+fn agent_settings(
+    cluster: &ClusterSettings,
+    number: u32,
+    endpoint: EndpointSettings,
+) -> DaemonSettings {
     DaemonSettings {
         node: NodeName::new(&format!("agent-{number}")),
         zone: ZoneName::new("local-a"),
@@ -228,12 +278,7 @@
             domain: DomainName::new("rack-1"),
             provider: ProviderName::new("local"),
             accelerators: 8,
-            endpoint: EndpointSettings {
-                address: engine,
-                service: ServiceName::new("desk"),
-                kind: EndpointKind::Engine,
-                checks_fencing: false,
-            },
+            endpoint,
         }),
     }
 }
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -1,19 +1,26 @@
-//! The engine's HTTP calls.
+//! The engine's HTTP calls: which path goes where, and completions.
 
-use briartray_web::{EventWriter, JsonReply, header_value, read_body, reply_json};
+use briartray_web::{JsonReply, header_value, read_body, reply_json};
 use serde::Deserialize;
-use serde_json::{Value, json};
-use tiny_http::Request;
+use serde_json::json;
+use tiny_http::{Method, Request};
 
-use super::EngineSettings;
-use crate::text::token_text;
+use super::answer;
+use super::core::EngineShared;
+use super::manage;
+use crate::fault::FaultKind;
+use crate::runs::handle_common;
+use crate::text::prompt_digest;
 
 /// Largest request body, in bytes.
-const MAX_BODY: usize = 4 * 1024 * 1024;
+pub(super) const MAX_BODY: usize = 4 * 1024 * 1024;
 
 /// Tokens generated when a request names no number.
 const DEFAULT_TOKENS: u32 = 16;
 
+/// Priority of requests that name none.
+const DEFAULT_PRIORITY: u8 = 100;
+
 #[derive(Debug, Deserialize)]
 struct GenerateCall {
     #[serde(default)]
@@ -44,83 +51,65 @@
 }
 
 /// Answers one request.
-pub(super) fn handle(mut request: Request, settings: &EngineSettings) {
+pub(super) fn handle(request: Request, shared: &EngineShared) {
     let path = request.url().split('?').next().unwrap_or_default().to_owned();
-    match path.as_str() {
-        "/health" => reply_json(request, &JsonReply::new(200, json!({ "ready": true }))),
-        "/v1/completions" | "/v1/chat/completions" => {
-            let chat = path.ends_with("/chat/completions");
-            let body = match read_body(&mut request, MAX_BODY) {
-                Ok(body) => body,
-                Err(error) => return refuse(request, 400, &error.to_string()),
-            };
-            match serde_json::from_slice(&body) {
-                Ok(call) => generate(request, settings, &call, chat),
-                Err(error) => refuse(request, 400, &error.to_string()),
-            }
+    let Some(request) = handle_common(request, &path, &shared.runs, &shared.faults) else { return };
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (request.method(), parts.as_slice()) {
+        (_, ["health"]) => {
+            let ready = shared.orders().is_settled();
+            let status = if ready { 200 } else { 503 };
+            reply_json(request, &JsonReply::new(status, json!({ "ready": ready })));
+        }
+        (Method::Post, ["v1", "completions"]) => complete(request, shared, &path, false),
+        (Method::Post, ["v1", "chat", "completions"]) => complete(request, shared, &path, true),
+        (Method::Get, ["load"]) => {
+            reply_json(request, &JsonReply::new(200, json!(shared.load())));
         }
+        (Method::Get, ["cache", "events"]) => manage::cache_events(request, shared),
+        (Method::Get, ["requests", id]) => answer::resume(request, shared, id),
+        (Method::Post, ["requests", id, "cancel"]) => manage::cancel(request, shared, id),
+        (Method::Get, ["kv", prefix]) => manage::export_blob(request, shared, prefix),
+        (Method::Put, ["kv", prefix]) => manage::import_blob(request, shared, prefix),
+        (Method::Get, ["orders"]) => manage::list_orders(request, shared),
+        (Method::Post, ["orders"]) => manage::take_order(request, shared),
         _ => refuse(request, 404, "no such call"),
     }
 }
 
-fn refuse(request: Request, status: u16, message: &str) {
+/// Refuses one request.
+pub(super) fn refuse(request: Request, status: u16, message: &str) {
     reply_json(request, &JsonReply::new(status, json!({ "error": { "message": message } })));
 }
 
-fn generate(request: Request, settings: &EngineSettings, call: &GenerateCall, chat: bool) {
+fn complete(mut request: Request, shared: &EngineShared, path: &str, chat: bool) {
+    let body = match read_body(&mut request, MAX_BODY) {
+        Ok(body) => body,
+        Err(error) => return refuse(request, 400, &error.to_string()),
+    };
+    let call: GenerateCall = match serde_json::from_slice(&body) {
+        Ok(call) => call,
+        Err(error) => return refuse(request, 400, &error.to_string()),
+    };
+    let faults = shared.faults.draw();
+    if faults.has(FaultKind::Refuse) {
+        return refuse(request, 503, "refused by a fault");
+    }
+    std::thread::sleep(faults.time(FaultKind::Late));
     let id = header_value(&request, "x-request-id").unwrap_or("none").to_owned();
+    let key = header_value(&request, "idempotency-key").map(str::to_owned);
+    let priority = header_value(&request, "x-priority").and_then(|value| value.parse().ok());
     let prompt = call.prompt_text();
-    let tokens = call.max_tokens.unwrap_or(DEFAULT_TOKENS);
-    if call.stream {
-        if let Err(error) = stream_tokens(request, settings, call, &id, &prompt, tokens, chat) {
-            log::debug!("engine stream {id} ended early: {error}");
-        }
-        return;
-    }
-    let mut text = String::new();
-    for index in 0..tokens {
-        std::thread::sleep(settings.step);
-        text.push_str(&token_text(&prompt, index));
-    }
-    let body = json!({
-        "id": id,
-        "object": if chat { "chat.completion" } else { "text_completion" },
-        "model": call.model,
-        "choices": [choice(chat, "message", &text, Some("stop"))],
-        "usage": { "completion_tokens": tokens },
+    let run = shared.runs.begin(&id, key.as_deref(), path, &prompt_digest(&prompt));
+    let track = shared.submit(&id, &prompt, run, |track| {
+        track.model.clone_from(&call.model);
+        track.tokens = call.max_tokens.unwrap_or(DEFAULT_TOKENS).max(1);
+        track.priority = priority.unwrap_or(DEFAULT_PRIORITY);
+        track.chat = chat;
     });
-    reply_json(request, &JsonReply::new(200, body));
-}
-
-fn stream_tokens(
-    request: Request,
-    settings: &EngineSettings,
-    call: &GenerateCall,
-    id: &str,
-    prompt: &str,
-    tokens: u32,
-    chat: bool,
-) -> std::io::Result<()> {
-    let mut events = EventWriter::start(request.into_writer(), &[])?;
-    for index in 0..tokens {
-        std::thread::sleep(settings.step);
-        let finish = (index + 1 == tokens).then_some("stop");
-        let event = json!({
-            "id": id,
-            "object": if chat { "chat.completion.chunk" } else { "text_completion" },
-            "model": call.model,
-            "choices": [choice(chat, "delta", &token_text(prompt, index), finish)],
-        });
-        events.event(event.to_string().as_bytes())?;
-    }
-    events.event(b"[DONE]")?;
-    events.finish()
-}
-
-fn choice(chat: bool, field: &str, text: &str, finish: Option<&str>) -> Value {
-    if chat {
-        json!({ "index": 0, field: { "role": "assistant", "content": text }, "finish_reason": finish })
+    if call.stream {
+        answer::stream(request, &track, 0, &faults);
     } else {
-        json!({ "index": 0, "text": text, "finish_reason": finish })
+        answer::whole(request, &track, &faults);
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,12 @@
-//! Small stand-ins for what briartray serves, for demonstrations, tests and measurements.
+//! Small stand-ins for what briartray serves, for demonstrations, tests and measurements: a model
+//! engine, a plain service, a weight store, and load against an entry.
 
 pub mod engine;
+pub mod fault;
+pub mod load;
+pub mod runs;
+pub mod service;
 mod text;
+pub mod weights;
 
-pub use text::{expected_text, token_text};
+pub use text::{expected_text, prompt_digest, token_text};
--- /dev/null
+++ b/crates/standin/src/load/driver.rs
@@ -0,0 +1,135 @@
+//! Starts the requests of a run at their planned times and collects their results.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
+use crossbeam::channel::{Receiver, Sender, unbounded};
+
+use super::audit::{self, AuditError, ToldOutcome};
+use super::call::{ANSWERED, CallResult, run_call};
+use super::plan::LoadPlan;
+use super::report::{LoadReport, ReportCollector};
+use super::schedule::{LoadSchedule, PlannedCall};
+
+/// Time between two looks at the progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// One request that ended.
+struct EndedCall {
+    call: PlannedCall,
+    delay: Duration,
+    result: CallResult,
+}
+
+/// Runs `plan`; `progress` is told now and then how many were sent and how many ended.
+///
+/// Each open request has a thread with a small stack. A request starts at its planned time and its
+/// times count from then, so that a slow system cannot slow the load down and hide its own delay.
+///
+/// # Errors
+/// An `AuditError` when the run logs of the stand-ins cannot be read.
+pub fn run_load(
+    plan: &LoadPlan,
+    mut progress: impl FnMut(u64, u64),
+) -> Result<LoadReport, AuditError> {
+    let (results, ended) = unbounded();
+    let open = Arc::new(AtomicU64::new(0));
+    let shared = Arc::new(plan.clone());
+    let mut collector = LoadCollector::new(ended);
+    let (mut sent, mut not_sent, mut most_open) = (0_u64, 0_u64, 0_u64);
+    let begun = Instant::now();
+    let mut told = begun;
+    for call in LoadSchedule::new(plan, rand::random()) {
+        let planned = begun + call.start;
+        std::thread::sleep(planned.saturating_duration_since(Instant::now()));
+        let now_open = open.load(Ordering::Relaxed);
+        most_open = most_open.max(now_open + 1);
+        if now_open >= plan.max_open as u64 || !start_call(&shared, call, planned, &results, &open)
+        {
+            not_sent += 1;
+            continue;
+        }
+        sent += 1;
+        collector.collect();
+        if told.elapsed() >= PROGRESS_INTERVAL {
+            progress(sent, collector.count);
+            told = Instant::now();
+        }
+    }
+    drop(results);
+    while collector.wait(PROGRESS_INTERVAL) {
+        progress(sent, collector.count);
+    }
+    let mut report = collector.report.finish(not_sent, most_open, begun.elapsed());
+    if !plan.stand_ins.is_empty() {
+        let runs = audit::read_runs(&plan.stand_ins)?;
+        report.audit = Some(audit::compare(&collector.told, &runs));
+    }
+    Ok(report)
+}
+
+/// Starts one request on a thread of its own; `false` when the system has no thread left.
+fn start_call(
+    plan: &Arc<LoadPlan>,
+    call: PlannedCall,
+    planned: Instant,
+    results: &Sender<EndedCall>,
+    open: &Arc<AtomicU64>,
+) -> bool {
+    let (plan, results, count) = (Arc::clone(plan), results.clone(), Arc::clone(open));
+    count.fetch_add(1, Ordering::Relaxed);
+    let run = move || {
+        let delay = planned.elapsed();
+        let result = run_call(&plan, &call, planned);
+        count.fetch_sub(1, Ordering::Relaxed);
+        let _ = results.send(EndedCall { call, delay, result });
+    };
+    let started = spawn_worker("load", WORKER_STACK_BYTES, run).is_ok();
+    if !started {
+        open.fetch_sub(1, Ordering::Relaxed);
+    }
+    started
+}
+
+struct LoadCollector {
+    ended: Receiver<EndedCall>,
+    report: ReportCollector,
+    told: Vec<ToldOutcome>,
+    count: u64,
+}
+
+impl LoadCollector {
+    fn new(ended: Receiver<EndedCall>) -> Self {
+        Self { ended, report: ReportCollector::new(), told: Vec::new(), count: 0 }
+    }
+
+    fn collect(&mut self) {
+        while let Ok(ended) = self.ended.try_recv() {
+            self.add(&ended);
+        }
+    }
+
+    /// Waits for results for `limit`; `false` once there are no more to come.
+    fn wait(&mut self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        loop {
+            match self.ended.recv_deadline(until) {
+                Ok(ended) => self.add(&ended),
+                Err(error) => return error.is_timeout(),
+            }
+        }
+    }
+
+    fn add(&mut self, ended: &EndedCall) {
+        self.count += 1;
+        self.report.add(&ended.result, ended.call.stream, ended.delay);
+        self.told.push(ToldOutcome {
+            digest: ToldOutcome::digest_of(&ended.call.prompt),
+            keyed: ended.call.key.is_some(),
+            answered: ended.result.outcome == ANSWERED,
+            told_not_run: ended.result.told_not_run,
+        });
+    }
+}
