Plan groups by expected cost

Cause: the first-come planner dissolves a group at the first lost member and never looks at costs. Change: GroupPlanner weighs waiting, spares, splitting, rebuilding and crossing fabric domains by expected cost with an absence model; ReplaceGroup changes members in one step; place rules carry the times and limits it needs; the control role runs it.

--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -26,6 +26,14 @@
             /// The group.
             group: GroupId,
         },
+        /// Put a group in the place of another in one step, so that no other command comes between
+        /// freeing the members that are kept and binding them again.
+        ReplaceGroup {
+            /// The group that ends.
+            group: GroupId,
+            /// The group that takes its place.
+            proposal: GroupProposal,
+        },
         /// Change the ledger of claims.
         Ledger(LedgerRequest),
     }
--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -88,6 +88,23 @@
         CommandOutcome::GroupFormed { group, fencing }
     }
 
+    /// Dissolves `group` and forms its successor, or does neither.
+    pub fn replace(&mut self, group: GroupId, proposal: &GroupProposal) -> CommandOutcome {
+        if !self.groups.contains_key(&group) {
+            return CommandOutcome::GroupUnknown { group };
+        }
+        for member in &proposal.members {
+            match self.seat(&member.host).group {
+                Some(holder) if holder != group => {
+                    return CommandOutcome::HostTaken { host: member.host.clone(), group: holder };
+                }
+                _ => {}
+            }
+        }
+        self.dissolve(group);
+        self.form(proposal)
+    }
+
     /// Dissolves a group; its hosts are free under a new fencing number.
     pub fn dissolve(&mut self, group: GroupId) -> CommandOutcome {
         let Some(registered) = self.groups.remove(&group) else {
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -38,6 +38,9 @@
             }
             ControlCommand::FormGroup(proposal) => self.groups.form(proposal),
             ControlCommand::DissolveGroup { group } => self.groups.dissolve(*group),
+            ControlCommand::ReplaceGroup { group, proposal } => {
+                self.groups.replace(*group, proposal)
+            }
             ControlCommand::Ledger(request) => CommandOutcome::Ledger(self.ledger.apply(request)),
         }
     }
--- a/crates/model/src/rules/action.rs
+++ b/crates/model/src/rules/action.rs
@@ -122,12 +122,22 @@
     pub downtime_weight: f64,
     /// Cost of one second of one accelerator outside any whole group.
     pub stranded_weight: f64,
-    /// How long a missing host is waited for before it is replaced, in milliseconds.
+    /// Longest wait for a missing host while a replacement is at hand, in milliseconds.
     pub wait_ms: u64,
     /// Hosts per service and fabric domain kept free for repairs.
     pub spares: u32,
     /// Whether a group may cross fabric domains when nothing else is left.
     pub cross_domain: bool,
+    /// Share of a group's worth that is lost while it crosses fabric domains, in percent.
+    pub cross_domain_loss_percent: u32,
+    /// How long a restarted host usually stays away, in milliseconds.
+    pub restart_ms: u64,
+    /// Share of missing hosts that come back by themselves, in percent.
+    pub return_percent: u32,
+    /// How long one host takes to load its weights when it loads alone, in milliseconds.
+    pub load_ms: u64,
+    /// Hosts that the weight store serves at full speed at one time; zero for no limit.
+    pub parallel_loads: u32,
     /// Providers in order of preference; empty for no preference.
     pub providers: Vec<String>,
 }
@@ -140,6 +150,11 @@
             wait_ms: 90_000,
             spares: 0,
             cross_domain: false,
+            cross_domain_loss_percent: 50,
+            restart_ms: 180_000,
+            return_percent: 95,
+            load_ms: 120_000,
+            parallel_loads: 0,
             providers: Vec::new(),
         }
     }
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -127,7 +127,7 @@
         self.roster.prune(now, &self.state.groups);
         self.roster.direct(&self.state.groups);
         let view = self.roster.view(&self.state.groups);
-        for command in self.planner.step(&view, &self.book) {
+        for command in self.planner.step(now, &view, &self.book) {
             self.submit(&command, ProposalOrigin::Planner);
         }
     }
--- a/crates/node/src/control/fleet.rs
+++ b/crates/node/src/control/fleet.rs
@@ -4,7 +4,9 @@
 
 use briartray_control::state::GroupRegistry;
 use briartray_link::LinkWriter;
-use briartray_model::message::{AgentReport, ControlDirective, GroupRecord, HostAnnouncement};
+use briartray_model::message::{
+    AgentReport, ControlDirective, GroupAssignment, GroupRecord, HostAnnouncement,
+};
 use briartray_model::names::{FencingNumber, GroupId, HostName};
 use briartray_model::{SortedTable, TimePoint};
 use briartray_placement::planner::{FleetView, GroupView, HostView};
@@ -155,6 +157,7 @@
                     members: group.assignment.members.iter().map(|m| m.host.clone()).collect(),
                     whole: self.is_whole(id),
                     since: self.health.get(&id).map_or(TimePoint::default(), |h| h.since),
+                    stale_links: self.has_stale_links(&group.assignment),
                 };
                 (id, view)
             })
@@ -188,6 +191,15 @@
         self.hosts.values().filter(|host| host.session.is_some()).count()
     }
 
+    /// Whether a connected member announces another address than the group was formed with.
+    fn has_stale_links(&self, assignment: &GroupAssignment) -> bool {
+        assignment.members.iter().any(|member| {
+            self.hosts
+                .get(&member.host)
+                .is_some_and(|host| host.session.is_some() && host.announcement.link != member.link)
+        })
+    }
+
     fn is_whole(&self, group: GroupId) -> bool {
         self.health.get(&group).is_some_and(|health| health.whole)
     }
--- /dev/null
+++ b/crates/placement/src/planner/service.rs
@@ -0,0 +1,179 @@
+//! One service in one round: sort its groups, mend what is broken, fill up, let go of the rest.
+
+use std::time::Duration;
+
+use briartray_model::names::{HostName, ProviderName};
+use briartray_model::rules::{PlaceAction, ServiceDeclaration};
+
+use super::group_planner::RoundFrame;
+use super::pool::FreePool;
+use super::reason::PlanReason;
+
+/// Groups whose members came back this recently may be sent to the queue for the weight store;
+/// later their loads are under way and would be lost.
+pub(super) const QUEUE_WINDOW: Duration = Duration::from_secs(2);
+
+/// What is to become of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum GroupFate {
+    /// It counts as one replica.
+    Keep,
+    /// It ends once another serves in its place.
+    Move(PlanReason),
+    /// It has been dealt with in this round and no longer counts.
+    Ended,
+}
+
+/// The groups and free hosts of one service during one round.
+pub(super) struct ServicePlan<'a> {
+    pub(super) service: &'a ServiceDeclaration,
+    pub(super) rules: PlaceAction,
+    /// Positions in the survey.
+    pub(super) groups: Vec<usize>,
+    pub(super) fates: Vec<GroupFate>,
+    pub(super) pool: FreePool<'a>,
+    /// Groups that this round put in the place of others.
+    pub(super) successors: usize,
+}
+
+impl<'a> ServicePlan<'a> {
+    pub(super) fn new(
+        service: &'a ServiceDeclaration,
+        rules: PlaceAction,
+        groups: Vec<usize>,
+        pool: FreePool<'a>,
+    ) -> Self {
+        let fates = vec![GroupFate::Keep; groups.len()];
+        Self { service, rules, groups, fates, pool, successors: 0 }
+    }
+
+    pub(super) fn run(mut self, frame: &mut RoundFrame<'_>) {
+        if frame.settled {
+            self.refresh_addresses(frame);
+            self.mark_moves(frame);
+            self.mend_broken(frame);
+            self.swap_leaving(frame);
+            self.queue_loads(frame);
+        }
+        self.fill_up(frame);
+        if frame.settled {
+            self.let_go(frame);
+        }
+    }
+
+    pub(super) fn size(&self) -> usize {
+        (self.service.hosts_per_replica as usize).max(1)
+    }
+
+    pub(super) fn wanted(&self) -> usize {
+        self.service.replicas as usize
+    }
+
+    /// Time to load the weights of `hosts` hosts while others load too, in seconds.
+    pub(super) fn load_seconds(&self, frame: &RoundFrame<'_>, hosts: usize) -> f64 {
+        let alone = self.rules.load_ms as f64 / 1000.0;
+        match self.rules.parallel_loads {
+            0 => alone,
+            limit => alone * ((frame.loads + hosts) as f64 / f64::from(limit)).max(1.0),
+        }
+    }
+
+    /// Whether the weight store has room for `hosts` more; a lone group is never held back.
+    pub(super) fn has_room(&self, frame: &RoundFrame<'_>, hosts: usize) -> bool {
+        let limit = self.rules.parallel_loads as usize;
+        limit == 0 || frame.loads == 0 || frame.loads + hosts <= limit
+    }
+
+    /// Cost of one second without a group of this service, given its accelerators.
+    pub(super) fn worth(&self, accelerators: f64) -> f64 {
+        self.rules.downtime_weight + self.rules.stranded_weight * accelerators
+    }
+
+    /// Position of a provider in the order of preference; unnamed ones come last.
+    pub(super) fn provider_rank(&self, provider: &ProviderName) -> usize {
+        let order = &self.rules.providers;
+        order.iter().position(|name| name == provider.as_str()).unwrap_or(order.len())
+    }
+
+    pub(super) fn count(&self, fate: impl Fn(GroupFate) -> bool) -> usize {
+        self.fates.iter().filter(|known| fate(**known)).count()
+    }
+
+    /// Groups of this service that serve and have not been ended in this round.
+    pub(super) fn serving(&self, frame: &RoundFrame<'_>) -> usize {
+        (0..self.groups.len())
+            .filter(|at| self.fates[*at] != GroupFate::Ended)
+            .filter(|at| frame.survey.groups[self.groups[*at]].serves())
+            .count()
+    }
+
+    /// A member that restarted on another port cannot be reached under the old assignment, so the
+    /// group would never become whole again; the same members get a new one.
+    fn refresh_addresses(&mut self, frame: &mut RoundFrame<'_>) {
+        for at in 0..self.groups.len() {
+            let index = self.groups[at];
+            let survey = &frame.survey.groups[index];
+            if survey.group.stale_links && survey.missing.is_empty() {
+                let members = survey.group.members.clone();
+                frame.replace(index, members);
+                self.fates[at] = GroupFate::Ended;
+                self.mended();
+                let reason = PlanReason::AddressChanged;
+                frame.decide(&self.service.name, Some(survey.group.group), reason, (0.0, None));
+            }
+        }
+    }
+
+    /// Marks groups that should make way for another one.
+    fn mark_moves(&mut self, frame: &RoundFrame<'_>) {
+        let size = self.size();
+        let best = self
+            .pool
+            .places
+            .iter()
+            .filter(|place| place.len() >= size)
+            .map(|place| self.provider_rank(place.provider))
+            .min();
+        for at in 0..self.groups.len() {
+            let survey = &frame.survey.groups[self.groups[at]];
+            if self.fates[at] == GroupFate::Ended {
+                continue;
+            }
+            let rank = survey.anchor.map(|said| self.provider_rank(&said.provider));
+            if survey.group.members.len() != size {
+                self.fates[at] = GroupFate::Move(PlanReason::NotDeclared);
+            } else if !survey.leaving.is_empty() {
+                self.fates[at] = GroupFate::Move(PlanReason::MemberLeaving);
+            } else if best.is_some() && best < rank {
+                self.fates[at] = GroupFate::Move(PlanReason::ProviderPreferred);
+            } else if best.is_some() && self.crossing_members(frame, self.groups[at]).is_some() {
+                self.fates[at] = GroupFate::Move(PlanReason::ComeHome);
+            }
+        }
+    }
+
+    /// Members outside the fabric domain that most members share; `None` when there is none.
+    pub(super) fn crossing_members(
+        &self,
+        frame: &RoundFrame<'_>,
+        index: usize,
+    ) -> Option<Vec<HostName>> {
+        if !self.rules.cross_domain {
+            return None;
+        }
+        let group = frame.survey.groups[index].group;
+        let domain_of = |host| frame.view.hosts.get(host).map(|h| &h.announcement.domain);
+        let domains: Vec<_> = group.members.iter().map(domain_of).collect();
+        let home = domains
+            .iter()
+            .max_by_key(|domain| domains.iter().filter(|other| other == domain).count())?;
+        let outside: Vec<HostName> = group
+            .members
+            .iter()
+            .zip(&domains)
+            .filter(|(_, domain)| domain != &home)
+            .map(|(host, _)| host.clone())
+            .collect();
+        (!outside.is_empty()).then_some(outside)
+    }
+}
--- /dev/null
+++ b/crates/placement/src/planner/survey.rs
@@ -0,0 +1,155 @@
+//! One pass over the fleet: which groups lack members, which hosts are free.
+
+use briartray_model::message::HostAnnouncement;
+use briartray_model::names::{DomainName, HostName, ProviderName, ServiceName};
+
+use super::{FleetView, GroupView, HostView};
+
+/// State of one group as far as control can see.
+#[derive(Debug, Clone)]
+pub(super) struct GroupSurvey<'a> {
+    pub(super) group: &'a GroupView,
+    /// Members that are not there.
+    pub(super) missing: Vec<&'a HostName>,
+    /// Members that are there and on their way out.
+    pub(super) leaving: Vec<&'a HostName>,
+    /// A member that is there; tells provider and fabric domain.
+    pub(super) anchor: Option<&'a HostAnnouncement>,
+    present: usize,
+}
+
+impl GroupSurvey<'_> {
+    /// Whether the group serves: the first host's word counts, unless it is missing itself.
+    pub(super) fn serves(&self) -> bool {
+        let first = self.group.members.first();
+        self.group.whole && !self.missing.iter().any(|host| Some(*host) == first)
+    }
+
+    /// Whether members are missing and the group therefore does not serve.
+    pub(super) fn is_broken(&self) -> bool {
+        !self.missing.is_empty() && !self.serves()
+    }
+}
+
+/// What one pass over the fleet found.
+#[derive(Debug)]
+pub(super) struct FleetSurvey<'a> {
+    /// Groups in id order.
+    pub(super) groups: Vec<GroupSurvey<'a>>,
+    /// Hosts that belong to no group and may be used, in order of service and place.
+    pub(super) free: Vec<&'a HostView>,
+    /// Hosts that are known and absent.
+    pub(super) absent: Vec<&'a HostView>,
+    /// Hosts per fabric domain: present and absent members of groups, by domain name.
+    pub(super) domains: Vec<DomainCount<'a>>,
+}
+
+/// Members of groups in one fabric domain.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct DomainCount<'a> {
+    pub(super) domain: &'a DomainName,
+    pub(super) present: usize,
+    pub(super) absent: usize,
+}
+
+impl<'a> FleetSurvey<'a> {
+    /// Looks at every host once and at the members of groups that lack some.
+    pub(super) fn take(view: &'a FleetView) -> Self {
+        let mut survey = Self {
+            groups: view.groups.values().map(empty_survey).collect(),
+            free: Vec::new(),
+            absent: Vec::new(),
+            domains: Vec::new(),
+        };
+        for host in view.hosts.values() {
+            survey.note(host);
+        }
+        for group in &mut survey.groups {
+            if group.present < group.group.members.len() {
+                group.missing = group
+                    .group
+                    .members
+                    .iter()
+                    .filter(|host| !view.hosts.get(host).is_some_and(|host| host.present))
+                    .collect();
+            }
+        }
+        survey.free.sort_by(|a, b| place_key(a).cmp(&place_key(b)));
+        survey
+    }
+
+    /// Whether most grouped hosts of `domain` are missing at the same time.
+    pub(super) fn is_dark(&self, domain: &DomainName) -> bool {
+        self.domains
+            .binary_search_by(|count| count.domain.cmp(domain))
+            .is_ok_and(|index| self.domains[index].is_dark())
+    }
+
+    fn note(&mut self, host: &'a HostView) {
+        if !host.present {
+            self.absent.push(host);
+        }
+        let Some(id) = host.group else {
+            if host.present && !host.announcement.leaving {
+                self.free.push(host);
+            }
+            return;
+        };
+        self.count(host);
+        let Ok(index) = self.groups.binary_search_by(|group| group.group.group.cmp(&id)) else {
+            return;
+        };
+        if !host.present {
+            return;
+        }
+        let group = &mut self.groups[index];
+        group.present += 1;
+        group.anchor = group.anchor.or(Some(&host.announcement));
+        if host.announcement.leaving {
+            group.leaving.push(&host.announcement.host);
+        }
+    }
+
+    fn count(&mut self, host: &'a HostView) {
+        let domain = &host.announcement.domain;
+        let index = match self.domains.binary_search_by(|count| count.domain.cmp(domain)) {
+            Ok(index) => index,
+            Err(index) => {
+                self.domains.insert(index, DomainCount { domain, present: 0, absent: 0 });
+                index
+            }
+        };
+        if host.present {
+            self.domains[index].present += 1;
+        } else {
+            self.domains[index].absent += 1;
+        }
+    }
+}
+
+impl DomainCount<'_> {
+    /// Fewer missing hosts than this are taken for single losses.
+    const DARK_HOSTS: usize = 4;
+
+    fn is_dark(&self) -> bool {
+        self.absent >= Self::DARK_HOSTS && self.absent > self.present
+    }
+}
+
+fn empty_survey(group: &GroupView) -> GroupSurvey<'_> {
+    GroupSurvey { group, missing: Vec::new(), leaving: Vec::new(), anchor: None, present: 0 }
+}
+
+type PlaceKey<'a> = (&'a ServiceName, &'a ProviderName, &'a DomainName, &'a HostName);
+
+fn place_key(host: &HostView) -> PlaceKey<'_> {
+    let said = &host.announcement;
+    (&said.service, &said.provider, &said.domain, &said.host)
+}
+
+/// The groups of one service, by position in the survey.
+pub(super) fn of_service(survey: &FleetSurvey<'_>, service: &ServiceName) -> Vec<usize> {
+    (0..survey.groups.len())
+        .filter(|index| survey.groups[*index].group.service == *service)
+        .collect()
+}
--- a/crates/placement/src/planner/view.rs
+++ b/crates/placement/src/planner/view.rs
@@ -30,6 +30,8 @@
     pub whole: bool,
     /// When `whole` last changed.
     pub since: TimePoint,
+    /// Whether a member listens at another address than the group was formed with.
+    pub stale_links: bool,
 }
 
 /// Everything a planner decides on.
@@ -51,6 +53,15 @@
         /// Its hosts in order.
         members: Vec<HostName>,
     },
+    /// Put a group with other members in the place of one; members that stay keep their position.
+    Replace {
+        /// The group that ends.
+        group: GroupId,
+        /// Service it serves.
+        service: ServiceName,
+        /// Hosts of its successor in order.
+        members: Vec<HostName>,
+    },
     /// Dissolve a group and free its hosts.
     Dissolve {
         /// The group.
