--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -44,6 +44,9 @@
             ControlCommand::DissolveGroup { group } => self.groups.dissolve(*group),
             ControlCommand::RegisterEntry { node } => self.entries.register(node),
             ControlCommand::ForgetEntry { node } => self.entries.forget(node),
+            ControlCommand::ReplaceGroup { group, proposal } => {
+                self.groups.replace(*group, proposal)
+            }
             ControlCommand::Ledger(request) => CommandOutcome::Ledger(self.ledger.apply(request)),
         }
     }
