Wire choice, admission queue and retry decisions

Cause: an entry scanned all groups per request, let every request in at once and retried without a bound. Admission by a window per service and fair queues per team, with refusals at once and Retry-After from the drain rate. Retries by a budget. The agent keeps a short queue and refuses with QueueFull when it is full.

--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -50,6 +50,10 @@
     if let Some(reason) = shared.refusal(order) {
         return refuse(writer, shared, attempt, reason);
     }
+    let slot = match shared.take_slot(order) {
+        Ok(slot) => slot,
+        Err(reason) => return refuse(writer, shared, attempt, reason),
+    };
     match shared.attempts().begin(attempt) {
         BeginDecision::Start => {}
         BeginDecision::Tombstoned => {
@@ -61,9 +65,8 @@
             return writer.send(&AgentReply::Failed { attempt, outcome, detail });
         }
     }
-    let in_flight = shared.count_in();
     let served = run(order, shared, writer);
-    drop(in_flight);
+    drop(slot);
     shared.attempts().end(attempt);
     served
 }
--- a/crates/node/src/agent/shared.rs
+++ b/crates/node/src/agent/shared.rs
@@ -1,7 +1,8 @@
 //! What the agent's control thread shares with its traffic threads.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use briartray_model::TimePoint;
@@ -25,6 +26,22 @@
     pub(super) capacity: u32,
 }
 
+/// Longest wait for a slot.
+const MAX_SLOT_WAIT: Duration = Duration::from_millis(250);
+
+/// Slots per order that may wait.
+const QUEUE_SHARE: u32 = 16;
+
+/// Orders that may wait at most.
+const MAX_QUEUED: u32 = 16;
+
+/// Orders at the endpoint, and orders that wait for a slot there.
+#[derive(Debug, Clone, Copy, Default)]
+struct SlotCount {
+    in_flight: u32,
+    queued: u32,
+}
+
 /// State shared between the threads of one agent.
 #[derive(Debug)]
 pub(super) struct AgentShared {
@@ -32,7 +49,8 @@
     pub(super) clock: ClockReader,
     gate: ArcSwap<GateView>,
     closed: AtomicBool,
-    in_flight: AtomicU32,
+    slots: Mutex<SlotCount>,
+    slot_freed: Condvar,
     attempts: Mutex<AttemptBook>,
 }
 
@@ -43,7 +61,8 @@
             clock: ClockReader::start(),
             gate: ArcSwap::from_pointee(GateView::default()),
             closed: AtomicBool::new(false),
-            in_flight: AtomicU32::new(0),
+            slots: Mutex::new(SlotCount::default()),
+            slot_freed: Condvar::new(),
             attempts: Mutex::new(AttemptBook::new()),
         }
     }
@@ -69,10 +88,43 @@
         if (gate.group, gate.fencing) != (order.group, order.fencing) {
             return Some(RefusalReason::WrongGroup);
         }
-        if !self.is_whole(&gate) {
-            return Some(RefusalReason::GroupNotWhole);
+        (!self.is_whole(&gate)).then_some(RefusalReason::GroupNotWhole)
+    }
+
+    /// Counts `order` in, after a short wait when every slot is taken; it is counted out when the
+    /// slot is dropped.
+    ///
+    /// The queue covers the time in which a freed slot would stand empty until an entry hears of
+    /// it. It stays short: a request that waits here cannot go to another replica.
+    ///
+    /// # Errors
+    /// Why the order is refused; it was not run.
+    pub(super) fn take_slot(&self, order: &DispatchOrder) -> Result<EngineSlot<'_>, RefusalReason> {
+        let wait = MAX_SLOT_WAIT.min(Duration::from_millis(u64::from(order.deadline_ms)));
+        let until = self.clock.now().after(wait);
+        let mut slots = self.lock_slots();
+        if slots.queued == 0 && slots.in_flight < self.capacity() {
+            slots.in_flight += 1;
+            return Ok(EngineSlot(self));
+        }
+        if slots.queued >= queue_length(self.capacity()) {
+            return Err(RefusalReason::QueueFull);
+        }
+        slots.queued += 1;
+        loop {
+            let left = until.since(self.clock.now());
+            if slots.in_flight < self.capacity() {
+                slots.queued -= 1;
+                slots.in_flight += 1;
+                return Ok(EngineSlot(self));
+            }
+            if left.is_zero() {
+                slots.queued -= 1;
+                return Err(RefusalReason::QueueFull);
+            }
+            let waited = self.slot_freed.wait_timeout(slots, left);
+            slots = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
-        (self.in_flight.load(Ordering::SeqCst) >= gate.capacity).then_some(RefusalReason::QueueFull)
     }
 
     /// Whether the group of `order` is still whole at its fencing number.
@@ -83,36 +135,45 @@
 
     /// The load to report.
     pub(super) fn load(&self) -> LoadReport {
+        let slots = self.lock_slots();
         LoadReport {
-            in_flight: self.in_flight.load(Ordering::SeqCst),
-            queued: 0,
-            capacity: self.gate.load().capacity,
+            in_flight: slots.in_flight,
+            queued: slots.queued,
+            capacity: self.capacity(),
             step_micros: 0,
         }
     }
 
-    /// Counts an attempt in; it is counted out when the guard is dropped.
-    pub(super) fn count_in(&self) -> InFlightGuard<'_> {
-        self.in_flight.fetch_add(1, Ordering::SeqCst);
-        InFlightGuard(&self.in_flight)
-    }
-
     /// The attempts seen so far.
     pub(super) fn attempts(&self) -> MutexGuard<'_, AttemptBook> {
         self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn capacity(&self) -> u32 {
+        self.gate.load().capacity
+    }
+
+    fn lock_slots(&self) -> MutexGuard<'_, SlotCount> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn is_whole(&self, gate: &GateView) -> bool {
         gate.whole_until.is_some_and(|until| self.clock.now() < until)
     }
 }
 
-/// Counts one attempt in flight.
+/// One slot of the endpoint; counts as free again when dropped.
 #[derive(Debug)]
-pub(super) struct InFlightGuard<'a>(&'a AtomicU32);
+pub(super) struct EngineSlot<'a>(&'a AgentShared);
 
-impl Drop for InFlightGuard<'_> {
+impl Drop for EngineSlot<'_> {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+        self.0.lock_slots().in_flight -= 1;
+        self.0.slot_freed.notify_one();
     }
 }
+
+/// Orders that may wait for a slot.
+fn queue_length(capacity: u32) -> u32 {
+    (capacity / QUEUE_SHARE).clamp(1, MAX_QUEUED)
+}
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use briartray_model::message::{CallTarget, HeaderField, TraceContext};
-use briartray_model::names::{RequestId, TeamName};
+use briartray_model::names::{RequestId, RuleName, TeamName};
 use briartray_model::rules::{DecisionFacts, ServiceKind};
+use briartray_routing::choice::PrefixDigest;
 use briartray_web::{BodyError, JsonReply, header_value, read_body, reply_json, reply_text};
 use serde::Deserialize;
 use serde_json::json;
+use serde_json::value::RawValue;
 use tiny_http::{Method, Request};
 
 use super::call::{CallPlan, run_call};
@@ -20,15 +22,33 @@
 /// Team of callers that name none.
 const DEFAULT_TEAM: &str = "default";
 
+/// Methods of plain services that change nothing.
+const READING_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
+
 /// Headers that are passed on to the endpoint.
 const PASSED_HEADERS: [&str; 3] = ["content-type", "accept", "idempotency-key"];
 
+/// Header with the time that a caller gives its request, in milliseconds.
+const DEADLINE_HEADER: &str = "x-briartray-deadline-ms";
+
 #[derive(Debug, Deserialize)]
-struct CallHead {
+struct CallHead<'a> {
     #[serde(default)]
     model: String,
     #[serde(default)]
     stream: bool,
+    #[serde(default, borrow)]
+    prompt: Option<&'a RawValue>,
+    #[serde(default, borrow)]
+    messages: Option<&'a RawValue>,
+}
+
+impl CallHead<'_> {
+    /// Digest of the head of the prompt as it stands in the body.
+    fn prefix(&self) -> Option<PrefixDigest> {
+        let text = self.prompt.or(self.messages)?.get();
+        PrefixDigest::of(text.as_bytes())
+    }
 }
 
 /// Handles one request.
@@ -90,7 +110,7 @@
     }
     let team = caller_team(request, view)?;
     let body = read_body(request, shared.settings.max_body_bytes).map_err(refuse_body)?;
-    let (service, model, stream, target_path) = match service_path(path) {
+    let (service, model, stream, prefix, target_path) = match service_path(path) {
         Some((service, rest)) => {
             let known = view.book.document().service(service);
             let plain = known.filter(|declared| declared.kind == ServiceKind::Plain);
@@ -100,7 +120,7 @@
             })?;
             let query = request.url().split_once('?').map_or("", |(_, query)| query);
             let target = if query.is_empty() { rest.to_owned() } else { format!("{rest}?{query}") };
-            (declared.name.clone(), None, false, target)
+            (declared.name.clone(), None, false, None, target)
         }
         None => {
             let head = read_head(request, path, &body)?;
@@ -108,7 +128,8 @@
                 let message = format!("model {:?} is not offered; see /v1/models", head.model);
                 CallRefusal::not_run(RefusalCode::UnknownModel, &message)
             })?;
-            (declared.name.clone(), Some(head.model), head.stream, path.to_owned())
+            let prefix = head.prefix();
+            (declared.name.clone(), Some(head.model), head.stream, prefix, path.to_owned())
         }
     };
     let facts = DecisionFacts {
@@ -121,13 +142,20 @@
         keyed: Some(header_value(request, "idempotency-key").is_some()),
         provider: None,
     };
-    let (rule, admit) = view.book.admit(&facts);
+    let (rule, mut admit) = view.book.admit(&facts);
+    shared.load_metrics.decided(rule.map(RuleName::as_str));
     if !admit.allow {
         let by = rule.map_or("the default", |name| name.as_str());
         let message = format!("rule {by:?} does not allow this request; ask your operator");
         return Err(CallRefusal::not_run(RefusalCode::Forbidden, &message));
     }
+    let wanted = header_value(request, DEADLINE_HEADER).and_then(|text| text.parse().ok());
+    admit.deadline_ms = wanted.map_or(admit.deadline_ms, |wanted| admit.deadline_ms.min(wanted));
     let (_, retry) = view.book.retry(&facts);
+    let (_, route) = view.book.route(&facts);
+    let rule = rule.cloned();
+    let keyed = facts.keyed == Some(true);
+    let harmless = model.is_some() || READING_METHODS.contains(&request.method().as_str());
     Ok(CallPlan {
         id,
         service: service.clone(),
@@ -136,8 +164,12 @@
         target: target_of(request, target_path),
         body,
         stream,
+        prefix,
+        repeatable: harmless && !keyed,
+        rule,
         admit,
         retry,
+        route,
     })
 }
 
@@ -167,7 +199,11 @@
     Some((name, if tail.is_empty() { "/" } else { tail }))
 }
 
-fn read_head(request: &Request, path: &str, body: &[u8]) -> Result<CallHead, CallRefusal> {
+fn read_head<'a>(
+    request: &Request,
+    path: &str,
+    body: &'a [u8],
+) -> Result<CallHead<'a>, CallRefusal> {
     if path != "/v1/completions" && path != "/v1/chat/completions" {
         let message = "this path is not served; see the guide for the calls";
         return Err(CallRefusal::not_run(RefusalCode::UnknownPath, message));
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -2,11 +2,20 @@
 
 use std::time::Duration;
 
-use briartray_model::message::{CallTarget, TraceContext};
-use briartray_model::names::{GroupId, RequestId, ServiceName, TeamName};
-use briartray_model::rules::{AdmitAction, RetryAction};
+use briartray_model::TimePoint;
+use briartray_model::message::{
+    CallOutcome, CallTarget, GroupRecord, LoadReport, RefusalReason, TraceContext,
+};
+use briartray_model::names::{GroupId, RequestId, RuleName, ServiceName, TeamName};
+use briartray_model::rules::{AdmitAction, RetryAction, RouteAction};
+use briartray_routing::admission::{AdmissionRefusal, AdmissionRequest, LimitKey, RefusalCause};
+use briartray_routing::choice::{AttemptResult, ChoiceOutcome, ChoiceRequest, PrefixDigest};
+use briartray_routing::retry::{
+    AttemptEffect, AttemptHistory, RetryDecision, StopReason, decide_retry,
+};
 
 use super::attempt::{AttemptEnd, run_attempt};
+use super::gate::{LimitShare, SlotPermit};
 use super::output::CallerOutput;
 use super::refusal::{CallRefusal, RefusalCode};
 use super::shared::{EntryShared, EntryView};
@@ -21,8 +30,30 @@
     pub(super) target: CallTarget,
     pub(super) body: Vec<u8>,
     pub(super) stream: bool,
+    /// Head of the prompt, for engines.
+    pub(super) prefix: Option<PrefixDigest>,
+    /// Whether running it twice does no harm.
+    pub(super) repeatable: bool,
+    /// The rule that decided on admission.
+    pub(super) rule: Option<RuleName>,
     pub(super) admit: AdmitAction,
     pub(super) retry: RetryAction,
+    pub(super) route: RouteAction,
+}
+
+/// Longest time added at random to what a refused caller is told, in percent: callers refused at
+/// one moment must not come back at one moment.
+const RETRY_AFTER_JITTER: u32 = 25;
+
+/// Wait that is named when a replica broke before anything ran.
+const NOT_RUN_WAIT: Duration = Duration::from_secs(1);
+
+/// How one request ended without an answer.
+enum CallEnd {
+    /// Not run; worth another try after this time.
+    Later(CallRefusal, Duration),
+    /// Ended otherwise.
+    Failed(CallRefusal),
 }
 
 /// Runs `plan` and answers the caller.
@@ -30,42 +61,238 @@
     shared: &EntryShared,
     view: &EntryView,
     plan: &CallPlan,
-    mut output: CallerOutput,
+    output: CallerOutput,
 ) {
-    let deadline = shared.clock.now().after(Duration::from_millis(plan.admit.deadline_ms.into()));
-    let mut excluded: Vec<GroupId> = Vec::new();
-    for _ in 0..plan.retry.attempts.max(1) {
-        let chosen = shared.replicas().choose(
-            &view.snapshot,
-            plan.service.as_str(),
-            &excluded,
-            &mut rand::rng(),
-        );
-        let Some(record) = chosen else { break };
-        match run_attempt(shared, view, plan, record, deadline, output) {
-            (AttemptEnd::Answered(load), _) => {
-                shared.metrics.ended("answered");
-                shared.replicas().release(record.group, load);
-                return;
+    let arrived = shared.clock.now();
+    let deadline = arrived.after(Duration::from_millis(plan.admit.deadline_ms.into()));
+    let key = plan.rule.clone().map(|rule| LimitKey { rule, team: plan.team.clone() });
+    let limit = key.as_ref().and_then(|key| local_limit(key, &plan.admit));
+    let request = AdmissionRequest {
+        service: &plan.service,
+        team: &plan.team,
+        action: &plan.admit,
+        limit: limit.as_ref().map(|limit| limit.key),
+        deadline,
+    };
+    let entered = shared.gate.enter(&request, limit.as_ref());
+    shared.load_metrics.queue_seconds.observe(shared.clock.now().since(arrived).as_secs_f64());
+    let permit = match entered {
+        Ok(permit) => permit,
+        Err(refusal) => return end_call(shared, output, &refuse_entry(&refusal)),
+    };
+    shared.with_budget(&plan.service, |budget| budget.deposit(plan.retry.budget_percent));
+    CallRun { shared, view, plan, request, deadline }.run(permit, output);
+}
+
+/// The part of a rule's limits that holds at this entry; `None` when the rule has none.
+fn local_limit<'a>(key: &'a LimitKey, admit: &AdmitAction) -> Option<LimitShare<'a>> {
+    let concurrency = (admit.concurrency > 0).then_some(admit.concurrency);
+    let rate = (admit.rate > 0.0).then_some(admit.rate);
+    (concurrency.is_some() || rate.is_some()).then_some(LimitShare { key, concurrency, rate })
+}
+
+/// One request that holds a slot.
+struct CallRun<'a> {
+    shared: &'a EntryShared,
+    view: &'a EntryView,
+    plan: &'a CallPlan,
+    request: AdmissionRequest<'a>,
+    deadline: TimePoint,
+}
+
+impl<'a> CallRun<'a> {
+    fn run(&self, mut permit: SlotPermit<'a>, mut output: CallerOutput) {
+        let mut excluded: Vec<GroupId> = Vec::new();
+        let mut history = AttemptHistory {
+            attempts: 0,
+            bounces: 0,
+            repeatable: self.plan.repeatable,
+            seen: false,
+        };
+        loop {
+            let record = match self.choose(&excluded) {
+                ChoiceOutcome::Chosen(record) => record,
+                ChoiceOutcome::Absent if history.bounces == 0 => {
+                    return self.end(permit, output, no_replica(NOT_RUN_WAIT));
+                }
+                ChoiceOutcome::Down(wait) => return self.end(permit, output, no_replica(wait)),
+                ChoiceOutcome::Full | ChoiceOutcome::Absent => {
+                    match self.wait_again(permit, &mut excluded, &mut history) {
+                        Ok(again) => permit = again,
+                        Err(refusal) => {
+                            return end_call(self.shared, output, &refuse_entry(&refusal));
+                        }
+                    }
+                    continue;
+                }
+            };
+            let (end, back) =
+                run_attempt(self.shared, self.view, self.plan, &record, self.deadline, output);
+            let (effect, refusal) = match self.settle(&record, end) {
+                None => {
+                    permit.finish(true);
+                    self.shared.metrics.ended("answered");
+                    return;
+                }
+                Some(settled) => settled,
+            };
+            let Some(back) = back else { return };
+            output = back;
+            excluded.push(record.group);
+            history.seen = !output.is_unseen();
+            if effect == AttemptEffect::Bounced {
+                history.bounces += 1;
+            } else {
+                history.attempts += 1;
+            }
+            match self.decide(effect, &history) {
+                RetryDecision::Retry(wait) => std::thread::sleep(wait),
+                RetryDecision::Requeue => {
+                    match self.wait_again(permit, &mut excluded, &mut history) {
+                        Ok(again) => permit = again,
+                        Err(refusal) => {
+                            return end_call(self.shared, output, &refuse_entry(&refusal));
+                        }
+                    }
+                }
+                RetryDecision::Stop(_) => {
+                    permit.finish(effect == AttemptEffect::Unknown);
+                    return end_call(self.shared, output, &refusal);
+                }
+            }
+        }
+    }
+
+    fn choose(&self, excluded: &[GroupId]) -> ChoiceOutcome {
+        let request = ChoiceRequest {
+            service: self.plan.service.as_str(),
+            route: &self.plan.route,
+            prefix: self.plan.prefix,
+            excluded,
+        };
+        self.shared.replicas().choose(self.shared.clock.now(), &request, &mut rand::rng())
+    }
+
+    /// Goes back to the queue; replicas that were full may have room afterwards.
+    fn wait_again(
+        &self,
+        permit: SlotPermit<'a>,
+        excluded: &mut Vec<GroupId>,
+        history: &mut AttemptHistory,
+    ) -> Result<SlotPermit<'a>, AdmissionRefusal> {
+        excluded.clear();
+        history.bounces = 0;
+        permit.requeue(&self.request)
+    }
+
+    /// Counts an attempt off its replica; `None` when the caller has its answer.
+    fn settle(&self, record: &GroupRecord, end: AttemptEnd) -> Option<(AttemptEffect, CallEnd)> {
+        let (name, result, report, rest) = match end {
+            AttemptEnd::Answered(load) => {
+                // Without a report the caller went away, which says nothing about the replica.
+                let whole = load.is_some();
+                let result = if whole { AttemptResult::Answered } else { AttemptResult::Ended };
+                ("answered", result, load, None)
             }
-            (AttemptEnd::Refused(reason, load), back) => {
+            AttemptEnd::Refused(reason, load) => {
                 log::debug!(group = record.group.0; "attempt refused: {reason:?}");
-                shared.replicas().release(record.group, load);
-                excluded.push(record.group);
-                let Some(back) = back else { return };
-                output = back;
+                let (effect, end) = describe_refusal(reason, load.as_ref());
+                let name = if effect == AttemptEffect::Bounced { "bounced" } else { "not_run" };
+                (name, AttemptResult::Refused(reason), load, Some((effect, end)))
             }
-            (AttemptEnd::Failed(refusal), back) => {
-                shared.replicas().release(record.group, None);
-                shared.metrics.ended(refusal.code.as_str());
-                if let Some(back) = back {
-                    back.refuse(&refusal);
-                }
-                return;
+            AttemptEnd::Failed(refusal) => {
+                let not_run = refusal.outcome == CallOutcome::NotRun;
+                let (name, effect) = if not_run {
+                    ("not_run", AttemptEffect::NotRun)
+                } else {
+                    ("unknown", AttemptEffect::Unknown)
+                };
+                (name, AttemptResult::Broken, None, Some((effect, CallEnd::Failed(refusal))))
             }
+        };
+        self.shared.load_metrics.attempted(name);
+        let now = self.shared.clock.now();
+        let mut replicas = self.shared.replicas();
+        replicas.release(now, record.group, result, report.as_ref(), &mut rand::rng());
+        rest
+    }
+
+    fn decide(&self, effect: AttemptEffect, history: &AttemptHistory) -> RetryDecision {
+        let now = self.shared.clock.now();
+        let retry = &self.plan.retry;
+        let decision = self.shared.with_budget(&self.plan.service, |budget| {
+            decide_retry(now, self.deadline, effect, history, retry, budget, &mut rand::rng())
+        });
+        self.shared.load_metrics.followed(match decision {
+            RetryDecision::Retry(_) => "retried",
+            RetryDecision::Requeue => "requeued",
+            RetryDecision::Stop(StopReason::Unsafe) => "unsafe",
+            RetryDecision::Stop(StopReason::Attempts) => "attempts",
+            RetryDecision::Stop(StopReason::Budget) => "budget",
+            RetryDecision::Stop(StopReason::Deadline) => "deadline",
+        });
+        decision
+    }
+
+    /// Gives the slot back, then tells the caller.
+    fn end(&self, permit: SlotPermit<'a>, output: CallerOutput, end: CallEnd) {
+        permit.finish(false);
+        end_call(self.shared, output, &end);
+    }
+}
+
+fn end_call(shared: &EntryShared, output: CallerOutput, end: &CallEnd) {
+    match end {
+        CallEnd::Later(refusal, wait) if output.is_unseen() => {
+            shared.metrics.ended(refusal.code.as_str());
+            let percent = rand::random_range(0..=RETRY_AFTER_JITTER);
+            output.refuse_until(refusal, *wait + *wait * percent / 100);
         }
+        CallEnd::Later(refusal, _) | CallEnd::Failed(refusal) => {
+            shared.metrics.ended(refusal.code.as_str());
+            output.refuse(refusal);
+        }
+    }
+}
+
+/// What a refusal of an agent means for the request.
+fn describe_refusal(reason: RefusalReason, load: Option<&LoadReport>) -> (AttemptEffect, CallEnd) {
+    match reason {
+        RefusalReason::DeadlinePassed => {
+            let message = "the replica cannot meet the deadline; allow more time";
+            let refusal = CallRefusal::not_run(RefusalCode::DeadlinePassed, message);
+            (AttemptEffect::NotRun, CallEnd::Failed(refusal))
+        }
+        // The agent answered, so the way there and back is all that the attempt cost.
+        _ if load.is_some() && reason != RefusalReason::EndpointUnreachable => {
+            (AttemptEffect::Bounced, no_replica(NOT_RUN_WAIT))
+        }
+        _ => (AttemptEffect::NotRun, no_replica(NOT_RUN_WAIT)),
     }
-    shared.metrics.ended(RefusalCode::NoReplica.as_str());
-    let message = "no whole replica takes the request now; try again in a second";
-    output.refuse(&CallRefusal::not_run(RefusalCode::NoReplica, message));
+}
+
+fn no_replica(wait: Duration) -> CallEnd {
+    let message = "no whole replica takes the request now; try again after the time in Retry-After";
+    CallEnd::Later(CallRefusal::not_run(RefusalCode::NoReplica, message), wait)
+}
+
+fn refuse_entry(refusal: &AdmissionRefusal) -> CallEnd {
+    let (code, message) = match refusal.cause {
+        RefusalCause::TeamQueueFull => (
+            RefusalCode::TeamQueueFull,
+            "your team has as many requests waiting as its rule allows; slow down, or come back \
+             after the time in Retry-After",
+        ),
+        RefusalCause::EntryFull => (
+            RefusalCode::Overloaded,
+            "the entry holds as many requests as it can; come back after the time in Retry-After",
+        ),
+        RefusalCause::TooLate => (
+            RefusalCode::TooLate,
+            "the request would not be done before its deadline; come back after the time in \
+             Retry-After, or allow more time",
+        ),
+        RefusalCause::NoReplica => return no_replica(refusal.retry_after),
+    };
+    CallEnd::Later(CallRefusal::not_run(code, message), refusal.retry_after)
 }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod api;
 mod attempt;
 mod call;
+mod gate;
 mod output;
 mod refusal;
 mod shared;
@@ -48,7 +49,7 @@
                 connect_timeout: CONNECT_TIMEOUT,
             },
         )?;
-        let shared = Arc::new(EntryShared::new(settings, role, link, metrics));
+        let shared = Arc::new(EntryShared::new(settings, role, link, metrics)?);
         let peers = settings.cluster.control.iter().map(|peer| peer.link).collect();
         watch::start(Arc::clone(&shared), peers)?;
         let calls = Arc::clone(&shared);
--- a/crates/node/src/entry/output.rs
+++ b/crates/node/src/entry/output.rs
@@ -1,6 +1,7 @@
 //! Writing one answer to its caller.
 
 use std::io::Result;
+use std::time::Duration;
 
 use briartray_model::names::RequestId;
 use briartray_web::{EventWriter, reply_json, reply_text};
@@ -46,6 +47,18 @@
         }
     }
 
+    /// Whether the caller has seen no part of an answer.
+    pub(super) fn is_unseen(&self) -> bool {
+        self.request.is_some()
+    }
+
+    /// Tells the caller, which has seen nothing yet, to come back after `wait`.
+    pub(super) fn refuse_until(self, refusal: &CallRefusal, wait: Duration) {
+        if let Some(request) = self.request {
+            reply_json(request, &refusal.reply_after(self.id, wait));
+        }
+    }
+
     /// Tells the caller that there is no answer, or that the one it reads is not whole.
     pub(super) fn refuse(mut self, refusal: &CallRefusal) {
         if let Some(request) = self.request.take() {
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -1,5 +1,7 @@
 //! What a caller is told when it gets no answer.
 
+use std::time::Duration;
+
 use briartray_model::message::CallOutcome;
 use briartray_model::names::RequestId;
 use briartray_web::JsonReply;
@@ -34,6 +36,12 @@
     DeadlinePassed,
     /// The entry is stopping.
     Stopping,
+    /// As many requests of the team wait as its rule allows.
+    TeamQueueFull,
+    /// The entry holds as many requests as it can.
+    Overloaded,
+    /// The request would not be done before its deadline.
+    TooLate,
 }
 
 impl RefusalCode {
@@ -53,6 +61,9 @@
             Self::ReplicaFailed => "replica_failed",
             Self::DeadlinePassed => "deadline_passed",
             Self::Stopping => "stopping",
+            Self::TeamQueueFull => "team_queue_full",
+            Self::Overloaded => "overloaded",
+            Self::TooLate => "too_late",
         }
     }
 
@@ -64,7 +75,9 @@
             Self::BadRequest => 400,
             Self::UnknownTeam => 401,
             Self::Forbidden => 403,
+            Self::TeamQueueFull => 429,
             Self::RulesUnconfirmed | Self::NoReplica | Self::Stopping => 503,
+            Self::Overloaded | Self::TooLate => 503,
             Self::ReplicaFailed => 502,
             Self::DeadlinePassed => 504,
         }
@@ -118,4 +131,15 @@
             reply
         }
     }
+
+    /// The whole reply, which asks the caller to come back after `wait`.
+    pub fn reply_after(&self, request: RequestId, wait: Duration) -> JsonReply {
+        let mut body = self.body(request);
+        body["retry_after_ms"] = json!(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+        // The header knows whole seconds only; rounding down would bring callers back too early.
+        let seconds = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
+        JsonReply::new(self.code.status(), body)
+            .with_header("X-Request-Id", request.to_string())
+            .with_header("Retry-After", seconds.max(1).to_string())
+    }
 }
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -6,15 +6,21 @@
 
 use arc_swap::ArcSwap;
 use briartray_link::LinkClient;
-use briartray_model::TimePoint;
 use briartray_model::message::RoutingSnapshot;
-use briartray_model::names::{NodeName, ZoneName};
+use briartray_model::names::{NodeName, ServiceName, ZoneName};
 use briartray_model::rules::RuleBook;
 use briartray_model::settings::{DaemonSettings, EntrySettings, UnconfirmedPolicy};
+use briartray_model::{SortedTable, TimePoint};
 use briartray_routing::choice::ReplicaTable;
+use briartray_routing::retry::RetryBudget;
 
+use super::gate::AdmissionGate;
 use crate::ClockReader;
-use crate::metrics::{MetricsHub, RequestMetrics};
+use crate::metrics::{AdmissionMetrics, MetricsHub, RequestMetrics};
+
+/// Part of the open requests that may wait or run, in percent; the rest is kept for requests that
+/// are refused at once, so that a full entry still answers.
+const HELD_PERCENT: u32 = 90;
 
 /// What the entry decides on.
 #[derive(Debug, Default)]
@@ -36,6 +42,9 @@
     pub(super) metrics: RequestMetrics,
     view: ArcSwap<EntryView>,
     replicas: Mutex<ReplicaTable>,
+    pub(super) gate: Arc<AdmissionGate>,
+    pub(super) load_metrics: AdmissionMetrics,
+    budgets: Mutex<SortedTable<ServiceName, RetryBudget>>,
     stopped: AtomicBool,
 }
 
@@ -45,19 +54,26 @@
         role: &EntrySettings,
         link: LinkClient,
         hub: &MetricsHub,
-    ) -> Self {
-        Self {
+    ) -> std::io::Result<Self> {
+        let clock = ClockReader::start();
+        let load_metrics = hub.add(AdmissionMetrics::register);
+        let most_held = role.max_open_requests / 100 * HELD_PERCENT;
+        let gate = AdmissionGate::start(clock, load_metrics.clone(), most_held.max(1) as usize)?;
+        Ok(Self {
             node: settings.node.clone(),
             zone: settings.zone.clone(),
             settings: role.clone(),
-            clock: ClockReader::start(),
+            clock,
             link,
             hub: hub.clone(),
             metrics: hub.add(RequestMetrics::register),
             view: ArcSwap::from_pointee(EntryView::default()),
-            replicas: Mutex::new(ReplicaTable::new()),
+            replicas: Mutex::new(ReplicaTable::new(&settings.zone)),
+            gate,
+            load_metrics,
+            budgets: Mutex::new(SortedTable::new()),
             stopped: AtomicBool::new(false),
-        }
+        })
     }
 
     pub(super) fn view(&self) -> Arc<EntryView> {
@@ -65,10 +81,28 @@
     }
 
     pub(super) fn adopt(&self, view: EntryView) {
-        self.replicas().retain(&view.snapshot);
+        let changed = self.view.load().snapshot.version != view.snapshot.version;
+        if changed {
+            let mut replicas = self.replicas();
+            replicas.adopt(&view.snapshot);
+            let capacities: Vec<_> =
+                replicas.capacities().map(|(name, slots)| (name.clone(), slots)).collect();
+            drop(replicas);
+            self.gate.set_capacities(&capacities);
+        }
         self.view.store(Arc::new(view));
     }
 
+    /// Decides with the retry budget of `service`.
+    pub(super) fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        decide: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        decide(budgets.get_or_insert_with(service.clone(), RetryBudget::default))
+    }
+
     pub(super) fn replicas(&self) -> MutexGuard<'_, ReplicaTable> {
         self.replicas.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/crates/routing/src/choice/table.rs
@@ -0,0 +1,410 @@
+//! Replicas with the load that this entry knows, and the choice among them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use briartray_model::TimePoint;
+use briartray_model::message::{GroupRecord, LoadReport, RefusalReason, RoutingSnapshot};
+use briartray_model::names::{GroupId, ServiceName, ZoneName};
+use briartray_model::rules::RouteAction;
+use rand::RngExt;
+
+use super::index::{CandidateIndex, ServiceIndex};
+use super::prefix::PrefixDigest;
+use super::state::{PushCause, ReplicaState};
+
+/// Random candidates that are compared.
+const CHOICES: usize = 2;
+
+/// Draws before every candidate is looked at in turn.
+const MAX_DRAWS: usize = 12;
+
+/// Replicas looked at along the ring before load alone decides.
+const MAX_RING_STEPS: usize = 4;
+
+/// Ring points looked at for that; each replica has many.
+const MAX_RING_POINTS: usize = 64;
+
+/// Share of its capacity below which a preferred replica is never passed over.
+const EASY_SHARE: f32 = 0.25;
+
+/// Step time over the median from which a replica counts as a straggler.
+const STRAGGLER_RATIO: f32 = 2.0;
+
+/// Time between two looks at the median step time of a service.
+const MEDIAN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What is asked for.
+#[derive(Debug, Clone, Copy)]
+pub struct ChoiceRequest<'a> {
+    /// Service that must serve.
+    pub service: &'a str,
+    /// How rules want the choice made.
+    pub route: &'a RouteAction,
+    /// Head of the prompt, where there is one.
+    pub prefix: Option<PrefixDigest>,
+    /// Groups that were tried before.
+    pub excluded: &'a [GroupId],
+}
+
+/// Answer to a choice.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ChoiceOutcome {
+    /// This replica; the request is counted on it.
+    Chosen(Arc<GroupRecord>),
+    /// Replicas serve, and each is full for now.
+    Full,
+    /// Replicas exist, and none could be reached or was whole; they are left alone for this long.
+    Down(Duration),
+    /// No replica is left that could serve.
+    Absent,
+}
+
+/// How one attempt ended, as far as the choice is concerned.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum AttemptResult {
+    /// A whole answer came.
+    Answered,
+    /// The agent refused, or could not be reached.
+    Refused(RefusalReason),
+    /// The answer broke off.
+    Broken,
+    /// Nothing is known about the replica: the caller went away or time ran out.
+    Ended,
+}
+
+/// Sums over one service, kept as reports come so that no choice has to add them up.
+#[derive(Debug, Clone, Copy, Default)]
+struct ServiceTotals {
+    replicas: u32,
+    capacity: u64,
+    own: u64,
+    others: u64,
+    median_step: f32,
+    median_at: TimePoint,
+}
+
+impl ServiceTotals {
+    fn mean_others(&self) -> f32 {
+        self.others as f32 / self.replicas.max(1) as f32
+    }
+
+    /// Mean share of capacity in use.
+    fn mean_share(&self) -> f32 {
+        (self.own + self.others) as f32 / self.capacity.max(1) as f32
+    }
+}
+
+/// Load and health of every replica, as one entry knows them.
+#[derive(Debug)]
+pub struct ReplicaTable {
+    zone: ZoneName,
+    version: u64,
+    index: CandidateIndex,
+    states: Vec<ReplicaState>,
+    totals: Vec<ServiceTotals>,
+}
+
+impl ReplicaTable {
+    /// A table without replicas, for an entry in `zone`.
+    pub fn new(zone: &ZoneName) -> Self {
+        Self {
+            zone: zone.clone(),
+            version: 0,
+            index: CandidateIndex::default(),
+            states: Vec::new(),
+            totals: Vec::new(),
+        }
+    }
+
+    /// Indexes `snapshot` unless it is the one in use; what is known of its replicas stays.
+    pub fn adopt(&mut self, snapshot: &RoutingSnapshot) {
+        if snapshot.version == self.version {
+            return;
+        }
+        let index = CandidateIndex::build(snapshot, &self.zone);
+        let states = index
+            .records
+            .iter()
+            .map(|record| self.slot(record.group).map_or_else(Default::default, |s| self.states[s]))
+            .collect();
+        self.version = snapshot.version;
+        self.index = index;
+        self.states = states;
+        self.totals = self.index.services.values().map(|service| self.sum(service)).collect();
+    }
+
+    /// Slots of whole replicas of `service`, all entries together.
+    pub fn capacity(&self, service: &str) -> u64 {
+        self.service(service).map_or(0, |number| self.totals[number].capacity)
+    }
+
+    /// Services with at least one replica, with their capacity.
+    pub fn capacities(&self) -> impl Iterator<Item = (&ServiceName, u64)> {
+        self.index.services.keys().zip(self.totals.iter().map(|total| total.capacity))
+    }
+
+    /// Chooses a replica and counts the request on it.
+    ///
+    /// Ranks of replicas (provider, zone) are tried in order. Within a rank the replica that a
+    /// prompt's prefix prefers is taken unless it is loaded over the bound, else the less loaded
+    /// of two random ones: sending everyone to the lowest report would pile requests on one
+    /// replica until the next report. A rank whose pick is loaded over the bound spills over.
+    pub fn choose<R: RngExt>(
+        &mut self,
+        now: TimePoint,
+        request: &ChoiceRequest<'_>,
+        random: &mut R,
+    ) -> ChoiceOutcome {
+        let Some(number) = self.service(request.service) else { return ChoiceOutcome::Absent };
+        self.refresh_median(now, number);
+        let Some(service) = self.index.services.values().nth(number) else {
+            return ChoiceOutcome::Absent;
+        };
+        let view = ChoiceView { table: self, service, total: &self.totals[number], now, request };
+        // Slow or failing replicas are better than none.
+        let picked = view.pick(false, random).or_else(|| view.pick(true, random));
+        let Some(slot) = picked else { return view.none_left() };
+        self.states[slot].own += 1;
+        self.totals[number].own += 1;
+        ChoiceOutcome::Chosen(Arc::clone(&self.index.records[slot]))
+    }
+
+    /// Counts a request off its replica, with what was learnt there.
+    pub fn release<R: RngExt>(
+        &mut self,
+        now: TimePoint,
+        group: GroupId,
+        result: AttemptResult,
+        report: Option<&LoadReport>,
+        random: &mut R,
+    ) {
+        let Some(slot) = self.slot(group) else { return };
+        let number = self.service(self.index.records[slot].service.as_str());
+        let mut loose = ServiceTotals::default();
+        let total = number.map_or(&mut loose, |number| &mut self.totals[number]);
+        let state = &mut self.states[slot];
+        if let Some(report) = report {
+            let before = u64::from(state.others);
+            state.report(now, report);
+            total.others = (total.others + u64::from(state.others)).saturating_sub(before);
+        }
+        if state.own > 0 {
+            state.own -= 1;
+            total.own = total.own.saturating_sub(1);
+        }
+        match result {
+            AttemptResult::Answered => state.succeed(),
+            AttemptResult::Refused(RefusalReason::QueueFull) => {
+                state.push_back(now, PushCause::Full, random.random());
+            }
+            // The request itself was at fault, not the replica.
+            AttemptResult::Refused(RefusalReason::DeadlinePassed | RefusalReason::Tombstoned) => {}
+            AttemptResult::Refused(_) => state.push_back(now, PushCause::Down, random.random()),
+            AttemptResult::Broken => state.fail(),
+            AttemptResult::Ended => return,
+        }
+        state.judge(now, STRAGGLER_RATIO * total.median_step, random.random());
+    }
+
+    /// Requests of this entry in flight on `group`.
+    pub fn own_load(&self, group: GroupId) -> u32 {
+        self.slot(group).map_or(0, |slot| self.states[slot].own)
+    }
+
+    /// Whether `group` is eased out as a straggler.
+    pub fn is_straggler(&self, group: GroupId) -> bool {
+        self.slot(group).is_some_and(|slot| self.states[slot].is_eased())
+    }
+
+    fn slot(&self, group: GroupId) -> Option<usize> {
+        self.index.records.binary_search_by_key(&group, |record| record.group).ok()
+    }
+
+    fn service(&self, name: &str) -> Option<usize> {
+        self.index.services.keys().position(|service| service.as_str() == name)
+    }
+
+    fn sum(&self, service: &ServiceIndex) -> ServiceTotals {
+        let mut total = ServiceTotals::default();
+        for slot in service.buckets.iter().flat_map(|bucket| &bucket.slots) {
+            let state = &self.states[*slot as usize];
+            total.replicas += 1;
+            total.capacity += u64::from(self.index.records[*slot as usize].capacity);
+            total.own += u64::from(state.own);
+            total.others += u64::from(state.others);
+        }
+        total
+    }
+
+    /// Takes the median of the known step times, at most once per interval.
+    fn refresh_median(&mut self, now: TimePoint, number: usize) {
+        let total = &mut self.totals[number];
+        if total.median_at != TimePoint(0) && now.since(total.median_at) < MEDIAN_INTERVAL {
+            return;
+        }
+        total.median_at = TimePoint(now.0.max(1));
+        let Some(service) = self.index.services.values().nth(number) else { return };
+        let mut steps: Vec<f32> = service
+            .buckets
+            .iter()
+            .flat_map(|bucket| &bucket.slots)
+            .map(|slot| self.states[*slot as usize].step)
+            .filter(|step| *step > 0.0)
+            .collect();
+        if steps.is_empty() {
+            return;
+        }
+        let middle = (steps.len() - 1) / 2;
+        total.median_step = *steps.select_nth_unstable_by(middle, f32::total_cmp).1;
+    }
+}
+
+/// One choice among the replicas of one service.
+struct ChoiceView<'a> {
+    table: &'a ReplicaTable,
+    service: &'a ServiceIndex,
+    total: &'a ServiceTotals,
+    now: TimePoint,
+    request: &'a ChoiceRequest<'a>,
+}
+
+impl ChoiceView<'_> {
+    fn pick<R: RngExt>(&self, eased: bool, random: &mut R) -> Option<usize> {
+        let mut best: Option<usize> = None;
+        for rank in self.service.ranks(self.request.route) {
+            if let Some(slot) = self.preferred(rank, eased) {
+                return Some(slot);
+            }
+            let Some(slot) = self.sampled(rank, eased, random) else { continue };
+            if self.is_under_bound(slot) {
+                return Some(slot);
+            }
+            if best.is_none_or(|other| self.score(slot) < self.score(other)) {
+                best = Some(slot);
+            }
+        }
+        best
+    }
+
+    /// The replica that the prompt's prefix prefers, or the next on the ring that has room.
+    fn preferred(&self, rank: usize, eased: bool) -> Option<usize> {
+        if !self.request.route.prefix_affinity {
+            return None;
+        }
+        let digest = self.request.prefix?;
+        let buckets = self.buckets(rank);
+        let mut passed: Vec<(u64, u32)> = Vec::with_capacity(MAX_RING_STEPS);
+        for bucket in buckets {
+            let mut seen = 0;
+            for (distance, slot) in bucket.ring.walk(digest).take(MAX_RING_POINTS) {
+                if passed.iter().any(|(_, known)| *known == slot) {
+                    continue;
+                }
+                passed.push((distance, slot));
+                seen += 1;
+                if seen == MAX_RING_STEPS {
+                    break;
+                }
+            }
+        }
+        passed.sort_unstable();
+        passed
+            .iter()
+            .take(MAX_RING_STEPS)
+            .map(|(_, slot)| *slot as usize)
+            .find(|slot| self.is_usable(*slot, eased) && self.is_under_bound(*slot))
+    }
+
+    /// The less loaded of two random replicas of `rank`.
+    fn sampled<R: RngExt>(&self, rank: usize, eased: bool, random: &mut R) -> Option<usize> {
+        let count: usize = self.buckets(rank).map(|bucket| bucket.slots.len()).sum();
+        if count == 0 {
+            return None;
+        }
+        let mut best: Option<usize> = None;
+        let mut found = 0;
+        for _ in 0..MAX_DRAWS {
+            let slot = self.nth(rank, random.random_range(0..count));
+            if !self.is_usable(slot, eased) || best == Some(slot) {
+                continue;
+            }
+            if best.is_none_or(|other| self.score(slot) < self.score(other)) {
+                best = Some(slot);
+            }
+            found += 1;
+            if found == CHOICES {
+                break;
+            }
+        }
+        // Most replicas are unusable: start anywhere and take the first that is not.
+        best.or_else(|| {
+            let start = random.random_range(0..count);
+            (0..count)
+                .map(|step| self.nth(rank, (start + step) % count))
+                .find(|slot| self.is_usable(*slot, eased))
+        })
+    }
+
+    fn buckets(&self, rank: usize) -> impl Iterator<Item = &super::index::CandidateBucket> {
+        let route = self.request.route;
+        self.service.buckets.iter().filter(move |bucket| self.service.rank(bucket, route) == rank)
+    }
+
+    fn nth(&self, rank: usize, mut position: usize) -> usize {
+        for bucket in self.buckets(rank) {
+            if position < bucket.slots.len() {
+                return bucket.slots[position] as usize;
+            }
+            position -= bucket.slots.len();
+        }
+        unreachable!("the position is below the number of candidates")
+    }
+
+    /// Whether the replica may be asked; stragglers that are not due count only with `eased`.
+    fn is_usable(&self, slot: usize, eased: bool) -> bool {
+        let (state, record) = (&self.table.states[slot], &self.table.index.records[slot]);
+        self.now >= state.pushed_until()
+            && !state.is_full(self.now, record.capacity)
+            && (eased || !state.is_held_back(self.now))
+            && !self.request.excluded.contains(&record.group)
+    }
+
+    /// Share of its capacity in use once this request is on it.
+    fn share(&self, slot: usize) -> f32 {
+        let load = self.table.states[slot].load(self.now, self.total.mean_others());
+        (load + 1.0) / self.table.index.records[slot].capacity.max(1) as f32
+    }
+
+    /// Whether the replica carries little, or no more than the bound over the mean.
+    fn is_under_bound(&self, slot: usize) -> bool {
+        let share = self.share(slot);
+        let bound = self.request.route.load_bound_percent as f32 / 100.0;
+        share <= EASY_SHARE || share <= bound * self.total.mean_share()
+    }
+
+    /// Load weighted by how slow the replica is against the median; lower is better.
+    fn score(&self, slot: usize) -> f32 {
+        let step = self.table.states[slot].step;
+        let known = step > 0.0 && self.total.median_step > 0.0;
+        let slowness = if known { (step / self.total.median_step).clamp(0.5, 4.0) } else { 1.0 };
+        self.share(slot) * slowness
+    }
+
+    fn none_left(&self) -> ChoiceOutcome {
+        let mut earliest: Option<Duration> = None;
+        for slot in self.service.buckets.iter().flat_map(|bucket| &bucket.slots) {
+            let slot = *slot as usize;
+            if self.request.excluded.contains(&self.table.index.records[slot].group) {
+                continue;
+            }
+            let state = &self.table.states[slot];
+            if !state.is_down(self.now) {
+                return ChoiceOutcome::Full;
+            }
+            let left = state.pushed_until().since(self.now);
+            earliest = Some(earliest.map_or(left, |other| other.min(left)));
+        }
+        earliest.map_or(ChoiceOutcome::Absent, ChoiceOutcome::Down)
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,5 +1,7 @@
-//! Decisions about requests, as plain structs: which replica serves, and what became of each
-//! attempt.
+//! Decisions about requests, as plain structs: who is let in, which replica serves, whether an
+//! attempt is repeated, and what became of each attempt.
 
+pub mod admission;
 pub mod attempt;
 pub mod choice;
+pub mod retry;
