--- a/crates/routing/src/admission/mod.rs
+++ b/crates/routing/src/admission/mod.rs
@@ -7,6 +7,7 @@
 mod limit;
 mod queue;
 mod service;
+mod share;
 mod team;
 mod window;
 
@@ -15,3 +16,4 @@
     AdmissionOutput, AdmissionQueue, AdmissionRefusal, AdmissionRequest, AdmissionVerdict,
     RefusalCause, TicketNumber,
 };
+pub use share::{HolderId, LimitBook, ShareAsk};
--- a/crates/routing/src/admission/queue.rs
+++ b/crates/routing/src/admission/queue.rs
@@ -9,6 +9,7 @@
 use super::limit::{LimitKey, TeamLimit};
 use super::service::{LimitTable, ServiceQueue};
 use super::team::{TeamQueue, WaitingRequest};
+use super::window::SlotWindow;
 
 /// Time between two looks at whether waiting requests can still be done.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
@@ -19,6 +20,10 @@
 /// Longest such time; what lies further ahead is not known.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
+/// Factor on the expected wait when a request is let in. A request that waits is given up by the
+/// plain estimate, so that small changes of the estimate do not first let it in and then drop it.
+const CAUTION: f64 = 1.15;
+
 /// One request at one entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct TicketNumber(pub u64);
@@ -289,10 +294,10 @@
         if queued.is_some_and(|team| team.waiting.len() >= asked.action.queue as usize) {
             return Err(refuse(RefusalCause::TeamQueueFull, wait / 2.0));
         }
-        let left = asked.deadline.since(now).as_secs_f64();
-        let need = mean_time.unwrap_or_default().min(left / 2.0);
-        if wait + need > left {
-            return Err(refuse(RefusalCause::TooLate, wait + need - left));
+        let left = asked.deadline.since(now);
+        let over = CAUTION * wait + service.window.time_needed(left) - left.as_secs_f64();
+        if over > 0.0 {
+            return Err(refuse(RefusalCause::TooLate, over));
         }
         Ok(())
     }
@@ -388,11 +393,8 @@
     }
 }
 
-/// Time in seconds that `request` needs once it starts: the mean, but no more than half of what its
-/// caller allows, because a mean says little about one request.
-fn time_needed(window: &super::window::SlotWindow, request: &WaitingRequest) -> f64 {
-    let allowed = request.deadline.since(request.arrived).as_secs_f64();
-    window.mean_time().unwrap_or_default().min(allowed / 2.0)
+fn time_needed(window: &SlotWindow, request: &WaitingRequest) -> f64 {
+    window.time_needed(request.deadline.since(request.arrived))
 }
 
 fn no_replica() -> AdmissionRefusal {
--- a/crates/routing/src/admission/window.rs
+++ b/crates/routing/src/admission/window.rs
@@ -17,7 +17,10 @@
 const GROWTH: f64 = 0.5;
 
 /// Part of a new sample in the running service time.
-const TIME_WEIGHT: f64 = 0.1;
+const TIME_WEIGHT: f64 = 0.05;
+
+/// Mean deviations over the mean within which nearly every request is done.
+const SURE_DEVIATIONS: f64 = 2.0;
 
 /// Slots of one service at one entry.
 ///
@@ -30,6 +33,7 @@
     limit: f64,
     running: u32,
     mean_time: Option<f64>,
+    deviation: f64,
     cut_at: Option<TimePoint>,
     held_until: Option<TimePoint>,
 }
@@ -60,10 +64,9 @@
         self.running = self.running.saturating_sub(1);
         let Some(took) = took else { return };
         let sample = took.as_secs_f64();
-        self.mean_time = Some(match self.mean_time {
-            Some(mean) => mean + TIME_WEIGHT * (sample - mean),
-            None => sample,
-        });
+        let mean = self.mean_time.unwrap_or(sample);
+        self.mean_time = Some(mean + TIME_WEIGHT * (sample - mean));
+        self.deviation += TIME_WEIGHT * ((sample - mean).abs() - self.deviation);
         self.limit = (self.limit + GROWTH).min(self.capacity as f64);
     }
 
@@ -85,6 +88,13 @@
         self.mean_time
     }
 
+    /// Time in seconds that a request needs once it starts: long enough for nearly every one, but
+    /// no more than half of what its caller allows, because others say little about one request.
+    pub(super) fn time_needed(&self, allowed: Duration) -> f64 {
+        let sure = self.mean_time.map_or(0.0, |mean| mean + SURE_DEVIATIONS * self.deviation);
+        sure.min(allowed.as_secs_f64() / 2.0)
+    }
+
     /// Time in seconds in which one slot of the whole window comes free.
     pub(super) fn time_per_slot(&self) -> Option<f64> {
         Some(self.mean_time? / self.limit.max(1.0))
--- a/crates/routing/src/choice/state.rs
+++ b/crates/routing/src/choice/state.rs
@@ -8,6 +8,9 @@
 /// Age at which a report counts half and the mean of the service the other half.
 const REPORT_HALF_AGE: Duration = Duration::from_millis(1000);
 
+/// Age at which a step time counts half.
+const STEP_HALF_AGE: Duration = Duration::from_secs(5);
+
 /// Age up to which a report alone is believed that a replica is full.
 ///
 /// Without this bound a replica that was full once, and that nobody asks any more, would look full
@@ -21,7 +24,7 @@
 const DOWN_PUSH: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
 
 /// First and longest wait between two trials of a straggler.
-const PROBE_WAIT: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(10));
+const PROBE_WAIT: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(5));
 
 /// Part of a new sample in the running share of failures.
 const FAILURE_WEIGHT: f32 = 0.25;
@@ -32,6 +35,9 @@
 /// Part of a new sample in the running step time.
 const STEP_WEIGHT: f32 = 0.3;
 
+/// The same for a straggler, whose few trials must tell soon that it has recovered.
+const TRIAL_STEP_WEIGHT: f32 = 0.7;
+
 /// Why a replica is left alone for a while.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PushCause {
@@ -51,6 +57,7 @@
     reported_at: Option<TimePoint>,
     /// Running step time in microseconds; zero while unknown.
     pub(super) step: f32,
+    last_step: f32,
     failures: f32,
     pushed_until: TimePoint,
     pushed_down: bool,
@@ -71,6 +78,18 @@
         self.own as f32 + trust * self.others as f32 + (1.0 - trust) * mean_others
     }
 
+    /// Step time over `median`, held between a half and four; an old one counts less and less, for
+    /// a replica that is chosen rarely would otherwise never be seen to have become faster.
+    pub(super) fn slowness(&self, now: TimePoint, median: f32) -> f32 {
+        let Some(reported_at) = self.reported_at else { return 1.0 };
+        if self.step == 0.0 || median == 0.0 {
+            return 1.0;
+        }
+        let half = STEP_HALF_AGE.as_secs_f32();
+        let trust = half / (half + now.since(reported_at).as_secs_f32());
+        1.0 + trust * ((self.step / median).clamp(0.5, 4.0) - 1.0)
+    }
+
     /// Whether no further request fits.
     pub(super) fn is_full(&self, now: TimePoint, capacity: u32) -> bool {
         let fresh = self.reported_at.is_some_and(|at| now.since(at) < FULL_TRUST);
@@ -106,8 +125,10 @@
         self.reported_at = Some(now);
         if report.step_micros > 0 {
             let sample = report.step_micros as f32;
+            let weight = if self.eased { TRIAL_STEP_WEIGHT } else { STEP_WEIGHT };
             let first = self.step == 0.0;
-            self.step = if first { sample } else { blend(self.step, sample, STEP_WEIGHT) };
+            self.step = if first { sample } else { blend(self.step, sample, weight) };
+            self.last_step = sample;
         }
     }
 
@@ -134,16 +155,30 @@
         self.pushes = self.pushes.saturating_add(1);
     }
 
+    /// Eases the replica out when it was not and is far slower than `slow_step` allows.
+    pub(super) fn notice(&mut self, now: TimePoint, slow_step: f32) {
+        if !self.eased && slow_step > 0.0 && self.step > slow_step {
+            self.judge(now, slow_step, 1.0);
+        }
+    }
+
     /// Eases the replica out when it is far slower than `slow_step` allows or fails too often, and
     /// lets it back in when it no longer is.
     pub(super) fn judge(&mut self, now: TimePoint, slow_step: f32, jitter: f64) {
         let slow = slow_step > 0.0 && self.step > slow_step;
         let bad = slow || self.failures >= FAILURE_LIMIT;
         if !bad {
-            self.eased = false;
+            if std::mem::take(&mut self.eased) {
+                // What it was like as a straggler must not be held against it.
+                self.step = self.last_step;
+            }
             self.probes = 0;
             return;
         }
+        let trial_was_good = self.last_step <= slow_step && self.failures < FAILURE_LIMIT;
+        if trial_was_good {
+            self.probes = 0;
+        }
         let (first, longest) = PROBE_WAIT;
         self.probe_at = now.after(grown(first, longest, self.probes, jitter));
         self.probes = self.probes.saturating_add(1);
--- a/crates/routing/src/choice/table.rs
+++ b/crates/routing/src/choice/table.rs
@@ -34,6 +34,9 @@
 /// Time between two looks at the median step time of a service.
 const MEDIAN_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The same while no step time is known yet.
+const FIRST_MEDIAN_INTERVAL: Duration = Duration::from_millis(20);
+
 /// What is asked for.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceRequest<'a> {
@@ -240,23 +243,24 @@
     /// Takes the median of the known step times, at most once per interval.
     fn refresh_median(&mut self, now: TimePoint, number: usize) {
         let total = &mut self.totals[number];
-        if total.median_at != TimePoint(0) && now.since(total.median_at) < MEDIAN_INTERVAL {
+        let known = total.median_step > 0.0;
+        let interval = if known { MEDIAN_INTERVAL } else { FIRST_MEDIAN_INTERVAL };
+        if now.since(total.median_at) < interval {
             return;
         }
-        total.median_at = TimePoint(now.0.max(1));
+        total.median_at = now;
         let Some(service) = self.index.services.values().nth(number) else { return };
-        let mut steps: Vec<f32> = service
-            .buckets
-            .iter()
-            .flat_map(|bucket| &bucket.slots)
-            .map(|slot| self.states[*slot as usize].step)
-            .filter(|step| *step > 0.0)
-            .collect();
+        let slots = || service.buckets.iter().flat_map(|bucket| &bucket.slots).map(|s| *s as usize);
+        let mut steps: Vec<f32> =
+            slots().map(|slot| self.states[slot].step).filter(|step| *step > 0.0).collect();
         if steps.is_empty() {
             return;
         }
         let middle = (steps.len() - 1) / 2;
         total.median_step = *steps.select_nth_unstable_by(middle, f32::total_cmp).1;
+        for slot in slots() {
+            self.states[slot].notice(now, STRAGGLER_RATIO * total.median_step);
+        }
     }
 }
 
@@ -329,6 +333,10 @@
             if !self.is_usable(slot, eased) || best == Some(slot) {
                 continue;
             }
+            if !eased && self.table.states[slot].is_eased() {
+                // Its trial is due. By its score it would never win, and so never come back.
+                return Some(slot);
+            }
             if best.is_none_or(|other| self.score(slot) < self.score(other)) {
                 best = Some(slot);
             }
@@ -385,9 +393,7 @@
 
     /// Load weighted by how slow the replica is against the median; lower is better.
     fn score(&self, slot: usize) -> f32 {
-        let step = self.table.states[slot].step;
-        let known = step > 0.0 && self.total.median_step > 0.0;
-        let slowness = if known { (step / self.total.median_step).clamp(0.5, 4.0) } else { 1.0 };
+        let slowness = self.table.states[slot].slowness(self.now, self.total.median_step);
         self.share(slot) * slowness
     }
 
