--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -2,7 +2,7 @@
 
 use briartray_model::message::{GroupMember, LedgerReply, LedgerRequest};
 use briartray_model::names::{
-    ChangeId, DomainName, FencingNumber, GroupId, HostName, ProviderName, RevisionNumber,
+    ChangeId, DomainName, FencingNumber, GroupId, HostName, NodeName, ProviderName, RevisionNumber,
     ServiceName, StopId, ZoneName,
 };
 use briartray_model::plain_value;
@@ -28,6 +28,24 @@
             /// The group.
             group: GroupId,
         },
+        /// Let an entry hold a rules lease.
+        RegisterEntry {
+            /// The entry.
+            node: NodeName,
+        },
+        /// Strike an entry off.
+        ForgetEntry {
+            /// The entry.
+            node: NodeName,
+        },
+        /// Put a group in the place of another in one step, so that no other command comes between
+        /// freeing the members that are kept and binding them again.
+        ReplaceGroup {
+            /// The group that ends.
+            group: GroupId,
+            /// The group that takes its place.
+            proposal: GroupProposal,
+        },
         /// Change the ledger of claims.
         Ledger(LedgerRequest),
         /// Forget the oldest claims whose outcome is known.
@@ -111,6 +129,26 @@
             /// The group.
             group: GroupId,
         },
+        /// The entry may hold a lease.
+        EntryRegistered {
+            /// The entry.
+            node: NodeName,
+        },
+        /// The entry is struck off.
+        EntryForgotten {
+            /// The entry.
+            node: NodeName,
+        },
+        /// There is no such entry.
+        EntryUnknown {
+            /// The entry.
+            node: NodeName,
+        },
+        /// No more entries can be registered.
+        EntriesFull {
+            /// How many there may be.
+            limit: usize,
+        },
         /// What the ledger answered.
         Ledger(LedgerReply),
         /// Claims are forgotten.
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -13,7 +13,7 @@
 
 use super::endpoint::{self, EndpointAnswer, EndpointError};
 use super::running::{RESUME_GRACE, RunningAttempt};
-use super::shared::{AgentShared, InFlightGuard};
+use super::shared::{AgentShared, EngineSlot};
 
 /// How long the first message of a stream may take.
 const FIRST_WAIT: Duration = Duration::from_secs(10);
@@ -58,13 +58,21 @@
     stream: &LinkStream,
 ) -> Result<(), LinkError> {
     let attempt = order.attempt;
-    let in_flight = shared.count_in();
+    if let Some(reason) = shared.refusal(&order) {
+        return refuse(&stream.writer, shared, attempt, reason);
+    }
+    let slot = match shared.take_slot(&order) {
+        Ok(slot) => slot,
+        Err(reason) => return refuse(&stream.writer, shared, attempt, reason),
+    };
+    // The order is counted now, and the gate is asked again: an order that waited, or that came as
+    // the group began to leave, must not slip in after the group was found without work.
     if let Some(reason) = shared.refusal(&order) {
         return refuse(&stream.writer, shared, attempt, reason);
     }
     let begun = shared.attempts().begin(shared.clock.now(), attempt, stream.proof.age());
     let reason = match begun {
-        BeginDecision::Start => return start(order, in_flight, shared, stream),
+        BeginDecision::Start => return start(order, slot, shared, stream),
         BeginDecision::Duplicate => {
             let detail = "the attempt came before".to_owned();
             let outcome = CallOutcome::Unknown;
@@ -80,7 +88,7 @@
 /// Calls the endpoint on a thread of its own, so that the call outlives this stream.
 fn start(
     order: DispatchOrder,
-    in_flight: InFlightGuard,
+    slot: EngineSlot,
     shared: &Arc<AgentShared>,
     stream: &LinkStream,
 ) -> Result<(), LinkError> {
@@ -93,7 +101,7 @@
         let end = run_endpoint(&owner, &task);
         let started = !matches!(end, AnswerEnd::Refused(_));
         owner.attempts().end(owner.clock.now(), attempt, started);
-        drop(in_flight);
+        drop(slot);
         task.finish(end);
     };
     if let Err(error) = spawn_worker("agent-call", WORKER_STACK_BYTES, call) {
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -138,7 +138,7 @@
         self.roster.direct(&self.state.groups);
         let mut view = self.roster.view(&self.state.groups);
         stops::mark_hosts(&mut view, &self.state.stops);
-        for command in self.planner.step(&view, &self.book) {
+        for command in self.planner.step(now, &view, &self.book) {
             let drained = |group| self.roster.is_drained(&self.state.groups, group);
             if !self.stops.holds_back(now, &command, &view, drained) {
                 self.submit(&command, ProposalOrigin::Planner);
--- a/crates/node/src/control/stops.rs
+++ b/crates/node/src/control/stops.rs
@@ -48,7 +48,11 @@
         view: &FleetView,
         is_drained: impl Fn(GroupId) -> bool,
     ) -> bool {
-        let ControlCommand::DissolveGroup { group } = command else { return false };
+        let group = match command {
+            ControlCommand::DissolveGroup { group }
+            | ControlCommand::ReplaceGroup { group, .. } => group,
+            _ => return false,
+        };
         let serves = view.groups.get(group).is_some_and(|known| known.whole);
         if !serves || is_drained(*group) {
             return false;
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod call;
 mod claims;
+mod gate;
 mod once;
 mod output;
 mod refusal;
@@ -56,7 +57,7 @@
         )?;
         let peers: Vec<_> = settings.cluster.control.iter().map(|peer| peer.link).collect();
         let claims = ClaimClient::start(link.clone(), peers.clone())?;
-        let shared = Arc::new(EntryShared::new(settings, role, link, claims, metrics));
+        let shared = Arc::new(EntryShared::new(settings, role, link, claims, metrics)?);
         watch::start(Arc::clone(&shared), peers)?;
         let calls = Arc::clone(&shared);
         let handler = Arc::new(move |request| api::handle(request, &calls));
--- a/crates/node/src/entry/output.rs
+++ b/crates/node/src/entry/output.rs
@@ -1,6 +1,7 @@
 //! Writing one answer to its caller, and keeping it where the call runs only once.
 
 use std::io::Result;
+use std::time::Duration;
 
 use briartray_model::message::{CallOutcome, KeptAnswer, KeptBody, MAX_KEPT_ANSWER_BYTES};
 use briartray_model::names::RequestId;
@@ -143,19 +144,22 @@
         Ok(())
     }
 
+    /// Whether the caller has seen no part of an answer.
+    pub(super) fn is_unseen(&self) -> bool {
+        self.request.is_some()
+    }
+
+    /// Tells the caller, which has seen nothing yet, to come back after `wait`.
+    pub(super) fn refuse_until(mut self, refusal: &CallRefusal, wait: Duration) {
+        let refusal = self.settle_refusal(refusal);
+        if let Some(request) = self.request {
+            reply_json(request, &refusal.reply_after(self.id, wait));
+        }
+    }
+
     /// Tells the caller that there is no answer, or that the one it reads is not whole.
     pub(super) fn refuse(mut self, refusal: &CallRefusal) {
-        let mut refusal = refusal.clone();
-        if self.may_have_run && refusal.outcome == CallOutcome::NotRun {
-            refusal.outcome = CallOutcome::Unknown;
-        }
-        if let Some(record) = self.record.take() {
-            (record.hook)(match refusal.outcome {
-                CallOutcome::NotRun => OnceEnd::NotRun,
-                CallOutcome::Ran => OnceEnd::Ran(None),
-                CallOutcome::Unknown => OnceEnd::Unknown,
-            });
-        }
+        let refusal = self.settle_refusal(refusal);
         if let Some(request) = self.request.take() {
             let reply: JsonReply = refusal.reply(self.id);
             reply_json(request, &reply);
@@ -171,6 +175,22 @@
         }
     }
 
+    /// The refusal as it may be said, after the ledger was told of it.
+    fn settle_refusal(&mut self, refusal: &CallRefusal) -> CallRefusal {
+        let mut refusal = refusal.clone();
+        if self.may_have_run && refusal.outcome == CallOutcome::NotRun {
+            refusal.outcome = CallOutcome::Unknown;
+        }
+        if let Some(record) = self.record.take() {
+            (record.hook)(match refusal.outcome {
+                CallOutcome::NotRun => OnceEnd::NotRun,
+                CallOutcome::Ran => OnceEnd::Ran(None),
+                CallOutcome::Unknown => OnceEnd::Unknown,
+            });
+        }
+        refusal
+    }
+
     /// A call that runs once goes on without its caller, for the resend.
     fn or_recorded(&mut self, written: Result<()>) -> Result<()> {
         if self.record.is_some() { Ok(()) } else { written }
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -1,5 +1,7 @@
 //! What a caller is told when it gets no answer.
 
+use std::time::Duration;
+
 use briartray_model::message::CallOutcome;
 use briartray_model::names::RequestId;
 use briartray_web::JsonReply;
@@ -46,6 +48,12 @@
     LedgerUnavailable,
     /// The ledger holds as many claims as it may.
     LedgerFull,
+    /// As many requests of the team wait as its rule allows.
+    TeamQueueFull,
+    /// The entry holds as many requests as it can.
+    Overloaded,
+    /// The request would not be done before its deadline.
+    TooLate,
 }
 
 impl RefusalCode {
@@ -71,6 +79,9 @@
             Self::AnswerNotKept => "answer_not_kept",
             Self::LedgerUnavailable => "ledger_unavailable",
             Self::LedgerFull => "ledger_full",
+            Self::TeamQueueFull => "team_queue_full",
+            Self::Overloaded => "overloaded",
+            Self::TooLate => "too_late",
         }
     }
 
@@ -89,6 +100,8 @@
             | Self::Stopping
             | Self::LedgerUnavailable
             | Self::LedgerFull => 503,
+            Self::TeamQueueFull => 429,
+            Self::Overloaded | Self::TooLate => 503,
             Self::ReplicaFailed => 502,
             Self::DeadlinePassed => 504,
         }
@@ -147,4 +160,15 @@
             reply
         }
     }
+
+    /// The whole reply, which asks the caller to come back after `wait`.
+    pub fn reply_after(&self, request: RequestId, wait: Duration) -> JsonReply {
+        let mut body = self.body(request);
+        body["retry_after_ms"] = json!(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+        // The header knows whole seconds only; rounding down would bring callers back too early.
+        let seconds = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
+        JsonReply::new(self.code.status(), body)
+            .with_header("X-Request-Id", request.to_string())
+            .with_header("Retry-After", seconds.max(1).to_string())
+    }
 }
