--- a/crates/node/src/agent/endpoint.rs
+++ b/crates/node/src/agent/endpoint.rs
@@ -1,7 +1,9 @@
 //! Calling the endpoint over HTTP and reading its answer piece by piece.
 
+use std::cmp::Ordering;
 use std::io::{BufRead, BufReader, Read};
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use attohttpc::{Method, RequestBuilder, ResponseReader};
 use briartray_model::message::DispatchOrder;
@@ -16,6 +18,12 @@
 /// Largest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: u64 = 8 * 1024 * 1024;
 
+/// Time without any event after which an engine's stream is resumed over a new connection.
+const STREAM_SILENCE: Duration = Duration::from_secs(3);
+
+/// Times a stream is resumed without a new event in between.
+const MAX_RESUMES: u32 = 20;
+
 /// Time to connect to the endpoint, which runs on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -42,15 +50,34 @@
     id: Option<String>,
 }
 
+/// The part of an engine's event that tells its place in the stream.
+#[derive(Debug, Deserialize)]
+struct EventIndex {
+    token_index: Option<u64>,
+}
+
+/// Where an event belongs in its stream.
+enum EventPlace {
+    Next,
+    Doubled,
+    Gap,
+}
+
 /// An answer whose head has come.
 pub(super) struct EndpointAnswer {
     pub(super) status: u16,
     pub(super) content_type: String,
+    address: SocketAddr,
     attempt: AttemptId,
+    deadline: Instant,
     kind: EndpointKind,
     length: Option<u64>,
     /// Whether a cut of the body can be told from its end.
     framed: bool,
+    /// Index of the next event of a stream.
+    next_index: u64,
+    /// Times the stream may still be resumed without a new event in between.
+    resumes_left: u32,
     body: BufReader<ResponseReader>,
 }
 
@@ -62,11 +89,12 @@
     let url = format!("http://{}{}", settings.address, order.target.path);
     let method = Method::from_bytes(order.target.method.as_bytes())
         .map_err(|error| EndpointError::Unreachable { detail: error.to_string() })?;
-    let deadline = Duration::from_millis(u64::from(order.deadline_ms.max(1)));
+    let left = Duration::from_millis(u64::from(order.deadline_ms.max(1)));
+    let resumes = settings.kind == EndpointKind::Engine && order.stream;
     let mut request = RequestBuilder::new(method, url)
         .connect_timeout(CONNECT_TIMEOUT)
-        .read_timeout(deadline)
-        .timeout(deadline)
+        .read_timeout(if resumes { left.min(STREAM_SILENCE) } else { left })
+        .timeout(left)
         .follow_redirects(false)
         .header("x-request-id", order.attempt.to_string())
         .header("traceparent", order.trace.to_header())
@@ -88,7 +116,9 @@
         return CrossedSnafu { attempt: order.attempt, given }.fail();
     }
     Ok(EndpointAnswer {
+        address: settings.address,
         attempt: order.attempt,
+        deadline: Instant::now() + left,
         kind: settings.kind,
         status: status.as_u16(),
         content_type: text("content-type").unwrap_or("application/octet-stream").to_owned(),
@@ -96,10 +126,28 @@
         framed: text("content-length").is_some()
             || text("transfer-encoding").is_some()
             || matches!(status.as_u16(), 204 | 304),
+        next_index: 0,
+        resumes_left: MAX_RESUMES,
         body: BufReader::new(body),
     })
 }
 
+/// Tells the engine that nobody waits for `attempt` any more.
+pub(super) fn cancel(settings: &EndpointSettings, attempt: AttemptId) {
+    if settings.kind != EndpointKind::Engine {
+        return;
+    }
+    let url = format!("http://{}/requests/{attempt}/cancel", settings.address);
+    let told = attohttpc::post(url)
+        .connect_timeout(CONNECT_TIMEOUT)
+        .timeout(CONNECT_TIMEOUT)
+        .header("content-length", "0")
+        .send();
+    if let Err(error) = told {
+        log::debug!("attempt {attempt} was not cancelled: {error}");
+    }
+}
+
 fn describe(error: attohttpc::Error) -> EndpointError {
     let refused = match error.kind() {
         attohttpc::ErrorKind::Io(cause) => cause.kind() == std::io::ErrorKind::ConnectionRefused,
@@ -116,27 +164,78 @@
     }
 
     /// The data of the next event; `None` at the stream's end mark.
+    ///
+    /// An engine that cuts a stream or goes silent goes on generating, so the stream is resumed
+    /// from the first event that is missing.
     pub(super) fn next_event(&mut self) -> Result<Option<Vec<u8>>, EndpointError> {
+        loop {
+            match self.read_event() {
+                Ok(Some(data)) => match self.place(&data)? {
+                    EventPlace::Next => {
+                        self.next_index += 1;
+                        self.resumes_left = MAX_RESUMES;
+                        return Ok(Some(data));
+                    }
+                    EventPlace::Doubled => {}
+                    EventPlace::Gap => self.resume("the stream has a gap".to_owned())?,
+                },
+                Ok(None) => return Ok(None),
+                Err(detail) => self.resume(detail)?,
+            }
+        }
+    }
+
+    /// Reads one event as it comes.
+    fn read_event(&mut self) -> Result<Option<Vec<u8>>, String> {
         loop {
             let mut line = Vec::new();
             let read = (&mut self.body)
                 .take(MAX_EVENT_BYTES)
                 .read_until(b'\n', &mut line)
-                .map_err(|error| EndpointError::Broken { detail: error.to_string() })?;
-            if read == 0 {
+                .map_err(|error| error.to_string())?;
+            if read == 0 || !line.ends_with(b"\n") {
                 // A stream that stops without its end mark was cut; it must not look whole.
-                let detail = "the stream ended without its end mark".to_owned();
-                return Err(EndpointError::Broken { detail });
+                return Err("the stream ended without its end mark".to_owned());
             }
             let text = line.trim_ascii_end();
             if let Some(data) = text.strip_prefix(b"data:") {
                 let data = data.trim_ascii_start();
-                if data == b"[DONE]" {
-                    return Ok(None);
-                }
-                self.check_name(data)?;
-                return Ok(Some(data.to_vec()));
+                return Ok((data != b"[DONE]").then(|| data.to_vec()));
+            }
+        }
+    }
+
+    /// Where an event belongs; engines that number their events send some of them twice.
+    fn place(&self, data: &[u8]) -> Result<EventPlace, EndpointError> {
+        self.check_name(data)?;
+        let index = serde_json::from_slice::<EventIndex>(data).ok().and_then(|e| e.token_index);
+        Ok(match index.unwrap_or(self.next_index).cmp(&self.next_index) {
+            Ordering::Less => EventPlace::Doubled,
+            Ordering::Equal => EventPlace::Next,
+            Ordering::Greater => EventPlace::Gap,
+        })
+    }
+
+    /// Asks the engine for the rest of the stream over a new connection.
+    fn resume(&mut self, detail: String) -> Result<(), EndpointError> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        if self.kind != EndpointKind::Engine || self.resumes_left == 0 || left.is_zero() {
+            return Err(EndpointError::Broken { detail });
+        }
+        self.resumes_left -= 1;
+        let (address, attempt, from) = (self.address, self.attempt, self.next_index);
+        let response = attohttpc::get(format!("http://{address}/requests/{attempt}?from={from}"))
+            .connect_timeout(CONNECT_TIMEOUT)
+            .read_timeout(left.min(STREAM_SILENCE))
+            .timeout(left)
+            .send();
+        match response {
+            Ok(response) if response.is_success() => {
+                let (_, _, body) = response.split();
+                self.body = BufReader::new(body);
+                Ok(())
             }
+            _ => Err(EndpointError::Broken { detail }),
         }
     }
 
--- a/crates/node/src/agent/running.rs
+++ b/crates/node/src/agent/running.rs
@@ -53,7 +53,7 @@
     pub(super) fn push(&self, data: Vec<u8>) -> bool {
         let mut buffer = self.lock();
         loop {
-            if self.is_cancelled() || buffer.is_abandoned(self.clock.now(), RESUME_GRACE) {
+            if self.is_cancelled() || self.is_abandoned(&buffer) {
                 return false;
             }
             if buffer.has_room() {
@@ -102,8 +102,16 @@
     /// Whether the answer may be dropped: it ended, and no entry came back for it.
     pub(super) fn is_over(&self) -> bool {
         let buffer = self.lock();
-        let unwanted = buffer.is_abandoned(self.clock.now(), RESUME_GRACE);
-        buffer.end().is_some() && (unwanted || self.is_cancelled())
+        buffer.end().is_some() && (self.is_abandoned(&buffer) || self.is_cancelled())
+    }
+
+    /// Whether nobody waits for the answer any more.
+    pub(super) fn is_unwanted(&self) -> bool {
+        self.is_cancelled() || self.is_abandoned(&self.lock())
+    }
+
+    fn is_abandoned(&self, buffer: &AnswerBuffer) -> bool {
+        buffer.is_abandoned(self.clock.now(), RESUME_GRACE)
     }
 
     fn lock(&self) -> MutexGuard<'_, AnswerBuffer> {
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -102,6 +102,9 @@
         let started = !matches!(end, AnswerEnd::Refused(_));
         owner.attempts().end(owner.clock.now(), attempt, started);
         drop(slot);
+        if task.is_unwanted() {
+            endpoint::cancel(&owner.settings.endpoint, attempt);
+        }
         task.finish(end);
     };
     if let Err(error) = spawn_worker("agent-call", WORKER_STACK_BYTES, call) {
@@ -134,6 +137,7 @@
     let running = shared.held().get(&attempt).cloned();
     let Some(running) = running else { return TombstoneState::CannotTell };
     running.cancel();
+    endpoint::cancel(&shared.settings.endpoint, attempt);
     TombstoneState::Running
 }
 
