--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -276,6 +276,7 @@
         control: None,
         agent: Some(AgentSettings {
             link: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            announce: None,
             host: HostName::new(&format!("host-{number}")),
             domain: DomainName::new("rack-1"),
             provider: ProviderName::new("local"),
--- /dev/null
+++ b/crates/cli/src/trial/fleet.rs
@@ -0,0 +1,357 @@
+//! A fleet of real processes on loopback.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use briartray_model::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
+use briartray_model::settings::{
+    AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
+    EndpointSettings, EntrySettings, LogSettings, StopSettings, TraceSettings, UnconfirmedPolicy,
+};
+use tempfile::TempDir;
+
+use super::process::{ChildProcess, ProcessSignal, TrialError};
+use super::relay::PathRelay;
+
+/// How long a fleet may take to be ready; generous, because a busy machine is no failure.
+const READY_WAIT: Duration = Duration::from_secs(60);
+
+/// How often readiness is looked at.
+const READY_CHECK: Duration = Duration::from_millis(100);
+
+/// Secret between the processes of a trial; it never leaves loopback.
+const TRIAL_TOKEN: &str = "trial-only";
+
+/// Availability zones of a trial.
+const ZONES: [&str; 2] = ["zone-a", "zone-b"];
+
+/// Rules of a trial.
+const TRIAL_RULES: &str = "
+services:
+  - { name: desk, kind: engine, hosts_per_replica: 1, replicas: 4, capacity: 64 }
+  - { name: ledger, kind: plain, hosts_per_replica: 1, replicas: 2, capacity: 64 }
+teams:
+  - { name: default }
+rules:
+  - rule: everyone
+    then:
+      admit: { deadline_ms: 15000 }
+      retry: { attempts: 4, budget_percent: 100 }
+      place: { wait_ms: 60000 }
+      stop: { min_replicas: 1 }
+";
+
+/// What a trial consists of, built step by step.
+#[derive(Debug, Clone)]
+pub struct TrialPlan {
+    programs: PathBuf,
+    entries: usize,
+    engines: usize,
+    services: usize,
+    engine_faults: Vec<String>,
+    service_faults: Vec<String>,
+    service_work_ms: u64,
+}
+
+impl TrialPlan {
+    /// A fleet of the programs in the folder `programs`.
+    pub fn new(programs: &Path) -> Self {
+        Self {
+            programs: programs.to_owned(),
+            entries: 1,
+            engines: 4,
+            services: 2,
+            engine_faults: Vec::new(),
+            service_faults: Vec::new(),
+            service_work_ms: 2,
+        }
+    }
+
+    /// Sets how many entries there are.
+    #[must_use]
+    pub fn entries(mut self, count: usize) -> Self {
+        self.entries = count;
+        self
+    }
+
+    /// Sets how many engines and plain services there are.
+    #[must_use]
+    pub fn endpoints(mut self, engines: usize, services: usize) -> Self {
+        self.engines = engines;
+        self.services = services;
+        self
+    }
+
+    /// Sets the faults of every engine, as the stand-in's option takes them.
+    #[must_use]
+    pub fn engine_faults(mut self, faults: &[&str]) -> Self {
+        self.engine_faults = faults.iter().map(|fault| (*fault).to_owned()).collect();
+        self
+    }
+
+    /// Sets the faults of every plain service.
+    #[must_use]
+    pub fn service_faults(mut self, faults: &[&str]) -> Self {
+        self.service_faults = faults.iter().map(|fault| (*fault).to_owned()).collect();
+        self
+    }
+
+    /// Sets the time of one call to a plain service.
+    #[must_use]
+    pub fn service_work(mut self, work: Duration) -> Self {
+        self.service_work_ms = u64::try_from(work.as_millis()).unwrap_or(u64::MAX);
+        self
+    }
+}
+
+/// One agent with its endpoint and the relay before it.
+pub struct FleetAgent {
+    /// The agent.
+    pub agent: ChildProcess,
+    /// The endpoint.
+    pub endpoint: ChildProcess,
+    /// Where the endpoint listens.
+    pub endpoint_address: SocketAddr,
+    /// What entries and other agents connect through.
+    pub relay: PathRelay,
+    /// Its host.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: &'static str,
+}
+
+/// A running fleet.
+pub struct ProcessFleet {
+    /// The control host.
+    pub control: ChildProcess,
+    /// The entries.
+    pub entries: Vec<ChildProcess>,
+    /// Agents beside engines, then agents beside plain services.
+    pub agents: Vec<FleetAgent>,
+    plan: TrialPlan,
+    cluster: ClusterSettings,
+    entry_addresses: Vec<SocketAddr>,
+    operator: SocketAddr,
+    folder: TempDir,
+}
+
+impl ProcessFleet {
+    /// Starts the fleet and waits until every replica is up.
+    ///
+    /// # Errors
+    /// A `TrialError` when a program is not there or the fleet does not become ready.
+    pub fn start(plan: &TrialPlan) -> Result<Self, TrialError> {
+        let folder = tempfile::Builder::new().prefix("briartray-trial-").tempdir()?;
+        let rules = folder.path().join("rules.yaml");
+        std::fs::write(&rules, TRIAL_RULES)?;
+        let peer = ControlPeer { node: NodeName::new("control"), link: free_address()? };
+        let cluster =
+            ClusterSettings { token: TRIAL_TOKEN.to_owned(), control: vec![peer.clone()] };
+        let operator = free_address()?;
+        let mut settings = daemon_settings("control", ZONES[0], &cluster);
+        settings.control = Some(ControlSettings {
+            link: peer.link,
+            operator,
+            operator_token: None,
+            data_folder: folder.path().join("data"),
+            first_rules: Some(rules),
+        });
+        let control = start_daemon(plan, folder.path(), &settings)?;
+        let mut fleet = Self {
+            control,
+            entries: Vec::new(),
+            agents: Vec::new(),
+            plan: plan.clone(),
+            cluster,
+            entry_addresses: Vec::new(),
+            operator,
+            folder,
+        };
+        fleet.start_agents()?;
+        for number in 0..plan.entries {
+            fleet.start_entry(number)?;
+        }
+        fleet.wait_until_ready()?;
+        Ok(fleet)
+    }
+
+    /// Where callers connect.
+    pub fn entry_addresses(&self) -> &[SocketAddr] {
+        &self.entry_addresses
+    }
+
+    /// Where operators connect.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator
+    }
+
+    /// Where the endpoints listen.
+    pub fn endpoint_addresses(&self) -> Vec<SocketAddr> {
+        self.agents.iter().map(|agent| agent.endpoint_address).collect()
+    }
+
+    /// Where the plain services listen.
+    pub fn service_addresses(&self) -> Vec<SocketAddr> {
+        self.agents[self.plan.engines..].iter().map(|agent| agent.endpoint_address).collect()
+    }
+
+    /// Folder with settings and logs.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Sends `signal` to every agent and endpoint of `zone`.
+    pub fn signal_zone(&self, zone: &str, signal: ProcessSignal) {
+        for agent in self.agents.iter().filter(|agent| agent.zone == zone) {
+            agent.agent.signal(signal);
+            agent.endpoint.signal(signal);
+        }
+    }
+
+    fn start_entry(&mut self, number: usize) -> Result<(), TrialError> {
+        let listen = free_address()?;
+        let name = format!("entry-{number}");
+        let mut settings = daemon_settings(&name, ZONES[0], &self.cluster);
+        settings.entry = Some(EntrySettings {
+            listen,
+            max_open_requests: 4096,
+            max_body_bytes: 1024 * 1024,
+            when_rules_unconfirmed: UnconfirmedPolicy::Refuse,
+        });
+        self.entries.push(start_daemon(&self.plan, self.folder.path(), &settings)?);
+        self.entry_addresses.push(listen);
+        Ok(())
+    }
+
+    fn start_agents(&mut self) -> Result<(), TrialError> {
+        for number in 0..self.plan.engines {
+            self.start_agent(&format!("engine-{number}"), "desk", EndpointKind::Engine)?;
+        }
+        for number in 0..self.plan.services {
+            self.start_agent(&format!("service-{number}"), "ledger", EndpointKind::Plain)?;
+        }
+        Ok(())
+    }
+
+    fn start_agent(
+        &mut self,
+        host: &str,
+        service: &str,
+        kind: EndpointKind,
+    ) -> Result<(), TrialError> {
+        let zone = ZONES[self.agents.len() % ZONES.len()];
+        let endpoint_address = free_address()?;
+        let endpoint = self.start_endpoint(host, kind, endpoint_address)?;
+        let link = free_address()?;
+        let relay = PathRelay::start()?;
+        relay.set_target(link);
+        let mut settings = daemon_settings(&format!("agent-{host}"), zone, &self.cluster);
+        settings.agent = Some(AgentSettings {
+            link,
+            announce: Some(relay.address()),
+            host: HostName::new(host),
+            domain: DomainName::new(&format!("rack-{zone}")),
+            provider: ProviderName::new("local"),
+            accelerators: 8,
+            endpoint: EndpointSettings {
+                address: endpoint_address,
+                service: ServiceName::new(service),
+                kind,
+                checks_fencing: false,
+            },
+        });
+        let agent = start_daemon(&self.plan, self.folder.path(), &settings)?;
+        let host = host.to_owned();
+        self.agents.push(FleetAgent { agent, endpoint, endpoint_address, relay, host, zone });
+        Ok(())
+    }
+
+    fn start_endpoint(
+        &self,
+        host: &str,
+        kind: EndpointKind,
+        address: SocketAddr,
+    ) -> Result<ChildProcess, TrialError> {
+        let listen = address.to_string();
+        let work = self.plan.service_work_ms.to_string();
+        let mut arguments = vec!["stand-in"];
+        let faults = match kind {
+            EndpointKind::Engine => {
+                arguments.extend(["engine", "--listen", &listen, "--event-loss", "0"]);
+                &self.plan.engine_faults
+            }
+            EndpointKind::Plain => {
+                arguments.extend(["service", "--listen", &listen, "--work-ms", &work]);
+                &self.plan.service_faults
+            }
+        };
+        for fault in faults {
+            arguments.extend(["--fault", fault]);
+        }
+        let log = self.folder.path().join(format!("{host}-endpoint.log"));
+        ChildProcess::start(&self.plan.programs.join("briartray"), &arguments, &log)
+    }
+
+    fn wait_until_ready(&self) -> Result<(), TrialError> {
+        let started = Instant::now();
+        while started.elapsed() < READY_WAIT {
+            if self.whole_groups() == self.agents.len() && self.entries_ready() {
+                return Ok(());
+            }
+            std::thread::sleep(READY_CHECK);
+        }
+        let folder = self.folder.path().display().to_string();
+        Err(TrialError::NotReady { seconds: READY_WAIT.as_secs(), folder })
+    }
+
+    /// Groups that are whole now.
+    pub fn whole_groups(&self) -> usize {
+        let response = attohttpc::get(format!("http://{}/v1/groups", self.operator)).send();
+        let Ok(body) = response.and_then(attohttpc::Response::bytes) else { return 0 };
+        let groups: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        let groups = groups.as_array().cloned().unwrap_or_default();
+        groups.iter().filter(|group| group["whole"] == true).count()
+    }
+
+    fn entries_ready(&self) -> bool {
+        self.entry_addresses.iter().all(|address| {
+            let response = attohttpc::get(format!("http://{address}/readyz")).send();
+            response.is_ok_and(|response| response.is_success())
+        })
+    }
+}
+
+fn daemon_settings(node: &str, zone: &str, cluster: &ClusterSettings) -> DaemonSettings {
+    DaemonSettings {
+        node: NodeName::new(node),
+        zone: ZoneName::new(zone),
+        cluster: cluster.clone(),
+        log: LogSettings::default(),
+        trace: TraceSettings::default(),
+        stop: StopSettings { notice_ms: 500, wait_ms: 30_000 },
+        entry: None,
+        control: None,
+        agent: None,
+    }
+}
+
+/// Starts a daemon; its settings are written as JSON, which is YAML too.
+fn start_daemon(
+    plan: &TrialPlan,
+    folder: &Path,
+    settings: &DaemonSettings,
+) -> Result<ChildProcess, TrialError> {
+    let name = settings.node.as_str();
+    let file = folder.join(format!("{name}.yaml"));
+    let text = serde_json::to_string_pretty(settings).map_err(std::io::Error::from)?;
+    std::fs::write(&file, text)?;
+    let file = file.display().to_string();
+    let log = folder.join(format!("{name}.log"));
+    ChildProcess::start(&plan.programs.join("briartrayd"), &["--settings", &file], &log)
+}
+
+/// An address that is free now.
+fn free_address() -> std::io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
--- /dev/null
+++ b/crates/cli/src/trial/mod.rs
@@ -0,0 +1,14 @@
+//! Trials of failures on real processes: a fleet of daemons and stand-ins on loopback, a relay that
+//! breaks paths, and a count of what callers were told against what truly ran.
+
+mod caller;
+mod fault;
+mod fleet;
+mod process;
+mod relay;
+
+pub use caller::{KeyedCaller, KeyedTally};
+pub use fault::{OutcomeRow, TrialFault, run_fault};
+pub use fleet::{FleetAgent, ProcessFleet, TrialPlan};
+pub use process::{ChildProcess, ProcessSignal, TrialError};
+pub use relay::PathRelay;
--- a/crates/model/src/settings/types.rs
+++ b/crates/model/src/settings/types.rs
@@ -148,6 +148,9 @@
 pub struct AgentSettings {
     /// Where entries and other agents connect.
     pub link: SocketAddr,
+    /// Where others reach `link`, when that is another address.
+    #[serde(default)]
+    pub announce: Option<SocketAddr>,
     /// Host it runs on.
     pub host: HostName,
     /// Fabric domain of the host.
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -66,7 +66,8 @@
                 connect_timeout: CONNECT_TIMEOUT,
             },
         )?;
-        let announcement = announce(settings, role, &shared, link.address());
+        let announcement =
+            announce(settings, role, &shared, role.announce.unwrap_or(link.address()));
         let peers = settings.cluster.control.iter().map(|peer| peer.link).collect();
         let session = session::start(client.clone(), peers, announcement, inputs.clone())?;
         let core = AgentCore::new(Arc::clone(&shared), client, session.clone(), inputs.clone());
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -52,6 +52,8 @@
         pub short: u64,
         /// Answers with pieces that came twice.
         pub repeated: u64,
+        /// Requests whose callers were told that they were not run.
+        pub told_not_run: u64,
         /// Requests that were not sent because too many were open.
         pub not_sent: u64,
         /// Requests by how they ended.
@@ -90,6 +92,7 @@
     whole: Histogram<u64>,
     delay: Histogram<u64>,
     sent: u64,
+    told_not_run: u64,
 }
 
 impl ReportCollector {
@@ -101,11 +104,13 @@
             whole: make_histogram(),
             delay: make_histogram(),
             sent: 0,
+            told_not_run: 0,
         }
     }
 
     pub(super) fn add(&mut self, result: &CallResult, stream: bool, delay: Duration) {
         self.sent += 1;
+        self.told_not_run += u64::from(result.told_not_run);
         *self.outcomes.get_or_insert_with(result.outcome.clone(), || 0) += 1;
         record(&mut self.delay, delay);
         if result.outcome != ANSWERED {
@@ -129,6 +134,7 @@
             crossed: count(CROSSED),
             short: count(SHORT),
             repeated: count(REPEATED),
+            told_not_run: self.told_not_run,
             not_sent,
             outcomes: self
                 .outcomes
