Dead paths are replaced before a lease or a caller's patience runs out

Cause: after paths were forgotten, groups lost their leases for seconds and orders waited two seconds for a first frame. Change: a lease answer is waited for a quarter of the lease and asked for again at once over a new connection; an order without a first frame for 700 ms is asked after.

--- a/crates/node/src/agent/member.rs
+++ b/crates/node/src/agent/member.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use briartray_link::{CallKind, LinkClient, LinkError, LinkReader, LinkStream, LinkWriter};
 use briartray_model::message::{GroupAssignment, GroupMember, MemberReply, MemberRequest};
@@ -14,8 +14,12 @@
 use super::core::{AgentInput, LeaseAsked};
 use crate::ClockReader;
 
-/// How long one answer is waited for; a later one would be worth nothing.
-const ANSWER_WAIT: Duration = LEASE_DURATION;
+/// How long one answer is waited for. A path that went silent must be replaced and the lease be
+/// renewed over a new one before the lease that is held runs out.
+const ANSWER_WAIT: Duration = Duration::from_millis(LEASE_DURATION.as_millis() as u64 / 4);
+
+/// Age of a connection up to which it counts as new after an answer did not come.
+const FRESH_CONNECTION: Duration = Duration::from_millis(ANSWER_WAIT.as_millis() as u64 / 2);
 
 /// How long a served stream may stay quiet before it is looked at again.
 const READ_WAIT: Duration = Duration::from_secs(60);
@@ -56,15 +60,17 @@
     fn run(self) {
         let mut nonce = LeaseNonce::default();
         let mut stream: Option<(LinkWriter, LinkReader)> = None;
+        let mut missed = 0_u32;
         while self.renewing.load(Ordering::Relaxed) {
             nonce = nonce.next();
-            let open = stream
-                .take()
-                .unwrap_or_else(|| self.client.open(self.member.link, CallKind::Member));
+            let open = stream.take().unwrap_or_else(|| self.open(missed > 0));
             let sent = self.clock.now();
             let reply = self.ask(&open, nonce);
             if reply.is_some() {
+                missed = 0;
                 stream = Some(open);
+            } else {
+                missed += 1;
             }
             let lease = LeaseAsked {
                 assignment: Arc::clone(&self.assignment),
@@ -74,7 +80,18 @@
             if self.inputs.send(AgentInput::LeaseAnswer { lease, reply }).is_err() {
                 return;
             }
-            std::thread::sleep(RENEW_INTERVAL);
+            // After the first miss there is no time to lose; a member that is down is not pressed.
+            if missed != 1 {
+                std::thread::sleep(RENEW_INTERVAL);
+            }
+        }
+    }
+
+    fn open(&self, after_miss: bool) -> (LinkWriter, LinkReader) {
+        let (address, kind) = (self.member.link, CallKind::Member);
+        match Instant::now().checked_sub(FRESH_CONNECTION).filter(|_| after_miss) {
+            Some(since) => self.client.open_since(address, kind, since),
+            None => self.client.open(address, kind),
         }
     }
 
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -21,7 +21,7 @@
 
 /// Age of a connection up to which it counts as new; shorter than any silence that is acted on, so
 /// that the streams of one dead connection share its successor.
-const FRESH_CONNECTION: Duration = Duration::from_millis(1000);
+const FRESH_CONNECTION: Duration = Duration::from_millis(500);
 
 /// How one attempt ended.
 pub(super) enum AttemptEnd {
--- a/crates/routing/src/attempt/mod.rs
+++ b/crates/routing/src/attempt/mod.rs
@@ -13,4 +13,4 @@
     AttemptBook, AttemptState, BeginDecision, BookLimits, MAX_ORDER_AGE, TOMBSTONE_MEMORY,
 };
 pub use buffer::{AnswerBuffer, AnswerEnd, AnswerHead, BufferItem, BufferReader};
-pub use tracker::{AttemptTracker, SILENCE_BOUND, TrackerAction, TrackerPlan};
+pub use tracker::{ACCEPT_BOUND, AttemptTracker, SILENCE_BOUND, TrackerAction, TrackerPlan};
--- a/crates/routing/src/attempt/tracker.rs
+++ b/crates/routing/src/attempt/tracker.rs
@@ -15,7 +15,10 @@
 
 /// Time without any frame after which the path is taken for dead; agents send progress marks far
 /// more often, so a slow engine never trips it.
-pub const SILENCE_BOUND: Duration = Duration::from_millis(2000);
+pub const SILENCE_BOUND: Duration = Duration::from_millis(1500);
+
+/// The same before the first frame, which the agent sends as soon as the order has a slot.
+pub const ACCEPT_BOUND: Duration = Duration::from_millis(700);
 
 /// New connections that are tried while nothing else can be done for the caller.
 const MAX_RECONNECTS: u32 = 5;
@@ -91,6 +94,8 @@
     phase: TrackerPhase,
     sent: TimePoint,
     heard: TimePoint,
+    /// Whether the stream in use has brought a frame.
+    accepted: bool,
     next_sequence: u64,
     shown: bool,
     reconnects: u32,
@@ -105,6 +110,7 @@
             phase: TrackerPhase::Dispatched,
             sent: now,
             heard: now,
+            accepted: false,
             next_sequence: 0,
             shown: false,
             reconnects: 0,
@@ -114,7 +120,8 @@
 
     /// How long to wait for the next frame.
     pub fn wait(&self, now: TimePoint) -> Duration {
-        let silent = self.heard.after(SILENCE_BOUND);
+        let bound = if self.accepted { SILENCE_BOUND } else { ACCEPT_BOUND };
+        let silent = self.heard.after(bound);
         silent.min(self.plan.deadline).since(now)
     }
 
@@ -134,6 +141,7 @@
             return TrackerAction::Crossed;
         }
         self.heard = now;
+        self.accepted = true;
         match reply {
             AgentReply::Accepted { .. } | AgentReply::Progress { .. } => TrackerAction::Wait,
             AgentReply::Head { status, content_type, .. } => {
@@ -226,6 +234,8 @@
         let wait = if self.reconnects == 0 { Duration::ZERO } else { RECONNECT_WAIT };
         self.reconnects += 1;
         self.heard = now.after(wait);
+        // A new connection takes its time, so the longer bound holds for it.
+        self.accepted = true;
         TrackerAction::Reconnect { request: self.question(now), wait }
     }
 
