--- /dev/null
+++ b/crates/cli/src/cmd/measure/capacity/encoding.rs
@@ -0,0 +1,50 @@
+//! Size of what entries are sent, by the number of groups in it.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Instant;
+
+use briartray_model::codec;
+use briartray_model::message::{GroupRecord, RoutingSnapshot};
+use briartray_model::names::{FencingNumber, GroupId, HostName};
+
+use super::lines::MeasuredLine;
+use super::slope::SizePoint;
+use crate::cmd::CommandError;
+
+/// How often a snapshot is decoded at each size.
+const ROUNDS: u32 = 20;
+
+/// Bytes of a snapshot, and the time to decode it, by its groups.
+pub(super) fn snapshot(sizes: &[usize]) -> Result<Vec<MeasuredLine>, CommandError> {
+    let (mut bytes, mut times) = (Vec::new(), Vec::new());
+    for size in sizes {
+        let encoded = codec::encode(&sample(*size)).map_err(CommandError::refused)?;
+        let started = Instant::now();
+        for _ in 0..ROUNDS {
+            codec::decode::<RoutingSnapshot>(&encoded).map_err(CommandError::refused)?;
+        }
+        let each = started.elapsed().as_secs_f64() * 1000.0 / f64::from(ROUNDS);
+        bytes.push(SizePoint { size: *size as f64, cost: encoded.len() as f64 });
+        times.push(SizePoint { size: *size as f64, cost: each });
+    }
+    Ok(vec![
+        MeasuredLine::new("entry", "group in a snapshot", "bytes", bytes),
+        MeasuredLine::new("entry", "group in a snapshot", "ms to decode", times),
+    ])
+}
+
+fn sample(groups: usize) -> RoutingSnapshot {
+    let record = |number: usize| GroupRecord {
+        group: GroupId(number as u64),
+        fencing: FencingNumber(number as u64 * 3),
+        service: "desk-language".into(),
+        zone: "prairie-west-a".into(),
+        domain: "prairie-west-a-rack-017".into(),
+        provider: "provider-one".into(),
+        first: HostName::new(&format!("prairie-west-a-host-{number:05}")),
+        link: SocketAddr::from((Ipv4Addr::LOCALHOST, 7000)),
+        whole: true,
+        capacity: 64,
+    };
+    RoutingSnapshot { groups: (0..groups).map(record).collect(), ..RoutingSnapshot::default() }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/measure/capacity/peers.rs
@@ -0,0 +1,242 @@
+//! Stand-ins for the processes around the measured one: watchers, agents and group members.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use briartray_link::{
+    CallKind, ClientSettings, LinkClient, LinkError, LinkReader, LinkServer, LinkStream, LinkWriter,
+};
+use briartray_model::message::{
+    AgentReport, ControlDirective, GroupAssignment, GroupMember, HostAnnouncement, MemberReply,
+    MemberRequest, WatchReply, WatchRequest,
+};
+use briartray_model::names::{FencingNumber, GroupId, HostName, LeaseNonce, NodeName};
+use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
+
+use super::settings::TOKEN;
+use crate::cmd::CommandError;
+
+/// Time between renewals of a watcher, as entries renew.
+const RENEW_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time between announcements of an agent, as agents announce.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1000);
+
+/// How long an answer may take.
+const ANSWER_WAIT: Duration = Duration::from_secs(10);
+
+/// How long a member promises to stay, in milliseconds.
+const PROMISE_MS: u32 = 2000;
+
+/// Stand-ins that end with this value.
+pub(super) struct PeerCrowd {
+    running: Arc<AtomicBool>,
+    /// Rules revision that each watcher has seen.
+    seen: Vec<Arc<AtomicU64>>,
+    _servers: Vec<LinkServer>,
+}
+
+impl Drop for PeerCrowd {
+    fn drop(&mut self) {
+        self.running.store(false, Ordering::Relaxed);
+    }
+}
+
+impl PeerCrowd {
+    fn new() -> Self {
+        let running = Arc::new(AtomicBool::new(true));
+        Self { running, seen: Vec::new(), _servers: Vec::new() }
+    }
+
+    /// `count` watchers, each with a connection of its own.
+    pub(super) fn watchers(control: SocketAddr, count: usize) -> Result<Self, CommandError> {
+        let mut crowd = Self::new();
+        for number in 0..count {
+            let seen = Arc::new(AtomicU64::new(0));
+            crowd.seen.push(Arc::clone(&seen));
+            let client = connect()?;
+            let running = Arc::clone(&crowd.running);
+            let node = NodeName::new(&format!("entry-{number}"));
+            start(move || {
+                while running.load(Ordering::Relaxed) {
+                    let stream = client.open(control, CallKind::Watch);
+                    if let Err(error) = watch(&stream, &node, &running, &seen) {
+                        log::debug!("a watcher starts anew: {error}");
+                    }
+                    std::thread::sleep(RENEW_INTERVAL);
+                }
+            })?;
+        }
+        Ok(crowd)
+    }
+
+    /// `count` agents without a group, each with a connection of its own.
+    pub(super) fn agents(control: SocketAddr, count: usize) -> Result<Self, CommandError> {
+        let crowd = Self::new();
+        for number in 0..count {
+            let client = connect()?;
+            let running = Arc::clone(&crowd.running);
+            let announcement = announcement(number);
+            start(move || {
+                while running.load(Ordering::Relaxed) {
+                    let stream = client.open(control, CallKind::Fleet);
+                    if let Err(error) = announce(&stream, &announcement, &running) {
+                        log::debug!("an agent starts anew: {error}");
+                    }
+                    std::thread::sleep(RENEW_INTERVAL);
+                }
+            })?;
+        }
+        Ok(crowd)
+    }
+
+    /// `count` members that grant every lease, and where each listens.
+    pub(super) fn members(count: usize) -> Result<(Self, Vec<SocketAddr>), CommandError> {
+        let mut crowd = Self::new();
+        let mut addresses = Vec::new();
+        for _ in 0..count {
+            let server = serve(grant_leases)?;
+            addresses.push(server.address());
+            crowd._servers.push(server);
+        }
+        Ok((crowd, addresses))
+    }
+
+    /// A control host that puts whoever announces itself before `members`, at the head of a
+    /// group.
+    pub(super) fn assigning(
+        listen: SocketAddr,
+        members: Vec<SocketAddr>,
+    ) -> Result<Self, CommandError> {
+        let mut crowd = Self::new();
+        let handler = move |stream: LinkStream| assign(&stream, &members);
+        let server = serve_at(listen, handler)?;
+        crowd._servers.push(server);
+        Ok(crowd)
+    }
+
+    /// The oldest rules revision that a watcher still has.
+    pub(super) fn oldest_revision(&self) -> u64 {
+        self.seen.iter().map(|seen| seen.load(Ordering::Relaxed)).min().unwrap_or_default()
+    }
+}
+
+fn connect() -> Result<LinkClient, CommandError> {
+    let settings = ClientSettings { token: TOKEN.to_owned(), connect_timeout: ANSWER_WAIT };
+    LinkClient::start("stand-in", settings).map_err(CommandError::refused)
+}
+
+fn start(run: impl FnOnce() + Send + 'static) -> Result<(), CommandError> {
+    spawn_worker("stand-in", WORKER_STACK_BYTES, run).map(drop).map_err(CommandError::refused)
+}
+
+fn serve(handler: fn(LinkStream)) -> Result<LinkServer, CommandError> {
+    serve_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), handler)
+}
+
+/// Serves each stream on a thread of its own.
+fn serve_at(
+    listen: SocketAddr,
+    handler: impl Fn(LinkStream) + Send + Sync + 'static,
+) -> Result<LinkServer, CommandError> {
+    let handler = Arc::new(handler);
+    let spawn = move |stream| {
+        let handler = Arc::clone(&handler);
+        if let Err(error) = start(move || handler(stream)) {
+            log::error!("a stand-in cannot serve: {error}");
+        }
+    };
+    LinkServer::start(listen, TOKEN, Box::new(spawn)).map_err(CommandError::refused)
+}
+
+fn watch(
+    stream: &(LinkWriter, LinkReader),
+    node: &NodeName,
+    running: &AtomicBool,
+    seen: &AtomicU64,
+) -> Result<(), LinkError> {
+    let (writer, reader) = stream;
+    let mut nonce = LeaseNonce::default();
+    let mut adopted = 0;
+    while running.load(Ordering::Relaxed) {
+        nonce = nonce.next();
+        writer.send(&WatchRequest { node: node.clone(), nonce, adopted })?;
+        let reply: WatchReply = reader.receive(ANSWER_WAIT)?;
+        if let Some(snapshot) = reply.snapshot {
+            adopted = snapshot.version;
+            seen.store(snapshot.revision.0, Ordering::Relaxed);
+        }
+        std::thread::sleep(RENEW_INTERVAL);
+    }
+    Ok(())
+}
+
+fn announcement(number: usize) -> HostAnnouncement {
+    HostAnnouncement {
+        host: HostName::new(&format!("host-{number}")),
+        zone: "zone-1".into(),
+        domain: "rack-1".into(),
+        provider: "local".into(),
+        service: "not-declared".into(),
+        accelerators: 8,
+        link: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        checks_fencing: false,
+        incarnation: number as u64,
+        leaving: false,
+    }
+}
+
+fn announce(
+    stream: &(LinkWriter, LinkReader),
+    announcement: &HostAnnouncement,
+    running: &AtomicBool,
+) -> Result<(), LinkError> {
+    let (writer, reader) = stream;
+    while running.load(Ordering::Relaxed) {
+        writer.send(&AgentReport::Announce(announcement.clone()))?;
+        match reader.receive::<ControlDirective>(ANNOUNCE_INTERVAL) {
+            Ok(_) | Err(LinkError::TimedOut) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
+fn grant_leases(stream: LinkStream) {
+    while let Ok(request) = stream.reader.receive::<MemberRequest>(ANSWER_WAIT) {
+        let MemberRequest::Lease { nonce, .. } = request;
+        let reply = MemberReply::Granted { nonce, duration_ms: PROMISE_MS, endpoint_ready: true };
+        if stream.writer.send(&reply).is_err() {
+            return;
+        }
+    }
+}
+
+fn assign(stream: &LinkStream, members: &[SocketAddr]) {
+    let mut told = false;
+    while let Ok(report) = stream.reader.receive::<AgentReport>(ANSWER_WAIT) {
+        let AgentReport::Announce(announcement) = report else { continue };
+        if told {
+            continue;
+        }
+        let directive = ControlDirective::Assign(group_of(&announcement, members));
+        told = stream.writer.send(&directive).is_ok();
+    }
+}
+
+fn group_of(first: &HostAnnouncement, members: &[SocketAddr]) -> GroupAssignment {
+    let head = GroupMember { host: first.host.clone(), link: first.link };
+    let others = members.iter().enumerate().map(|(number, link)| GroupMember {
+        host: HostName::new(&format!("member-{number}")),
+        link: *link,
+    });
+    GroupAssignment {
+        group: GroupId(1),
+        fencing: FencingNumber(1),
+        service: first.service.clone(),
+        members: std::iter::once(head).chain(others).collect(),
+        capacity: 64,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/measure/capacity/usage.rs
@@ -0,0 +1,32 @@
+//! Processor time and memory of one process, as the system counts them.
+
+use std::time::Duration;
+
+/// Clock ticks in a second, as the system states processor time.
+const TICKS_PER_SECOND: u64 = 100;
+
+/// Position of user time in the status line, counted behind the program's name.
+const USER_TIME_FIELD: usize = 11;
+
+/// What a process has used so far.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub(super) struct ProcessUsage {
+    pub(super) cpu: Duration,
+    pub(super) resident_bytes: u64,
+}
+
+/// Reads the usage of process `id`; `None` when it is gone.
+pub(super) fn read_usage(id: u32) -> Option<ProcessUsage> {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    // The program's name may hold spaces; the fields follow its closing parenthesis.
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks = |at: usize| fields.get(at)?.parse::<u64>().ok();
+    let used = ticks(USER_TIME_FIELD)? + ticks(USER_TIME_FIELD + 1)?;
+    let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kilobytes: u64 = resident.split_whitespace().next()?.parse().ok()?;
+    Some(ProcessUsage {
+        cpu: Duration::from_millis(used * 1000 / TICKS_PER_SECOND),
+        resident_bytes: kilobytes * 1024,
+    })
+}
--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -1,5 +1,6 @@
 //! `briartray measure`: measurements that stand in the design notes, one module each.
 
+mod capacity;
 mod overhead;
 
 use gumdrop::Options;
@@ -18,11 +19,14 @@
 enum MeasureCommand {
     #[options(help = "what entry and agent add over the engine called directly")]
     Overhead(overhead::OverheadOptions),
+    #[options(help = "what one more of something costs each role, and the capacity page")]
+    Capacity(capacity::CapacityOptions),
 }
 
 pub(super) fn run(options: &MeasureOptions) -> Result<(), CommandError> {
     match &options.command {
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
+        Some(MeasureCommand::Capacity(options)) => capacity::run(options),
         None => Err(CommandError::unusable("name a measurement; see briartray measure --help")),
     }
 }
