--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,3 +1,6 @@
-//! Control state: the aggregates that must survive, and the commands that change them.
+//! Control state: the aggregates that must survive, the log by which control hosts agree on
+//! them, and the data folder that keeps the log.
 
+pub mod agreement;
 pub mod state;
+pub mod storage;
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -14,6 +14,7 @@
 pub use rules::{AcceptedRules, RuleShelf};
 pub use stops::StopBook;
 
+use briartray_model::codec::{self, CodecError};
 use serde::{Deserialize, Serialize};
 
 /// Everything that control hosts agree on.
@@ -30,6 +31,24 @@
 }
 
 impl ControlState {
+    /// Encodes the whole state for a snapshot.
+    ///
+    /// # Errors
+    /// `CodecError::Encode` when a part has no encoding.
+    pub fn encode(&self) -> Result<Vec<u8>, CodecError> {
+        codec::encode(self)
+    }
+
+    /// Decodes a snapshot, whose checksum was checked when it was read; it may be larger than a
+    /// message.
+    ///
+    /// # Errors
+    /// `CodecError::Decode` when the snapshot is of another version.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
+        let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+        decoded.map(|(state, _)| state).map_err(|source| CodecError::Decode { source })
+    }
+
     /// Applies one committed command.
     pub fn apply(&mut self, command: &ControlCommand) -> CommandOutcome {
         match command {
--- /dev/null
+++ b/crates/control/src/storage/record.rs
@@ -0,0 +1,114 @@
+//! Records of the log: a head of fixed size, then the payload.
+//!
+//! Head: length of the payload (4 bytes), checksum of all that follows (4), index (8), term (8),
+//! number of the sync (8), records of that sync still to come (4); little endian.
+
+use briartray_model::codec;
+use briartray_model::names::{LogIndex, TermNumber};
+
+use crate::agreement::{EntryPayload, LogEntry};
+
+/// Bytes before the payload.
+pub(super) const HEAD_BYTES: usize = 36;
+
+/// Largest payload that is taken for one.
+const MAX_PAYLOAD: usize = 16 * 1024 * 1024;
+
+/// Which sync a record belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) struct SyncMark {
+    /// Number of the sync; grows by one.
+    pub(super) number: u64,
+    /// Records of it that follow.
+    pub(super) left: u32,
+}
+
+/// A record that was read.
+#[derive(Debug)]
+pub(super) struct ReadRecord {
+    pub(super) entry: LogEntry,
+    pub(super) mark: SyncMark,
+    pub(super) size: usize,
+}
+
+/// Adds the record of `entry` to `bytes`.
+pub(super) fn write_record(bytes: &mut Vec<u8>, entry: &LogEntry, mark: SyncMark) {
+    let payload = encode_payload(&entry.payload);
+    let start = bytes.len();
+    bytes.extend_from_slice(&u32::try_from(payload.len()).unwrap_or(u32::MAX).to_le_bytes());
+    bytes.extend_from_slice(&[0; 4]);
+    bytes.extend_from_slice(&entry.index.0.to_le_bytes());
+    bytes.extend_from_slice(&entry.term.0.to_le_bytes());
+    bytes.extend_from_slice(&mark.number.to_le_bytes());
+    bytes.extend_from_slice(&mark.left.to_le_bytes());
+    bytes.extend_from_slice(&payload);
+    let checksum = checksum(&bytes[start..]);
+    bytes[start + 4..start + 8].copy_from_slice(&checksum.to_le_bytes());
+}
+
+/// Reads the record at the start of `bytes`; `None` when there is no whole one.
+pub(super) fn read_record(bytes: &[u8]) -> Option<ReadRecord> {
+    let length = usize::try_from(number(bytes, 0, 4)?).ok()?;
+    let size = HEAD_BYTES.checked_add(length).filter(|_| length <= MAX_PAYLOAD)?;
+    let record = bytes.get(..size)?;
+    if number(record, 4, 4)? != u64::from(checksum(record)) {
+        return None;
+    }
+    let payload = decode_payload(&record[HEAD_BYTES..])?;
+    let entry = LogEntry {
+        index: LogIndex(number(record, 8, 8)?),
+        term: TermNumber(number(record, 16, 8)?),
+        payload,
+    };
+    let left = u32::try_from(number(record, 32, 4)?).ok()?;
+    Some(ReadRecord { entry, mark: SyncMark { number: number(record, 24, 8)?, left }, size })
+}
+
+/// The index that a record at the start of `bytes` would have, without checking it.
+pub(super) fn peek_index(bytes: &[u8]) -> Option<u64> {
+    number(bytes, 8, 8)
+}
+
+fn checksum(record: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&record[..4]);
+    hasher.update(&record[8..]);
+    hasher.finalize()
+}
+
+fn number(bytes: &[u8], start: usize, width: usize) -> Option<u64> {
+    let mut buffer = [0; 8];
+    buffer[..width].copy_from_slice(bytes.get(start..start + width)?);
+    Some(u64::from_le_bytes(buffer))
+}
+
+const KIND_BLANK: u8 = 0;
+const KIND_ADMIT: u8 = 1;
+const KIND_COMMAND: u8 = 2;
+
+fn encode_payload(payload: &EntryPayload) -> Vec<u8> {
+    match payload {
+        EntryPayload::Blank => vec![KIND_BLANK],
+        EntryPayload::Admit(seat) => {
+            let mut bytes = vec![KIND_ADMIT];
+            bytes.extend(codec::encode(seat).expect("a seat is plain data"));
+            bytes
+        }
+        EntryPayload::Command(command) => {
+            let mut bytes = Vec::with_capacity(command.len() + 1);
+            bytes.push(KIND_COMMAND);
+            bytes.extend_from_slice(command);
+            bytes
+        }
+    }
+}
+
+fn decode_payload(bytes: &[u8]) -> Option<EntryPayload> {
+    let (kind, rest) = bytes.split_first()?;
+    match *kind {
+        KIND_BLANK => Some(EntryPayload::Blank),
+        KIND_ADMIT => codec::decode(rest).ok().map(EntryPayload::Admit),
+        KIND_COMMAND => Some(EntryPayload::Command(rest.to_vec())),
+        _ => None,
+    }
+}
