Run control state through the replicated log

Cause: the control thread applied commands at once to one copy in memory. Change: commands are proposed, synced on a majority and applied in log order; a storage thread syncs, peers exchange messages on peer streams, renewals and looks at rules and groups wait for a confirmed read, hosts that do not lead close agents' and entries' streams. A new leader takes known groups as whole until their first hosts report, and dissolves none for eight seconds.

Three real hosts are not tried yet.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -41,5 +41,8 @@
     signals.forever().next();
     log::info!("stopping");
     daemon.stop();
-    Ok(())
+    match daemon.failure() {
+        Some(detail) => Err(detail.to_owned()),
+        None => Ok(()),
+    }
 }
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -1,18 +1,29 @@
-//! The control thread: submits commands, plans groups, answers entries and operators.
+//! The control thread: steps the agreement, plans groups, answers entries and operators.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use briartray_control::agreement::{
+    AgreementCore, MemberRole, ProposalRefusal, ProposalToken, ReadToken, WriteBatch,
+};
 use briartray_control::state::{CommandOutcome, ControlCommand, ControlState};
 use briartray_link::LinkWriter;
-use briartray_model::message::{LedgerReply, RoutingSnapshot, WatchReply, WatchRequest};
+use briartray_model::message::{RoutingSnapshot, WatchReply, WatchRequest};
+use briartray_model::names::TermNumber;
 use briartray_model::rules::RuleBook;
+use briartray_model::{SortedTable, TimePoint, codec};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use serde_json::{Value, json};
 
 use super::fleet::FleetRoster;
 use super::input::{ControlInput, InspectKind};
+use super::origin::{InspectAnswer, ProposalOrigin, ReadOrigin};
+use super::peers::PeerLinks;
 use super::planning::PlanDriver;
+use super::shared::ControlShared;
+use super::version::SnapshotVersion;
 use crate::ClockReader;
+use crate::metrics::AgreementMetrics;
 
 /// Time between two rounds of planning.
 const TICK: Duration = Duration::from_millis(200);
@@ -20,120 +31,228 @@
 /// How long an entry may hold its rules as confirmed, in milliseconds from its request.
 const RULES_LEASE_MS: u32 = 3000;
 
-/// Who waits for the outcome of a command.
+/// Inputs that share one step of the agreement, and so one sync, at most.
+const MAX_INPUTS_PER_STEP: usize = 1024;
+
+/// How long a new leader lets agents reconnect before it dissolves a group for a missing host.
+///
+/// Agents of a leader that went silent notice it after 3 s and try each control host in turn.
+pub(super) const RECONNECT_GRACE: Duration = Duration::from_secs(8);
+
+/// What a leader keeps while it leads.
 #[derive(Debug)]
-pub(super) enum ProposalOrigin {
-    /// The planner, which looks at the state again on its next round.
-    Planner,
-    /// An operator.
-    Operator(Sender<CommandOutcome>),
-    /// An entry that asked the ledger.
-    Ledger(LinkWriter),
+pub(super) struct Leadership {
+    pub(super) term: TermNumber,
+    pub(super) since: TimePoint,
+    /// Whether everything committed before is applied here.
+    pub(super) established: bool,
+    /// Proposals of the planner that are not committed yet.
+    pub(super) plans_open: usize,
+}
+
+/// The parts that a control thread is made of.
+pub(super) struct ControlParts {
+    pub(super) clock: ClockReader,
+    pub(super) agreement: AgreementCore,
+    pub(super) disk: Sender<WriteBatch>,
+    pub(super) peers: PeerLinks,
+    pub(super) shared: Arc<ControlShared>,
+    pub(super) metrics: AgreementMetrics,
+    /// Rules to start with when nothing was ever accepted.
+    pub(super) first_rules: Option<String>,
 }
 
 /// State and soft knowledge of one control host.
 pub(super) struct ControlCore {
-    clock: ClockReader,
-    state: ControlState,
-    book: RuleBook,
-    roster: FleetRoster,
+    pub(super) parts: ControlParts,
+    pub(super) state: ControlState,
+    pub(super) book: RuleBook,
+    pub(super) roster: FleetRoster,
     planner: PlanDriver,
-    snapshot_version: u64,
+    pub(super) version: SnapshotVersion,
+    pub(super) leadership: Option<Leadership>,
+    pub(super) proposals: SortedTable<ProposalToken, ProposalOrigin>,
+    pub(super) reads: SortedTable<ReadToken, ReadOrigin>,
+    next_token: u64,
 }
 
 impl ControlCore {
-    pub(super) fn new(clock: ClockReader) -> Self {
+    pub(super) fn new(parts: ControlParts) -> Self {
         Self {
-            clock,
+            parts,
             state: ControlState::default(),
             book: RuleBook::default(),
             roster: FleetRoster::default(),
             planner: PlanDriver::default(),
-            snapshot_version: 1,
+            version: SnapshotVersion::default(),
+            leadership: None,
+            proposals: SortedTable::new(),
+            reads: SortedTable::new(),
+            next_token: 0,
         }
     }
 
     /// Runs until told to stop.
     pub(super) fn run(mut self, queue: &Receiver<ControlInput>) {
-        let mut next_tick = self.clock.now().after(TICK);
+        let mut next_tick = self.now();
         loop {
-            let wait = next_tick.since(self.clock.now());
-            match queue.recv_timeout(wait) {
-                Ok(ControlInput::Stop) | Err(RecvTimeoutError::Disconnected) => return,
-                Ok(input) => self.handle(input),
-                Err(RecvTimeoutError::Timeout) => {}
-            }
-            if self.clock.now() >= next_tick {
+            self.parts.agreement.tick(self.now());
+            if self.now() >= next_tick {
                 self.tick();
-                next_tick = self.clock.now().after(TICK);
+                next_tick = self.now().after(TICK);
+            }
+            while self.advance() {}
+            let until = next_tick.min(self.parts.agreement.deadline());
+            let first = match queue.recv_timeout(until.since(self.now())) {
+                Ok(input) => input,
+                Err(RecvTimeoutError::Timeout) => continue,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            for input in std::iter::once(first).chain(queue.try_iter().take(MAX_INPUTS_PER_STEP)) {
+                if matches!(input, ControlInput::Stop) {
+                    return;
+                }
+                self.handle(input);
             }
         }
     }
 
+    pub(super) fn now(&self) -> TimePoint {
+        self.parts.clock.now()
+    }
+
     /// Submits `command`; whoever waits learns the outcome once it is committed and applied.
     pub(super) fn submit(&mut self, command: &ControlCommand, origin: ProposalOrigin) {
-        let outcome = self.state.apply(command);
-        self.follow_up(&outcome);
-        answer(origin, outcome);
+        let now = self.now();
+        let token = ProposalToken(self.take_token());
+        let encoded = match codec::encode(command) {
+            Ok(encoded) => encoded,
+            Err(error) => {
+                log::error!("a command has no encoding: {error}");
+                return origin.unknown();
+            }
+        };
+        match self.parts.agreement.propose(now, token, encoded) {
+            Ok(()) => {
+                if let (ProposalOrigin::Planner, Some(lead)) = (&origin, &mut self.leadership) {
+                    lead.plans_open += 1;
+                }
+                self.proposals.insert(token, origin);
+            }
+            Err(refusal) => origin.refused(refusal),
+        }
+    }
+
+    /// Lets `origin` wait until a majority confirms that this host leads.
+    fn confirm(&mut self, origin: ReadOrigin) {
+        let now = self.now();
+        let token = ReadToken(self.take_token());
+        match self.parts.agreement.read(now, token) {
+            Ok(()) => {
+                self.reads.insert(token, origin);
+            }
+            Err(ProposalRefusal::NotLeader { leader }) => origin.not_leader(leader),
+            Err(_) => origin.not_leader(None),
+        }
+    }
+
+    fn take_token(&mut self) -> u64 {
+        self.next_token += 1;
+        self.next_token
     }
 
     /// Does what follows from a command that was applied.
-    fn follow_up(&mut self, outcome: &CommandOutcome) {
+    pub(super) fn follow_up(&mut self, outcome: &CommandOutcome) {
         match outcome {
             CommandOutcome::RulesAccepted { .. } => self.adopt_rules(),
             CommandOutcome::GroupFormed { .. } | CommandOutcome::GroupDissolved { .. } => {
-                self.snapshot_version += 1;
-                self.roster.direct(&self.state.groups);
+                self.version.bump();
+                if self.is_established() {
+                    self.roster.direct(&self.state.groups);
+                }
             }
             _ => {}
         }
     }
 
-    fn adopt_rules(&mut self) {
+    pub(super) fn adopt_rules(&mut self) {
         let current = self.state.rules.current();
         match RuleBook::build(current.revision, &current.text) {
             Ok(book) => self.book = book,
             Err(error) => log::error!("accepted rules do not load: {error}"),
         }
-        self.snapshot_version += 1;
+        self.version.bump();
     }
 
     fn handle(&mut self, input: ControlInput) {
-        let now = self.clock.now();
+        let now = self.now();
+        let leads = self.leadership.is_some();
         match input {
-            ControlInput::FleetOpened { session, writer } => self.roster.open(session, writer),
-            ControlInput::FleetReport { session, report } => {
-                if self.roster.report(now, session, report) {
-                    self.snapshot_version += 1;
-                }
+            ControlInput::Peer(message) => self.parts.agreement.receive(now, message),
+            ControlInput::Stored { ticket } => self.parts.agreement.stored(now, ticket),
+            ControlInput::Watch { request, writer } => {
+                self.confirm(ReadOrigin::Watch(request, writer));
             }
-            ControlInput::FleetClosed { session } => self.roster.close(now, session),
-            ControlInput::Watch { request, writer } => self.answer_watch(&request, &writer),
             ControlInput::Ledger { request, writer } => {
                 self.submit(&ControlCommand::Ledger(request), ProposalOrigin::Ledger(writer));
             }
             ControlInput::Propose { command, reply } => {
                 self.submit(&command, ProposalOrigin::Operator(reply));
             }
+            ControlInput::Inspect { what: InspectKind::Status, reply } => {
+                let _ = reply.send(InspectAnswer::Shown(self.inspect(InspectKind::Status)));
+            }
             ControlInput::Inspect { what, reply } => {
-                let _ = reply.send(self.inspect(what));
+                self.confirm(ReadOrigin::Inspect(what, reply));
             }
+            // Agents belong to the leader; a dropped writer ends their stream.
+            ControlInput::FleetOpened { .. } | ControlInput::FleetReport { .. } if !leads => {}
+            ControlInput::FleetOpened { session, writer } => self.roster.open(session, writer),
+            ControlInput::FleetReport { session, report } => {
+                if self.roster.report(now, session, report) {
+                    self.version.bump();
+                }
+            }
+            ControlInput::FleetClosed { session } => self.roster.close(now, session),
             ControlInput::Stop => {}
         }
     }
 
     fn tick(&mut self) {
-        let now = self.clock.now();
+        if !self.is_established() {
+            return;
+        }
+        let now = self.now();
         self.roster.prune(now, &self.state.groups);
         self.roster.direct(&self.state.groups);
+        if self.roster.settle(now, &self.state.groups) {
+            self.version.bump();
+        }
+        self.plan(now);
+    }
+
+    fn plan(&mut self, now: TimePoint) {
+        let Some(leadership) = &self.leadership else { return };
+        if leadership.plans_open > 0 {
+            return;
+        }
+        let in_grace = now.since(leadership.since) < RECONNECT_GRACE;
         let view = self.roster.view(&self.state.groups);
         for command in self.planner.step(&view, &self.book) {
+            // A host that is missing now may only not have found the new leader yet.
+            if in_grace && matches!(command, ControlCommand::DissolveGroup { .. }) {
+                continue;
+            }
             self.submit(&command, ProposalOrigin::Planner);
         }
     }
 
-    fn answer_watch(&mut self, request: &WatchRequest, writer: &LinkWriter) {
-        let newer = request.adopted != self.snapshot_version;
+    pub(super) fn is_established(&self) -> bool {
+        self.leadership.as_ref().is_some_and(|leadership| leadership.established)
+    }
+
+    pub(super) fn answer_watch(&mut self, request: &WatchRequest, writer: &LinkWriter) {
+        let newer = request.adopted != self.version.number();
         let reply = WatchReply {
             nonce: request.nonce,
             lease_ms: RULES_LEASE_MS,
@@ -146,7 +265,7 @@
     fn snapshot(&self) -> RoutingSnapshot {
         let rules = self.state.rules.current();
         RoutingSnapshot {
-            version: self.snapshot_version,
+            version: self.version.number(),
             revision: rules.revision,
             rules: rules.text.clone(),
             groups: self.roster.records(&self.state.groups),
@@ -154,10 +273,16 @@
         }
     }
 
-    fn inspect(&self, what: InspectKind) -> Value {
+    pub(super) fn inspect(&self, what: InspectKind) -> Value {
         let rules = self.state.rules.current();
+        let agreement = &self.parts.agreement;
         match what {
             InspectKind::Status => json!({
+                "role": role_name(agreement.role()),
+                "term": agreement.term().0,
+                "leader": agreement.leader(),
+                "commit": agreement.commit().0,
+                "last": agreement.last_index().0,
                 "revision": rules.revision.0,
                 "hosts": self.roster.connected_hosts(),
                 "groups": self.state.groups.groups().count(),
@@ -169,18 +294,11 @@
     }
 }
 
-fn answer(origin: ProposalOrigin, outcome: CommandOutcome) {
-    match origin {
-        ProposalOrigin::Planner => log::info!("plan: {outcome:?}"),
-        ProposalOrigin::Operator(reply) => {
-            let _ = reply.send(outcome);
-        }
-        ProposalOrigin::Ledger(writer) => {
-            let reply = match outcome {
-                CommandOutcome::Ledger(reply) => reply,
-                _ => LedgerReply::Unavailable,
-            };
-            let _ = writer.try_send(&reply);
-        }
+fn role_name(role: MemberRole) -> &'static str {
+    match role {
+        MemberRole::Learner => "learner",
+        MemberRole::Follower => "follower",
+        MemberRole::Candidate => "candidate",
+        MemberRole::Leader => "leader",
     }
 }
--- a/crates/node/src/control/fleet.rs
+++ b/crates/node/src/control/fleet.rs
@@ -9,8 +9,12 @@
 use briartray_model::{SortedTable, TimePoint};
 use briartray_placement::planner::{FleetView, GroupView, HostView};
 
+use super::core::RECONNECT_GRACE;
 use super::input::SessionId;
 
+/// How long after a group's first host is back its report is waited for.
+const REPORT_WAIT: Duration = Duration::from_secs(1);
+
 /// How long a host that went away is remembered.
 const FORGET_AFTER: Duration = Duration::from_secs(3600);
 
@@ -35,6 +39,9 @@
     sessions: SortedTable<SessionId, LinkWriter>,
     hosts: SortedTable<HostName, KnownHost>,
     health: SortedTable<GroupId, GroupHealth>,
+    /// Groups of an earlier leader whose first hosts have not reported to this one yet.
+    expected: Vec<GroupId>,
+    expected_since: Option<TimePoint>,
 }
 
 impl FleetRoster {
@@ -120,6 +127,36 @@
         }
     }
 
+    /// Takes every group of `registry` as whole until its first host reports.
+    ///
+    /// Agents need a moment to find a new leader. Calling their groups broken meanwhile would
+    /// stop entries from using replicas that serve; the agents themselves refuse what must not
+    /// run, so nothing unsafe follows from calling a broken group whole.
+    pub(super) fn expect_groups(&mut self, registry: &GroupRegistry) {
+        self.expected = registry.groups().map(|group| group.assignment.group).collect();
+        self.expected_since = None;
+    }
+
+    /// Ends the waiting for reports that are overdue; `true` when entries must learn of it.
+    pub(super) fn settle(&mut self, now: TimePoint, registry: &GroupRegistry) -> bool {
+        let since = *self.expected_since.get_or_insert(now);
+        if self.expected.is_empty() {
+            return false;
+        }
+        let before = self.expected.len();
+        let over = now.since(since) >= RECONNECT_GRACE;
+        let mut expected = std::mem::take(&mut self.expected);
+        expected.retain(|group| !over && self.report_may_come(now, registry, *group));
+        self.expected = expected;
+        self.expected.len() != before
+    }
+
+    fn report_may_come(&self, now: TimePoint, registry: &GroupRegistry, group: GroupId) -> bool {
+        let first = registry.group(group).and_then(|group| group.assignment.members.first());
+        let Some(first) = first.filter(|_| !self.health.contains_key(&group)) else { return false };
+        self.hosts.get(&first.host).is_none_or(|host| now.since(host.since) < REPORT_WAIT)
+    }
+
     /// Forgets hosts that went away long ago and groups that are gone.
     pub(super) fn prune(&mut self, now: TimePoint, registry: &GroupRegistry) {
         self.hosts.retain(|name, host| {
@@ -189,6 +226,9 @@
     }
 
     fn is_whole(&self, group: GroupId) -> bool {
-        self.health.get(&group).is_some_and(|health| health.whole)
+        match self.health.get(&group) {
+            Some(health) => health.whole,
+            None => self.expected.binary_search(&group).is_ok(),
+        }
     }
 }
--- a/crates/node/src/control/input.rs
+++ b/crates/node/src/control/input.rs
@@ -1,10 +1,12 @@
 //! What reaches the control thread.
 
-use briartray_control::state::{CommandOutcome, ControlCommand};
+use briartray_control::agreement::PeerMessage;
+use briartray_control::state::ControlCommand;
 use briartray_link::LinkWriter;
 use briartray_model::message::{AgentReport, LedgerRequest, WatchRequest};
 use crossbeam::channel::Sender;
-use serde_json::Value;
+
+use super::origin::{InspectAnswer, ProposalAnswer};
 
 /// Number of one agent's stream, unique in the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -13,6 +15,10 @@
 /// One input of the control thread.
 #[derive(Debug)]
 pub(super) enum ControlInput {
+    /// Another control host said something.
+    Peer(PeerMessage),
+    /// A batch of writes is synced.
+    Stored { ticket: u64 },
     /// An agent opened a stream.
     FleetOpened { session: SessionId, writer: LinkWriter },
     /// An agent reported.
@@ -24,9 +30,9 @@
     /// An entry asks the ledger.
     Ledger { request: LedgerRequest, writer: LinkWriter },
     /// An operator changes something.
-    Propose { command: ControlCommand, reply: Sender<CommandOutcome> },
+    Propose { command: ControlCommand, reply: Sender<ProposalAnswer> },
     /// An operator looks at something.
-    Inspect { what: InspectKind, reply: Sender<Value> },
+    Inspect { what: InspectKind, reply: Sender<InspectAnswer> },
     /// The process ends.
     Stop,
 }
@@ -34,7 +40,7 @@
 /// What an operator may look at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum InspectKind {
-    /// Revision, hosts and groups in short.
+    /// Revision, hosts and groups in short, as far as this host knows.
     Status,
     /// Every group.
     Groups,
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,24 +1,40 @@
-//! The control role: one thread owns the state; streams and operators talk to it by channel.
+//! The control role: one thread owns the state; streams, the disk and operators talk to it by
+//! channel.
 
 mod core;
+mod disk;
 mod fleet;
 mod input;
 mod operator;
+mod origin;
+mod peers;
 mod planning;
+mod replication;
+mod shared;
 mod streams;
+mod version;
 
 use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
 
-use briartray_control::state::{CommandOutcome, ControlCommand};
+use briartray_control::agreement::{
+    AgreementCore, AgreementSettings, AgreementTimes, FolderId, RecoveredState,
+};
+use briartray_control::storage::{DataFolder, FileAccess, OpenedFolder};
 use briartray_link::LinkServer;
+use briartray_model::names::NodeName;
+use briartray_model::rules::RuleDocument;
 use briartray_model::settings::{ControlSettings, DaemonSettings};
 use briartray_web::{HttpListener, WORKER_STACK_BYTES, spawn_worker};
 use crossbeam::channel::{Sender, bounded};
 
-use self::core::{ControlCore, ProposalOrigin};
+use self::core::{ControlCore, ControlParts};
 use self::input::ControlInput;
-use crate::metrics::MetricsHub;
-use crate::{ClockReader, DaemonError, new_change};
+use self::peers::PeerLinks;
+use self::shared::ControlShared;
+use crate::metrics::{AgreementMetrics, MetricsHub};
+use crate::{ClockReader, DaemonError};
 
 /// Inputs that may wait for the control thread.
 const INPUT_QUEUE: usize = 4096;
@@ -34,30 +50,65 @@
     link: LinkServer,
     operator: HttpListener,
     inputs: Sender<ControlInput>,
+    shared: Arc<ControlShared>,
 }
 
 impl ControlNode {
-    /// Starts the control thread, its link port and its operator port.
+    /// Opens the data folder and starts the control thread, its link port and its operator port.
     ///
     /// # Errors
-    /// A `DaemonError` when a port or the first rules cannot be used.
+    /// A `DaemonError` when the data folder, a port or the first rules cannot be used.
     pub fn start(
         settings: &DaemonSettings,
         role: &ControlSettings,
         metrics: &MetricsHub,
     ) -> Result<Self, DaemonError> {
-        let mut core = ControlCore::new(ClockReader::start());
-        if let Some(path) = &role.first_rules {
-            adopt_first_rules(&mut core, path)?;
-        }
+        let first_rules = match &role.first_rules {
+            Some(path) => Some(read_first_rules(path)?),
+            None => None,
+        };
+        let members: Vec<NodeName> =
+            settings.cluster.control.iter().map(|peer| peer.node.clone()).collect();
+        let fresh = FolderId(rand::random());
+        let OpenedFolder { folder, id, recovered } = DataFolder::open(
+            &role.data_folder,
+            &settings.node,
+            &members,
+            fresh,
+            FileAccess::default(),
+        )?;
+        let clock = ClockReader::start();
+        let agreement = step_core(clock, settings, members, id, recovered);
+        let shared = Arc::new(ControlShared::default());
+        let agreement_metrics = metrics.add(AgreementMetrics::register);
         let (inputs, queue) = bounded(INPUT_QUEUE);
-        spawn_worker("control", CONTROL_STACK_BYTES, move || core.run(&queue))?;
-        let stream_inputs = inputs.clone();
-        let handler = Box::new(move |stream| streams::accept(stream, &stream_inputs));
+        let handler = {
+            let (inputs, shared) = (inputs.clone(), Arc::clone(&shared));
+            Box::new(move |stream| streams::accept(stream, &inputs, &shared))
+        };
         let link = LinkServer::start(role.link, &settings.cluster.token, handler)?;
         let operator =
             operator::listen(role, MAX_OPERATOR_REQUESTS, inputs.clone(), metrics.clone())?;
-        Ok(Self { link, operator, inputs })
+        let parts = ControlParts {
+            clock,
+            agreement,
+            disk: disk::start(
+                folder,
+                inputs.clone(),
+                Arc::clone(&shared),
+                agreement_metrics.clone(),
+            )?,
+            peers: PeerLinks::start(
+                &settings.cluster.token,
+                &settings.node,
+                &settings.cluster.control,
+            )?,
+            shared: Arc::clone(&shared),
+            metrics: agreement_metrics,
+            first_rules,
+        };
+        spawn_worker("control", CONTROL_STACK_BYTES, move || ControlCore::new(parts).run(&queue))?;
+        Ok(Self { link, operator, inputs, shared })
     }
 
     /// Where other processes connect.
@@ -70,6 +121,11 @@
         self.operator.address()
     }
 
+    /// Why the role cannot go on, when its state can no longer be kept.
+    pub fn failure(&self) -> Option<&str> {
+        self.shared.failure()
+    }
+
     /// Stops the role.
     pub fn stop(&self) {
         self.operator.stop();
@@ -78,15 +134,27 @@
     }
 }
 
-fn adopt_first_rules(core: &mut ControlCore, path: &std::path::Path) -> Result<(), DaemonError> {
+fn step_core(
+    clock: ClockReader,
+    settings: &DaemonSettings,
+    members: Vec<NodeName>,
+    folder: FolderId,
+    recovered: RecoveredState,
+) -> AgreementCore {
+    let agreement = AgreementSettings {
+        node: settings.node.clone(),
+        folder,
+        members,
+        times: AgreementTimes::default(),
+        seed: rand::random(),
+    };
+    AgreementCore::new(clock.now(), agreement, recovered)
+}
+
+fn read_first_rules(path: &Path) -> Result<String, DaemonError> {
     let refused =
         |detail: String| DaemonError::FirstRules { path: path.display().to_string(), detail };
     let text = std::fs::read_to_string(path).map_err(|error| refused(error.to_string()))?;
-    let command = ControlCommand::ApplyRules { change: new_change(), expect: None, text };
-    let (reply, outcome) = bounded(1);
-    core.submit(&command, ProposalOrigin::Operator(reply));
-    match outcome.try_recv() {
-        Ok(CommandOutcome::RulesInvalid { detail }) => Err(refused(detail)),
-        _ => Ok(()),
-    }
+    RuleDocument::parse(&text).map_err(|error| refused(error.to_string()))?;
+    Ok(text)
 }
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use briartray_control::agreement::ProposalRefusal;
 use briartray_control::state::{CommandOutcome, ControlCommand};
-use briartray_model::names::{ChangeId, RevisionNumber};
+use briartray_model::names::{ChangeId, NodeName, RevisionNumber};
 use briartray_model::settings::ControlSettings;
 use briartray_web::{
     HttpListener, JsonReply, ListenError, header_value, read_body, reply_json, reply_text,
@@ -15,6 +16,7 @@
 use tiny_http::{Method, Request};
 
 use super::input::{ControlInput, InspectKind};
+use super::origin::{InspectAnswer, ProposalAnswer};
 use crate::metrics::{METRICS_TYPE, MetricsHub};
 
 /// Largest operator request, in bytes.
@@ -82,7 +84,11 @@
     if inputs.send(ControlInput::Inspect { what, reply }).is_err() {
         return no_answer();
     }
-    answer.recv_timeout(ANSWER_WAIT).map_or_else(|_| no_answer(), |body| JsonReply::new(200, body))
+    match answer.recv_timeout(ANSWER_WAIT) {
+        Ok(InspectAnswer::Shown(body)) => JsonReply::new(200, body),
+        Ok(InspectAnswer::NotLeader(leader)) => not_leader(leader.as_ref()),
+        Err(_) => no_answer(),
+    }
 }
 
 fn apply_rules(request: &mut Request, inputs: &Sender<ControlInput>) -> JsonReply {
@@ -99,7 +105,11 @@
     if inputs.send(ControlInput::Propose { command, reply }).is_err() {
         return no_answer();
     }
-    answer.recv_timeout(ANSWER_WAIT).map_or_else(|_| no_answer(), |outcome| describe(&outcome))
+    match answer.recv_timeout(ANSWER_WAIT) {
+        Ok(ProposalAnswer::Done(outcome)) => describe(&outcome),
+        Ok(ProposalAnswer::Refused(refusal)) => refuse(&refusal),
+        Ok(ProposalAnswer::Unknown) | Err(_) => no_answer(),
+    }
 }
 
 fn read_call(request: &mut Request) -> Result<ApplyCall, String> {
@@ -126,6 +136,21 @@
     }
 }
 
+fn refuse(refusal: &ProposalRefusal) -> JsonReply {
+    let message = refusal.to_string();
+    match refusal {
+        ProposalRefusal::NotLeader { leader } => not_leader(leader.as_ref()),
+        ProposalRefusal::Busy => problem(503, "busy", &message),
+        ProposalRefusal::TooLarge { .. } => problem(413, "too_large", &message),
+    }
+}
+
+/// Nothing was done here; the command line goes on to the next control host by this code.
+fn not_leader(leader: Option<&NodeName>) -> JsonReply {
+    let message = "this control host does not lead; ask the leader, or another control host";
+    problem_with(503, "not_leader", message, &json!({ "leader": leader }))
+}
+
 fn no_answer() -> JsonReply {
     problem(503, "no_answer", "the outcome is not known; send the same change id again")
 }
--- /dev/null
+++ b/crates/node/src/control/replication.rs
@@ -0,0 +1,149 @@
+//! What the control thread does with the output of the agreement.
+
+use briartray_control::agreement::{
+    CommittedEntry, EntryPayload, LogDelivery, LogSnapshot, MemberRole,
+};
+use briartray_control::state::{ControlCommand, ControlState};
+use briartray_model::codec;
+use briartray_model::names::RevisionNumber;
+
+use super::core::{ControlCore, Leadership};
+use super::fleet::FleetRoster;
+use super::origin::{InspectAnswer, ProposalOrigin, ReadOrigin};
+use super::version::SnapshotVersion;
+use crate::new_change;
+
+impl ControlCore {
+    /// Carries out everything that follows from the steps so far; `true` when something was
+    /// applied, from which more may follow.
+    pub(super) fn advance(&mut self) -> bool {
+        let now = self.now();
+        let output = self.parts.agreement.drain(now);
+        if let Some(batch) = output.batch {
+            // A closed channel means that the storage thread has failed and the process ends.
+            let _ = self.parts.disk.send(batch);
+        }
+        for (to, message) in output.messages {
+            self.parts.peers.send(&to, message);
+        }
+        for token in output.lost {
+            if let Some(origin) = self.proposals.remove(&token) {
+                origin.unknown();
+            }
+        }
+        self.note_role();
+        let applied = !output.deliveries.is_empty();
+        for delivery in output.deliveries {
+            match delivery {
+                LogDelivery::Entry(committed) => self.apply(committed),
+                LogDelivery::Restore(snapshot) => self.restore(&snapshot),
+            }
+        }
+        for token in output.unconfirmed {
+            if let Some(origin) = self.reads.remove(&token) {
+                origin.not_leader(self.parts.agreement.leader().cloned());
+            }
+        }
+        for token in output.confirmed {
+            if let Some(origin) = self.reads.remove(&token) {
+                self.answer_read(origin);
+            }
+        }
+        self.take_snapshot();
+        self.parts.metrics.note(&self.parts.agreement);
+        applied
+    }
+
+    /// Begins or ends leadership as the agreement says.
+    fn note_role(&mut self) {
+        let term = self.parts.agreement.term();
+        let leads = self.parts.agreement.role() == MemberRole::Leader;
+        let known = self.leadership.as_ref().map(|leadership| leadership.term);
+        if known == leads.then_some(term) {
+            return;
+        }
+        // Agents open new sessions with whoever leads; what the old ones said is out of date.
+        self.roster = FleetRoster::default();
+        self.leadership = None;
+        if leads {
+            let since = self.now();
+            self.version = SnapshotVersion::first_of(term);
+            self.leadership = Some(Leadership { term, since, established: false, plans_open: 0 });
+        }
+        self.parts.shared.set_leading(leads.then_some(term.0));
+    }
+
+    fn apply(&mut self, committed: CommittedEntry) {
+        let CommittedEntry { entry, token } = committed;
+        let origin = token.and_then(|token| self.proposals.remove(&token));
+        if matches!(origin, Some(ProposalOrigin::Planner))
+            && let Some(leadership) = &mut self.leadership
+        {
+            leadership.plans_open = leadership.plans_open.saturating_sub(1);
+        }
+        let own_term = self.leadership.as_ref().is_some_and(|lead| lead.term == entry.term);
+        match entry.payload {
+            EntryPayload::Blank if own_term => self.establish(),
+            EntryPayload::Blank | EntryPayload::Admit(_) => {}
+            EntryPayload::Command(bytes) => self.apply_command(&bytes, origin),
+        }
+    }
+
+    fn apply_command(&mut self, bytes: &[u8], origin: Option<ProposalOrigin>) {
+        let command: ControlCommand = match codec::decode(bytes) {
+            Ok(command) => command,
+            Err(error) => {
+                // Skipping it would make this copy differ from the others.
+                return self.parts.shared.fail(&format!("a committed command: {error}"));
+            }
+        };
+        let outcome = self.state.apply(&command);
+        self.follow_up(&outcome);
+        if let Some(origin) = origin {
+            origin.done(outcome);
+        }
+    }
+
+    /// Starts to act as leader: everything that was committed before is applied here now.
+    fn establish(&mut self) {
+        let Some(leadership) = &mut self.leadership else { return };
+        leadership.established = true;
+        self.version.bump();
+        self.roster.expect_groups(&self.state.groups);
+        let unset = self.state.rules.current().revision == RevisionNumber::default();
+        if let Some(text) = self.parts.first_rules.clone().filter(|_| unset) {
+            // Compared with revision zero, so that it counts only when nothing came first.
+            let expect = Some(RevisionNumber::default());
+            let command = ControlCommand::ApplyRules { change: new_change(), expect, text };
+            self.submit(&command, ProposalOrigin::FirstRules);
+        }
+    }
+
+    fn restore(&mut self, snapshot: &LogSnapshot) {
+        match ControlState::decode(&snapshot.data) {
+            Ok(state) => self.state = state,
+            Err(error) => return self.parts.shared.fail(&format!("a snapshot: {error}")),
+        }
+        self.parts.metrics.restored();
+        self.adopt_rules();
+    }
+
+    fn answer_read(&mut self, origin: ReadOrigin) {
+        match origin {
+            ReadOrigin::Watch(request, writer) => self.answer_watch(&request, &writer),
+            ReadOrigin::Inspect(what, reply) => {
+                let _ = reply.send(InspectAnswer::Shown(self.inspect(what)));
+            }
+        }
+    }
+
+    fn take_snapshot(&mut self) {
+        if !self.parts.agreement.wants_snapshot() {
+            return;
+        }
+        match self.state.encode() {
+            Ok(data) => self.parts.agreement.compact(data),
+            Err(error) => self.parts.shared.fail(&format!("the state: {error}")),
+        }
+    }
+}
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -1,5 +1,6 @@
 //! Turning link streams into inputs of the control thread.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -9,19 +10,37 @@
 use serde::de::DeserializeOwned;
 
 use super::input::{ControlInput, SessionId};
+use super::shared::ControlShared;
 
-/// How long a reader waits before it looks again; a dead path is noticed by the link itself.
-const READ_WAIT: Duration = Duration::from_secs(60);
+/// How long a reader waits before it looks whether this host still leads.
+const READ_WAIT: Duration = Duration::from_millis(500);
 
 static NEXT_SESSION: AtomicU64 = AtomicU64::new(1);
 
 /// Serves one accepted stream on a thread of its own.
-pub(super) fn accept(stream: LinkStream, inputs: &Sender<ControlInput>) {
+///
+/// Agents and entries are served by the leader alone. Any other host closes their streams at
+/// once, and they go on to the next control host.
+pub(super) fn accept(
+    stream: LinkStream,
+    inputs: &Sender<ControlInput>,
+    shared: &Arc<ControlShared>,
+) {
+    let gate = match stream.kind {
+        CallKind::Peer => StreamGate { shared: Arc::clone(shared), term: None },
+        _ => StreamGate { shared: Arc::clone(shared), term: shared.leading() },
+    };
+    if stream.kind != CallKind::Peer && gate.term.is_none() {
+        return;
+    }
     let inputs = inputs.clone();
     let run = move || match stream.kind {
-        CallKind::Fleet => serve_fleet(&stream, &inputs),
-        CallKind::Watch => serve_watch(&stream, &inputs),
-        CallKind::Ledger => serve_ledger(&stream, &inputs),
+        CallKind::Peer => {
+            forward(&stream, &gate, &inputs, |message, _| ControlInput::Peer(message))
+        }
+        CallKind::Fleet => serve_fleet(&stream, &gate, &inputs),
+        CallKind::Watch => serve_watch(&stream, &gate, &inputs),
+        CallKind::Ledger => serve_ledger(&stream, &gate, &inputs),
         kind => log::warn!("a {kind} call came to a control host and was closed"),
     };
     if let Err(error) = spawn_worker("control-stream", WORKER_STACK_BYTES, run) {
@@ -29,39 +48,52 @@
     }
 }
 
-fn serve_fleet(stream: &LinkStream, inputs: &Sender<ControlInput>) {
+/// Tells whether a stream may go on: it ends with the leadership under which it was opened.
+struct StreamGate {
+    shared: Arc<ControlShared>,
+    term: Option<u64>,
+}
+
+impl StreamGate {
+    fn is_open(&self) -> bool {
+        self.term.is_none() || self.term == self.shared.leading()
+    }
+}
+
+fn serve_fleet(stream: &LinkStream, gate: &StreamGate, inputs: &Sender<ControlInput>) {
     let session = SessionId(NEXT_SESSION.fetch_add(1, Ordering::Relaxed));
     let opened = ControlInput::FleetOpened { session, writer: stream.writer.clone() };
     if inputs.send(opened).is_err() {
         return;
     }
-    forward(stream, inputs, |report, _| ControlInput::FleetReport { session, report });
+    forward(stream, gate, inputs, |report, _| ControlInput::FleetReport { session, report });
     let _ = inputs.send(ControlInput::FleetClosed { session });
 }
 
-fn serve_watch(stream: &LinkStream, inputs: &Sender<ControlInput>) {
-    forward(stream, inputs, |request, writer| ControlInput::Watch { request, writer });
+fn serve_watch(stream: &LinkStream, gate: &StreamGate, inputs: &Sender<ControlInput>) {
+    forward(stream, gate, inputs, |request, writer| ControlInput::Watch { request, writer });
 }
 
-fn serve_ledger(stream: &LinkStream, inputs: &Sender<ControlInput>) {
-    forward(stream, inputs, |request, writer| ControlInput::Ledger { request, writer });
+fn serve_ledger(stream: &LinkStream, gate: &StreamGate, inputs: &Sender<ControlInput>) {
+    forward(stream, gate, inputs, |request, writer| ControlInput::Ledger { request, writer });
 }
 
 /// Passes each message on until the stream ends.
 fn forward<T: DeserializeOwned>(
     stream: &LinkStream,
+    gate: &StreamGate,
     inputs: &Sender<ControlInput>,
     wrap: impl Fn(T, LinkWriter) -> ControlInput,
 ) {
-    while let Some(message) = next_message(&stream.reader) {
+    while let Some(message) = next_message(&stream.reader, gate) {
         if inputs.send(wrap(message, stream.writer.clone())).is_err() {
             return;
         }
     }
 }
 
-fn next_message<T: DeserializeOwned>(reader: &LinkReader) -> Option<T> {
-    loop {
+fn next_message<T: DeserializeOwned>(reader: &LinkReader, gate: &StreamGate) -> Option<T> {
+    while gate.is_open() {
         match reader.receive(READ_WAIT) {
             Ok(message) => return Some(message),
             Err(LinkError::TimedOut) => {}
@@ -72,4 +104,5 @@
             }
         }
     }
+    None
 }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -1,5 +1,6 @@
 //! One daemon process: the roles its settings name.
 
+use briartray_control::storage::StorageError;
 use briartray_link::LinkError;
 use briartray_model::settings::DaemonSettings;
 use briartray_web::ListenError;
@@ -25,6 +26,12 @@
         /// Why.
         source: ListenError,
     },
+    /// The data folder cannot be used.
+    #[snafu(display("{source}"), context(false))]
+    Storage {
+        /// Why.
+        source: StorageError,
+    },
     /// A thread could not start.
     #[snafu(display("cannot start a thread: {source}; check the process limits"), context(false))]
     Thread {
@@ -73,6 +80,11 @@
         Ok(Self { control, entry, agent })
     }
 
+    /// Why the process cannot go on, if so; it has raised a signal on itself then.
+    pub fn failure(&self) -> Option<&str> {
+        self.control.as_ref().and_then(ControlNode::failure)
+    }
+
     /// Stops the roles, those before callers first.
     pub fn stop(&self) {
         if let Some(entry) = &self.entry {
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -3,8 +3,10 @@
 //! Each area has a file of its own with a struct of its metrics and a `register` function; the
 //! struct is kept where the area counts.
 
+mod agreement;
 mod request;
 
+pub use agreement::AgreementMetrics;
 pub use request::{OutcomeLabel, RequestMetrics};
 
 use std::sync::{Arc, Mutex, PoisonError};
