Hold the agreement against a naive copy under seeded faults

Cause: nothing brought about the failures the log is made for. Change: a harness that steps 3 and 5 cores in one thread (loss, doubling, reordering, pauses, cuts, restarts, wiped folders, compaction) and ten tests of one fault each.

--- a/crates/control/src/agreement/core.rs
+++ b/crates/control/src/agreement/core.rs
@@ -277,6 +277,10 @@
 
     /// Keeps `data`, the state after every entry delivered so far, and drops what it covers.
     pub fn compact(&mut self, data: Vec<u8>) {
+        let covered = self.snapshot.as_ref().map_or(LogIndex(0), |snapshot| snapshot.meta.index);
+        if self.delivered == covered {
+            return;
+        }
         let Some(term) = self.log.term_at(self.delivered) else { return };
         let meta = super::SnapshotMeta { index: self.delivered, term, seats: self.seats.clone() };
         let snapshot = LogSnapshot { meta, data: std::sync::Arc::new(data) };
--- a/crates/control/src/agreement/seats.rs
+++ b/crates/control/src/agreement/seats.rs
@@ -41,7 +41,7 @@
             return;
         }
         self.hello_at = now.after(self.times.heartbeat);
-        if self.may_found() {
+        if self.founding.is_none() {
             for peer in self.peers() {
                 self.send(peer, PeerBody::Hello);
             }
@@ -66,16 +66,12 @@
         folder: FolderId,
         founding: Option<Vec<MemberSeat>>,
     ) {
-        if !self.may_found() {
-            return;
-        }
         match founding {
-            // Founded with this very folder, so it has not been wiped since.
-            Some(seats) if seats.iter().any(|seat| self.is_own(seat)) => self.found(now, seats),
-            Some(_) => {
-                self.greeted.remove(&from);
-            }
-            None => {
+            // Whether this folder may vote follows from the seats: one that was wiped since the
+            // founding is not among them.
+            Some(seats) if self.founding.is_none() => self.found(now, seats),
+            Some(_) => {}
+            None if self.may_found() => {
                 self.greeted.insert(from, folder);
                 // One host alone settles the seats: two could settle different ones while a third
                 // is being wiped.
@@ -85,6 +81,7 @@
                     self.found(now, seats);
                 }
             }
+            None => {}
         }
     }
 
@@ -99,10 +96,6 @@
         seats
     }
 
-    fn is_own(&self, seat: &MemberSeat) -> bool {
-        seat.node == self.node && seat.folder == self.folder
-    }
-
     /// Whether the folder has never taken part in anything.
     fn may_found(&self) -> bool {
         self.founding.is_none()
@@ -113,7 +106,13 @@
 
     fn found(&mut self, now: TimePoint, seats: Vec<MemberSeat>) {
         log::info!(members = seats.len(); "the control log is founded");
-        self.seats.clone_from(&seats);
+        // Seats that were given later stand.
+        for seat in &seats {
+            if !self.seats.iter().any(|known| known.node == seat.node) {
+                self.seats.push(seat.clone());
+            }
+        }
+        self.seats.sort_by(|a, b| a.node.cmp(&b.node));
         self.founding = Some(seats.clone());
         self.sync.write(StorageWrite::Founding(seats));
         // Votes and answers wait for the founding seats as for a term.
--- /dev/null
+++ b/crates/control/tests/agreement/main.rs
@@ -0,0 +1,5 @@
+//! The replicated core against a naive single copy.
+
+mod cluster;
+mod faults;
+mod seeded;
