--- a/crates/cli/src/cmd/groups.rs
+++ b/crates/cli/src/cmd/groups.rs
@@ -12,7 +12,7 @@
     help: bool,
     #[options(
         no_short,
-        help = "operators' address",
+        help = "operators' address, or those of all control hosts with commas between",
         meta = "ADDRESS",
         default_expr = "DEFAULT_OPERATOR.to_owned()"
     )]
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -28,7 +28,7 @@
 enum Subcommand {
     #[options(help = "run a whole fleet on loopback in this process")]
     Demo(demo::DemoOptions),
-    #[options(help = "check settings files")]
+    #[options(help = "check settings files and data folders")]
     Check(check::CheckOptions),
     #[options(help = "apply or show rules")]
     Rules(rules::RulesOptions),
--- a/crates/cli/src/cmd/rules.rs
+++ b/crates/cli/src/cmd/rules.rs
@@ -35,7 +35,7 @@
     change: Option<String>,
     #[options(
         no_short,
-        help = "operators' address",
+        help = "operators' address, or those of all control hosts with commas between",
         meta = "ADDRESS",
         default_expr = "DEFAULT_OPERATOR.to_owned()"
     )]
@@ -52,7 +52,7 @@
     help: bool,
     #[options(
         no_short,
-        help = "operators' address",
+        help = "operators' address, or those of all control hosts with commas between",
         meta = "ADDRESS",
         default_expr = "DEFAULT_OPERATOR.to_owned()"
     )]
--- /dev/null
+++ b/crates/daemon/tests/hosts/mod.rs
@@ -0,0 +1,159 @@
+//! Fixtures: three control hosts as real processes, and an operator.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// How long anything may take; generous, because a busy machine is no failure.
+pub const SOON: Duration = Duration::from_secs(60);
+
+const CHECK: Duration = Duration::from_millis(20);
+
+const SIZE: usize = 3;
+
+/// One control host.
+pub struct ControlHost {
+    pub operator: SocketAddr,
+    pub data_folder: PathBuf,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// Three control hosts that run as processes.
+pub struct ControlHosts {
+    pub hosts: Vec<ControlHost>,
+    _folder: TempDir,
+}
+
+impl Drop for ControlHost {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl ControlHost {
+    pub fn start(&mut self) {
+        let child = Command::new(env!("CARGO_BIN_EXE_briartrayd"))
+            .arg("--settings")
+            .arg(&self.settings)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        self.child = Some(child);
+    }
+
+    /// Ends the process as `kill -9` does.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends the signal with this name.
+    pub fn signal(&self, name: &str) {
+        let child = self.child.as_ref().expect("a running process");
+        let sent = Command::new("kill").args([format!("-{name}"), child.id().to_string()]).status();
+        assert!(sent.expect("a signal can be sent").success());
+    }
+
+    /// Status and body of an answer; `None` when there was none.
+    pub fn get(&self, path: &str) -> Option<(u16, Value)> {
+        answer(attohttpc::get(format!("http://{}{path}", self.operator)), Vec::new())
+    }
+
+    /// Sends a change of the rules.
+    pub fn apply(&self, change: u128, expect: u64) -> Option<(u16, Value)> {
+        let text = format!("services: []\nteams:\n  - name: team-{change}\nrules: []\n");
+        let body = json!({ "change": format!("{change:032x}"), "expect": expect, "text": text });
+        let post = attohttpc::post(format!("http://{}/v1/rules", self.operator));
+        answer(post, body.to_string().into_bytes())
+    }
+
+    pub fn status(&self, field: &str) -> Option<Value> {
+        self.get("/v1/status").map(|(_, body)| body[field].clone())
+    }
+}
+
+fn answer(request: attohttpc::RequestBuilder, body: Vec<u8>) -> Option<(u16, Value)> {
+    let request = request.timeout(Duration::from_secs(3)).connect_timeout(Duration::from_secs(1));
+    let response = request.bytes(body).send().ok()?;
+    let status = response.status().as_u16();
+    Some((status, serde_json::from_str(&response.text().ok()?).ok()?))
+}
+
+impl ControlHosts {
+    /// Three fresh hosts, one of which leads.
+    pub fn ready() -> Self {
+        let folder = tempfile::tempdir().expect("a temporary folder");
+        let listeners: Vec<TcpListener> = (0..2 * SIZE)
+            .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port"))
+            .collect();
+        let addresses: Vec<SocketAddr> =
+            listeners.iter().map(|held| held.local_addr().expect("an address")).collect();
+        drop(listeners);
+        let peers: Vec<Value> = (0..SIZE)
+            .map(|host| json!({ "node": format!("control-{host}"), "link": addresses[host] }))
+            .collect();
+        let mut hosts: Vec<ControlHost> = Vec::new();
+        for host in 0..SIZE {
+            let (settings, data_folder) =
+                (folder.path().join(format!("{host}.yaml")), folder.path().join(host.to_string()));
+            let operator = addresses[SIZE + host];
+            // JSON is YAML as well.
+            let text = json!({
+                "node": format!("control-{host}"),
+                "zone": "local-a",
+                "cluster": { "token": "test-token-only", "control": peers },
+                "control": {
+                    "link": addresses[host], "operator": operator, "data_folder": data_folder,
+                },
+            });
+            std::fs::write(&settings, text.to_string()).expect("settings are written");
+            hosts.push(ControlHost { operator, data_folder, settings, child: None });
+        }
+        hosts.iter_mut().for_each(ControlHost::start);
+        let hosts = Self { hosts, _folder: folder };
+        hosts.leader();
+        hosts
+    }
+
+    /// The host that leads, once a majority confirms it.
+    pub fn leader(&self) -> usize {
+        self.leader_among(&[0, 1, 2])
+    }
+
+    /// The host among `some` that leads, once a majority confirms it.
+    pub fn leader_among(&self, some: &[usize]) -> usize {
+        wait_for("a leader", || {
+            some.iter().copied().find(|host| {
+                self.hosts[*host].get("/v1/rules").is_some_and(|(status, _)| status == 200)
+            })
+        })
+    }
+
+    /// Sends a change to one host after the other until its outcome is certain.
+    pub fn apply_for_certain(&self, change: u128, expect: u64) -> (u16, Value) {
+        let mut host = usize::try_from(change % 3).expect("small");
+        wait_for("a certain outcome", || {
+            host = (host + 1) % SIZE;
+            self.hosts[host].apply(change, expect).filter(|(status, _)| [200, 409].contains(status))
+        })
+    }
+}
+
+/// Looks again and again until `look` finds something.
+pub fn wait_for<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let started = Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(started.elapsed() < SOON, "not in time: {what}");
+        std::thread::sleep(CHECK);
+    }
+}
