--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,5 +2,6 @@
 //! them, and the data folder that keeps the log.
 
 pub mod agreement;
+pub mod lease;
 pub mod state;
 pub mod storage;
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -12,6 +12,7 @@
 use briartray_model::names::TermNumber;
 use briartray_model::rules::RuleBook;
 use briartray_model::{SortedTable, TimePoint, codec};
+use briartray_placement::planner::FleetView;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use serde_json::{Value, json};
 
@@ -68,7 +69,7 @@
     pub(super) state: ControlState,
     pub(super) book: RuleBook,
     pub(super) roster: FleetRoster,
-    planner: PlanDriver,
+    pub(super) planner: PlanDriver,
     pub(super) version: SnapshotVersion,
     pub(super) leadership: Option<Leadership>,
     pub(super) proposals: SortedTable<ProposalToken, ProposalOrigin>,
@@ -238,9 +239,9 @@
         }
         let in_grace = now.since(leadership.since) < RECONNECT_GRACE;
         let view = self.roster.view(&self.state.groups);
-        for command in self.planner.step(&view, &self.book) {
+        for command in self.planner.step(now, &view, &self.book) {
             // A host that is missing now may only not have found the new leader yet.
-            if in_grace && matches!(command, ControlCommand::DissolveGroup { .. }) {
+            if in_grace && ends_group_with_absent(&view, &command) {
                 continue;
             }
             self.submit(&command, ProposalOrigin::Planner);
@@ -294,6 +295,17 @@
     }
 }
 
+/// Whether `command` takes a group apart of which a member is not connected.
+fn ends_group_with_absent(view: &FleetView, command: &ControlCommand) -> bool {
+    let (ControlCommand::DissolveGroup { group } | ControlCommand::ReplaceGroup { group, .. }) =
+        command
+    else {
+        return false;
+    };
+    let members = view.groups.get(group).map(|group| group.members.as_slice()).unwrap_or_default();
+    members.iter().any(|host| view.hosts.get(host).is_none_or(|host| !host.present))
+}
+
 fn role_name(role: MemberRole) -> &'static str {
     match role {
         MemberRole::Learner => "learner",
--- a/crates/node/src/control/replication.rs
+++ b/crates/node/src/control/replication.rs
@@ -10,6 +10,7 @@
 use super::core::{ControlCore, Leadership};
 use super::fleet::FleetRoster;
 use super::origin::{InspectAnswer, ProposalOrigin, ReadOrigin};
+use super::planning::PlanDriver;
 use super::version::SnapshotVersion;
 use crate::new_change;
 
@@ -64,6 +65,7 @@
         }
         // Agents open new sessions with whoever leads; what the old ones said is out of date.
         self.roster = FleetRoster::default();
+        self.planner = PlanDriver::default();
         self.leadership = None;
         if leads {
             let since = self.now();
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -3,9 +3,11 @@
 //! Each area has a file of its own with a struct of its metrics and a `register` function; the
 //! struct is kept where the area counts.
 
+mod admission;
 mod agreement;
 mod request;
 
+pub use admission::AdmissionMetrics;
 pub use agreement::AgreementMetrics;
 pub use request::{OutcomeLabel, RequestMetrics};
 
