--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -86,6 +86,11 @@
             /// The id.
             change: ChangeId,
         },
+        /// The change may have been applied so long ago that its outcome is no longer kept.
+        ChangeTooOld {
+            /// Outcomes of changes that expect this revision or an earlier one are gone.
+            floor: RevisionNumber,
+        },
         /// The group exists.
         GroupFormed {
             /// The group.
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Applying is deterministic: no clocks, no randomness, no input or output.
 
+mod changes;
 mod command;
 mod entries;
 mod groups;
@@ -9,6 +10,7 @@
 mod rules;
 mod stops;
 
+pub use changes::MAX_ACCEPTED;
 pub use command::{CommandOutcome, ControlCommand, GroupProposal};
 pub use entries::EntryRoster;
 pub use groups::{GroupRegistry, HostSeat, RegisteredGroup};
--- a/crates/control/src/state/rules.rs
+++ b/crates/control/src/state/rules.rs
@@ -1,12 +1,11 @@
 //! The rule book as accepted, and the outcome of every change that was sent.
 
-use briartray_model::SortedTable;
 use briartray_model::names::{ChangeId, RevisionNumber};
 use briartray_model::rules::accept_rules;
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
 
 use super::CommandOutcome;
+use super::changes::ChangeHistory;
 
 /// The rule document in force.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
@@ -21,13 +20,7 @@
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct RuleShelf {
     current: AcceptedRules,
-    changes: SortedTable<ChangeId, ChangeRecord>,
-}
-
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct ChangeRecord {
-    digest: [u8; 32],
-    outcome: CommandOutcome,
+    history: ChangeHistory,
 }
 
 impl RuleShelf {
@@ -36,22 +29,18 @@
         &self.current
     }
 
-    /// Applies one change; a resend gets the first outcome again.
+    /// Applies one change; a resend gets the first outcome again, or is told that it is too old.
     pub fn apply(
         &mut self,
         change: ChangeId,
         expect: Option<RevisionNumber>,
         text: &str,
     ) -> CommandOutcome {
-        let digest: [u8; 32] = Sha256::digest(text.as_bytes()).into();
-        if let Some(record) = self.changes.get(&change) {
-            if record.digest == digest {
-                return record.outcome.clone();
-            }
-            return CommandOutcome::ChangeReused { change };
+        if let Some(outcome) = self.history.settled(change, expect, text) {
+            return outcome;
         }
         let outcome = self.replace(expect, text);
-        self.changes.insert(change, ChangeRecord { digest, outcome: outcome.clone() });
+        self.history.remember(change, text, &outcome);
         outcome
     }
 
--- a/crates/control/tests/storage.rs
+++ b/crates/control/tests/storage.rs
@@ -196,7 +196,8 @@
         ..FileAccess::default()
     };
     let node = NodeName::new("a");
-    let opened = DataFolder::open(folder.path(), &node, &[node.clone()], FolderId(1), access);
+    let opened =
+        DataFolder::open(folder.path(), &node, std::slice::from_ref(&node), FolderId(1), access);
     let mut opened = opened.expect("the folder opens");
 
     let first = opened.folder.write(&append(1..=1, 1));
@@ -255,7 +256,7 @@
     };
 
     let other_node = open_as(&b, &[a.clone(), b.clone(), NodeName::new("c")]);
-    let other_members = open_as(&a, &[a.clone(), b.clone()]);
+    let other_members = open_as(&a, &[a.clone(), b]);
 
     assert_matches!(other_node, Err(StorageError::OtherNode { .. }));
     assert_matches!(other_members, Err(StorageError::OtherMembers { .. }));
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -132,6 +132,13 @@
         CommandOutcome::ChangeReused { .. } => {
             problem(409, "change_reused", "use a new change id for another document")
         }
+        CommandOutcome::ChangeTooOld { floor } => problem_with(
+            409,
+            "change_too_old",
+            "the outcome of so old a change is no longer kept; look at the rules in force and send \
+             a new change that names the revision it expects",
+            &json!({ "floor": floor.0 }),
+        ),
         other => problem(500, "unexpected", &format!("{other:?}")),
     }
 }
