--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -4,9 +4,11 @@
 //! struct is kept where the area counts.
 
 mod admission;
+mod agreement;
 mod request;
 
 pub use admission::AdmissionMetrics;
+pub use agreement::AgreementMetrics;
 pub use request::{OutcomeLabel, RequestMetrics};
 
 use std::sync::{Arc, Mutex, PoisonError};
