Measure commits, catching up and idling of the control log

Cause: the design note needs figures that anyone can take again. Change: briartray measure agreement.

--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -1,5 +1,7 @@
 //! `briartray measure`: measurements that stand in the design notes, one module each.
 
+mod agreement;
+mod idle;
 mod overhead;
 
 use gumdrop::Options;
@@ -16,12 +18,15 @@
 
 #[derive(Debug, Options)]
 enum MeasureCommand {
+    #[options(help = "commits, catching up and idling of the replicated log")]
+    Agreement(agreement::AgreementOptions),
     #[options(help = "what entry and agent add over the engine called directly")]
     Overhead(overhead::OverheadOptions),
 }
 
 pub(super) fn run(options: &MeasureOptions) -> Result<(), CommandError> {
     match &options.command {
+        Some(MeasureCommand::Agreement(options)) => agreement::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
         None => Err(CommandError::unusable("name a measurement; see briartray measure --help")),
     }
