--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -1,5 +1,8 @@
 //! `briartray measure`: measurements that stand in the design notes, one module each.
 
+mod agreement;
+mod capacity;
+mod idle;
 mod outcomes;
 mod overhead;
 
@@ -17,16 +20,22 @@
 
 #[derive(Debug, Options)]
 enum MeasureCommand {
+    #[options(help = "commits, catching up and idling of the replicated log")]
+    Agreement(agreement::AgreementOptions),
     #[options(help = "what entry and agent add over the engine called directly")]
     Overhead(overhead::OverheadOptions),
     #[options(help = "what callers are told under faults, against what truly ran")]
     Outcomes(outcomes::OutcomesOptions),
+    #[options(help = "what one more of something costs each role, and the capacity page")]
+    Capacity(capacity::CapacityOptions),
 }
 
 pub(super) fn run(options: &MeasureOptions) -> Result<(), CommandError> {
     match &options.command {
+        Some(MeasureCommand::Agreement(options)) => agreement::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
         Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
+        Some(MeasureCommand::Capacity(options)) => capacity::run(options),
         None => Err(CommandError::unusable("name a measurement; see briartray measure --help")),
     }
 }
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use briartray_control::agreement::ProposalRefusal;
 use briartray_control::state::{CommandOutcome, ControlCommand, StopPlan, StopTarget};
 use briartray_model::names::{
-    ChangeId, GroupId, HostName, ProviderName, RevisionNumber, StopId, ZoneName,
+    ChangeId, GroupId, HostName, NodeName, ProviderName, RevisionNumber, StopId, ZoneName,
 };
 use briartray_model::settings::ControlSettings;
 use briartray_web::{
@@ -18,6 +19,7 @@
 use tiny_http::{Method, Request};
 
 use super::input::{ControlInput, InspectKind};
+use super::origin::{InspectAnswer, ProposalAnswer};
 use crate::metrics::{METRICS_TYPE, MetricsHub};
 
 /// Largest operator request, in bytes.
@@ -140,7 +142,11 @@
     if inputs.send(ControlInput::Inspect { what, reply }).is_err() {
         return no_answer();
     }
-    answer.recv_timeout(ANSWER_WAIT).map_or_else(|_| no_answer(), |body| JsonReply::new(200, body))
+    match answer.recv_timeout(ANSWER_WAIT) {
+        Ok(InspectAnswer::Shown(body)) => JsonReply::new(200, body),
+        Ok(InspectAnswer::NotLeader(leader)) => not_leader(leader.as_ref()),
+        Err(_) => no_answer(),
+    }
 }
 
 fn apply_rules(request: &mut Request, inputs: &Sender<ControlInput>) -> JsonReply {
@@ -167,7 +173,11 @@
     if inputs.send(ControlInput::Propose { command, reply }).is_err() {
         return no_answer();
     }
-    answer.recv_timeout(ANSWER_WAIT).map_or_else(|_| no_answer(), |outcome| describe(&outcome))
+    match answer.recv_timeout(ANSWER_WAIT) {
+        Ok(ProposalAnswer::Done(outcome)) => describe(&outcome),
+        Ok(ProposalAnswer::Refused(refusal)) => refuse(&refusal),
+        Ok(ProposalAnswer::Unknown) | Err(_) => no_answer(),
+    }
 }
 
 fn read_change(text: &str) -> Result<ChangeId, String> {
@@ -208,10 +218,32 @@
         CommandOutcome::ClaimsForgotten { count } => {
             JsonReply::new(200, json!({ "outcome": "forgotten", "claims": count }))
         }
+        CommandOutcome::ChangeTooOld { floor } => problem_with(
+            409,
+            "change_too_old",
+            "the outcome of so old a change is no longer kept; look at the rules in force and send \
+             a new change that names the revision it expects",
+            &json!({ "floor": floor.0 }),
+        ),
         other => problem(500, "unexpected", &format!("{other:?}")),
     }
 }
 
+fn refuse(refusal: &ProposalRefusal) -> JsonReply {
+    let message = refusal.to_string();
+    match refusal {
+        ProposalRefusal::NotLeader { leader } => not_leader(leader.as_ref()),
+        ProposalRefusal::Busy => problem(503, "busy", &message),
+        ProposalRefusal::TooLarge { .. } => problem(413, "too_large", &message),
+    }
+}
+
+/// Nothing was done here; the command line goes on to the next control host by this code.
+fn not_leader(leader: Option<&NodeName>) -> JsonReply {
+    let message = "this control host does not lead; ask the leader, or another control host";
+    problem_with(503, "not_leader", message, &json!({ "leader": leader }))
+}
+
 fn no_answer() -> JsonReply {
     problem(503, "no_answer", "the outcome is not known; send the same change id again")
 }
