--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -60,6 +60,11 @@
             /// The stop.
             plan: StopPlan,
         },
+        /// A group of a planned stop begins to leave.
+        BeginLeave {
+            /// The group.
+            group: GroupId,
+        },
         /// Take a planned stop back.
         CancelStop {
             /// The stop.
@@ -171,6 +176,11 @@
             /// Why.
             reason: String,
         },
+        /// The group begins to leave.
+        LeaveBegun {
+            /// The group.
+            group: GroupId,
+        },
         /// The stop is taken back.
         StopCancelled {
             /// The stop.
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -73,6 +73,10 @@
                 CommandOutcome::ClaimsForgotten { count: self.ledger.forget(*keep) }
             }
             ControlCommand::PlanStop { expect, plan } => self.stops.plan(*expect, plan),
+            ControlCommand::BeginLeave { group } => {
+                let groups = &self.groups;
+                self.stops.begin(*group, |known| groups.group(known).is_some())
+            }
             ControlCommand::CancelStop { stop } => self.stops.cancel(*stop),
         }
     }
--- a/crates/control/src/state/stops.rs
+++ b/crates/control/src/state/stops.rs
@@ -65,6 +65,8 @@
     stops: SortedTable<StopId, StopPlan>,
     last_stop: StopId,
     revision: u64,
+    /// Groups of planned stops that have begun to leave.
+    begun: Vec<GroupId>,
 }
 
 impl StopBook {
@@ -109,6 +111,21 @@
         CommandOutcome::StopPlanned { stop: self.last_stop }
     }
 
+    /// Whether `group` has begun to leave.
+    pub fn has_begun(&self, group: GroupId) -> bool {
+        self.begun.contains(&group)
+    }
+
+    /// Notes that `group` begins to leave, so that a new leader does not give it work again;
+    /// `exists` tells which groups there still are.
+    pub fn begin(&mut self, group: GroupId, exists: impl Fn(GroupId) -> bool) -> CommandOutcome {
+        self.begun.retain(|known| *known != group && exists(*known));
+        if exists(group) {
+            self.begun.push(group);
+        }
+        CommandOutcome::LeaveBegun { group }
+    }
+
     /// Takes a stop back; cancelling twice is no error.
     pub fn cancel(&mut self, stop: StopId) -> CommandOutcome {
         if stop > self.last_stop || stop == StopId::default() {
@@ -116,6 +133,8 @@
         }
         if self.stops.remove(&stop).is_some() {
             self.revision += 1;
+            // Groups of other stops begin anew.
+            self.begun.clear();
         }
         CommandOutcome::StopCancelled { stop }
     }
--- a/crates/node/src/agent/shared.rs
+++ b/crates/node/src/agent/shared.rs
@@ -55,6 +55,8 @@
     closed: AtomicBool,
     /// Fencing number of the group that takes no new work; zero for none.
     leaving: AtomicU64,
+    /// Whether the process is ending; no directive takes that back.
+    ending: AtomicBool,
     /// Whether control said that the host may be shut down.
     may_stop: AtomicBool,
     slots: Mutex<SlotCount>,
@@ -72,6 +74,7 @@
             gate: ArcSwap::from_pointee(GateView::default()),
             closed: AtomicBool::new(false),
             leaving: AtomicU64::new(0),
+            ending: AtomicBool::new(false),
             may_stop: AtomicBool::new(false),
             slots: Mutex::new(SlotCount::default()),
             slot_freed: Condvar::new(),
@@ -100,9 +103,9 @@
         self.may_stop.load(Ordering::SeqCst)
     }
 
-    /// Lets the group that this host leads, if any, take no new work.
+    /// Lets every group that this host leads from now on take no new work.
     pub(super) fn leave_group(&self) {
-        self.set_leaving(self.gate.load().fencing, true);
+        self.ending.store(true, Ordering::SeqCst);
     }
 
     /// Lets the group under `fencing` take no new work, or take it again.
@@ -120,7 +123,11 @@
     /// An order is counted in before it looks whether the group leaves, so that no order slips in
     /// after this was found true.
     pub(super) fn is_drained(&self, fencing: FencingNumber) -> bool {
-        self.leaving.load(Ordering::SeqCst) == fencing.0 && self.is_idle()
+        self.is_leaving(fencing) && self.is_idle()
+    }
+
+    fn is_leaving(&self, fencing: FencingNumber) -> bool {
+        self.ending.load(Ordering::SeqCst) || self.leaving.load(Ordering::SeqCst) == fencing.0
     }
 
     /// Whether no attempt runs and no answer is on its way to an entry.
@@ -145,7 +152,7 @@
         if (gate.group, gate.fencing) != (order.group, order.fencing) {
             return Some(RefusalReason::WrongGroup);
         }
-        if self.leaving.load(Ordering::SeqCst) == gate.fencing.0 {
+        if self.is_leaving(gate.fencing) {
             return Some(RefusalReason::Leaving);
         }
         (!self.is_whole(&gate)).then_some(RefusalReason::GroupNotWhole)
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -200,6 +200,10 @@
             ControlInput::Ledger { request, port } => {
                 self.submit(&ControlCommand::Ledger(request), ProposalOrigin::Ledger(port));
             }
+            // Only a leader knows the fleet; another host names the leader.
+            ControlInput::Propose { command, reply } if !leads => {
+                self.submit(&command, ProposalOrigin::Operator(reply));
+            }
             ControlInput::Propose { command, reply } => {
                 let view = self.roster.view(&self.state.groups);
                 match stops::check_stop(&self.state.stops, &view, &self.book, command) {
@@ -269,6 +273,9 @@
         let drained = |group| self.roster.is_drained(groups, group);
         let stoppable = stops::stoppable(&view, &self.state.stops, drained);
         self.roster.direct_stops(groups, self.stops.leaving(), &stoppable);
+        for group in self.stops.beginning(&view, &self.state.stops) {
+            self.submit(&ControlCommand::BeginLeave { group }, ProposalOrigin::Planner);
+        }
     }
 
     pub(super) fn is_established(&self) -> bool {
--- a/crates/node/src/control/stops.rs
+++ b/crates/node/src/control/stops.rs
@@ -61,6 +61,16 @@
         true
     }
 
+    /// Groups that leave for a planned stop and are not recorded as having begun.
+    pub(super) fn beginning(&self, view: &FleetView, stops: &StopBook) -> Vec<GroupId> {
+        let planned = |group: &GroupId| {
+            let known = view.groups.get(group);
+            known.is_some_and(|known| matches!(cause(known, view, stops), LeaveCause::Planned))
+        };
+        let unrecorded = self.leaving.iter().filter(|group| !stops.has_begun(**group));
+        unrecorded.filter(|group| planned(group)).copied().collect()
+    }
+
     /// Decides anew which groups leave; `true` when that changed.
     pub(super) fn update(
         &mut self,
@@ -82,6 +92,7 @@
                     let patient = now.since(since) < REPLACEMENT_WAIT;
                     // What has begun to leave goes on; going back and forth helps nobody.
                     self.leaving.contains(&group.group)
+                        || stops.has_begun(group.group)
                         || wait_reason(group, view, stops, book, &leaving, patient).is_none()
                 }
             };
--- a/crates/node/src/entry/claims.rs
+++ b/crates/node/src/entry/claims.rs
@@ -38,10 +38,17 @@
     link: LinkClient,
     peers: Vec<SocketAddr>,
     next_number: AtomicU64,
-    waiting: Mutex<SortedTable<u64, Sender<LedgerReply>>>,
+    waiting: Mutex<SortedTable<u64, WaitingCall>>,
     stream: Mutex<ClaimStream>,
 }
 
+/// A call that waits for its answer; dropped when its stream ends.
+#[derive(Debug)]
+struct WaitingCall {
+    generation: u64,
+    answer: Sender<LedgerReply>,
+}
+
 /// The stream in use; the peer is the next one after a failure.
 #[derive(Debug, Default)]
 struct ClaimStream {
@@ -86,14 +93,14 @@
     fn ask_once(&self, request: &LedgerRequest, wait: Duration) -> Result<LedgerReply, u64> {
         let number = self.shared.next_number.fetch_add(1, Ordering::Relaxed);
         let (answer, answers): (_, Receiver<LedgerReply>) = bounded(1);
+        let (writer, generation) = self.writer();
         {
             let mut waiting = self.shared.waiting();
             if waiting.len() >= MAX_IN_FLIGHT {
                 return Ok(LedgerReply::Unavailable);
             }
-            waiting.insert(number, answer);
+            waiting.insert(number, WaitingCall { generation, answer });
         }
-        let (writer, generation) = self.writer();
         let call = LedgerCall { number, request: request.clone() };
         let sent = writer.is_some_and(|writer| writer.send(&call).is_ok());
         let reply = if sent { answers.recv_timeout(wait).ok() } else { None };
@@ -127,7 +134,7 @@
         self.stream.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn waiting(&self) -> MutexGuard<'_, SortedTable<u64, Sender<LedgerReply>>> {
+    fn waiting(&self) -> MutexGuard<'_, SortedTable<u64, WaitingCall>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -147,7 +154,7 @@
                 Ok(answer) => {
                     // An answer that nobody waits for any more was asked for again meanwhile.
                     if let Some(waiter) = self.waiting().remove(&answer.number) {
-                        let _ = waiter.send(answer.reply);
+                        let _ = waiter.answer.send(answer.reply);
                     }
                 }
                 Err(LinkError::TimedOut) if self.stream().generation == generation => {}
@@ -155,6 +162,8 @@
                 Err(error) => {
                     log::debug!("a ledger stream ended: {error}");
                     self.turn_away(generation);
+                    // Whoever waits asks the next control host at once.
+                    self.waiting().retain(|_, call| call.generation != generation);
                     return;
                 }
             }
