Let a test of a stopped leader ask every other host

Cause: the test looked at the first host that answered and only then whether it took the change; when that host was a follower it asked it for a minute and failed. Which host leads is chance, so the verdict was too. The product was ruled out: the other host took the change in the same run.

Change: the test takes the first host that accepts; it demands as much.

Conclusion: the old leader's silence after SIGCONT is tested on every run.

--- a/crates/cli/src/cmd/measure/agreement.rs
+++ b/crates/cli/src/cmd/measure/agreement.rs
@@ -11,7 +11,8 @@
 use briartray_model::message::{ClaimKey, LedgerReply, LedgerRequest};
 use briartray_model::names::{NodeName, TeamName, ZoneName};
 use briartray_model::settings::{
-    ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, LogSettings, TraceSettings,
+    ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, LogSettings, StopSettings,
+    TraceSettings,
 };
 use briartray_node::{RunningDaemon, new_attempt};
 use gumdrop::Options;
@@ -315,6 +316,7 @@
         cluster: cluster.clone(),
         log: LogSettings::default(),
         trace: TraceSettings::default(),
+        stop: StopSettings::default(),
         entry: None,
         control: Some(ControlSettings {
             link: cluster.control[host].link,
--- a/crates/daemon/tests/control_hosts.rs
+++ b/crates/daemon/tests/control_hosts.rs
@@ -56,7 +56,9 @@
     cluster.hosts[old].signal("STOP");
     cluster.leader_among(&others);
     let changed = wait_for("a change without the old leader", || {
-        others.iter().find_map(|host| cluster.hosts[*host].apply(2, 1)).filter(|(s, _)| *s == 200)
+        let accepted =
+            |host: &usize| cluster.hosts[*host].apply(2, 1).filter(|(status, _)| *status == 200);
+        others.iter().find_map(accepted)
     });
 
     cluster.hosts[old].signal("CONT");
