Replay traces of host events through planner and registry

Cause: the planner's decisions could not be measured or compared. Change: traces as JSON lines, a seeded generator, a replay that steps planner and registry with loads that share the weight store, an account of downtime and stranded accelerators with a capacity bound.

--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod groups;
 mod operator;
+mod replay;
 mod rules;
 mod stand_in;
 mod status;
@@ -36,6 +37,8 @@
     Status(status::StatusOptions),
     #[options(help = "show every group")]
     Groups(groups::GroupsOptions),
+    #[options(help = "replay host events through the planner")]
+    Replay(replay::ReplayOptions),
     #[options(help = "run a stand-in engine")]
     StandIn(stand_in::StandInOptions),
 }
@@ -96,6 +99,7 @@
         Subcommand::Rules(options) => rules::run(options),
         Subcommand::Status(options) => status::run(options),
         Subcommand::Groups(options) => groups::run(options),
+        Subcommand::Replay(options) => replay::run(options),
         Subcommand::StandIn(options) => stand_in::run(options),
     };
     match done {
--- /dev/null
+++ b/crates/cli/src/cmd/replay.rs
@@ -0,0 +1,143 @@
+//! `briartray replay`: host events through the planner and the registry, and traces from a seed.
+
+use std::fs::File;
+use std::io::{BufReader, BufWriter};
+use std::time::Instant;
+
+use briartray_placement::accounting::StrandedReason;
+use briartray_placement::replay::{
+    HostTrace, PlannerKind, ReplayReport, TraceError, TraceShape, generate_trace, run_trace,
+};
+use gumdrop::Options;
+use serde_json::json;
+
+use super::{CommandError, OutputFormat};
+
+#[derive(Debug, Options)]
+pub(super) struct ReplayOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "trace as JSON lines")]
+    trace: Option<String>,
+    #[options(
+        no_short,
+        help = "make a trace: parkland, hollis, letter, large or mixed",
+        meta = "SHAPE"
+    )]
+    generate: Option<TraceShape>,
+    #[options(no_short, help = "seed of a made trace", meta = "N", default = "1")]
+    seed: u64,
+    #[options(no_short, help = "write the made trace here and replay nothing", meta = "FILE")]
+    out: Option<String>,
+    #[options(no_short, help = "replay only naive or cost; both by default", meta = "PLANNER")]
+    planner: Option<String>,
+    #[options(no_short, help = "cost of one second of one group being down", meta = "W")]
+    downtime_weight: Option<f64>,
+    #[options(no_short, help = "cost of one second of one stranded accelerator", meta = "W")]
+    stranded_weight: Option<f64>,
+    #[options(no_short, help = "text or json", meta = "FORMAT")]
+    output: OutputFormat,
+}
+
+pub(super) fn run(options: &ReplayOptions) -> Result<(), CommandError> {
+    let mut trace = load(options)?;
+    if let Some(path) = &options.out {
+        let file = File::create(path).map_err(|error| unusable(path, &error))?;
+        return trace.write(BufWriter::new(file)).map_err(CommandError::unusable);
+    }
+    trace.set_weights(options.downtime_weight, options.stranded_weight);
+    let reports: Vec<ReplayReport> =
+        planners(options)?.into_iter().map(|kind| replay(&trace, kind)).collect();
+    match options.output {
+        OutputFormat::Json => println!("{}", json!(reports)),
+        OutputFormat::Text => print_reports(&reports),
+    }
+    // The naive planner is there to be compared with; outcomes are stated for the real one.
+    let judged = |report: &&ReplayReport| reports.len() == 1 || report.planner == PlannerKind::Cost;
+    match reports.iter().filter(judged).find(|report| !report.holds()) {
+        Some(report) => Err(CommandError::refused(failures(report))),
+        None => Ok(()),
+    }
+}
+
+fn load(options: &ReplayOptions) -> Result<HostTrace, CommandError> {
+    match (&options.trace, options.generate) {
+        (Some(path), None) => {
+            let file = File::open(path).map_err(|error| unusable(path, &error))?;
+            HostTrace::read(BufReader::new(file))
+                .map_err(|error: TraceError| CommandError::unusable(format!("{path}: {error}")))
+        }
+        (None, Some(shape)) => Ok(generate_trace(shape, options.seed)),
+        _ => Err(CommandError::unusable("name a trace, or a shape with --generate")),
+    }
+}
+
+fn unusable(path: &str, error: &std::io::Error) -> CommandError {
+    CommandError::unusable(format!("{path}: {error}; check the path"))
+}
+
+fn planners(options: &ReplayOptions) -> Result<Vec<PlannerKind>, CommandError> {
+    match options.planner.as_deref() {
+        None => Ok(vec![PlannerKind::Naive, PlannerKind::Cost]),
+        Some("naive") => Ok(vec![PlannerKind::Naive]),
+        Some("cost") => Ok(vec![PlannerKind::Cost]),
+        Some(_) => Err(CommandError::unusable("--planner takes naive or cost")),
+    }
+}
+
+/// Replays with the clock of this machine as meter.
+pub(super) fn replay(trace: &HostTrace, kind: PlannerKind) -> ReplayReport {
+    let started = Instant::now();
+    run_trace(trace, kind, &mut || started.elapsed())
+}
+
+fn print_reports(reports: &[ReplayReport]) {
+    println!(
+        "{:<8} {:>14} {:>18} {:>16} {:>16} {:>8} {:>8} {:>9} {:>8}",
+        "planner",
+        "group-down s",
+        "stranded acc-s",
+        "weighted",
+        "bound",
+        "formed",
+        "replaced",
+        "dissolved",
+        "rounds"
+    );
+    for report in reports {
+        println!(
+            "{:<8} {:>14.0} {:>18.0} {:>16.0} {:>16.0} {:>8} {:>8} {:>9} {:>8}",
+            format!("{:?}", report.planner).to_lowercase(),
+            report.total.groups_down,
+            report.total.stranded_total(),
+            report.weighted,
+            report.weighted_bound,
+            report.formed,
+            report.replaced,
+            report.dissolved,
+            report.rounds
+        );
+    }
+    for report in reports {
+        let planner = format!("{:?}", report.planner).to_lowercase();
+        println!("\n{planner}: stranded accelerator-seconds by reason");
+        for (reason, seconds) in StrandedReason::ALL.iter().zip(report.total.stranded) {
+            println!("  {:<16} {seconds:>16.0}", reason.as_str());
+        }
+        for (reason, count) in &report.decisions {
+            println!("  decided {:<18} {count:>6} times", format!("{reason:?}"));
+        }
+        let mean = report.planning_seconds * 1000.0 / report.rounds.max(1) as f64;
+        let longest = report.longest_round_seconds * 1000.0;
+        println!("  planning {mean:.3} ms a round, {longest:.3} ms at most");
+    }
+}
+
+fn failures(report: &ReplayReport) -> String {
+    let stated = report.outcomes.iter().filter(|outcome| !outcome.held).map(|outcome| {
+        let stated = json!(outcome.stated);
+        format!("at {} ms: stated {stated}, measured {}", outcome.at_ms, outcome.measured)
+    });
+    let texts: Vec<String> = stated.chain(report.violations.iter().cloned()).collect();
+    format!("{} of the outcomes differ: {}", texts.len(), texts.join("; "))
+}
--- /dev/null
+++ b/crates/placement/src/accounting.rs
@@ -0,0 +1,325 @@
+//! Group downtime and stranded accelerators, integrated over time.
+//!
+//! `FleetRates` says what is down and stranded at one moment; `FleetAccount` adds rates up. Both
+//! are pure, so that a live control role and a replay count alike.
+
+use briartray_model::names::{DomainName, HostName, ProviderName, ServiceName};
+use briartray_model::rules::{DecisionFacts, PlaceAction, RuleBook, ServiceDeclaration};
+use briartray_model::{SortedTable, TimePoint, plain_choice, plain_value};
+
+use crate::planner::{FleetView, GroupView, HostView};
+
+plain_choice! {
+    /// Why an accelerator sits outside any whole group.
+    pub enum StrandedReason {
+        /// Its group lacks a member.
+        MissingMember,
+        /// Its group is complete and not ready to serve yet.
+        Loading,
+        /// It is free while every wanted replica has a group, or enough hosts to form one are.
+        SpareHeld,
+        /// It is free, a replica is missing, and its place has too few free hosts for a group.
+        OddHost,
+        /// Its host is on its way out.
+        Leaving,
+        /// No declared service wants its host.
+        Unplaceable,
+    }
+}
+
+impl StrandedReason {
+    /// Every reason, in the order of the counters.
+    pub const ALL: [Self; 6] = [
+        Self::MissingMember,
+        Self::Loading,
+        Self::SpareHeld,
+        Self::OddHost,
+        Self::Leaving,
+        Self::Unplaceable,
+    ];
+
+    /// The name used in metrics and reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::MissingMember => "missing_member",
+            Self::Loading => "loading",
+            Self::SpareHeld => "spare_held",
+            Self::OddHost => "odd_host",
+            Self::Leaving => "leaving",
+            Self::Unplaceable => "unplaceable",
+        }
+    }
+}
+
+plain_value! {
+    /// Downtime and stranded accelerators of one service: at a moment, or added up in seconds.
+    #[derive(Default)]
+    pub struct ServiceAccount {
+        /// Wanted groups that do not serve.
+        pub groups_down: f64,
+        /// Serving groups that cross fabric domains.
+        pub groups_slow: f64,
+        /// Stranded accelerators by reason, in the order of `StrandedReason::ALL`.
+        pub stranded: [f64; 6],
+        /// Groups that no plan could have kept up, for want of hosts in one place.
+        pub bound_down: f64,
+        /// Accelerators that no plan could have used.
+        pub bound_stranded: f64,
+    }
+}
+
+impl ServiceAccount {
+    /// Stranded accelerators for all reasons.
+    pub fn stranded_total(&self) -> f64 {
+        self.stranded.iter().sum()
+    }
+
+    /// Downtime and stranded accelerators, weighted by `rules`.
+    pub fn weighted(&self, rules: &PlaceAction) -> f64 {
+        let slow = f64::from(rules.cross_domain_loss_percent) / 100.0 * self.groups_slow;
+        rules.downtime_weight * (self.groups_down + slow)
+            + rules.stranded_weight * self.stranded_total()
+    }
+
+    /// The weighted cost that no plan could have avoided.
+    pub fn weighted_bound(&self, rules: &PlaceAction) -> f64 {
+        rules.downtime_weight * self.bound_down + rules.stranded_weight * self.bound_stranded
+    }
+
+    fn add(&mut self, rates: &Self, seconds: f64) {
+        self.groups_down += rates.groups_down * seconds;
+        self.groups_slow += rates.groups_slow * seconds;
+        self.bound_down += rates.bound_down * seconds;
+        self.bound_stranded += rates.bound_stranded * seconds;
+        for (sum, rate) in self.stranded.iter_mut().zip(&rates.stranded) {
+            *sum += rate * seconds;
+        }
+    }
+}
+
+/// What is down and stranded at one moment, by service.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct FleetRates {
+    services: SortedTable<ServiceName, ServiceAccount>,
+}
+
+/// Present hosts of one service in one place.
+#[derive(Debug, Clone, Copy)]
+struct PlaceCount<'a> {
+    service: &'a ServiceName,
+    provider: &'a ProviderName,
+    domain: &'a DomainName,
+    hosts: usize,
+    free: usize,
+    accelerators: f64,
+}
+
+impl FleetRates {
+    /// Looks at every host and group once.
+    pub fn take(view: &FleetView, book: &RuleBook) -> Self {
+        let places = count_places(view);
+        let mut rates = Self::default();
+        for service in &book.document().services {
+            let account = service_rates(view, book, service, &places);
+            rates.services.insert(service.name.clone(), account);
+        }
+        let lacking = lacking_services(view, book);
+        for host in view.hosts.values().filter(|host| host.present) {
+            if let Some(reason) = stranded_reason(view, &lacking, host, &places) {
+                let accelerators = f64::from(host.announcement.accelerators);
+                let service = host.announcement.service.clone();
+                let account = rates.services.get_or_insert_with(service, Default::default);
+                account.stranded[reason as usize] += accelerators;
+            }
+        }
+        rates
+    }
+
+    /// Rates by service.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &ServiceAccount)> {
+        self.services.iter()
+    }
+}
+
+/// Rates added up over time.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct FleetAccount {
+    at: TimePoint,
+    services: SortedTable<ServiceName, ServiceAccount>,
+}
+
+impl FleetAccount {
+    /// An account that begins at `now`.
+    pub fn begin(now: TimePoint) -> Self {
+        Self { at: now, services: SortedTable::default() }
+    }
+
+    /// Adds the time since the last call, during which `rates` held.
+    pub fn advance(&mut self, now: TimePoint, rates: &FleetRates) {
+        let seconds = now.since(self.at).as_secs_f64();
+        if seconds <= 0.0 {
+            return;
+        }
+        self.at = now;
+        for (service, rate) in rates.services() {
+            self.services.get_or_insert_with(service.clone(), Default::default).add(rate, seconds);
+        }
+    }
+
+    /// Sums by service.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &ServiceAccount)> {
+        self.services.iter()
+    }
+
+    /// Sums over all services.
+    pub fn total(&self) -> ServiceAccount {
+        let mut total = ServiceAccount::default();
+        self.services.values().for_each(|account| total.add(account, 1.0));
+        total
+    }
+
+    /// Weighted total and the part of it that no plan could have avoided.
+    pub fn weighted(&self, book: &RuleBook) -> (f64, f64) {
+        self.services.iter().fold((0.0, 0.0), |(cost, bound), (service, account)| {
+            let rules = place_rules(book, service);
+            (cost + account.weighted(&rules), bound + account.weighted_bound(&rules))
+        })
+    }
+}
+
+/// The place rules of one service.
+pub fn place_rules(book: &RuleBook, service: &ServiceName) -> PlaceAction {
+    let facts = DecisionFacts { service: Some(service.as_str()), ..DecisionFacts::default() };
+    book.place(&facts).1
+}
+
+fn place_of(host: &HostView) -> (&ServiceName, &ProviderName, &DomainName) {
+    let said = &host.announcement;
+    (&said.service, &said.provider, &said.domain)
+}
+
+fn count_places(view: &FleetView) -> Vec<PlaceCount<'_>> {
+    let mut places: Vec<PlaceCount<'_>> = Vec::new();
+    let mut last = 0;
+    for host in view.hosts.values().filter(|host| host.present) {
+        let key = place_of(host);
+        let fits = |place: &PlaceCount<'_>| (place.service, place.provider, place.domain) == key;
+        // Hosts of one place mostly follow each other, so the last place is tried first.
+        if !places.get(last).is_some_and(fits) {
+            last = find_place(&places, key).unwrap_or_else(|at| {
+                let (service, provider, domain) = key;
+                let (hosts, free, accelerators) = (0, 0, 0.0);
+                let place = PlaceCount { service, provider, domain, hosts, free, accelerators };
+                places.insert(at, place);
+                at
+            });
+        }
+        places[last].hosts += 1;
+        places[last].accelerators += f64::from(host.announcement.accelerators);
+        places[last].free += usize::from(host.group.is_none() && !host.announcement.leaving);
+    }
+    places
+}
+
+fn find_place(
+    places: &[PlaceCount<'_>],
+    key: (&ServiceName, &ProviderName, &DomainName),
+) -> Result<usize, usize> {
+    places.binary_search_by(|place| (place.service, place.provider, place.domain).cmp(&key))
+}
+
+fn service_rates(
+    view: &FleetView,
+    book: &RuleBook,
+    service: &ServiceDeclaration,
+    places: &[PlaceCount<'_>],
+) -> ServiceAccount {
+    let rules = place_rules(book, &service.name);
+    let wanted = service.replicas as usize;
+    let serving: Vec<_> = view
+        .groups
+        .values()
+        .filter(|group| group.service == service.name && view.serves(group))
+        .collect();
+    let slow = if rules.cross_domain {
+        serving.iter().filter(|group| crosses(view, group)).count()
+    } else {
+        0
+    };
+    let (possible, accelerators, hosts) = possible_groups(service, &rules, places);
+    let usable = possible.min(wanted) * service.hosts_per_replica as usize;
+    let per_host = if hosts > 0 { accelerators / hosts as f64 } else { 0.0 };
+    ServiceAccount {
+        groups_down: wanted.saturating_sub(serving.len()) as f64,
+        groups_slow: slow as f64,
+        stranded: [0.0; 6],
+        bound_down: wanted.saturating_sub(possible) as f64,
+        bound_stranded: (accelerators - usable as f64 * per_host).max(0.0),
+    }
+}
+
+/// Groups that the present hosts could form, with their accelerators and their number.
+fn possible_groups(
+    service: &ServiceDeclaration,
+    rules: &PlaceAction,
+    places: &[PlaceCount<'_>],
+) -> (usize, f64, usize) {
+    let size = (service.hosts_per_replica as usize).max(1);
+    let own: Vec<_> = places.iter().filter(|place| *place.service == service.name).collect();
+    let sets = |run: &[&PlaceCount<'_>]| run.iter().map(|place| place.hosts).sum::<usize>() / size;
+    let possible = if rules.cross_domain {
+        own.chunk_by(|a, b| a.provider == b.provider).map(sets).sum()
+    } else {
+        own.chunks(1).map(sets).sum()
+    };
+    let accelerators = own.iter().map(|place| place.accelerators).sum();
+    (possible, accelerators, own.iter().map(|place| place.hosts).sum())
+}
+
+fn crosses(view: &FleetView, group: &GroupView) -> bool {
+    let domain = |host: &HostName| view.hosts.get(host).map(|host| &host.announcement.domain);
+    let mut domains = group.members.iter().filter_map(domain);
+    let first = domains.next();
+    domains.any(|domain| Some(domain) != first)
+}
+
+/// Declared services with their group size, and whether one of their replicas has no group.
+fn lacking_services<'a>(
+    view: &FleetView,
+    book: &'a RuleBook,
+) -> SortedTable<&'a ServiceName, (usize, bool)> {
+    let services = book.document().services.iter();
+    services
+        .map(|service| {
+            let groups = view.groups.values().filter(|group| group.service == service.name);
+            let lacks = groups.count() < service.replicas as usize;
+            (&service.name, (service.hosts_per_replica as usize, lacks))
+        })
+        .collect()
+}
+
+fn stranded_reason(
+    view: &FleetView,
+    services: &SortedTable<&ServiceName, (usize, bool)>,
+    host: &HostView,
+    places: &[PlaceCount<'_>],
+) -> Option<StrandedReason> {
+    if let Some(group) = host.group.and_then(|group| view.groups.get(&group)) {
+        if view.serves(group) {
+            return None;
+        }
+        let there = |host| view.hosts.get(host).is_some_and(|host| host.present);
+        let complete = group.members.iter().all(there);
+        let reason = if complete { StrandedReason::Loading } else { StrandedReason::MissingMember };
+        return Some(reason);
+    }
+    if host.announcement.leaving {
+        return Some(StrandedReason::Leaving);
+    }
+    let Some((size, lacks)) = services.get(&&host.announcement.service) else {
+        return Some(StrandedReason::Unplaceable);
+    };
+    let free = find_place(places, place_of(host)).map_or(0, |at| places[at].free);
+    let odd = *lacks && free < *size;
+    Some(if odd { StrandedReason::OddHost } else { StrandedReason::SpareHeld })
+}
--- a/crates/placement/src/planner/capacity.rs
+++ b/crates/placement/src/planner/capacity.rs
@@ -150,16 +150,30 @@
         self.serving(frame) >= self.wanted() + usize::from(serves)
     }
 
+    /// Ends the least useful groups beyond the wanted number.
+    ///
+    /// Only as many candidates as there are too many are looked at: when the least useful group
+    /// still serves in place of its successor, the successor must not go instead of it.
     fn drop_surplus(&mut self, frame: &mut RoundFrame<'_>) {
+        let excess = self.kept().saturating_sub(self.wanted());
+        if excess == 0 {
+            return;
+        }
         let mut order: Vec<usize> =
             (0..self.groups.len()).filter(|at| self.fates[*at] == GroupFate::Keep).collect();
         order.sort_by_key(|at| {
             let survey = &frame.survey.groups[self.groups[*at]];
             let rank = survey.anchor.map_or(usize::MAX, |said| self.provider_rank(&said.provider));
-            (survey.serves(), Reverse(rank), Reverse(survey.group.group))
+            let crosses = self.crossing_members(frame, self.groups[*at]).is_some();
+            let state = match (survey.serves(), survey.missing.is_empty()) {
+                (true, _) => 2,
+                (false, true) => 1,
+                (false, false) => 0,
+            };
+            (Reverse(rank), Reverse(crosses), state, Reverse(survey.group.group))
         });
-        for at in order {
-            if self.kept() > self.wanted() && self.is_spare(frame, at) {
+        for at in order.into_iter().take(excess) {
+            if self.is_spare(frame, at) {
                 self.end(frame, at);
             }
         }
