Look at hosts once in survey and account

Cause: replay of large fleets spent most time looking hosts up by name. Change: compact group states and domain counts found by the last neighbour.

--- a/crates/placement/src/accounting.rs
+++ b/crates/placement/src/accounting.rs
@@ -3,7 +3,7 @@
 //! `FleetRates` says what is down and stranded at one moment; `FleetAccount` adds rates up. Both
 //! are pure, so that a live control role and a replay count alike.
 
-use briartray_model::names::{DomainName, HostName, ProviderName, ServiceName};
+use briartray_model::names::{DomainName, GroupId, HostName, ProviderName, ServiceName};
 use briartray_model::rules::{DecisionFacts, PlaceAction, RuleBook, ServiceDeclaration};
 use briartray_model::{SortedTable, TimePoint, plain_choice, plain_value};
 
@@ -118,14 +118,15 @@
     /// Looks at every host and group once.
     pub fn take(view: &FleetView, book: &RuleBook) -> Self {
         let places = count_places(view);
+        let states = group_states(view);
         let mut rates = Self::default();
         for service in &book.document().services {
-            let account = service_rates(view, book, service, &places);
+            let account = service_rates(view, book, service, &places, &states);
             rates.services.insert(service.name.clone(), account);
         }
         let lacking = lacking_services(view, book);
         for host in view.hosts.values().filter(|host| host.present) {
-            if let Some(reason) = stranded_reason(view, &lacking, host, &places) {
+            if let Some(reason) = stranded_reason(&states, &lacking, host, &places) {
                 let accelerators = f64::from(host.announcement.accelerators);
                 let service = host.announcement.service.clone();
                 let account = rates.services.get_or_insert_with(service, Default::default);
@@ -228,18 +229,50 @@
     places.binary_search_by(|place| (place.service, place.provider, place.domain).cmp(&key))
 }
 
+/// State of one group; a short list of these is searched for every host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct GroupState {
+    group: GroupId,
+    serves: bool,
+    complete: bool,
+}
+
+fn group_states(view: &FleetView) -> Vec<GroupState> {
+    let mut states: Vec<GroupState> = view
+        .groups
+        .values()
+        .map(|group| GroupState { group: group.group, serves: group.whole, complete: true })
+        .collect();
+    for host in view.hosts.values().filter(|host| !host.present) {
+        let Some(group) = host.group.and_then(|group| view.groups.get(&group)) else { continue };
+        if let Some(state) = find_state(&mut states, group.group) {
+            state.complete = false;
+            state.serves &= group.members.first() != Some(&host.announcement.host);
+        }
+    }
+    states
+}
+
+fn find_state(states: &mut [GroupState], group: GroupId) -> Option<&mut GroupState> {
+    let index = states.binary_search_by_key(&group, |state| state.group).ok()?;
+    Some(&mut states[index])
+}
+
 fn service_rates(
     view: &FleetView,
     book: &RuleBook,
     service: &ServiceDeclaration,
     places: &[PlaceCount<'_>],
+    states: &[GroupState],
 ) -> ServiceAccount {
     let rules = place_rules(book, &service.name);
     let wanted = service.replicas as usize;
     let serving: Vec<_> = view
         .groups
         .values()
-        .filter(|group| group.service == service.name && view.serves(group))
+        .zip(states)
+        .filter(|(group, state)| state.serves && group.service == service.name)
+        .map(|(group, _)| group)
         .collect();
     let slow = if rules.cross_domain {
         serving.iter().filter(|group| crosses(view, group)).count()
@@ -299,19 +332,18 @@
 }
 
 fn stranded_reason(
-    view: &FleetView,
+    states: &[GroupState],
     services: &SortedTable<&ServiceName, (usize, bool)>,
     host: &HostView,
     places: &[PlaceCount<'_>],
 ) -> Option<StrandedReason> {
-    if let Some(group) = host.group.and_then(|group| view.groups.get(&group)) {
-        if view.serves(group) {
-            return None;
-        }
-        let there = |host| view.hosts.get(host).is_some_and(|host| host.present);
-        let complete = group.members.iter().all(there);
-        let reason = if complete { StrandedReason::Loading } else { StrandedReason::MissingMember };
-        return Some(reason);
+    let position = |group| states.binary_search_by_key(&group, |state| state.group).ok();
+    if let Some(index) = host.group.and_then(position) {
+        return match states[index] {
+            GroupState { serves: true, .. } => None,
+            GroupState { complete: true, .. } => Some(StrandedReason::Loading),
+            _ => Some(StrandedReason::MissingMember),
+        };
     }
     if host.announcement.leaving {
         return Some(StrandedReason::Leaving);
--- a/crates/placement/src/planner/survey.rs
+++ b/crates/placement/src/planner/survey.rs
@@ -1,7 +1,7 @@
 //! One pass over the fleet: which groups lack members, which hosts are free.
 
 use briartray_model::message::HostAnnouncement;
-use briartray_model::names::{DomainName, HostName, ProviderName, ServiceName};
+use briartray_model::names::{DomainName, GroupId, HostName, ProviderName, ServiceName};
 
 use super::{FleetView, GroupView, HostView};
 
@@ -61,8 +61,10 @@
             absent: Vec::new(),
             domains: Vec::new(),
         };
+        let ids: Vec<GroupId> = view.groups.keys().copied().collect();
+        let mut last = 0;
         for host in view.hosts.values() {
-            survey.note(host);
+            survey.note(host, &ids, &mut last);
         }
         for group in &mut survey.groups {
             if group.present < group.group.members.len() {
@@ -85,7 +87,7 @@
             .is_ok_and(|index| self.domains[index].is_dark())
     }
 
-    fn note(&mut self, host: &'a HostView) {
+    fn note(&mut self, host: &'a HostView, ids: &[GroupId], last: &mut usize) {
         if !host.present {
             self.absent.push(host);
         }
@@ -95,10 +97,8 @@
             }
             return;
         };
-        self.count(host);
-        let Ok(index) = self.groups.binary_search_by(|group| group.group.group.cmp(&id)) else {
-            return;
-        };
+        self.count(host, last);
+        let Ok(index) = ids.binary_search(&id) else { return };
         if !host.present {
             return;
         }
@@ -110,19 +110,23 @@
         }
     }
 
-    fn count(&mut self, host: &'a HostView) {
+    /// Counts the host for its fabric domain; neighbours mostly share one, so the last is tried
+    /// first.
+    fn count(&mut self, host: &'a HostView, last: &mut usize) {
         let domain = &host.announcement.domain;
-        let index = match self.domains.binary_search_by(|count| count.domain.cmp(domain)) {
-            Ok(index) => index,
-            Err(index) => {
-                self.domains.insert(index, DomainCount { domain, present: 0, absent: 0 });
-                index
-            }
-        };
+        if self.domains.get(*last).is_none_or(|count| count.domain != domain) {
+            *last = match self.domains.binary_search_by(|count| count.domain.cmp(domain)) {
+                Ok(index) => index,
+                Err(index) => {
+                    self.domains.insert(index, DomainCount { domain, present: 0, absent: 0 });
+                    index
+                }
+            };
+        }
         if host.present {
-            self.domains[index].present += 1;
+            self.domains[*last].present += 1;
         } else {
-            self.domains[index].absent += 1;
+            self.domains[*last].absent += 1;
         }
     }
 }
--- a/crates/placement/src/planner/view.rs
+++ b/crates/placement/src/planner/view.rs
@@ -43,14 +43,6 @@
     pub groups: SortedTable<GroupId, GroupView>,
 }
 
-impl FleetView {
-    /// Whether a group serves: its first host says so, and is itself there.
-    pub fn serves(&self, group: &GroupView) -> bool {
-        let first = group.members.first().and_then(|host| self.hosts.get(host));
-        group.whole && first.is_some_and(|host| host.present)
-    }
-}
-
 /// What a planner asks for.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PlanAction {
--- a/crates/placement/src/replay/fleet.rs
+++ b/crates/placement/src/replay/fleet.rs
@@ -21,6 +21,9 @@
 /// How long a host that went away and belongs to no group is remembered.
 const FORGET_AFTER: Duration = Duration::from_secs(3600);
 
+/// How often hosts that went away are looked through.
+const FORGET_EVERY: Duration = Duration::from_secs(60);
+
 /// The state of a replay between two events.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ReplayFleet {
@@ -37,6 +40,7 @@
     rates: FleetRates,
     account: FleetAccount,
     measure_from: TimePoint,
+    forgot_at: TimePoint,
     stale: bool,
     formed: u64,
     replaced: u64,
@@ -61,6 +65,7 @@
             rates: FleetRates::default(),
             account: FleetAccount::default(),
             measure_from: from_ms(header.measure_from_ms),
+            forgot_at: TimePoint::default(),
             stale: true,
             formed: 0,
             replaced: 0,
@@ -207,6 +212,10 @@
 
     fn forget_hosts(&mut self) {
         let now = self.now;
+        if now.since(self.forgot_at) < FORGET_EVERY {
+            return;
+        }
+        self.forgot_at = now;
         self.view.hosts.retain(|_, host| {
             host.present || host.group.is_some() || now.since(host.since) < FORGET_AFTER
         });
