Let spares load ahead while missing hosts may still return

Cause: waiting for a missing host put off the load of its replacement, replacing threw away quick returns. Change: PlanAction::Prepare loads a position onto a free host that stays free; whoever is ready first mends the group.

--- a/crates/placement/src/planner/command.rs
+++ b/crates/placement/src/planner/command.rs
@@ -7,7 +7,8 @@
 
 use super::{FleetView, PlanAction};
 
-/// The command for one action; none when a host or service has vanished meanwhile.
+/// The command for one action; none when it changes no membership, or when a host or service has
+/// vanished meanwhile.
 pub fn command_for(
     view: &FleetView,
     book: &RuleBook,
@@ -19,6 +20,7 @@
         }
         PlanAction::Replace { group, service, members } => proposal(view, book, service, members)
             .map(|proposal| ControlCommand::ReplaceGroup { group: *group, proposal }),
+        PlanAction::Prepare { .. } => None,
         PlanAction::Dissolve { group } => Some(ControlCommand::DissolveGroup { group: *group }),
     }
 }
--- a/crates/placement/src/planner/group_planner.rs
+++ b/crates/placement/src/planner/group_planner.rs
@@ -7,7 +7,7 @@
 use briartray_model::rules::{DecisionFacts, RuleBook, ServiceDeclaration};
 
 use super::memory::PlannerMemory;
-use super::pool::FreePool;
+use super::pool::{FormerSeat, FreePool};
 use super::reason::{PlanDecision, PlanReason};
 use super::service::ServicePlan;
 use super::survey::{FleetSurvey, of_service};
@@ -69,7 +69,8 @@
     pub(super) fn replace(&mut self, index: usize, members: Vec<HostName>) {
         let group = self.survey.groups[index].group;
         for (rank, host) in members.iter().enumerate() {
-            if group.members.get(rank) != Some(host) {
+            let moves = group.members.get(rank) != Some(host);
+            if moves && self.memory.ready_at(self.now, host, rank) != Some(self.now) {
                 self.memory.remember_member(host);
                 self.loads += 1;
             }
@@ -83,6 +84,28 @@
         self.round.actions.push(PlanAction::Replace { group: group.group, service, members });
     }
 
+    /// Lets a free host load the weights of a position; returns when it should be ready.
+    pub(super) fn prepare(
+        &mut self,
+        index: usize,
+        rank: usize,
+        host: &HostName,
+        seconds: f64,
+    ) -> TimePoint {
+        let group = self.survey.groups[index].group;
+        let ready = self.now.after(Duration::from_secs_f64(seconds));
+        let seat = FormerSeat { group: group.group, rank };
+        self.memory.remember_preparing(host, seat, ready);
+        self.loads += 1;
+        self.round.actions.push(PlanAction::Prepare {
+            host: host.clone(),
+            service: group.service.clone(),
+            rank: rank as u32,
+            size: group.members.len() as u32,
+        });
+        ready
+    }
+
     pub(super) fn dissolve(&mut self, index: usize) {
         let group = self.survey.groups[index].group;
         self.memory.remember_seats(group);
--- a/crates/placement/src/planner/memory.rs
+++ b/crates/placement/src/planner/memory.rs
@@ -34,6 +34,8 @@
     pub(super) seats: SeatMemory,
     /// Hosts whose weights are not loaded as far as the planner can tell.
     fresh: SortedTable<HostName, ()>,
+    /// Free hosts that load ahead, with the time when they are expected to be ready.
+    preparing: SortedTable<HostName, TimePoint>,
 }
 
 impl PlannerMemory {
@@ -51,6 +53,7 @@
                 }
             }
         }
+        self.end_preparing(now, view);
         self.fresh.retain(|host, ()| !sits_whole(view, host));
         self.seats.retain(|host, _| view.hosts.get(host).is_some_and(|host| host.group.is_none()));
     }
@@ -75,11 +78,52 @@
 
     /// Hosts that load now: in a group and not known to be ready.
     pub(super) fn loads_running(&self, view: &FleetView) -> usize {
-        self.fresh
+        let in_groups = self
+            .fresh
             .keys()
             .filter_map(|host| view.hosts.get(host))
             .filter(|host| host.present && host.group.is_some())
-            .count()
+            .count();
+        in_groups + self.preparing.len()
+    }
+
+    /// When `host` is expected to be ready for the position `rank`; none when it would have to
+    /// start to load.
+    pub(super) fn ready_at(
+        &self,
+        now: TimePoint,
+        host: &HostName,
+        rank: usize,
+    ) -> Option<TimePoint> {
+        if self.is_ready(host, rank) {
+            return Some(now);
+        }
+        let seated = self.seats.get(host).is_some_and(|seat| seat.rank == rank);
+        self.preparing.get(host).filter(|_| seated).copied()
+    }
+
+    /// Takes note of a free host that starts to load ahead.
+    pub(super) fn remember_preparing(
+        &mut self,
+        host: &HostName,
+        seat: FormerSeat,
+        ready: TimePoint,
+    ) {
+        self.seats.insert(host.clone(), seat);
+        self.fresh.insert(host.clone(), ());
+        self.preparing.insert(host.clone(), ready);
+    }
+
+    fn end_preparing(&mut self, now: TimePoint, view: &FleetView) {
+        let fresh = &mut self.fresh;
+        self.preparing.retain(|name, ready| {
+            let host = view.hosts.get(name).filter(|host| host.present && host.group.is_none());
+            let ended = host.is_none() || *ready <= now;
+            if host.is_some() && ended {
+                fresh.remove(name);
+            }
+            !ended
+        });
     }
 
     /// Takes note of a group that is about to be dissolved.
--- a/crates/placement/src/planner/pool.rs
+++ b/crates/placement/src/planner/pool.rs
@@ -69,10 +69,19 @@
 
     /// Takes one host for the position `rank`: one that held the same before, or the last.
     pub(super) fn take_one(&mut self, rank: usize) -> Option<HostName> {
+        let index = self.index_for(rank)?;
+        Some(name_of(self.hosts.remove(index).1))
+    }
+
+    /// The host that `take_one` would take.
+    pub(super) fn peek_one(&self, rank: usize) -> Option<&HostName> {
+        self.index_for(rank).map(|index| &self.hosts[index].1.announcement.host)
+    }
+
+    fn index_for(&self, rank: usize) -> Option<usize> {
         let same = |seat: &Option<FormerSeat>| seat.is_some_and(|seat| seat.rank == rank);
         let index = self.hosts.iter().position(|(seat, _)| same(seat));
-        let index = index.or_else(|| self.hosts.len().checked_sub(1))?;
-        Some(name_of(self.hosts.remove(index).1))
+        index.or_else(|| self.hosts.len().checked_sub(1))
     }
 
     /// The former group that most of the hosts sat in.
--- a/crates/placement/src/planner/view.rs
+++ b/crates/placement/src/planner/view.rs
@@ -62,6 +62,19 @@
         /// Hosts of its successor in order.
         members: Vec<HostName>,
     },
+    /// Load the weights of a position onto a free host, which stays free.
+    ///
+    /// This changes no membership and binds nobody; a host that does not get to it loads later.
+    Prepare {
+        /// The host.
+        host: HostName,
+        /// Service it is meant for.
+        service: ServiceName,
+        /// Position in a group, from zero.
+        rank: u32,
+        /// Hosts of such a group.
+        size: u32,
+    },
     /// Dissolve a group and free its hosts.
     Dissolve {
         /// The group.
--- a/crates/placement/src/replay/fleet.rs
+++ b/crates/placement/src/replay/fleet.rs
@@ -169,11 +169,15 @@
     }
 
     /// Carries out what a planner asks for.
-    pub fn act(&mut self, action: &PlanAction) -> CommandOutcome {
+    pub fn act(&mut self, action: &PlanAction) {
         self.stale = true;
+        if let PlanAction::Prepare { host, rank, size, .. } = action {
+            self.prepare(host, (*rank as usize, *size as usize));
+            return;
+        }
         let Some(command) = command_for(&self.view, &self.book, action) else {
             self.refused += 1;
-            return CommandOutcome::GroupUnknown { group: GroupId::default() };
+            return;
         };
         let old = match &command {
             ControlCommand::DissolveGroup { group }
@@ -195,7 +199,13 @@
             }
             _ => self.refused += 1,
         }
-        outcome
+    }
+
+    fn prepare(&mut self, host: &HostName, shard: (usize, usize)) {
+        let free = |view: &&HostView| view.present && view.group.is_none();
+        if self.view.hosts.get(host).filter(free).is_some() {
+            self.engines.order(host, shard);
+        }
     }
 
     fn count_until(&mut self, when: TimePoint) {
