Front that bounds connections, heads and slow senders

Cause: the HTTP library has no read timeout, no head limit, ends its accept loop at the first failed accept, and may leave a connection queued behind a thread that is already taken. Change: crates/web/src/front accepts and relays bytes to the library over loopback under limits of connections, head, time to send, idle time and unread answers, and wakes the library while a connection waits. Clear JSON refusals; read-only paths refuse other methods. Conclusion: a slow or oversized caller costs a bounded amount and disturbs nobody.

--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -23,6 +23,9 @@
 /// Headers that are passed on to the endpoint.
 const PASSED_HEADERS: [&str; 3] = ["content-type", "accept", "idempotency-key"];
 
+/// Paths that are only read.
+const READ_PATHS: [&str; 4] = ["/healthz", "/readyz", "/metrics", "/v1/models"];
+
 #[derive(Debug, Deserialize)]
 struct CallHead {
     #[serde(default)]
@@ -34,6 +37,13 @@
 /// Handles one request.
 pub(super) fn handle(request: Request, shared: &Arc<EntryShared>) {
     let path = request.url().split('?').next().unwrap_or_default().to_owned();
+    let reads = matches!(request.method(), Method::Get | Method::Head);
+    if READ_PATHS.contains(&path.as_str()) && !reads {
+        let refusal = CallRefusal::not_run(RefusalCode::WrongMethod, "use GET for this path");
+        shared.metrics.ended(refusal.code.as_str());
+        reply_json(request, &refusal.reply(new_request()));
+        return;
+    }
     match path.as_str() {
         "/healthz" => reply_json(request, &JsonReply::new(200, json!({ "alive": true }))),
         "/readyz" => reply_json(request, &readiness(shared)),
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -5,6 +5,8 @@
 use snafu::{ResultExt, Snafu};
 use tiny_http::Request;
 
+use crate::front;
+
 /// Why a body was refused.
 #[derive(Debug, Snafu)]
 pub enum BodyError {
@@ -30,11 +32,13 @@
     if request.body_length().is_some_and(|length| length > limit) {
         return TooLargeSnafu { limit }.fail();
     }
-    let mut body = Vec::with_capacity(request.body_length().unwrap_or(0));
+    // The announced length is a claim: memory grows with what arrives, not with what is announced.
+    let mut body = Vec::new();
     let most = u64::try_from(limit).unwrap_or(u64::MAX).saturating_add(1);
     request.as_reader().take(most).read_to_end(&mut body).context(BrokenSnafu)?;
     if body.len() > limit {
         return TooLargeSnafu { limit }.fail();
     }
+    front::body_is_whole();
     Ok(body)
 }
--- a/crates/web/src/reply.rs
+++ b/crates/web/src/reply.rs
@@ -1,7 +1,7 @@
 //! Whole replies.
 
 use serde_json::{Value, json};
-use tiny_http::{Header, Request, Response};
+use tiny_http::{Header, Request, Response, StatusCode};
 
 /// A JSON reply with its status and extra headers.
 #[derive(Debug, Clone, PartialEq)]
@@ -22,7 +22,11 @@
 
     /// A refusal of a request that was not looked at yet.
     pub fn refusal(status: u16, code: &str) -> Self {
-        let message = "the request was not looked at; try again in a second";
+        Self::not_run(status, code, "the request was not looked at; try again in a second")
+    }
+
+    /// A refusal of a request that was not run, with the remedy in `message`.
+    pub fn not_run(status: u16, code: &str, message: &str) -> Self {
         let body = json!({
             "code": code,
             "message": message,
@@ -30,7 +34,26 @@
             "outcome": "not_run",
             "error": { "code": code, "message": message, "type": "briartray" },
         });
-        Self { status, body, headers: vec![("Retry-After", "1".to_owned())] }
+        let reply = Self::new(status, body);
+        if status == 503 { reply.with_header("Retry-After", "1".to_owned()) } else { reply }
+    }
+
+    /// The whole reply as HTTP/1.1, after which the connection closes.
+    pub(crate) fn to_bytes(&self) -> Vec<u8> {
+        let body = self.body.to_string();
+        let mut head = format!(
+            "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\
+             Connection: close\r\n",
+            self.status,
+            StatusCode(self.status).default_reason_phrase(),
+            body.len()
+        );
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        head.push_str(&body);
+        head.into_bytes()
     }
 
     /// The same reply with one more header.
--- /dev/null
+++ b/crates/web/tests/bad_input.rs
@@ -0,0 +1,259 @@
+//! What a listener does with callers that send too much, too little, or nonsense.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use briartray_web::{EventWriter, FrontLimits, HttpListener, JsonReply, read_body, reply_json};
+use serde_json::json;
+
+const MAX_BODY: usize = 10_000;
+
+/// Longer than any limit that the tests set; only a hang takes this long.
+const READ_LIMIT: Duration = Duration::from_secs(30);
+
+fn tight_limits() -> FrontLimits {
+    FrontLimits {
+        connections: 40,
+        head_bytes: 8 * 1024,
+        receive_time: Duration::from_millis(2500),
+        idle_time: Duration::from_millis(800),
+        write_time: Duration::from_secs(2),
+    }
+}
+
+/// Answers with the length of the body; `/stream` sends one event and waits for the caller to go.
+fn start_listener(limits: FrontLimits) -> HttpListener {
+    let handler = Arc::new(|mut request: tiny_http::Request| {
+        if request.url() == "/stream" {
+            let Ok(mut events) = EventWriter::start(request.into_writer(), &[]) else { return };
+            while events.event(b"tick").is_ok() {
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            return;
+        }
+        let reply = match read_body(&mut request, MAX_BODY) {
+            Ok(body) => JsonReply::new(200, json!({ "length": body.len() })),
+            Err(error) => JsonReply::not_run(400, "bad_body", &error.to_string()),
+        };
+        reply_json(request, &reply);
+    });
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    HttpListener::start_with(address, 1000, limits, handler).expect("the listener starts")
+}
+
+fn connect(listener: &HttpListener) -> TcpStream {
+    let stream = TcpStream::connect(listener.address()).expect("a connection");
+    stream.set_read_timeout(Some(READ_LIMIT)).expect("a read limit");
+    stream
+}
+
+/// Everything that comes until the other side closes.
+fn read_rest(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    // A reset after the answer is as good as an end here; what came before it counts.
+    let _ = stream.read_to_end(&mut bytes);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn ask(listener: &HttpListener, text: &str) -> String {
+    let mut stream = connect(listener);
+    stream.write_all(text.as_bytes()).expect("the listener reads");
+    read_rest(&mut stream)
+}
+
+fn good_request() -> &'static str {
+    "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}"
+}
+
+#[test]
+fn sound_request_is_answered_and_connection_kept() {
+    let listener = start_listener(tight_limits());
+    let mut stream = connect(&listener);
+    let request = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}";
+
+    let answers: Vec<String> = (0..2)
+        .map(|_| {
+            stream.write_all(request.as_bytes()).expect("the listener reads");
+            let mut answer = vec![0_u8; 4096];
+            let count = stream.read(&mut answer).expect("an answer");
+            String::from_utf8_lossy(&answer[..count]).into_owned()
+        })
+        .collect();
+
+    assert!(answers.iter().all(|answer| answer.starts_with("HTTP/1.1 200")), "{answers:?}");
+    listener.stop();
+}
+
+#[test]
+fn slow_head_is_refused_and_disturbs_nobody() {
+    // Callers open connections and send a head byte by byte, or never finish it. Each would hold a
+    // thread for ever; a caller beside them would find no connection left.
+    let listener = start_listener(tight_limits());
+    let mut slow: Vec<TcpStream> = (0..20).map(|_| connect(&listener)).collect();
+    for stream in &mut slow {
+        stream.write_all(b"POST /x HTTP/1.1\r\nHo").expect("the listener reads");
+    }
+
+    let beside = ask(&listener, good_request());
+    let answers: Vec<String> = slow.iter_mut().map(read_rest).collect();
+
+    assert!(beside.starts_with("HTTP/1.1 200"), "{beside}");
+    assert!(answers.iter().all(|answer| answer.contains("request_too_slow")), "{answers:?}");
+    listener.stop();
+}
+
+#[test]
+fn slow_body_is_refused() {
+    // A caller announces a body and trickles it. Its request thread would wait without end.
+    let listener = start_listener(tight_limits());
+    let mut stream = connect(&listener);
+    let head = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n";
+    stream.write_all(head.as_bytes()).expect("the listener reads");
+    let mut writer = stream.try_clone().expect("a second handle");
+
+    let trickle = std::thread::spawn(move || {
+        while writer.write_all(b"x").is_ok() {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    });
+    let answer = read_rest(&mut stream);
+
+    assert!(answer.contains("408") && answer.contains("\"outcome\":\"not_run\""), "{answer}");
+    drop(stream);
+    trickle.join().expect("the listener closed the connection");
+    listener.stop();
+}
+
+#[test]
+fn oversized_head_is_refused() {
+    // A head of megabytes would be kept in memory whole.
+    let listener = start_listener(tight_limits());
+    let head = format!("GET /x HTTP/1.1\r\nX: {}\r\n\r\n", "a".repeat(200 * 1024));
+
+    let answer = ask(&listener, &head);
+
+    assert!(answer.contains("431") && answer.contains("head_too_large"), "{answer}");
+    listener.stop();
+}
+
+#[test]
+fn oversized_body_is_refused_before_it_is_sent() {
+    // A caller announces gigabytes. The announcement alone must cost nothing, and the answer must
+    // not wait for the body.
+    let listener = start_listener(tight_limits());
+
+    let answer =
+        ask(&listener, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4000000000\r\n\r\nstart");
+
+    assert!(answer.contains("bad_body") && answer.contains("not_run"), "{answer}");
+    listener.stop();
+}
+
+#[test]
+fn endless_chunked_body_is_refused() {
+    let listener = start_listener(tight_limits());
+    let chunk = format!("4000\r\n{}\r\n", "a".repeat(0x4000));
+    let text = format!("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}");
+
+    let answer = ask(&listener, &text);
+
+    assert!(answer.contains("bad_body"), "{answer}");
+    listener.stop();
+}
+
+#[test]
+fn nonsense_is_refused_with_json() {
+    // Something that is not HTTP, a head with bytes outside ASCII, and a chunk without a length.
+    let listener = start_listener(tight_limits());
+    let chunked = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n";
+
+    let answers = [
+        ask(&listener, "hello there\r\n\r\n"),
+        ask(&listener, "GET /x HTTP/1.1\r\nX: \u{e9}\r\n\r\n"),
+        ask(&listener, chunked),
+    ];
+
+    let sound = |answer: &String| answer.contains("400") && answer.contains("\"not_run\"");
+    assert!(answers.iter().all(sound), "{answers:?}");
+    listener.stop();
+}
+
+#[test]
+fn too_many_connections_are_refused_and_places_come_free() {
+    // More connections come than there are places for, as when a balancer reconnects at once.
+    let listener = start_listener(tight_limits());
+    let held: Vec<TcpStream> = (0..40).map(|_| connect(&listener)).collect();
+    wait_until(|| listener.open_connections() == 40);
+
+    let refused = ask(&listener, good_request());
+    drop(held);
+    wait_until(|| listener.open_connections() == 0);
+    let taken = ask(&listener, good_request());
+
+    assert!(refused.contains("too_many_connections"), "{refused}");
+    assert!(taken.starts_with("HTTP/1.1 200"), "{taken}");
+    listener.stop();
+}
+
+#[test]
+fn caller_that_closes_its_side_gets_its_answer() {
+    let listener = start_listener(tight_limits());
+    let mut stream = connect(&listener);
+    stream.write_all(good_request().as_bytes()).expect("the listener reads");
+    stream.shutdown(Shutdown::Write).expect("one side closes");
+
+    let answer = read_rest(&mut stream);
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    listener.stop();
+}
+
+#[test]
+fn idle_connection_is_closed() {
+    let listener = start_listener(tight_limits());
+    let mut stream = connect(&listener);
+
+    let rest = read_rest(&mut stream);
+
+    assert_eq!(rest, "");
+    wait_until(|| listener.open_connections() == 0);
+    listener.stop();
+}
+
+#[test]
+fn bursts_of_streams_start_at_once() {
+    // Many callers open streams within the same moment, again and again. The HTTP library may
+    // queue one behind a thread that already serves another; that caller would see nothing until
+    // a stream ends.
+    let limits = FrontLimits { connections: 500, ..tight_limits() };
+    let listener = start_listener(limits);
+
+    let waiting: Vec<usize> = (1..20).map(|round| run_burst(&listener, 3 * round)).collect();
+
+    assert_eq!(waiting, vec![0; 19]);
+    listener.stop();
+}
+
+/// Opens `count` streams at once; returns how many of them bring nothing.
+fn run_burst(listener: &HttpListener, count: usize) -> usize {
+    let mut streams: Vec<TcpStream> = (0..count).map(|_| connect(listener)).collect();
+    for stream in &mut streams {
+        stream.write_all(b"GET /stream HTTP/1.1\r\nHost: a\r\n\r\n").expect("it reads");
+    }
+    let started = |stream: &mut TcpStream| stream.read(&mut [0_u8; 64]).is_ok_and(|n| n > 0);
+    let waiting = streams.iter_mut().filter_map(|stream| (!started(stream)).then_some(())).count();
+    drop(streams);
+    wait_until(|| listener.open_requests() == 0);
+    waiting
+}
+
+/// Waits for `condition`; the limit is generous, because a busy machine is no failure.
+fn wait_until(condition: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < READ_LIMIT, "the condition never held");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
