--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -11,6 +11,7 @@
 mod rules;
 mod stand_in;
 mod status;
+mod stop;
 
 use std::process::ExitCode;
 
@@ -40,6 +41,8 @@
     Groups(groups::GroupsOptions),
     #[options(help = "run a stand-in engine, service or weight store")]
     StandIn(stand_in::StandInOptions),
+    #[options(help = "plan, list and cancel planned stops")]
+    Stop(stop::StopOptions),
     #[options(help = "put load on an entry and check every answer")]
     Load(load::LoadOptions),
     #[options(help = "run a measurement")]
@@ -103,6 +106,7 @@
         Subcommand::Status(options) => status::run(options),
         Subcommand::Groups(options) => groups::run(options),
         Subcommand::StandIn(options) => stand_in::run(options),
+        Subcommand::Stop(options) => stop::run(options),
         Subcommand::Load(options) => load::run(options),
         Subcommand::Measure(options) => measure::run(options),
     };
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -7,7 +7,7 @@
 use briartray_model::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
 use briartray_model::settings::{
     AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
-    EndpointSettings, EntrySettings, LogSettings, TraceSettings, UnconfirmedPolicy,
+    EndpointSettings, EntrySettings, LogSettings, StopSettings, TraceSettings, UnconfirmedPolicy,
 };
 use briartray_node::{DaemonError, RunningDaemon};
 use briartray_standin::engine::{EngineSettings, StandinEngine};
@@ -238,6 +238,7 @@
         cluster: cluster.clone(),
         log: LogSettings::default(),
         trace: TraceSettings::default(),
+        stop: StopSettings::default(),
         entry: Some(EntrySettings {
             listen: plan.listen,
             max_open_requests: 4096,
@@ -270,10 +271,12 @@
         cluster: cluster.clone(),
         log: LogSettings::default(),
         trace: TraceSettings::default(),
+        stop: StopSettings::default(),
         entry: None,
         control: None,
         agent: Some(AgentSettings {
             link: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            announce: None,
             host: HostName::new(&format!("host-{number}")),
             domain: DomainName::new("rack-1"),
             provider: ProviderName::new("local"),
--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -2,11 +2,13 @@
 
 use briartray_model::message::{GroupMember, LedgerReply, LedgerRequest};
 use briartray_model::names::{
-    ChangeId, DomainName, FencingNumber, GroupId, HostName, ProviderName, RevisionNumber,
-    ServiceName, ZoneName,
+    ChangeId, DomainName, FencingNumber, GroupId, HostName, NodeName, ProviderName, RevisionNumber,
+    ServiceName, StopId, ZoneName,
 };
 use briartray_model::plain_value;
 
+use super::StopPlan;
+
 plain_value! {
     /// One change of the control state.
     pub enum ControlCommand {
@@ -26,8 +28,43 @@
             /// The group.
             group: GroupId,
         },
+        /// Let an entry hold a rules lease.
+        RegisterEntry {
+            /// The entry.
+            node: NodeName,
+        },
+        /// Strike an entry off.
+        ForgetEntry {
+            /// The entry.
+            node: NodeName,
+        },
+        /// Put a group in the place of another in one step, so that no other command comes between
+        /// freeing the members that are kept and binding them again.
+        ReplaceGroup {
+            /// The group that ends.
+            group: GroupId,
+            /// The group that takes its place.
+            proposal: GroupProposal,
+        },
         /// Change the ledger of claims.
         Ledger(LedgerRequest),
+        /// Forget the oldest claims whose outcome is known.
+        ForgetClaims {
+            /// Newest claims that stay in any case.
+            keep: u64,
+        },
+        /// Plan a stop.
+        PlanStop {
+            /// Revision of the stop book that the stop was checked against.
+            expect: u64,
+            /// The stop.
+            plan: StopPlan,
+        },
+        /// Take a planned stop back.
+        CancelStop {
+            /// The stop.
+            stop: StopId,
+        },
     }
 
     /// A group to be formed.
@@ -92,7 +129,52 @@
             /// The group.
             group: GroupId,
         },
+        /// The entry may hold a lease.
+        EntryRegistered {
+            /// The entry.
+            node: NodeName,
+        },
+        /// The entry is struck off.
+        EntryForgotten {
+            /// The entry.
+            node: NodeName,
+        },
+        /// There is no such entry.
+        EntryUnknown {
+            /// The entry.
+            node: NodeName,
+        },
+        /// No more entries can be registered.
+        EntriesFull {
+            /// How many there may be.
+            limit: usize,
+        },
         /// What the ledger answered.
         Ledger(LedgerReply),
+        /// Claims are forgotten.
+        ClaimsForgotten {
+            /// How many.
+            count: usize,
+        },
+        /// The stop is planned.
+        StopPlanned {
+            /// The stop.
+            stop: StopId,
+        },
+        /// The stop is not planned.
+        StopRefused {
+            /// Why.
+            reason: String,
+        },
+        /// The stop is taken back.
+        StopCancelled {
+            /// The stop.
+            stop: StopId,
+        },
+        /// There never was such a stop.
+        StopUnknown {
+            /// The stop.
+            stop: StopId,
+        },
     }
 }
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -3,16 +3,18 @@
 //! Applying is deterministic: no clocks, no randomness, no input or output.
 
 mod command;
+mod entries;
 mod groups;
 mod ledger;
 mod rules;
 mod stops;
 
 pub use command::{CommandOutcome, ControlCommand, GroupProposal};
+pub use entries::EntryRoster;
 pub use groups::{GroupRegistry, HostSeat, RegisteredGroup};
-pub use ledger::ClaimLedger;
+pub use ledger::{ClaimLedger, MAX_ANSWER_BYTES, MAX_CLAIMS};
 pub use rules::{AcceptedRules, RuleShelf};
-pub use stops::StopBook;
+pub use stops::{HostPlace, MAX_STOPS, StopBook, StopPlan, StopTarget};
 
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +25,8 @@
     pub rules: RuleShelf,
     /// Groups, hosts and fencing numbers.
     pub groups: GroupRegistry,
+    /// Entries that may hold a rules lease.
+    pub entries: EntryRoster,
     /// Planned stops.
     pub stops: StopBook,
     /// Calls that may not be repeated.
@@ -38,7 +42,17 @@
             }
             ControlCommand::FormGroup(proposal) => self.groups.form(proposal),
             ControlCommand::DissolveGroup { group } => self.groups.dissolve(*group),
+            ControlCommand::RegisterEntry { node } => self.entries.register(node),
+            ControlCommand::ForgetEntry { node } => self.entries.forget(node),
+            ControlCommand::ReplaceGroup { group, proposal } => {
+                self.groups.replace(*group, proposal)
+            }
             ControlCommand::Ledger(request) => CommandOutcome::Ledger(self.ledger.apply(request)),
+            ControlCommand::ForgetClaims { keep } => {
+                CommandOutcome::ClaimsForgotten { count: self.ledger.forget(*keep) }
+            }
+            ControlCommand::PlanStop { expect, plan } => self.stops.plan(*expect, plan),
+            ControlCommand::CancelStop { stop } => self.stops.cancel(*stop),
         }
     }
 }
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -6,12 +6,14 @@
 mod core;
 mod endpoint;
 mod member;
+mod running;
 mod serve;
 mod session;
 mod shared;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use briartray_link::{CallKind, ClientSettings, LinkClient, LinkServer, LinkStream};
 use briartray_model::message::HostAnnouncement;
@@ -20,19 +22,27 @@
 use crossbeam::channel::{Sender, bounded};
 
 use self::core::{AgentCore, AgentInput};
+use self::session::SessionHandle;
 use self::shared::AgentShared;
-use crate::{DaemonError, new_incarnation};
+use crate::DaemonError;
 
 /// Inputs that may wait for the control thread.
 const INPUT_QUEUE: usize = 1024;
 
 /// Time to connect to another process.
-const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1000);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Time between two looks at the work that is left.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+
+/// How long a host that is leaving waits for a control host to answer at all.
+const ALONE_WAIT: Duration = Duration::from_secs(10);
 
 /// A running agent role.
 pub struct AgentNode {
     link: LinkServer,
     shared: Arc<AgentShared>,
+    session: SessionHandle,
     inputs: Sender<AgentInput>,
 }
 
@@ -56,12 +66,13 @@
                 connect_timeout: CONNECT_TIMEOUT,
             },
         )?;
-        let announcement = announce(settings, role, link.address());
+        let announcement =
+            announce(settings, role, &shared, role.announce.unwrap_or(link.address()));
         let peers = settings.cluster.control.iter().map(|peer| peer.link).collect();
         let session = session::start(client.clone(), peers, announcement, inputs.clone())?;
-        let core = AgentCore::new(Arc::clone(&shared), client, session, inputs.clone());
+        let core = AgentCore::new(Arc::clone(&shared), client, session.clone(), inputs.clone());
         spawn_worker("agent", 4 * WORKER_STACK_BYTES, move || core.run(&queue))?;
-        Ok(Self { link, shared, inputs })
+        Ok(Self { link, shared, session, inputs })
     }
 
     /// Where other processes connect.
@@ -69,6 +80,25 @@
         self.link.address()
     }
 
+    /// Leaves as by a planned stop: the group takes no new work and finishes what runs. Returns
+    /// when the host may be shut down, or after `limit`; `false` when work was left.
+    ///
+    /// A host that leads no group still holds its group together, so it stays until control says
+    /// that the group has no work left.
+    pub fn drain(&self, limit: Duration) -> bool {
+        let started = Instant::now();
+        self.session.leave();
+        self.shared.leave_group();
+        while started.elapsed() < limit {
+            let alone = !self.session.is_open() && started.elapsed() > ALONE_WAIT;
+            if self.shared.is_idle() && (self.shared.may_stop() || alone) {
+                return true;
+            }
+            std::thread::sleep(DRAIN_CHECK);
+        }
+        false
+    }
+
     /// Stops the role.
     pub fn stop(&self) {
         self.shared.close();
@@ -77,7 +107,12 @@
     }
 }
 
-fn announce(settings: &DaemonSettings, role: &AgentSettings, link: SocketAddr) -> HostAnnouncement {
+fn announce(
+    settings: &DaemonSettings,
+    role: &AgentSettings,
+    shared: &AgentShared,
+    link: SocketAddr,
+) -> HostAnnouncement {
     HostAnnouncement {
         host: role.host.clone(),
         zone: settings.zone.clone(),
@@ -87,7 +122,7 @@
         accelerators: role.accelerators,
         link,
         checks_fencing: role.endpoint.checks_fencing,
-        incarnation: new_incarnation(),
+        incarnation: shared.incarnation,
         leaving: false,
     }
 }
--- a/crates/node/src/agent/shared.rs
+++ b/crates/node/src/agent/shared.rs
@@ -1,16 +1,19 @@
 //! What the agent's control thread shares with its traffic threads.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use briartray_model::SortedTable;
 use briartray_model::TimePoint;
 use briartray_model::message::{DispatchOrder, LoadReport, RefusalReason};
-use briartray_model::names::{FencingNumber, GroupId};
+use briartray_model::names::{AttemptId, FencingNumber, GroupId};
 use briartray_model::settings::AgentSettings;
-use briartray_routing::attempt::AttemptBook;
+use briartray_routing::attempt::{AttemptBook, BookLimits};
 
-use crate::ClockReader;
+use super::running::RunningAttempt;
+use crate::{ClockReader, new_incarnation};
 
 /// The gate as traffic threads see it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -25,15 +28,39 @@
     pub(super) capacity: u32,
 }
 
+/// Longest wait for a slot.
+const MAX_SLOT_WAIT: Duration = Duration::from_millis(250);
+
+/// Slots per order that may wait.
+const QUEUE_SHARE: u32 = 16;
+
+/// Orders that may wait at most.
+const MAX_QUEUED: u32 = 16;
+
+/// Orders at the endpoint, and orders that wait for a slot there.
+#[derive(Debug, Clone, Copy, Default)]
+struct SlotCount {
+    in_flight: u32,
+    queued: u32,
+}
+
 /// State shared between the threads of one agent.
 #[derive(Debug)]
 pub(super) struct AgentShared {
     pub(super) settings: AgentSettings,
     pub(super) clock: ClockReader,
+    /// Number of this start of the process.
+    pub(super) incarnation: u64,
     gate: ArcSwap<GateView>,
     closed: AtomicBool,
-    in_flight: AtomicU32,
+    /// Fencing number of the group that takes no new work; zero for none.
+    leaving: AtomicU64,
+    /// Whether control said that the host may be shut down.
+    may_stop: AtomicBool,
+    slots: Mutex<SlotCount>,
+    slot_freed: Condvar,
     attempts: Mutex<AttemptBook>,
+    held: Mutex<SortedTable<AttemptId, Arc<RunningAttempt>>>,
 }
 
 impl AgentShared {
@@ -41,16 +68,21 @@
         Self {
             settings: settings.clone(),
             clock: ClockReader::start(),
+            incarnation: new_incarnation(),
             gate: ArcSwap::from_pointee(GateView::default()),
             closed: AtomicBool::new(false),
-            in_flight: AtomicU32::new(0),
-            attempts: Mutex::new(AttemptBook::new()),
+            leaving: AtomicU64::new(0),
+            may_stop: AtomicBool::new(false),
+            slots: Mutex::new(SlotCount::default()),
+            slot_freed: Condvar::new(),
+            attempts: Mutex::new(AttemptBook::new(BookLimits::default())),
+            held: Mutex::new(SortedTable::new()),
         }
     }
 
     /// Publishes the gate's state.
     pub(super) fn publish(&self, view: GateView) {
-        self.gate.store(std::sync::Arc::new(view));
+        self.gate.store(Arc::new(view));
     }
 
     /// Takes no new work from now on.
@@ -58,6 +90,45 @@
         self.closed.store(true, Ordering::SeqCst);
     }
 
+    /// Notes that the host takes part in no work any more.
+    pub(super) fn allow_stop(&self) {
+        self.may_stop.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether control said that the host may be shut down.
+    pub(super) fn may_stop(&self) -> bool {
+        self.may_stop.load(Ordering::SeqCst)
+    }
+
+    /// Lets the group that this host leads, if any, take no new work.
+    pub(super) fn leave_group(&self) {
+        self.set_leaving(self.gate.load().fencing, true);
+    }
+
+    /// Lets the group under `fencing` take no new work, or take it again.
+    pub(super) fn set_leaving(&self, fencing: FencingNumber, leaving: bool) {
+        if leaving {
+            self.leaving.store(fencing.0, Ordering::SeqCst);
+        } else {
+            let change = |known| (known == fencing.0).then_some(0);
+            let _ = self.leaving.fetch_update(Ordering::SeqCst, Ordering::SeqCst, change);
+        }
+    }
+
+    /// Whether the group under `fencing` takes no new work and has none left.
+    ///
+    /// An order is counted in before it looks whether the group leaves, so that no order slips in
+    /// after this was found true.
+    pub(super) fn is_drained(&self, fencing: FencingNumber) -> bool {
+        self.leaving.load(Ordering::SeqCst) == fencing.0 && self.is_idle()
+    }
+
+    /// Whether no attempt runs and no answer is on its way to an entry.
+    pub(super) fn is_idle(&self) -> bool {
+        let slots = *self.lock_slots();
+        slots.in_flight == 0 && slots.queued == 0 && self.held().is_empty()
+    }
+
     /// Why `order` must not run now, if so.
     ///
     /// The time is read after the view: a process that slept in between finds the lease gone.
@@ -65,14 +136,58 @@
         if self.closed.load(Ordering::SeqCst) {
             return Some(RefusalReason::Leaving);
         }
+        // An order for an earlier start of this process may have been held up on its way; its
+        // tombstone went with that process.
+        if order.incarnation != self.incarnation {
+            return Some(RefusalReason::WrongGroup);
+        }
         let gate = self.gate.load();
         if (gate.group, gate.fencing) != (order.group, order.fencing) {
             return Some(RefusalReason::WrongGroup);
         }
-        if !self.is_whole(&gate) {
-            return Some(RefusalReason::GroupNotWhole);
+        if self.leaving.load(Ordering::SeqCst) == gate.fencing.0 {
+            return Some(RefusalReason::Leaving);
+        }
+        (!self.is_whole(&gate)).then_some(RefusalReason::GroupNotWhole)
+    }
+
+    /// Counts `order` in, after a short wait when every slot is taken; it is counted out when the
+    /// slot is dropped.
+    ///
+    /// The queue covers the time in which a freed slot would stand empty until an entry hears of
+    /// it. It stays short: a request that waits here cannot go to another replica.
+    ///
+    /// # Errors
+    /// Why the order is refused; it was not run.
+    pub(super) fn take_slot(
+        self: &Arc<Self>,
+        order: &DispatchOrder,
+    ) -> Result<EngineSlot, RefusalReason> {
+        let wait = MAX_SLOT_WAIT.min(Duration::from_millis(u64::from(order.deadline_ms)));
+        let until = self.clock.now().after(wait);
+        let mut slots = self.lock_slots();
+        if slots.queued == 0 && slots.in_flight < self.capacity() {
+            slots.in_flight += 1;
+            return Ok(EngineSlot(Arc::clone(self)));
+        }
+        if slots.queued >= queue_length(self.capacity()) {
+            return Err(RefusalReason::QueueFull);
+        }
+        slots.queued += 1;
+        loop {
+            let left = until.since(self.clock.now());
+            if slots.in_flight < self.capacity() {
+                slots.queued -= 1;
+                slots.in_flight += 1;
+                return Ok(EngineSlot(Arc::clone(self)));
+            }
+            if left.is_zero() {
+                slots.queued -= 1;
+                return Err(RefusalReason::QueueFull);
+            }
+            let waited = self.slot_freed.wait_timeout(slots, left);
+            slots = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
-        (self.in_flight.load(Ordering::SeqCst) >= gate.capacity).then_some(RefusalReason::QueueFull)
     }
 
     /// Whether the group of `order` is still whole at its fencing number.
@@ -83,18 +198,18 @@
 
     /// The load to report.
     pub(super) fn load(&self) -> LoadReport {
+        let slots = self.lock_slots();
         LoadReport {
-            in_flight: self.in_flight.load(Ordering::SeqCst),
-            queued: 0,
-            capacity: self.gate.load().capacity,
+            in_flight: slots.in_flight,
+            queued: slots.queued,
+            capacity: self.capacity(),
             step_micros: 0,
         }
     }
 
-    /// Counts an attempt in; it is counted out when the guard is dropped.
-    pub(super) fn count_in(&self) -> InFlightGuard<'_> {
-        self.in_flight.fetch_add(1, Ordering::SeqCst);
-        InFlightGuard(&self.in_flight)
+    /// The answers that are held, by attempt.
+    pub(super) fn held(&self) -> MutexGuard<'_, SortedTable<AttemptId, Arc<RunningAttempt>>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The attempts seen so far.
@@ -102,17 +217,31 @@
         self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn capacity(&self) -> u32 {
+        self.gate.load().capacity
+    }
+
+    fn lock_slots(&self) -> MutexGuard<'_, SlotCount> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn is_whole(&self, gate: &GateView) -> bool {
         gate.whole_until.is_some_and(|until| self.clock.now() < until)
     }
 }
 
-/// Counts one attempt in flight.
+/// One slot of the endpoint; counts as free again when dropped.
 #[derive(Debug)]
-pub(super) struct InFlightGuard<'a>(&'a AtomicU32);
+pub(super) struct EngineSlot(Arc<AgentShared>);
 
-impl Drop for InFlightGuard<'_> {
+impl Drop for EngineSlot {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+        self.0.lock_slots().in_flight -= 1;
+        self.0.slot_freed.notify_one();
     }
 }
+
+/// Orders that may wait for a slot.
+fn queue_length(capacity: u32) -> u32 {
+    (capacity / QUEUE_SHARE).clamp(1, MAX_QUEUED)
+}
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -1,5 +1,7 @@
 //! What a caller is told when it gets no answer.
 
+use std::time::Duration;
+
 use briartray_model::message::CallOutcome;
 use briartray_model::names::RequestId;
 use briartray_web::JsonReply;
@@ -34,6 +36,24 @@
     DeadlinePassed,
     /// The entry is stopping.
     Stopping,
+    /// The call needs an `Idempotency-Key`, or the one it has cannot be used.
+    BadKey,
+    /// The key was used with another body.
+    KeyReused,
+    /// The key was claimed before and its outcome is not known.
+    InProgress,
+    /// The call under this key ran; its answer is not kept.
+    AnswerNotKept,
+    /// The ledger of claims does not answer.
+    LedgerUnavailable,
+    /// The ledger holds as many claims as it may.
+    LedgerFull,
+    /// As many requests of the team wait as its rule allows.
+    TeamQueueFull,
+    /// The entry holds as many requests as it can.
+    Overloaded,
+    /// The request would not be done before its deadline.
+    TooLate,
 }
 
 impl RefusalCode {
@@ -53,6 +73,15 @@
             Self::ReplicaFailed => "replica_failed",
             Self::DeadlinePassed => "deadline_passed",
             Self::Stopping => "stopping",
+            Self::BadKey => "bad_key",
+            Self::KeyReused => "key_reused",
+            Self::InProgress => "in_progress",
+            Self::AnswerNotKept => "answer_not_kept",
+            Self::LedgerUnavailable => "ledger_unavailable",
+            Self::LedgerFull => "ledger_full",
+            Self::TeamQueueFull => "team_queue_full",
+            Self::Overloaded => "overloaded",
+            Self::TooLate => "too_late",
         }
     }
 
@@ -61,10 +90,18 @@
             Self::UnknownPath | Self::UnknownModel | Self::UnknownService => 404,
             Self::WrongMethod => 405,
             Self::BodyTooLarge => 413,
-            Self::BadRequest => 400,
+            Self::BadRequest | Self::BadKey => 400,
+            Self::InProgress | Self::AnswerNotKept => 409,
+            Self::KeyReused => 422,
             Self::UnknownTeam => 401,
             Self::Forbidden => 403,
-            Self::RulesUnconfirmed | Self::NoReplica | Self::Stopping => 503,
+            Self::RulesUnconfirmed
+            | Self::NoReplica
+            | Self::Stopping
+            | Self::LedgerUnavailable
+            | Self::LedgerFull => 503,
+            Self::TeamQueueFull => 429,
+            Self::Overloaded | Self::TooLate => 503,
             Self::ReplicaFailed => 502,
             Self::DeadlinePassed => 504,
         }
@@ -93,6 +130,11 @@
         Self { code, message: message.to_owned(), outcome: CallOutcome::Unknown }
     }
 
+    /// A refusal of a request that ran.
+    pub fn ran(code: RefusalCode, message: &str) -> Self {
+        Self { code, message: message.to_owned(), outcome: CallOutcome::Ran }
+    }
+
     /// The body of the refusal.
     pub fn body(&self, request: RequestId) -> Value {
         json!({
@@ -112,10 +154,21 @@
     pub fn reply(&self, request: RequestId) -> JsonReply {
         let reply = JsonReply::new(self.code.status(), self.body(request))
             .with_header("X-Request-Id", request.to_string());
-        if self.code.status() == 503 {
+        if self.code.status() == 503 || self.code == RefusalCode::InProgress {
             reply.with_header("Retry-After", "1".to_owned())
         } else {
             reply
         }
     }
+
+    /// The whole reply, which asks the caller to come back after `wait`.
+    pub fn reply_after(&self, request: RequestId, wait: Duration) -> JsonReply {
+        let mut body = self.body(request);
+        body["retry_after_ms"] = json!(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+        // The header knows whole seconds only; rounding down would bring callers back too early.
+        let seconds = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
+        JsonReply::new(self.code.status(), body)
+            .with_header("X-Request-Id", request.to_string())
+            .with_header("Retry-After", seconds.max(1).to_string())
+    }
 }
