Settings: every problem with line, key and remedy; stops cut off no stream behind the front

The front outlives its streams, and answers on their way count as open. A demonstration is ready once every hosted service is. Conclusion: one check shows all; a planned stop stays whole with the front.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -9,6 +9,7 @@
     AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
     EndpointSettings, EntrySettings, LogSettings, StopSettings, TraceSettings, UnconfirmedPolicy,
 };
+use briartray_node::entry::EntryNode;
 use briartray_node::{DaemonError, RunningDaemon};
 use briartray_standin::engine::{EngineSettings, StandinEngine};
 use briartray_standin::fault::FaultPlan;
@@ -23,6 +24,12 @@
 /// Secret between the processes of a demonstration; it never leaves loopback.
 const DEMO_TOKEN: &str = "demonstration-only";
 
+/// Service of the engines.
+const ENGINE_SERVICE: &str = "desk";
+
+/// Service of the plain services.
+const PLAIN_SERVICE: &str = "ledger";
+
 /// How often readiness is looked at.
 const READY_CHECK: Duration = Duration::from_millis(20);
 
@@ -120,7 +127,8 @@
                 .seed(u64::from(number))
                 .faults(plan.engine_faults.clone());
             let engine = StandinEngine::start(settings)?;
-            let endpoint = endpoint_settings(engine.address(), "desk", EndpointKind::Engine);
+            let endpoint =
+                endpoint_settings(engine.address(), ENGINE_SERVICE, EndpointKind::Engine);
             agents.push(RunningDaemon::start(&agent_settings(&cluster, number, endpoint))?);
             engines.push(engine);
         }
@@ -129,18 +137,18 @@
             let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
             let settings = ServiceSettings::new(listen).faults(plan.service_faults.clone());
             let service = StandinService::start(settings)?;
-            let endpoint = endpoint_settings(service.address(), "ledger", EndpointKind::Plain);
+            let endpoint = endpoint_settings(service.address(), PLAIN_SERVICE, EndpointKind::Plain);
             agents.push(RunningDaemon::start(&agent_settings(&cluster, number, endpoint))?);
             services.push(service);
         }
         Ok(Self { front, agents, engines, services, folder, _temporary: temporary })
     }
 
-    /// Waits until a request would be taken; `false` when `limit` passes first.
+    /// Waits until a request to every service would be taken; `false` when `limit` passes first.
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
         let started = Instant::now();
         while started.elapsed() < limit {
-            if self.front.entry.as_ref().is_some_and(|entry| entry.is_ready()) {
+            if self.front.entry.as_ref().is_some_and(|entry| self.serves_all(entry)) {
                 return true;
             }
             std::thread::sleep(READY_CHECK);
@@ -148,6 +156,13 @@
         false
     }
 
+    /// Whether every service that has hosts here has a whole group.
+    fn serves_all(&self, entry: &EntryNode) -> bool {
+        let hosted = [(ENGINE_SERVICE, self.engines.len()), (PLAIN_SERVICE, self.services.len())];
+        let served = hosted.iter().all(|(name, hosts)| *hosts == 0 || entry.whole_groups(name) > 0);
+        served && entry.is_ready()
+    }
+
     /// Where callers connect.
     pub fn caller_address(&self) -> SocketAddr {
         let entry = self.front.entry.as_ref().expect("a demonstration has an entry");
--- a/crates/cli/tests/bad_requests.rs
+++ b/crates/cli/tests/bad_requests.rs
@@ -59,11 +59,7 @@
     let fleet = ready_fleet(&DemoPlan::default());
     let body = json!({ "lot": 7 });
 
-    // The service's replicas become whole on their own; the fleet is ready as soon as one is.
-    let (mut status, mut text) = (503, String::new());
-    while status == 503 {
-        (status, text) = post(fleet.caller_address(), "/services/ledger/confirm", &body);
-    }
+    let (status, text) = post(fleet.caller_address(), "/services/ledger/confirm", &body);
 
     let answer: Value = serde_json::from_str(&text).expect("the answer is JSON");
     assert_eq!((status, answer["path"].as_str()), (200, Some("/confirm")));
--- /dev/null
+++ b/crates/model/src/settings/problem.rs
@@ -0,0 +1,84 @@
+//! What is wrong in a settings file, with its place and remedy.
+
+use std::fmt::{Display, Formatter, Result};
+
+/// One problem.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsProblem {
+    /// Line, from one; zero when it concerns the whole file.
+    pub line: u64,
+    /// Column, from one; zero when it concerns the whole line.
+    pub column: u64,
+    /// Key with the ones it stands under, such as `entry.listen`; empty when none is concerned.
+    pub key: String,
+    /// What is wrong.
+    pub detail: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+impl Display for SettingsProblem {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> Result {
+        write!(formatter, "line {}", self.line)?;
+        if self.column > 0 {
+            write!(formatter, ", column {}", self.column)?;
+        }
+        if !self.key.is_empty() {
+            write!(formatter, ", key {}", self.key)?;
+        }
+        write!(formatter, ": {}; {}", self.detail, self.remedy)
+    }
+}
+
+/// The remedy for what the parser said.
+pub(super) fn remedy_for(detail: &str) -> String {
+    if detail.starts_with("unknown field") {
+        return match nearest_name(detail) {
+            Some(name) => format!("did you mean `{name}`? correct or remove the key"),
+            None => "remove the key".to_owned(),
+        };
+    }
+    let remedy = if detail.starts_with("missing field") {
+        "add the key"
+    } else if detail.starts_with("unknown variant") {
+        "use one of the expected words"
+    } else if detail.contains("socket address") {
+        "write an IP number and a port, such as 10.0.0.5:7000"
+    } else if detail.starts_with("invalid u") {
+        "write a whole number that is not negative and not too large"
+    } else if detail.contains("bool") {
+        "write true or false"
+    } else if detail.starts_with("duplicate") {
+        "keep one of the two keys"
+    } else {
+        "see docs/guide/settings.md for what may stand here"
+    };
+    remedy.to_owned()
+}
+
+/// The expected name that is most like the unknown one, if any is.
+fn nearest_name(detail: &str) -> Option<&str> {
+    /// Names further apart than this are not taken for a slip of the pen.
+    const MOST_EDITS: usize = 2;
+    let unknown = detail.split('`').nth(1)?;
+    let (_, expected) = detail.split_once("expected one of ").or(detail.split_once("expected "))?;
+    let names = expected.split(", ").map(|name| name.trim().trim_matches('`'));
+    let rated = names.map(|name| (edit_distance(unknown, name), name));
+    rated.filter(|(edits, _)| *edits <= MOST_EDITS).min().map(|(_, name)| name)
+}
+
+/// How many letters must be changed, added or removed to make `left` into `right`.
+fn edit_distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (above, letter) in left.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = above + 1;
+        for (index, other) in right.iter().enumerate() {
+            let change = diagonal + usize::from(letter != *other);
+            diagonal = row[index + 1];
+            row[index + 1] = change.min(diagonal + 1).min(row[index] + 1);
+        }
+    }
+    row[right.len()]
+}
--- /dev/null
+++ b/crates/model/tests/settings_problems.rs
@@ -0,0 +1,99 @@
+//! Settings that are refused: each problem with its line, key and remedy.
+
+use std::path::Path;
+
+use assert_matches::assert_matches;
+use briartray_model::settings::{SettingsError, SettingsProblem, parse};
+
+const SOUND: &str = "\
+node: n
+zone: z
+cluster:
+  token: long-enough
+  control:
+    - node: n
+      link: 127.0.0.1:7000
+entry:
+  listen: 127.0.0.1:8080
+";
+
+fn problems(text: &str) -> Vec<SettingsProblem> {
+    match parse(Path::new("node.yaml"), text) {
+        Err(SettingsError::Refused { problems, .. }) => problems,
+        other => panic!("the settings should be refused: {other:?}"),
+    }
+}
+
+fn places(text: &str) -> Vec<(u64, String)> {
+    problems(text).into_iter().map(|problem| (problem.line, problem.key)).collect()
+}
+
+fn place(line: u64, key: &str) -> (u64, String) {
+    (line, key.to_owned())
+}
+
+#[test]
+fn sound_settings_load_with_defaults() {
+    let settings = parse(Path::new("node.yaml"), SOUND).expect("they hold");
+
+    assert_eq!(settings.entry.map(|entry| entry.max_open_requests), Some(4096));
+}
+
+#[test]
+fn every_problem_is_told_at_once() {
+    // An operator brings a file with several slips. Told one at a time, each costs another try.
+    let text = format!(
+        "{}  max_open_request: 4\n  when_rules_unconfirmed: maybe\n  max_body_bytes: -3\n",
+        SOUND.replace("127.0.0.1:7000", "nowhere")
+    );
+
+    let found = places(&text);
+
+    let expected = vec![
+        place(7, "cluster.control.link"),
+        place(10, "entry.max_open_request"),
+        place(11, "entry.when_rules_unconfirmed"),
+        place(12, "entry.max_body_bytes"),
+    ];
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn slip_of_the_pen_is_answered_with_the_right_key() {
+    let found = problems(&format!("{SOUND}  max_open_request: 4\n"));
+
+    assert_eq!(found[0].remedy, "did you mean `max_open_requests`? correct or remove the key");
+}
+
+#[test]
+fn missing_key_is_named_with_its_section() {
+    let found = places(&SOUND.replace("  listen: 127.0.0.1:8080", "  max_body_bytes: 5"));
+
+    assert_eq!(found, vec![place(9, "entry.listen")]);
+}
+
+#[test]
+fn values_that_do_not_fit_each_other_are_all_named() {
+    let text = format!(
+        "{}control:\n  link: 127.0.0.1:7000\n  operator: 10.0.0.1:9000\n  data_folder: d\n\
+         log:\n  level: loud\n",
+        SOUND.replace("long-enough", "short").replace("    - node: n", "    - node: m")
+    );
+
+    let found = places(&text);
+
+    let expected = vec![
+        place(15, "log.level"),
+        place(4, "cluster.token"),
+        place(10, "control.operator_token"),
+        place(5, "cluster.control"),
+    ];
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn unreadable_file_is_named() {
+    let result = briartray_model::settings::load(Path::new("no/such/file.yaml"));
+
+    assert_matches!(result, Err(SettingsError::Unreadable { .. }));
+}
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -75,6 +75,13 @@
         self.shared.is_ready()
     }
 
+    /// Whole groups of `service` as the entry knows them.
+    pub fn whole_groups(&self, service: &str) -> usize {
+        let view = self.shared.view();
+        let groups = view.snapshot.groups.iter();
+        groups.filter(|record| record.whole && record.service.as_str() == service).count()
+    }
+
     /// Says that it is not ready, goes on for `notice` so that the balancer sees it, then refuses
     /// new requests and finishes open ones. Returns when none is left, or after `limit`; `false`
     /// when some were left.
--- a/crates/web/src/front/mod.rs
+++ b/crates/web/src/front/mod.rs
@@ -70,6 +70,11 @@
             Err(_) => {}
         }
     }
+    drop(listener);
+    // Answers in progress pass through this thread; it ends with the last of them.
+    while table.len() > 0 {
+        tokio::time::sleep(NUDGE_INTERVAL).await;
+    }
 }
 
 /// Wakes the library's threads while a connection waits for one.
--- a/crates/web/src/front/relay.rs
+++ b/crates/web/src/front/relay.rs
@@ -21,6 +21,9 @@
 /// Time between two looks at the limits.
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Looks without a write after which the last answer counts as delivered to the caller's socket.
+const QUIET_LOOKS: u32 = 2;
+
 /// Time that the library gets to read a head of the largest size.
 const HEAD_GRACE: Duration = Duration::from_secs(1);
 
@@ -101,7 +104,7 @@
     tokio::select! {
         ended = pump_down(&mut from_server, &mut to_client, &state, limits) => ended,
         ended = pump_up(&mut from_client, &mut to_server, &state, limits) => ended,
-        reason = watch(&state, limits) => Ok(Some(reason)),
+        reason = watch(&state, limits, table) => Ok(Some(reason)),
     }
 }
 
@@ -165,7 +168,9 @@
             // No request came of it, so this is the library's own refusal, without a body.
             return Ok(Some(CloseReason::BadHead));
         }
+        state.set_writing(true);
         let written = timeout(limits.write_time, to.write_all(&piece)).await;
+        state.set_writing(false);
         written.map_err(|_| Error::new(ErrorKind::TimedOut, "the caller does not read"))??;
         state.add_sent(piece.len());
     }
@@ -188,12 +193,24 @@
 }
 
 /// Looks after the time limits; ends when one is passed.
-async fn watch(state: &ConnectionState, limits: &FrontLimits) -> CloseReason {
+async fn watch(
+    state: &ConnectionState,
+    limits: &FrontLimits,
+    table: &ConnectionTable,
+) -> CloseReason {
+    let mut quiet = 0;
     let mut phase = (state.seen(), false, false);
     let mut since = Instant::now();
     let mut sent = 0;
     loop {
         sleep(WATCH_INTERVAL).await;
+        quiet = if state.is_flushing() && !state.is_writing() { quiet + 1 } else { 0 };
+        if quiet >= QUIET_LOOKS {
+            state.set_flushed();
+        }
+        if table.is_stopped() && state.is_idle() && !state.is_flushing() {
+            return CloseReason::Idle;
+        }
         let current = (state.seen(), state.is_receiving(), state.is_idle());
         if current != phase {
             (phase, since, sent) = (current, Instant::now(), state.sent());
--- a/crates/web/src/front/state.rs
+++ b/crates/web/src/front/state.rs
@@ -21,6 +21,10 @@
     running: AtomicU32,
     /// Whether a body is still to come.
     body: AtomicBool,
+    /// Whether a request has ended whose answer may still be on its way to the caller.
+    flushing: AtomicBool,
+    /// Whether bytes are being written to the caller.
+    writing: AtomicBool,
 }
 
 impl ConnectionState {
@@ -33,6 +37,8 @@
             seen: AtomicU32::new(0),
             running: AtomicU32::new(0),
             body: AtomicBool::new(false),
+            flushing: AtomicBool::new(false),
+            writing: AtomicBool::new(false),
         }
     }
 
@@ -79,6 +85,24 @@
         self.seen() == 0 && self.received() > 0 && self.opened.elapsed() > age
     }
 
+    /// Whether an answer may still be on its way to the caller.
+    pub(super) fn is_flushing(&self) -> bool {
+        self.flushing.load(Ordering::SeqCst)
+    }
+
+    pub(super) fn is_writing(&self) -> bool {
+        self.writing.load(Ordering::SeqCst)
+    }
+
+    pub(super) fn set_writing(&self, writing: bool) {
+        self.writing.store(writing, Ordering::SeqCst);
+    }
+
+    /// Notes that every answer has reached the caller.
+    pub(super) fn set_flushed(&self) {
+        self.flushing.store(false, Ordering::SeqCst);
+    }
+
     fn begin(&self, has_body: bool) {
         self.body.store(has_body, Ordering::SeqCst);
         self.running.fetch_add(1, Ordering::SeqCst);
@@ -91,6 +115,7 @@
     }
 
     fn finish(&self) {
+        self.flushing.store(true, Ordering::SeqCst);
         self.consume();
         self.body.store(false, Ordering::SeqCst);
         self.running.fetch_sub(1, Ordering::SeqCst);
--- a/crates/web/src/front/table.rs
+++ b/crates/web/src/front/table.rs
@@ -41,6 +41,11 @@
         self.lock().values().any(|state| state.is_unseen(age))
     }
 
+    /// Connections whose last answer may still be on its way.
+    pub(crate) fn flushing(&self) -> usize {
+        self.lock().values().filter(|state| state.is_flushing()).count()
+    }
+
     pub(crate) fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
     }
--- a/crates/web/src/listener.rs
+++ b/crates/web/src/listener.rs
@@ -115,9 +115,10 @@
         self.address
     }
 
-    /// Requests that run now.
+    /// Requests that run now, and answers that are still on their way to the caller.
     pub fn open_requests(&self) -> u32 {
-        self.open.load(Ordering::Relaxed)
+        let flushing = u32::try_from(self.table.flushing()).unwrap_or(u32::MAX);
+        self.open.load(Ordering::Relaxed).saturating_add(flushing)
     }
 
     /// Connections open now.
--- a/crates/web/tests/bad_input.rs
+++ b/crates/web/tests/bad_input.rs
@@ -23,7 +23,7 @@
     }
 }
 
-/// Answers with the length of the body; `/stream` sends one event and waits for the caller to go.
+/// Answers with the length of the body; `/stream` sends events until the caller goes, `/ten` ten.
 fn start_listener(limits: FrontLimits) -> HttpListener {
     let handler = Arc::new(|mut request: tiny_http::Request| {
         if request.url() == "/stream" {
@@ -33,6 +33,15 @@
             }
             return;
         }
+        if request.url() == "/ten" {
+            let Ok(mut events) = EventWriter::start(request.into_writer(), &[]) else { return };
+            for number in 0..10 {
+                std::thread::sleep(Duration::from_millis(30));
+                let _ = events.event(format!("event {number}").as_bytes());
+            }
+            let _ = events.finish();
+            return;
+        }
         let reply = match read_body(&mut request, MAX_BODY) {
             Ok(body) => JsonReply::new(200, json!({ "length": body.len() })),
             Err(error) => JsonReply::not_run(400, "bad_body", &error.to_string()),
@@ -222,6 +231,22 @@
     listener.stop();
 }
 
+#[test]
+fn stop_cuts_off_no_stream() {
+    // The process is told to stop while a stream runs. The caller must still get all of it, and
+    // the listener must not count as empty before the last bytes have left.
+    let listener = start_listener(tight_limits());
+    let mut stream = connect(&listener);
+    stream.write_all(b"GET /ten HTTP/1.1\r\nHost: a\r\n\r\n").expect("the listener reads");
+    stream.read_exact(&mut [0_u8; 64]).expect("the stream began");
+
+    listener.stop();
+    wait_until(|| listener.open_requests() == 0);
+    let rest = read_rest(&mut stream);
+
+    assert!(rest.contains("event 9") && rest.ends_with("0\r\n\r\n"), "{rest}");
+}
+
 #[test]
 fn bursts_of_streams_start_at_once() {
     // Many callers open streams within the same moment, again and again. The HTTP library may
