Measure claims; keys and stops survive a killed control host

Cause: what a claim costs was not known, nor shown that state survives. Change: briartray measure claims; a trial restarts the control host.

--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -2,6 +2,7 @@
 
 mod agreement;
 mod capacity;
+mod claims;
 mod idle;
 mod outcomes;
 mod overhead;
@@ -26,6 +27,8 @@
     Overhead(overhead::OverheadOptions),
     #[options(help = "what callers are told under faults, against what truly ran")]
     Outcomes(outcomes::OutcomesOptions),
+    #[options(help = "claims a second, and what a claim adds to a call")]
+    Claims(claims::ClaimsOptions),
     #[options(help = "what one more of something costs each role, and the capacity page")]
     Capacity(capacity::CapacityOptions),
 }
@@ -35,6 +38,7 @@
         Some(MeasureCommand::Agreement(options)) => agreement::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
         Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
+        Some(MeasureCommand::Claims(options)) => claims::run(options),
         Some(MeasureCommand::Capacity(options)) => capacity::run(options),
         None => Err(CommandError::unusable("name a measurement; see briartray measure --help")),
     }
--- a/crates/cli/src/cmd/measure/outcomes.rs
+++ b/crates/cli/src/cmd/measure/outcomes.rs
@@ -54,7 +54,7 @@
 }
 
 /// Folder of this program, where the daemon is built as well.
-fn program_folder() -> Result<PathBuf, CommandError> {
+pub(super) fn program_folder() -> Result<PathBuf, CommandError> {
     let program = std::env::current_exe().map_err(CommandError::unusable)?;
     Ok(program.parent().map(PathBuf::from).unwrap_or_default())
 }
--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -52,6 +52,7 @@
 #[derive(Debug, Clone)]
 pub struct TrialPlan {
     programs: PathBuf,
+    controls: usize,
     entries: usize,
     engines: usize,
     services: usize,
@@ -65,6 +66,7 @@
     pub fn new(programs: &Path) -> Self {
         Self {
             programs: programs.to_owned(),
+            controls: 1,
             entries: 1,
             engines: 4,
             services: 2,
@@ -74,6 +76,13 @@
         }
     }
 
+    /// Sets how many control hosts there are.
+    #[must_use]
+    pub fn controls(mut self, count: usize) -> Self {
+        self.controls = count;
+        self
+    }
+
     /// Sets how many entries there are.
     #[must_use]
     pub fn entries(mut self, count: usize) -> Self {
@@ -129,8 +138,8 @@
 
 /// A running fleet.
 pub struct ProcessFleet {
-    /// The control host.
-    pub control: ChildProcess,
+    /// The control hosts.
+    pub controls: Vec<ChildProcess>,
     /// The entries.
     pub entries: Vec<ChildProcess>,
     /// Agents beside engines, then agents beside plain services.
@@ -138,7 +147,7 @@
     plan: TrialPlan,
     cluster: ClusterSettings,
     entry_addresses: Vec<SocketAddr>,
-    operator: SocketAddr,
+    operators: Vec<SocketAddr>,
     folder: TempDir,
 }
 
@@ -151,29 +160,23 @@
         let folder = tempfile::Builder::new().prefix("briartray-trial-").tempdir()?;
         let rules = folder.path().join("rules.yaml");
         std::fs::write(&rules, TRIAL_RULES)?;
-        let peer = ControlPeer { node: NodeName::new("control"), link: free_address()? };
-        let cluster =
-            ClusterSettings { token: TRIAL_TOKEN.to_owned(), control: vec![peer.clone()] };
-        let operator = free_address()?;
-        let mut settings = daemon_settings("control", ZONES[0], &cluster);
-        settings.control = Some(ControlSettings {
-            link: peer.link,
-            operator,
-            operator_token: None,
-            data_folder: folder.path().join("data"),
-            first_rules: Some(rules),
-        });
-        let control = start_daemon(plan, folder.path(), &settings)?;
+        let mut peers = Vec::new();
+        for number in 0..plan.controls {
+            let node = NodeName::new(&format!("control-{number}"));
+            peers.push(ControlPeer { node, link: free_address()? });
+        }
+        let cluster = ClusterSettings { token: TRIAL_TOKEN.to_owned(), control: peers };
         let mut fleet = Self {
-            control,
+            controls: Vec::new(),
             entries: Vec::new(),
             agents: Vec::new(),
             plan: plan.clone(),
             cluster,
             entry_addresses: Vec::new(),
-            operator,
+            operators: Vec::new(),
             folder,
         };
+        fleet.start_controls(&rules)?;
         fleet.start_agents()?;
         for number in 0..plan.entries {
             fleet.start_entry(number)?;
@@ -187,9 +190,21 @@
         &self.entry_addresses
     }
 
-    /// Where operators connect.
+    /// Where operators connect to the first control host.
     pub fn operator_address(&self) -> SocketAddr {
-        self.operator
+        self.operators[0]
+    }
+
+    /// Kills the control host with this number and starts it again with the same folder.
+    ///
+    /// # Errors
+    /// A `TrialError` when it cannot be started.
+    pub fn restart_control(&mut self, number: usize) -> Result<(), TrialError> {
+        self.controls[number].signal(ProcessSignal::Kill);
+        self.controls[number].wait(READY_WAIT);
+        let folder = self.folder.path();
+        self.controls[number] = run_daemon(&self.plan, folder, &format!("control-{number}"))?;
+        Ok(())
     }
 
     /// Where the endpoints listen.
@@ -215,6 +230,23 @@
         }
     }
 
+    fn start_controls(&mut self, rules: &Path) -> Result<(), TrialError> {
+        for (number, peer) in self.cluster.control.clone().into_iter().enumerate() {
+            let operator = free_address()?;
+            let mut settings = daemon_settings(peer.node.as_str(), ZONES[0], &self.cluster);
+            settings.control = Some(ControlSettings {
+                link: peer.link,
+                operator,
+                operator_token: None,
+                data_folder: self.folder.path().join(format!("data-{number}")),
+                first_rules: Some(rules.to_owned()),
+            });
+            self.controls.push(start_daemon(&self.plan, self.folder.path(), &settings)?);
+            self.operators.push(operator);
+        }
+        Ok(())
+    }
+
     fn start_entry(&mut self, number: usize) -> Result<(), TrialError> {
         let listen = free_address()?;
         let name = format!("entry-{number}");
@@ -313,11 +345,7 @@
 
     /// Groups that are whole now.
     pub fn whole_groups(&self) -> usize {
-        let response = attohttpc::get(format!("http://{}/v1/groups", self.operator)).send();
-        let Ok(body) = response.and_then(attohttpc::Response::bytes) else { return 0 };
-        let groups: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
-        let groups = groups.as_array().cloned().unwrap_or_default();
-        groups.iter().filter(|group| group["whole"] == true).count()
+        self.operators.iter().map(|operator| whole_groups(*operator)).max().unwrap_or(0)
     }
 
     fn entries_ready(&self) -> bool {
@@ -328,6 +356,15 @@
     }
 }
 
+/// Groups that a control host knows to be whole; none when it does not lead.
+fn whole_groups(operator: SocketAddr) -> usize {
+    let response = attohttpc::get(format!("http://{operator}/v1/groups")).send();
+    let Ok(body) = response.and_then(attohttpc::Response::bytes) else { return 0 };
+    let groups: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+    let groups = groups.as_array().cloned().unwrap_or_default();
+    groups.iter().filter(|group| group["whole"] == true).count()
+}
+
 fn daemon_settings(node: &str, zone: &str, cluster: &ClusterSettings) -> DaemonSettings {
     DaemonSettings {
         node: NodeName::new(node),
@@ -352,7 +389,12 @@
     let file = folder.join(format!("{name}.yaml"));
     let text = serde_json::to_string_pretty(settings).map_err(std::io::Error::from)?;
     std::fs::write(&file, text)?;
-    let file = file.display().to_string();
+    run_daemon(plan, folder, name)
+}
+
+/// Starts the daemon called `name` with the settings written before.
+fn run_daemon(plan: &TrialPlan, folder: &Path, name: &str) -> Result<ChildProcess, TrialError> {
+    let file = folder.join(format!("{name}.yaml")).display().to_string();
     let log = folder.join(format!("{name}.log"));
     ChildProcess::start(&plan.programs.join("briartrayd"), &["--settings", &file], &log)
 }
--- a/crates/cli/src/trial/mod.rs
+++ b/crates/cli/src/trial/mod.rs
@@ -2,12 +2,14 @@
 //! breaks paths, and a count of what callers were told against what truly ran.
 
 mod caller;
+mod claims;
 mod fault;
 mod fleet;
 mod process;
 mod relay;
 
 pub use caller::{KeyedCaller, KeyedTally};
+pub use claims::{ClaimRow, measure_claims};
 pub use fault::{OutcomeRow, TrialFault, run_fault};
 pub use fleet::{FleetAgent, ProcessFleet, TrialPlan};
 pub use process::{ChildProcess, ProcessSignal, TrialError};
--- a/crates/cli/tests/outcomes.rs
+++ b/crates/cli/tests/outcomes.rs
@@ -2,9 +2,11 @@
 
 use std::path::Path;
 use std::sync::{Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use briartray::trial::{OutcomeRow, TrialFault, run_fault};
+use attohttpc::Response;
+use briartray::trial::{OutcomeRow, ProcessFleet, TrialFault, TrialPlan, run_fault};
+use serde_json::{Value, json};
 
 /// Length of the load.
 const LENGTH: Duration = Duration::from_secs(4);
@@ -12,11 +14,30 @@
 /// One fleet at a time: each has more than a dozen processes.
 static ONE_FLEET: Mutex<()> = Mutex::new(());
 
+/// How long a condition may take; generous, because a busy machine is no failure.
+const LIMIT: Duration = Duration::from_secs(60);
+
+fn programs() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_briartray")).parent().expect("a folder")
+}
+
+fn json_of(response: attohttpc::Result<Response>) -> Value {
+    let body = response.and_then(Response::bytes).unwrap_or_default();
+    serde_json::from_slice(&body).unwrap_or_default()
+}
+
+fn post(address: std::net::SocketAddr, path: &str, key: Option<&str>, body: &str) -> Value {
+    let mut request = attohttpc::post(format!("http://{address}{path}"));
+    if let Some(key) = key {
+        request = request.header("idempotency-key", key);
+    }
+    json_of(request.bytes(body.as_bytes().to_vec()).send())
+}
+
 /// Brings `fault` about; fails when a request was lost, doubled, crossed or told an untruth.
 fn bring_about(fault: TrialFault) -> OutcomeRow {
     let _turn = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
-    let programs = Path::new(env!("CARGO_BIN_EXE_briartray")).parent().expect("a folder");
-    let row = run_fault(programs, fault, LENGTH).expect("the trial runs; build the workspace");
+    let row = run_fault(programs(), fault, LENGTH).expect("the trial runs; build the workspace");
     assert!(row.is_clean(), "{row:?}");
     assert_eq!(row.answered + row.refused + row.unknown, row.sent, "{row:?}");
     row
@@ -111,3 +132,29 @@
 
     assert_eq!(row.unknown, 0, "{row:?}");
 }
+
+#[test]
+fn keys_and_stops_survive_a_killed_control_host() {
+    // The only control host is killed and comes back with its folder. A key that ran must not run
+    // again, and a host that was leaving must not get work again.
+    let _turn = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
+    let plan = TrialPlan::new(programs()).endpoints(2, 1);
+    let mut fleet = ProcessFleet::start(&plan).expect("the fleet starts; build the workspace");
+    let (entry, operator) = (fleet.entry_addresses()[0], fleet.operator_address());
+    let first = post(entry, "/services/ledger/confirm", Some("lot-7"), "confirm lot 7");
+    let stop = json!({ "change": "0".repeat(32), "target": { "host": "engine-0" } });
+    let planned = post(operator, "/v1/stops", None, &stop.to_string());
+
+    fleet.restart_control(0).expect("control starts again");
+
+    let started = Instant::now();
+    let stops = || json_of(attohttpc::get(format!("http://{operator}/v1/stops")).send());
+    while stops()["stops"][0]["safe_to_stop"] != true {
+        assert!(started.elapsed() < LIMIT, "{}", stops());
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let second = post(entry, "/services/ledger/confirm", Some("lot-7"), "confirm lot 7");
+    assert_eq!(planned["outcome"], "planned", "{planned}");
+    assert!(first["text"].is_string(), "{first}");
+    assert_eq!(second, first);
+}
