--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -32,21 +32,24 @@
 /// Availability zones of a trial.
 const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 
-/// Rules of a trial.
-const TRIAL_RULES: &str = "
-services:
-  - { name: desk, kind: engine, hosts_per_replica: 1, replicas: 4, capacity: 64 }
-  - { name: ledger, kind: plain, hosts_per_replica: 1, replicas: 2, capacity: 64 }
+/// Rules of a trial with this many engines and plain services.
+fn trial_rules(engines: usize, services: usize) -> String {
+    format!(
+        "services:
+  - {{ name: desk, kind: engine, hosts_per_replica: 1, replicas: {engines}, capacity: 64 }}
+  - {{ name: ledger, kind: plain, hosts_per_replica: 1, replicas: {services}, capacity: 64 }}
 teams:
-  - { name: default }
+  - {{ name: default }}
 rules:
   - rule: everyone
     then:
-      admit: { deadline_ms: 15000 }
-      retry: { attempts: 4, budget_percent: 100 }
-      place: { wait_ms: 60000 }
-      stop: { min_replicas: 1 }
-";
+      admit: {{ deadline_ms: 15000 }}
+      retry: {{ attempts: 4, budget_percent: 100 }}
+      place: {{ wait_ms: 60000 }}
+      stop: {{ min_replicas: 1 }}
+"
+    )
+}
 
 /// What a trial consists of, built step by step.
 #[derive(Debug, Clone)]
@@ -159,7 +162,7 @@
     pub fn start(plan: &TrialPlan) -> Result<Self, TrialError> {
         let folder = tempfile::Builder::new().prefix("briartray-trial-").tempdir()?;
         let rules = folder.path().join("rules.yaml");
-        std::fs::write(&rules, TRIAL_RULES)?;
+        std::fs::write(&rules, trial_rules(plan.engines, plan.services))?;
         let mut peers = Vec::new();
         for number in 0..plan.controls {
             let node = NodeName::new(&format!("control-{number}"));
