--- a/crates/routing/src/choice/naive.rs
+++ b/crates/routing/src/choice/naive.rs
@@ -1,8 +1,5 @@
 //! Simple ways to choose, which tests and measurements set the real one against.
 
-use briartray_model::SortedTable;
-use briartray_model::message::LoadReport;
-use briartray_model::names::GroupId;
 use rand::RngExt;
 
 /// How a naive choice is made.
@@ -16,40 +13,38 @@
     LeastReported,
 }
 
-/// A naive choice among replicas.
-#[derive(Debug)]
+/// A naive choice among replicas that are known by position.
+#[derive(Debug, Clone)]
 pub struct NaiveChoice {
     policy: NaivePolicy,
     next: usize,
-    reports: SortedTable<GroupId, LoadReport>,
+    reports: Vec<u32>,
 }
 
 impl NaiveChoice {
-    /// A choice by `policy`.
-    pub fn new(policy: NaivePolicy) -> Self {
-        Self { policy, next: 0, reports: SortedTable::new() }
+    /// A choice by `policy` among `count` replicas, in turn from `first` on.
+    pub fn new(policy: NaivePolicy, count: usize, first: usize) -> Self {
+        Self { policy, next: first % count, reports: vec![0; count] }
     }
 
-    /// Chooses among `groups`, which must not be empty.
-    pub fn choose<R: RngExt>(&mut self, groups: &[GroupId], random: &mut R) -> GroupId {
+    /// Chooses a replica.
+    pub fn choose<R: RngExt>(&mut self, random: &mut R) -> usize {
+        let count = self.reports.len();
         match self.policy {
-            NaivePolicy::Random => groups[random.random_range(0..groups.len())],
+            NaivePolicy::Random => random.random_range(0..count),
             NaivePolicy::RoundRobin => {
-                self.next = (self.next + 1) % groups.len();
-                groups[self.next]
+                self.next = (self.next + 1) % count;
+                self.next
+            }
+            NaivePolicy::LeastReported => {
+                let least = self.reports.iter().enumerate().min_by_key(|(_, load)| **load);
+                least.map_or(0, |(position, _)| position)
             }
-            NaivePolicy::LeastReported => groups
-                .iter()
-                .copied()
-                .min_by_key(|group| {
-                    self.reports.get(group).map_or(0, |report| report.in_flight + report.queued)
-                })
-                .unwrap_or_default(),
         }
     }
 
-    /// Takes a report in.
-    pub fn report(&mut self, group: GroupId, report: LoadReport) {
-        self.reports.insert(group, report);
+    /// Takes the reported load of a replica in.
+    pub fn report(&mut self, position: usize, load: u32) {
+        self.reports[position] = load;
     }
 }
--- a/crates/routing/src/choice/table.rs
+++ b/crates/routing/src/choice/table.rs
@@ -1,5 +1,6 @@
 //! Replicas with the load that this entry knows, and the choice among them.
 
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use briartray_model::rules::RouteAction;
 use rand::RngExt;
 
-use super::index::{CandidateIndex, ServiceIndex};
+use super::index::{CandidateBucket, CandidateIndex, ServiceIndex};
 use super::prefix::PrefixDigest;
 use super::state::{PushCause, ReplicaState};
 
@@ -25,6 +26,12 @@
 /// Ring points looked at for that; each replica has many.
 const MAX_RING_POINTS: usize = 64;
 
+/// Replicas of the own zone from which on prefixes are kept inside it.
+const MIN_RING_REPLICAS: usize = 48;
+
+/// Load over the mean from which a replica of a lower rank may be taken instead.
+const SPILL_OVER: f32 = 1.1;
+
 /// Share of its capacity below which a preferred replica is never passed over.
 const EASY_SHARE: f32 = 0.25;
 
@@ -99,11 +106,11 @@
 }
 
 /// Load and health of every replica, as one entry knows them.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ReplicaTable {
     zone: ZoneName,
     version: u64,
-    index: CandidateIndex,
+    index: Arc<CandidateIndex>,
     states: Vec<ReplicaState>,
     totals: Vec<ServiceTotals>,
 }
@@ -114,7 +121,7 @@
         Self {
             zone: zone.clone(),
             version: 0,
-            index: CandidateIndex::default(),
+            index: Arc::default(),
             states: Vec::new(),
             totals: Vec::new(),
         }
@@ -132,7 +139,7 @@
             .map(|record| self.slot(record.group).map_or_else(Default::default, |s| self.states[s]))
             .collect();
         self.version = snapshot.version;
-        self.index = index;
+        self.index = Arc::new(index);
         self.states = states;
         self.totals = self.index.services.values().map(|service| self.sum(service)).collect();
     }
@@ -173,6 +180,26 @@
         ChoiceOutcome::Chosen(Arc::clone(&self.index.records[slot]))
     }
 
+    /// Counts a request on `group` if it is usable and loaded no more than `bound_percent` of the
+    /// mean; for callers that have a reason of their own to prefer it.
+    pub fn claim(&mut self, now: TimePoint, group: GroupId, bound_percent: u32) -> bool {
+        let Some(slot) = self.slot(group) else { return false };
+        let name = self.index.records[slot].service.clone();
+        let Some(number) = self.service(name.as_str()) else { return false };
+        let route = RouteAction { load_bound_percent: bound_percent, ..RouteAction::default() };
+        let asked =
+            ChoiceRequest { service: name.as_str(), route: &route, prefix: None, excluded: &[] };
+        let Some(service) = self.index.services.values().nth(number) else { return false };
+        let total = &self.totals[number];
+        let view = ChoiceView { table: self, service, total, now, request: &asked };
+        if !view.is_usable(slot, false) || !view.is_under_bound(slot) {
+            return false;
+        }
+        self.states[slot].own += 1;
+        self.totals[number].own += 1;
+        true
+    }
+
     /// Counts a request off its replica, with what was learnt there.
     pub fn release<R: RngExt>(
         &mut self,
@@ -277,11 +304,11 @@
     fn pick<R: RngExt>(&self, eased: bool, random: &mut R) -> Option<usize> {
         let mut best: Option<usize> = None;
         for rank in self.service.ranks(self.request.route) {
-            if let Some(slot) = self.preferred(rank, eased) {
+            if let Some(slot) = self.preferred(self.ring_ranks(rank), eased) {
                 return Some(slot);
             }
             let Some(slot) = self.sampled(rank, eased, random) else { continue };
-            if self.is_under_bound(slot) {
+            if self.is_near_mean(slot) {
                 return Some(slot);
             }
             if best.is_none_or(|other| self.score(slot) < self.score(other)) {
@@ -291,13 +318,22 @@
         best
     }
 
+    /// Ranks over whose replicas prefixes are spread: those of the own zone alone when it has many,
+    /// else those of the other zones as well. A few replicas hold few prefixes, and reading a
+    /// prompt anew takes longer than the way to another zone.
+    fn ring_ranks(&self, rank: usize) -> RangeInclusive<usize> {
+        let own_zone = self.request.route.same_zone_first && rank.is_multiple_of(2);
+        let count: usize = self.buckets(rank..=rank).map(|bucket| bucket.slots.len()).sum();
+        if own_zone && count < MIN_RING_REPLICAS { rank..=rank + 1 } else { rank..=rank }
+    }
+
     /// The replica that the prompt's prefix prefers, or the next on the ring that has room.
-    fn preferred(&self, rank: usize, eased: bool) -> Option<usize> {
+    fn preferred(&self, ranks: RangeInclusive<usize>, eased: bool) -> Option<usize> {
         if !self.request.route.prefix_affinity {
             return None;
         }
         let digest = self.request.prefix?;
-        let buckets = self.buckets(rank);
+        let buckets = self.buckets(ranks);
         let mut passed: Vec<(u64, u32)> = Vec::with_capacity(MAX_RING_STEPS);
         for bucket in buckets {
             let mut seen = 0;
@@ -322,7 +358,7 @@
 
     /// The less loaded of two random replicas of `rank`.
     fn sampled<R: RngExt>(&self, rank: usize, eased: bool, random: &mut R) -> Option<usize> {
-        let count: usize = self.buckets(rank).map(|bucket| bucket.slots.len()).sum();
+        let count: usize = self.buckets(rank..=rank).map(|bucket| bucket.slots.len()).sum();
         if count == 0 {
             return None;
         }
@@ -354,13 +390,14 @@
         })
     }
 
-    fn buckets(&self, rank: usize) -> impl Iterator<Item = &super::index::CandidateBucket> {
+    fn buckets(&self, ranks: RangeInclusive<usize>) -> impl Iterator<Item = &CandidateBucket> {
         let route = self.request.route;
-        self.service.buckets.iter().filter(move |bucket| self.service.rank(bucket, route) == rank)
+        let buckets = self.service.buckets.iter();
+        buckets.filter(move |bucket| ranks.contains(&self.service.rank(bucket, route)))
     }
 
     fn nth(&self, rank: usize, mut position: usize) -> usize {
-        for bucket in self.buckets(rank) {
+        for bucket in self.buckets(rank..=rank) {
             if position < bucket.slots.len() {
                 return bucket.slots[position] as usize;
             }
@@ -391,6 +428,13 @@
         share <= EASY_SHARE || share <= bound * self.total.mean_share()
     }
 
+    /// Whether the replica carries little, or hardly more than the mean; otherwise a replica of a
+    /// lower rank is looked at as well.
+    fn is_near_mean(&self, slot: usize) -> bool {
+        let share = self.share(slot);
+        share <= EASY_SHARE || share <= SPILL_OVER * self.total.mean_share()
+    }
+
     /// Load weighted by how slow the replica is against the median; lower is better.
     fn score(&self, slot: usize) -> f32 {
         let slowness = self.table.states[slot].slowness(self.now, self.total.median_step);
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -106,15 +106,15 @@
     for seed in 0..50 {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut table = table(&alike(10));
-        let mut least = NaiveChoice::new(NaivePolicy::LeastReported);
+        let mut least = NaiveChoice::new(NaivePolicy::LeastReported, 10, 0);
         for group in &groups {
             let load = report(if group.0 == 3 { 0 } else { 6 }, 8000);
             table.release(at(1), *group, AttemptResult::Answered, Some(&load), &mut random);
-            least.report(*group, load);
+            least.report(usize::try_from(group.0).expect("small"), load.in_flight);
         }
         let chosen = choose(&mut table, at(2), &request(&route), &mut random).expect("room");
         ours[usize::try_from(chosen).expect("small")] += 1;
-        naive[usize::try_from(least.choose(&groups, &mut random).0).expect("small")] += 1;
+        naive[least.choose(&mut random)] += 1;
     }
 
     assert_eq!(naive[3], 50);
