--- a/crates/cli/src/cmd/measure/choice/policy.rs
+++ b/crates/cli/src/cmd/measure/choice/policy.rs
@@ -190,6 +190,7 @@
         provider: ProviderName::new("provider"),
         first: HostName::new("host"),
         link: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation: 1,
         whole: true,
         capacity: u32::try_from(plan.batch).unwrap_or(u32::MAX),
     });
--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -1,6 +1,8 @@
 //! `briartray measure`: measurements that stand in the design notes, one module each.
 
+mod capacity;
 mod choice;
+mod outcomes;
 mod overhead;
 
 use gumdrop::Options;
@@ -21,12 +23,18 @@
     Choice(choice::ChoiceOptions),
     #[options(help = "what entry and agent add over the engine called directly")]
     Overhead(overhead::OverheadOptions),
+    #[options(help = "what callers are told under faults, against what truly ran")]
+    Outcomes(outcomes::OutcomesOptions),
+    #[options(help = "what one more of something costs each role, and the capacity page")]
+    Capacity(capacity::CapacityOptions),
 }
 
 pub(super) fn run(options: &MeasureOptions) -> Result<(), CommandError> {
     match &options.command {
         Some(MeasureCommand::Choice(options)) => choice::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
+        Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
+        Some(MeasureCommand::Capacity(options)) => capacity::run(options),
         None => Err(CommandError::unusable("name a measurement; see briartray measure --help")),
     }
 }
--- a/crates/model/tests/decoders.rs
+++ b/crates/model/tests/decoders.rs
@@ -8,9 +8,9 @@
 use briartray_model::codec::{decode, encode};
 use briartray_model::message::{
     AgentReply, AgentReport, CallTarget, ClaimKey, ControlDirective, DispatchOrder, EntryRequest,
-    GroupAssignment, GroupMember, GroupRecord, HeaderField, LedgerReply, LedgerRequest, LoadReport,
-    MemberReply, MemberRequest, RefusalReason, RoutingSnapshot, TraceContext, WatchReply,
-    WatchRequest,
+    GroupAssignment, GroupMember, GroupRecord, HeaderField, LedgerAnswer, LedgerReply,
+    LedgerRequest, LoadReport, MemberReply, MemberRequest, RefusalReason, RoutingSnapshot,
+    TraceContext, WatchReply, WatchRequest,
 };
 use briartray_model::names::{AttemptId, FencingNumber, GroupId, LeaseNonce, RequestId};
 use briartray_model::rules::RuleDocument;
@@ -62,6 +62,7 @@
         trace: TraceContext { trace_id: 1, span_id: 2, sampled: true },
         group: GroupId(3),
         fencing: FencingNumber(4),
+        incarnation: 9,
         revision: Default::default(),
         service: "desk".into(),
         team: "traders".into(),
@@ -101,6 +102,7 @@
             provider: "local".into(),
             first: "host-1".into(),
             link: address(),
+            incarnation: 9,
             whole: true,
             capacity: 8,
         }],
@@ -122,7 +124,7 @@
 #[test]
 fn fleet_messages_survive_any_bytes() {
     feed(&ControlDirective::Assign(assignment()));
-    feed(&AgentReport::Drained { host: "host-1".into() });
+    feed(&AgentReport::Drained { host: "host-1".into(), fencing: FencingNumber(2) });
     feed(&MemberRequest::Lease {
         group: GroupId(1),
         fencing: FencingNumber(2),
@@ -138,6 +140,7 @@
     feed(&WatchReply { nonce: LeaseNonce(1), lease_ms: 3000, snapshot: Some(snapshot()) });
     feed(&LedgerRequest::Claim { key, digest: [7; 32], attempt: AttemptId(7) });
     feed(&LedgerReply::Pending { attempt: AttemptId(7) });
+    feed(&LedgerAnswer { number: 3, reply: LedgerReply::Claimed });
 }
 
 #[test]
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -12,7 +12,8 @@
 use serde_json::value::RawValue;
 use tiny_http::{Method, Request};
 
-use super::call::{CallPlan, run_call};
+use super::call::CallPlan;
+use super::once::{self, check_key};
 use super::output::CallerOutput;
 use super::refusal::{CallRefusal, RefusalCode};
 use super::shared::{EntryShared, EntryView};
@@ -85,7 +86,7 @@
     let id = new_request();
     let view = shared.view();
     match plan_call(&mut request, path, id, shared, &view) {
-        Ok(plan) => run_call(shared, &view, &plan, CallerOutput::new(id, request)),
+        Ok(plan) => once::run(shared, &view, &plan, CallerOutput::new(id, request)),
         Err(refusal) => {
             shared.metrics.ended(refusal.code.as_str());
             reply_json(request, &refusal.reply(id));
@@ -154,8 +155,9 @@
     let (_, retry) = view.book.retry(&facts);
     let (_, route) = view.book.route(&facts);
     let rule = rule.cloned();
-    let keyed = facts.keyed == Some(true);
+    let key = check_key(header_value(request, "idempotency-key"), admit.idempotency_key)?;
     let harmless = model.is_some() || READING_METHODS.contains(&request.method().as_str());
+    let repeatable = key.is_none() && retry.repeatable.unwrap_or(harmless);
     Ok(CallPlan {
         id,
         service: service.clone(),
@@ -165,11 +167,12 @@
         body,
         stream,
         prefix,
-        repeatable: harmless && !keyed,
+        repeatable,
         rule,
         admit,
         retry,
         route,
+        key,
     })
 }
 
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -38,6 +38,8 @@
     pub(super) rule: Option<RuleName>,
     pub(super) admit: AdmitAction,
     pub(super) retry: RetryAction,
+    /// The caller's `Idempotency-Key`, if any.
+    pub(super) key: Option<String>,
     pub(super) route: RouteAction,
 }
 
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -14,6 +14,7 @@
 use briartray_routing::choice::ReplicaTable;
 use briartray_routing::retry::RetryBudget;
 
+use super::claims::ClaimClient;
 use super::gate::AdmissionGate;
 use crate::ClockReader;
 use crate::metrics::{AdmissionMetrics, MetricsHub, RequestMetrics};
@@ -38,6 +39,7 @@
     pub(super) settings: EntrySettings,
     pub(super) clock: ClockReader,
     pub(super) link: LinkClient,
+    pub(super) claims: ClaimClient,
     pub(super) hub: MetricsHub,
     pub(super) metrics: RequestMetrics,
     view: ArcSwap<EntryView>,
@@ -45,6 +47,8 @@
     pub(super) gate: Arc<AdmissionGate>,
     pub(super) load_metrics: AdmissionMetrics,
     budgets: Mutex<SortedTable<ServiceName, RetryBudget>>,
+    /// Whether the balancer is told to send nothing more.
+    stop_announced: AtomicBool,
     stopped: AtomicBool,
 }
 
@@ -53,6 +57,7 @@
         settings: &DaemonSettings,
         role: &EntrySettings,
         link: LinkClient,
+        claims: ClaimClient,
         hub: &MetricsHub,
     ) -> std::io::Result<Self> {
         let clock = ClockReader::start();
@@ -65,6 +70,7 @@
             settings: role.clone(),
             clock,
             link,
+            claims,
             hub: hub.clone(),
             metrics: hub.add(RequestMetrics::register),
             view: ArcSwap::from_pointee(EntryView::default()),
@@ -72,6 +78,7 @@
             gate,
             load_metrics,
             budgets: Mutex::new(SortedTable::new()),
+            stop_announced: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
         })
     }
@@ -107,6 +114,10 @@
         self.replicas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(super) fn announce_stop(&self) {
+        self.stop_announced.store(true, Ordering::SeqCst);
+    }
+
     pub(super) fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
     }
@@ -125,6 +136,7 @@
     pub(super) fn is_ready(&self) -> bool {
         let view = self.view();
         !self.is_stopped()
+            && !self.stop_announced.load(Ordering::SeqCst)
             && self.rules_hold(&view)
             && view.snapshot.groups.iter().any(|record| record.whole)
     }
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -31,6 +31,7 @@
         provider: ProviderName::new(provider),
         first: HostName::new("host"),
         link: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation: 1,
         whole: true,
         capacity: CAPACITY,
     }
