Measure overload on a real fleet, report the pace of endpoints

Cause: load reports told no step time, and no figure showed what admission gives. Change: agents ask their engine for its step time and time plain calls; `briartray measure overload` sets admission against none on two fleets at one time.

--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod outcomes;
 mod overhead;
+mod overload;
 
 use gumdrop::Options;
 
@@ -23,6 +24,8 @@
     Choice(choice::ChoiceOptions),
     #[options(help = "what entry and agent add over the engine called directly")]
     Overhead(overhead::OverheadOptions),
+    #[options(help = "useful answers as the load rises over the capacity")]
+    Overload(overload::OverloadOptions),
     #[options(help = "what callers are told under faults, against what truly ran")]
     Outcomes(outcomes::OutcomesOptions),
     #[options(help = "what one more of something costs each role, and the capacity page")]
@@ -33,6 +36,7 @@
     match &options.command {
         Some(MeasureCommand::Choice(options)) => choice::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
+        Some(MeasureCommand::Overload(options)) => overload::run(options),
         Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
         Some(MeasureCommand::Capacity(options)) => capacity::run(options),
         None => Err(CommandError::unusable("name a measurement; see briartray measure --help")),
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -64,6 +64,8 @@
     pub services: u32,
     /// Time of one engine step.
     pub step: Duration,
+    /// Requests that one engine step can hold.
+    pub batch: usize,
     /// Faults of every engine.
     pub engine_faults: FaultPlan,
     /// Faults of every plain service.
@@ -81,6 +83,7 @@
             engines: 4,
             services: 2,
             step: Duration::from_millis(8),
+            batch: 256,
             engine_faults: FaultPlan::default(),
             service_faults: FaultPlan::default(),
             rules: DEMO_RULES.to_owned(),
@@ -117,6 +120,7 @@
             let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
             let settings = EngineSettings::new(listen)
                 .step(plan.step)
+                .batch(plan.batch)
                 .seed(u64::from(number))
                 .faults(plan.engine_faults.clone());
             let engine = StandinEngine::start(settings)?;
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod core;
 mod endpoint;
 mod member;
+mod pace;
 mod running;
 mod serve;
 mod session;
@@ -53,6 +54,7 @@
     /// A `DaemonError` when its port cannot be used.
     pub fn start(settings: &DaemonSettings, role: &AgentSettings) -> Result<Self, DaemonError> {
         let shared = Arc::new(AgentShared::new(role));
+        pace::start(&shared)?;
         let (inputs, queue) = bounded(INPUT_QUEUE);
         let handler = {
             let (shared, inputs) = (Arc::clone(&shared), inputs.clone());
--- a/crates/node/src/agent/shared.rs
+++ b/crates/node/src/agent/shared.rs
@@ -1,6 +1,6 @@
 //! What the agent's control thread shares with its traffic threads.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -9,9 +9,10 @@
 use briartray_model::TimePoint;
 use briartray_model::message::{DispatchOrder, LoadReport, RefusalReason};
 use briartray_model::names::{AttemptId, FencingNumber, GroupId};
-use briartray_model::settings::AgentSettings;
+use briartray_model::settings::{AgentSettings, EndpointKind};
 use briartray_routing::attempt::{AttemptBook, BookLimits};
 
+use super::pace;
 use super::running::RunningAttempt;
 use crate::{ClockReader, new_incarnation};
 
@@ -59,6 +60,8 @@
     may_stop: AtomicBool,
     slots: Mutex<SlotCount>,
     slot_freed: Condvar,
+    /// Recent time of an engine's step or a plain call, in microseconds; zero while unknown.
+    pace: AtomicU32,
     attempts: Mutex<AttemptBook>,
     held: Mutex<SortedTable<AttemptId, Arc<RunningAttempt>>>,
 }
@@ -75,6 +78,7 @@
             may_stop: AtomicBool::new(false),
             slots: Mutex::new(SlotCount::default()),
             slot_freed: Condvar::new(),
+            pace: AtomicU32::new(0),
             attempts: Mutex::new(AttemptBook::new(BookLimits::default())),
             held: Mutex::new(SortedTable::new()),
         }
@@ -168,7 +172,7 @@
         let mut slots = self.lock_slots();
         if slots.queued == 0 && slots.in_flight < self.capacity() {
             slots.in_flight += 1;
-            return Ok(EngineSlot(Arc::clone(self)));
+            return Ok(EngineSlot::new(self));
         }
         if slots.queued >= queue_length(self.capacity()) {
             return Err(RefusalReason::QueueFull);
@@ -179,7 +183,7 @@
             if slots.in_flight < self.capacity() {
                 slots.queued -= 1;
                 slots.in_flight += 1;
-                return Ok(EngineSlot(Arc::clone(self)));
+                return Ok(EngineSlot::new(self));
             }
             if left.is_zero() {
                 slots.queued -= 1;
@@ -203,10 +207,20 @@
             in_flight: slots.in_flight,
             queued: slots.queued,
             capacity: self.capacity(),
-            step_micros: 0,
+            step_micros: self.pace.load(Ordering::Relaxed),
         }
     }
 
+    /// Notes how long an engine's step or a plain call takes, in microseconds.
+    pub(super) fn set_pace(&self, micros: u32) {
+        self.pace.store(micros, Ordering::Relaxed);
+    }
+
+    /// Whether the agent takes no new work.
+    pub(super) fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
     /// The answers that are held, by attempt.
     pub(super) fn held(&self) -> MutexGuard<'_, SortedTable<AttemptId, Arc<RunningAttempt>>> {
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
@@ -232,12 +246,27 @@
 
 /// One slot of the endpoint; counts as free again when dropped.
 #[derive(Debug)]
-pub(super) struct EngineSlot(Arc<AgentShared>);
+pub(super) struct EngineSlot {
+    shared: Arc<AgentShared>,
+    taken: TimePoint,
+}
+
+impl EngineSlot {
+    fn new(shared: &Arc<AgentShared>) -> Self {
+        Self { shared: Arc::clone(shared), taken: shared.clock.now() }
+    }
+}
 
 impl Drop for EngineSlot {
     fn drop(&mut self) {
-        self.0.lock_slots().in_flight -= 1;
-        self.0.slot_freed.notify_one();
+        if self.shared.settings.endpoint.kind == EndpointKind::Plain {
+            let took = self.shared.clock.now().since(self.taken).as_micros();
+            let sample = u32::try_from(took).unwrap_or(u32::MAX);
+            let running = self.shared.pace.load(Ordering::Relaxed);
+            self.shared.set_pace(pace::blend(running, sample));
+        }
+        self.shared.lock_slots().in_flight -= 1;
+        self.shared.slot_freed.notify_one();
     }
 }
 
--- a/crates/routing/src/choice/state.rs
+++ b/crates/routing/src/choice/state.rs
@@ -116,7 +116,7 @@
         self.eased
     }
 
-    /// Takes a report in; `own` is counted before the attempt that brought it is counted off.
+    /// Takes a report in, which counts no more the attempt that brought it.
     ///
     /// A report says how many requests run there in all. Those of this entry are known better and
     /// newer from its own count, so only the rest is kept.
--- a/crates/routing/src/choice/table.rs
+++ b/crates/routing/src/choice/table.rs
@@ -214,15 +214,15 @@
         let mut loose = ServiceTotals::default();
         let total = number.map_or(&mut loose, |number| &mut self.totals[number]);
         let state = &mut self.states[slot];
+        if state.own > 0 {
+            state.own -= 1;
+            total.own = total.own.saturating_sub(1);
+        }
         if let Some(report) = report {
             let before = u64::from(state.others);
             state.report(now, report);
             total.others = (total.others + u64::from(state.others)).saturating_sub(before);
         }
-        if state.own > 0 {
-            state.own -= 1;
-            total.own = total.own.saturating_sub(1);
-        }
         match result {
             AttemptResult::Answered => state.succeed(),
             AttemptResult::Refused(RefusalReason::QueueFull) => {
