--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -40,10 +40,9 @@
     Status(status::StatusOptions),
     #[options(help = "show every group")]
     Groups(groups::GroupsOptions),
-    #[options(help = "run a stand-in engine, service or weight store")]
     #[options(help = "replay host events through the planner")]
     Replay(replay::ReplayOptions),
-    #[options(help = "run a stand-in engine")]
+    #[options(help = "run a stand-in engine, service or weight store")]
     StandIn(stand_in::StandInOptions),
     #[options(help = "plan, list and cancel planned stops")]
     Stop(stop::StopOptions),
