--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -1,7 +1,9 @@
 //! `briartray measure`: measurements that stand in the design notes, one module each.
 
+mod agreement;
 mod capacity;
 mod choice;
+mod idle;
 mod outcomes;
 mod overhead;
 mod overload;
@@ -22,6 +24,8 @@
 enum MeasureCommand {
     #[options(help = "ways to choose a replica, on a model of replicas")]
     Choice(choice::ChoiceOptions),
+    #[options(help = "commits, catching up and idling of the replicated log")]
+    Agreement(agreement::AgreementOptions),
     #[options(help = "what entry and agent add over the engine called directly")]
     Overhead(overhead::OverheadOptions),
     #[options(help = "useful answers as the load rises over the capacity")]
@@ -35,6 +39,7 @@
 pub(super) fn run(options: &MeasureOptions) -> Result<(), CommandError> {
     match &options.command {
         Some(MeasureCommand::Choice(options)) => choice::run(options),
+        Some(MeasureCommand::Agreement(options)) => agreement::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
         Some(MeasureCommand::Overload(options)) => overload::run(options),
         Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -16,8 +16,8 @@
 
 use super::claims::ClaimClient;
 use super::gate::AdmissionGate;
-use crate::ClockReader;
 use crate::metrics::{AdmissionMetrics, MetricsHub, RequestMetrics};
+use crate::{ClockReader, new_incarnation};
 
 /// Part of the open requests that may wait or run, in percent; the rest is kept for requests that
 /// are refused at once, so that a full entry still answers.
@@ -35,6 +35,8 @@
 /// State shared between the threads of one entry.
 pub(super) struct EntryShared {
     pub(super) node: NodeName,
+    /// Number of this start of the process.
+    pub(super) incarnation: u64,
     pub(super) zone: ZoneName,
     pub(super) settings: EntrySettings,
     pub(super) clock: ClockReader,
@@ -66,6 +68,7 @@
         let gate = AdmissionGate::start(clock, load_metrics.clone(), most_held.max(1) as usize)?;
         Ok(Self {
             node: settings.node.clone(),
+            incarnation: new_incarnation(),
             zone: settings.zone.clone(),
             settings: role.clone(),
             clock,
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -50,12 +50,19 @@
         *nonce = nonce.next();
         let sent = shared.clock.now();
         let adopted = shared.view().snapshot.version;
-        writer.send(&WatchRequest { node: shared.node.clone(), nonce: *nonce, adopted })?;
+        writer.send(&WatchRequest {
+            node: shared.node.clone(),
+            nonce: *nonce,
+            adopted,
+            incarnation: shared.incarnation,
+            demands: shared.gate.demands(),
+        })?;
         let reply: WatchReply = reader.receive(ANSWER_WAIT)?;
         if reply.nonce != *nonce {
             continue;
         }
         let lease = Duration::from_millis(u64::from(reply.lease_ms)).saturating_sub(DRIFT_MARGIN);
+        shared.gate.grant(&reply.shares, sent.after(lease));
         adopt(shared, reply, sent.after(lease));
         std::thread::sleep(RENEW_INTERVAL);
     }
--- a/crates/routing/src/admission/mod.rs
+++ b/crates/routing/src/admission/mod.rs
@@ -11,7 +11,7 @@
 mod team;
 mod window;
 
-pub use limit::{LimitKey, TeamLimit};
+pub use limit::{LimitKey, LimitUse, TeamLimit};
 pub use queue::{
     AdmissionOutput, AdmissionQueue, AdmissionRefusal, AdmissionRequest, AdmissionVerdict,
     RefusalCause, TicketNumber,
