--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -22,10 +22,10 @@
 
 #[derive(Debug, Options)]
 enum MeasureCommand {
-    #[options(help = "ways to choose a replica, on a model of replicas")]
-    Choice(choice::ChoiceOptions),
     #[options(help = "commits, catching up and idling of the replicated log")]
     Agreement(agreement::AgreementOptions),
+    #[options(help = "ways to choose a replica, on a model of replicas")]
+    Choice(choice::ChoiceOptions),
     #[options(help = "what entry and agent add over the engine called directly")]
     Overhead(overhead::OverheadOptions),
     #[options(help = "useful answers as the load rises over the capacity")]
@@ -38,8 +38,8 @@
 
 pub(super) fn run(options: &MeasureOptions) -> Result<(), CommandError> {
     match &options.command {
-        Some(MeasureCommand::Choice(options)) => choice::run(options),
         Some(MeasureCommand::Agreement(options)) => agreement::run(options),
+        Some(MeasureCommand::Choice(options)) => choice::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
         Some(MeasureCommand::Overload(options)) => overload::run(options),
         Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod load;
 mod measure;
 mod operator;
+mod replay;
 mod rules;
 mod stand_in;
 mod status;
@@ -39,6 +40,8 @@
     Status(status::StatusOptions),
     #[options(help = "show every group")]
     Groups(groups::GroupsOptions),
+    #[options(help = "replay host events through the planner")]
+    Replay(replay::ReplayOptions),
     #[options(help = "run a stand-in engine, service or weight store")]
     StandIn(stand_in::StandInOptions),
     #[options(help = "plan, list and cancel planned stops")]
@@ -105,6 +108,7 @@
         Subcommand::Rules(options) => rules::run(options),
         Subcommand::Status(options) => status::run(options),
         Subcommand::Groups(options) => groups::run(options),
+        Subcommand::Replay(options) => replay::run(options),
         Subcommand::StandIn(options) => stand_in::run(options),
         Subcommand::Stop(options) => stop::run(options),
         Subcommand::Load(options) => load::run(options),
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -29,6 +29,9 @@
 /// Headers that are passed on to the endpoint.
 const PASSED_HEADERS: [&str; 3] = ["content-type", "accept", "idempotency-key"];
 
+/// Paths that are only read.
+const READ_PATHS: [&str; 4] = ["/healthz", "/readyz", "/metrics", "/v1/models"];
+
 /// Header with the time that a caller gives its request, in milliseconds.
 const DEADLINE_HEADER: &str = "x-briartray-deadline-ms";
 
@@ -55,6 +58,13 @@
 /// Handles one request.
 pub(super) fn handle(request: Request, shared: &Arc<EntryShared>) {
     let path = request.url().split('?').next().unwrap_or_default().to_owned();
+    let reads = matches!(request.method(), Method::Get | Method::Head);
+    if READ_PATHS.contains(&path.as_str()) && !reads {
+        let refusal = CallRefusal::not_run(RefusalCode::WrongMethod, "use GET for this path");
+        shared.metrics.ended(refusal.code.as_str());
+        reply_json(request, &refusal.reply(new_request()));
+        return;
+    }
     match path.as_str() {
         "/healthz" => reply_json(request, &JsonReply::new(200, json!({ "alive": true }))),
         "/readyz" => reply_json(request, &readiness(shared)),
