Time first tokens and gaps of streams at the entry

Cause: operators could not see what callers wait for. Change: the caller's side of a stream notes the time from arrival to its first event and between events in two histograms. Conclusion: briartray_first_token_seconds and briartray_inter_token_seconds are there.

--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -96,7 +96,12 @@
     let id = new_request();
     let view = shared.view();
     match plan_call(&mut request, path, id, shared, &view) {
-        Ok(plan) => once::run(shared, &view, &plan, CallerOutput::new(id, request)),
+        Ok(plan) => once::run(
+            shared,
+            &view,
+            &plan,
+            CallerOutput::new(id, request).timed(&shared.load_metrics, shared.clock),
+        ),
         Err(refusal) => {
             shared.metrics.ended(refusal.code.as_str());
             reply_json(request, &refusal.reply(id));
--- a/crates/node/src/entry/output.rs
+++ b/crates/node/src/entry/output.rs
@@ -3,12 +3,15 @@
 use std::io::Result;
 use std::time::Duration;
 
+use briartray_model::TimePoint;
 use briartray_model::message::{CallOutcome, KeptAnswer, KeptBody, MAX_KEPT_ANSWER_BYTES};
 use briartray_model::names::RequestId;
 use briartray_web::{EventWriter, JsonReply, reply_json, reply_text};
 use tiny_http::Request;
 
 use super::refusal::CallRefusal;
+use crate::ClockReader;
+use crate::metrics::AdmissionMetrics;
 
 /// Content type of an event stream.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -70,11 +73,46 @@
     events: Option<EventWriter>,
     record: Option<AnswerRecord>,
     may_have_run: bool,
+    timer: Option<EventTimer>,
+}
+
+/// Times the events of one stream.
+struct EventTimer {
+    metrics: AdmissionMetrics,
+    clock: ClockReader,
+    last: TimePoint,
+    begun: bool,
+}
+
+impl EventTimer {
+    fn note(&mut self) {
+        let now = self.clock.now();
+        let passed = now.since(std::mem::replace(&mut self.last, now)).as_secs_f64();
+        if std::mem::replace(&mut self.begun, true) {
+            self.metrics.inter_token_seconds.observe(passed);
+        } else {
+            self.metrics.first_token_seconds.observe(passed);
+        }
+    }
 }
 
 impl CallerOutput {
     pub(super) fn new(id: RequestId, request: Request) -> Self {
-        Self { id, request: Some(request), events: None, record: None, may_have_run: false }
+        Self {
+            id,
+            request: Some(request),
+            events: None,
+            record: None,
+            may_have_run: false,
+            timer: None,
+        }
+    }
+
+    /// Times the events of a stream from now on.
+    pub(super) fn timed(mut self, metrics: &AdmissionMetrics, clock: ClockReader) -> Self {
+        let last = clock.now();
+        self.timer = Some(EventTimer { metrics: metrics.clone(), clock, last, begun: false });
+        self
     }
 
     /// Collects the answer and tells `hook` how the call ended, before the caller learns of it.
@@ -98,6 +136,9 @@
         if let Some(record) = &mut self.record {
             record.add(data);
         }
+        if let Some(timer) = &mut self.timer {
+            timer.note();
+        }
         let written = self.write_event(data);
         self.or_recorded(written)
     }
