--- a/crates/model/src/message/watch.rs
+++ b/crates/model/src/message/watch.rs
@@ -4,7 +4,7 @@
 
 use crate::names::{
     DomainName, FencingNumber, GroupId, HostName, LeaseNonce, NodeName, ProviderName,
-    RevisionNumber, ServiceName, ZoneName,
+    RevisionNumber, RuleName, ServiceName, TeamName, ZoneName,
 };
 
 plain_value! {
@@ -16,6 +16,39 @@
         pub nonce: LeaseNonce,
         /// Version of the snapshot the watcher has adopted; zero for none.
         pub adopted: u64,
+        /// Number of this start of the watching process, random.
+        pub incarnation: u64,
+        /// Limits that the watcher applies.
+        pub demands: Vec<LimitDemand>,
+    }
+
+    /// What an entry could use of one team's limit and what it holds; rates in thousandths of a
+    /// request per second.
+    pub struct LimitDemand {
+        /// Rule that sets the limit.
+        pub rule: RuleName,
+        /// Team that is limited.
+        pub team: TeamName,
+        /// Requests in flight that the entry could use.
+        pub running_demand: u64,
+        /// Requests in flight that it may have, or has.
+        pub running_held: u64,
+        /// Rate that it could use.
+        pub rate_demand: u64,
+        /// Rate that it may use.
+        pub rate_held: u64,
+    }
+
+    /// An entry's share of one team's limit, for as long as the rules are confirmed.
+    pub struct LimitGrant {
+        /// Rule that sets the limit.
+        pub rule: RuleName,
+        /// Team that is limited.
+        pub team: TeamName,
+        /// Requests in flight; absent when the rule does not limit them.
+        pub running: Option<u64>,
+        /// Rate in thousandths per second; absent when the rule does not limit it.
+        pub rate: Option<u64>,
     }
 
     /// Answer to a renewal.
@@ -26,6 +59,8 @@
         pub lease_ms: u32,
         /// A newer snapshot, when there is one.
         pub snapshot: Option<RoutingSnapshot>,
+        /// Shares of the limits that were asked for.
+        pub shares: Vec<LimitGrant>,
     }
 
     /// Everything an entry needs to decide.
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod disk;
 mod fleet;
 mod input;
+mod limits;
 mod operator;
 mod origin;
 mod peers;
--- a/crates/node/src/entry/gate.rs
+++ b/crates/node/src/entry/gate.rs
@@ -7,7 +7,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use briartray_model::SortedTable;
+use briartray_model::message::{LimitDemand, LimitGrant};
+use briartray_model::{SortedTable, TimePoint};
 use briartray_routing::admission::{
     AdmissionQueue, AdmissionRefusal, AdmissionRequest, AdmissionVerdict, LimitKey, RefusalCause,
     TicketNumber,
@@ -28,13 +29,8 @@
 /// How long past its deadline a verdict is waited for; it comes earlier unless the queue is broken.
 const VERDICT_GRACE: Duration = Duration::from_secs(2);
 
-/// What a rule allows a team, and what that team may use at this entry.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) struct LimitShare<'a> {
-    pub(super) key: &'a LimitKey,
-    pub(super) concurrency: Option<u32>,
-    pub(super) rate: Option<f64>,
-}
+/// Units of a rate of one request per second.
+const RATE_UNITS: f64 = 1000.0;
 
 struct GateState {
     queue: AdmissionQueue,
@@ -92,6 +88,36 @@
         self.step(&mut state);
     }
 
+    /// What this entry could use of each limit, for the next renewal.
+    pub(super) fn demands(&self) -> Vec<LimitDemand> {
+        let uses = self.lock().queue.limit_uses(self.clock.now());
+        uses.into_iter()
+            .map(|used| LimitDemand {
+                rule: used.key.rule,
+                team: used.key.team,
+                running_demand: used.running_demand,
+                running_held: used.running_held,
+                rate_demand: used.rate_demand,
+                rate_held: used.rate_held,
+            })
+            .collect()
+    }
+
+    /// Takes shares of limits, which run out at `until`.
+    pub(super) fn grant(&self, shares: &[LimitGrant], until: TimePoint) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        for share in shares {
+            let key = LimitKey { rule: share.rule.clone(), team: share.team.clone() };
+            let running = share.running.map(|units| u32::try_from(units).unwrap_or(u32::MAX));
+            let rate = share.rate.map(|units| units as f64 / RATE_UNITS);
+            state.queue.grant(now, &key, running, rate, until);
+        }
+        if !shares.is_empty() {
+            self.step(&mut state);
+        }
+    }
+
     /// Waits until the request may run.
     ///
     /// # Errors
@@ -99,13 +125,13 @@
     pub(super) fn enter(
         &self,
         request: &AdmissionRequest<'_>,
-        limit: Option<&LimitShare<'_>>,
     ) -> Result<SlotPermit<'_>, AdmissionRefusal> {
         let (ticket, verdicts) = {
             let mut state = self.lock();
             let now = self.clock.now();
-            if let Some(limit) = limit {
-                state.queue.set_limit(now, limit.key, limit.concurrency, limit.rate);
+            if let Some(key) = request.limit {
+                let (counted, rated) = (request.action.concurrency > 0, request.action.rate > 0.0);
+                state.queue.expect_limit(now, key, counted, rated);
             }
             let offered = state.queue.offer(now, request);
             let waiting = offered.map(|ticket| (ticket, state.wait_for(ticket)));
--- a/crates/routing/src/admission/queue.rs
+++ b/crates/routing/src/admission/queue.rs
@@ -6,7 +6,7 @@
 use briartray_model::rules::AdmitAction;
 use briartray_model::{SortedTable, TimePoint};
 
-use super::limit::{LimitKey, TeamLimit};
+use super::limit::{LimitKey, LimitUse, TeamLimit};
 use super::service::{LimitTable, ServiceQueue};
 use super::team::{TeamQueue, WaitingRequest};
 use super::window::SlotWindow;
@@ -140,13 +140,46 @@
         rate: Option<f64>,
     ) {
         match self.limits.get_mut(key) {
-            Some(limit) => limit.set(now, concurrency, rate),
+            Some(limit) => limit.set(now, concurrency, rate, None),
             None => {
                 self.limits.insert(key.clone(), TeamLimit::new(now, concurrency, rate));
             }
         }
     }
 
+    /// Notes a limit under which a request comes; it holds nothing until a share is granted.
+    pub fn expect_limit(&mut self, now: TimePoint, key: &LimitKey, counted: bool, rated: bool) {
+        let none = || TeamLimit::new(now, counted.then_some(0), rated.then_some(0.0));
+        self.limits.get_or_insert_with(key.clone(), none).arrive(now);
+    }
+
+    /// Takes a granted share of a limit, which runs out at `until`.
+    pub fn grant(
+        &mut self,
+        now: TimePoint,
+        key: &LimitKey,
+        concurrency: Option<u32>,
+        rate: Option<f64>,
+        until: TimePoint,
+    ) {
+        if let Some(limit) = self.limits.get_mut(key) {
+            limit.set(now, concurrency, rate, Some(until));
+        }
+    }
+
+    /// What this entry could use of each limit and what it holds.
+    pub fn limit_uses(&mut self, now: TimePoint) -> Vec<LimitUse> {
+        let services = &self.services;
+        let waiting = |key: &LimitKey| -> u32 {
+            let queues = services.values().filter_map(|service| service.teams.get(&key.team));
+            let requests = queues.flat_map(|team| &team.waiting);
+            let count = requests.filter(|request| request.limit.as_ref() == Some(key)).count();
+            u32::try_from(count).unwrap_or(u32::MAX)
+        };
+        let limits = self.limits.iter_mut();
+        limits.map(|(key, limit)| limit.usage(now, key, waiting(key))).collect()
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.services.values().map(ServiceQueue::waiting).sum()
