Test a change of leader under traffic and a disk that refuses a write

Cause: neither the grace for agents nor the end of the process was tried. Change: a fleet with three control hosts whose leader goes away under requests; a real process whose vote cannot be written.

--- /dev/null
+++ b/crates/cli/tests/leader_change.rs
@@ -0,0 +1,205 @@
+//! A whole fleet with three control hosts, while the leading one goes away.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use briartray_model::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
+use briartray_model::settings::{
+    AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
+    EndpointSettings, EntrySettings, LogSettings, TraceSettings, UnconfirmedPolicy,
+};
+use briartray_node::RunningDaemon;
+use briartray_standin::engine::{EngineSettings, StandinEngine};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+const SOON: Duration = Duration::from_secs(60);
+
+/// Longer than a new leader lets agents reconnect.
+const PAST_GRACE: Duration = Duration::from_secs(10);
+
+/// Control hosts, one entry, two agents with engines.
+struct TestFleet {
+    control: Vec<RunningDaemon>,
+    entry: RunningDaemon,
+    agents: Vec<RunningDaemon>,
+    engines: Vec<StandinEngine>,
+    _folder: TempDir,
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn cluster_of(size: usize) -> ClusterSettings {
+    let held: Vec<TcpListener> =
+        (0..size).map(|_| TcpListener::bind(loopback()).expect("a free port")).collect();
+    let peer = |(host, held): (usize, &TcpListener)| ControlPeer {
+        node: NodeName::new(&format!("control-{host}")),
+        link: held.local_addr().expect("an address"),
+    };
+    let control = held.iter().enumerate().map(peer).collect();
+    ClusterSettings { token: "test-token-only".to_owned(), control }
+}
+
+fn settings(node: &str, cluster: &ClusterSettings) -> DaemonSettings {
+    DaemonSettings {
+        node: NodeName::new(node),
+        zone: ZoneName::new("local-a"),
+        cluster: cluster.clone(),
+        log: LogSettings::default(),
+        trace: TraceSettings::default(),
+        entry: None,
+        control: None,
+        agent: None,
+    }
+}
+
+fn control_settings(cluster: &ClusterSettings, host: usize, folder: &Path) -> DaemonSettings {
+    let rules = folder.join("rules.yaml");
+    std::fs::write(&rules, include_str!("../../../examples/demo/rules.yaml")).expect("written");
+    let control = ControlSettings {
+        link: cluster.control[host].link,
+        operator: loopback(),
+        operator_token: None,
+        data_folder: folder.join(host.to_string()),
+        first_rules: Some(rules),
+    };
+    DaemonSettings { control: Some(control), ..settings(&format!("control-{host}"), cluster) }
+}
+
+fn agent_settings(cluster: &ClusterSettings, number: usize, engine: SocketAddr) -> DaemonSettings {
+    let agent = AgentSettings {
+        link: loopback(),
+        host: HostName::new(&format!("host-{number}")),
+        domain: DomainName::new("rack-1"),
+        provider: ProviderName::new("local"),
+        accelerators: 8,
+        endpoint: EndpointSettings {
+            address: engine,
+            service: ServiceName::new("desk"),
+            kind: EndpointKind::Engine,
+            checks_fencing: false,
+        },
+    };
+    DaemonSettings { agent: Some(agent), ..settings(&format!("agent-{number}"), cluster) }
+}
+
+impl TestFleet {
+    fn ready() -> Self {
+        let folder = tempfile::tempdir().expect("a temporary folder");
+        let cluster = cluster_of(3);
+        let start = |settings: &DaemonSettings| RunningDaemon::start(settings).expect("it starts");
+        let control =
+            (0..3).map(|host| start(&control_settings(&cluster, host, folder.path()))).collect();
+        let entry = EntrySettings {
+            listen: loopback(),
+            max_open_requests: 256,
+            max_body_bytes: 65_536,
+            when_rules_unconfirmed: UnconfirmedPolicy::Refuse,
+        };
+        let entry = start(&DaemonSettings { entry: Some(entry), ..settings("entry-0", &cluster) });
+        let engines: Vec<StandinEngine> = (0..2)
+            .map(|_| {
+                let settings = EngineSettings::new(loopback()).step(Duration::from_millis(2));
+                StandinEngine::start(settings).expect("it starts")
+            })
+            .collect();
+        let agents = engines
+            .iter()
+            .enumerate()
+            .map(|(number, engine)| start(&agent_settings(&cluster, number, engine.address())))
+            .collect();
+        let fleet = Self { control, entry, agents, engines, _folder: folder };
+        wait_for("a whole replica", || fleet.ask().0 == 200);
+        fleet
+    }
+
+    fn ask(&self) -> (u16, Value) {
+        let entry = self.entry.entry.as_ref().expect("an entry").address();
+        let body = json!({ "model": "desk", "prompt": "lot 7", "max_tokens": 2 });
+        let response = attohttpc::post(format!("http://{entry}/v1/completions"))
+            .bytes(body.to_string().into_bytes())
+            .send()
+            .expect("the entry answers");
+        read(response)
+    }
+
+    fn get(&self, host: usize, path: &str) -> (u16, Value) {
+        let control = self.control[host].control.as_ref().expect("a control role");
+        let response = attohttpc::get(format!("http://{}{path}", control.operator_address()))
+            .send()
+            .expect("the operators' port answers");
+        read(response)
+    }
+
+    /// Groups as the leader among `hosts` shows them, with the leader.
+    fn groups(&self, hosts: &[usize]) -> (usize, Value) {
+        let started = Instant::now();
+        while started.elapsed() < SOON {
+            for host in hosts {
+                let (status, groups) = self.get(*host, "/v1/groups");
+                if status == 200 {
+                    return (*host, groups);
+                }
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        panic!("no control host leads");
+    }
+
+    fn stop(&self) {
+        for daemon in self.control.iter().chain([&self.entry]).chain(&self.agents) {
+            daemon.stop();
+        }
+        self.engines.iter().for_each(StandinEngine::stop);
+    }
+}
+
+fn read(response: attohttpc::Response) -> (u16, Value) {
+    let status = response.status().as_u16();
+    let text = response.text().expect("the answer is text");
+    (status, serde_json::from_str(&text).expect("the answer is JSON"))
+}
+
+fn wait_for(what: &str, done: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !done() {
+        assert!(started.elapsed() < SOON, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+#[test]
+fn groups_and_requests_outlive_the_leader() {
+    // The leading control host goes away. Its successor knows no agent yet; would it take their
+    // groups for broken, callers would be refused by replicas that are whole, and the groups
+    // would be taken apart and formed again for nothing.
+    let fleet = TestFleet::ready();
+    let (leader, before) = fleet.groups(&[0, 1, 2]);
+    let others: Vec<usize> = (0..3).filter(|host| *host != leader).collect();
+
+    fleet.control[leader].stop();
+    let started = Instant::now();
+    let mut answers = Vec::new();
+    while started.elapsed() < PAST_GRACE {
+        answers.push(fleet.ask());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let (_, after) = fleet.groups(&others);
+    let last = fleet.ask();
+
+    assert_eq!(last.0, 200);
+    assert_eq!(after, before, "a group changed");
+    let refused: Vec<&(u16, Value)> = answers.iter().filter(|(status, _)| *status != 200).collect();
+    // On a busy machine the rules lease may run out before the next leader is there; nothing
+    // else may refuse.
+    assert!(
+        refused
+            .iter()
+            .all(|(_, body)| body["outcome"] == "not_run" && body["code"] == "rules_unconfirmed"),
+        "{refused:?}"
+    );
+    fleet.stop();
+}
--- a/crates/daemon/tests/control_hosts.rs
+++ b/crates/daemon/tests/control_hosts.rs
@@ -122,3 +122,22 @@
     assert!(answer.is_none_or(|(status, _)| status == 503));
     assert_eq!(later.0, 503);
 }
+
+#[test]
+fn host_whose_disk_refuses_a_write_ends_with_an_error() {
+    // One host's disk refuses the next write of the vote while the leader dies. That host must
+    // end instead of voting without remembering it, and the others must go on without it.
+    let mut cluster = ControlHosts::ready();
+    let leader = cluster.leader();
+    let broken = (leader + 1) % 3;
+    // A folder in the place of the file to be written: opening it for writing fails.
+    std::fs::create_dir(cluster.hosts[broken].data_folder.join("vote.new")).expect("it is made");
+    cluster.hosts[leader].kill();
+
+    let ended = wait_for("the end of the process", || cluster.hosts[broken].exit_code());
+    cluster.hosts[leader].start();
+    let (status, _) = cluster.apply_for_certain(1, 0);
+
+    assert_eq!(ended, 2);
+    assert_eq!(status, 200);
+}
--- a/crates/daemon/tests/hosts/mod.rs
+++ b/crates/daemon/tests/hosts/mod.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// Exit code of a process that ended by itself.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let child = self.child.as_mut().expect("a process");
+        child.try_wait().expect("a process can be asked").and_then(|status| status.code())
+    }
+
     /// Sends the signal with this name.
     pub fn signal(&self, name: &str) {
         let child = self.child.as_ref().expect("a running process");
