Test the seat of a new folder and a new leader's view of groups

Cause: a trial that let a new folder vouch for itself passed every test, and so did one without the grace for agents. Change: a step test for the seat, four tests of the roster and the versions.

--- a/crates/control/tests/agreement/steps.rs
+++ b/crates/control/tests/agreement/steps.rs
@@ -129,3 +129,29 @@
 
     assert_eq!((before, core.commit()), (LogIndex(1), LogIndex(2)));
 }
+
+#[test]
+fn seat_of_new_folder_is_committed_without_its_own_voice() {
+    // Host 1 lost its disk and answers from an empty folder, host 2 is silent. Were the new
+    // folder to vouch for itself, the leader and a host without memory would be a majority.
+    let mut core = core_with(0);
+    let now = elect(&mut core);
+    let held = |index| {
+        let index = LogIndex(index);
+        PeerBody::AppendReply(AppendReply { prev_index: index, matched: true, index, round: 1 })
+    };
+    let from_new = |index| PeerMessage { folder: FolderId(77), ..message(1, 2, held(index)) };
+    core.receive(now, message(2, 2, held(1)));
+    drain_synced(&mut core, now);
+
+    core.receive(now, from_new(1));
+    drain_synced(&mut core, now);
+    core.receive(now, from_new(2));
+    let alone = core.commit();
+    core.receive(now, message(2, 2, held(2)));
+
+    assert_eq!((alone, core.commit()), (LogIndex(1), LogIndex(2)));
+    assert!(
+        core.seats().contains(&MemberSeat { node: TestCluster::name(1), folder: FolderId(77) })
+    );
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -12,6 +12,8 @@
 mod replication;
 mod shared;
 mod streams;
+#[cfg(test)]
+mod tests;
 mod version;
 
 use std::net::SocketAddr;
