Look less often at silent control streams, end a demonstration that cannot keep its state

Cause: every stream of a control host woke its thread twice a second; a demonstration whose disk failed ended as if nothing had happened. Change: five seconds between looks, a look after every message; the demonstration reports the failure.

--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -77,7 +77,7 @@
     }
     wait_for_signal(options.seconds.map(Duration::from_secs))?;
     fleet.stop();
-    Ok(())
+    fleet.failure().map_or(Ok(()), |detail| Err(CommandError::refused(detail)))
 }
 
 /// Waits for an interrupt, at most for `limit`.
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -192,6 +192,11 @@
         }
     }
 
+    /// Why the demonstration ended by itself, if it did.
+    pub fn failure(&self) -> Option<&str> {
+        self.front.failure()
+    }
+
     /// Stops everything.
     pub fn stop(&self) {
         self.front.stop();
--- a/crates/node/src/control/streams.rs
+++ b/crates/node/src/control/streams.rs
@@ -12,8 +12,9 @@
 use super::input::{ControlInput, SessionId};
 use super::shared::ControlShared;
 
-/// How long a reader waits before it looks whether this host still leads.
-const READ_WAIT: Duration = Duration::from_millis(500);
+/// How long a silent stream is waited on before a look whether this host still leads. It looks
+/// after every message too, and agents and entries send one at least every second.
+const READ_WAIT: Duration = Duration::from_secs(5);
 
 static NEXT_SESSION: AtomicU64 = AtomicU64::new(1);
 
