--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -1,8 +1,12 @@
 //! `briartray measure`: measurements that stand in the design notes, one module each.
 
 mod agreement;
+mod capacity;
+mod choice;
 mod idle;
+mod outcomes;
 mod overhead;
+mod overload;
 
 use gumdrop::Options;
 
@@ -20,14 +24,26 @@
 enum MeasureCommand {
     #[options(help = "commits, catching up and idling of the replicated log")]
     Agreement(agreement::AgreementOptions),
+    #[options(help = "ways to choose a replica, on a model of replicas")]
+    Choice(choice::ChoiceOptions),
     #[options(help = "what entry and agent add over the engine called directly")]
     Overhead(overhead::OverheadOptions),
+    #[options(help = "useful answers as the load rises over the capacity")]
+    Overload(overload::OverloadOptions),
+    #[options(help = "what callers are told under faults, against what truly ran")]
+    Outcomes(outcomes::OutcomesOptions),
+    #[options(help = "what one more of something costs each role, and the capacity page")]
+    Capacity(capacity::CapacityOptions),
 }
 
 pub(super) fn run(options: &MeasureOptions) -> Result<(), CommandError> {
     match &options.command {
         Some(MeasureCommand::Agreement(options)) => agreement::run(options),
+        Some(MeasureCommand::Choice(options)) => choice::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
+        Some(MeasureCommand::Overload(options)) => overload::run(options),
+        Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
+        Some(MeasureCommand::Capacity(options)) => capacity::run(options),
         None => Err(CommandError::unusable("name a measurement; see briartray measure --help")),
     }
 }
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -8,9 +8,11 @@
 mod load;
 mod measure;
 mod operator;
+mod replay;
 mod rules;
 mod stand_in;
 mod status;
+mod stop;
 
 use std::process::ExitCode;
 
@@ -38,8 +40,12 @@
     Status(status::StatusOptions),
     #[options(help = "show every group")]
     Groups(groups::GroupsOptions),
+    #[options(help = "replay host events through the planner")]
+    Replay(replay::ReplayOptions),
     #[options(help = "run a stand-in engine, service or weight store")]
     StandIn(stand_in::StandInOptions),
+    #[options(help = "plan, list and cancel planned stops")]
+    Stop(stop::StopOptions),
     #[options(help = "put load on an entry and check every answer")]
     Load(load::LoadOptions),
     #[options(help = "run a measurement")]
@@ -102,7 +108,9 @@
         Subcommand::Rules(options) => rules::run(options),
         Subcommand::Status(options) => status::run(options),
         Subcommand::Groups(options) => groups::run(options),
+        Subcommand::Replay(options) => replay::run(options),
         Subcommand::StandIn(options) => stand_in::run(options),
+        Subcommand::Stop(options) => stop::run(options),
         Subcommand::Load(options) => load::run(options),
         Subcommand::Measure(options) => measure::run(options),
     };
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -8,7 +8,7 @@
 };
 use briartray_control::state::{CommandOutcome, ControlCommand, ControlState};
 use briartray_link::LinkWriter;
-use briartray_model::message::{RoutingSnapshot, WatchReply, WatchRequest};
+use briartray_model::message::{LeavingMark, RoutingSnapshot, WatchReply, WatchRequest};
 use briartray_model::names::TermNumber;
 use briartray_model::rules::RuleBook;
 use briartray_model::{SortedTable, TimePoint, codec};
@@ -22,6 +22,7 @@
 use super::peers::PeerLinks;
 use super::planning::PlanDriver;
 use super::shared::ControlShared;
+use super::stops::{self, StopDriver};
 use super::version::SnapshotVersion;
 use crate::ClockReader;
 use crate::metrics::AgreementMetrics;
@@ -70,6 +71,7 @@
     pub(super) book: RuleBook,
     pub(super) roster: FleetRoster,
     pub(super) planner: PlanDriver,
+    pub(super) stops: StopDriver,
     pub(super) version: SnapshotVersion,
     pub(super) leadership: Option<Leadership>,
     pub(super) proposals: SortedTable<ProposalToken, ProposalOrigin>,
@@ -85,6 +87,7 @@
             book: RuleBook::default(),
             roster: FleetRoster::default(),
             planner: PlanDriver::default(),
+            stops: StopDriver::default(),
             version: SnapshotVersion::default(),
             leadership: None,
             proposals: SortedTable::new(),
@@ -194,12 +197,20 @@
             ControlInput::Watch { request, writer } => {
                 self.confirm(ReadOrigin::Watch(request, writer));
             }
-            ControlInput::Ledger { request, writer } => {
-                self.submit(&ControlCommand::Ledger(request), ProposalOrigin::Ledger(writer));
+            ControlInput::Ledger { request, port } => {
+                self.submit(&ControlCommand::Ledger(request), ProposalOrigin::Ledger(port));
             }
-            ControlInput::Propose { command, reply } => {
+            // Only a leader knows the fleet; another host names the leader.
+            ControlInput::Propose { command, reply } if !leads => {
                 self.submit(&command, ProposalOrigin::Operator(reply));
             }
+            ControlInput::Propose { command, reply } => {
+                let view = self.roster.view(&self.state.groups);
+                match stops::check_stop(&self.state.stops, &view, &self.book, command) {
+                    Ok(command) => self.submit(&command, ProposalOrigin::Operator(reply)),
+                    Err(refusal) => ProposalOrigin::Operator(reply).done(refusal),
+                }
+            }
             ControlInput::Inspect { what: InspectKind::Status, reply } => {
                 let _ = reply.send(InspectAnswer::Shown(self.inspect(InspectKind::Status)));
             }
@@ -230,6 +241,7 @@
             self.version.bump();
         }
         self.plan(now);
+        self.carry_out_stops(now);
     }
 
     fn plan(&mut self, now: TimePoint) {
@@ -238,13 +250,31 @@
             return;
         }
         let in_grace = now.since(leadership.since) < RECONNECT_GRACE;
-        let view = self.roster.view(&self.state.groups);
+        let mut view = self.roster.view(&self.state.groups);
+        stops::mark_hosts(&mut view, &self.state.stops);
         for command in self.planner.step(now, &view, &self.book) {
             // A host that is missing now may only not have found the new leader yet.
             if in_grace && ends_group_with_absent(&view, &command) {
                 continue;
             }
-            self.submit(&command, ProposalOrigin::Planner);
+            let drained = |group| self.roster.is_drained(&self.state.groups, group);
+            if !self.stops.holds_back(now, &command, &view, drained) {
+                self.submit(&command, ProposalOrigin::Planner);
+            }
+        }
+    }
+
+    fn carry_out_stops(&mut self, now: TimePoint) {
+        let groups = &self.state.groups;
+        let view = self.roster.view(groups);
+        if self.stops.update(now, &view, &self.state.stops, &self.book) {
+            self.version.bump();
+        }
+        let drained = |group| self.roster.is_drained(groups, group);
+        let stoppable = stops::stoppable(&view, &self.state.stops, drained);
+        self.roster.direct_stops(groups, self.stops.leaving(), &stoppable);
+        for group in self.stops.beginning(&view, &self.state.stops) {
+            self.submit(&ControlCommand::BeginLeave { group }, ProposalOrigin::Planner);
         }
     }
 
@@ -270,7 +300,12 @@
             revision: rules.revision,
             rules: rules.text.clone(),
             groups: self.roster.records(&self.state.groups),
-            leaving: Vec::new(),
+            leaving: self
+                .stops
+                .leaving()
+                .iter()
+                .map(|group| LeavingMark { group: *group })
+                .collect(),
         }
     }
 
@@ -289,6 +324,11 @@
                 "groups": self.state.groups.groups().count(),
                 "claims": self.state.ledger.len(),
             }),
+            InspectKind::Stops => {
+                let view = self.roster.view(&self.state.groups);
+                let drained = |group| self.roster.is_drained(&self.state.groups, group);
+                self.stops.list(&self.state.stops, &view, &self.book, drained)
+            }
             InspectKind::Groups => json!(self.roster.records(&self.state.groups)),
             InspectKind::Rules => json!({ "revision": rules.revision.0, "text": rules.text }),
         }
--- a/crates/node/src/control/input.rs
+++ b/crates/node/src/control/input.rs
@@ -3,7 +3,9 @@
 use briartray_control::agreement::PeerMessage;
 use briartray_control::state::ControlCommand;
 use briartray_link::LinkWriter;
-use briartray_model::message::{AgentReport, LedgerRequest, WatchRequest};
+use briartray_model::message::{
+    AgentReport, LedgerAnswer, LedgerReply, LedgerRequest, WatchRequest,
+};
 use crossbeam::channel::Sender;
 
 use super::origin::{InspectAnswer, ProposalAnswer};
@@ -12,6 +14,20 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct SessionId(pub(super) u64);
 
+/// Where the answer to one call on a ledger stream goes.
+#[derive(Debug, Clone)]
+pub(super) struct LedgerPort {
+    pub(super) number: u64,
+    pub(super) answers: Sender<LedgerAnswer>,
+}
+
+impl LedgerPort {
+    /// Answers the call; the stream may be gone.
+    pub(super) fn answer(&self, reply: LedgerReply) {
+        let _ = self.answers.send(LedgerAnswer { number: self.number, reply });
+    }
+}
+
 /// One input of the control thread.
 #[derive(Debug)]
 pub(super) enum ControlInput {
@@ -28,7 +44,7 @@
     /// An entry renews its lease.
     Watch { request: WatchRequest, writer: LinkWriter },
     /// An entry asks the ledger.
-    Ledger { request: LedgerRequest, writer: LinkWriter },
+    Ledger { request: LedgerRequest, port: LedgerPort },
     /// An operator changes something.
     Propose { command: ControlCommand, reply: Sender<ProposalAnswer> },
     /// An operator looks at something.
@@ -46,4 +62,6 @@
     Groups,
     /// The rule document.
     Rules,
+    /// Every planned stop.
+    Stops,
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod planning;
 mod replication;
 mod shared;
+mod stops;
 mod streams;
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/control/origin.rs
+++ b/crates/node/src/control/origin.rs
@@ -8,7 +8,7 @@
 use crossbeam::channel::Sender;
 use serde_json::Value;
 
-use super::input::InspectKind;
+use super::input::{InspectKind, LedgerPort};
 
 /// Who waits for the outcome of a command.
 #[derive(Debug)]
@@ -20,7 +20,7 @@
     /// An operator.
     Operator(Sender<ProposalAnswer>),
     /// An entry that asked the ledger.
-    Ledger(LinkWriter),
+    Ledger(LedgerPort),
 }
 
 /// Who waits for a majority to confirm that this host leads.
@@ -61,12 +61,12 @@
             Self::Operator(reply) => {
                 let _ = reply.send(ProposalAnswer::Done(outcome));
             }
-            Self::Ledger(writer) => {
+            Self::Ledger(port) => {
                 let reply = match outcome {
                     CommandOutcome::Ledger(reply) => reply,
                     _ => LedgerReply::Unavailable,
                 };
-                let _ = writer.try_send(&reply);
+                port.answer(reply);
             }
         }
     }
@@ -88,9 +88,7 @@
             Self::Operator(reply) => {
                 let _ = reply.send(ProposalAnswer::Unknown);
             }
-            Self::Ledger(writer) => {
-                let _ = writer.try_send(&LedgerReply::Unavailable);
-            }
+            Self::Ledger(port) => port.answer(LedgerReply::Unavailable),
         }
     }
 }
--- a/crates/node/src/control/replication.rs
+++ b/crates/node/src/control/replication.rs
@@ -11,6 +11,7 @@
 use super::fleet::FleetRoster;
 use super::origin::{InspectAnswer, ProposalOrigin, ReadOrigin};
 use super::planning::PlanDriver;
+use super::stops::StopDriver;
 use super::version::SnapshotVersion;
 use crate::new_change;
 
@@ -66,6 +67,7 @@
         // Agents open new sessions with whoever leads; what the old ones said is out of date.
         self.roster = FleetRoster::default();
         self.planner = PlanDriver::default();
+        self.stops = StopDriver::default();
         self.leadership = None;
         if leads {
             let since = self.now();
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -12,7 +12,8 @@
 use serde_json::value::RawValue;
 use tiny_http::{Method, Request};
 
-use super::call::{CallPlan, run_call};
+use super::call::CallPlan;
+use super::once::{self, check_key};
 use super::output::CallerOutput;
 use super::refusal::{CallRefusal, RefusalCode};
 use super::shared::{EntryShared, EntryView};
@@ -28,6 +29,9 @@
 /// Headers that are passed on to the endpoint.
 const PASSED_HEADERS: [&str; 3] = ["content-type", "accept", "idempotency-key"];
 
+/// Paths that are only read.
+const READ_PATHS: [&str; 4] = ["/healthz", "/readyz", "/metrics", "/v1/models"];
+
 /// Header with the time that a caller gives its request, in milliseconds.
 const DEADLINE_HEADER: &str = "x-briartray-deadline-ms";
 
@@ -54,6 +58,13 @@
 /// Handles one request.
 pub(super) fn handle(request: Request, shared: &Arc<EntryShared>) {
     let path = request.url().split('?').next().unwrap_or_default().to_owned();
+    let reads = matches!(request.method(), Method::Get | Method::Head);
+    if READ_PATHS.contains(&path.as_str()) && !reads {
+        let refusal = CallRefusal::not_run(RefusalCode::WrongMethod, "use GET for this path");
+        shared.metrics.ended(refusal.code.as_str());
+        reply_json(request, &refusal.reply(new_request()));
+        return;
+    }
     match path.as_str() {
         "/healthz" => reply_json(request, &JsonReply::new(200, json!({ "alive": true }))),
         "/readyz" => reply_json(request, &readiness(shared)),
@@ -85,7 +96,7 @@
     let id = new_request();
     let view = shared.view();
     match plan_call(&mut request, path, id, shared, &view) {
-        Ok(plan) => run_call(shared, &view, &plan, CallerOutput::new(id, request)),
+        Ok(plan) => once::run(shared, &view, &plan, CallerOutput::new(id, request)),
         Err(refusal) => {
             shared.metrics.ended(refusal.code.as_str());
             reply_json(request, &refusal.reply(id));
@@ -154,8 +165,9 @@
     let (_, retry) = view.book.retry(&facts);
     let (_, route) = view.book.route(&facts);
     let rule = rule.cloned();
-    let keyed = facts.keyed == Some(true);
+    let key = check_key(header_value(request, "idempotency-key"), admit.idempotency_key)?;
     let harmless = model.is_some() || READING_METHODS.contains(&request.method().as_str());
+    let repeatable = key.is_none() && retry.repeatable.unwrap_or(harmless);
     Ok(CallPlan {
         id,
         service: service.clone(),
@@ -165,11 +177,12 @@
         body,
         stream,
         prefix,
-        repeatable: harmless && !keyed,
+        repeatable,
         rule,
         admit,
         retry,
         route,
+        key,
     })
 }
 
