--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -14,6 +14,8 @@
 mod shared;
 mod stops;
 mod streams;
+#[cfg(test)]
+mod tests;
 mod version;
 
 use std::net::SocketAddr;
