Mute the paths only once earlier calls have ended

Cause: the trial of an entry killed between claim and dispatch muted its relays while a call before it could still be under way; that call was then cut off on its way back, which is another fault, and the counts varied by one.

Change: the trial waits for the calls it has started before it mutes.

Conclusion: the trial brings about the fault it is named for.

--- a/crates/cli/src/trial/caller.rs
+++ b/crates/cli/src/trial/caller.rs
@@ -76,16 +76,25 @@
         }));
     }
 
-    /// Waits for every call and sets what callers know against what the services ran.
+    /// Waits until every call that was started has come to its end.
     ///
     /// # Errors
-    /// `TrialError::Load` when a run log cannot be read.
-    pub fn finish(self, services: &[SocketAddr]) -> Result<KeyedTally, TrialError> {
-        for thread in self.threads {
+    /// `TrialError::Load` when a caller's thread failed.
+    pub fn wait(&mut self) -> Result<(), TrialError> {
+        for thread in self.threads.drain(..) {
             if thread.join().is_err() {
                 return Err(TrialError::Load { detail: "a caller's thread failed".to_owned() });
             }
         }
+        Ok(())
+    }
+
+    /// Waits for every call and sets what callers know against what the services ran.
+    ///
+    /// # Errors
+    /// `TrialError::Load` when a caller's thread failed or a run log cannot be read.
+    pub fn finish(mut self, services: &[SocketAddr]) -> Result<KeyedTally, TrialError> {
+        self.wait()?;
         let mut runs = Vec::new();
         for service in services {
             runs.extend(read_runs(*service)?);
--- a/crates/cli/src/trial/fault.rs
+++ b/crates/cli/src/trial/fault.rs
@@ -257,6 +257,8 @@
     let mut callers = KeyedCaller::new(fleet.entry_addresses());
     for number in 0..KEYED_CALLS {
         if number == KEYED_CALLS / 2 {
+            // A call that is still under way would be cut off on its way back instead.
+            callers.wait()?;
             for agent in &fleet.agents {
                 agent.relay.mute();
             }
--- a/crates/cli/tests/leader_change.rs
+++ b/crates/cli/tests/leader_change.rs
@@ -7,7 +7,7 @@
 use briartray_model::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
 use briartray_model::settings::{
     AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
-    EndpointSettings, EntrySettings, LogSettings, TraceSettings, UnconfirmedPolicy,
+    EndpointSettings, EntrySettings, LogSettings, StopSettings, TraceSettings, UnconfirmedPolicy,
 };
 use briartray_node::RunningDaemon;
 use briartray_standin::engine::{EngineSettings, StandinEngine};
@@ -50,6 +50,7 @@
         cluster: cluster.clone(),
         log: LogSettings::default(),
         trace: TraceSettings::default(),
+        stop: StopSettings::default(),
         entry: None,
         control: None,
         agent: None,
@@ -72,6 +73,7 @@
 fn agent_settings(cluster: &ClusterSettings, number: usize, engine: SocketAddr) -> DaemonSettings {
     let agent = AgentSettings {
         link: loopback(),
+        announce: None,
         host: HostName::new(&format!("host-{number}")),
         domain: DomainName::new("rack-1"),
         provider: ProviderName::new("local"),
