--- a/crates/cli/src/cmd/measure/capacity/peers.rs
+++ b/crates/cli/src/cmd/measure/capacity/peers.rs
@@ -162,7 +162,13 @@
     let mut adopted = 0;
     while running.load(Ordering::Relaxed) {
         nonce = nonce.next();
-        writer.send(&WatchRequest { node: node.clone(), nonce, adopted })?;
+        writer.send(&WatchRequest {
+            node: node.clone(),
+            nonce,
+            adopted,
+            incarnation: 1,
+            demands: Vec::new(),
+        })?;
         let reply: WatchReply = reader.receive(ANSWER_WAIT)?;
         if let Some(snapshot) = reply.snapshot {
             adopted = snapshot.version;
--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -2,10 +2,12 @@
 
 mod agreement;
 mod capacity;
+mod choice;
 mod claims;
 mod idle;
 mod outcomes;
 mod overhead;
+mod overload;
 
 use gumdrop::Options;
 
@@ -23,8 +25,12 @@
 enum MeasureCommand {
     #[options(help = "commits, catching up and idling of the replicated log")]
     Agreement(agreement::AgreementOptions),
+    #[options(help = "ways to choose a replica, on a model of replicas")]
+    Choice(choice::ChoiceOptions),
     #[options(help = "what entry and agent add over the engine called directly")]
     Overhead(overhead::OverheadOptions),
+    #[options(help = "useful answers as the load rises over the capacity")]
+    Overload(overload::OverloadOptions),
     #[options(help = "what callers are told under faults, against what truly ran")]
     Outcomes(outcomes::OutcomesOptions),
     #[options(help = "claims a second, and what a claim adds to a call")]
@@ -36,7 +42,9 @@
 pub(super) fn run(options: &MeasureOptions) -> Result<(), CommandError> {
     match &options.command {
         Some(MeasureCommand::Agreement(options)) => agreement::run(options),
+        Some(MeasureCommand::Choice(options)) => choice::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
+        Some(MeasureCommand::Overload(options)) => overload::run(options),
         Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
         Some(MeasureCommand::Claims(options)) => claims::run(options),
         Some(MeasureCommand::Capacity(options)) => capacity::run(options),
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -71,6 +71,8 @@
     pub services: u32,
     /// Time of one engine step.
     pub step: Duration,
+    /// Requests that one engine step can hold.
+    pub batch: usize,
     /// Faults of every engine.
     pub engine_faults: FaultPlan,
     /// Faults of every plain service.
@@ -88,6 +90,7 @@
             engines: 4,
             services: 2,
             step: Duration::from_millis(8),
+            batch: 256,
             engine_faults: FaultPlan::default(),
             service_faults: FaultPlan::default(),
             rules: DEMO_RULES.to_owned(),
@@ -124,6 +127,7 @@
             let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
             let settings = EngineSettings::new(listen)
                 .step(plan.step)
+                .batch(plan.batch)
                 .seed(u64::from(number))
                 .faults(plan.engine_faults.clone());
             let engine = StandinEngine::start(settings)?;
@@ -207,6 +211,11 @@
         }
     }
 
+    /// Why the demonstration ended by itself, if it did.
+    pub fn failure(&self) -> Option<&str> {
+        self.front.failure()
+    }
+
     /// Stops everything.
     pub fn stop(&self) {
         self.front.stop();
--- a/crates/model/src/message/mod.rs
+++ b/crates/model/src/message/mod.rs
@@ -20,4 +20,6 @@
     ClaimKey, KeptAnswer, KeptBody, LedgerAnswer, LedgerCall, LedgerReply, LedgerRequest,
     MAX_KEPT_ANSWER_BYTES, MAX_KEY_BYTES, call_digest,
 };
-pub use watch::{GroupRecord, LeavingMark, RoutingSnapshot, WatchReply, WatchRequest};
+pub use watch::{
+    GroupRecord, LeavingMark, LimitDemand, LimitGrant, RoutingSnapshot, WatchReply, WatchRequest,
+};
--- /dev/null
+++ b/crates/node/src/control/limits.rs
@@ -0,0 +1,103 @@
+//! Shares of team limits, handed out by the leader with each confirmed renewal.
+
+use std::time::Duration;
+
+use briartray_model::message::{LimitDemand, LimitGrant, WatchRequest};
+use briartray_model::names::TermNumber;
+use briartray_model::rules::{AdmitAction, RuleBook};
+use briartray_model::{SortedTable, TimePoint};
+use briartray_routing::admission::{HolderId, LimitBook, LimitKey, ShareAsk};
+
+use super::core::Leadership;
+
+/// Thousandths in which rates are shared out.
+const RATE_UNITS: f64 = 1000.0;
+
+/// Time between two looks for shares that have run out.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// One limit of one team.
+#[derive(Debug)]
+struct LimitPair {
+    running: LimitBook,
+    rate: LimitBook,
+}
+
+/// The limits that entries asked for in the current term; soft state, bounded by the entries that
+/// renew and the teams that call.
+#[derive(Debug, Default)]
+pub(super) struct LimitRegistry {
+    term: TermNumber,
+    limits: SortedTable<LimitKey, LimitPair>,
+    expired_at: TimePoint,
+}
+
+impl LimitRegistry {
+    /// The shares for one renewal that a majority has confirmed.
+    pub(super) fn renew(
+        &mut self,
+        now: TimePoint,
+        leadership: &Leadership,
+        lease: Duration,
+        book: &RuleBook,
+        request: &WatchRequest,
+    ) -> Vec<LimitGrant> {
+        if self.term != leadership.term {
+            *self = Self { term: leadership.term, ..Self::default() };
+        }
+        self.expire(now);
+        let holder = HolderId(request.incarnation);
+        let demands = request.demands.iter();
+        demands
+            .filter_map(|demand| {
+                let action = limit_action(book, demand)?;
+                let key = LimitKey { rule: demand.rule.clone(), team: demand.team.clone() };
+                let since = leadership.since;
+                let pair = self.limits.get_or_insert_with(key, || LimitPair {
+                    running: LimitBook::open(since, 0, lease),
+                    rate: LimitBook::open(since, 0, lease),
+                });
+                grant(now, pair, holder, request.nonce.0, action, demand)
+            })
+            .collect()
+    }
+
+    fn expire(&mut self, now: TimePoint) {
+        if now.since(self.expired_at) < EXPIRE_INTERVAL {
+            return;
+        }
+        self.expired_at = now;
+        self.limits.retain(|_, pair| {
+            let running = pair.running.expire(now);
+            pair.rate.expire(now) || running
+        });
+    }
+}
+
+fn grant(
+    now: TimePoint,
+    pair: &mut LimitPair,
+    holder: HolderId,
+    nonce: u64,
+    action: &AdmitAction,
+    demand: &LimitDemand,
+) -> Option<LimitGrant> {
+    pair.running.set_limit(u64::from(action.concurrency));
+    pair.rate.set_limit((action.rate * RATE_UNITS) as u64);
+    let running = ShareAsk { nonce, demand: demand.running_demand, held: demand.running_held };
+    let rate = ShareAsk { nonce, demand: demand.rate_demand, held: demand.rate_held };
+    let running = pair.running.renew(now, holder, &running)?;
+    let rate = pair.rate.renew(now, holder, &rate)?;
+    Some(LimitGrant {
+        rule: demand.rule.clone(),
+        team: demand.team.clone(),
+        running: (action.concurrency > 0).then_some(running),
+        rate: (action.rate > 0.0).then_some(rate),
+    })
+}
+
+/// What the rule that the entry names allows now; `None` when the rule is gone.
+fn limit_action<'a>(book: &'a RuleBook, demand: &LimitDemand) -> Option<&'a AdmitAction> {
+    let rules = &book.document().rules;
+    rules.iter().find(|entry| entry.rule == demand.rule)?.then.admit.as_ref()
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod disk;
 mod fleet;
 mod input;
+mod limits;
 mod operator;
 mod origin;
 mod peers;
@@ -13,6 +14,8 @@
 mod shared;
 mod stops;
 mod streams;
+#[cfg(test)]
+mod tests;
 mod version;
 
 use std::net::SocketAddr;
