--- a/crates/cli/src/trial/caller.rs
+++ b/crates/cli/src/trial/caller.rs
@@ -6,6 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use briartray_model::SortedTable;
 use briartray_standin::expected_text;
 use briartray_standin::runs::RunRecord;
 use serde::Deserialize;
@@ -33,15 +34,23 @@
     Lost,
 }
 
+/// How one call ended.
+struct KeyedEnd {
+    key: String,
+    end: KnownEnd,
+    /// Code of the last refusal, if there was one.
+    code: Option<String>,
+}
+
 /// Calls under keys, each on a thread of its own.
 pub struct KeyedCaller {
     entries: Vec<SocketAddr>,
-    ends: Arc<Mutex<Vec<(String, KnownEnd)>>>,
+    ends: Arc<Mutex<Vec<KeyedEnd>>>,
     threads: Vec<JoinHandle<()>>,
 }
 
 /// Calls by what their callers know, against the run logs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct KeyedTally {
     /// Calls sent.
     pub sent: u64,
@@ -59,6 +68,8 @@
     pub doubled: u64,
     /// Calls that ran although the caller was told `not_run`, or did not although it was answered.
     pub untrue: u64,
+    /// Calls that ended in a refusal, by its code.
+    pub codes: SortedTable<String, u64>,
 }
 
 impl KeyedCaller {
@@ -71,8 +82,8 @@
     pub fn start(&mut self, key: &str) {
         let (entries, ends, key) = (self.entries.clone(), Arc::clone(&self.ends), key.to_owned());
         self.threads.push(std::thread::spawn(move || {
-            let end = call_until_known(&entries, &key);
-            ends.lock().unwrap_or_else(PoisonError::into_inner).push((key, end));
+            let end = call_until_known(&entries, key);
+            ends.lock().unwrap_or_else(PoisonError::into_inner).push(end);
         }));
     }
 
@@ -101,9 +112,12 @@
         }
         let ends = self.ends.lock().unwrap_or_else(PoisonError::into_inner);
         let mut tally = KeyedTally::default();
-        for (key, end) in ends.iter() {
-            let count = runs.iter().filter(|run| run.key.as_deref() == Some(key)).count();
-            tally.add(*end, count);
+        for end in ends.iter() {
+            let count = runs.iter().filter(|run| run.key.as_ref() == Some(&end.key)).count();
+            tally.add(end.end, count);
+            if let Some(code) = &end.code {
+                *tally.codes.get_or_insert_with(code.clone(), || 0) += 1;
+            }
         }
         Ok(tally)
     }
@@ -129,25 +143,25 @@
     }
 }
 
-fn call_until_known(entries: &[SocketAddr], key: &str) -> KnownEnd {
-    let mut end = KnownEnd::Lost;
+fn call_until_known(entries: &[SocketAddr], key: String) -> KeyedEnd {
+    let mut last = KeyedEnd { key, end: KnownEnd::Lost, code: None };
     let mut unknown_left = RESENDS;
     for entry in entries.iter().cycle().take(entries.len() * (RESENDS as usize + 1)) {
-        match call_once(*entry, key) {
-            None => {}
-            Some(KnownEnd::Unknown) if unknown_left > 0 => {
-                end = KnownEnd::Unknown;
-                unknown_left -= 1;
+        if let Some((end, code)) = call_once(*entry, &last.key) {
+            last.end = end;
+            last.code = code;
+            if end != KnownEnd::Unknown || unknown_left == 0 {
+                return last;
             }
-            Some(known) => return known,
+            unknown_left -= 1;
         }
         std::thread::sleep(RESEND_WAIT);
     }
-    end
+    last
 }
 
 /// Sends the call once; `None` when the connection brought no answer.
-fn call_once(entry: SocketAddr, key: &str) -> Option<KnownEnd> {
+fn call_once(entry: SocketAddr, key: &str) -> Option<(KnownEnd, Option<String>)> {
     let body = format!("confirm {key}");
     let response = attohttpc::post(format!("http://{entry}/services/ledger/confirm"))
         .connect_timeout(Duration::from_secs(1))
@@ -161,13 +175,14 @@
     let value: Value = serde_json::from_slice(&response.bytes().ok()?).ok()?;
     if status == 200 {
         let own = value["text"].as_str() == Some(&expected_text(&body, 1));
-        return Some(if own { KnownEnd::Answered } else { KnownEnd::Wrong });
+        return Some((if own { KnownEnd::Answered } else { KnownEnd::Wrong }, None));
     }
-    Some(match value["outcome"].as_str() {
+    let end = match value["outcome"].as_str() {
         Some("not_run") => KnownEnd::NotRun,
         Some("ran") => KnownEnd::Ran,
         _ => KnownEnd::Unknown,
-    })
+    };
+    Some((end, value["code"].as_str().map(str::to_owned)))
 }
 
 #[derive(Deserialize)]
--- a/crates/cli/src/trial/fault.rs
+++ b/crates/cli/src/trial/fault.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use briartray_model::plain_value;
+use briartray_model::{SortedTable, plain_value};
 use briartray_standin::load::{LoadPlan, LoadReport, run_load};
 
 use super::caller::{KeyedCaller, KeyedTally};
@@ -90,7 +90,6 @@
 
 plain_value! {
     /// What callers were told under one fault, against what truly ran.
-    #[derive(Eq)]
     pub struct OutcomeRow {
         /// The fault.
         pub fault: String,
@@ -112,6 +111,8 @@
         pub untrue: u64,
         /// Processes that were to end in order and did not.
         pub not_ended: u64,
+        /// Requests by how they ended, where that was a refusal or an answer of the load.
+        pub codes: SortedTable<String, u64>,
     }
 }
 
@@ -136,6 +137,7 @@
             crossed: report.crossed + report.short,
             untrue: audit.ran_untold + audit.answered_unrun,
             not_ended: 0,
+            codes: report.outcomes.iter().map(|end| (end.code.clone(), end.count)).collect(),
         }
     }
 
@@ -151,6 +153,7 @@
             crossed: tally.crossed,
             untrue: tally.untrue,
             not_ended: 0,
+            codes: tally.codes.clone(),
         }
     }
 }
@@ -209,7 +212,6 @@
         .join()
         .map_err(|_| TrialError::Load { detail: "the load's thread failed".to_owned() })?;
     let report = report.map_err(|error| TrialError::Load { detail: error.to_string() })?;
-    log::info!("{}: {:?}", fault.name(), report.outcomes);
     Ok(OutcomeRow { not_ended, ..OutcomeRow::from_load(fault, &report) })
 }
 
