Agents wait out an engine that stands still; counters of claims and reconnects

Cause: an engine that stood still for six seconds ended streams that only it could go on with; claims and reconnects were not counted. Change: such a stream is asked for again, three times at most.

--- a/crates/node/src/agent/endpoint.rs
+++ b/crates/node/src/agent/endpoint.rs
@@ -1,7 +1,7 @@
 //! Calling the endpoint over HTTP and reading its answer piece by piece.
 
 use std::cmp::Ordering;
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufRead, BufReader, ErrorKind, Read};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -24,6 +24,9 @@
 /// Times a stream is resumed without a new event in between.
 const MAX_RESUMES: u32 = 20;
 
+/// Questions without an answer after which an engine is given up on in the middle of a stream.
+const SILENT_RESUMES: u32 = 3;
+
 /// Time to connect to the endpoint, which runs on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -71,6 +74,8 @@
     attempt: AttemptId,
     deadline: Instant,
     kind: EndpointKind,
+    /// Whether the call may not be repeated.
+    once: bool,
     length: Option<u64>,
     /// Whether a cut of the body can be told from its end.
     framed: bool,
@@ -120,6 +125,7 @@
         attempt: order.attempt,
         deadline: Instant::now() + left,
         kind: settings.kind,
+        once: order.once,
         status: status.as_u16(),
         content_type: text("content-type").unwrap_or("application/octet-stream").to_owned(),
         length: text("content-length").and_then(|length| length.parse().ok()),
@@ -217,26 +223,38 @@
     }
 
     /// Asks the engine for the rest of the stream over a new connection.
+    ///
+    /// An engine that does not answer may stand still for a moment. When the caller has seen a
+    /// part of the answer, or the call may not be repeated, only this engine can go on with it, so
+    /// it is asked again; otherwise another replica does better.
     fn resume(&mut self, detail: String) -> Result<(), EndpointError> {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        if self.kind != EndpointKind::Engine || self.resumes_left == 0 || left.is_zero() {
-            return Err(EndpointError::Broken { detail });
+        let only_here = self.once || self.next_index > 0;
+        let mut silent_left = if only_here { SILENT_RESUMES } else { 0 };
+        loop {
+            let left = self.deadline.saturating_duration_since(Instant::now());
+            if self.kind != EndpointKind::Engine || self.resumes_left == 0 || left.is_zero() {
+                return Err(EndpointError::Broken { detail });
+            }
+            self.resumes_left -= 1;
+            match self.ask_rest(left) {
+                Ok(response) if response.is_success() => {
+                    let (_, _, body) = response.split();
+                    self.body = BufReader::new(body);
+                    return Ok(());
+                }
+                Err(error) if silent_left > 0 && is_silence(&error) => silent_left -= 1,
+                _ => return Err(EndpointError::Broken { detail }),
+            }
         }
-        self.resumes_left -= 1;
+    }
+
+    fn ask_rest(&self, left: Duration) -> attohttpc::Result<attohttpc::Response> {
         let (address, attempt, from) = (self.address, self.attempt, self.next_index);
-        let response = attohttpc::get(format!("http://{address}/requests/{attempt}?from={from}"))
+        attohttpc::get(format!("http://{address}/requests/{attempt}?from={from}"))
             .connect_timeout(CONNECT_TIMEOUT)
             .read_timeout(left.min(STREAM_SILENCE))
             .timeout(left)
-            .send();
-        match response {
-            Ok(response) if response.is_success() => {
-                let (_, _, body) = response.split();
-                self.body = BufReader::new(body);
-                Ok(())
-            }
-            _ => Err(EndpointError::Broken { detail }),
-        }
+            .send()
     }
 
     /// The whole body.
@@ -277,6 +295,16 @@
     }
 }
 
+/// Whether the engine took the connection and did not answer.
+fn is_silence(error: &attohttpc::Error) -> bool {
+    match error.kind() {
+        attohttpc::ErrorKind::Io(cause) => {
+            matches!(cause.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock)
+        }
+        _ => false,
+    }
+}
+
 /// Whether `given` names `attempt`; engines may put a prefix of their own before it.
 fn names(given: &str, attempt: AttemptId) -> bool {
     given.ends_with(&attempt.to_string())
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -87,6 +87,12 @@
     answer: WholeAnswer,
 }
 
+impl Drop for AttemptRun<'_> {
+    fn drop(&mut self) {
+        self.shared.metrics.doubled.inc_by(self.tracker.doubled());
+    }
+}
+
 impl AttemptRun<'_> {
     fn follow(mut self, mut output: CallerOutput) -> (AttemptEnd, Option<CallerOutput>) {
         loop {
@@ -117,7 +123,7 @@
                 TrackerAction::Finish(load) => {
                     let _ =
                         self.stream.writer.send(&EntryRequest::Received { attempt: self.attempt });
-                    self.answer.deliver(output);
+                    std::mem::take(&mut self.answer).deliver(output);
                     return (AttemptEnd::Answered(Some(load)), None);
                 }
                 TrackerAction::Reconnect { request, wait } => self.reconnect(&request, wait),
@@ -162,6 +168,7 @@
 
     /// Asks again over a connection that is newer than the one that failed.
     fn reconnect(&mut self, request: &EntryRequest, wait: Duration) {
+        self.shared.metrics.reconnects.inc();
         std::thread::sleep(wait);
         let now = Instant::now();
         let since = now.checked_sub(FRESH_CONNECTION).unwrap_or(now);
--- a/crates/node/src/entry/once.rs
+++ b/crates/node/src/entry/once.rs
@@ -64,7 +64,9 @@
         attempt: new_attempt(),
     };
     let digest = call_digest(&plan.target, &plan.body);
-    match claim.take(digest) {
+    let taken = claim.take(digest);
+    shared.metrics.claimed(reply_name(&taken));
+    match taken {
         LedgerReply::Claimed => {
             output.record(Box::new(move |end| claim.settle(end)));
             run_call(shared, view, plan, output);
@@ -87,6 +89,18 @@
     }
 }
 
+fn reply_name(reply: &LedgerReply) -> &'static str {
+    match reply {
+        LedgerReply::Claimed => "claimed",
+        LedgerReply::Answered(_) => "replayed",
+        LedgerReply::AnswerNotKept => "answer_not_kept",
+        LedgerReply::Pending { .. } => "pending",
+        LedgerReply::Mismatch => "mismatch",
+        LedgerReply::Full => "full",
+        LedgerReply::Recorded | LedgerReply::Unavailable => "unavailable",
+    }
+}
+
 fn refusal_for(reply: &LedgerReply) -> CallRefusal {
     match reply {
         LedgerReply::Pending { .. } => CallRefusal::unknown(
