--- a/crates/cli/src/cmd/check.rs
+++ b/crates/cli/src/cmd/check.rs
@@ -1,33 +1,100 @@
-//! `briartray check`: settings files are read and checked, nothing is started.
+//! `briartray check`: settings files and rule documents are read and checked, nothing is started.
 
 use std::path::Path;
 
+use briartray_model::rules::{FindingLevel, check_rules};
 use briartray_model::settings;
 use gumdrop::Options;
+use serde_json::{Value, json};
 
-use super::CommandError;
+use super::{CommandError, OutputFormat};
 
 #[derive(Debug, Options)]
 pub(super) struct CheckOptions {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, required, help = "settings files")]
+    #[options(free, required, help = "settings files and rule documents")]
     files: Vec<String>,
+    #[options(no_short, help = "text or json", meta = "FORMAT", default = "text")]
+    output: OutputFormat,
+}
+
+/// What one file came to.
+struct CheckedFile<'a> {
+    file: &'a str,
+    /// What the file is, in a word or two.
+    subject: String,
+    /// Everything that is wrong; empty when the file holds.
+    problems: Vec<String>,
 }
 
 pub(super) fn run(options: &CheckOptions) -> Result<(), CommandError> {
-    let mut failed = 0;
-    for file in &options.files {
-        match settings::load(Path::new(file)) {
-            Ok(loaded) => println!("{file}: node {} holds", loaded.node),
-            Err(error) => {
-                eprintln!("{error}");
-                failed += 1;
-            }
-        }
+    let checked: Vec<CheckedFile<'_>> = options.files.iter().map(|file| check(file)).collect();
+    match options.output {
+        OutputFormat::Json => println!("{}", as_json(&checked)),
+        OutputFormat::Text => print_all(&checked),
     }
+    let failed = checked.iter().filter(|file| !file.problems.is_empty()).count();
     if failed > 0 {
         return Err(CommandError::unusable(format!("{failed} files do not hold")));
     }
     Ok(())
 }
+
+fn check(file: &str) -> CheckedFile<'_> {
+    let path = Path::new(file);
+    match std::fs::read_to_string(path) {
+        Ok(text) if is_rule_document(&text) => check_document(file, &text),
+        _ => check_settings(file, path),
+    }
+}
+
+/// Rule documents name rules or services at their outermost level; settings never do.
+fn is_rule_document(text: &str) -> bool {
+    text.lines().any(|line| line.starts_with("rules:") || line.starts_with("services:"))
+}
+
+fn check_document<'a>(file: &'a str, text: &str) -> CheckedFile<'a> {
+    let problems = match check_rules(text) {
+        Ok(findings) => findings
+            .iter()
+            .filter(|finding| finding.level == FindingLevel::Error)
+            .map(|finding| format!("{file}: {finding}"))
+            .collect(),
+        Err(error) => vec![format!("{file}: {error}")],
+    };
+    CheckedFile { file, subject: "rules".to_owned(), problems }
+}
+
+fn check_settings<'a>(file: &'a str, path: &Path) -> CheckedFile<'a> {
+    match settings::load(path) {
+        Ok(loaded) => {
+            CheckedFile { file, subject: format!("node {}", loaded.node), problems: Vec::new() }
+        }
+        Err(error) => {
+            let problems = error.to_string().lines().map(str::to_owned).collect();
+            CheckedFile { file, subject: "settings".to_owned(), problems }
+        }
+    }
+}
+
+fn print_all(checked: &[CheckedFile<'_>]) {
+    for file in checked {
+        if file.problems.is_empty() {
+            println!("{}: {} holds", file.file, file.subject);
+        }
+        for problem in &file.problems {
+            eprintln!("{problem}");
+        }
+    }
+}
+
+fn as_json(checked: &[CheckedFile<'_>]) -> Value {
+    let files: Vec<Value> = checked
+        .iter()
+        .map(
+            |file| json!({ "file": file.file, "subject": file.subject, "problems": file.problems }),
+        )
+        .collect();
+    json!({ "files": files })
+}
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -31,7 +31,7 @@
 enum Subcommand {
     #[options(help = "run a whole fleet on loopback in this process")]
     Demo(demo::DemoOptions),
-    #[options(help = "check settings files")]
+    #[options(help = "check settings files and rule documents")]
     Check(check::CheckOptions),
     #[options(help = "apply or show rules")]
     Rules(rules::RulesOptions),
