Spans for each hop, one log schema, first-token and lease metrics

Cause: traceparent was passed on but no span was written; log times were milliseconds since 1970 and carried no trace id; the token histograms were registered and never fed. Change: entry, link, agent and engine spans by opentelemetry through a bounded queue to trace.file as JSON lines, dropped ones counted; logs with RFC 3339 time, trace id and typed fields; first-token and inter-token times, rules revision and lease at the entry. Conclusion: a request can be followed through the system by one id.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -75,6 +75,8 @@
     pub engine_faults: FaultPlan,
     /// Faults of every plain service.
     pub service_faults: FaultPlan,
+    /// File that every process writes its spans to; none when absent.
+    pub trace_file: Option<PathBuf>,
     /// Rule document.
     pub rules: String,
 }
@@ -90,6 +92,7 @@
             step: Duration::from_millis(8),
             engine_faults: FaultPlan::default(),
             service_faults: FaultPlan::default(),
+            trace_file: None,
             rules: DEMO_RULES.to_owned(),
         }
     }
@@ -129,7 +132,7 @@
             let engine = StandinEngine::start(settings)?;
             let endpoint =
                 endpoint_settings(engine.address(), ENGINE_SERVICE, EndpointKind::Engine);
-            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, endpoint))?);
+            agents.push(RunningDaemon::start(&agent_settings(plan, &cluster, number, endpoint))?);
             engines.push(engine);
         }
         let mut services = Vec::new();
@@ -138,7 +141,7 @@
             let settings = ServiceSettings::new(listen).faults(plan.service_faults.clone());
             let service = StandinService::start(settings)?;
             let endpoint = endpoint_settings(service.address(), PLAIN_SERVICE, EndpointKind::Plain);
-            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, endpoint))?);
+            agents.push(RunningDaemon::start(&agent_settings(plan, &cluster, number, endpoint))?);
             services.push(service);
         }
         Ok(Self { front, agents, engines, services, folder, _temporary: temporary })
@@ -252,7 +255,7 @@
         zone: ZoneName::new("local-a"),
         cluster: cluster.clone(),
         log: LogSettings::default(),
-        trace: TraceSettings::default(),
+        trace: TraceSettings { file: plan.trace_file.clone() },
         stop: StopSettings::default(),
         entry: Some(EntrySettings {
             listen: plan.listen,
@@ -276,6 +279,7 @@
 }
 
 fn agent_settings(
+    plan: &DemoPlan,
     cluster: &ClusterSettings,
     number: u32,
     endpoint: EndpointSettings,
@@ -285,7 +289,7 @@
         zone: ZoneName::new("local-a"),
         cluster: cluster.clone(),
         log: LogSettings::default(),
-        trace: TraceSettings::default(),
+        trace: TraceSettings { file: plan.trace_file.clone() },
         stop: StopSettings::default(),
         entry: None,
         control: None,
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -25,6 +25,7 @@
 use self::session::SessionHandle;
 use self::shared::AgentShared;
 use crate::DaemonError;
+use crate::trace::TraceHub;
 
 /// Inputs that may wait for the control thread.
 const INPUT_QUEUE: usize = 1024;
@@ -51,8 +52,12 @@
     ///
     /// # Errors
     /// A `DaemonError` when its port cannot be used.
-    pub fn start(settings: &DaemonSettings, role: &AgentSettings) -> Result<Self, DaemonError> {
-        let shared = Arc::new(AgentShared::new(role));
+    pub fn start(
+        settings: &DaemonSettings,
+        role: &AgentSettings,
+        traces: &TraceHub,
+    ) -> Result<Self, DaemonError> {
+        let shared = Arc::new(AgentShared::new(role, traces));
         let (inputs, queue) = bounded(INPUT_QUEUE);
         let handler = {
             let (shared, inputs) = (Arc::clone(&shared), inputs.clone());
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -11,6 +11,8 @@
 use briartray_routing::attempt::{AnswerEnd, AnswerHead, BeginDecision, BufferItem, BufferReader};
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
 
+use crate::trace::{HopSpan, SpanHop, TraceScope};
+
 use super::endpoint::{self, EndpointAnswer, EndpointError};
 use super::running::{RESUME_GRACE, RunningAttempt};
 use super::shared::{AgentShared, EngineSlot};
@@ -58,6 +60,9 @@
     stream: &LinkStream,
 ) -> Result<(), LinkError> {
     let attempt = order.attempt;
+    let _scope = TraceScope::enter(order.trace.trace_id);
+    let mut span = shared.traces.span(SpanHop::Agent, order.trace);
+    span.set("attempt", attempt);
     if let Some(reason) = shared.refusal(&order) {
         return refuse(&stream.writer, shared, attempt, reason);
     }
@@ -72,7 +77,7 @@
     }
     let begun = shared.attempts().begin(shared.clock.now(), attempt, stream.proof.age());
     let reason = match begun {
-        BeginDecision::Start => return start(order, slot, shared, stream),
+        BeginDecision::Start => return start(order, slot, shared, stream, span),
         BeginDecision::Duplicate => {
             let detail = "the attempt came before".to_owned();
             let outcome = CallOutcome::Unknown;
@@ -87,18 +92,27 @@
 
 /// Calls the endpoint on a thread of its own, so that the call outlives this stream.
 fn start(
-    order: DispatchOrder,
+    mut order: DispatchOrder,
     slot: EngineSlot,
     shared: &Arc<AgentShared>,
     stream: &LinkStream,
+    mut span: HopSpan,
 ) -> Result<(), LinkError> {
     let attempt = order.attempt;
+    let call_span = shared.traces.span(SpanHop::Engine, span.context());
+    order.trace = call_span.context();
     let running = Arc::new(RunningAttempt::new(order, shared.clock));
     let reader = running.change(|buffer| buffer.attach(0));
     shared.held().insert(attempt, Arc::clone(&running));
     let (owner, task) = (Arc::clone(shared), Arc::clone(&running));
     let call = move || {
+        let _scope = TraceScope::enter(task.order.trace.trace_id);
         let end = run_endpoint(&owner, &task);
+        drop(call_span);
+        if let AnswerEnd::Failed { detail, .. } = &end {
+            span.fail(detail);
+        }
+        drop(span);
         let started = !matches!(end, AnswerEnd::Refused(_));
         owner.attempts().end(owner.clock.now(), attempt, started);
         drop(slot);
--- a/crates/node/src/agent/shared.rs
+++ b/crates/node/src/agent/shared.rs
@@ -13,6 +13,7 @@
 use briartray_routing::attempt::{AttemptBook, BookLimits};
 
 use super::running::RunningAttempt;
+use crate::trace::TraceHub;
 use crate::{ClockReader, new_incarnation};
 
 /// The gate as traffic threads see it.
@@ -49,6 +50,7 @@
 pub(super) struct AgentShared {
     pub(super) settings: AgentSettings,
     pub(super) clock: ClockReader,
+    pub(super) traces: TraceHub,
     /// Number of this start of the process.
     pub(super) incarnation: u64,
     gate: ArcSwap<GateView>,
@@ -64,10 +66,11 @@
 }
 
 impl AgentShared {
-    pub(super) fn new(settings: &AgentSettings) -> Self {
+    pub(super) fn new(settings: &AgentSettings, traces: &TraceHub) -> Self {
         Self {
             settings: settings.clone(),
             clock: ClockReader::start(),
+            traces: traces.clone(),
             incarnation: new_incarnation(),
             gate: ArcSwap::from_pointee(GateView::default()),
             closed: AtomicBool::new(false),
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -11,6 +11,7 @@
 use crate::control::ControlNode;
 use crate::entry::EntryNode;
 use crate::metrics::MetricsHub;
+use crate::trace::TraceHub;
 
 /// Why a role could not start.
 #[derive(Debug, Snafu)]
@@ -33,6 +34,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The file for spans cannot be used.
+    #[snafu(display("cannot write spans: {source}; change trace.file or its folder"))]
+    TraceFile {
+        /// What the system said.
+        source: std::io::Error,
+    },
     /// The first rules could not be read.
     #[snafu(display("first rules {path}: {detail}; correct the file and start again"))]
     FirstRules {
@@ -60,16 +67,18 @@
     /// A `DaemonError` that names the remedy.
     pub fn start(settings: &DaemonSettings) -> Result<Self, DaemonError> {
         let metrics = MetricsHub::default();
+        let traces = TraceHub::start(&settings.trace, &settings.node)
+            .map_err(|source| DaemonError::TraceFile { source })?;
         let control = match &settings.control {
             Some(role) => Some(ControlNode::start(settings, role, &metrics)?),
             None => None,
         };
         let agent = match &settings.agent {
-            Some(role) => Some(AgentNode::start(settings, role)?),
+            Some(role) => Some(AgentNode::start(settings, role, &traces)?),
             None => None,
         };
         let entry = match &settings.entry {
-            Some(role) => Some(EntryNode::start(settings, role, &metrics)?),
+            Some(role) => Some(EntryNode::start(settings, role, &metrics, &traces)?),
             None => None,
         };
         Ok(Self { control, entry, agent })
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -18,7 +18,8 @@
 use super::refusal::{CallRefusal, RefusalCode};
 use super::shared::{EntryShared, EntryView};
 use crate::metrics::METRICS_TYPE;
-use crate::{new_request, new_span};
+use crate::new_request;
+use crate::trace::{SpanHop, TraceScope};
 
 /// Team of callers that name none.
 const DEFAULT_TEAM: &str = "default";
@@ -95,9 +96,14 @@
 fn handle_call(mut request: Request, path: &str, shared: &Arc<EntryShared>) {
     let id = new_request();
     let view = shared.view();
-    match plan_call(&mut request, path, id, shared, &view) {
+    let mut span = shared.traces.span(SpanHop::Entry, trace_of(&request));
+    let _scope = TraceScope::enter(span.context().trace_id);
+    span.set("request", id);
+    span.set("path", path);
+    match plan_call(&mut request, path, id, shared, &view, span.context()) {
         Ok(plan) => once::run(shared, &view, &plan, CallerOutput::new(id, request)),
         Err(refusal) => {
+            span.fail(refusal.code.as_str());
             shared.metrics.ended(refusal.code.as_str());
             reply_json(request, &refusal.reply(id));
         }
@@ -110,7 +116,9 @@
     id: RequestId,
     shared: &EntryShared,
     view: &EntryView,
+    trace: TraceContext,
 ) -> Result<CallPlan, CallRefusal> {
+    let arrived = shared.clock.now();
     if shared.is_stopped() {
         let message = "this entry is stopping; connect again through the balancer";
         return Err(CallRefusal::not_run(RefusalCode::Stopping, message));
@@ -172,7 +180,8 @@
         id,
         service: service.clone(),
         team: team.clone(),
-        trace: trace_of(request),
+        trace,
+        arrived,
         target: target_of(request, target_path),
         body,
         stream,
@@ -231,11 +240,10 @@
     })
 }
 
+/// The caller's trace; one without a span id when it names none.
 fn trace_of(request: &Request) -> TraceContext {
     let given = header_value(request, "traceparent").and_then(TraceContext::parse);
-    let trace_id = given.map_or_else(rand::random, |context| context.trace_id);
-    let sampled = given.is_none_or(|context| context.sampled);
-    TraceContext { trace_id, span_id: new_span(), sampled }
+    given.unwrap_or(TraceContext { sampled: true, ..TraceContext::default() })
 }
 
 fn target_of(request: &Request, path: String) -> CallTarget {
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -6,6 +6,7 @@
 use briartray_model::TimePoint;
 use briartray_model::message::{
     AgentReply, CallOutcome, DispatchOrder, EntryRequest, GroupRecord, LoadReport, RefusalReason,
+    TraceContext,
 };
 use briartray_model::names::AttemptId;
 use briartray_routing::attempt::{AttemptTracker, TrackerAction, TrackerPlan};
@@ -15,6 +16,7 @@
 use super::refusal::{CallRefusal, RefusalCode};
 use super::shared::{EntryShared, EntryView};
 use crate::new_attempt;
+use crate::trace::SpanHop;
 
 /// How long an agent may take to take note that a caller has gone.
 const CANCEL_WAIT: Duration = Duration::from_millis(500);
@@ -57,7 +59,10 @@
     output: CallerOutput,
 ) -> (AttemptEnd, Option<CallerOutput>) {
     let attempt = new_attempt();
-    let order = order_for(shared, view, plan, record, attempt, deadline);
+    let mut span = shared.traces.span(SpanHop::Link, plan.trace);
+    span.set("attempt", attempt);
+    span.set("group", record.group);
+    let order = order_for(shared, view, plan, record, attempt, deadline, span.context());
     let tracker = AttemptTracker::new(
         shared.clock.now(),
         TrackerPlan {
@@ -73,9 +78,23 @@
         // The reader tells why the stream is gone, and with it whether anything was sent.
         log::debug!("dispatch was not taken: {error}");
     }
-    let run =
-        AttemptRun { shared, record, attempt, tracker, stream, answer: WholeAnswer::default() };
-    run.follow(output)
+    let run = AttemptRun {
+        shared,
+        record,
+        attempt,
+        tracker,
+        stream,
+        answer: WholeAnswer::default(),
+        last_event: plan.arrived,
+        events: 0,
+    };
+    let (end, back) = run.follow(output);
+    if let AttemptEnd::Failed(refusal) = &end {
+        span.fail(&refusal.message);
+    } else if let AttemptEnd::Refused(reason, _) = &end {
+        span.set("refused", format!("{reason:?}"));
+    }
+    (end, back)
 }
 
 struct AttemptRun<'a> {
@@ -85,6 +104,9 @@
     tracker: AttemptTracker,
     stream: AttemptStream,
     answer: WholeAnswer,
+    /// When the last event of a stream went to the caller; the request's arrival before the first.
+    last_event: TimePoint,
+    events: u64,
 }
 
 impl AttemptRun<'_> {
@@ -110,6 +132,7 @@
                 }
                 TrackerAction::Deliver(data) => {
                     self.tracker.mark_shown();
+                    self.time_event();
                     if output.event(&data).is_err() {
                         return (self.caller_gone(), None);
                     }
@@ -142,6 +165,20 @@
         }
     }
 
+    /// Records how long the caller waited for this event.
+    fn time_event(&mut self) {
+        let now = self.shared.clock.now();
+        let metrics = &self.shared.load_metrics;
+        let times = if self.events == 0 {
+            &metrics.first_token_seconds
+        } else {
+            &metrics.inter_token_seconds
+        };
+        times.observe(now.since(self.last_event).as_secs_f64());
+        self.last_event = now;
+        self.events += 1;
+    }
+
     /// Waits for one event; tells also whether it was a progress mark.
     fn next_action(&mut self) -> (TrackerAction, bool) {
         let wait = self.tracker.wait(self.shared.clock.now());
@@ -219,12 +256,13 @@
     record: &GroupRecord,
     attempt: AttemptId,
     deadline: TimePoint,
+    trace: TraceContext,
 ) -> DispatchOrder {
     let left = deadline.since(shared.clock.now()).as_millis();
     DispatchOrder {
         attempt,
         request: plan.id,
-        trace: plan.trace,
+        trace,
         group: record.group,
         fencing: record.fencing,
         incarnation: record.incarnation,
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -25,6 +25,7 @@
 use self::shared::EntryShared;
 use crate::DaemonError;
 use crate::metrics::MetricsHub;
+use crate::trace::TraceHub;
 
 /// Time to connect to an agent.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -47,6 +48,7 @@
         settings: &DaemonSettings,
         role: &EntrySettings,
         metrics: &MetricsHub,
+        traces: &TraceHub,
     ) -> Result<Self, DaemonError> {
         let link = LinkClient::start(
             "entry-link",
@@ -57,7 +59,7 @@
         )?;
         let peers: Vec<_> = settings.cluster.control.iter().map(|peer| peer.link).collect();
         let claims = ClaimClient::start(link.clone(), peers.clone())?;
-        let shared = Arc::new(EntryShared::new(settings, role, link, claims, metrics)?);
+        let shared = Arc::new(EntryShared::new(settings, role, link, claims, metrics, traces)?);
         watch::start(Arc::clone(&shared), peers)?;
         let calls = Arc::clone(&shared);
         let handler = Arc::new(move |request| api::handle(request, &calls));
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -17,7 +17,8 @@
 use super::claims::ClaimClient;
 use super::gate::AdmissionGate;
 use crate::ClockReader;
-use crate::metrics::{AdmissionMetrics, MetricsHub, RequestMetrics};
+use crate::metrics::{AdmissionMetrics, MetricsHub, ProcessMetrics, RequestMetrics};
+use crate::trace::TraceHub;
 
 /// Part of the open requests that may wait or run, in percent; the rest is kept for requests that
 /// are refused at once, so that a full entry still answers.
@@ -42,6 +43,8 @@
     pub(super) claims: ClaimClient,
     pub(super) hub: MetricsHub,
     pub(super) metrics: RequestMetrics,
+    pub(super) process: ProcessMetrics,
+    pub(super) traces: TraceHub,
     view: ArcSwap<EntryView>,
     replicas: Mutex<ReplicaTable>,
     pub(super) gate: Arc<AdmissionGate>,
@@ -59,6 +62,7 @@
         link: LinkClient,
         claims: ClaimClient,
         hub: &MetricsHub,
+        traces: &TraceHub,
     ) -> std::io::Result<Self> {
         let clock = ClockReader::start();
         let load_metrics = hub.add(AdmissionMetrics::register);
@@ -73,6 +77,8 @@
             claims,
             hub: hub.clone(),
             metrics: hub.add(RequestMetrics::register),
+            process: hub.add(ProcessMetrics::register),
+            traces: traces.clone(),
             view: ArcSwap::from_pointee(EntryView::default()),
             replicas: Mutex::new(ReplicaTable::new(&settings.zone)),
             gate,
@@ -97,6 +103,10 @@
             drop(replicas);
             self.gate.set_capacities(&capacities);
         }
+        self.process.rules_revision.set(gauge_value(view.snapshot.revision.0));
+        let left = view.confirmed_until.map(|until| until.since(self.clock.now()).as_millis());
+        self.process.rules_lease_ms.set(gauge_value(left.unwrap_or(0)));
+        self.process.spans_dropped.set(gauge_value(self.traces.dropped()));
         self.view.store(Arc::new(view));
     }
 
@@ -141,3 +151,8 @@
             && view.snapshot.groups.iter().any(|record| record.whole)
     }
 }
+
+/// A number as gauges hold it.
+fn gauge_value(number: impl TryInto<i64>) -> i64 {
+    number.try_into().unwrap_or(i64::MAX)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,8 @@
 mod ids;
 pub mod logs;
 pub mod metrics;
+pub mod timestamp;
+pub mod trace;
 
 pub use clock::ClockReader;
 pub use daemon::{DaemonError, RunningDaemon};
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -1,38 +1,59 @@
-//! Logs as JSON lines on standard error: time, level, target, message, fields.
+//! Logs as JSON lines on standard error, one schema for every line:
+//! `time`, `level`, `target`, `message`, `trace_id` and `fields`.
 
 use std::io::Write;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::SystemTime;
 
+use log::Record;
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::{Map, json};
 
+use crate::timestamp::format_utc;
+use crate::trace::current_trace;
+
 /// Starts logging at `level`; a second start in one process changes nothing.
 pub fn start(level: &str) {
     let _ = env_logger::Builder::new()
         .parse_filters(level)
-        .format(|output, record| {
-            let mut fields = FieldCollector(Map::new());
-            let _ = record.key_values().visit(&mut fields);
-            let millis = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX));
-            let line = json!({
-                "time_ms": millis,
-                "level": record.level().as_str().to_lowercase(),
-                "target": record.target(),
-                "message": record.args().to_string(),
-                "fields": fields.0,
-            });
-            writeln!(output, "{line}")
-        })
+        .format(|output, record| writeln!(output, "{}", format_line(SystemTime::now(), record)))
         .try_init();
 }
 
+/// One line for `record`, without its end.
+pub fn format_line(time: SystemTime, record: &Record<'_>) -> String {
+    let mut fields = FieldCollector(Map::new());
+    let _ = record.key_values().visit(&mut fields);
+    let line = json!({
+        "time": format_utc(time),
+        "level": record.level().as_str().to_lowercase(),
+        "target": record.target(),
+        "message": record.args().to_string(),
+        "trace_id": current_trace().map(|id| format!("{id:032x}")),
+        "fields": fields.0,
+    });
+    line.to_string()
+}
+
 struct FieldCollector(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for FieldCollector {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        self.0.insert(key.as_str().to_owned(), json!(value.to_string()));
+        self.0.insert(key.as_str().to_owned(), as_json(&value));
         Ok(())
     }
 }
+
+/// Numbers and truth values stay what they are, so that a reader can compare them.
+fn as_json(value: &Value<'_>) -> serde_json::Value {
+    if let Some(number) = value.to_u64() {
+        json!(number)
+    } else if let Some(number) = value.to_i64() {
+        json!(number)
+    } else if let Some(number) = value.to_f64() {
+        json!(number)
+    } else if let Some(truth) = value.to_bool() {
+        json!(truth)
+    } else {
+        json!(value.to_string())
+    }
+}
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -4,9 +4,11 @@
 //! struct is kept where the area counts.
 
 mod admission;
+mod process;
 mod request;
 
 pub use admission::AdmissionMetrics;
+pub use process::ProcessMetrics;
 pub use request::{OutcomeLabel, RequestMetrics};
 
 use std::sync::{Arc, Mutex, PoisonError};
--- /dev/null
+++ b/crates/node/src/metrics/process.rs
@@ -0,0 +1,27 @@
+//! What a process counts about itself.
+
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Gauges of one process.
+#[derive(Debug, Clone, Default)]
+pub struct ProcessMetrics {
+    /// Revision of the rules that the process decides on.
+    pub rules_revision: Gauge,
+    /// Time left of the rules lease when it was last renewed, in milliseconds.
+    pub rules_lease_ms: Gauge,
+    /// Spans that were dropped because the file did not keep up.
+    pub spans_dropped: Gauge,
+}
+
+impl ProcessMetrics {
+    /// Makes the metrics and adds them to `registry`.
+    pub fn register(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        let copy = metrics.clone();
+        registry.register("rules_revision", "Revision of the rules", copy.rules_revision);
+        registry.register("rules_lease_ms", "Time left of the rules lease", copy.rules_lease_ms);
+        registry.register("spans_dropped", "Spans dropped", copy.spans_dropped);
+        metrics
+    }
+}
