--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -60,6 +60,11 @@
             /// The stop.
             plan: StopPlan,
         },
+        /// A group of a planned stop begins to leave.
+        BeginLeave {
+            /// The group.
+            group: GroupId,
+        },
         /// Take a planned stop back.
         CancelStop {
             /// The stop.
@@ -105,6 +110,11 @@
             /// The id.
             change: ChangeId,
         },
+        /// The change may have been applied so long ago that its outcome is no longer kept.
+        ChangeTooOld {
+            /// Outcomes of changes that expect this revision or an earlier one are gone.
+            floor: RevisionNumber,
+        },
         /// The group exists.
         GroupFormed {
             /// The group.
@@ -166,6 +176,11 @@
             /// Why.
             reason: String,
         },
+        /// The group begins to leave.
+        LeaveBegun {
+            /// The group.
+            group: GroupId,
+        },
         /// The stop is taken back.
         StopCancelled {
             /// The stop.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -47,7 +47,10 @@
     if !daemon.drain(&settings.stop) {
         log::warn!("work was left after {} ms; raise stop.wait_ms", settings.stop.wait_ms);
     }
-    Ok(())
+    match daemon.failure() {
+        Some(detail) => Err(detail.to_owned()),
+        None => Ok(()),
+    }
 }
 
 /// Ends the process at once when it is told a second time.
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod core;
 mod endpoint;
 mod member;
+mod pace;
 mod running;
 mod serve;
 mod session;
@@ -58,6 +59,7 @@
         traces: &TraceHub,
     ) -> Result<Self, DaemonError> {
         let shared = Arc::new(AgentShared::new(role, traces));
+        pace::start(&shared)?;
         let (inputs, queue) = bounded(INPUT_QUEUE);
         let handler = {
             let (shared, inputs) = (Arc::clone(&shared), inputs.clone());
--- a/crates/node/src/agent/shared.rs
+++ b/crates/node/src/agent/shared.rs
@@ -1,6 +1,6 @@
 //! What the agent's control thread shares with its traffic threads.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -9,9 +9,10 @@
 use briartray_model::TimePoint;
 use briartray_model::message::{DispatchOrder, LoadReport, RefusalReason};
 use briartray_model::names::{AttemptId, FencingNumber, GroupId};
-use briartray_model::settings::AgentSettings;
+use briartray_model::settings::{AgentSettings, EndpointKind};
 use briartray_routing::attempt::{AttemptBook, BookLimits};
 
+use super::pace;
 use super::running::RunningAttempt;
 use crate::trace::TraceHub;
 use crate::{ClockReader, new_incarnation};
@@ -57,10 +58,14 @@
     closed: AtomicBool,
     /// Fencing number of the group that takes no new work; zero for none.
     leaving: AtomicU64,
+    /// Whether the process is ending; no directive takes that back.
+    ending: AtomicBool,
     /// Whether control said that the host may be shut down.
     may_stop: AtomicBool,
     slots: Mutex<SlotCount>,
     slot_freed: Condvar,
+    /// Recent time of an engine's step or a plain call, in microseconds; zero while unknown.
+    pace: AtomicU32,
     attempts: Mutex<AttemptBook>,
     held: Mutex<SortedTable<AttemptId, Arc<RunningAttempt>>>,
 }
@@ -75,9 +80,11 @@
             gate: ArcSwap::from_pointee(GateView::default()),
             closed: AtomicBool::new(false),
             leaving: AtomicU64::new(0),
+            ending: AtomicBool::new(false),
             may_stop: AtomicBool::new(false),
             slots: Mutex::new(SlotCount::default()),
             slot_freed: Condvar::new(),
+            pace: AtomicU32::new(0),
             attempts: Mutex::new(AttemptBook::new(BookLimits::default())),
             held: Mutex::new(SortedTable::new()),
         }
@@ -103,9 +110,9 @@
         self.may_stop.load(Ordering::SeqCst)
     }
 
-    /// Lets the group that this host leads, if any, take no new work.
+    /// Lets every group that this host leads from now on take no new work.
     pub(super) fn leave_group(&self) {
-        self.set_leaving(self.gate.load().fencing, true);
+        self.ending.store(true, Ordering::SeqCst);
     }
 
     /// Lets the group under `fencing` take no new work, or take it again.
@@ -123,7 +130,11 @@
     /// An order is counted in before it looks whether the group leaves, so that no order slips in
     /// after this was found true.
     pub(super) fn is_drained(&self, fencing: FencingNumber) -> bool {
-        self.leaving.load(Ordering::SeqCst) == fencing.0 && self.is_idle()
+        self.is_leaving(fencing) && self.is_idle()
+    }
+
+    fn is_leaving(&self, fencing: FencingNumber) -> bool {
+        self.ending.load(Ordering::SeqCst) || self.leaving.load(Ordering::SeqCst) == fencing.0
     }
 
     /// Whether no attempt runs and no answer is on its way to an entry.
@@ -148,7 +159,7 @@
         if (gate.group, gate.fencing) != (order.group, order.fencing) {
             return Some(RefusalReason::WrongGroup);
         }
-        if self.leaving.load(Ordering::SeqCst) == gate.fencing.0 {
+        if self.is_leaving(gate.fencing) {
             return Some(RefusalReason::Leaving);
         }
         (!self.is_whole(&gate)).then_some(RefusalReason::GroupNotWhole)
@@ -171,7 +182,7 @@
         let mut slots = self.lock_slots();
         if slots.queued == 0 && slots.in_flight < self.capacity() {
             slots.in_flight += 1;
-            return Ok(EngineSlot(Arc::clone(self)));
+            return Ok(EngineSlot::new(self));
         }
         if slots.queued >= queue_length(self.capacity()) {
             return Err(RefusalReason::QueueFull);
@@ -182,7 +193,7 @@
             if slots.in_flight < self.capacity() {
                 slots.queued -= 1;
                 slots.in_flight += 1;
-                return Ok(EngineSlot(Arc::clone(self)));
+                return Ok(EngineSlot::new(self));
             }
             if left.is_zero() {
                 slots.queued -= 1;
@@ -206,10 +217,20 @@
             in_flight: slots.in_flight,
             queued: slots.queued,
             capacity: self.capacity(),
-            step_micros: 0,
+            step_micros: self.pace.load(Ordering::Relaxed),
         }
     }
 
+    /// Notes how long an engine's step or a plain call takes, in microseconds.
+    pub(super) fn set_pace(&self, micros: u32) {
+        self.pace.store(micros, Ordering::Relaxed);
+    }
+
+    /// Whether the agent takes no new work.
+    pub(super) fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
     /// The answers that are held, by attempt.
     pub(super) fn held(&self) -> MutexGuard<'_, SortedTable<AttemptId, Arc<RunningAttempt>>> {
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
@@ -235,12 +256,27 @@
 
 /// One slot of the endpoint; counts as free again when dropped.
 #[derive(Debug)]
-pub(super) struct EngineSlot(Arc<AgentShared>);
+pub(super) struct EngineSlot {
+    shared: Arc<AgentShared>,
+    taken: TimePoint,
+}
+
+impl EngineSlot {
+    fn new(shared: &Arc<AgentShared>) -> Self {
+        Self { shared: Arc::clone(shared), taken: shared.clock.now() }
+    }
+}
 
 impl Drop for EngineSlot {
     fn drop(&mut self) {
-        self.0.lock_slots().in_flight -= 1;
-        self.0.slot_freed.notify_one();
+        if self.shared.settings.endpoint.kind == EndpointKind::Plain {
+            let took = self.shared.clock.now().since(self.taken).as_micros();
+            let sample = u32::try_from(took).unwrap_or(u32::MAX);
+            let running = self.shared.pace.load(Ordering::Relaxed);
+            self.shared.set_pace(pace::blend(running, sample));
+        }
+        self.shared.lock_slots().in_flight -= 1;
+        self.shared.slot_freed.notify_one();
     }
 }
 
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -4,10 +4,12 @@
 //! struct is kept where the area counts.
 
 mod admission;
+mod agreement;
 mod process;
 mod request;
 
 pub use admission::AdmissionMetrics;
+pub use agreement::AgreementMetrics;
 pub use process::ProcessMetrics;
 pub use request::{OutcomeLabel, RequestMetrics};
 
