Measure open streams; agents keep one thread less for each stream

Cause: memory per open stream was not known. The HTTP client keeps a thread for the bound on a whole call, so each stream cost an agent three threads. Change: measure streams runs real processes and reads their memory at the peak; a stream's deadline is enforced by its reader; the body buffer is 1 KiB, the client has one of 8 KiB already.

--- a/crates/cli/src/cmd/measure/capacity/mod.rs
+++ b/crates/cli/src/cmd/measure/capacity/mod.rs
@@ -10,7 +10,7 @@
 mod rows;
 mod settings;
 mod slope;
-mod usage;
+pub(super) mod usage;
 mod window;
 
 use std::path::PathBuf;
--- a/crates/cli/src/cmd/measure/capacity/usage.rs
+++ b/crates/cli/src/cmd/measure/capacity/usage.rs
@@ -10,13 +10,13 @@
 
 /// What a process has used so far.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub(super) struct ProcessUsage {
-    pub(super) cpu: Duration,
-    pub(super) resident_bytes: u64,
+pub(in crate::cmd) struct ProcessUsage {
+    pub(in crate::cmd) cpu: Duration,
+    pub(in crate::cmd) resident_bytes: u64,
 }
 
 /// Reads the usage of process `id`; `None` when it is gone.
-pub(super) fn read_usage(id: u32) -> Option<ProcessUsage> {
+pub(in crate::cmd) fn read_usage(id: u32) -> Option<ProcessUsage> {
     let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
     let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
     // The program's name may hold spaces; the fields follow its closing parenthesis.
--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -7,6 +7,7 @@
 mod outcomes;
 mod overhead;
 mod overload;
+mod streams;
 
 use gumdrop::Options;
 
@@ -28,6 +29,8 @@
     Choice(choice::ChoiceOptions),
     #[options(help = "what entry and agent add over the engine called directly")]
     Overhead(overhead::OverheadOptions),
+    #[options(help = "memory and processor time of open streams")]
+    Streams(streams::StreamsOptions),
     #[options(help = "useful answers as the load rises over the capacity")]
     Overload(overload::OverloadOptions),
     #[options(help = "what callers are told under faults, against what truly ran")]
@@ -41,6 +44,7 @@
         Some(MeasureCommand::Agreement(options)) => agreement::run(options),
         Some(MeasureCommand::Choice(options)) => choice::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
+        Some(MeasureCommand::Streams(options)) => streams::run(options),
         Some(MeasureCommand::Overload(options)) => overload::run(options),
         Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
         Some(MeasureCommand::Capacity(options)) => capacity::run(options),
--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -58,6 +58,8 @@
     engine_faults: Vec<String>,
     service_faults: Vec<String>,
     service_work_ms: u64,
+    engine_step_ms: u64,
+    rules: String,
 }
 
 impl TrialPlan {
@@ -71,6 +73,8 @@
             engine_faults: Vec::new(),
             service_faults: Vec::new(),
             service_work_ms: 2,
+            engine_step_ms: 8,
+            rules: TRIAL_RULES.to_owned(),
         }
     }
 
@@ -103,6 +107,20 @@
         self
     }
 
+    /// Sets the time of one engine step.
+    #[must_use]
+    pub fn engine_step(mut self, step: Duration) -> Self {
+        self.engine_step_ms = u64::try_from(step.as_millis()).unwrap_or(u64::MAX);
+        self
+    }
+
+    /// Sets the rule document.
+    #[must_use]
+    pub fn rules(mut self, document: &str) -> Self {
+        document.clone_into(&mut self.rules);
+        self
+    }
+
     /// Sets the time of one call to a plain service.
     #[must_use]
     pub fn service_work(mut self, work: Duration) -> Self {
@@ -150,7 +168,7 @@
     pub fn start(plan: &TrialPlan) -> Result<Self, TrialError> {
         let folder = tempfile::Builder::new().prefix("briartray-trial-").tempdir()?;
         let rules = folder.path().join("rules.yaml");
-        std::fs::write(&rules, TRIAL_RULES)?;
+        std::fs::write(&rules, &plan.rules)?;
         let peer = ControlPeer { node: NodeName::new("control"), link: free_address()? };
         let cluster =
             ClusterSettings { token: TRIAL_TOKEN.to_owned(), control: vec![peer.clone()] };
@@ -281,10 +299,12 @@
     ) -> Result<ChildProcess, TrialError> {
         let listen = address.to_string();
         let work = self.plan.service_work_ms.to_string();
+        let step = self.plan.engine_step_ms.to_string();
         let mut arguments = vec!["stand-in"];
         let faults = match kind {
             EndpointKind::Engine => {
                 arguments.extend(["engine", "--listen", &listen, "--event-loss", "0"]);
+                arguments.extend(["--step-ms", &step]);
                 &self.plan.engine_faults
             }
             EndpointKind::Plain => {
--- a/crates/cli/src/trial/process.rs
+++ b/crates/cli/src/trial/process.rs
@@ -81,6 +81,11 @@
         Ok(Self { child })
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends `signal`; a child that has ended is no error.
     pub fn signal(&self, signal: ProcessSignal) {
         let name = match signal {
--- a/crates/node/src/agent/endpoint.rs
+++ b/crates/node/src/agent/endpoint.rs
@@ -1,7 +1,7 @@
 //! Calling the endpoint over HTTP and reading its answer piece by piece.
 
 use std::cmp::Ordering;
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufRead, BufReader, ErrorKind, Read};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,9 @@
 /// Largest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: u64 = 8 * 1024 * 1024;
 
+/// Bytes buffered of an answer, besides what the library buffers.
+const BODY_BUFFER: usize = 1024;
+
 /// Time without any event after which an engine's stream is resumed over a new connection.
 const STREAM_SILENCE: Duration = Duration::from_secs(3);
 
@@ -78,7 +81,29 @@
     next_index: u64,
     /// Times the stream may still be resumed without a new event in between.
     resumes_left: u32,
-    body: BufReader<ResponseReader>,
+    body: BufReader<DeadlineReader>,
+}
+
+/// Reads until a deadline.
+///
+/// An endpoint that sends a byte now and then passes every timeout of a single read and would keep
+/// its thread for ever; the agent would run out of threads.
+struct DeadlineReader {
+    body: ResponseReader,
+    deadline: Instant,
+}
+
+impl Read for DeadlineReader {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        if Instant::now() >= self.deadline {
+            return Err(std::io::Error::new(ErrorKind::TimedOut, "the deadline passed"));
+        }
+        self.body.read(buffer)
+    }
+}
+
+fn buffer_body(body: ResponseReader, deadline: Instant) -> BufReader<DeadlineReader> {
+    BufReader::with_capacity(BODY_BUFFER, DeadlineReader { body, deadline })
 }
 
 /// Calls the endpoint for `order`.
@@ -94,11 +119,14 @@
     let mut request = RequestBuilder::new(method, url)
         .connect_timeout(CONNECT_TIMEOUT)
         .read_timeout(if resumes { left.min(STREAM_SILENCE) } else { left })
-        .timeout(left)
         .follow_redirects(false)
         .header("x-request-id", order.attempt.to_string())
         .header("traceparent", order.trace.to_header())
         .header("x-priority", order.priority.to_string());
+    if !resumes {
+        // The library keeps a thread for this bound; a stream is bounded by its reader instead.
+        request = request.timeout(left);
+    }
     for field in &order.target.headers {
         let name = attohttpc::header::HeaderName::from_bytes(field.name.as_bytes());
         let value = attohttpc::header::HeaderValue::from_str(&field.value);
@@ -115,10 +143,11 @@
     {
         return CrossedSnafu { attempt: order.attempt, given }.fail();
     }
+    let deadline = Instant::now() + left;
     Ok(EndpointAnswer {
         address: settings.address,
         attempt: order.attempt,
-        deadline: Instant::now() + left,
+        deadline,
         kind: settings.kind,
         status: status.as_u16(),
         content_type: text("content-type").unwrap_or("application/octet-stream").to_owned(),
@@ -128,7 +157,7 @@
             || matches!(status.as_u16(), 204 | 304),
         next_index: 0,
         resumes_left: MAX_RESUMES,
-        body: BufReader::new(body),
+        body: buffer_body(body, deadline),
     })
 }
 
@@ -227,12 +256,11 @@
         let response = attohttpc::get(format!("http://{address}/requests/{attempt}?from={from}"))
             .connect_timeout(CONNECT_TIMEOUT)
             .read_timeout(left.min(STREAM_SILENCE))
-            .timeout(left)
             .send();
         match response {
             Ok(response) if response.is_success() => {
                 let (_, _, body) = response.split();
-                self.body = BufReader::new(body);
+                self.body = buffer_body(body, self.deadline);
                 Ok(())
             }
             _ => Err(EndpointError::Broken { detail }),
