--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -8,6 +8,7 @@
 mod outcomes;
 mod overhead;
 mod overload;
+mod streams;
 
 use gumdrop::Options;
 
@@ -29,6 +30,8 @@
     Choice(choice::ChoiceOptions),
     #[options(help = "what entry and agent add over the engine called directly")]
     Overhead(overhead::OverheadOptions),
+    #[options(help = "memory and processor time of open streams")]
+    Streams(streams::StreamsOptions),
     #[options(help = "useful answers as the load rises over the capacity")]
     Overload(overload::OverloadOptions),
     #[options(help = "what callers are told under faults, against what truly ran")]
@@ -44,6 +47,7 @@
         Some(MeasureCommand::Agreement(options)) => agreement::run(options),
         Some(MeasureCommand::Choice(options)) => choice::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
+        Some(MeasureCommand::Streams(options)) => streams::run(options),
         Some(MeasureCommand::Overload(options)) => overload::run(options),
         Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
         Some(MeasureCommand::Claims(options)) => claims::run(options),
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -77,6 +77,8 @@
     pub engine_faults: FaultPlan,
     /// Faults of every plain service.
     pub service_faults: FaultPlan,
+    /// File that every process writes its spans to; none when absent.
+    pub trace_file: Option<PathBuf>,
     /// Rule document.
     pub rules: String,
 }
@@ -93,6 +95,7 @@
             batch: 256,
             engine_faults: FaultPlan::default(),
             service_faults: FaultPlan::default(),
+            trace_file: None,
             rules: DEMO_RULES.to_owned(),
         }
     }
@@ -133,7 +136,7 @@
             let engine = StandinEngine::start(settings)?;
             let endpoint =
                 endpoint_settings(engine.address(), ENGINE_SERVICE, EndpointKind::Engine);
-            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, endpoint))?);
+            agents.push(RunningDaemon::start(&agent_settings(plan, &cluster, number, endpoint))?);
             engines.push(engine);
         }
         let mut services = Vec::new();
@@ -142,7 +145,7 @@
             let settings = ServiceSettings::new(listen).faults(plan.service_faults.clone());
             let service = StandinService::start(settings)?;
             let endpoint = endpoint_settings(service.address(), PLAIN_SERVICE, EndpointKind::Plain);
-            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, endpoint))?);
+            agents.push(RunningDaemon::start(&agent_settings(plan, &cluster, number, endpoint))?);
             services.push(service);
         }
         Ok(Self { front, agents, engines, services, folder, _temporary: temporary })
@@ -261,7 +264,7 @@
         zone: ZoneName::new("local-a"),
         cluster: cluster.clone(),
         log: LogSettings::default(),
-        trace: TraceSettings::default(),
+        trace: TraceSettings { file: plan.trace_file.clone() },
         stop: StopSettings::default(),
         entry: Some(EntrySettings {
             listen: plan.listen,
@@ -285,6 +288,7 @@
 }
 
 fn agent_settings(
+    plan: &DemoPlan,
     cluster: &ClusterSettings,
     number: u32,
     endpoint: EndpointSettings,
@@ -294,7 +298,7 @@
         zone: ZoneName::new("local-a"),
         cluster: cluster.clone(),
         log: LogSettings::default(),
-        trace: TraceSettings::default(),
+        trace: TraceSettings { file: plan.trace_file.clone() },
         stop: StopSettings::default(),
         entry: None,
         control: None,
