Set fair queueing against exact weighted shares

Cause: fairness was tested with two teams only. Change: eight teams of random size and weight, five seeds, against shares computed exactly. Conclusion: start-time fair queueing holds for teams below and above their share.

--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -287,6 +287,59 @@
     assert!((2.7..3.3).contains(&ratio), "{teams:?}");
 }
 
+/// What each team gets of `amount` when it is shared exactly by weight and nobody gets more than it
+/// asks for.
+fn exact_shares(teams: &[TeamLoad], amount: f64) -> Vec<f64> {
+    let mut shares = vec![0.0; teams.len()];
+    let mut open: Vec<usize> = (0..teams.len()).collect();
+    let mut left = amount;
+    while !open.is_empty() {
+        let weights: f64 = open.iter().map(|team| f64::from(teams[*team].weight)).sum();
+        let part = |team: usize| left * f64::from(teams[team].weight) / weights;
+        let met: Vec<usize> =
+            open.iter().copied().filter(|team| teams[*team].rate <= part(*team)).collect();
+        if met.is_empty() {
+            open.iter().for_each(|team| shares[*team] = part(*team));
+            return shares;
+        }
+        for team in &met {
+            shares[*team] = teams[*team].rate;
+        }
+        left -= met.iter().map(|team| teams[*team].rate).sum::<f64>();
+        open.retain(|team| !met.contains(team));
+    }
+    shares
+}
+
+#[test]
+fn every_team_gets_its_exact_share_or_nearly() {
+    // Eight teams of any size and weight ask for more than there is. Whoever asks for less than its
+    // share must get all of it, and the rest goes to the others by weight.
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    for seed in 0..5 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let teams: Vec<TeamLoad> = names
+            .iter()
+            .map(|name| TeamLoad {
+                name,
+                weight: random.random_range(1..=4),
+                rate: random.random_range(4.0..60.0),
+            })
+            .collect();
+        let plan = LoadPlan { slots: 20, service_ms: 200, deadline_ms: 1500, seconds: 60, teams };
+
+        let results = run_admitted(&plan, seed);
+
+        let served: f64 = results.iter().map(|team| team.useful).sum();
+        let exact = exact_shares(&plan.teams, served);
+        for (result, exact) in results.iter().zip(&exact) {
+            let error = (result.useful - exact).abs() / exact;
+            assert!(error < 0.15, "seed {seed}: {} a second for {exact}", result.useful);
+        }
+        assert!(served >= 90.0, "capacity 100 a second: {served}");
+    }
+}
+
 #[test]
 fn refusals_come_at_once_or_well_before_the_deadline() {
     let teams = run_admitted(&two_teams(4.0), 4);
