--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -26,8 +26,8 @@
 /// What the entry decides on.
 #[derive(Debug, Default)]
 pub(super) struct EntryView {
-    pub(super) snapshot: RoutingSnapshot,
-    pub(super) book: RuleBook,
+    pub(super) snapshot: Arc<RoutingSnapshot>,
+    pub(super) book: Arc<RuleBook>,
     /// Until when the rules are confirmed; `None` before the first confirmation.
     pub(super) confirmed_until: Option<TimePoint>,
 }
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -73,8 +73,8 @@
     let before = shared.view();
     let Some(snapshot) = reply.snapshot else {
         shared.adopt(EntryView {
-            snapshot: before.snapshot.clone(),
-            book: before.book.clone(),
+            snapshot: Arc::clone(&before.snapshot),
+            book: Arc::clone(&before.book),
             confirmed_until: Some(until),
         });
         return;
@@ -82,7 +82,11 @@
     match RuleBook::build(snapshot.revision, &snapshot.rules) {
         Ok(book) => {
             log::debug!(version = snapshot.version; "snapshot adopted");
-            shared.adopt(EntryView { snapshot, book, confirmed_until: Some(until) });
+            shared.adopt(EntryView {
+                snapshot: Arc::new(snapshot),
+                book: Arc::new(book),
+                confirmed_until: Some(until),
+            });
         }
         Err(error) => log::error!("rules from control do not load: {error}"),
     }
