Measure prefix affinity on real fleets

Cause: the choice was measured on a model only. Change: `briartray measure affinity` runs eight stand-in engines with the ring beside eight without, at the same time under the same load.

--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -1,5 +1,6 @@
 //! `briartray measure`: measurements that stand in the design notes, one module each.
 
+mod affinity;
 mod agreement;
 mod capacity;
 mod choice;
@@ -23,6 +24,8 @@
 
 #[derive(Debug, Options)]
 enum MeasureCommand {
+    #[options(help = "first tokens with and without prefix affinity")]
+    Affinity(affinity::AffinityOptions),
     #[options(help = "commits, catching up and idling of the replicated log")]
     Agreement(agreement::AgreementOptions),
     #[options(help = "ways to choose a replica, on a model of replicas")]
@@ -41,6 +44,7 @@
 
 pub(super) fn run(options: &MeasureOptions) -> Result<(), CommandError> {
     match &options.command {
+        Some(MeasureCommand::Affinity(options)) => affinity::run(options),
         Some(MeasureCommand::Agreement(options)) => agreement::run(options),
         Some(MeasureCommand::Choice(options)) => choice::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -73,6 +73,8 @@
     pub step: Duration,
     /// Requests that one engine step can hold.
     pub batch: usize,
+    /// Blocks that the prefix cache of one engine holds.
+    pub cache_blocks: usize,
     /// Faults of every engine.
     pub engine_faults: FaultPlan,
     /// Faults of every plain service.
@@ -91,6 +93,7 @@
             services: 2,
             step: Duration::from_millis(8),
             batch: 256,
+            cache_blocks: 4096,
             engine_faults: FaultPlan::default(),
             service_faults: FaultPlan::default(),
             rules: DEMO_RULES.to_owned(),
@@ -128,6 +131,7 @@
             let settings = EngineSettings::new(listen)
                 .step(plan.step)
                 .batch(plan.batch)
+                .cache_blocks(plan.cache_blocks)
                 .seed(u64::from(number))
                 .faults(plan.engine_faults.clone());
             let engine = StandinEngine::start(settings)?;
