--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -73,10 +73,14 @@
     pub step: Duration,
     /// Requests that one engine step can hold.
     pub batch: usize,
+    /// Blocks that the prefix cache of one engine holds.
+    pub cache_blocks: usize,
     /// Faults of every engine.
     pub engine_faults: FaultPlan,
     /// Faults of every plain service.
     pub service_faults: FaultPlan,
+    /// File that every process writes its spans to; none when absent.
+    pub trace_file: Option<PathBuf>,
     /// Rule document.
     pub rules: String,
 }
@@ -91,8 +95,10 @@
             services: 2,
             step: Duration::from_millis(8),
             batch: 256,
+            cache_blocks: 4096,
             engine_faults: FaultPlan::default(),
             service_faults: FaultPlan::default(),
+            trace_file: None,
             rules: DEMO_RULES.to_owned(),
         }
     }
@@ -128,12 +134,13 @@
             let settings = EngineSettings::new(listen)
                 .step(plan.step)
                 .batch(plan.batch)
+                .cache_blocks(plan.cache_blocks)
                 .seed(u64::from(number))
                 .faults(plan.engine_faults.clone());
             let engine = StandinEngine::start(settings)?;
             let endpoint =
                 endpoint_settings(engine.address(), ENGINE_SERVICE, EndpointKind::Engine);
-            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, endpoint))?);
+            agents.push(RunningDaemon::start(&agent_settings(plan, &cluster, number, endpoint))?);
             engines.push(engine);
         }
         let mut services = Vec::new();
@@ -142,7 +149,7 @@
             let settings = ServiceSettings::new(listen).faults(plan.service_faults.clone());
             let service = StandinService::start(settings)?;
             let endpoint = endpoint_settings(service.address(), PLAIN_SERVICE, EndpointKind::Plain);
-            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, endpoint))?);
+            agents.push(RunningDaemon::start(&agent_settings(plan, &cluster, number, endpoint))?);
             services.push(service);
         }
         Ok(Self { front, agents, engines, services, folder, _temporary: temporary })
@@ -261,7 +268,7 @@
         zone: ZoneName::new("local-a"),
         cluster: cluster.clone(),
         log: LogSettings::default(),
-        trace: TraceSettings::default(),
+        trace: TraceSettings { file: plan.trace_file.clone() },
         stop: StopSettings::default(),
         entry: Some(EntrySettings {
             listen: plan.listen,
@@ -285,6 +292,7 @@
 }
 
 fn agent_settings(
+    plan: &DemoPlan,
     cluster: &ClusterSettings,
     number: u32,
     endpoint: EndpointSettings,
@@ -294,7 +302,7 @@
         zone: ZoneName::new("local-a"),
         cluster: cluster.clone(),
         log: LogSettings::default(),
-        trace: TraceSettings::default(),
+        trace: TraceSettings { file: plan.trace_file.clone() },
         stop: StopSettings::default(),
         entry: None,
         control: None,
--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -62,6 +62,8 @@
     engine_faults: Vec<String>,
     service_faults: Vec<String>,
     service_work_ms: u64,
+    engine_step_ms: u64,
+    rules: Option<String>,
 }
 
 impl TrialPlan {
@@ -76,6 +78,8 @@
             engine_faults: Vec::new(),
             service_faults: Vec::new(),
             service_work_ms: 2,
+            engine_step_ms: 8,
+            rules: None,
         }
     }
 
@@ -115,6 +119,20 @@
         self
     }
 
+    /// Sets the time of one engine step.
+    #[must_use]
+    pub fn engine_step(mut self, step: Duration) -> Self {
+        self.engine_step_ms = u64::try_from(step.as_millis()).unwrap_or(u64::MAX);
+        self
+    }
+
+    /// Sets the rule document.
+    #[must_use]
+    pub fn rules(mut self, document: &str) -> Self {
+        self.rules = Some(document.to_owned());
+        self
+    }
+
     /// Sets the time of one call to a plain service.
     #[must_use]
     pub fn service_work(mut self, work: Duration) -> Self {
@@ -162,7 +180,8 @@
     pub fn start(plan: &TrialPlan) -> Result<Self, TrialError> {
         let folder = tempfile::Builder::new().prefix("briartray-trial-").tempdir()?;
         let rules = folder.path().join("rules.yaml");
-        std::fs::write(&rules, trial_rules(plan.engines, plan.services))?;
+        let own = || trial_rules(plan.engines, plan.services);
+        std::fs::write(&rules, plan.rules.clone().unwrap_or_else(own))?;
         let mut peers = Vec::new();
         for number in 0..plan.controls {
             let node = NodeName::new(&format!("control-{number}"));
@@ -316,10 +335,12 @@
     ) -> Result<ChildProcess, TrialError> {
         let listen = address.to_string();
         let work = self.plan.service_work_ms.to_string();
+        let step = self.plan.engine_step_ms.to_string();
         let mut arguments = vec!["stand-in"];
         let faults = match kind {
             EndpointKind::Engine => {
                 arguments.extend(["engine", "--listen", &listen, "--event-loss", "0"]);
+                arguments.extend(["--step-ms", &step]);
                 &self.plan.engine_faults
             }
             EndpointKind::Plain => {
