--- a/crates/placement/src/accounting.rs
+++ b/crates/placement/src/accounting.rs
@@ -16,7 +16,8 @@
         MissingMember,
         /// Its group is complete and not ready to serve yet.
         Loading,
-        /// It is free while every wanted replica has a group, or enough hosts to form one are.
+        /// It is free while every wanted replica has a group or enough hosts to form one are free, or
+        /// its group is one more than wanted.
         SpareHeld,
         /// It is free, a replica is missing, and its place has too few free hosts for a group.
         OddHost,
@@ -282,10 +283,14 @@
     let (possible, accelerators, hosts) = possible_groups(service, &rules, places);
     let usable = possible.min(wanted) * service.hosts_per_replica as usize;
     let per_host = if hosts > 0 { accelerators / hosts as f64 } else { 0.0 };
+    // Groups beyond the wanted number serve nobody who asked for them.
+    let surplus = serving.len().saturating_sub(wanted) * service.hosts_per_replica as usize;
+    let mut stranded = [0.0; 6];
+    stranded[StrandedReason::SpareHeld as usize] = surplus as f64 * per_host;
     ServiceAccount {
         groups_down: wanted.saturating_sub(serving.len()) as f64,
         groups_slow: slow as f64,
-        stranded: [0.0; 6],
+        stranded,
         bound_down: wanted.saturating_sub(possible) as f64,
         bound_stranded: (accelerators - usable as f64 * per_host).max(0.0),
     }
--- a/crates/placement/src/planner/group_planner.rs
+++ b/crates/placement/src/planner/group_planner.rs
@@ -143,6 +143,9 @@
         if !frame.settled && survey.groups.iter().any(|group| !group.missing.is_empty()) {
             frame.round.wake_at(started.after(SETTLE));
         }
+        if let Some(when) = frame.memory.next_recovery() {
+            frame.round.wake_at(when);
+        }
         dissolve_undeclared(&mut frame, book);
         for service in in_order(book) {
             plan_service(&mut frame, book, service);
--- a/crates/placement/src/planner/memory.rs
+++ b/crates/placement/src/planner/memory.rs
@@ -13,6 +13,20 @@
 /// A host that was away for less than this is taken to have its weights still loaded.
 const QUICK_RETURN: Duration = Duration::from_secs(40);
 
+/// How long a fabric domain that comes back is given until its last hosts are there.
+///
+/// They come back one by one; without the pause the first ones would be put into new groups with
+/// other positions, and all of them would have to load their weights again.
+const RECOVERY: Duration = Duration::from_secs(60);
+
+/// A fabric domain most of whose hosts vanished together.
+#[derive(Debug, Clone, PartialEq)]
+struct DarkDomain {
+    since: TimePoint,
+    /// When most of its hosts were back.
+    back: Option<TimePoint>,
+}
+
 #[derive(Debug, Clone, PartialEq)]
 struct HostAbsence {
     since: TimePoint,
@@ -25,7 +39,7 @@
 #[derive(Debug, Clone, PartialEq, Default)]
 pub(super) struct PlannerMemory {
     absences: SortedTable<HostName, HostAbsence>,
-    dark: SortedTable<DomainName, TimePoint>,
+    dark: SortedTable<DomainName, DarkDomain>,
     /// Absences of single hosts.
     pub(super) hosts: AbsenceModel,
     /// Absences of whole fabric domains.
@@ -65,7 +79,7 @@
 
     /// How long the fabric domain has been dark, in seconds.
     pub(super) fn dark_seconds(&self, now: TimePoint, domain: &DomainName) -> Option<f64> {
-        self.dark.get(domain).map(|since| now.since(*since).as_secs_f64())
+        self.dark.get(domain).map(|dark| now.since(dark.since).as_secs_f64())
     }
 
     /// Members of `group` that still have to load their weights.
@@ -164,21 +178,29 @@
 
     fn note_dark(&mut self, now: TimePoint, survey: &FleetSurvey<'_>) {
         for count in &survey.domains {
-            let dark = survey.is_dark(count.domain);
-            if dark && !self.dark.contains_key(count.domain) {
-                self.dark.insert(count.domain.clone(), now);
+            if count.is_dark() {
+                let begin = || DarkDomain { since: now, back: None };
+                self.dark.get_or_insert_with(count.domain.clone(), begin).back = None;
             }
         }
         let domains = &mut self.domains;
-        self.dark.retain(|domain, since| {
-            let still = survey.is_dark(domain);
-            if !still {
-                domains.record_return(now.since(*since).as_secs_f64(), true);
+        self.dark.retain(|domain, dark| {
+            if survey.is_dark(domain) {
+                return true;
+            }
+            if dark.back.is_none() {
+                domains.record_return(now.since(dark.since).as_secs_f64(), true);
             }
-            still
+            let back = *dark.back.get_or_insert(now);
+            survey.lacks_hosts(domain) && now.since(back) < RECOVERY
         });
     }
 
+    /// When the next fabric domain has had its time to come back.
+    pub(super) fn next_recovery(&self) -> Option<TimePoint> {
+        self.dark.values().filter_map(|dark| dark.back).map(|back| back.after(RECOVERY)).min()
+    }
+
     fn note_returns(&mut self, now: TimePoint, view: &FleetView) {
         let (hosts, fresh) = (&mut self.hosts, &mut self.fresh);
         self.absences.retain(|name, absence| {
--- a/crates/placement/src/planner/repair.rs
+++ b/crates/placement/src/planner/repair.rs
@@ -71,17 +71,20 @@
         let lacking = broken.survey.missing.len();
         let spares = broken.place.map_or(0, |said| self.pool.count(&said.provider, &said.domain));
         let size = self.size();
-        if self.fates[broken.at] != GroupFate::Keep && spares < lacking {
+        if self.fates[broken.at] != GroupFate::Keep && (spares < lacking || broken.dark) {
             return self.end_hopeless(frame, broken);
         }
-        if spares >= lacking {
+        // While a fabric domain comes back, its first hosts are not put in other places.
+        if spares >= lacking && !broken.dark {
             return self.mend_with_spares(frame, broken);
         }
         if self.pool.places.iter().any(|place| place.len() >= size) {
             let replace = self.load_seconds(frame, size);
             return self.replace_or_wait(frame, broken, replace, PlanReason::RebuildElsewhere);
         }
-        if self.split_other(frame, broken, order) || self.cross_domains(frame, broken) {
+        let moved = !broken.dark
+            && (self.split_other(frame, broken, order) || self.cross_domains(frame, broken));
+        if moved {
             return;
         }
         if broken.hopeless {
--- a/crates/placement/src/planner/survey.rs
+++ b/crates/placement/src/planner/survey.rs
@@ -87,6 +87,13 @@
             .is_ok_and(|index| self.domains[index].is_dark())
     }
 
+    /// Whether a member of a group is missing in `domain`.
+    pub(super) fn lacks_hosts(&self, domain: &DomainName) -> bool {
+        self.domains
+            .binary_search_by(|count| count.domain.cmp(domain))
+            .is_ok_and(|index| self.domains[index].absent > 0)
+    }
+
     fn note(&mut self, host: &'a HostView, ids: &[GroupId], last: &mut usize) {
         if !host.present {
             self.absent.push(host);
@@ -135,7 +142,7 @@
     /// Fewer missing hosts than this are taken for single losses.
     const DARK_HOSTS: usize = 4;
 
-    fn is_dark(&self) -> bool {
+    pub(super) fn is_dark(&self) -> bool {
         self.absent >= Self::DARK_HOSTS && self.absent > self.present
     }
 }
--- a/crates/placement/src/replay/run.rs
+++ b/crates/placement/src/replay/run.rs
@@ -12,6 +12,10 @@
 /// Time from a change to the round of planning that sees it.
 const TICK: Duration = Duration::from_millis(200);
 
+/// Decisions that are made again in every round while a group stays as it is.
+const LASTING_REASONS: [PlanReason; 3] =
+    [PlanReason::WaitForReturn, PlanReason::WaitNoSpare, PlanReason::RebuildElsewhere];
+
 plain_choice! {
     /// Which planner is replayed.
     #[derive(Default)]
@@ -175,8 +179,7 @@
         self.wake = round.wake.map(|wake| wake.max(now.after(TICK)));
         let mut waits = Vec::new();
         for decision in &round.decisions {
-            let waiting =
-                matches!(decision.reason, PlanReason::WaitForReturn | PlanReason::WaitNoSpare);
+            let waiting = decision.group.is_some() && LASTING_REASONS.contains(&decision.reason);
             let key = (decision.group.map_or(0, |group| group.0), decision.reason);
             if waiting {
                 waits.push(key);
