--- a/crates/cli/src/cmd/replay.rs
+++ b/crates/cli/src/cmd/replay.rs
@@ -6,7 +6,8 @@
 
 use briartray_placement::accounting::StrandedReason;
 use briartray_placement::replay::{
-    HostTrace, PlannerKind, ReplayReport, TraceError, TraceShape, generate_trace, run_trace,
+    HostTrace, PlannerKind, ReplayReport, TraceError, TraceShape, generate_small, generate_trace,
+    run_trace, search_best,
 };
 use gumdrop::Options;
 use serde_json::json;
@@ -29,6 +30,12 @@
     seed: u64,
     #[options(no_short, help = "write the made trace here and replay nothing", meta = "FILE")]
     out: Option<String>,
+    #[options(
+        no_short,
+        help = "set the planner against every plan on this many small traces",
+        meta = "N"
+    )]
+    exhaustive: Option<u64>,
     #[options(no_short, help = "replay only naive or cost; both by default", meta = "PLANNER")]
     planner: Option<String>,
     #[options(no_short, help = "cost of one second of one group being down", meta = "W")]
@@ -40,6 +47,10 @@
 }
 
 pub(super) fn run(options: &ReplayOptions) -> Result<(), CommandError> {
+    if let Some(cases) = options.exhaustive {
+        search_cases(options.seed, cases);
+        return Ok(());
+    }
     let mut trace = load(options)?;
     if let Some(path) = &options.out {
         let file = File::create(path).map_err(|error| unusable(path, &error))?;
@@ -60,6 +71,27 @@
     }
 }
 
+/// Hosts, events and actions of the small traces that every plan is tried on.
+const SMALL_CASE: (usize, usize, u32) = (6, 3, 3);
+
+fn search_cases(seed: u64, cases: u64) {
+    let (hosts, events, actions) = SMALL_CASE;
+    let (mut best, mut planned, mut naive, mut worst) = (0.0, 0.0, 0.0, 1.0_f64);
+    let mut complete = 0;
+    for case in seed..seed + cases {
+        let result = search_best(&generate_small(case, hosts, events), actions);
+        best += result.best;
+        planned += result.planned;
+        naive += result.naive;
+        worst = worst.max(result.planned / result.best.max(1.0));
+        complete += u64::from(result.exhausted);
+    }
+    println!("cases {cases}, of which {complete} were searched completely");
+    println!("weighted cost: best {best:.0}, planner {planned:.0}, naive {naive:.0}");
+    println!("planner over best: {:.3} in all, {worst:.3} at worst", planned / best);
+    println!("naive over best: {:.3} in all", naive / best);
+}
+
 fn load(options: &ReplayOptions) -> Result<HostTrace, CommandError> {
     match (&options.trace, options.generate) {
         (Some(path), None) => {
--- a/crates/placement/src/replay/fleet.rs
+++ b/crates/placement/src/replay/fleet.rs
@@ -92,6 +92,11 @@
         &self.account
     }
 
+    /// Weighted cost so far.
+    pub fn weighted(&self) -> f64 {
+        self.account.weighted(&self.book).0
+    }
+
     /// Time reached.
     pub fn now(&self) -> TimePoint {
         self.now
--- a/crates/placement/src/replay/generate/mod.rs
+++ b/crates/placement/src/replay/generate/mod.rs
@@ -4,8 +4,10 @@
 //! hosts that take minutes and lose them; the shares are the generator's, not the planner's.
 
 mod shape;
+mod small;
 
 pub use shape::TraceShape;
+pub use small::generate_small;
 
 use briartray_model::names::{DomainName, HostName};
 use rand::{RngExt, SeedableRng};
--- a/crates/placement/src/replay/mod.rs
+++ b/crates/placement/src/replay/mod.rs
@@ -5,10 +5,12 @@
 mod generate;
 mod registry;
 mod run;
+mod search;
 mod trace;
 
 pub use fleet::ReplayFleet;
-pub use generate::{TraceShape, generate_trace};
+pub use generate::{TraceShape, generate_small, generate_trace};
 pub use registry::NaiveRegistry;
 pub use run::{PlannerKind, ReplayReport, StatedOutcome, run_trace};
+pub use search::{SearchResult, search_best};
 pub use trace::{HostTrace, TraceError, TraceEvent, TraceHeader, TraceLine, WeightState};
--- a/crates/placement/src/replay/run.rs
+++ b/crates/placement/src/replay/run.rs
@@ -5,7 +5,7 @@
 use briartray_model::{SortedTable, TimePoint, plain_choice, plain_value};
 
 use super::fleet::{ReplayFleet, from_ms};
-use super::trace::{HostTrace, TraceEvent, TraceLine};
+use super::trace::{HostTrace, TraceEvent, TraceHeader, TraceLine};
 use crate::accounting::ServiceAccount;
 use crate::planner::{GroupPlanner, PlanAction, PlanReason, plan_first_come};
 
@@ -84,7 +84,7 @@
 }
 
 /// A replay in progress.
-struct TraceRun<'a> {
+pub(super) struct TraceRun<'a> {
     fleet: ReplayFleet,
     planner: GroupPlanner,
     kind: PlannerKind,
@@ -106,29 +106,47 @@
     kind: PlannerKind,
     meter: &mut dyn FnMut() -> Duration,
 ) -> ReplayReport {
-    let mut run = TraceRun {
-        fleet: ReplayFleet::new(&trace.header),
-        planner: GroupPlanner::default(),
-        kind,
-        meter,
-        plan_at: None,
-        wake: None,
-        rounds: 0,
-        planning: Duration::ZERO,
-        longest: Duration::ZERO,
-        decisions: SortedTable::default(),
-        waits: Vec::new(),
-        outcomes: Vec::new(),
-    };
-    for line in &trace.lines {
-        run.run_until(from_ms(line.at_ms));
-        run.take(line);
-    }
-    run.run_until(from_ms(trace.header.end_ms));
+    let mut run = TraceRun::new(&trace.header, kind, meter);
+    run.replay(&trace.lines, from_ms(trace.header.end_ms));
     run.report(&trace.header.trace)
 }
 
-impl TraceRun<'_> {
+impl<'a> TraceRun<'a> {
+    pub(super) fn new(
+        header: &TraceHeader,
+        kind: PlannerKind,
+        meter: &'a mut dyn FnMut() -> Duration,
+    ) -> Self {
+        Self {
+            fleet: ReplayFleet::new(header),
+            planner: GroupPlanner::default(),
+            kind,
+            meter,
+            plan_at: None,
+            wake: None,
+            rounds: 0,
+            planning: Duration::ZERO,
+            longest: Duration::ZERO,
+            decisions: SortedTable::default(),
+            waits: Vec::new(),
+            outcomes: Vec::new(),
+        }
+    }
+
+    /// Takes in `lines` one after the other and goes on to `end`.
+    pub(super) fn replay(&mut self, lines: &[TraceLine], end: TimePoint) {
+        for line in lines {
+            self.run_until(from_ms(line.at_ms));
+            self.take(line);
+        }
+        self.run_until(end);
+    }
+
+    /// The fleet as it is now.
+    pub(super) fn fleet(&self) -> &ReplayFleet {
+        &self.fleet
+    }
+
     /// Lets loads end and planning rounds happen up to `end`.
     fn run_until(&mut self, end: TimePoint) {
         loop {
