--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -5,11 +5,14 @@
 mod check;
 mod demo;
 mod groups;
+mod load;
+mod measure;
 mod operator;
 mod replay;
 mod rules;
 mod stand_in;
 mod status;
+mod stop;
 
 use std::process::ExitCode;
 
@@ -29,7 +32,7 @@
 enum Subcommand {
     #[options(help = "run a whole fleet on loopback in this process")]
     Demo(demo::DemoOptions),
-    #[options(help = "check settings files")]
+    #[options(help = "check settings files and data folders")]
     Check(check::CheckOptions),
     #[options(help = "apply or show rules")]
     Rules(rules::RulesOptions),
@@ -39,8 +42,14 @@
     Groups(groups::GroupsOptions),
     #[options(help = "replay host events through the planner")]
     Replay(replay::ReplayOptions),
-    #[options(help = "run a stand-in engine")]
+    #[options(help = "run a stand-in engine, service or weight store")]
     StandIn(stand_in::StandInOptions),
+    #[options(help = "plan, list and cancel planned stops")]
+    Stop(stop::StopOptions),
+    #[options(help = "put load on an entry and check every answer")]
+    Load(load::LoadOptions),
+    #[options(help = "run a measurement")]
+    Measure(measure::MeasureOptions),
 }
 
 /// Why a subcommand failed.
@@ -101,6 +110,9 @@
         Subcommand::Groups(options) => groups::run(options),
         Subcommand::Replay(options) => replay::run(options),
         Subcommand::StandIn(options) => stand_in::run(options),
+        Subcommand::Stop(options) => stop::run(options),
+        Subcommand::Load(options) => load::run(options),
+        Subcommand::Measure(options) => measure::run(options),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -7,10 +7,13 @@
 use briartray_model::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
 use briartray_model::settings::{
     AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
-    EndpointSettings, EntrySettings, LogSettings, TraceSettings, UnconfirmedPolicy,
+    EndpointSettings, EntrySettings, LogSettings, StopSettings, TraceSettings, UnconfirmedPolicy,
 };
+use briartray_node::entry::EntryNode;
 use briartray_node::{DaemonError, RunningDaemon};
 use briartray_standin::engine::{EngineSettings, StandinEngine};
+use briartray_standin::fault::FaultPlan;
+use briartray_standin::service::{ServiceSettings, StandinService};
 use briartray_web::ListenError;
 use snafu::Snafu;
 use tempfile::TempDir;
@@ -21,6 +24,12 @@
 /// Secret between the processes of a demonstration; it never leaves loopback.
 const DEMO_TOKEN: &str = "demonstration-only";
 
+/// Service of the engines.
+const ENGINE_SERVICE: &str = "desk";
+
+/// Service of the plain services.
+const PLAIN_SERVICE: &str = "ledger";
+
 /// How often readiness is looked at.
 const READY_CHECK: Duration = Duration::from_millis(20);
 
@@ -58,8 +67,16 @@
     pub data_folder: Option<PathBuf>,
     /// Engines, each on a host of its own.
     pub engines: u32,
+    /// Plain services, each on a host of its own.
+    pub services: u32,
     /// Time of one engine step.
     pub step: Duration,
+    /// Requests that one engine step can hold.
+    pub batch: usize,
+    /// Faults of every engine.
+    pub engine_faults: FaultPlan,
+    /// Faults of every plain service.
+    pub service_faults: FaultPlan,
     /// Rule document.
     pub rules: String,
 }
@@ -71,7 +88,11 @@
             operator: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             data_folder: None,
             engines: 4,
+            services: 2,
             step: Duration::from_millis(8),
+            batch: 256,
+            engine_faults: FaultPlan::default(),
+            service_faults: FaultPlan::default(),
             rules: DEMO_RULES.to_owned(),
         }
     }
@@ -83,6 +104,7 @@
     front: RunningDaemon,
     agents: Vec<RunningDaemon>,
     engines: Vec<StandinEngine>,
+    services: Vec<StandinService>,
     folder: PathBuf,
     _temporary: Option<TempDir>,
 }
@@ -102,21 +124,35 @@
         let mut engines = Vec::new();
         let mut agents = Vec::new();
         for number in 0..plan.engines {
-            let engine = StandinEngine::start(EngineSettings {
-                listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-                step: plan.step,
-            })?;
-            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, engine.address()))?);
+            let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+            let settings = EngineSettings::new(listen)
+                .step(plan.step)
+                .batch(plan.batch)
+                .seed(u64::from(number))
+                .faults(plan.engine_faults.clone());
+            let engine = StandinEngine::start(settings)?;
+            let endpoint =
+                endpoint_settings(engine.address(), ENGINE_SERVICE, EndpointKind::Engine);
+            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, endpoint))?);
             engines.push(engine);
         }
-        Ok(Self { front, agents, engines, folder, _temporary: temporary })
+        let mut services = Vec::new();
+        for number in plan.engines..plan.engines + plan.services {
+            let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+            let settings = ServiceSettings::new(listen).faults(plan.service_faults.clone());
+            let service = StandinService::start(settings)?;
+            let endpoint = endpoint_settings(service.address(), PLAIN_SERVICE, EndpointKind::Plain);
+            agents.push(RunningDaemon::start(&agent_settings(&cluster, number, endpoint))?);
+            services.push(service);
+        }
+        Ok(Self { front, agents, engines, services, folder, _temporary: temporary })
     }
 
-    /// Waits until a request would be taken; `false` when `limit` passes first.
+    /// Waits until a request to every service would be taken; `false` when `limit` passes first.
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
         let started = Instant::now();
         while started.elapsed() < limit {
-            if self.front.entry.as_ref().is_some_and(|entry| entry.is_ready()) {
+            if self.front.entry.as_ref().is_some_and(|entry| self.serves_all(entry)) {
                 return true;
             }
             std::thread::sleep(READY_CHECK);
@@ -124,6 +160,13 @@
         false
     }
 
+    /// Whether every service that has hosts here has a whole group.
+    fn serves_all(&self, entry: &EntryNode) -> bool {
+        let hosted = [(ENGINE_SERVICE, self.engines.len()), (PLAIN_SERVICE, self.services.len())];
+        let served = hosted.iter().all(|(name, hosts)| *hosts == 0 || entry.whole_groups(name) > 0);
+        served && entry.is_ready()
+    }
+
     /// Where callers connect.
     pub fn caller_address(&self) -> SocketAddr {
         let entry = self.front.entry.as_ref().expect("a demonstration has an entry");
@@ -141,6 +184,21 @@
         self.engines.iter().map(StandinEngine::address).collect()
     }
 
+    /// Where the plain services listen.
+    pub fn service_addresses(&self) -> Vec<SocketAddr> {
+        self.services.iter().map(StandinService::address).collect()
+    }
+
+    /// The engines, to ask what they ran.
+    pub fn engines(&self) -> &[StandinEngine] {
+        &self.engines
+    }
+
+    /// The plain services, to ask what they ran.
+    pub fn services(&self) -> &[StandinService] {
+        &self.services
+    }
+
     /// Folder for durable state.
     pub fn data_folder(&self) -> &Path {
         &self.folder
@@ -162,6 +220,9 @@
         for engine in &self.engines {
             engine.stop();
         }
+        for service in &self.services {
+            service.stop();
+        }
     }
 }
 
@@ -196,6 +257,7 @@
         cluster: cluster.clone(),
         log: LogSettings::default(),
         trace: TraceSettings::default(),
+        stop: StopSettings::default(),
         entry: Some(EntrySettings {
             listen: plan.listen,
             max_open_requests: 4096,
@@ -213,27 +275,32 @@
     }
 }
 
-fn agent_settings(cluster: &ClusterSettings, number: u32, engine: SocketAddr) -> DaemonSettings {
+fn endpoint_settings(address: SocketAddr, service: &str, kind: EndpointKind) -> EndpointSettings {
+    EndpointSettings { address, service: ServiceName::new(service), kind, checks_fencing: false }
+}
+
+fn agent_settings(
+    cluster: &ClusterSettings,
+    number: u32,
+    endpoint: EndpointSettings,
+) -> DaemonSettings {
     DaemonSettings {
         node: NodeName::new(&format!("agent-{number}")),
         zone: ZoneName::new("local-a"),
         cluster: cluster.clone(),
         log: LogSettings::default(),
         trace: TraceSettings::default(),
+        stop: StopSettings::default(),
         entry: None,
         control: None,
         agent: Some(AgentSettings {
             link: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            announce: None,
             host: HostName::new(&format!("host-{number}")),
             domain: DomainName::new("rack-1"),
             provider: ProviderName::new("local"),
             accelerators: 8,
-            endpoint: EndpointSettings {
-                address: engine,
-                service: ServiceName::new("desk"),
-                kind: EndpointKind::Engine,
-                checks_fencing: false,
-            },
+            endpoint,
         }),
     }
 }
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -2,18 +2,23 @@
 //!
 //! Applying is deterministic: no clocks, no randomness, no input or output.
 
+mod changes;
 mod command;
+mod entries;
 mod groups;
 mod ledger;
 mod rules;
 mod stops;
 
+pub use changes::MAX_ACCEPTED;
 pub use command::{CommandOutcome, ControlCommand, GroupProposal};
+pub use entries::EntryRoster;
 pub use groups::{GroupRegistry, HostSeat, RegisteredGroup};
-pub use ledger::ClaimLedger;
+pub use ledger::{ClaimLedger, MAX_ANSWER_BYTES, MAX_CLAIMS};
 pub use rules::{AcceptedRules, RuleShelf};
-pub use stops::StopBook;
+pub use stops::{HostPlace, MAX_STOPS, StopBook, StopPlan, StopTarget};
 
+use briartray_model::codec::{self, CodecError};
 use serde::{Deserialize, Serialize};
 
 /// Everything that control hosts agree on.
@@ -23,6 +28,8 @@
     pub rules: RuleShelf,
     /// Groups, hosts and fencing numbers.
     pub groups: GroupRegistry,
+    /// Entries that may hold a rules lease.
+    pub entries: EntryRoster,
     /// Planned stops.
     pub stops: StopBook,
     /// Calls that may not be repeated.
@@ -30,6 +37,24 @@
 }
 
 impl ControlState {
+    /// Encodes the whole state for a snapshot.
+    ///
+    /// # Errors
+    /// `CodecError::Encode` when a part has no encoding.
+    pub fn encode(&self) -> Result<Vec<u8>, CodecError> {
+        codec::encode(self)
+    }
+
+    /// Decodes a snapshot, whose checksum was checked when it was read; it may be larger than a
+    /// message.
+    ///
+    /// # Errors
+    /// `CodecError::Decode` when the snapshot is of another version.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
+        let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+        decoded.map(|(state, _)| state).map_err(|source| CodecError::Decode { source })
+    }
+
     /// Applies one committed command.
     pub fn apply(&mut self, command: &ControlCommand) -> CommandOutcome {
         match command {
@@ -38,10 +63,21 @@
             }
             ControlCommand::FormGroup(proposal) => self.groups.form(proposal),
             ControlCommand::DissolveGroup { group } => self.groups.dissolve(*group),
+            ControlCommand::RegisterEntry { node } => self.entries.register(node),
+            ControlCommand::ForgetEntry { node } => self.entries.forget(node),
             ControlCommand::ReplaceGroup { group, proposal } => {
                 self.groups.replace(*group, proposal)
             }
             ControlCommand::Ledger(request) => CommandOutcome::Ledger(self.ledger.apply(request)),
+            ControlCommand::ForgetClaims { keep } => {
+                CommandOutcome::ClaimsForgotten { count: self.ledger.forget(*keep) }
+            }
+            ControlCommand::PlanStop { expect, plan } => self.stops.plan(*expect, plan),
+            ControlCommand::BeginLeave { group } => {
+                let groups = &self.groups;
+                self.stops.begin(*group, |known| groups.group(known).is_some())
+            }
+            ControlCommand::CancelStop { stop } => self.stops.cancel(*stop),
         }
     }
 }
--- /dev/null
+++ b/crates/control/tests/agreement/main.rs
@@ -0,0 +1,6 @@
+//! The replicated core against a naive single copy.
+
+mod cluster;
+mod faults;
+mod seeded;
+mod steps;
--- a/crates/model/src/rules/action.rs
+++ b/crates/model/src/rules/action.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::DecisionKind;
+
 /// The `then` part of a rule; each kind that is present is decided by the rule.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -23,6 +25,19 @@
     pub stop: Option<StopAction>,
 }
 
+impl RuleAction {
+    /// Whether the rule decides `kind`.
+    pub fn decides(&self, kind: DecisionKind) -> bool {
+        match kind {
+            DecisionKind::Admit => self.admit.is_some(),
+            DecisionKind::Route => self.route.is_some(),
+            DecisionKind::Retry => self.retry.is_some(),
+            DecisionKind::Place => self.place.is_some(),
+            DecisionKind::Stop => self.stop.is_some(),
+        }
+    }
+}
+
 /// Whether a call may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -106,11 +121,15 @@
     pub budget_percent: u32,
     /// Wait before the first retry, in milliseconds.
     pub backoff_ms: u32,
+    /// Whether the call may run twice; when absent, engine calls may and plain services' calls may
+    /// unless their method changes something.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub repeatable: Option<bool>,
 }
 
 impl Default for RetryAction {
     fn default() -> Self {
-        Self { attempts: 3, budget_percent: 20, backoff_ms: 5 }
+        Self { attempts: 3, budget_percent: 20, backoff_ms: 5, repeatable: None }
     }
 }
 
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -1,7 +1,10 @@
 //! One daemon process: the roles its settings name.
 
+use std::time::{Duration, Instant};
+
+use briartray_control::storage::StorageError;
 use briartray_link::LinkError;
-use briartray_model::settings::DaemonSettings;
+use briartray_model::settings::{DaemonSettings, StopSettings};
 use briartray_web::ListenError;
 use snafu::Snafu;
 
@@ -25,6 +28,12 @@
         /// Why.
         source: ListenError,
     },
+    /// The data folder cannot be used.
+    #[snafu(display("{source}"), context(false))]
+    Storage {
+        /// Why.
+        source: StorageError,
+    },
     /// A thread could not start.
     #[snafu(display("cannot start a thread: {source}; check the process limits"), context(false))]
     Thread {
@@ -73,6 +82,24 @@
         Ok(Self { control, entry, agent })
     }
 
+    /// Ends the roles as by a planned stop, those before callers first: nothing in progress is cut
+    /// off unless it outlasts the settings' limit. `false` when work was left.
+    pub fn drain(&self, settings: &StopSettings) -> bool {
+        let notice = Duration::from_millis(settings.notice_ms.into());
+        let limit = Duration::from_millis(settings.wait_ms.into());
+        let started = Instant::now();
+        let entry = self.entry.as_ref().is_none_or(|entry| entry.drain(notice, limit));
+        let left = limit.saturating_sub(started.elapsed());
+        let agent = self.agent.as_ref().is_none_or(|agent| agent.drain(left));
+        self.stop();
+        entry && agent
+    }
+
+    /// Why the process cannot go on, if so; it has raised a signal on itself then.
+    pub fn failure(&self) -> Option<&str> {
+        self.control.as_ref().and_then(ControlNode::failure)
+    }
+
     /// Stops the roles, those before callers first.
     pub fn stop(&self) {
         if let Some(entry) = &self.entry {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,6 +3,9 @@
 mod api;
 mod attempt;
 mod call;
+mod claims;
+mod gate;
+mod once;
 mod output;
 mod refusal;
 mod shared;
@@ -10,7 +13,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use briartray_link::{ClientSettings, LinkClient};
 use briartray_model::settings::{DaemonSettings, EntrySettings};
@@ -18,6 +21,7 @@
 
 pub use refusal::{CallRefusal, RefusalCode};
 
+use self::claims::ClaimClient;
 use self::shared::EntryShared;
 use crate::DaemonError;
 use crate::metrics::MetricsHub;
@@ -25,6 +29,9 @@
 /// Time to connect to an agent.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Time between two looks at the requests that are left.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+
 /// A running entry role.
 pub struct EntryNode {
     listener: HttpListener,
@@ -48,8 +55,9 @@
                 connect_timeout: CONNECT_TIMEOUT,
             },
         )?;
-        let shared = Arc::new(EntryShared::new(settings, role, link, metrics));
-        let peers = settings.cluster.control.iter().map(|peer| peer.link).collect();
+        let peers: Vec<_> = settings.cluster.control.iter().map(|peer| peer.link).collect();
+        let claims = ClaimClient::start(link.clone(), peers.clone())?;
+        let shared = Arc::new(EntryShared::new(settings, role, link, claims, metrics)?);
         watch::start(Arc::clone(&shared), peers)?;
         let calls = Arc::clone(&shared);
         let handler = Arc::new(move |request| api::handle(request, &calls));
@@ -67,6 +75,30 @@
         self.shared.is_ready()
     }
 
+    /// Whole groups of `service` as the entry knows them.
+    pub fn whole_groups(&self, service: &str) -> usize {
+        let view = self.shared.view();
+        let groups = view.snapshot.groups.iter();
+        groups.filter(|record| record.whole && record.service.as_str() == service).count()
+    }
+
+    /// Says that it is not ready, goes on for `notice` so that the balancer sees it, then refuses
+    /// new requests and finishes open ones. Returns when none is left, or after `limit`; `false`
+    /// when some were left.
+    pub fn drain(&self, notice: Duration, limit: Duration) -> bool {
+        let started = Instant::now();
+        self.shared.announce_stop();
+        std::thread::sleep(notice.min(limit));
+        self.shared.stop();
+        while started.elapsed() < limit {
+            if self.listener.open_requests() == 0 {
+                return true;
+            }
+            std::thread::sleep(DRAIN_CHECK);
+        }
+        false
+    }
+
     /// Takes no more requests; those that run go on.
     pub fn stop(&self) {
         self.shared.stop();
