Count group downtime on the live fleet, measure planner

Cause: operators saw no downtime and no stranded accelerators; the table took several commands. The live planner does not count on loads ahead, since agents do not carry them out; replay shows both.

--- a/crates/cli/src/cmd/groups.rs
+++ b/crates/cli/src/cmd/groups.rs
@@ -1,4 +1,5 @@
-//! `briartray groups`: every group and whether it is whole.
+//! `briartray groups`: every group and whether it is whole, or what downtime and stranded
+//! accelerators have been counted.
 
 use gumdrop::Options;
 use serde_json::Value;
@@ -19,12 +20,22 @@
     operator: String,
     #[options(no_short, help = "operators' token", meta = "TOKEN")]
     token: Option<String>,
+    #[options(no_short, help = "show downtime and stranded accelerators instead")]
+    account: bool,
     #[options(no_short, help = "text or json", meta = "FORMAT")]
     output: OutputFormat,
 }
 
 pub(super) fn run(options: &GroupsOptions) -> Result<(), CommandError> {
     let port = OperatorPort { address: &options.operator, token: options.token.as_deref() };
+    if options.account {
+        let account = port.get("/v1/groups/account")?;
+        match options.output {
+            OutputFormat::Json => println!("{account}"),
+            OutputFormat::Text => print_account(&account),
+        }
+        return Ok(());
+    }
     let groups = port.get("/v1/groups")?;
     if options.output == OutputFormat::Json {
         println!("{groups}");
@@ -48,6 +59,23 @@
     Ok(())
 }
 
+fn print_account(account: &Value) {
+    let (time, cost) = (seconds(&account["seconds"]), seconds(&account["weighted"]));
+    println!("counted for {time:.0} s, weighted cost {cost:.0}");
+    for service in account["services"].as_array().into_iter().flatten() {
+        println!("{}", text(&service["service"]));
+        println!("  {:<24} {:>14.1} s", "group downtime", seconds(&service["group_down_seconds"]));
+        let stranded = service["stranded_accelerator_seconds"].as_object();
+        for (reason, amount) in stranded.into_iter().flatten() {
+            println!("  {:<24} {:>14.1} accelerator-s", reason, seconds(amount));
+        }
+    }
+}
+
+fn seconds(value: &Value) -> f64 {
+    value.as_f64().unwrap_or_default()
+}
+
 fn text(value: &Value) -> &str {
     value.as_str().unwrap_or_default()
 }
--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -7,6 +7,7 @@
 mod outcomes;
 mod overhead;
 mod overload;
+mod planner;
 
 use gumdrop::Options;
 
@@ -32,6 +33,8 @@
     Overload(overload::OverloadOptions),
     #[options(help = "what callers are told under faults, against what truly ran")]
     Outcomes(outcomes::OutcomesOptions),
+    #[options(help = "planned groups beside first-come ones, by weighted cost")]
+    Planner(planner::PlannerOptions),
     #[options(help = "what one more of something costs each role, and the capacity page")]
     Capacity(capacity::CapacityOptions),
 }
@@ -43,6 +46,7 @@
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
         Some(MeasureCommand::Overload(options)) => overload::run(options),
         Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
+        Some(MeasureCommand::Planner(options)) => planner::run(options),
         Some(MeasureCommand::Capacity(options)) => capacity::run(options),
         None => Err(CommandError::unusable("name a measurement; see briartray measure --help")),
     }
--- a/crates/cli/src/cmd/replay.rs
+++ b/crates/cli/src/cmd/replay.rs
@@ -36,8 +36,12 @@
         meta = "N"
     )]
     exhaustive: Option<u64>,
-    #[options(no_short, help = "replay only naive or cost; both by default", meta = "PLANNER")]
-    planner: Option<String>,
+    #[options(
+        no_short,
+        help = "replay only naive, unprepared or cost; all by default",
+        meta = "PLANNER"
+    )]
+    planner: Option<PlannerKind>,
     #[options(no_short, help = "cost of one second of one group being down", meta = "W")]
     downtime_weight: Option<f64>,
     #[options(no_short, help = "cost of one second of one stranded accelerator", meta = "W")]
@@ -57,13 +61,13 @@
         return trace.write(BufWriter::new(file)).map_err(CommandError::unusable);
     }
     trace.set_weights(options.downtime_weight, options.stranded_weight);
-    let reports: Vec<ReplayReport> =
-        planners(options)?.into_iter().map(|kind| replay(&trace, kind)).collect();
+    let kinds = options.planner.map_or(PlannerKind::ALL.to_vec(), |kind| vec![kind]);
+    let reports: Vec<ReplayReport> = kinds.into_iter().map(|kind| replay(&trace, kind)).collect();
     match options.output {
         OutputFormat::Json => println!("{}", json!(reports)),
         OutputFormat::Text => print_reports(&reports),
     }
-    // The naive planner is there to be compared with; outcomes are stated for the real one.
+    // The others are there to be compared with; outcomes are stated for the planner by cost.
     let judged = |report: &&ReplayReport| reports.len() == 1 || report.planner == PlannerKind::Cost;
     match reports.iter().filter(judged).find(|report| !report.holds()) {
         Some(report) => Err(CommandError::refused(failures(report))),
@@ -108,15 +112,6 @@
     CommandError::unusable(format!("{path}: {error}; check the path"))
 }
 
-fn planners(options: &ReplayOptions) -> Result<Vec<PlannerKind>, CommandError> {
-    match options.planner.as_deref() {
-        None => Ok(vec![PlannerKind::Naive, PlannerKind::Cost]),
-        Some("naive") => Ok(vec![PlannerKind::Naive]),
-        Some("cost") => Ok(vec![PlannerKind::Cost]),
-        Some(_) => Err(CommandError::unusable("--planner takes naive or cost")),
-    }
-}
-
 /// Replays with the clock of this machine as meter.
 pub(super) fn replay(trace: &HostTrace, kind: PlannerKind) -> ReplayReport {
     let started = Instant::now();
@@ -125,7 +120,7 @@
 
 fn print_reports(reports: &[ReplayReport]) {
     println!(
-        "{:<8} {:>14} {:>18} {:>16} {:>16} {:>8} {:>8} {:>9} {:>8}",
+        "{:<10} {:>14} {:>18} {:>16} {:>16} {:>8} {:>8} {:>9} {:>8}",
         "planner",
         "group-down s",
         "stranded acc-s",
@@ -138,8 +133,8 @@
     );
     for report in reports {
         println!(
-            "{:<8} {:>14.0} {:>18.0} {:>16.0} {:>16.0} {:>8} {:>8} {:>9} {:>8}",
-            format!("{:?}", report.planner).to_lowercase(),
+            "{:<10} {:>14.0} {:>18.0} {:>16.0} {:>16.0} {:>8} {:>8} {:>9} {:>8}",
+            report.planner.as_str(),
             report.total.groups_down,
             report.total.stranded_total(),
             report.weighted,
@@ -151,7 +146,7 @@
         );
     }
     for report in reports {
-        let planner = format!("{:?}", report.planner).to_lowercase();
+        let planner = report.planner.as_str();
         println!("\n{planner}: stranded accelerator-seconds by reason");
         for (reason, seconds) in StrandedReason::ALL.iter().zip(report.total.stranded) {
             println!("  {:<16} {seconds:>16.0}", reason.as_str());
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -16,6 +16,7 @@
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use serde_json::{Value, json};
 
+use super::accounting::FleetCounter;
 use super::fleet::FleetRoster;
 use super::input::{ControlInput, InspectKind};
 use super::origin::{InspectAnswer, ProposalOrigin, ReadOrigin};
@@ -25,7 +26,7 @@
 use super::stops::{self, StopDriver};
 use super::version::SnapshotVersion;
 use crate::ClockReader;
-use crate::metrics::AgreementMetrics;
+use crate::metrics::{AgreementMetrics, GroupMetrics};
 
 /// Time between two rounds of planning.
 const TICK: Duration = Duration::from_millis(200);
@@ -60,6 +61,7 @@
     pub(super) peers: PeerLinks,
     pub(super) shared: Arc<ControlShared>,
     pub(super) metrics: AgreementMetrics,
+    pub(super) groups: GroupMetrics,
     /// Rules to start with when nothing was ever accepted.
     pub(super) first_rules: Option<String>,
 }
@@ -71,6 +73,7 @@
     pub(super) book: RuleBook,
     pub(super) roster: FleetRoster,
     pub(super) planner: PlanDriver,
+    pub(super) counter: FleetCounter,
     pub(super) stops: StopDriver,
     pub(super) version: SnapshotVersion,
     pub(super) leadership: Option<Leadership>,
@@ -81,8 +84,10 @@
 
 impl ControlCore {
     pub(super) fn new(parts: ControlParts) -> Self {
+        let counter = FleetCounter::new(parts.groups.clone());
         Self {
             parts,
+            counter,
             state: ControlState::default(),
             book: RuleBook::default(),
             roster: FleetRoster::default(),
@@ -246,11 +251,12 @@
 
     fn plan(&mut self, now: TimePoint) {
         let Some(leadership) = &self.leadership else { return };
+        let in_grace = now.since(leadership.since) < RECONNECT_GRACE;
+        let mut view = self.roster.view(&self.state.groups);
+        self.counter.count(now, &view, &self.book);
         if leadership.plans_open > 0 {
             return;
         }
-        let in_grace = now.since(leadership.since) < RECONNECT_GRACE;
-        let mut view = self.roster.view(&self.state.groups);
         stops::mark_hosts(&mut view, &self.state.stops);
         for command in self.planner.step(now, &view, &self.book) {
             // A host that is missing now may only not have found the new leader yet.
@@ -330,6 +336,7 @@
                 self.stops.list(&self.state.stops, &view, &self.book, drained)
             }
             InspectKind::Groups => json!(self.roster.records(&self.state.groups)),
+            InspectKind::Account => self.counter.show(&self.book),
             InspectKind::Rules => json!({ "revision": rules.revision.0, "text": rules.text }),
         }
     }
--- a/crates/node/src/control/input.rs
+++ b/crates/node/src/control/input.rs
@@ -60,6 +60,8 @@
     Status,
     /// Every group.
     Groups,
+    /// Group downtime and stranded accelerators since this host leads.
+    Account,
     /// The rule document.
     Rules,
     /// Every planned stop.
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control role: one thread owns the state; streams, the disk and operators talk to it by
 //! channel.
 
+mod accounting;
 mod core;
 mod disk;
 mod fleet;
@@ -34,7 +35,7 @@
 use self::input::ControlInput;
 use self::peers::PeerLinks;
 use self::shared::ControlShared;
-use crate::metrics::{AgreementMetrics, MetricsHub};
+use crate::metrics::{AgreementMetrics, GroupMetrics, MetricsHub};
 use crate::{ClockReader, DaemonError};
 
 /// Inputs that may wait for the control thread.
@@ -82,6 +83,7 @@
         let agreement = step_core(clock, settings, members, id, recovered);
         let shared = Arc::new(ControlShared::default());
         let agreement_metrics = metrics.add(AgreementMetrics::register);
+        let group_metrics = metrics.add(GroupMetrics::register);
         let (inputs, queue) = bounded(INPUT_QUEUE);
         let handler = {
             let (inputs, shared) = (inputs.clone(), Arc::clone(&shared));
@@ -106,6 +108,7 @@
             )?,
             shared: Arc::clone(&shared),
             metrics: agreement_metrics,
+            groups: group_metrics,
             first_rules,
         };
         spawn_worker("control", CONTROL_STACK_BYTES, move || ControlCore::new(parts).run(&queue))?;
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -118,6 +118,7 @@
     match (request.method(), path.as_str()) {
         (Method::Get, "/v1/status") => inspect(inputs, InspectKind::Status),
         (Method::Get, "/v1/groups") => inspect(inputs, InspectKind::Groups),
+        (Method::Get, "/v1/groups/account") => inspect(inputs, InspectKind::Account),
         (Method::Get, "/v1/rules") => inspect(inputs, InspectKind::Rules),
         (Method::Post, "/v1/rules") => apply_rules(request, inputs),
         (Method::Get, "/v1/stops") => inspect(inputs, InspectKind::Stops),
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -5,10 +5,12 @@
 
 mod admission;
 mod agreement;
+mod groups;
 mod request;
 
 pub use admission::AdmissionMetrics;
 pub use agreement::AgreementMetrics;
+pub use groups::{GroupMetrics, ServiceLabel, StrandedLabel};
 pub use request::{OutcomeLabel, RequestMetrics};
 
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/placement/src/accounting.rs
+++ b/crates/placement/src/accounting.rs
@@ -156,6 +156,11 @@
         Self { at: now, services: SortedTable::default() }
     }
 
+    /// Leaves out the time since the last call.
+    pub fn skip(&mut self, now: TimePoint) {
+        self.at = now;
+    }
+
     /// Adds the time since the last call, during which `rates` held.
     pub fn advance(&mut self, now: TimePoint, rates: &FleetRates) {
         let seconds = now.since(self.at).as_secs_f64();
--- a/crates/placement/src/planner/group_planner.rs
+++ b/crates/placement/src/planner/group_planner.rs
@@ -41,10 +41,13 @@
 }
 
 /// Plans groups by expected cost and remembers what that takes.
+///
+/// The default planner asks no host to load ahead.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct GroupPlanner {
     started: Option<TimePoint>,
     memory: PlannerMemory,
+    loads_ahead: bool,
 }
 
 /// What the parts of one round share.
@@ -58,6 +61,8 @@
     pub(super) loads: usize,
     /// Whether existing groups may be changed.
     pub(super) settled: bool,
+    /// Whether hosts carry out `PlanAction::Prepare`.
+    pub(super) loads_ahead: bool,
 }
 
 impl RoundFrame<'_> {
@@ -125,6 +130,11 @@
 }
 
 impl GroupPlanner {
+    /// A planner for hosts that load weights ahead when they are asked to.
+    pub fn with_loads_ahead() -> Self {
+        Self { loads_ahead: true, ..Self::default() }
+    }
+
     /// Plans one round; deterministic in what it has seen so far.
     pub fn step(&mut self, now: TimePoint, view: &FleetView, book: &RuleBook) -> PlanRound {
         let started = *self.started.get_or_insert(now);
@@ -139,6 +149,7 @@
             round: PlanRound::default(),
             loads,
             settled: now.since(started) >= SETTLE,
+            loads_ahead: self.loads_ahead,
         };
         if !frame.settled && survey.groups.iter().any(|group| !group.missing.is_empty()) {
             frame.round.wake_at(started.after(SETTLE));
--- a/crates/placement/src/planner/repair.rs
+++ b/crates/placement/src/planner/repair.rs
@@ -159,7 +159,8 @@
         let replace = self.load_seconds(frame, broken.survey.missing.len());
         let patient = self.weigh(frame, broken, replace).patience_seconds > 0.0;
         let limit = self.rules.wait_ms as f64 / 1000.0 - broken.away;
-        let Some((members, ready)) = self.reserve_spares(frame, broken) else {
+        let reserved = if frame.loads_ahead { self.reserve_spares(frame, broken) } else { None };
+        let Some((members, ready)) = reserved else {
             return self.replace_or_wait(frame, broken, replace, PlanReason::UseSpare);
         };
         if ready > frame.now && (patient || limit > 0.0) && !broken.hopeless {
@@ -302,7 +303,10 @@
         if self.pool.count_provider(&said.provider) < lacking || broken.survey.anchor.is_none() {
             return false;
         }
-        let slow = f64::from(self.rules.cross_domain_loss_percent) / 100.0;
+        // A slow group loses part of its worth to callers and strands nobody, so the more stranded
+        // accelerators weigh, the sooner fabric domains are crossed.
+        let lost = f64::from(self.rules.cross_domain_loss_percent) / 100.0;
+        let slow = lost * self.rules.downtime_weight / self.worth_of(broken).max(f64::MIN_POSITIVE);
         let wait = self.expected_wait(frame, broken);
         let price = self.load_seconds(frame, lacking) + slow * wait;
         if self.weigh_beyond_limit(frame, broken, price) > 0.0 {
@@ -411,6 +415,13 @@
         }
     }
 
+    /// Cost of one second in which the group is down and its present hosts are stranded.
+    fn worth_of(&self, broken: &BrokenGroup<'_>) -> f64 {
+        let accelerators = broken.survey.anchor.map_or(0, |said| said.accelerators);
+        let present = broken.survey.group.members.len() - broken.survey.missing.len();
+        self.worth(f64::from(accelerators) * present as f64)
+    }
+
     fn note(
         &self,
         frame: &mut RoundFrame<'_>,
@@ -418,9 +429,7 @@
         reason: PlanReason,
         (seconds, other): (f64, Option<f64>),
     ) {
-        let accelerators = broken.survey.anchor.map_or(0, |said| said.accelerators);
-        let present = broken.survey.group.members.len() - broken.survey.missing.len();
-        let worth = self.worth(f64::from(accelerators) * present as f64);
+        let worth = self.worth_of(broken);
         let costs = (seconds * worth, other.map(|seconds| seconds * worth));
         frame.decide(&self.service.name, Some(broken.survey.group.group), reason, costs);
     }
@@ -448,6 +457,7 @@
         let host = pool.take_one(rank)?;
         let ready = match frame.memory.ready_at(frame.now, &host, rank) {
             Some(ready) => ready,
+            None if !frame.loads_ahead => frame.now,
             None => frame.prepare(index, rank, &host, seconds?),
         };
         last = last.max(ready);
--- a/crates/placement/src/replay/run.rs
+++ b/crates/placement/src/replay/run.rs
@@ -16,15 +16,44 @@
 const LASTING_REASONS: [PlanReason; 3] =
     [PlanReason::WaitForReturn, PlanReason::WaitNoSpare, PlanReason::RebuildElsewhere];
 
+impl std::str::FromStr for PlannerKind {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "naive" => Ok(Self::Naive),
+            "cost" => Ok(Self::Cost),
+            "unprepared" => Ok(Self::Unprepared),
+            _ => Err("use naive, cost or unprepared"),
+        }
+    }
+}
+
+impl PlannerKind {
+    /// Every kind, the one to be compared with first.
+    pub const ALL: [Self; 3] = [Self::Naive, Self::Unprepared, Self::Cost];
+
+    /// The name used in reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Naive => "naive",
+            Self::Cost => "cost",
+            Self::Unprepared => "unprepared",
+        }
+    }
+}
+
 plain_choice! {
     /// Which planner is replayed.
     #[derive(Default)]
     pub enum PlannerKind {
         /// First come, first grouped.
         Naive,
-        /// By expected cost.
+        /// By expected cost, with hosts that load ahead.
         #[default]
         Cost,
+        /// By expected cost, with hosts that load only once they belong to a group.
+        Unprepared,
     }
 }
 
@@ -117,9 +146,13 @@
         kind: PlannerKind,
         meter: &'a mut dyn FnMut() -> Duration,
     ) -> Self {
+        let planner = match kind {
+            PlannerKind::Cost => GroupPlanner::with_loads_ahead(),
+            PlannerKind::Naive | PlannerKind::Unprepared => GroupPlanner::default(),
+        };
         Self {
             fleet: ReplayFleet::new(header),
-            planner: GroupPlanner::default(),
+            planner,
             kind,
             meter,
             plan_at: None,
@@ -176,7 +209,7 @@
         let started = (self.meter)();
         let actions = match self.kind {
             PlannerKind::Naive => plan_first_come(self.fleet.view(), self.fleet.book()),
-            PlannerKind::Cost => self.plan_by_cost(),
+            PlannerKind::Cost | PlannerKind::Unprepared => self.plan_by_cost(),
         };
         let spent = (self.meter)().saturating_sub(started);
         self.rounds += 1;
--- a/crates/placement/tests/random_events.rs
+++ b/crates/placement/tests/random_events.rs
@@ -79,6 +79,10 @@
     }
 }
 
+fn planner_for(seed: u64) -> GroupPlanner {
+    if seed.is_multiple_of(4) { GroupPlanner::default() } else { GroupPlanner::with_loads_ahead() }
+}
+
 /// Groups of the wrong size or of hosts of two providers.
 fn malformed(view: &FleetView) -> Vec<String> {
     let provider = |name: &HostName| view.hosts.get(name).map(|host| &host.announcement.provider);
@@ -116,7 +120,7 @@
     for seed in 0..24 {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut fleet = ReplayFleet::new(&header(seed));
-        let mut planner = GroupPlanner::default();
+        let mut planner = planner_for(seed);
         (0..20).for_each(|index| fleet.apply(&arrive(index)));
 
         for _ in 0..60 {
@@ -140,7 +144,7 @@
     for seed in 0..24 {
         let mut random = ChaCha8Rng::seed_from_u64(100 + seed);
         let mut fleet = ReplayFleet::new(&header(seed));
-        let mut planner = GroupPlanner::default();
+        let mut planner = planner_for(seed);
         (0..20).for_each(|index| fleet.apply(&arrive(index)));
         for _ in 0..30 {
             fleet.apply(&random_event(&mut random));
