--- a/crates/placement/src/planner/mod.rs
+++ b/crates/placement/src/planner/mod.rs
@@ -11,9 +11,12 @@
 mod group_planner;
 mod memory;
 mod pool;
+mod queue;
 mod reason;
 mod repair;
 mod service;
+mod spares;
+mod split;
 mod survey;
 mod view;
 
--- a/crates/placement/src/planner/service.rs
+++ b/crates/placement/src/planner/service.rs
@@ -1,7 +1,5 @@
 //! One service in one round: sort its groups, mend what is broken, fill up, let go of the rest.
 
-use std::time::Duration;
-
 use briartray_model::names::{HostName, ProviderName};
 use briartray_model::rules::{PlaceAction, ServiceDeclaration};
 
@@ -9,10 +7,6 @@
 use super::pool::FreePool;
 use super::reason::PlanReason;
 
-/// Groups whose members came back this recently may be sent to the queue for the weight store;
-/// later their loads are under way and would be lost.
-pub(super) const QUEUE_WINDOW: Duration = Duration::from_secs(2);
-
 /// What is to become of a group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum GroupFate {
--- /dev/null
+++ b/crates/placement/tests/planner.rs
@@ -0,0 +1,210 @@
+//! Single decisions of the planner, on fleets built by hand.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use briartray_model::TimePoint;
+use briartray_model::message::HostAnnouncement;
+use briartray_model::names::{GroupId, HostName, RevisionNumber, ServiceName};
+use briartray_model::rules::RuleBook;
+use briartray_placement::accounting::{FleetRates, StrandedReason};
+use briartray_placement::planner::{
+    FleetView, GroupPlanner, GroupView, HostView, PlanAction, PlanReason, PlanRound,
+};
+
+fn book(replicas: u32, place: &str) -> RuleBook {
+    let text = format!(
+        "services: [{{ name: desk, hosts_per_replica: 2, replicas: {replicas} }}]\n\
+         rules: [{{ rule: place, then: {{ place: {{ {place} }} }} }}]"
+    );
+    RuleBook::build(RevisionNumber(1), &text).expect("the rules are sound")
+}
+
+fn host_view(name: &str, domain: &str, group: Option<u64>) -> HostView {
+    let announcement = HostAnnouncement {
+        host: name.into(),
+        zone: "a".into(),
+        domain: domain.into(),
+        provider: "one".into(),
+        service: "desk".into(),
+        accelerators: 8,
+        link: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        checks_fencing: true,
+        incarnation: 1,
+        leaving: false,
+    };
+    let since = TimePoint::default();
+    HostView { announcement, present: true, since, group: group.map(GroupId) }
+}
+
+/// Two whole groups of two hosts each, `a1 a2` and `b1 b2`, and the free hosts named.
+fn fleet(free: &[(&str, &str)]) -> FleetView {
+    let mut view = FleetView::default();
+    for (name, domain) in free {
+        view.hosts.insert(HostName::new(name), host_view(name, domain, None));
+    }
+    for (id, names) in [(1, ["a1", "a2"]), (2, ["b1", "b2"])] {
+        for name in names {
+            view.hosts.insert(HostName::new(name), host_view(name, "rack-1", Some(id)));
+        }
+        let group = GroupView {
+            group: GroupId(id),
+            service: ServiceName::new("desk"),
+            members: names.iter().map(|name| HostName::new(name)).collect(),
+            whole: true,
+            since: TimePoint::default(),
+            stale_links: false,
+        };
+        view.groups.insert(GroupId(id), group);
+    }
+    view
+}
+
+fn at(seconds: u64) -> TimePoint {
+    TimePoint::default().after(Duration::from_secs(seconds))
+}
+
+/// Makes the host vanish and its group fail.
+fn lose(view: &mut FleetView, name: &str, now: TimePoint) {
+    let host = view.hosts.get_mut(&HostName::new(name)).expect("the host is known");
+    host.present = false;
+    host.since = now;
+    if let Some(group) = host.group.and_then(|group| view.groups.get_mut(&group)) {
+        group.whole = false;
+    }
+}
+
+/// A planner that has watched the whole fleet for a while.
+fn settled_planner(view: &FleetView, book: &RuleBook) -> GroupPlanner {
+    let mut planner = GroupPlanner::default();
+    for seconds in [1, 20, 40] {
+        planner.step(at(seconds), view, book);
+    }
+    planner
+}
+
+fn reasons(round: &PlanRound) -> Vec<PlanReason> {
+    round.decisions.iter().map(|decision| decision.reason).collect()
+}
+
+#[test]
+fn new_leader_takes_no_group_apart() {
+    // A new leader knows the groups from the log and no agent yet. Read as losses, the missing
+    // agents would have every healthy group taken apart within a second of the change.
+    let book = book(2, "load_ms: 1000, wait_ms: 0");
+    let mut view = fleet(&[("s1", "rack-1")]);
+    lose(&mut view, "a2", at(0));
+    let mut planner = GroupPlanner::default();
+
+    let round = planner.step(at(0), &view, &book);
+
+    assert_eq!(round.actions, Vec::new());
+    assert!(round.wake.is_some());
+}
+
+#[test]
+fn group_that_serves_is_left_alone() {
+    // Control loses sight of a member that its group still reaches. Replacing it would cut off
+    // requests in a group that serves them well.
+    let book = book(2, "load_ms: 1000, wait_ms: 1");
+    let mut view = fleet(&[("s1", "rack-1")]);
+    let mut planner = settled_planner(&view, &book);
+    view.hosts.get_mut(&"a2".into()).expect("the host is known").present = false;
+
+    let round = planner.step(at(300), &view, &book);
+
+    assert_eq!(round.actions, Vec::new());
+}
+
+#[test]
+fn short_absence_is_waited_out_and_long_one_is_not() {
+    // Most agents are back within seconds; those that are not have to be replaced in the end, or
+    // the group would stay down beside an idle spare.
+    let book = book(2, "load_ms: 120000");
+    let mut view = fleet(&[("s1", "rack-1")]);
+    let mut planner = settled_planner(&view, &book);
+    lose(&mut view, "a2", at(100));
+
+    let first = planner.step(at(100), &view, &book);
+    let later = planner.step(at(191), &view, &book);
+
+    assert_eq!(first.actions, Vec::new());
+    assert_eq!(reasons(&first), [PlanReason::WaitForReturn]);
+    assert_matches!(&first.decisions[0].other_cost, Some(cost) if *cost > first.decisions[0].cost);
+    let members = vec!["a1".into(), "s1".into()];
+    let replace = PlanAction::Replace { group: GroupId(1), service: "desk".into(), members };
+    assert_eq!(later.actions, [replace]);
+}
+
+#[test]
+fn moved_address_gets_new_assignment_for_same_members() {
+    // An agent restarts on another port. Its group still names the old one and could never be
+    // whole again, although every host is there.
+    let book = book(2, "load_ms: 1000");
+    let mut view = fleet(&[]);
+    let mut planner = settled_planner(&view, &book);
+    let group = view.groups.get_mut(&GroupId(2)).expect("the group is known");
+    (group.whole, group.stale_links) = (false, true);
+
+    let round = planner.step(at(60), &view, &book);
+
+    let members = vec!["b1".into(), "b2".into()];
+    let replace = PlanAction::Replace { group: GroupId(2), service: "desk".into(), members };
+    assert_eq!(round.actions, [replace]);
+    assert_eq!(reasons(&round), [PlanReason::AddressChanged]);
+}
+
+#[test]
+fn spares_by_rule_mend_and_do_not_add() {
+    // The rules keep one host free for repairs. Used up for a third replica, it would be missing
+    // at the next failure.
+    let book = book(3, "spares: 1, load_ms: 1000, wait_ms: 0");
+    let mut view = fleet(&[("s1", "rack-1"), ("s2", "rack-1")]);
+    let mut planner = settled_planner(&view, &book);
+
+    let quiet = planner.step(at(50), &view, &book);
+    lose(&mut view, "a2", at(60));
+    let mended = planner.step(at(60), &view, &book);
+
+    assert_eq!(quiet.actions, Vec::new());
+    assert_matches!(&mended.actions[..], [PlanAction::Replace { group: GroupId(1), .. }]);
+}
+
+#[test]
+fn domains_are_crossed_only_where_rules_allow() {
+    // The last free host stands in another fabric domain. A group across domains is slow, so the
+    // rules must have asked for it, and the missing host must have had its time to return.
+    let place = "load_ms: 1000, wait_ms: 0";
+    for (extra, crossing) in [("", false), (", cross_domain: true", true)] {
+        let book = book(2, &format!("{place}{extra}"));
+        let mut view = fleet(&[("x1", "rack-2")]);
+        let mut planner = settled_planner(&view, &book);
+        lose(&mut view, "a2", at(100));
+
+        let first = planner.step(at(101), &view, &book);
+        let later = planner.step(at(4000), &view, &book);
+
+        assert_eq!(first.actions, Vec::new());
+        assert_eq!(!later.actions.is_empty(), crossing);
+    }
+}
+
+#[test]
+fn stranded_accelerators_are_counted_by_reason() {
+    let book = book(3, "load_ms: 1000");
+    let mut view = fleet(&[("s1", "rack-1")]);
+    lose(&mut view, "a2", at(100));
+    view.groups.get_mut(&GroupId(2)).expect("the group is known").whole = false;
+
+    let rates = FleetRates::take(&view, &book);
+
+    let (_, account) = rates.services().next().expect("the service is declared");
+    let of = |reason: StrandedReason| account.stranded[reason as usize];
+    assert_eq!(account.groups_down, 3.0);
+    assert_eq!(of(StrandedReason::MissingMember), 8.0);
+    assert_eq!(of(StrandedReason::Loading), 16.0);
+    assert_eq!(of(StrandedReason::OddHost), 8.0);
+    // Four hosts are there, enough for two groups of the three.
+    assert_eq!((account.bound_down, account.bound_stranded), (1.0, 0.0));
+}
