--- a/crates/placement/src/planner/capacity.rs
+++ b/crates/placement/src/planner/capacity.rs
@@ -26,11 +26,11 @@
         if lacking == 0 {
             return;
         }
+        self.held = self.held_back();
         let moves = self.moves(frame);
         let plain = lacking.saturating_sub(moves.len());
         for _ in 0..plain {
-            let reserve = self.rules.spares as usize;
-            let formed = self.form_one(frame, PlanReason::MissingReplica, reserve, usize::MAX)
+            let formed = self.form_one(frame, PlanReason::MissingReplica, usize::MAX)
                 || self.form_across(frame);
             if !formed {
                 break;
@@ -38,7 +38,7 @@
         }
         lacking -= plain;
         for (reason, rank) in moves.into_iter().take(lacking) {
-            self.form_one(frame, reason, 0, rank);
+            self.form_one(frame, reason, rank);
         }
     }
 
@@ -69,12 +69,14 @@
         &mut self,
         frame: &mut RoundFrame<'_>,
         reason: PlanReason,
-        reserve: usize,
         below_rank: usize,
     ) -> bool {
         let size = self.size();
+        // The successor of a group is a repair itself.
+        let repairs = reason != PlanReason::MissingReplica;
+        let held = |at: usize| if repairs { 0 } else { self.held[at] };
         let best = (0..self.pool.places.len())
-            .filter(|at| self.pool.places[*at].len() >= size + reserve)
+            .filter(|at| self.pool.places[*at].len() >= size + held(*at))
             .map(|at| (self.provider_rank(self.pool.places[at].provider), at))
             .filter(|(rank, _)| *rank < below_rank)
             .min_by_key(|(rank, at)| (*rank, Reverse(self.pool.places[*at].len())));
@@ -89,6 +91,12 @@
         true
     }
 
+    /// Hosts of each place that the rules keep for repairs.
+    fn held_back(&self) -> Vec<usize> {
+        let places = self.pool.places.iter();
+        places.map(|place| self.rules_at(place.zone, place.provider).spares as usize).collect()
+    }
+
     /// Forms a group over several fabric domains of one provider, the last resort.
     fn form_across(&mut self, frame: &mut RoundFrame<'_>) -> bool {
         let size = self.size();
--- a/crates/placement/src/planner/group_planner.rs
+++ b/crates/placement/src/planner/group_planner.rs
@@ -4,7 +4,7 @@
 
 use briartray_model::TimePoint;
 use briartray_model::names::{GroupId, HostName, ServiceName};
-use briartray_model::rules::{DecisionFacts, RuleBook, ServiceDeclaration};
+use briartray_model::rules::{RuleBook, ServiceDeclaration};
 
 use super::memory::PlannerMemory;
 use super::pool::{FormerSeat, FreePool};
@@ -12,6 +12,7 @@
 use super::service::ServicePlan;
 use super::survey::{FleetSurvey, of_service};
 use super::{FleetView, PlanAction};
+use crate::accounting::place_rules;
 
 /// A planner that has just begun leaves existing groups alone for this long.
 ///
@@ -169,23 +170,18 @@
 /// group is worth most for each host to load goes first.
 fn in_order(book: &RuleBook) -> Vec<&ServiceDeclaration> {
     let worth = |service: &ServiceDeclaration| {
-        rules_of(book, service).downtime_weight / f64::from(service.hosts_per_replica.max(1))
+        place_rules(book, &service.name).downtime_weight
+            / f64::from(service.hosts_per_replica.max(1))
     };
     let mut services: Vec<_> = book.document().services.iter().collect();
     services.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
     services
 }
 
-fn rules_of(book: &RuleBook, service: &ServiceDeclaration) -> briartray_model::rules::PlaceAction {
-    let facts = DecisionFacts { service: Some(service.name.as_str()), ..DecisionFacts::default() };
-    book.place(&facts).1
-}
-
 fn plan_service(frame: &mut RoundFrame<'_>, book: &RuleBook, service: &ServiceDeclaration) {
-    let rules = rules_of(book, service);
     let groups = of_service(frame.survey, &service.name);
     let pool = FreePool::gather(&frame.survey.free, &service.name, &frame.memory.seats);
-    ServicePlan::new(service, rules, groups, pool).run(frame);
+    ServicePlan::new(service, book, groups, pool).run(frame);
 }
 
 fn dissolve_undeclared(frame: &mut RoundFrame<'_>, book: &RuleBook) {
--- a/crates/placement/src/planner/pool.rs
+++ b/crates/placement/src/planner/pool.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 
 use briartray_model::SortedTable;
-use briartray_model::names::{DomainName, GroupId, HostName, ProviderName, ServiceName};
+use briartray_model::names::{DomainName, GroupId, HostName, ProviderName, ServiceName, ZoneName};
 
 use super::HostView;
 
@@ -24,6 +24,7 @@
 pub(super) struct PlacePool<'a> {
     pub(super) provider: &'a ProviderName,
     pub(super) domain: &'a DomainName,
+    pub(super) zone: &'a ZoneName,
     hosts: Vec<(Option<FormerSeat>, &'a HostView)>,
 }
 
@@ -146,6 +147,7 @@
     PlacePool {
         provider: &run[0].announcement.provider,
         domain: &run[0].announcement.domain,
+        zone: &run[0].announcement.zone,
         hosts,
     }
 }
--- a/crates/placement/src/planner/repair.rs
+++ b/crates/placement/src/planner/repair.rs
@@ -40,7 +40,12 @@
         for at in order.iter().copied() {
             if self.fates[at] != GroupFate::Ended {
                 let broken = self.describe(frame, at);
+                let general = self.rules.clone();
+                if let Some(said) = broken.place {
+                    self.rules = self.rules_at(&said.zone, &said.provider);
+                }
                 self.mend(frame, &broken, &order);
+                self.rules = general;
             }
         }
     }
--- a/crates/placement/src/planner/service.rs
+++ b/crates/placement/src/planner/service.rs
@@ -1,11 +1,12 @@
 //! One service in one round: sort its groups, mend what is broken, fill up, let go of the rest.
 
-use briartray_model::names::{HostName, ProviderName};
-use briartray_model::rules::{PlaceAction, ServiceDeclaration};
+use briartray_model::names::{HostName, ProviderName, ZoneName};
+use briartray_model::rules::{DecisionFacts, PlaceAction, RuleBook, ServiceDeclaration};
 
 use super::group_planner::RoundFrame;
 use super::pool::FreePool;
 use super::reason::PlanReason;
+use crate::accounting::place_rules;
 
 /// What is to become of a group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,11 +22,15 @@
 /// The groups and free hosts of one service during one round.
 pub(super) struct ServicePlan<'a> {
     pub(super) service: &'a ServiceDeclaration,
+    book: &'a RuleBook,
+    /// Rules for the whole service, or for the place of the group that is being mended.
     pub(super) rules: PlaceAction,
     /// Positions in the survey.
     pub(super) groups: Vec<usize>,
     pub(super) fates: Vec<GroupFate>,
     pub(super) pool: FreePool<'a>,
+    /// Hosts of each place that are kept for repairs.
+    pub(super) held: Vec<usize>,
     /// Groups that this round put in the place of others.
     pub(super) successors: usize,
 }
@@ -33,12 +38,13 @@
 impl<'a> ServicePlan<'a> {
     pub(super) fn new(
         service: &'a ServiceDeclaration,
-        rules: PlaceAction,
+        book: &'a RuleBook,
         groups: Vec<usize>,
         pool: FreePool<'a>,
     ) -> Self {
+        let rules = place_rules(book, &service.name);
         let fates = vec![GroupFate::Keep; groups.len()];
-        Self { service, rules, groups, fates, pool, successors: 0 }
+        Self { service, book, rules, groups, fates, pool, held: Vec::new(), successors: 0 }
     }
 
     pub(super) fn run(mut self, frame: &mut RoundFrame<'_>) {
@@ -55,6 +61,17 @@
         }
     }
 
+    /// Rules for hosts of one place: they may differ by availability zone and provider.
+    pub(super) fn rules_at(&self, zone: &ZoneName, provider: &ProviderName) -> PlaceAction {
+        let facts = DecisionFacts {
+            service: Some(self.service.name.as_str()),
+            zone: Some(zone.as_str()),
+            provider: Some(provider.as_str()),
+            ..DecisionFacts::default()
+        };
+        self.book.place(&facts).1
+    }
+
     pub(super) fn size(&self) -> usize {
         (self.service.hosts_per_replica as usize).max(1)
     }
--- a/crates/placement/tests/planner.rs
+++ b/crates/placement/tests/planner.rs
@@ -171,6 +171,28 @@
     assert_matches!(&mended.actions[..], [PlanAction::Replace { group: GroupId(1), .. }]);
 }
 
+#[test]
+fn place_rule_of_a_zone_counts_for_its_groups() {
+    // Operators let one availability zone wait longer than the others. A planner that asked for
+    // the service alone would pass such a rule over without a word.
+    let text = "
+services: [{ name: desk, hosts_per_replica: 2, replicas: 2 }]
+rules:
+  - { rule: patient, when: { zone: [ZONE] }, then: { place: { wait_ms: 600000 } } }
+  - { rule: hasty, then: { place: { wait_ms: 0 } } }";
+    for (zone, waits) in [("a", true), ("b", false)] {
+        let text = text.replace("ZONE", zone);
+        let book = RuleBook::build(RevisionNumber(1), &text).expect("the rules are sound");
+        let mut view = fleet(&[("s1", "rack-1")]);
+        let mut planner = settled_planner(&view, &book);
+        lose(&mut view, "a2", at(100));
+
+        let round = planner.step(at(100), &view, &book);
+
+        assert_eq!(round.actions.is_empty(), waits);
+    }
+}
+
 #[test]
 fn domains_are_crossed_only_where_rules_allow() {
     // The last free host stands in another fabric domain. A group across domains is slow, so the
