--- a/crates/cli/src/cmd/replay.rs
+++ b/crates/cli/src/cmd/replay.rs
@@ -22,10 +22,10 @@
     trace: Option<String>,
     #[options(
         no_short,
-        help = "make a trace: parkland, hollis, letter, large or mixed",
+        help = "make a trace: parkland, hollis, letter, large, mixed or small",
         meta = "SHAPE"
     )]
-    generate: Option<TraceShape>,
+    generate: Option<String>,
     #[options(no_short, help = "seed of a made trace", meta = "N", default = "1")]
     seed: u64,
     #[options(no_short, help = "write the made trace here and replay nothing", meta = "FILE")]
@@ -97,13 +97,17 @@
 }
 
 fn load(options: &ReplayOptions) -> Result<HostTrace, CommandError> {
-    match (&options.trace, options.generate) {
+    match (&options.trace, options.generate.as_deref()) {
         (Some(path), None) => {
             let file = File::open(path).map_err(|error| unusable(path, &error))?;
             HostTrace::read(BufReader::new(file))
                 .map_err(|error: TraceError| CommandError::unusable(format!("{path}: {error}")))
         }
-        (None, Some(shape)) => Ok(generate_trace(shape, options.seed)),
+        (None, Some("small")) => Ok(generate_small(options.seed, SMALL_CASE.0, SMALL_CASE.1)),
+        (None, Some(shape)) => {
+            let shape: TraceShape = shape.parse().map_err(CommandError::unusable)?;
+            Ok(generate_trace(shape, options.seed))
+        }
         _ => Err(CommandError::unusable("name a trace, or a shape with --generate")),
     }
 }
--- a/crates/placement/src/replay/generate/shape.rs
+++ b/crates/placement/src/replay/generate/shape.rs
@@ -35,7 +35,7 @@
             "letter" => Ok(Self::Letter),
             "large" => Ok(Self::Large),
             "mixed" => Ok(Self::Mixed),
-            _ => Err("use parkland, hollis, letter, large or mixed"),
+            _ => Err("use parkland, hollis, letter, large, mixed or small"),
         }
     }
 }
