--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -9,6 +9,7 @@
 mod outcomes;
 mod overhead;
 mod overload;
+mod planner;
 mod streams;
 
 use gumdrop::Options;
@@ -41,6 +42,8 @@
     Outcomes(outcomes::OutcomesOptions),
     #[options(help = "claims a second, and what a claim adds to a call")]
     Claims(claims::ClaimsOptions),
+    #[options(help = "planned groups beside first-come ones, by weighted cost")]
+    Planner(planner::PlannerOptions),
     #[options(help = "what one more of something costs each role, and the capacity page")]
     Capacity(capacity::CapacityOptions),
 }
@@ -55,6 +58,7 @@
         Some(MeasureCommand::Overload(options)) => overload::run(options),
         Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
         Some(MeasureCommand::Claims(options)) => claims::run(options),
+        Some(MeasureCommand::Planner(options)) => planner::run(options),
         Some(MeasureCommand::Capacity(options)) => capacity::run(options),
         None => Err(CommandError::unusable("name a measurement; see briartray measure --help")),
     }
