Keep known starts of agents over a change of leader

Change: an entry keeps the start it knew for the same group and fencing number. The test takes its settings as text, so new keys do not break it.

--- a/crates/cli/tests/leader_change.rs
+++ b/crates/cli/tests/leader_change.rs
@@ -4,11 +4,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use briartray_model::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
-use briartray_model::settings::{
-    AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
-    EndpointSettings, EntrySettings, LogSettings, TraceSettings, UnconfirmedPolicy,
-};
+use briartray_model::settings::parse;
 use briartray_node::RunningDaemon;
 use briartray_standin::engine::{EngineSettings, StandinEngine};
 use serde_json::{Value, json};
@@ -32,74 +28,50 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-fn cluster_of(size: usize) -> ClusterSettings {
+/// The part of the settings that names the control hosts.
+fn cluster_of(size: usize) -> Value {
     let held: Vec<TcpListener> =
         (0..size).map(|_| TcpListener::bind(loopback()).expect("a free port")).collect();
-    let peer = |(host, held): (usize, &TcpListener)| ControlPeer {
-        node: NodeName::new(&format!("control-{host}")),
-        link: held.local_addr().expect("an address"),
+    let peer = |(host, held): (usize, &TcpListener)| {
+        let link = held.local_addr().expect("an address");
+        json!({ "node": format!("control-{host}"), "link": link })
     };
-    let control = held.iter().enumerate().map(peer).collect();
-    ClusterSettings { token: "test-token-only".to_owned(), control }
+    let control: Vec<Value> = held.iter().enumerate().map(peer).collect();
+    json!({ "token": "test-token-only", "control": control })
 }
 
-fn settings(node: &str, cluster: &ClusterSettings) -> DaemonSettings {
-    DaemonSettings {
-        node: NodeName::new(node),
-        zone: ZoneName::new("local-a"),
-        cluster: cluster.clone(),
-        log: LogSettings::default(),
-        trace: TraceSettings::default(),
-        entry: None,
-        control: None,
-        agent: None,
-    }
+/// Starts a process of one role; JSON is YAML as well.
+fn start(cluster: &Value, node: &str, role: &str, values: &Value) -> RunningDaemon {
+    let text = json!({ "node": node, "zone": "local-a", "cluster": cluster, role: values });
+    let settings = parse(Path::new("test"), &text.to_string()).expect("the settings hold");
+    RunningDaemon::start(&settings).expect("it starts")
 }
 
-fn control_settings(cluster: &ClusterSettings, host: usize, folder: &Path) -> DaemonSettings {
+fn start_control(cluster: &Value, host: usize, folder: &Path) -> RunningDaemon {
     let rules = folder.join("rules.yaml");
     std::fs::write(&rules, include_str!("../../../examples/demo/rules.yaml")).expect("written");
-    let control = ControlSettings {
-        link: cluster.control[host].link,
-        operator: loopback(),
-        operator_token: None,
-        data_folder: folder.join(host.to_string()),
-        first_rules: Some(rules),
-    };
-    DaemonSettings { control: Some(control), ..settings(&format!("control-{host}"), cluster) }
+    let values = json!({
+        "link": cluster["control"][host]["link"], "operator": loopback(),
+        "data_folder": folder.join(host.to_string()), "first_rules": rules,
+    });
+    start(cluster, &format!("control-{host}"), "control", &values)
 }
 
-fn agent_settings(cluster: &ClusterSettings, number: usize, engine: SocketAddr) -> DaemonSettings {
-    let agent = AgentSettings {
-        link: loopback(),
-        host: HostName::new(&format!("host-{number}")),
-        domain: DomainName::new("rack-1"),
-        provider: ProviderName::new("local"),
-        accelerators: 8,
-        endpoint: EndpointSettings {
-            address: engine,
-            service: ServiceName::new("desk"),
-            kind: EndpointKind::Engine,
-            checks_fencing: false,
-        },
-    };
-    DaemonSettings { agent: Some(agent), ..settings(&format!("agent-{number}"), cluster) }
+fn start_agent(cluster: &Value, number: usize, engine: SocketAddr) -> RunningDaemon {
+    let values = json!({
+        "link": loopback(), "host": format!("host-{number}"), "domain": "rack-1",
+        "provider": "local", "accelerators": 8,
+        "endpoint": { "address": engine, "service": "desk", "kind": "engine" },
+    });
+    start(cluster, &format!("agent-{number}"), "agent", &values)
 }
 
 impl TestFleet {
     fn ready() -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder");
         let cluster = cluster_of(3);
-        let start = |settings: &DaemonSettings| RunningDaemon::start(settings).expect("it starts");
-        let control =
-            (0..3).map(|host| start(&control_settings(&cluster, host, folder.path()))).collect();
-        let entry = EntrySettings {
-            listen: loopback(),
-            max_open_requests: 256,
-            max_body_bytes: 65_536,
-            when_rules_unconfirmed: UnconfirmedPolicy::Refuse,
-        };
-        let entry = start(&DaemonSettings { entry: Some(entry), ..settings("entry-0", &cluster) });
+        let control = (0..3).map(|host| start_control(&cluster, host, folder.path())).collect();
+        let entry = start(&cluster, "entry-0", "entry", &json!({ "listen": loopback() }));
         let engines: Vec<StandinEngine> = (0..2)
             .map(|_| {
                 let settings = EngineSettings::new(loopback()).step(Duration::from_millis(2));
@@ -109,7 +81,7 @@
         let agents = engines
             .iter()
             .enumerate()
-            .map(|(number, engine)| start(&agent_settings(&cluster, number, engine.address())))
+            .map(|(number, engine)| start_agent(&cluster, number, engine.address()))
             .collect();
         let fleet = Self { control, entry, agents, engines, _folder: folder };
         wait_for("a whole replica", || fleet.ask().0 == 200);
--- a/crates/model/src/message/watch.rs
+++ b/crates/model/src/message/watch.rs
@@ -61,7 +61,7 @@
         pub first: HostName,
         /// Where the first host's agent listens.
         pub link: SocketAddr,
-        /// Start of the first host's agent process.
+        /// Start of the first host's agent process; zero while the leader has not heard of it.
         pub incarnation: u64,
         /// Whether its first host reported it whole.
         pub whole: bool,
@@ -75,3 +75,23 @@
         pub group: GroupId,
     }
 }
+
+impl RoutingSnapshot {
+    /// Takes over from `earlier` which start of each first host's agent is meant, where this
+    /// snapshot does not know it.
+    ///
+    /// A new leader has not heard every agent yet. Agents refuse orders that were meant for
+    /// another start of theirs, so without this every replica would refuse until its agent had
+    /// found the new leader. Should the agent have restarted meanwhile, it still refuses.
+    pub fn keep_incarnations(&mut self, earlier: &Self) {
+        for record in self.groups.iter_mut().filter(|record| record.incarnation == 0) {
+            let known = earlier
+                .groups
+                .iter()
+                .find(|known| (known.group, known.fencing) == (record.group, record.fencing));
+            if let Some(known) = known {
+                record.incarnation = known.incarnation;
+            }
+        }
+    }
+}
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -64,7 +64,7 @@
 
 fn adopt(shared: &EntryShared, reply: WatchReply, until: briartray_model::TimePoint) {
     let before = shared.view();
-    let Some(snapshot) = reply.snapshot else {
+    let Some(mut snapshot) = reply.snapshot else {
         shared.adopt(EntryView {
             snapshot: before.snapshot.clone(),
             book: before.book.clone(),
@@ -72,6 +72,7 @@
         });
         return;
     };
+    snapshot.keep_incarnations(&before.snapshot);
     match RuleBook::build(snapshot.revision, &snapshot.rules) {
         Ok(book) => {
             log::debug!(version = snapshot.version; "snapshot adopted");
