--- a/crates/control/src/agreement/core.rs
+++ b/crates/control/src/agreement/core.rs
@@ -269,10 +269,16 @@
     }
 
     /// Whether a snapshot of the state should be taken now.
+    ///
+    /// The log may grow as large as the last snapshot first: with a fixed bound a large state
+    /// would be encoded and written again and again for a few entries each time.
     pub fn wants_snapshot(&self) -> bool {
-        let covered = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.meta.index.0);
-        let fresh = self.delivered.0 - covered;
-        fresh >= SNAPSHOT_ENTRIES || (fresh > 0 && self.log.bytes() >= SNAPSHOT_BYTES)
+        let (covered, size) = self
+            .snapshot
+            .as_ref()
+            .map_or((0, 0), |snapshot| (snapshot.meta.index.0, snapshot.data.len()));
+        let (fresh, bytes) = (self.delivered.0 - covered, self.log.bytes());
+        fresh > 0 && bytes >= size && (fresh >= SNAPSHOT_ENTRIES || bytes >= SNAPSHOT_BYTES)
     }
 
     /// Keeps `data`, the state after every entry delivered so far, and drops what it covers.
--- a/crates/control/src/agreement/lead.rs
+++ b/crates/control/src/agreement/lead.rs
@@ -40,6 +40,7 @@
 #[derive(Debug)]
 pub(super) struct OpenProposal {
     index: LogIndex,
+    bytes: usize,
     pub(super) token: ProposalToken,
 }
 
@@ -76,6 +77,7 @@
     round: u64,
     peers: SortedTable<NodeName, PeerProgress>,
     pub(super) proposals: VecDeque<OpenProposal>,
+    proposal_bytes: usize,
     pub(super) reads: VecDeque<OpenRead>,
 }
 
@@ -105,6 +107,7 @@
             round: 0,
             peers: peers.iter().map(progress).collect(),
             proposals: VecDeque::new(),
+            proposal_bytes: 0,
             reads: VecDeque::new(),
         }
     }
@@ -148,9 +151,6 @@
         command: Vec<u8>,
     ) -> Result<(), ProposalRefusal> {
         self.check_quorum(now);
-        let waiting =
-            usize::try_from(self.log.last_index().0 - self.commit.0).unwrap_or(usize::MAX);
-        let full = waiting >= MAX_PROPOSALS || self.waiting_bytes() >= MAX_PROPOSAL_BYTES;
         let RoleState::Leading(lead) = &mut self.role else {
             return Err(ProposalRefusal::NotLeader { leader: self.leader.clone() });
         };
@@ -158,10 +158,13 @@
             let size = command.len();
             return Err(ProposalRefusal::TooLarge { size, limit: MAX_COMMAND_BYTES });
         }
-        if full {
+        let bytes = command.len();
+        if lead.proposals.len() >= MAX_PROPOSALS || lead.proposal_bytes >= MAX_PROPOSAL_BYTES {
             return Err(ProposalRefusal::Busy);
         }
-        lead.proposals.push_back(OpenProposal { index: self.log.last_index().next(), token });
+        let index = self.log.last_index().next();
+        lead.proposals.push_back(OpenProposal { index, bytes, token });
+        lead.proposal_bytes += bytes;
         self.append(EntryPayload::Command(command));
         Ok(())
     }
@@ -184,10 +187,6 @@
         Ok(())
     }
 
-    fn waiting_bytes(&self) -> usize {
-        if self.commit == self.log.last_index() { 0 } else { self.log.bytes() }
-    }
-
     /// Adds an entry of the own term.
     pub(super) fn append(&mut self, payload: EntryPayload) {
         let entry = LogEntry { index: self.log.last_index().next(), term: self.hard.term, payload };
@@ -488,6 +487,8 @@
         if first.index != entry.index || entry.term != self.hard.term {
             return None;
         }
-        lead.proposals.pop_front().map(|proposal| proposal.token)
+        let proposal = lead.proposals.pop_front()?;
+        lead.proposal_bytes -= proposal.bytes;
+        Some(proposal.token)
     }
 }
--- a/crates/control/tests/agreement/steps.rs
+++ b/crates/control/tests/agreement/steps.rs
@@ -2,8 +2,8 @@
 
 use briartray_control::agreement::{
     AgreementCore, AgreementSettings, AgreementTimes, AppendReply, CoreOutput, EntryPayload,
-    FolderId, HardState, LogEntry, MemberRole, MemberSeat, PeerBody, PeerMessage, RecoveredState,
-    VoteCall,
+    FolderId, HardState, LogEntry, MemberRole, MemberSeat, PeerBody, PeerMessage, ProposalToken,
+    RecoveredState, VoteCall,
 };
 use briartray_model::TimePoint;
 use briartray_model::names::{LogIndex, NodeName, TermNumber};
@@ -117,7 +117,7 @@
     // promise is a majority with the own disk included.
     let mut core = core_with(0);
     let now = elect(&mut core);
-    core.propose(now, briartray_control::agreement::ProposalToken(1), vec![1]).expect("it leads");
+    core.propose(now, ProposalToken(1), vec![1]).expect("it leads");
     let output = core.drain(now);
     let held = AppendReply { prev_index: LogIndex(0), matched: true, index: LogIndex(2), round: 1 };
 
@@ -155,3 +155,33 @@
         core.seats().contains(&MemberSeat { node: TestCluster::name(1), folder: FolderId(77) })
     );
 }
+
+#[test]
+fn large_state_is_not_written_again_for_few_entries() {
+    // The state is many megabytes. Taking a snapshot every few thousand entries, as for a small
+    // one, the disk and the control thread would do little else.
+    let mut core = core_with(0);
+    let now = elect(&mut core);
+    let mut token = 0;
+    let mut commit = |core: &mut AgreementCore, count: u64, size: usize| {
+        for _ in 0..count {
+            token += 1;
+            core.propose(now, ProposalToken(token), vec![1; size]).expect("there is room");
+            drain_synced(core, now);
+            let index = core.last_index();
+            let held = AppendReply { prev_index: index, matched: true, index, round: 1 };
+            core.receive(now, message(1, 2, PeerBody::AppendReply(held)));
+            drain_synced(core, now);
+        }
+    };
+
+    commit(&mut core, 5000, 16);
+    let small = core.wants_snapshot();
+    core.compact(vec![0; 40 << 20]);
+    commit(&mut core, 5000, 16);
+    let large_early = core.wants_snapshot();
+    commit(&mut core, 41, 1 << 20);
+    let large_late = core.wants_snapshot();
+
+    assert_eq!((small, large_early, large_late), (true, false, true));
+}
