A leader whose disk hangs gives way; a failed control thread answers nobody

Cause: a leader that waits for its disk commits nothing, while its heartbeats keep the others from electing one; after a failure the control thread went on until the process had ended. Change: the leader steps down when a sync takes four election timeouts; the control thread ends with the first failure. A step test for the disk.

--- a/crates/control/src/agreement/core.rs
+++ b/crates/control/src/agreement/core.rs
@@ -215,7 +215,7 @@
         self.replicate(now);
         self.advance_commit();
         self.confirm_reads();
-        self.output.batch = self.sync.take_batch(self.log.last_index());
+        self.output.batch = self.sync.take_batch(now, self.log.last_index());
         std::mem::take(&mut self.output)
     }
 
--- a/crates/control/src/agreement/lead.rs
+++ b/crates/control/src/agreement/lead.rs
@@ -18,6 +18,9 @@
 /// Bytes of entries that may wait for a majority.
 const MAX_PROPOSAL_BYTES: usize = 16 * 1024 * 1024;
 
+/// Shortest election timeouts that a write and sync of the leader may take.
+const MAX_SYNC_TIMEOUTS: u32 = 4;
+
 /// Largest single proposal, in bytes.
 const MAX_COMMAND_BYTES: usize = 6 * 1024 * 1024;
 
@@ -207,9 +210,15 @@
     /// Steps down when no majority was heard for the shortest election timeout.
     ///
     /// A leader that is cut off or slept would otherwise go on answering while another one is
-    /// elected: operators would see changes that are not in force.
+    /// elected: operators would see changes that are not in force. A leader whose disk hangs
+    /// commits nothing, while its heartbeats keep the others from electing one whose disk works.
     pub(super) fn check_quorum(&mut self, now: TimePoint) {
         let RoleState::Leading(lead) = &self.role else { return };
+        let hangs = self.sync.waiting(now) >= self.times.election * MAX_SYNC_TIMEOUTS;
+        if hangs && self.members.len() > 1 {
+            log::warn!(term = self.hard.term.0; "the disk hangs; stepping down");
+            return self.step_down(now, self.hard.term);
+        }
         let heard = lead
             .peers
             .iter()
--- a/crates/control/src/agreement/sync.rs
+++ b/crates/control/src/agreement/sync.rs
@@ -2,10 +2,22 @@
 
 use std::collections::VecDeque;
 
+use std::time::Duration;
+
+use briartray_model::TimePoint;
 use briartray_model::names::{LogIndex, NodeName};
 
 use super::{PeerMessage, StorageWrite, WriteBatch};
 
+/// A batch that was handed out.
+#[derive(Debug)]
+struct UnsyncedBatch {
+    ticket: u64,
+    /// End of the log with this batch.
+    last: LogIndex,
+    since: TimePoint,
+}
+
 /// Writes of the core by ticket; a ticket is given to all writes between two drains.
 #[derive(Debug, Default)]
 pub(super) struct SyncBook {
@@ -13,7 +25,7 @@
     next_ticket: u64,
     done: u64,
     hard_ticket: u64,
-    unsynced: VecDeque<(u64, LogIndex)>,
+    unsynced: VecDeque<UnsyncedBatch>,
     durable: LogIndex,
     held: Vec<(u64, NodeName, PeerMessage)>,
 }
@@ -64,8 +76,8 @@
     pub(super) fn truncate(&mut self, index: LogIndex) {
         let last = LogIndex(index.0.saturating_sub(1));
         self.durable = self.durable.min(last);
-        for (_, end) in &mut self.unsynced {
-            *end = (*end).min(last);
+        for batch in &mut self.unsynced {
+            batch.last = batch.last.min(last);
         }
     }
 
@@ -84,24 +96,26 @@
     }
 
     /// The batch in preparation, when there is one; `last` is the end of the log.
-    pub(super) fn take_batch(&mut self, last: LogIndex) -> Option<WriteBatch> {
+    pub(super) fn take_batch(&mut self, now: TimePoint, last: LogIndex) -> Option<WriteBatch> {
         if self.writes.is_empty() {
             return None;
         }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        self.unsynced.push_back((ticket, last));
+        self.unsynced.push_back(UnsyncedBatch { ticket, last, since: now });
         Some(WriteBatch { ticket, writes: std::mem::take(&mut self.writes) })
     }
 
+    /// How long the disk has been at work on the oldest batch.
+    pub(super) fn waiting(&self, now: TimePoint) -> Duration {
+        self.unsynced.front().map_or(Duration::ZERO, |batch| now.since(batch.since))
+    }
+
     /// Takes note that `ticket` and all before it are synced; returns what waited for it.
     pub(super) fn finish(&mut self, ticket: u64) -> Vec<(NodeName, PeerMessage)> {
         self.done = self.done.max(ticket);
-        while let Some((number, last)) = self.unsynced.front().copied() {
-            if number > ticket {
-                break;
-            }
-            self.durable = self.durable.max(last);
+        while let Some(batch) = self.unsynced.front().filter(|batch| batch.ticket <= ticket) {
+            self.durable = self.durable.max(batch.last);
             self.unsynced.pop_front();
         }
         let (free, held) =
--- a/crates/control/tests/agreement/steps.rs
+++ b/crates/control/tests/agreement/steps.rs
@@ -185,3 +185,29 @@
 
     assert_eq!((small, large_early, large_late), (true, false, true));
 }
+
+#[test]
+fn leader_whose_disk_hangs_steps_down() {
+    // The leader's disk takes a write and never ends it. Its heartbeats would keep the others
+    // quiet for ever, and no change could be accepted although two disks work.
+    let mut core = core_with(0);
+    let mut now = elect(&mut core);
+    core.propose(now, ProposalToken(1), vec![1]).expect("it leads");
+    let answer = |round| {
+        let reply =
+            AppendReply { prev_index: LogIndex(1), matched: true, index: LogIndex(1), round };
+        message(1, 2, PeerBody::AppendReply(reply))
+    };
+
+    let mut led_for = 0;
+    for round in 0..100 {
+        now = now.after(AgreementTimes::default().heartbeat);
+        core.receive(now, answer(round));
+        core.tick(now);
+        core.drain(now);
+        led_for += u32::from(core.role() == MemberRole::Leader);
+    }
+
+    assert!(led_for > 5, "{led_for}: a slow write is no reason yet");
+    assert_ne!(core.role(), MemberRole::Leader);
+}
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -106,6 +106,10 @@
                 next_tick = self.now().after(TICK);
             }
             while self.advance() {}
+            if self.parts.shared.failure().is_some() {
+                // A state that misses a command, or a log that is not kept, answers nobody.
+                return;
+            }
             let until = next_tick.min(self.parts.agreement.deadline());
             let first = match queue.recv_timeout(until.since(self.now())) {
                 Ok(input) => input,
--- a/crates/node/src/control/replication.rs
+++ b/crates/node/src/control/replication.rs
@@ -40,6 +40,9 @@
                 LogDelivery::Entry(committed) => self.apply(committed),
                 LogDelivery::Restore(snapshot) => self.restore(&snapshot),
             }
+            if self.parts.shared.failure().is_some() {
+                return false;
+            }
         }
         for token in output.unconfirmed {
             if let Some(origin) = self.reads.remove(&token) {
