--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -26,6 +26,7 @@
 use self::session::SessionHandle;
 use self::shared::AgentShared;
 use crate::DaemonError;
+use crate::trace::TraceHub;
 
 /// Inputs that may wait for the control thread.
 const INPUT_QUEUE: usize = 1024;
@@ -52,8 +53,12 @@
     ///
     /// # Errors
     /// A `DaemonError` when its port cannot be used.
-    pub fn start(settings: &DaemonSettings, role: &AgentSettings) -> Result<Self, DaemonError> {
-        let shared = Arc::new(AgentShared::new(role));
+    pub fn start(
+        settings: &DaemonSettings,
+        role: &AgentSettings,
+        traces: &TraceHub,
+    ) -> Result<Self, DaemonError> {
+        let shared = Arc::new(AgentShared::new(role, traces));
         pace::start(&shared)?;
         let (inputs, queue) = bounded(INPUT_QUEUE);
         let handler = {
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -8,7 +8,9 @@
 };
 use briartray_control::state::{CommandOutcome, ControlCommand, ControlState};
 use briartray_link::LinkWriter;
-use briartray_model::message::{LeavingMark, RoutingSnapshot, WatchReply, WatchRequest};
+use briartray_model::message::{
+    LeavingMark, LimitGrant, RoutingSnapshot, WatchReply, WatchRequest,
+};
 use briartray_model::names::TermNumber;
 use briartray_model::rules::RuleBook;
 use briartray_model::{SortedTable, TimePoint, codec};
@@ -18,6 +20,7 @@
 
 use super::fleet::FleetRoster;
 use super::input::{ControlInput, InspectKind};
+use super::limits::LimitRegistry;
 use super::origin::{InspectAnswer, ProposalOrigin, ReadOrigin};
 use super::peers::PeerLinks;
 use super::planning::PlanDriver;
@@ -73,6 +76,7 @@
     pub(super) planner: PlanDriver,
     pub(super) stops: StopDriver,
     pub(super) version: SnapshotVersion,
+    limits: LimitRegistry,
     pub(super) leadership: Option<Leadership>,
     pub(super) proposals: SortedTable<ProposalToken, ProposalOrigin>,
     pub(super) reads: SortedTable<ReadToken, ReadOrigin>,
@@ -89,6 +93,7 @@
             planner: PlanDriver::default(),
             stops: StopDriver::default(),
             version: SnapshotVersion::default(),
+            limits: LimitRegistry::default(),
             leadership: None,
             proposals: SortedTable::new(),
             reads: SortedTable::new(),
@@ -292,11 +297,20 @@
             nonce: request.nonce,
             lease_ms: RULES_LEASE_MS,
             snapshot: newer.then(|| self.snapshot()),
+            shares: self.share_limits(request),
         };
         // A watcher that is behind asks again; its lease runs out meanwhile.
         let _ = writer.try_send(&reply);
     }
 
+    /// Shares of the limits that the renewal asks for; only a confirmed leader gets here.
+    fn share_limits(&mut self, request: &WatchRequest) -> Vec<LimitGrant> {
+        let now = self.now();
+        let lease = Duration::from_millis(u64::from(RULES_LEASE_MS));
+        let Some(leadership) = &self.leadership else { return Vec::new() };
+        self.limits.renew(now, leadership, lease, &self.book, request)
+    }
+
     fn snapshot(&self) -> RoutingSnapshot {
         let rules = self.state.rules.current();
         RoutingSnapshot {
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -15,7 +15,7 @@
 };
 
 use super::attempt::{AttemptEnd, run_attempt};
-use super::gate::{LimitShare, SlotPermit};
+use super::gate::SlotPermit;
 use super::output::CallerOutput;
 use super::refusal::{CallRefusal, RefusalCode};
 use super::shared::{EntryShared, EntryView};
@@ -27,6 +27,8 @@
     pub(super) service: ServiceName,
     pub(super) team: TeamName,
     pub(super) trace: TraceContext,
+    /// When the request came.
+    pub(super) arrived: TimePoint,
     pub(super) target: CallTarget,
     pub(super) body: Vec<u8>,
     pub(super) stream: bool,
@@ -67,16 +69,17 @@
 ) {
     let arrived = shared.clock.now();
     let deadline = arrived.after(Duration::from_millis(plan.admit.deadline_ms.into()));
-    let key = plan.rule.clone().map(|rule| LimitKey { rule, team: plan.team.clone() });
-    let limit = key.as_ref().and_then(|key| local_limit(key, &plan.admit));
+    let is_limited = plan.admit.concurrency > 0 || plan.admit.rate > 0.0;
+    let rule = plan.rule.clone().filter(|_| is_limited);
+    let key = rule.map(|rule| LimitKey { rule, team: plan.team.clone() });
     let request = AdmissionRequest {
         service: &plan.service,
         team: &plan.team,
         action: &plan.admit,
-        limit: limit.as_ref().map(|limit| limit.key),
+        limit: key.as_ref(),
         deadline,
     };
-    let entered = shared.gate.enter(&request, limit.as_ref());
+    let entered = shared.gate.enter(&request);
     shared.load_metrics.queue_seconds.observe(shared.clock.now().since(arrived).as_secs_f64());
     let permit = match entered {
         Ok(permit) => permit,
@@ -86,13 +89,6 @@
     CallRun { shared, view, plan, request, deadline }.run(permit, output);
 }
 
-/// The part of a rule's limits that holds at this entry; `None` when the rule has none.
-fn local_limit<'a>(key: &'a LimitKey, admit: &AdmitAction) -> Option<LimitShare<'a>> {
-    let concurrency = (admit.concurrency > 0).then_some(admit.concurrency);
-    let rate = (admit.rate > 0.0).then_some(admit.rate);
-    (concurrency.is_some() || rate.is_some()).then_some(LimitShare { key, concurrency, rate })
-}
-
 /// One request that holds a slot.
 struct CallRun<'a> {
     shared: &'a EntryShared,
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -16,8 +16,9 @@
 
 use super::claims::ClaimClient;
 use super::gate::AdmissionGate;
-use crate::ClockReader;
-use crate::metrics::{AdmissionMetrics, MetricsHub, RequestMetrics};
+use crate::metrics::{AdmissionMetrics, MetricsHub, ProcessMetrics, RequestMetrics};
+use crate::trace::TraceHub;
+use crate::{ClockReader, new_incarnation};
 
 /// Part of the open requests that may wait or run, in percent; the rest is kept for requests that
 /// are refused at once, so that a full entry still answers.
@@ -26,8 +27,8 @@
 /// What the entry decides on.
 #[derive(Debug, Default)]
 pub(super) struct EntryView {
-    pub(super) snapshot: RoutingSnapshot,
-    pub(super) book: RuleBook,
+    pub(super) snapshot: Arc<RoutingSnapshot>,
+    pub(super) book: Arc<RuleBook>,
     /// Until when the rules are confirmed; `None` before the first confirmation.
     pub(super) confirmed_until: Option<TimePoint>,
 }
@@ -35,6 +36,8 @@
 /// State shared between the threads of one entry.
 pub(super) struct EntryShared {
     pub(super) node: NodeName,
+    /// Number of this start of the process.
+    pub(super) incarnation: u64,
     pub(super) zone: ZoneName,
     pub(super) settings: EntrySettings,
     pub(super) clock: ClockReader,
@@ -42,6 +45,8 @@
     pub(super) claims: ClaimClient,
     pub(super) hub: MetricsHub,
     pub(super) metrics: RequestMetrics,
+    pub(super) process: ProcessMetrics,
+    pub(super) traces: TraceHub,
     view: ArcSwap<EntryView>,
     replicas: Mutex<ReplicaTable>,
     pub(super) gate: Arc<AdmissionGate>,
@@ -59,6 +64,7 @@
         link: LinkClient,
         claims: ClaimClient,
         hub: &MetricsHub,
+        traces: &TraceHub,
     ) -> std::io::Result<Self> {
         let clock = ClockReader::start();
         let load_metrics = hub.add(AdmissionMetrics::register);
@@ -66,6 +72,7 @@
         let gate = AdmissionGate::start(clock, load_metrics.clone(), most_held.max(1) as usize)?;
         Ok(Self {
             node: settings.node.clone(),
+            incarnation: new_incarnation(),
             zone: settings.zone.clone(),
             settings: role.clone(),
             clock,
@@ -73,6 +80,8 @@
             claims,
             hub: hub.clone(),
             metrics: hub.add(RequestMetrics::register),
+            process: hub.add(ProcessMetrics::register),
+            traces: traces.clone(),
             view: ArcSwap::from_pointee(EntryView::default()),
             replicas: Mutex::new(ReplicaTable::new(&settings.zone)),
             gate,
@@ -97,6 +106,10 @@
             drop(replicas);
             self.gate.set_capacities(&capacities);
         }
+        self.process.rules_revision.set(gauge_value(view.snapshot.revision.0));
+        let left = view.confirmed_until.map(|until| until.since(self.clock.now()).as_millis());
+        self.process.rules_lease_ms.set(gauge_value(left.unwrap_or(0)));
+        self.process.spans_dropped.set(gauge_value(self.traces.dropped()));
         self.view.store(Arc::new(view));
     }
 
@@ -141,3 +154,8 @@
             && view.snapshot.groups.iter().any(|record| record.whole)
     }
 }
+
+/// A number as gauges hold it.
+fn gauge_value(number: impl TryInto<i64>) -> i64 {
+    number.try_into().unwrap_or(i64::MAX)
+}
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -5,10 +5,12 @@
 
 mod admission;
 mod agreement;
+mod process;
 mod request;
 
 pub use admission::AdmissionMetrics;
 pub use agreement::AgreementMetrics;
+pub use process::ProcessMetrics;
 pub use request::{OutcomeLabel, RequestMetrics};
 
 use std::sync::{Arc, Mutex, PoisonError};
