--- a/crates/cli/src/cmd/replay.rs
+++ b/crates/cli/src/cmd/replay.rs
@@ -89,6 +89,11 @@
         naive += result.naive;
         worst = worst.max(result.planned / result.best.max(1.0));
         complete += u64::from(result.exhausted);
+        if cases == 1 {
+            for (when, action) in &result.actions {
+                println!("best plan, {:.1} s: {action:?}", when.0 as f64 / 1e6);
+            }
+        }
     }
     println!("cases {cases}, of which {complete} were searched completely");
     println!("weighted cost: best {best:.0}, planner {planned:.0}, naive {naive:.0}");
--- a/crates/placement/src/planner/memory.rs
+++ b/crates/placement/src/planner/memory.rs
@@ -90,6 +90,11 @@
         group.members.iter().filter(|host| self.fresh.contains_key(host)).count()
     }
 
+    /// Whether `host` still has to load its weights as far as the planner can tell.
+    pub(super) fn is_fresh(&self, host: &HostName) -> bool {
+        self.fresh.contains_key(host)
+    }
+
     /// Hosts that load now: in a group and not known to be ready.
     pub(super) fn loads_running(&self, view: &FleetView) -> usize {
         let in_groups = self
--- a/crates/placement/src/planner/service.rs
+++ b/crates/placement/src/planner/service.rs
@@ -52,6 +52,7 @@
             self.refresh_addresses(frame);
             self.mark_moves(frame);
             self.mend_broken(frame);
+            self.relieve_loading(frame);
             self.swap_leaving(frame);
             self.queue_loads(frame);
         }
--- a/crates/placement/src/planner/spares.rs
+++ b/crates/placement/src/planner/spares.rs
@@ -11,6 +11,9 @@
 use super::repair::BrokenGroup;
 use super::service::{GroupFate, ServicePlan};
 
+/// A load that ends this soon is waited for.
+const WORTH_SAVING: Duration = Duration::from_secs(5);
+
 impl ServicePlan<'_> {
     /// Lets spares load ahead while the missing hosts may still come back.
     ///
@@ -57,6 +60,60 @@
         reserve(frame, pool, broken.index, &broken.survey.missing, room.then_some(seconds))
     }
 
+    /// Puts spares that are loaded in the place of members that came back and still load.
+    ///
+    /// A host that returns just before its spare is ready would otherwise keep the group down for
+    /// a whole load more, beside a spare that could serve at once.
+    pub(super) fn relieve_loading(&mut self, frame: &mut RoundFrame<'_>) {
+        for at in 0..self.groups.len() {
+            let index = self.groups[at];
+            let survey = &frame.survey.groups[index];
+            let waits = !survey.group.whole && survey.missing.is_empty();
+            if !waits || self.fates[at] != GroupFate::Keep {
+                continue;
+            }
+            if let Some((members, left)) = self.loaded_spares(frame, index) {
+                frame.replace(index, members);
+                self.fates[at] = GroupFate::Ended;
+                self.mended();
+                let reason = PlanReason::UseSpare;
+                let costs = (0.0, Some(left * self.worth(0.0)));
+                frame.decide(&self.service.name, Some(survey.group.group), reason, costs);
+            }
+        }
+    }
+
+    /// Members with loaded spares in place of those that load, and the seconds that this saves;
+    /// none when a spare is not ready, or hardly earlier than the member.
+    fn loaded_spares(
+        &mut self,
+        frame: &mut RoundFrame<'_>,
+        index: usize,
+    ) -> Option<(Vec<HostName>, f64)> {
+        let survey = &frame.survey.groups[index];
+        let said = survey.anchor?;
+        let load = Duration::from_millis(self.rules.load_ms);
+        let pool = self.pool.place(&said.provider, &said.domain)?;
+        let mut members = survey.group.members.clone();
+        let loading: Vec<usize> =
+            (0..members.len()).filter(|rank| frame.memory.is_fresh(&members[*rank])).collect();
+        let back = loading.iter().filter_map(|rank| frame.view.hosts.get(&members[*rank]));
+        let since = back.map(|host| host.since).chain([survey.group.since]).max()?;
+        let left = since.after(load).since(frame.now);
+        // With one spare at most for each member the positions cannot clash.
+        if loading.len() != 1 || left < WORTH_SAVING {
+            return None;
+        }
+        let rank = loading[0];
+        let ready = frame.memory.ready_at(frame.now, pool.peek_one(rank)?, rank)?;
+        if ready > frame.now {
+            frame.round.wake_at(ready);
+            return None;
+        }
+        members[rank] = pool.take_one(rank)?;
+        Some((members, left.as_secs_f64()))
+    }
+
     pub(super) fn use_spares(&mut self, frame: &mut RoundFrame<'_>, broken: &BrokenGroup<'_>) {
         let Some(said) = broken.place else { return };
         let Some(pool) = self.pool.place(&said.provider, &said.domain) else { return };
--- a/crates/placement/src/replay/search.rs
+++ b/crates/placement/src/replay/search.rs
@@ -15,7 +15,7 @@
 const MAX_STEPS: u64 = 400_000;
 
 /// What a search found.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct SearchResult {
     /// Weighted cost of the best sequence found, at most the planner's.
     pub best: f64,
@@ -25,12 +25,16 @@
     pub naive: f64,
     /// Whether every sequence was tried.
     pub exhausted: bool,
+    /// Actions of the best sequence with their times; none when the planner's is the best.
+    pub actions: Vec<(TimePoint, PlanAction)>,
 }
 
 struct PlanSearch<'a> {
     lines: &'a [TraceLine],
     end: TimePoint,
     best: f64,
+    best_path: Vec<(TimePoint, PlanAction)>,
+    path: Vec<(TimePoint, PlanAction)>,
     steps: u64,
 }
 
@@ -47,11 +51,13 @@
         lines: &trace.lines[first..],
         end: from_ms(trace.header.end_ms),
         best: planned,
+        best_path: Vec::new(),
+        path: Vec::new(),
         steps: 0,
     };
     search.explore(run.fleet(), 0, actions);
     let exhausted = search.steps < MAX_STEPS;
-    SearchResult { best: search.best, planned, naive, exhausted }
+    SearchResult { best: search.best, planned, naive, exhausted, actions: search.best_path }
 }
 
 impl PlanSearch<'_> {
@@ -64,7 +70,9 @@
             for action in possible_actions(fleet.view()) {
                 let mut tried = fleet.clone();
                 tried.act(&action);
+                self.path.push((fleet.now(), action));
                 self.explore(&tried, next, actions - 1);
+                self.path.pop();
             }
         }
         self.pass(fleet.clone(), next, actions);
@@ -84,8 +92,9 @@
                 if let Some(line) = self.lines.get(next) {
                     fleet.apply(&line.event);
                     self.explore(&fleet, next + 1, actions);
-                } else {
-                    self.best = self.best.min(fleet.weighted());
+                } else if fleet.weighted() < self.best {
+                    self.best = fleet.weighted();
+                    self.best_path.clone_from(&self.path);
                 }
             }
         }
