Standby groups out of idle hosts, by rule

Change: place rule standby, zero by default; the group stands in at once when another fails. Conclusion: worth its loads where a domain has spare hosts for a whole group.

--- a/crates/model/src/rules/action.rs
+++ b/crates/model/src/rules/action.rs
@@ -145,6 +145,8 @@
     pub wait_ms: u64,
     /// Hosts per service and fabric domain kept free for repairs.
     pub spares: u32,
+    /// Groups beyond the wanted number, formed of hosts that would be idle and ready to stand in.
+    pub standby: u32,
     /// Whether a group may cross fabric domains when nothing else is left.
     pub cross_domain: bool,
     /// Share of a group's worth that is lost while it crosses fabric domains, in percent.
@@ -168,6 +170,7 @@
             stranded_weight: 0.1,
             wait_ms: 90_000,
             spares: 0,
+            standby: 0,
             cross_domain: false,
             cross_domain_loss_percent: 50,
             restart_ms: 180_000,
--- a/crates/placement/src/planner/capacity.rs
+++ b/crates/placement/src/planner/capacity.rs
@@ -23,10 +23,10 @@
     /// Forms groups for replicas that are missing, and ahead of groups that are to make way.
     pub(super) fn fill_up(&mut self, frame: &mut RoundFrame<'_>) {
         let mut lacking = self.wanted().saturating_sub(self.kept());
+        self.held = self.held_back();
         if lacking == 0 {
-            return;
+            return self.stand_by(frame);
         }
-        self.held = self.held_back();
         let moves = self.moves(frame);
         let plain = lacking.saturating_sub(moves.len());
         for _ in 0..plain {
@@ -42,6 +42,19 @@
         }
     }
 
+    /// Forms groups that nobody misses yet, as far as the rules ask for them.
+    ///
+    /// The hosts are idle anyway; loaded, they take over the moment a group fails.
+    fn stand_by(&mut self, frame: &mut RoundFrame<'_>) {
+        let most = self.wanted() + self.rules.standby as usize;
+        let moving = self.count(|fate| matches!(fate, GroupFate::Move(_)));
+        while self.kept() + moving + self.formed < most {
+            if !self.form_one(frame, PlanReason::StandbyReplica, usize::MAX) {
+                return;
+            }
+        }
+    }
+
     /// Groups that need a successor, the most urgent first, with the provider rank that the
     /// successor has to stay below.
     fn moves(&self, frame: &RoundFrame<'_>) -> Vec<(PlanReason, usize)> {
@@ -73,7 +86,8 @@
     ) -> bool {
         let size = self.size();
         // The successor of a group is a repair itself.
-        let repairs = reason != PlanReason::MissingReplica;
+        let extra = [PlanReason::MissingReplica, PlanReason::StandbyReplica];
+        let repairs = !extra.contains(&reason);
         let held = |at: usize| if repairs { 0 } else { self.held[at] };
         let best = (0..self.pool.places.len())
             .filter(|at| self.pool.places[*at].len() >= size + held(*at))
@@ -138,6 +152,7 @@
         let load = self.load_seconds(frame, members.len());
         let cost = load * self.worth(0.0);
         frame.form(&self.service.name, members);
+        self.formed += 1;
         frame.decide(&self.service.name, None, reason, (cost, None));
     }
 
@@ -163,7 +178,8 @@
     /// Only as many candidates as there are too many are looked at: when the least useful group
     /// still serves in place of its successor, the successor must not go instead of it.
     fn drop_surplus(&mut self, frame: &mut RoundFrame<'_>) {
-        let excess = self.kept().saturating_sub(self.wanted());
+        let most = self.wanted() + self.rules.standby as usize;
+        let excess = self.kept().saturating_sub(most);
         if excess == 0 {
             return;
         }
--- a/crates/placement/src/planner/reason.rs
+++ b/crates/placement/src/planner/reason.rs
@@ -8,6 +8,8 @@
     pub enum PlanReason {
         /// Fewer groups than wanted, and hosts to form one.
         MissingReplica,
+        /// Hosts would be idle, and the rules ask for groups that stand in at once.
+        StandbyReplica,
         /// A missing member is expected back sooner than a replacement would be ready.
         WaitForReturn,
         /// Nobody is there to replace a missing member.
--- a/crates/placement/src/planner/service.rs
+++ b/crates/placement/src/planner/service.rs
@@ -33,6 +33,8 @@
     pub(super) held: Vec<usize>,
     /// Groups that this round put in the place of others.
     pub(super) successors: usize,
+    /// Groups that this round has formed.
+    pub(super) formed: usize,
 }
 
 impl<'a> ServicePlan<'a> {
@@ -44,7 +46,17 @@
     ) -> Self {
         let rules = place_rules(book, &service.name);
         let fates = vec![GroupFate::Keep; groups.len()];
-        Self { service, book, rules, groups, fates, pool, held: Vec::new(), successors: 0 }
+        Self {
+            service,
+            book,
+            rules,
+            groups,
+            fates,
+            pool,
+            held: Vec::new(),
+            successors: 0,
+            formed: 0,
+        }
     }
 
     pub(super) fn run(mut self, frame: &mut RoundFrame<'_>) {
--- a/crates/placement/src/replay/generate/small.rs
+++ b/crates/placement/src/replay/generate/small.rs
@@ -82,6 +82,7 @@
         stranded_weight: 1.0,
         load_ms: 60_000,
         parallel_loads,
+        standby: 1,
         ..PlaceAction::default()
     };
     let then = RuleAction { place: Some(place), ..RuleAction::default() };
--- a/crates/placement/tests/random_events.rs
+++ b/crates/placement/tests/random_events.rs
@@ -31,6 +31,7 @@
         parallel_loads: (seed % 3) as u32 * 2,
         cross_domain: seed % 2 == 1,
         spares: (seed % 2) as u32,
+        standby: (seed % 5 / 3) as u32,
         providers: vec!["new".to_owned()],
         ..PlaceAction::default()
     };
