--- a/crates/control/src/agreement/lead.rs
+++ b/crates/control/src/agreement/lead.rs
@@ -18,6 +18,9 @@
 /// Bytes of entries that may wait for a majority.
 const MAX_PROPOSAL_BYTES: usize = 16 * 1024 * 1024;
 
+/// Shortest election timeouts that a write and sync of the leader may take.
+const MAX_SYNC_TIMEOUTS: u32 = 4;
+
 /// Largest single proposal, in bytes.
 const MAX_COMMAND_BYTES: usize = 6 * 1024 * 1024;
 
@@ -40,6 +43,7 @@
 #[derive(Debug)]
 pub(super) struct OpenProposal {
     index: LogIndex,
+    bytes: usize,
     pub(super) token: ProposalToken,
 }
 
@@ -76,6 +80,7 @@
     round: u64,
     peers: SortedTable<NodeName, PeerProgress>,
     pub(super) proposals: VecDeque<OpenProposal>,
+    proposal_bytes: usize,
     pub(super) reads: VecDeque<OpenRead>,
 }
 
@@ -105,6 +110,7 @@
             round: 0,
             peers: peers.iter().map(progress).collect(),
             proposals: VecDeque::new(),
+            proposal_bytes: 0,
             reads: VecDeque::new(),
         }
     }
@@ -148,9 +154,6 @@
         command: Vec<u8>,
     ) -> Result<(), ProposalRefusal> {
         self.check_quorum(now);
-        let waiting =
-            usize::try_from(self.log.last_index().0 - self.commit.0).unwrap_or(usize::MAX);
-        let full = waiting >= MAX_PROPOSALS || self.waiting_bytes() >= MAX_PROPOSAL_BYTES;
         let RoleState::Leading(lead) = &mut self.role else {
             return Err(ProposalRefusal::NotLeader { leader: self.leader.clone() });
         };
@@ -158,10 +161,13 @@
             let size = command.len();
             return Err(ProposalRefusal::TooLarge { size, limit: MAX_COMMAND_BYTES });
         }
-        if full {
+        let bytes = command.len();
+        if lead.proposals.len() >= MAX_PROPOSALS || lead.proposal_bytes >= MAX_PROPOSAL_BYTES {
             return Err(ProposalRefusal::Busy);
         }
-        lead.proposals.push_back(OpenProposal { index: self.log.last_index().next(), token });
+        let index = self.log.last_index().next();
+        lead.proposals.push_back(OpenProposal { index, bytes, token });
+        lead.proposal_bytes += bytes;
         self.append(EntryPayload::Command(command));
         Ok(())
     }
@@ -184,10 +190,6 @@
         Ok(())
     }
 
-    fn waiting_bytes(&self) -> usize {
-        if self.commit == self.log.last_index() { 0 } else { self.log.bytes() }
-    }
-
     /// Adds an entry of the own term.
     pub(super) fn append(&mut self, payload: EntryPayload) {
         let entry = LogEntry { index: self.log.last_index().next(), term: self.hard.term, payload };
@@ -208,9 +210,15 @@
     /// Steps down when no majority was heard for the shortest election timeout.
     ///
     /// A leader that is cut off or slept would otherwise go on answering while another one is
-    /// elected: operators would see changes that are not in force.
+    /// elected: operators would see changes that are not in force. A leader whose disk hangs
+    /// commits nothing, while its heartbeats keep the others from electing one whose disk works.
     pub(super) fn check_quorum(&mut self, now: TimePoint) {
         let RoleState::Leading(lead) = &self.role else { return };
+        let hangs = self.sync.waiting(now) >= self.times.election * MAX_SYNC_TIMEOUTS;
+        if hangs && self.members.len() > 1 {
+            log::warn!(term = self.hard.term.0; "the disk hangs; stepping down");
+            return self.step_down(now, self.hard.term);
+        }
         let heard = lead
             .peers
             .iter()
@@ -488,6 +496,8 @@
         if first.index != entry.index || entry.term != self.hard.term {
             return None;
         }
-        lead.proposals.pop_front().map(|proposal| proposal.token)
+        let proposal = lead.proposals.pop_front()?;
+        lead.proposal_bytes -= proposal.bytes;
+        Some(proposal.token)
     }
 }
--- a/crates/model/src/message/watch.rs
+++ b/crates/model/src/message/watch.rs
@@ -4,7 +4,7 @@
 
 use crate::names::{
     DomainName, FencingNumber, GroupId, HostName, LeaseNonce, NodeName, ProviderName,
-    RevisionNumber, ServiceName, ZoneName,
+    RevisionNumber, RuleName, ServiceName, TeamName, ZoneName,
 };
 
 plain_value! {
@@ -16,6 +16,41 @@
         pub nonce: LeaseNonce,
         /// Version of the snapshot the watcher has adopted; zero for none.
         pub adopted: u64,
+        /// Number of this start of the watching process, random.
+        pub incarnation: u64,
+        /// Limits that the watcher applies.
+        pub demands: Vec<LimitDemand>,
+    }
+
+    /// What an entry could use of one team's limit and what it holds; rates in thousandths of a
+    /// request per second.
+    pub struct LimitDemand {
+        /// Rule that sets the limit.
+        pub rule: RuleName,
+        /// Team that is limited.
+        pub team: TeamName,
+        /// Requests in flight that the entry could use.
+        pub running_demand: u64,
+        /// Requests in flight that it may have.
+        pub running_held: u64,
+        /// Requests in flight that it has.
+        pub in_flight: u64,
+        /// Rate that it could use.
+        pub rate_demand: u64,
+        /// Rate that it may use.
+        pub rate_held: u64,
+    }
+
+    /// An entry's share of one team's limit, for as long as the rules are confirmed.
+    pub struct LimitGrant {
+        /// Rule that sets the limit.
+        pub rule: RuleName,
+        /// Team that is limited.
+        pub team: TeamName,
+        /// Requests in flight; absent when the rule does not limit them.
+        pub running: Option<u64>,
+        /// Rate in thousandths per second; absent when the rule does not limit it.
+        pub rate: Option<u64>,
     }
 
     /// Answer to a renewal.
@@ -26,6 +61,8 @@
         pub lease_ms: u32,
         /// A newer snapshot, when there is one.
         pub snapshot: Option<RoutingSnapshot>,
+        /// Shares of the limits that were asked for.
+        pub shares: Vec<LimitGrant>,
     }
 
     /// Everything an entry needs to decide.
@@ -61,7 +98,7 @@
         pub first: HostName,
         /// Where the first host's agent listens.
         pub link: SocketAddr,
-        /// Start of the first host's agent process.
+        /// Start of the first host's agent process; zero while the leader has not heard of it.
         pub incarnation: u64,
         /// Whether its first host reported it whole.
         pub whole: bool,
@@ -75,3 +112,23 @@
         pub group: GroupId,
     }
 }
+
+impl RoutingSnapshot {
+    /// Takes over from `earlier` which start of each first host's agent is meant, where this
+    /// snapshot does not know it.
+    ///
+    /// A new leader has not heard every agent yet. Agents refuse orders that were meant for
+    /// another start of theirs, so without this every replica would refuse until its agent had
+    /// found the new leader. Should the agent have restarted meanwhile, it still refuses.
+    pub fn keep_incarnations(&mut self, earlier: &Self) {
+        for record in self.groups.iter_mut().filter(|record| record.incarnation == 0) {
+            let known = earlier
+                .groups
+                .iter()
+                .find(|known| (known.group, known.fencing) == (record.group, record.fencing));
+            if let Some(known) = known {
+                record.incarnation = known.incarnation;
+            }
+        }
+    }
+}
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -8,7 +8,9 @@
 };
 use briartray_control::state::{CommandOutcome, ControlCommand, ControlState};
 use briartray_link::LinkWriter;
-use briartray_model::message::{LeavingMark, RoutingSnapshot, WatchReply, WatchRequest};
+use briartray_model::message::{
+    LeavingMark, LimitGrant, RoutingSnapshot, WatchReply, WatchRequest,
+};
 use briartray_model::names::TermNumber;
 use briartray_model::rules::RuleBook;
 use briartray_model::{SortedTable, TimePoint, codec};
@@ -19,6 +21,7 @@
 use super::accounting::FleetCounter;
 use super::fleet::FleetRoster;
 use super::input::{ControlInput, InspectKind};
+use super::limits::LimitRegistry;
 use super::origin::{InspectAnswer, ProposalOrigin, ReadOrigin};
 use super::peers::PeerLinks;
 use super::planning::PlanDriver;
@@ -76,6 +79,7 @@
     pub(super) counter: FleetCounter,
     pub(super) stops: StopDriver,
     pub(super) version: SnapshotVersion,
+    limits: LimitRegistry,
     pub(super) leadership: Option<Leadership>,
     pub(super) proposals: SortedTable<ProposalToken, ProposalOrigin>,
     pub(super) reads: SortedTable<ReadToken, ReadOrigin>,
@@ -94,6 +98,7 @@
             planner: PlanDriver::default(),
             stops: StopDriver::default(),
             version: SnapshotVersion::default(),
+            limits: LimitRegistry::default(),
             leadership: None,
             proposals: SortedTable::new(),
             reads: SortedTable::new(),
@@ -111,6 +116,10 @@
                 next_tick = self.now().after(TICK);
             }
             while self.advance() {}
+            if self.parts.shared.failure().is_some() {
+                // A state that misses a command, or a log that is not kept, answers nobody.
+                return;
+            }
             let until = next_tick.min(self.parts.agreement.deadline());
             let first = match queue.recv_timeout(until.since(self.now())) {
                 Ok(input) => input,
@@ -294,11 +303,20 @@
             nonce: request.nonce,
             lease_ms: RULES_LEASE_MS,
             snapshot: newer.then(|| self.snapshot()),
+            shares: self.share_limits(request),
         };
         // A watcher that is behind asks again; its lease runs out meanwhile.
         let _ = writer.try_send(&reply);
     }
 
+    /// Shares of the limits that the renewal asks for; only a confirmed leader gets here.
+    fn share_limits(&mut self, request: &WatchRequest) -> Vec<LimitGrant> {
+        let now = self.now();
+        let lease = Duration::from_millis(u64::from(RULES_LEASE_MS));
+        let Some(leadership) = &self.leadership else { return Vec::new() };
+        self.limits.renew(now, leadership, lease, &self.book, request)
+    }
+
     fn snapshot(&self) -> RoutingSnapshot {
         let rules = self.state.rules.current();
         RoutingSnapshot {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod disk;
 mod fleet;
 mod input;
+mod limits;
 mod operator;
 mod origin;
 mod peers;
@@ -14,6 +15,8 @@
 mod shared;
 mod stops;
 mod streams;
+#[cfg(test)]
+mod tests;
 mod version;
 
 use std::net::SocketAddr;
