--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -45,6 +45,8 @@
         meta = "FOLDER"
     )]
     data_folder: Option<PathBuf>,
+    #[options(no_short, help = "file that spans are appended to", meta = "FILE")]
+    trace_file: Option<PathBuf>,
     #[options(no_short, help = "least severe log level", meta = "LEVEL", default = "warn")]
     log_level: String,
 }
@@ -55,6 +57,7 @@
         listen: options.listen,
         operator: options.operator,
         data_folder: options.data_folder.clone(),
+        trace_file: options.trace_file.clone(),
         ..DemoPlan::default()
     };
     let fleet = DemoFleet::start(&plan).map_err(CommandError::unusable)?;
--- /dev/null
+++ b/crates/cli/src/cmd/help.rs
@@ -0,0 +1,27 @@
+//! Help on standard output, where a pager or a search finds it.
+
+use gumdrop::Options;
+
+use super::CommandLine;
+
+/// What every subcommand's exit code means.
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 refused or failed, 2 wrong usage or input that \
+                          cannot be used";
+
+/// Prints the help of the innermost subcommand that was named.
+pub(super) fn print_help(line: &CommandLine) {
+    let mut named: &dyn Options = line;
+    let mut path = String::from("briartray");
+    while let Some(inner) = named.command() {
+        named = inner;
+        if let Some(name) = inner.command_name() {
+            path.push(' ');
+            path.push_str(name);
+        }
+    }
+    println!("Usage: {path} [OPTIONS]\n\n{}", named.self_usage());
+    if let Some(list) = named.self_command_list() {
+        println!("\nCommands:\n{list}");
+    }
+    println!("\n{EXIT_CODES}");
+}
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod check;
 mod demo;
 mod groups;
+mod help;
 mod load;
 mod measure;
 mod operator;
@@ -52,6 +53,9 @@
     Measure(measure::MeasureOptions),
 }
 
+/// Exit code for wrong usage or input that cannot be used.
+pub const EXIT_USAGE: u8 = 2;
+
 /// Why a subcommand failed.
 #[derive(Debug, Snafu)]
 pub(crate) enum CommandError {
@@ -95,12 +99,15 @@
     }
 }
 
-/// Runs the subcommand that was named.
+/// Runs the subcommand that was named, or prints help.
 pub fn run(line: &CommandLine) -> ExitCode {
+    if line.help_requested() {
+        help::print_help(line);
+        return ExitCode::SUCCESS;
+    }
     let Some(command) = &line.command else {
-        println!("Usage: briartray COMMAND [OPTIONS]\n\n{}", CommandLine::usage());
-        println!("\nCommands:\n{}", CommandLine::command_list().unwrap_or_default());
-        return ExitCode::from(2);
+        eprintln!("briartray: name a command; see briartray --help");
+        return ExitCode::from(EXIT_USAGE);
     };
     let done = match command {
         Subcommand::Demo(options) => demo::run(options),
@@ -120,7 +127,7 @@
             eprintln!("briartray: {error}");
             ExitCode::from(match error {
                 CommandError::Refused { .. } => 1,
-                CommandError::Unusable { .. } => 2,
+                CommandError::Unusable { .. } => EXIT_USAGE,
             })
         }
     }
