--- /dev/null
+++ b/crates/cli/tests/load_limits.rs
@@ -0,0 +1,121 @@
+//! Limits, queues and refusals on a whole fleet.
+
+mod fleet;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use briartray::demo::DemoPlan;
+use serde_json::Value;
+
+use fleet::{completion, post, ready_fleet};
+
+/// One refusal or answer: status, `Retry-After` and body.
+struct Reply {
+    status: u16,
+    retry_after: Option<u64>,
+    body: Value,
+}
+
+fn send(address: SocketAddr, team: &str, prompt: &str, tokens: u32) -> Reply {
+    let body = completion(prompt, tokens, false).to_string().into_bytes();
+    let response = attohttpc::post(format!("http://{address}/v1/completions"))
+        .header("x-briartray-team", team)
+        .bytes(body)
+        .send()
+        .expect("the entry answers");
+    let status = response.status().as_u16();
+    let header = response.headers().get("retry-after").and_then(|value| value.to_str().ok());
+    let retry_after = header.and_then(|seconds| seconds.parse().ok());
+    let text = response.text().expect("the answer is text");
+    Reply { status, retry_after, body: serde_json::from_str(&text).expect("the reply is JSON") }
+}
+
+/// Sends `count` requests at one time.
+fn send_many(address: SocketAddr, team: &'static str, count: usize, tokens: u32) -> Vec<Reply> {
+    let calls: Vec<_> = (0..count)
+        .map(|number| {
+            std::thread::spawn(move || send(address, team, &format!("call {number}"), tokens))
+        })
+        .collect();
+    calls.into_iter().map(|call| call.join().expect("the caller runs")).collect()
+}
+
+/// A fleet whose replicas run `capacity` requests each, under `admit` for everyone.
+fn plan(capacity: u32, admit: &str) -> DemoPlan {
+    let rules = format!(
+        "services:\n  - name: desk\n    hosts_per_replica: 2\n    replicas: 2\n    capacity: \
+         {capacity}\nteams:\n  - name: default\n  - name: office\nrules:\n  - rule: everyone\n    \
+         then:\n      admit: {admit}\n"
+    );
+    DemoPlan { services: 0, step: Duration::from_millis(10), rules, ..DemoPlan::default() }
+}
+
+fn metric(address: SocketAddr, name: &str) -> u64 {
+    let response = attohttpc::get(format!("http://{address}/metrics")).send();
+    let text = response.and_then(attohttpc::Response::text).expect("the entry has metrics");
+    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    line.and_then(|value| value.parse().ok()).expect("the metric is a whole number")
+}
+
+#[test]
+fn team_runs_no_more_at_a_time_than_its_rule_allows() {
+    // A team sends a burst. Its rule allows it two requests at a time; the rest wait and are
+    // answered, so that its callers notice a delay and no failure.
+    let fleet = ready_fleet(&plan(64, "{ concurrency: 2 }"));
+    let address = fleet.caller_address();
+
+    let burst = std::thread::spawn(move || send_many(address, "office", 12, 10));
+    let mut most = 0;
+    while !burst.is_finished() {
+        most = most.max(metric(address, "briartray_running_requests"));
+    }
+    let replies = burst.join().expect("the burst ends");
+
+    assert!(replies.iter().all(|reply| reply.status == 200));
+    assert!((1..=2).contains(&most), "{most} requests ran at one time");
+    fleet.stop();
+}
+
+#[test]
+fn callers_over_capacity_are_told_at_once_when_to_come_back() {
+    // Thirty callers come at one time and replicas can answer a few before the deadline. The others
+    // learn that their request was not run and when to come back, instead of waiting in vain.
+    let fleet = ready_fleet(&plan(1, "{ deadline_ms: 1500 }"));
+    let address = fleet.caller_address();
+    for number in 0..3 {
+        send(address, "office", &format!("warm {number}"), 40);
+    }
+
+    let replies = send_many(address, "office", 30, 40);
+
+    let (answered, refused): (Vec<_>, Vec<_>) =
+        replies.iter().partition(|reply| reply.status == 200);
+    assert!(!answered.is_empty() && !refused.is_empty());
+    for reply in refused {
+        assert_eq!((reply.status, reply.body["code"].as_str()), (503, Some("too_late")));
+        assert_eq!(reply.body["outcome"], "not_run");
+        assert!(reply.retry_after >= Some(1) && reply.body["retry_after_ms"].as_u64() >= Some(250));
+    }
+    fleet.stop();
+}
+
+#[test]
+fn full_queue_of_one_team_leaves_other_teams_alone() {
+    let fleet = ready_fleet(&plan(1, "{ queue: 2 }"));
+    let address = fleet.caller_address();
+
+    let burst = std::thread::spawn(move || send_many(address, "office", 12, 40));
+    while metric(address, "briartray_waiting_requests") < 2 && !burst.is_finished() {}
+    let (other, _) = post(address, "/v1/completions", &completion("status of lot 7", 5, false));
+    let replies = burst.join().expect("the burst ends");
+
+    let refused: Vec<_> = replies.iter().filter(|reply| reply.status != 200).collect();
+    assert_eq!(other, 200);
+    assert!(!refused.is_empty());
+    for reply in refused {
+        assert_eq!((reply.status, reply.body["code"].as_str()), (429, Some("team_queue_full")));
+        assert_eq!(reply.body["outcome"], "not_run");
+    }
+    fleet.stop();
+}
--- a/crates/model/tests/decoders.rs
+++ b/crates/model/tests/decoders.rs
@@ -9,8 +9,8 @@
 use briartray_model::message::{
     AgentReply, AgentReport, CallTarget, ClaimKey, ControlDirective, DispatchOrder, EntryRequest,
     GroupAssignment, GroupMember, GroupRecord, HeaderField, LedgerAnswer, LedgerReply,
-    LedgerRequest, LoadReport, MemberReply, MemberRequest, RefusalReason, RoutingSnapshot,
-    TraceContext, WatchReply, WatchRequest,
+    LedgerRequest, LimitDemand, LimitGrant, LoadReport, MemberReply, MemberRequest, RefusalReason,
+    RoutingSnapshot, TraceContext, WatchReply, WatchRequest,
 };
 use briartray_model::names::{AttemptId, FencingNumber, GroupId, LeaseNonce, RequestId};
 use briartray_model::rules::RuleDocument;
@@ -136,8 +136,32 @@
 #[test]
 fn watch_and_ledger_messages_survive_any_bytes() {
     let key = ClaimKey { team: "traders".into(), key: "lot-7".to_owned() };
-    feed(&WatchRequest { node: "entry-1".into(), nonce: LeaseNonce(1), adopted: 2 });
-    feed(&WatchReply { nonce: LeaseNonce(1), lease_ms: 3000, snapshot: Some(snapshot()) });
+    feed(&WatchRequest {
+        node: "entry-1".into(),
+        nonce: LeaseNonce(1),
+        adopted: 2,
+        incarnation: 3,
+        demands: vec![LimitDemand {
+            rule: "office".into(),
+            team: "office".into(),
+            running_demand: 4,
+            running_held: 5,
+            in_flight: 5,
+            rate_demand: 6,
+            rate_held: 7,
+        }],
+    });
+    feed(&WatchReply {
+        nonce: LeaseNonce(1),
+        lease_ms: 3000,
+        snapshot: Some(snapshot()),
+        shares: vec![LimitGrant {
+            rule: "office".into(),
+            team: "office".into(),
+            running: Some(4),
+            rate: None,
+        }],
+    });
     feed(&LedgerRequest::Claim { key, digest: [7; 32], attempt: AttemptId(7) });
     feed(&LedgerReply::Pending { attempt: AttemptId(7) });
     feed(&LedgerAnswer { number: 3, reply: LedgerReply::Claimed });
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -101,7 +101,12 @@
     span.set("request", id);
     span.set("path", path);
     match plan_call(&mut request, path, id, shared, &view, span.context()) {
-        Ok(plan) => once::run(shared, &view, &plan, CallerOutput::new(id, request)),
+        Ok(plan) => once::run(
+            shared,
+            &view,
+            &plan,
+            CallerOutput::new(id, request).timed(&shared.load_metrics, shared.clock),
+        ),
         Err(refusal) => {
             span.fail(refusal.code.as_str());
             shared.metrics.ended(refusal.code.as_str());
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -16,9 +16,9 @@
 
 use super::claims::ClaimClient;
 use super::gate::AdmissionGate;
-use crate::ClockReader;
 use crate::metrics::{AdmissionMetrics, MetricsHub, ProcessMetrics, RequestMetrics};
 use crate::trace::TraceHub;
+use crate::{ClockReader, new_incarnation};
 
 /// Part of the open requests that may wait or run, in percent; the rest is kept for requests that
 /// are refused at once, so that a full entry still answers.
@@ -27,8 +27,8 @@
 /// What the entry decides on.
 #[derive(Debug, Default)]
 pub(super) struct EntryView {
-    pub(super) snapshot: RoutingSnapshot,
-    pub(super) book: RuleBook,
+    pub(super) snapshot: Arc<RoutingSnapshot>,
+    pub(super) book: Arc<RuleBook>,
     /// Until when the rules are confirmed; `None` before the first confirmation.
     pub(super) confirmed_until: Option<TimePoint>,
 }
@@ -36,6 +36,8 @@
 /// State shared between the threads of one entry.
 pub(super) struct EntryShared {
     pub(super) node: NodeName,
+    /// Number of this start of the process.
+    pub(super) incarnation: u64,
     pub(super) zone: ZoneName,
     pub(super) settings: EntrySettings,
     pub(super) clock: ClockReader,
@@ -70,6 +72,7 @@
         let gate = AdmissionGate::start(clock, load_metrics.clone(), most_held.max(1) as usize)?;
         Ok(Self {
             node: settings.node.clone(),
+            incarnation: new_incarnation(),
             zone: settings.zone.clone(),
             settings: role.clone(),
             clock,
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -50,12 +50,19 @@
         *nonce = nonce.next();
         let sent = shared.clock.now();
         let adopted = shared.view().snapshot.version;
-        writer.send(&WatchRequest { node: shared.node.clone(), nonce: *nonce, adopted })?;
+        writer.send(&WatchRequest {
+            node: shared.node.clone(),
+            nonce: *nonce,
+            adopted,
+            incarnation: shared.incarnation,
+            demands: shared.gate.demands(),
+        })?;
         let reply: WatchReply = reader.receive(ANSWER_WAIT)?;
         if reply.nonce != *nonce {
             continue;
         }
         let lease = Duration::from_millis(u64::from(reply.lease_ms)).saturating_sub(DRIFT_MARGIN);
+        shared.gate.grant(&reply.shares, sent.after(lease));
         adopt(shared, reply, sent.after(lease));
         std::thread::sleep(RENEW_INTERVAL);
     }
@@ -66,8 +73,8 @@
     let before = shared.view();
     let Some(snapshot) = reply.snapshot else {
         shared.adopt(EntryView {
-            snapshot: before.snapshot.clone(),
-            book: before.book.clone(),
+            snapshot: Arc::clone(&before.snapshot),
+            book: Arc::clone(&before.book),
             confirmed_until: Some(until),
         });
         return;
@@ -75,7 +82,11 @@
     match RuleBook::build(snapshot.revision, &snapshot.rules) {
         Ok(book) => {
             log::debug!(version = snapshot.version; "snapshot adopted");
-            shared.adopt(EntryView { snapshot, book, confirmed_until: Some(until) });
+            shared.adopt(EntryView {
+                snapshot: Arc::new(snapshot),
+                book: Arc::new(book),
+                confirmed_until: Some(until),
+            });
         }
         Err(error) => log::error!("rules from control do not load: {error}"),
     }
