--- a/crates/web/src/front/relay.rs
+++ b/crates/web/src/front/relay.rs
@@ -75,7 +75,10 @@
     table: Arc<ConnectionTable>,
 ) {
     if table.len() >= limits.connections as usize {
-        refuse(&mut client, CloseReason::TooMany).await;
+        // A flood of refused callers must not take the descriptors that others need.
+        if let Some(_place) = table.begin_refusal() {
+            refuse(&mut client, CloseReason::TooMany).await;
+        }
         return;
     }
     let relayed = relay(&mut client, inner, &limits, &table).await;
--- a/crates/web/src/front/table.rs
+++ b/crates/web/src/front/table.rs
@@ -1,7 +1,7 @@
 //! All connections of one front, by the relay's own address.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -9,11 +9,25 @@
 
 use super::state::ConnectionState;
 
+/// Callers that are told at one time that there are too many connections.
+const MAX_REFUSALS: usize = 256;
+
 /// Connections by the address under which the HTTP library sees them.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionTable {
     connections: Mutex<SortedTable<SocketAddr, Arc<ConnectionState>>>,
     stopped: AtomicBool,
+    refusals: AtomicUsize,
+}
+
+/// A place among the connections that are being refused.
+#[derive(Debug)]
+pub(super) struct RefusalPlace<'a>(&'a AtomicUsize);
+
+impl Drop for RefusalPlace<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 impl ConnectionTable {
@@ -26,6 +40,12 @@
         self.lock().remove(&address);
     }
 
+    /// A place for telling one more caller why it is refused; `None` when many are told already.
+    pub(super) fn begin_refusal(&self) -> Option<RefusalPlace<'_>> {
+        let place = RefusalPlace(&self.refusals);
+        (self.refusals.fetch_add(1, Ordering::SeqCst) < MAX_REFUSALS).then_some(place)
+    }
+
     /// Connections open now.
     pub(crate) fn len(&self) -> usize {
         self.lock().len()
