--- a/crates/cli/src/cmd/replay.rs
+++ b/crates/cli/src/cmd/replay.rs
@@ -6,7 +6,8 @@
 
 use briartray_placement::accounting::StrandedReason;
 use briartray_placement::replay::{
-    HostTrace, PlannerKind, ReplayReport, TraceError, TraceShape, generate_trace, run_trace,
+    HostTrace, PlannerKind, ReplayReport, TraceError, TraceShape, generate_small, generate_trace,
+    run_trace, search_best,
 };
 use gumdrop::Options;
 use serde_json::json;
@@ -21,16 +22,26 @@
     trace: Option<String>,
     #[options(
         no_short,
-        help = "make a trace: parkland, hollis, letter, large or mixed",
+        help = "make a trace: parkland, hollis, letter, large, mixed or small",
         meta = "SHAPE"
     )]
-    generate: Option<TraceShape>,
+    generate: Option<String>,
     #[options(no_short, help = "seed of a made trace", meta = "N", default = "1")]
     seed: u64,
     #[options(no_short, help = "write the made trace here and replay nothing", meta = "FILE")]
     out: Option<String>,
-    #[options(no_short, help = "replay only naive or cost; both by default", meta = "PLANNER")]
-    planner: Option<String>,
+    #[options(
+        no_short,
+        help = "set the planner against every plan on this many small traces",
+        meta = "N"
+    )]
+    exhaustive: Option<u64>,
+    #[options(
+        no_short,
+        help = "replay only naive, unprepared or cost; all by default",
+        meta = "PLANNER"
+    )]
+    planner: Option<PlannerKind>,
     #[options(no_short, help = "cost of one second of one group being down", meta = "W")]
     downtime_weight: Option<f64>,
     #[options(no_short, help = "cost of one second of one stranded accelerator", meta = "W")]
@@ -40,19 +51,23 @@
 }
 
 pub(super) fn run(options: &ReplayOptions) -> Result<(), CommandError> {
+    if let Some(cases) = options.exhaustive {
+        search_cases(options.seed, cases);
+        return Ok(());
+    }
     let mut trace = load(options)?;
     if let Some(path) = &options.out {
         let file = File::create(path).map_err(|error| unusable(path, &error))?;
         return trace.write(BufWriter::new(file)).map_err(CommandError::unusable);
     }
     trace.set_weights(options.downtime_weight, options.stranded_weight);
-    let reports: Vec<ReplayReport> =
-        planners(options)?.into_iter().map(|kind| replay(&trace, kind)).collect();
+    let kinds = options.planner.map_or(PlannerKind::ALL.to_vec(), |kind| vec![kind]);
+    let reports: Vec<ReplayReport> = kinds.into_iter().map(|kind| replay(&trace, kind)).collect();
     match options.output {
         OutputFormat::Json => println!("{}", json!(reports)),
         OutputFormat::Text => print_reports(&reports),
     }
-    // The naive planner is there to be compared with; outcomes are stated for the real one.
+    // The others are there to be compared with; outcomes are stated for the planner by cost.
     let judged = |report: &&ReplayReport| reports.len() == 1 || report.planner == PlannerKind::Cost;
     match reports.iter().filter(judged).find(|report| !report.holds()) {
         Some(report) => Err(CommandError::refused(failures(report))),
@@ -60,14 +75,39 @@
     }
 }
 
+/// Hosts, events and actions of the small traces that every plan is tried on.
+const SMALL_CASE: (usize, usize, u32) = (6, 3, 3);
+
+fn search_cases(seed: u64, cases: u64) {
+    let (hosts, events, actions) = SMALL_CASE;
+    let (mut best, mut planned, mut naive, mut worst) = (0.0, 0.0, 0.0, 1.0_f64);
+    let mut complete = 0;
+    for case in seed..seed + cases {
+        let result = search_best(&generate_small(case, hosts, events), actions);
+        best += result.best;
+        planned += result.planned;
+        naive += result.naive;
+        worst = worst.max(result.planned / result.best.max(1.0));
+        complete += u64::from(result.exhausted);
+    }
+    println!("cases {cases}, of which {complete} were searched completely");
+    println!("weighted cost: best {best:.0}, planner {planned:.0}, naive {naive:.0}");
+    println!("planner over best: {:.3} in all, {worst:.3} at worst", planned / best);
+    println!("naive over best: {:.3} in all", naive / best);
+}
+
 fn load(options: &ReplayOptions) -> Result<HostTrace, CommandError> {
-    match (&options.trace, options.generate) {
+    match (&options.trace, options.generate.as_deref()) {
         (Some(path), None) => {
             let file = File::open(path).map_err(|error| unusable(path, &error))?;
             HostTrace::read(BufReader::new(file))
                 .map_err(|error: TraceError| CommandError::unusable(format!("{path}: {error}")))
         }
-        (None, Some(shape)) => Ok(generate_trace(shape, options.seed)),
+        (None, Some("small")) => Ok(generate_small(options.seed, SMALL_CASE.0, SMALL_CASE.1)),
+        (None, Some(shape)) => {
+            let shape: TraceShape = shape.parse().map_err(CommandError::unusable)?;
+            Ok(generate_trace(shape, options.seed))
+        }
         _ => Err(CommandError::unusable("name a trace, or a shape with --generate")),
     }
 }
@@ -76,15 +116,6 @@
     CommandError::unusable(format!("{path}: {error}; check the path"))
 }
 
-fn planners(options: &ReplayOptions) -> Result<Vec<PlannerKind>, CommandError> {
-    match options.planner.as_deref() {
-        None => Ok(vec![PlannerKind::Naive, PlannerKind::Cost]),
-        Some("naive") => Ok(vec![PlannerKind::Naive]),
-        Some("cost") => Ok(vec![PlannerKind::Cost]),
-        Some(_) => Err(CommandError::unusable("--planner takes naive or cost")),
-    }
-}
-
 /// Replays with the clock of this machine as meter.
 pub(super) fn replay(trace: &HostTrace, kind: PlannerKind) -> ReplayReport {
     let started = Instant::now();
@@ -93,7 +124,7 @@
 
 fn print_reports(reports: &[ReplayReport]) {
     println!(
-        "{:<8} {:>14} {:>18} {:>16} {:>16} {:>8} {:>8} {:>9} {:>8}",
+        "{:<10} {:>14} {:>18} {:>16} {:>16} {:>8} {:>8} {:>9} {:>8}",
         "planner",
         "group-down s",
         "stranded acc-s",
@@ -106,8 +137,8 @@
     );
     for report in reports {
         println!(
-            "{:<8} {:>14.0} {:>18.0} {:>16.0} {:>16.0} {:>8} {:>8} {:>9} {:>8}",
-            format!("{:?}", report.planner).to_lowercase(),
+            "{:<10} {:>14.0} {:>18.0} {:>16.0} {:>16.0} {:>8} {:>8} {:>9} {:>8}",
+            report.planner.as_str(),
             report.total.groups_down,
             report.total.stranded_total(),
             report.weighted,
@@ -119,7 +150,7 @@
         );
     }
     for report in reports {
-        let planner = format!("{:?}", report.planner).to_lowercase();
+        let planner = report.planner.as_str();
         println!("\n{planner}: stranded accelerator-seconds by reason");
         for (reason, seconds) in StrandedReason::ALL.iter().zip(report.total.stranded) {
             println!("  {:<16} {seconds:>16.0}", reason.as_str());
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -5,11 +5,13 @@
 
 mod admission;
 mod agreement;
+mod groups;
 mod process;
 mod request;
 
 pub use admission::AdmissionMetrics;
 pub use agreement::AgreementMetrics;
+pub use groups::{GroupMetrics, ServiceLabel, StrandedLabel};
 pub use process::ProcessMetrics;
 pub use request::{OutcomeLabel, RequestMetrics};
 
--- a/crates/placement/src/planner/group_planner.rs
+++ b/crates/placement/src/planner/group_planner.rs
@@ -4,7 +4,7 @@
 
 use briartray_model::TimePoint;
 use briartray_model::names::{GroupId, HostName, ServiceName};
-use briartray_model::rules::{DecisionFacts, RuleBook, ServiceDeclaration};
+use briartray_model::rules::{RuleBook, ServiceDeclaration};
 
 use super::memory::PlannerMemory;
 use super::pool::{FormerSeat, FreePool};
@@ -12,6 +12,7 @@
 use super::service::ServicePlan;
 use super::survey::{FleetSurvey, of_service};
 use super::{FleetView, PlanAction};
+use crate::accounting::place_rules;
 
 /// A planner that has just begun leaves existing groups alone for this long.
 ///
@@ -41,10 +42,13 @@
 }
 
 /// Plans groups by expected cost and remembers what that takes.
+///
+/// The default planner asks no host to load ahead.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct GroupPlanner {
     started: Option<TimePoint>,
     memory: PlannerMemory,
+    loads_ahead: bool,
 }
 
 /// What the parts of one round share.
@@ -58,6 +62,8 @@
     pub(super) loads: usize,
     /// Whether existing groups may be changed.
     pub(super) settled: bool,
+    /// Whether hosts carry out `PlanAction::Prepare`.
+    pub(super) loads_ahead: bool,
 }
 
 impl RoundFrame<'_> {
@@ -125,6 +131,11 @@
 }
 
 impl GroupPlanner {
+    /// A planner for hosts that load weights ahead when they are asked to.
+    pub fn with_loads_ahead() -> Self {
+        Self { loads_ahead: true, ..Self::default() }
+    }
+
     /// Plans one round; deterministic in what it has seen so far.
     pub fn step(&mut self, now: TimePoint, view: &FleetView, book: &RuleBook) -> PlanRound {
         let started = *self.started.get_or_insert(now);
@@ -139,10 +150,14 @@
             round: PlanRound::default(),
             loads,
             settled: now.since(started) >= SETTLE,
+            loads_ahead: self.loads_ahead,
         };
         if !frame.settled && survey.groups.iter().any(|group| !group.missing.is_empty()) {
             frame.round.wake_at(started.after(SETTLE));
         }
+        if let Some(when) = frame.memory.next_recovery() {
+            frame.round.wake_at(when);
+        }
         dissolve_undeclared(&mut frame, book);
         for service in in_order(book) {
             plan_service(&mut frame, book, service);
@@ -155,23 +170,18 @@
 /// group is worth most for each host to load goes first.
 fn in_order(book: &RuleBook) -> Vec<&ServiceDeclaration> {
     let worth = |service: &ServiceDeclaration| {
-        rules_of(book, service).downtime_weight / f64::from(service.hosts_per_replica.max(1))
+        place_rules(book, &service.name).downtime_weight
+            / f64::from(service.hosts_per_replica.max(1))
     };
     let mut services: Vec<_> = book.document().services.iter().collect();
     services.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
     services
 }
 
-fn rules_of(book: &RuleBook, service: &ServiceDeclaration) -> briartray_model::rules::PlaceAction {
-    let facts = DecisionFacts { service: Some(service.name.as_str()), ..DecisionFacts::default() };
-    book.place(&facts).1
-}
-
 fn plan_service(frame: &mut RoundFrame<'_>, book: &RuleBook, service: &ServiceDeclaration) {
-    let rules = rules_of(book, service);
     let groups = of_service(frame.survey, &service.name);
     let pool = FreePool::gather(&frame.survey.free, &service.name, &frame.memory.seats);
-    ServicePlan::new(service, rules, groups, pool).run(frame);
+    ServicePlan::new(service, book, groups, pool).run(frame);
 }
 
 fn dissolve_undeclared(frame: &mut RoundFrame<'_>, book: &RuleBook) {
