--- a/crates/cli/src/cmd/measure/agreement.rs
+++ b/crates/cli/src/cmd/measure/agreement.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use briartray_link::{CallKind, ClientSettings, LinkClient};
+use briartray_model::lease::HoldPolicy;
 use briartray_model::message::{ClaimKey, LedgerReply, LedgerRequest};
 use briartray_model::names::{NodeName, TeamName, ZoneName};
 use briartray_model::settings::{
@@ -324,6 +325,7 @@
             operator_token: None,
             data_folder: folder.join(host.to_string()),
             first_rules: None,
+            rules_hold: HoldPolicy::default(),
         }),
         agent: None,
     }
--- a/crates/cli/src/cmd/measure/capacity/peers.rs
+++ b/crates/cli/src/cmd/measure/capacity/peers.rs
@@ -12,7 +12,9 @@
     AgentReport, ControlDirective, GroupAssignment, GroupMember, HostAnnouncement, MemberReply,
     MemberRequest, WatchReply, WatchRequest,
 };
-use briartray_model::names::{FencingNumber, GroupId, HostName, LeaseNonce, NodeName};
+use briartray_model::names::{
+    FencingNumber, GroupId, HostName, LeaseNonce, NodeName, RevisionNumber,
+};
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
 
 use super::settings::TOKEN;
@@ -160,19 +162,23 @@
     let (writer, reader) = stream;
     let mut nonce = LeaseNonce::default();
     let mut adopted = 0;
+    let mut revision = RevisionNumber::default();
     while running.load(Ordering::Relaxed) {
         nonce = nonce.next();
         writer.send(&WatchRequest {
             node: node.clone(),
             nonce,
             adopted,
+            revision,
+            leaving: false,
             incarnation: 1,
             demands: Vec::new(),
         })?;
         let reply: WatchReply = reader.receive(ANSWER_WAIT)?;
         if let Some(snapshot) = reply.snapshot {
             adopted = snapshot.version;
-            seen.store(snapshot.revision.0, Ordering::Relaxed);
+            revision = snapshot.revision;
+            seen.store(revision.0, Ordering::Relaxed);
         }
         std::thread::sleep(RENEW_INTERVAL);
     }
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -1,9 +1,11 @@
 //! One module per subcommand.
 //!
-//! Exit codes: 0 done, 1 refused or failed, 2 wrong usage or input that cannot be used.
+//! Exit codes: 0 done, 1 refused or failed, 2 wrong usage or input that cannot be used,
+//! 3 committed but not yet in force everywhere.
 
 mod check;
 mod demo;
+mod entries;
 mod groups;
 mod load;
 mod measure;
@@ -40,6 +42,8 @@
     Status(status::StatusOptions),
     #[options(help = "show every group")]
     Groups(groups::GroupsOptions),
+    #[options(help = "list entries and their rules, or strike off one that is gone")]
+    Entries(entries::EntriesOptions),
     #[options(help = "replay host events through the planner")]
     Replay(replay::ReplayOptions),
     #[options(help = "run a stand-in engine, service or weight store")]
@@ -61,6 +65,9 @@
     /// The input cannot be used.
     #[snafu(display("{message}"))]
     Unusable { message: String },
+    /// It is done, and not yet in force everywhere.
+    #[snafu(display("{message}"))]
+    Pending { message: String },
 }
 
 impl CommandError {
@@ -68,6 +75,10 @@
         Self::Refused { message: message.to_string() }
     }
 
+    pub(crate) fn pending(message: impl ToString) -> Self {
+        Self::Pending { message: message.to_string() }
+    }
+
     pub(crate) fn unusable(message: impl ToString) -> Self {
         Self::Unusable { message: message.to_string() }
     }
@@ -108,6 +119,7 @@
         Subcommand::Rules(options) => rules::run(options),
         Subcommand::Status(options) => status::run(options),
         Subcommand::Groups(options) => groups::run(options),
+        Subcommand::Entries(options) => entries::run(options),
         Subcommand::Replay(options) => replay::run(options),
         Subcommand::StandIn(options) => stand_in::run(options),
         Subcommand::Stop(options) => stop::run(options),
@@ -121,6 +133,7 @@
             ExitCode::from(match error {
                 CommandError::Refused { .. } => 1,
                 CommandError::Unusable { .. } => 2,
+                CommandError::Pending { .. } => 3,
             })
         }
     }
--- a/crates/cli/src/cmd/rules/apply.rs
+++ b/crates/cli/src/cmd/rules/apply.rs
@@ -39,9 +39,18 @@
     let reply = port.post("/v1/rules", &body).map_err(|error| {
         CommandError::refused(format!("{error} (change {change}; send it again with --change)"))
     })?;
+    let accepted = reply["outcome"] == "accepted";
     match options.output {
         OutputFormat::Json => println!("{reply}"),
-        OutputFormat::Text => println!("accepted as revision {}", reply["revision"]),
+        OutputFormat::Text if accepted => println!("accepted as revision {}", reply["revision"]),
+        OutputFormat::Text => println!("committed as revision {}", reply["revision"]),
     }
-    Ok(())
+    if accepted {
+        return Ok(());
+    }
+    Err(CommandError::pending(format!(
+        "not in force everywhere yet: {} may still decide under older rules; wait on with \
+         --change {change}, or strike off entries that are gone with briartray entries forget",
+        reply["waiting_for"]
+    )))
 }
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
+use briartray_model::lease::HoldPolicy;
 use briartray_model::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
 use briartray_model::settings::{
     AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
@@ -282,6 +283,7 @@
             operator_token: None,
             data_folder: folder.join("control"),
             first_rules: Some(rules),
+            rules_hold: HoldPolicy::default(),
         }),
         agent: None,
     }
--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
+use briartray_model::lease::HoldPolicy;
 use briartray_model::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
 use briartray_model::settings::{
     AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
@@ -64,6 +65,7 @@
     service_work_ms: u64,
     engine_step_ms: u64,
     rules: Option<String>,
+    hold: HoldPolicy,
 }
 
 impl TrialPlan {
@@ -80,9 +82,17 @@
             service_work_ms: 2,
             engine_step_ms: 8,
             rules: None,
+            hold: HoldPolicy::default(),
         }
     }
 
+    /// Sets what entries do when their rules cannot be confirmed.
+    #[must_use]
+    pub fn hold(mut self, hold: HoldPolicy) -> Self {
+        self.hold = hold;
+        self
+    }
+
     /// Sets how many control hosts there are.
     #[must_use]
     pub fn controls(mut self, count: usize) -> Self {
@@ -262,6 +272,7 @@
                 operator_token: None,
                 data_folder: self.folder.path().join(format!("data-{number}")),
                 first_rules: Some(rules.to_owned()),
+                rules_hold: self.plan.hold,
             });
             self.controls.push(start_daemon(&self.plan, self.folder.path(), &settings)?);
             self.operators.push(operator);
--- a/crates/control/src/lease/book.rs
+++ b/crates/control/src/lease/book.rs
@@ -6,8 +6,10 @@
 use super::LeaseTerms;
 
 /// What the leader knows of one registered entry.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 struct EntryStanding {
+    /// Terms of its registration; every leader grants and reckons with these.
+    terms: LeaseTerms,
     adopted: RevisionNumber,
     granted: Option<TimePoint>,
 }
@@ -19,27 +21,27 @@
 /// the old leader were confirmed by a majority before that moment.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LeaseBook {
-    terms: LeaseTerms,
     elected: TimePoint,
     entries: SortedTable<NodeName, EntryStanding>,
 }
 
 impl LeaseBook {
     /// The book of a leader elected at `now`, with the entries that are registered.
-    pub fn new(now: TimePoint, terms: LeaseTerms, registered: &[NodeName]) -> Self {
-        let entries =
-            registered.iter().map(|node| (node.clone(), EntryStanding::default())).collect();
-        Self { terms, elected: now, entries }
-    }
-
-    /// The terms of every grant.
-    pub fn terms(&self) -> LeaseTerms {
-        self.terms
+    pub fn new(now: TimePoint, registered: &[(NodeName, LeaseTerms)]) -> Self {
+        let mut book = Self { elected: now, entries: SortedTable::new() };
+        for (node, terms) in registered {
+            book.register(node, *terms);
+        }
+        book
     }
 
-    /// Adds an entry whose registration is committed; it holds no lease yet.
-    pub fn register(&mut self, node: &NodeName) {
-        self.entries.get_or_insert_with(node.clone(), EntryStanding::default);
+    /// Adds an entry whose registration is committed; a known one keeps its terms.
+    pub fn register(&mut self, node: &NodeName, terms: LeaseTerms) {
+        self.entries.get_or_insert_with(node.clone(), || EntryStanding {
+            terms,
+            adopted: RevisionNumber::default(),
+            granted: None,
+        });
     }
 
     /// Whether `node` is registered; only then may it be granted a lease.
@@ -62,11 +64,12 @@
         }
     }
 
-    /// Records a grant that is answered at `now`; `false` when the entry is not registered.
-    pub fn grant(&mut self, now: TimePoint, node: &NodeName) -> bool {
-        let Some(standing) = self.entries.get_mut(node) else { return false };
+    /// Records a grant that is answered at `now` and returns its terms; `None` when the entry is
+    /// not registered.
+    pub fn grant(&mut self, now: TimePoint, node: &NodeName) -> Option<LeaseTerms> {
+        let standing = self.entries.get_mut(node)?;
         standing.granted = Some(now);
-        true
+        Some(standing.terms)
     }
 
     /// Entries that may decide at `now` under rules older than `revision`.
@@ -97,6 +100,6 @@
 
     fn may_decide(&self, now: TimePoint, standing: &EntryStanding) -> bool {
         let granted = standing.granted.unwrap_or(self.elected);
-        self.terms.longest().is_none_or(|longest| now < granted.after(longest))
+        standing.terms.longest().is_none_or(|longest| now < granted.after(longest))
     }
 }
--- a/crates/control/src/lease/holder.rs
+++ b/crates/control/src/lease/holder.rs
@@ -61,14 +61,38 @@
         true
     }
 
+    /// Until when the entry may decide; `None` before the first grant.
+    pub fn window(&self) -> Option<RulesWindow> {
+        let (sent, terms) = self.confirmed?;
+        Some(RulesWindow {
+            confirmed_until: sent.after(terms.confirmed()),
+            usable_until: terms.usable().map(|usable| sent.after(usable)),
+        })
+    }
+
+    /// Whether the entry may decide at `now`.
+    pub fn state(&self, now: TimePoint) -> HolderState {
+        self.window().map_or(HolderState::Lapsed, |window| window.state(now))
+    }
+}
+
+/// Until when an entry may decide under the rules it has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RulesWindow {
+    /// Until when they are confirmed.
+    pub confirmed_until: TimePoint,
+    /// Until when they may be used; `None` without a bound.
+    pub usable_until: Option<TimePoint>,
+}
+
+impl RulesWindow {
     /// Whether the entry may decide at `now`.
     pub fn state(&self, now: TimePoint) -> HolderState {
-        let Some((sent, terms)) = self.confirmed else { return HolderState::Lapsed };
-        if now < sent.after(terms.lease - terms.lease / 100) {
+        if now < self.confirmed_until {
             return HolderState::Confirmed;
         }
-        match terms.usable() {
-            Some(usable) if now >= sent.after(usable) => HolderState::Lapsed,
+        match self.usable_until {
+            Some(until) if now >= until => HolderState::Lapsed,
             _ => HolderState::Holding,
         }
     }
--- a/crates/control/src/lease/mod.rs
+++ b/crates/control/src/lease/mod.rs
@@ -6,8 +6,7 @@
 
 mod book;
 mod holder;
-mod terms;
 
 pub use book::LeaseBook;
-pub use holder::{HolderState, RulesHolder};
-pub use terms::{HoldPolicy, LeaseTerms};
+pub use briartray_model::lease::{HoldPolicy, LeaseTerms};
+pub use holder::{HolderState, RulesHolder, RulesWindow};
--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -1,5 +1,6 @@
 //! Commands of the control log and what comes of them.
 
+use briartray_model::lease::LeaseTerms;
 use briartray_model::message::{GroupMember, LedgerReply, LedgerRequest};
 use briartray_model::names::{
     ChangeId, DomainName, FencingNumber, GroupId, HostName, NodeName, ProviderName, RevisionNumber,
@@ -32,6 +33,8 @@
         RegisterEntry {
             /// The entry.
             node: NodeName,
+            /// Terms of its leases.
+            terms: LeaseTerms,
         },
         /// Strike an entry off.
         ForgetEntry {
--- a/crates/control/src/state/entries.rs
+++ b/crates/control/src/state/entries.rs
@@ -1,5 +1,7 @@
 //! Entries that may hold a rules lease.
 
+use briartray_model::SortedTable;
+use briartray_model::lease::LeaseTerms;
 use briartray_model::names::NodeName;
 use serde::{Deserialize, Serialize};
 
@@ -11,37 +13,36 @@
 /// The entry roster aggregate.
 ///
 /// It is replicated because a new leader must know whose leases may still run: an entry that it
-/// never heard of could decide under old rules while a change is answered as accepted.
+/// never heard of could decide under old rules while a change is answered as accepted. The terms
+/// are those of the registration, so that leaders with other settings reckon with them too.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct EntryRoster {
-    nodes: Vec<NodeName>,
+    nodes: SortedTable<NodeName, LeaseTerms>,
 }
 
 impl EntryRoster {
-    /// Registered entries in name order.
-    pub fn nodes(&self) -> &[NodeName] {
-        &self.nodes
+    /// Registered entries with their terms, in name order.
+    pub fn registered(&self) -> Vec<(NodeName, LeaseTerms)> {
+        self.nodes.iter().map(|(node, terms)| (node.clone(), *terms)).collect()
     }
 
     /// Registers `node`; a second registration changes nothing.
-    pub fn register(&mut self, node: &NodeName) -> CommandOutcome {
-        if let Err(position) = self.nodes.binary_search(node) {
+    pub fn register(&mut self, node: &NodeName, terms: LeaseTerms) -> CommandOutcome {
+        if !self.nodes.contains_key(node) {
             if self.nodes.len() >= MAX_ENTRIES {
                 return CommandOutcome::EntriesFull { limit: MAX_ENTRIES };
             }
-            self.nodes.insert(position, node.clone());
+            self.nodes.insert(node.clone(), terms);
         }
         CommandOutcome::EntryRegistered { node: node.clone() }
     }
 
     /// Strikes `node` off.
     pub fn forget(&mut self, node: &NodeName) -> CommandOutcome {
-        match self.nodes.binary_search(node) {
-            Ok(position) => {
-                self.nodes.remove(position);
-                CommandOutcome::EntryForgotten { node: node.clone() }
-            }
-            Err(_) => CommandOutcome::EntryUnknown { node: node.clone() },
+        let node = node.clone();
+        match self.nodes.remove(&node) {
+            Some(_) => CommandOutcome::EntryForgotten { node },
+            None => CommandOutcome::EntryUnknown { node },
         }
     }
 }
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -63,7 +63,7 @@
             }
             ControlCommand::FormGroup(proposal) => self.groups.form(proposal),
             ControlCommand::DissolveGroup { group } => self.groups.dissolve(*group),
-            ControlCommand::RegisterEntry { node } => self.entries.register(node),
+            ControlCommand::RegisterEntry { node, terms } => self.entries.register(node, *terms),
             ControlCommand::ForgetEntry { node } => self.entries.forget(node),
             ControlCommand::ReplaceGroup { group, proposal } => {
                 self.groups.replace(*group, proposal)
--- a/crates/control/tests/rules_lease.rs
+++ b/crates/control/tests/rules_lease.rs
@@ -58,8 +58,8 @@
     }
 }
 
-fn names() -> Vec<NodeName> {
-    (0..ENTRIES).map(name).collect()
+fn registered(terms: LeaseTerms) -> Vec<(NodeName, LeaseTerms)> {
+    (0..ENTRIES).map(|entry| (name(entry), terms)).collect()
 }
 
 fn terms(hold: HoldPolicy) -> LeaseTerms {
@@ -77,7 +77,7 @@
             terms: terms(hold),
             committed: RevisionNumber(1),
             accepted: RevisionNumber(0),
-            book: LeaseBook::new(now, terms(hold), &names()),
+            book: LeaseBook::new(now, &registered(terms(hold))),
             entries,
             letters: Vec::new(),
             accepted_changes: 0,
@@ -105,7 +105,7 @@
             self.committed = self.committed.next();
         }
         if self.chance(200) {
-            self.book = LeaseBook::new(self.now, self.terms, &names());
+            self.book = LeaseBook::new(self.now, &registered(self.terms));
         }
         for entry in 0..ENTRIES {
             self.step_entry(entry);
@@ -143,8 +143,8 @@
             match letter {
                 Letter::Ask { entry, nonce, adopted } => {
                     self.book.adopted(&name(entry), adopted);
-                    assert!(self.book.grant(now, &name(entry)), "the entry is registered");
-                    let (revision, terms) = (self.committed, self.terms);
+                    let terms = self.book.grant(now, &name(entry)).expect("it is registered");
+                    let revision = self.committed;
                     self.post(Letter::Grant { entry, nonce, revision, terms });
                 }
                 Letter::Grant { entry, nonce, revision, terms } => {
@@ -201,7 +201,7 @@
     // until an operator vouches that it is gone.
     let policy = terms(HoldPolicy::UntilForgotten);
     let (now, much_later) = (TimePoint(0), TimePoint(3_600_000_000));
-    let mut book = LeaseBook::new(now, policy, &[name(0), name(1)]);
+    let mut book = LeaseBook::new(now, &[(name(0), policy), (name(1), policy)]);
     book.adopted(&name(0), RevisionNumber(2));
 
     let waiting = book.waiting_for(much_later, RevisionNumber(2));
@@ -260,7 +260,7 @@
     // The old leader granted a lease just before it was cut off. The new one has never heard from
     // the entry, which may still decide under the old rules.
     let elected = TimePoint(50_000_000);
-    let book = LeaseBook::new(elected, terms(HoldPolicy::BoundedMs(10_000)), &[name(0)]);
+    let book = LeaseBook::new(elected, &[(name(0), terms(HoldPolicy::BoundedMs(10_000)))]);
 
     let at_once = book.in_force(elected, RevisionNumber(2));
     let after_lease = book.in_force(elected.after(Duration::from_secs(10)), RevisionNumber(2));
--- a/crates/control/src/lease/terms.rs
+++ b/crates/model/src/lease.rs
@@ -1,4 +1,4 @@
-//! How long rules may be held without a confirmation.
+//! Terms of a rules lease: how long rules may be held without a confirmation.
 
 use std::time::Duration;
 
@@ -10,6 +10,12 @@
 /// leaves room for hosts whose clock is being corrected.
 const DRIFT_DIVISOR: u32 = 100;
 
+/// Time from an entry's request within which its rules count as confirmed.
+pub const LEASE_LENGTH: Duration = Duration::from_millis(3000);
+
+/// Longest time without a confirmation unless the settings say otherwise, in milliseconds.
+const DEFAULT_HOLD_MS: u64 = 10_000;
+
 /// What an entry does once its lease has run out without a renewal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -30,7 +36,23 @@
     pub hold: HoldPolicy,
 }
 
+impl Default for HoldPolicy {
+    fn default() -> Self {
+        Self::BoundedMs(DEFAULT_HOLD_MS)
+    }
+}
+
 impl LeaseTerms {
+    /// The terms with `hold` and the usual length.
+    pub fn with_hold(hold: HoldPolicy) -> Self {
+        Self { lease: LEASE_LENGTH, hold }
+    }
+
+    /// Time from its request for which the rules count as confirmed at the entry.
+    pub fn confirmed(&self) -> Duration {
+        self.lease - self.lease / DRIFT_DIVISOR
+    }
+
     /// Time from its request for which an entry may decide; `None` without a bound.
     pub fn usable(&self) -> Option<Duration> {
         self.longest().map(|longest| longest - longest / DRIFT_DIVISOR)
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 mod derives;
 
 pub mod codec;
+pub mod lease;
 pub mod message;
 pub mod names;
 pub mod rules;
--- a/crates/model/src/message/watch.rs
+++ b/crates/model/src/message/watch.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::lease::LeaseTerms;
 use crate::names::{
     DomainName, FencingNumber, GroupId, HostName, LeaseNonce, NodeName, ProviderName,
     RevisionNumber, RuleName, ServiceName, TeamName, ZoneName,
@@ -16,6 +17,10 @@
         pub nonce: LeaseNonce,
         /// Version of the snapshot the watcher has adopted; zero for none.
         pub adopted: u64,
+        /// Revision of the rules under which it decides; zero for none.
+        pub revision: RevisionNumber,
+        /// Whether the watcher has stopped and will decide nothing more.
+        pub leaving: bool,
         /// Number of this start of the watching process, random.
         pub incarnation: u64,
         /// Limits that the watcher applies.
@@ -57,8 +62,8 @@
     pub struct WatchReply {
         /// The request's nonce.
         pub nonce: LeaseNonce,
-        /// How long the rules may be held as confirmed, in milliseconds from sending.
-        pub lease_ms: u32,
+        /// How long the rules may be held, counted by the watcher from sending.
+        pub terms: LeaseTerms,
         /// A newer snapshot, when there is one.
         pub snapshot: Option<RoutingSnapshot>,
         /// Shares of the limits that were asked for.
--- a/crates/model/src/settings/types.rs
+++ b/crates/model/src/settings/types.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::lease::HoldPolicy;
 use crate::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
 
 /// Settings of one daemon process.
@@ -140,6 +141,9 @@
     /// Rule document adopted when the data folder is new.
     #[serde(default)]
     pub first_rules: Option<PathBuf>,
+    /// What entries that register from now on do when their rules cannot be confirmed.
+    #[serde(default)]
+    pub rules_hold: HoldPolicy,
 }
 
 /// Settings of the agent role.
--- a/crates/model/tests/decoders.rs
+++ b/crates/model/tests/decoders.rs
@@ -6,13 +6,16 @@
 use std::net::SocketAddr;
 
 use briartray_model::codec::{decode, encode};
+use briartray_model::lease::{HoldPolicy, LeaseTerms};
 use briartray_model::message::{
     AgentReply, AgentReport, CallTarget, ClaimKey, ControlDirective, DispatchOrder, EntryRequest,
     GroupAssignment, GroupMember, GroupRecord, HeaderField, LedgerAnswer, LedgerReply,
     LedgerRequest, LimitDemand, LimitGrant, LoadReport, MemberReply, MemberRequest, RefusalReason,
     RoutingSnapshot, TraceContext, WatchReply, WatchRequest,
 };
-use briartray_model::names::{AttemptId, FencingNumber, GroupId, LeaseNonce, RequestId};
+use briartray_model::names::{
+    AttemptId, FencingNumber, GroupId, LeaseNonce, RequestId, RevisionNumber,
+};
 use briartray_model::rules::RuleDocument;
 use briartray_model::settings;
 use proptest::collection::vec;
@@ -140,6 +143,8 @@
         node: "entry-1".into(),
         nonce: LeaseNonce(1),
         adopted: 2,
+        revision: RevisionNumber(1),
+        leaving: false,
         incarnation: 3,
         demands: vec![LimitDemand {
             rule: "office".into(),
@@ -153,7 +158,7 @@
     });
     feed(&WatchReply {
         nonce: LeaseNonce(1),
-        lease_ms: 3000,
+        terms: LeaseTerms::with_hold(HoldPolicy::UntilForgotten),
         snapshot: Some(snapshot()),
         shares: vec![LimitGrant {
             rule: "office".into(),
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -6,8 +6,10 @@
 use briartray_control::agreement::{
     AgreementCore, MemberRole, ProposalRefusal, ProposalToken, ReadToken, WriteBatch,
 };
+use briartray_control::lease::{HoldPolicy, LeaseTerms};
 use briartray_control::state::{CommandOutcome, ControlCommand, ControlState};
 use briartray_link::LinkWriter;
+use briartray_model::lease::LEASE_LENGTH;
 use briartray_model::message::{
     LeavingMark, LimitGrant, RoutingSnapshot, WatchReply, WatchRequest,
 };
@@ -21,6 +23,7 @@
 use super::accounting::FleetCounter;
 use super::fleet::FleetRoster;
 use super::input::{ControlInput, InspectKind};
+use super::leases::{LeaseDesk, RenewalStep};
 use super::limits::LimitRegistry;
 use super::origin::{InspectAnswer, ProposalOrigin, ReadOrigin};
 use super::peers::PeerLinks;
@@ -34,9 +37,6 @@
 /// Time between two rounds of planning.
 const TICK: Duration = Duration::from_millis(200);
 
-/// How long an entry may hold its rules as confirmed, in milliseconds from its request.
-const RULES_LEASE_MS: u32 = 3000;
-
 /// Inputs that share one step of the agreement, and so one sync, at most.
 const MAX_INPUTS_PER_STEP: usize = 1024;
 
@@ -67,6 +67,8 @@
     pub(super) groups: GroupMetrics,
     /// Rules to start with when nothing was ever accepted.
     pub(super) first_rules: Option<String>,
+    /// Terms for entries that register from now on.
+    pub(super) rules_hold: HoldPolicy,
 }
 
 /// State and soft knowledge of one control host.
@@ -78,6 +80,7 @@
     pub(super) planner: PlanDriver,
     pub(super) counter: FleetCounter,
     pub(super) stops: StopDriver,
+    pub(super) leases: LeaseDesk,
     pub(super) version: SnapshotVersion,
     limits: LimitRegistry,
     pub(super) leadership: Option<Leadership>,
@@ -97,6 +100,7 @@
             roster: FleetRoster::default(),
             planner: PlanDriver::default(),
             stops: StopDriver::default(),
+            leases: LeaseDesk::default(),
             version: SnapshotVersion::default(),
             limits: LimitRegistry::default(),
             leadership: None,
@@ -249,6 +253,7 @@
             return;
         }
         let now = self.now();
+        self.leases.settle(now);
         self.roster.prune(now, &self.state.groups);
         self.roster.direct(&self.state.groups);
         if self.roster.settle(now, &self.state.groups) {
@@ -297,11 +302,30 @@
         self.leadership.as_ref().is_some_and(|leadership| leadership.established)
     }
 
+    /// Answers a renewal after a majority confirmed, since it came, that this host leads.
     pub(super) fn answer_watch(&mut self, request: &WatchRequest, writer: &LinkWriter) {
+        let now = self.now();
+        let node = request.node.clone();
+        match self.leases.renew(now, request) {
+            RenewalStep::Grant(terms) => self.grant_lease(request, writer, terms),
+            RenewalStep::Register => {
+                let terms = LeaseTerms::with_hold(self.parts.rules_hold);
+                let origin = ProposalOrigin::Entry(request.clone(), writer.clone());
+                self.submit(&ControlCommand::RegisterEntry { node, terms }, origin);
+            }
+            RenewalStep::Release => {
+                self.submit(&ControlCommand::ForgetEntry { node }, ProposalOrigin::Nobody);
+            }
+            RenewalStep::Ignore => {}
+        }
+        self.leases.settle(now);
+    }
+
+    fn grant_lease(&mut self, request: &WatchRequest, writer: &LinkWriter, terms: LeaseTerms) {
         let newer = request.adopted != self.version.number();
         let reply = WatchReply {
             nonce: request.nonce,
-            lease_ms: RULES_LEASE_MS,
+            terms,
             snapshot: newer.then(|| self.snapshot()),
             shares: self.share_limits(request),
         };
@@ -312,9 +336,8 @@
     /// Shares of the limits that the renewal asks for; only a confirmed leader gets here.
     fn share_limits(&mut self, request: &WatchRequest) -> Vec<LimitGrant> {
         let now = self.now();
-        let lease = Duration::from_millis(u64::from(RULES_LEASE_MS));
         let Some(leadership) = &self.leadership else { return Vec::new() };
-        self.limits.renew(now, leadership, lease, &self.book, request)
+        self.limits.renew(now, leadership, LEASE_LENGTH, &self.book, request)
     }
 
     fn snapshot(&self) -> RoutingSnapshot {
@@ -355,6 +378,7 @@
             }
             InspectKind::Groups => json!(self.roster.records(&self.state.groups)),
             InspectKind::Account => self.counter.show(&self.book),
+            InspectKind::Entries => self.leases.show(self.now()),
             InspectKind::Rules => json!({ "revision": rules.revision.0, "text": rules.text }),
         }
     }
--- a/crates/node/src/control/input.rs
+++ b/crates/node/src/control/input.rs
@@ -66,4 +66,6 @@
     Rules,
     /// Every planned stop.
     Stops,
+    /// Every entry that may hold a rules lease.
+    Entries,
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod disk;
 mod fleet;
 mod input;
+mod leases;
 mod limits;
 mod operator;
 mod origin;
@@ -113,6 +114,7 @@
             metrics: agreement_metrics,
             groups: group_metrics,
             first_rules,
+            rules_hold: role.rules_hold,
         };
         spawn_worker("control", CONTROL_STACK_BYTES, move || ControlCore::new(parts).run(&queue))?;
         Ok(Self { link, operator, inputs, shared })
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -78,6 +78,12 @@
     keep: u64,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EntryCall {
+    node: String,
+}
+
 /// Starts the operators' port.
 pub(super) fn listen(
     role: &ControlSettings,
@@ -121,6 +127,14 @@
         (Method::Get, "/v1/groups/account") => inspect(inputs, InspectKind::Account),
         (Method::Get, "/v1/rules") => inspect(inputs, InspectKind::Rules),
         (Method::Post, "/v1/rules") => apply_rules(request, inputs),
+        (Method::Get, "/v1/entries") => inspect(inputs, InspectKind::Entries),
+        (Method::Post, "/v1/entries/forget") => match read_call::<EntryCall>(request) {
+            Ok(call) => {
+                let node = NodeName::new(&call.node);
+                propose(inputs, Ok(ControlCommand::ForgetEntry { node }))
+            }
+            Err(detail) => problem(400, "bad_request", &detail),
+        },
         (Method::Get, "/v1/stops") => inspect(inputs, InspectKind::Stops),
         (Method::Post, "/v1/stops") => match read_call::<StopCall>(request) {
             Ok(call) => propose(inputs, call.into_command()),
@@ -176,6 +190,7 @@
     }
     match answer.recv_timeout(ANSWER_WAIT) {
         Ok(ProposalAnswer::Done(outcome)) => describe(&outcome),
+        Ok(ProposalAnswer::Committed { revision, waiting_for }) => pending(revision, &waiting_for),
         Ok(ProposalAnswer::Refused(refusal)) => refuse(&refusal),
         Ok(ProposalAnswer::Unknown) | Err(_) => no_answer(),
     }
@@ -206,6 +221,12 @@
         CommandOutcome::ChangeReused { .. } => {
             problem(409, "change_reused", "use a new change id for another document")
         }
+        CommandOutcome::EntryForgotten { node } => {
+            JsonReply::new(200, json!({ "outcome": "forgotten", "node": node }))
+        }
+        CommandOutcome::EntryUnknown { .. } => {
+            problem(404, "entry_unknown", "there is no such entry; list the entries")
+        }
         CommandOutcome::StopPlanned { stop } => {
             JsonReply::new(200, json!({ "outcome": "planned", "stop": stop.0 }))
         }
@@ -230,6 +251,20 @@
     }
 }
 
+/// The change is committed and will not be taken back; some entries may not have it yet.
+fn pending(revision: RevisionNumber, waiting_for: &[NodeName]) -> JsonReply {
+    let message = "the change is committed, and the entries in waiting_for may still decide under \
+                   older rules; send the same change id again to wait on, or strike off entries \
+                   that you know to be gone";
+    let body = json!({
+        "outcome": "committed",
+        "revision": revision.0,
+        "waiting_for": waiting_for,
+        "message": message,
+    });
+    JsonReply::new(202, body)
+}
+
 fn refuse(refusal: &ProposalRefusal) -> JsonReply {
     let message = refusal.to_string();
     match refusal {
--- a/crates/node/src/control/origin.rs
+++ b/crates/node/src/control/origin.rs
@@ -4,7 +4,7 @@
 use briartray_control::state::CommandOutcome;
 use briartray_link::LinkWriter;
 use briartray_model::message::{LedgerReply, WatchRequest};
-use briartray_model::names::NodeName;
+use briartray_model::names::{NodeName, RevisionNumber};
 use crossbeam::channel::Sender;
 use serde_json::Value;
 
@@ -21,6 +21,10 @@
     Operator(Sender<ProposalAnswer>),
     /// An entry that asked the ledger.
     Ledger(LedgerPort),
+    /// An entry that is registered before its renewal is answered.
+    Entry(WatchRequest, LinkWriter),
+    /// Nobody; the command follows from what an entry said.
+    Nobody,
 }
 
 /// Who waits for a majority to confirm that this host leads.
@@ -37,6 +41,8 @@
 pub(super) enum ProposalAnswer {
     /// It was committed and applied.
     Done(CommandOutcome),
+    /// It was committed, and some entries may still decide under older rules.
+    Committed { revision: RevisionNumber, waiting_for: Vec<NodeName> },
     /// Nothing of it was kept.
     Refused(ProposalRefusal),
     /// Leadership ended before it was committed; another leader may still commit it.
@@ -58,6 +64,8 @@
         match self {
             Self::Planner => log::info!("plan: {outcome:?}"),
             Self::FirstRules => log::info!("first rules: {outcome:?}"),
+            // The core answers the renewal itself; see `apply_command`.
+            Self::Entry(..) | Self::Nobody => {}
             Self::Operator(reply) => {
                 let _ = reply.send(ProposalAnswer::Done(outcome));
             }
@@ -84,7 +92,7 @@
     /// Tells that leadership ended before the command was committed.
     pub(super) fn unknown(self) {
         match self {
-            Self::Planner | Self::FirstRules => {}
+            Self::Planner | Self::FirstRules | Self::Entry(..) | Self::Nobody => {}
             Self::Operator(reply) => {
                 let _ = reply.send(ProposalAnswer::Unknown);
             }
--- a/crates/node/src/control/replication.rs
+++ b/crates/node/src/control/replication.rs
@@ -3,7 +3,7 @@
 use briartray_control::agreement::{
     CommittedEntry, EntryPayload, LogDelivery, LogSnapshot, MemberRole,
 };
-use briartray_control::state::{ControlCommand, ControlState};
+use briartray_control::state::{CommandOutcome, ControlCommand, ControlState};
 use briartray_model::codec;
 use briartray_model::names::RevisionNumber;
 
@@ -71,6 +71,7 @@
         self.roster = FleetRoster::default();
         self.planner = PlanDriver::default();
         self.stops = StopDriver::default();
+        self.leases.end();
         self.leadership = None;
         if leads {
             let since = self.now();
@@ -106,8 +107,27 @@
         };
         let outcome = self.state.apply(&command);
         self.follow_up(&outcome);
-        if let Some(origin) = origin {
-            origin.done(outcome);
+        let terms = match &command {
+            ControlCommand::RegisterEntry { terms, .. } => Some(*terms),
+            _ => None,
+        };
+        self.leases.follow(&outcome, terms);
+        match (origin, &outcome) {
+            (Some(ProposalOrigin::Operator(reply)), CommandOutcome::RulesAccepted { revision }) => {
+                // Committed is not enough: entries may still decide under older rules.
+                let now = self.now();
+                self.leases.wait(now, *revision, reply);
+                self.leases.settle(now);
+            }
+            (
+                Some(ProposalOrigin::Entry(request, writer)),
+                CommandOutcome::EntryRegistered { .. },
+            ) => self.answer_watch(&request, &writer),
+            (Some(ProposalOrigin::Entry(request, _)), refused) => {
+                log::error!(entry = request.node.as_str(); "an entry gets no lease: {refused:?}");
+            }
+            (Some(origin), _) => origin.done(outcome),
+            (None, _) => {}
         }
     }
 
@@ -115,6 +135,8 @@
     fn establish(&mut self) {
         let Some(leadership) = &mut self.leadership else { return };
         leadership.established = true;
+        let now = self.parts.clock.now();
+        self.leases.begin(now, &self.state.entries.registered());
         self.version.bump();
         self.roster.expect_groups(&self.state.groups);
         let unset = self.state.rules.current().revision == RevisionNumber::default();
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -4,7 +4,7 @@
 
 use briartray_model::message::{CallTarget, HeaderField, TraceContext};
 use briartray_model::names::{RequestId, RuleName, TeamName};
-use briartray_model::rules::{DecisionFacts, ServiceKind};
+use briartray_model::rules::ServiceKind;
 use briartray_routing::choice::PrefixDigest;
 use briartray_web::{BodyError, JsonReply, header_value, read_body, reply_json, reply_text};
 use serde::Deserialize;
@@ -13,6 +13,7 @@
 use tiny_http::{Method, Request};
 
 use super::call::CallPlan;
+use super::decide::{CallDecision, CallFacts};
 use super::once::{self, check_key};
 use super::output::CallerOutput;
 use super::refusal::{CallRefusal, RefusalCode};
@@ -103,7 +104,6 @@
     match plan_call(&mut request, path, id, shared, &view, span.context()) {
         Ok(plan) => once::run(
             shared,
-            &view,
             &plan,
             CallerOutput::new(id, request).timed(&shared.load_metrics, shared.clock),
         ),
@@ -129,8 +129,7 @@
         return Err(CallRefusal::not_run(RefusalCode::Stopping, message));
     }
     if !shared.rules_hold(view) {
-        let message = "this entry cannot confirm its rules; try again in a second";
-        return Err(CallRefusal::not_run(RefusalCode::RulesUnconfirmed, message));
+        return Err(CallRefusal::rules_unconfirmed());
     }
     let team = caller_team(request, view)?;
     let body = read_body(request, shared.settings.max_body_bytes).map_err(refuse_body)?;
@@ -156,35 +155,26 @@
             (declared.name.clone(), Some(head.model), head.stream, prefix, path.to_owned())
         }
     };
-    let facts = DecisionFacts {
-        team: Some(team.as_str()),
-        service: Some(service.as_str()),
-        model: model.as_deref(),
-        path: Some(path),
-        zone: Some(shared.zone.as_str()),
-        stream: Some(stream),
-        keyed: Some(header_value(request, "idempotency-key").is_some()),
-        provider: None,
+    let facts = CallFacts {
+        team: team.clone(),
+        service: service.clone(),
+        model: model.clone(),
+        path: path.to_owned(),
+        zone: shared.zone.clone(),
+        stream,
+        keyed: header_value(request, "idempotency-key").is_some(),
     };
-    let (rule, mut admit) = view.book.admit(&facts);
-    shared.load_metrics.decided(rule.map(RuleName::as_str));
-    if !admit.allow {
-        let by = rule.map_or("the default", |name| name.as_str());
-        let message = format!("rule {by:?} does not allow this request; ask your operator");
-        return Err(CallRefusal::not_run(RefusalCode::Forbidden, &message));
-    }
+    let CallDecision { rule, mut admit, retry, route } = facts.decide(&view.book)?;
+    shared.load_metrics.decided(rule.as_ref().map(RuleName::as_str));
     let wanted = header_value(request, DEADLINE_HEADER).and_then(|text| text.parse().ok());
     admit.deadline_ms = wanted.map_or(admit.deadline_ms, |wanted| admit.deadline_ms.min(wanted));
-    let (_, retry) = view.book.retry(&facts);
-    let (_, route) = view.book.route(&facts);
-    let rule = rule.cloned();
     let key = check_key(header_value(request, "idempotency-key"), admit.idempotency_key)?;
     let harmless = model.is_some() || READING_METHODS.contains(&request.method().as_str());
     let repeatable = key.is_none() && retry.repeatable.unwrap_or(harmless);
     Ok(CallPlan {
         id,
-        service: service.clone(),
-        team: team.clone(),
+        service,
+        team,
         trace,
         arrived,
         target: target_of(request, target_path),
@@ -197,6 +187,8 @@
         retry,
         route,
         key,
+        facts,
+        revision: view.book.revision(),
     })
 }
 
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -1,12 +1,13 @@
 //! Running one admitted request: choose a replica, try it, and try another where that is safe.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use briartray_model::TimePoint;
 use briartray_model::message::{
     CallOutcome, CallTarget, GroupRecord, LoadReport, RefusalReason, TraceContext,
 };
-use briartray_model::names::{GroupId, RequestId, RuleName, ServiceName, TeamName};
+use briartray_model::names::{GroupId, RequestId, RevisionNumber, RuleName, ServiceName, TeamName};
 use briartray_model::rules::{AdmitAction, RetryAction, RouteAction};
 use briartray_routing::admission::{AdmissionRefusal, AdmissionRequest, LimitKey, RefusalCause};
 use briartray_routing::choice::{AttemptResult, ChoiceOutcome, ChoiceRequest, PrefixDigest};
@@ -15,6 +16,7 @@
 };
 
 use super::attempt::{AttemptEnd, run_attempt};
+use super::decide::{CallDecision, CallFacts};
 use super::gate::SlotPermit;
 use super::output::CallerOutput;
 use super::refusal::{CallRefusal, RefusalCode};
@@ -43,6 +45,10 @@
     /// The caller's `Idempotency-Key`, if any.
     pub(super) key: Option<String>,
     pub(super) route: RouteAction,
+    /// The facts that the rules decided on.
+    pub(super) facts: CallFacts,
+    /// Revision of those rules.
+    pub(super) revision: RevisionNumber,
 }
 
 /// Longest time added at random to what a refused caller is told, in percent: callers refused at
@@ -61,12 +67,7 @@
 }
 
 /// Runs `plan` and answers the caller.
-pub(super) fn run_call(
-    shared: &EntryShared,
-    view: &EntryView,
-    plan: &CallPlan,
-    output: CallerOutput,
-) {
+pub(super) fn run_call(shared: &EntryShared, plan: &CallPlan, output: CallerOutput) {
     let arrived = shared.clock.now();
     let deadline = arrived.after(Duration::from_millis(plan.admit.deadline_ms.into()));
     let is_limited = plan.admit.concurrency > 0 || plan.admit.rate > 0.0;
@@ -86,20 +87,34 @@
         Err(refusal) => return end_call(shared, output, &refuse_entry(&refusal)),
     };
     shared.with_budget(&plan.service, |budget| budget.deposit(plan.retry.budget_percent));
-    CallRun { shared, view, plan, request, deadline }.run(permit, output);
+    let run = CallRun {
+        shared,
+        view: shared.view(),
+        plan,
+        revision: plan.revision,
+        retry: plan.retry.clone(),
+        route: plan.route.clone(),
+        request,
+        deadline,
+    };
+    run.run(permit, output);
 }
 
 /// One request that holds a slot.
 struct CallRun<'a> {
     shared: &'a EntryShared,
-    view: &'a EntryView,
+    view: Arc<EntryView>,
     plan: &'a CallPlan,
+    /// Revision under which `retry` and `route` were decided.
+    revision: RevisionNumber,
+    retry: RetryAction,
+    route: RouteAction,
     request: AdmissionRequest<'a>,
     deadline: TimePoint,
 }
 
 impl<'a> CallRun<'a> {
-    fn run(&self, mut permit: SlotPermit<'a>, mut output: CallerOutput) {
+    fn run(mut self, mut permit: SlotPermit<'a>, mut output: CallerOutput) {
         let mut excluded: Vec<GroupId> = Vec::new();
         let mut history = AttemptHistory {
             attempts: 0,
@@ -108,6 +123,9 @@
             seen: false,
         };
         loop {
+            if let Err(end) = self.renew_decision() {
+                return self.end(permit, output, end);
+            }
             let record = match self.choose(&excluded) {
                 ChoiceOutcome::Chosen(record) => record,
                 ChoiceOutcome::Absent if history.bounces == 0 => {
@@ -125,7 +143,7 @@
                 }
             };
             let (end, back) =
-                run_attempt(self.shared, self.view, self.plan, &record, self.deadline, output);
+                run_attempt(self.shared, &self.view, self.plan, &record, self.deadline, output);
             let (effect, refusal) = match self.settle(&record, end) {
                 None => {
                     permit.finish(true);
@@ -161,10 +179,30 @@
         }
     }
 
+    /// Decides again when the rules have changed since.
+    ///
+    /// A request may wait in the queue for longer than a change takes to be accepted. Sent on
+    /// under the rules of its arrival it would break the promise that these no longer count.
+    fn renew_decision(&mut self) -> Result<(), CallEnd> {
+        let view = self.shared.view();
+        if !self.shared.rules_hold(&view) {
+            return Err(CallEnd::Later(CallRefusal::rules_unconfirmed(), NOT_RUN_WAIT));
+        }
+        if view.book.revision() != self.revision {
+            let decision = self.plan.facts.decide(&view.book).map_err(CallEnd::Failed)?;
+            let CallDecision { retry, route, .. } = decision;
+            self.retry = retry;
+            self.route = route;
+            self.revision = view.book.revision();
+        }
+        self.view = view;
+        Ok(())
+    }
+
     fn choose(&self, excluded: &[GroupId]) -> ChoiceOutcome {
         let request = ChoiceRequest {
             service: self.plan.service.as_str(),
-            route: &self.plan.route,
+            route: &self.route,
             prefix: self.plan.prefix,
             excluded,
         };
@@ -217,7 +255,7 @@
 
     fn decide(&self, effect: AttemptEffect, history: &AttemptHistory) -> RetryDecision {
         let now = self.shared.clock.now();
-        let retry = &self.plan.retry;
+        let retry = &self.retry;
         let decision = self.shared.with_budget(&self.plan.service, |budget| {
             decide_retry(now, self.deadline, effect, history, retry, budget, &mut rand::rng())
         });
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod call;
 mod claims;
+mod decide;
 mod gate;
 mod once;
 mod output;
@@ -18,6 +19,7 @@
 use briartray_link::{ClientSettings, LinkClient};
 use briartray_model::settings::{DaemonSettings, EntrySettings};
 use briartray_web::HttpListener;
+use crossbeam::channel::Receiver;
 
 pub use refusal::{CallRefusal, RefusalCode};
 
@@ -33,10 +35,14 @@
 /// Time between two looks at the requests that are left.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
+/// How long a stopping entry may take to give its lease back.
+const GOODBYE_WAIT: Duration = Duration::from_millis(1500);
+
 /// A running entry role.
 pub struct EntryNode {
     listener: HttpListener,
     shared: Arc<EntryShared>,
+    watch_end: Receiver<()>,
 }
 
 impl EntryNode {
@@ -60,11 +66,11 @@
         let peers: Vec<_> = settings.cluster.control.iter().map(|peer| peer.link).collect();
         let claims = ClaimClient::start(link.clone(), peers.clone())?;
         let shared = Arc::new(EntryShared::new(settings, role, link, claims, metrics, traces)?);
-        watch::start(Arc::clone(&shared), peers)?;
+        let watch_end = watch::start(Arc::clone(&shared), peers)?;
         let calls = Arc::clone(&shared);
         let handler = Arc::new(move |request| api::handle(request, &calls));
         let listener = HttpListener::start(role.listen, role.max_open_requests, handler)?;
-        Ok(Self { listener, shared })
+        Ok(Self { listener, shared, watch_end })
     }
 
     /// Where callers connect.
@@ -104,6 +110,9 @@
     /// Takes no more requests; those that run go on.
     pub fn stop(&self) {
         self.shared.stop();
+        self.shared.finish();
+        // The watch gives the lease back; without that, changes would wait for it to run out.
+        let _ = self.watch_end.recv_timeout(GOODBYE_WAIT);
         self.listener.stop();
     }
 }
--- a/crates/node/src/entry/once.rs
+++ b/crates/node/src/entry/once.rs
@@ -19,7 +19,7 @@
 use super::claims::ClaimClient;
 use super::output::{CallerOutput, OnceEnd};
 use super::refusal::{CallRefusal, RefusalCode};
-use super::shared::{EntryShared, EntryView};
+use super::shared::EntryShared;
 use crate::new_attempt;
 
 /// How long a claim may take before the request is refused.
@@ -51,13 +51,8 @@
 }
 
 /// Runs `plan`, once for each key.
-pub(super) fn run(
-    shared: &Arc<EntryShared>,
-    view: &EntryView,
-    plan: &CallPlan,
-    mut output: CallerOutput,
-) {
-    let Some(key) = &plan.key else { return run_call(shared, view, plan, output) };
+pub(super) fn run(shared: &Arc<EntryShared>, plan: &CallPlan, mut output: CallerOutput) {
+    let Some(key) = &plan.key else { return run_call(shared, plan, output) };
     let claim = CallClaim {
         claims: shared.claims.clone(),
         key: ClaimKey { team: plan.team.clone(), key: key.clone() },
@@ -67,7 +62,7 @@
     match claim.take(digest) {
         LedgerReply::Claimed => {
             output.record(Box::new(move |end| claim.settle(end)));
-            run_call(shared, view, plan, output);
+            run_call(shared, plan, output);
         }
         LedgerReply::Answered(answer) => {
             shared.metrics.ended("replayed");
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -125,6 +125,12 @@
         Self { code, message: message.to_owned(), outcome: CallOutcome::NotRun }
     }
 
+    /// A refusal because the entry's rules are not confirmed.
+    pub fn rules_unconfirmed() -> Self {
+        let message = "this entry cannot confirm its rules; try again in a second";
+        Self::not_run(RefusalCode::RulesUnconfirmed, message)
+    }
+
     /// A failure whose effect is not known.
     pub fn unknown(code: RefusalCode, message: &str) -> Self {
         Self { code, message: message.to_owned(), outcome: CallOutcome::Unknown }
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -5,12 +5,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use briartray_control::lease::{HolderState, RulesWindow};
 use briartray_link::LinkClient;
+use briartray_model::SortedTable;
 use briartray_model::message::RoutingSnapshot;
 use briartray_model::names::{NodeName, ServiceName, ZoneName};
 use briartray_model::rules::RuleBook;
 use briartray_model::settings::{DaemonSettings, EntrySettings, UnconfirmedPolicy};
-use briartray_model::{SortedTable, TimePoint};
 use briartray_routing::choice::ReplicaTable;
 use briartray_routing::retry::RetryBudget;
 
@@ -29,8 +30,8 @@
 pub(super) struct EntryView {
     pub(super) snapshot: Arc<RoutingSnapshot>,
     pub(super) book: Arc<RuleBook>,
-    /// Until when the rules are confirmed; `None` before the first confirmation.
-    pub(super) confirmed_until: Option<TimePoint>,
+    /// Until when the rules may be used; `None` before the first confirmation.
+    pub(super) window: Option<RulesWindow>,
 }
 
 /// State shared between the threads of one entry.
@@ -55,6 +56,7 @@
     /// Whether the balancer is told to send nothing more.
     stop_announced: AtomicBool,
     stopped: AtomicBool,
+    finished: AtomicBool,
 }
 
 impl EntryShared {
@@ -89,6 +91,7 @@
             budgets: Mutex::new(SortedTable::new()),
             stop_announced: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
+            finished: AtomicBool::new(false),
         })
     }
 
@@ -107,7 +110,8 @@
             self.gate.set_capacities(&capacities);
         }
         self.process.rules_revision.set(gauge_value(view.snapshot.revision.0));
-        let left = view.confirmed_until.map(|until| until.since(self.clock.now()).as_millis());
+        let now = self.clock.now();
+        let left = view.window.map(|window| window.confirmed_until.since(now).as_millis());
         self.process.rules_lease_ms.set(gauge_value(left.unwrap_or(0)));
         self.process.spans_dropped.set(gauge_value(self.traces.dropped()));
         self.view.store(Arc::new(view));
@@ -135,15 +139,24 @@
         self.stopped.store(true, Ordering::SeqCst);
     }
 
+    /// Nothing more is decided from now on; the lease is given back.
+    pub(super) fn finish(&self) {
+        self.finished.store(true, Ordering::SeqCst);
+    }
+
+    pub(super) fn is_finished(&self) -> bool {
+        self.finished.load(Ordering::SeqCst)
+    }
+
     pub(super) fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::SeqCst)
     }
 
     /// Whether decisions may be made on `view` now.
     pub(super) fn rules_hold(&self, view: &EntryView) -> bool {
-        let Some(until) = view.confirmed_until else { return false };
-        let confirmed = self.clock.now() < until;
-        confirmed || self.settings.when_rules_unconfirmed == UnconfirmedPolicy::Serve
+        let Some(window) = view.window else { return false };
+        window.state(self.clock.now()) != HolderState::Lapsed
+            || self.settings.when_rules_unconfirmed == UnconfirmedPolicy::Serve
     }
 
     pub(super) fn is_ready(&self) -> bool {
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use briartray_control::lease::RulesHolder;
 use briartray_link::{CallKind, LinkError, LinkReader, LinkWriter};
 use briartray_model::message::{WatchReply, WatchRequest};
 use briartray_model::names::LeaseNonce;
 use briartray_model::rules::RuleBook;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
+use crossbeam::channel::{Receiver, bounded};
 
 use super::shared::{EntryShared, EntryView};
 
@@ -18,64 +20,75 @@
 /// How long one answer is waited for before another control host is asked.
 const ANSWER_WAIT: Duration = Duration::from_millis(1000);
 
-/// Part of a lease that is not used, against clocks that run at different speeds.
-const DRIFT_MARGIN: Duration = Duration::from_millis(100);
-
-/// Starts the thread that watches control.
-pub(super) fn start(shared: Arc<EntryShared>, peers: Vec<SocketAddr>) -> std::io::Result<()> {
+/// Starts the thread that watches control; the receiver ends once the thread has.
+pub(super) fn start(
+    shared: Arc<EntryShared>,
+    peers: Vec<SocketAddr>,
+) -> std::io::Result<Receiver<()>> {
+    let (ended, end) = bounded(1);
     let run = move || {
-        let mut nonce = LeaseNonce::default();
+        let mut holder = RulesHolder::new(LeaseNonce(u64::from(rand::random::<u32>())));
         for peer in peers.iter().cycle() {
-            if shared.is_stopped() {
-                return;
+            if shared.is_finished() {
+                break;
             }
             let stream = shared.link.open(*peer, CallKind::Watch);
-            if let Err(error) = renew_all(&shared, &stream, &mut nonce) {
+            if let Err(error) = renew_all(&shared, &stream, &mut holder) {
                 log::info!("watch of control at {peer} ended: {error}");
             }
             std::thread::sleep(RENEW_INTERVAL);
         }
+        drop(ended);
     };
-    spawn_worker("watch", 2 * WORKER_STACK_BYTES, run).map(drop)
+    spawn_worker("watch", 2 * WORKER_STACK_BYTES, run)?;
+    Ok(end)
 }
 
-/// Renews on one stream until it fails.
+/// Renews on one stream until it fails or the entry has finished; then says goodbye, so that
+/// changes need not wait for the lease to run out.
 fn renew_all(
     shared: &EntryShared,
     stream: &(LinkWriter, LinkReader),
-    nonce: &mut LeaseNonce,
+    holder: &mut RulesHolder,
 ) -> Result<(), LinkError> {
     let (writer, reader) = stream;
-    while !shared.is_stopped() {
-        *nonce = nonce.next();
+    while !shared.is_finished() {
         let sent = shared.clock.now();
-        let adopted = shared.view().snapshot.version;
-        writer.send(&WatchRequest {
-            node: shared.node.clone(),
-            nonce: *nonce,
-            adopted,
-            incarnation: shared.incarnation,
-            demands: shared.gate.demands(),
-        })?;
+        let nonce = holder.ask(sent);
+        writer.send(&renewal(shared, nonce, false))?;
         let reply: WatchReply = reader.receive(ANSWER_WAIT)?;
-        if reply.nonce != *nonce {
+        if !holder.granted(reply.nonce, reply.terms) {
             continue;
         }
-        let lease = Duration::from_millis(u64::from(reply.lease_ms)).saturating_sub(DRIFT_MARGIN);
-        shared.gate.grant(&reply.shares, sent.after(lease));
-        adopt(shared, reply, sent.after(lease));
+        shared.gate.grant(&reply.shares, sent.after(reply.terms.confirmed()));
+        adopt(shared, reply, holder);
         std::thread::sleep(RENEW_INTERVAL);
     }
-    Ok(())
+    let nonce = holder.ask(shared.clock.now());
+    writer.send(&renewal(shared, nonce, true))
+}
+
+fn renewal(shared: &EntryShared, nonce: LeaseNonce, leaving: bool) -> WatchRequest {
+    let view = shared.view();
+    WatchRequest {
+        node: shared.node.clone(),
+        nonce,
+        adopted: view.snapshot.version,
+        revision: view.book.revision(),
+        leaving,
+        incarnation: shared.incarnation,
+        demands: shared.gate.demands(),
+    }
 }
 
-fn adopt(shared: &EntryShared, reply: WatchReply, until: briartray_model::TimePoint) {
+fn adopt(shared: &EntryShared, reply: WatchReply, holder: &RulesHolder) {
     let before = shared.view();
+    let window = holder.window();
     let Some(mut snapshot) = reply.snapshot else {
         shared.adopt(EntryView {
             snapshot: Arc::clone(&before.snapshot),
             book: Arc::clone(&before.book),
-            confirmed_until: Some(until),
+            window,
         });
         return;
     };
@@ -83,11 +96,7 @@
     match RuleBook::build(snapshot.revision, &snapshot.rules) {
         Ok(book) => {
             log::debug!(version = snapshot.version; "snapshot adopted");
-            shared.adopt(EntryView {
-                snapshot: Arc::new(snapshot),
-                book: Arc::new(book),
-                confirmed_until: Some(until),
-            });
+            shared.adopt(EntryView { snapshot: Arc::new(snapshot), book: Arc::new(book), window });
         }
         Err(error) => log::error!("rules from control do not load: {error}"),
     }
