--- a/crates/cli/src/cmd/help.rs
+++ b/crates/cli/src/cmd/help.rs
@@ -6,7 +6,7 @@
 
 /// What every subcommand's exit code means.
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 refused or failed, 2 wrong usage or input that \
-                          cannot be used";
+                          cannot be used, 3 committed but not in force everywhere yet";
 
 /// Prints the help of the innermost subcommand that was named.
 pub(super) fn print_help(line: &CommandLine) {
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -1,9 +1,11 @@
 //! One module per subcommand.
 //!
-//! Exit codes: 0 done, 1 refused or failed, 2 wrong usage or input that cannot be used.
+//! Exit codes: 0 done, 1 refused or failed, 2 wrong usage or input that cannot be used,
+//! 3 committed but not yet in force everywhere.
 
 mod check;
 mod demo;
+mod entries;
 mod groups;
 mod help;
 mod load;
@@ -41,6 +43,8 @@
     Status(status::StatusOptions),
     #[options(help = "show every group")]
     Groups(groups::GroupsOptions),
+    #[options(help = "list entries and their rules, or strike off one that is gone")]
+    Entries(entries::EntriesOptions),
     #[options(help = "replay host events through the planner")]
     Replay(replay::ReplayOptions),
     #[options(help = "run a stand-in engine, service or weight store")]
@@ -56,6 +60,9 @@
 /// Exit code for wrong usage or input that cannot be used.
 pub const EXIT_USAGE: u8 = 2;
 
+/// Exit code for a change that is committed and not yet in force everywhere.
+const EXIT_PENDING: u8 = 3;
+
 /// Why a subcommand failed.
 #[derive(Debug, Snafu)]
 pub(crate) enum CommandError {
@@ -65,6 +72,9 @@
     /// The input cannot be used.
     #[snafu(display("{message}"))]
     Unusable { message: String },
+    /// It is done, and not yet in force everywhere.
+    #[snafu(display("{message}"))]
+    Pending { message: String },
 }
 
 impl CommandError {
@@ -72,6 +82,10 @@
         Self::Refused { message: message.to_string() }
     }
 
+    pub(crate) fn pending(message: impl ToString) -> Self {
+        Self::Pending { message: message.to_string() }
+    }
+
     pub(crate) fn unusable(message: impl ToString) -> Self {
         Self::Unusable { message: message.to_string() }
     }
@@ -115,6 +129,7 @@
         Subcommand::Rules(options) => rules::run(options),
         Subcommand::Status(options) => status::run(options),
         Subcommand::Groups(options) => groups::run(options),
+        Subcommand::Entries(options) => entries::run(options),
         Subcommand::Replay(options) => replay::run(options),
         Subcommand::StandIn(options) => stand_in::run(options),
         Subcommand::Stop(options) => stop::run(options),
@@ -128,6 +143,7 @@
             ExitCode::from(match error {
                 CommandError::Refused { .. } => 1,
                 CommandError::Unusable { .. } => EXIT_USAGE,
+                CommandError::Pending { .. } => EXIT_PENDING,
             })
         }
     }
