--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -105,7 +105,7 @@
             shared,
             &view,
             &plan,
-            CallerOutput::new(id, request).timed(&shared.load_metrics, shared.clock),
+            CallerOutput::new(id, request).timed(&shared.load_metrics, shared.clock, plan.arrived),
         ),
         Err(refusal) => {
             span.fail(refusal.code.as_str());
--- a/crates/node/src/entry/output.rs
+++ b/crates/node/src/entry/output.rs
@@ -108,9 +108,14 @@
         }
     }
 
-    /// Times the events of a stream from now on.
-    pub(super) fn timed(mut self, metrics: &AdmissionMetrics, clock: ClockReader) -> Self {
-        let last = clock.now();
+    /// Times the events of a stream, the first one from `arrived` on.
+    pub(super) fn timed(
+        mut self,
+        metrics: &AdmissionMetrics,
+        clock: ClockReader,
+        arrived: TimePoint,
+    ) -> Self {
+        let last = arrived;
         self.timer = Some(EventTimer { metrics: metrics.clone(), clock, last, begun: false });
         self
     }
