Bring two entries against one limit on real processes

Cause: that a limit holds over entries was shown by the pure decision only. Change: a test calls through two entries at once and watches the engine; trials take a rule document of their own.

--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -59,6 +59,7 @@
     engine_faults: Vec<String>,
     service_faults: Vec<String>,
     service_work_ms: u64,
+    rules: String,
 }
 
 impl TrialPlan {
@@ -73,9 +74,17 @@
             engine_faults: Vec::new(),
             service_faults: Vec::new(),
             service_work_ms: 2,
+            rules: TRIAL_RULES.to_owned(),
         }
     }
 
+    /// Sets the rule document.
+    #[must_use]
+    pub fn rules(mut self, rules: &str) -> Self {
+        rules.clone_into(&mut self.rules);
+        self
+    }
+
     /// Sets how many control hosts there are.
     #[must_use]
     pub fn controls(mut self, count: usize) -> Self {
@@ -159,7 +168,7 @@
     pub fn start(plan: &TrialPlan) -> Result<Self, TrialError> {
         let folder = tempfile::Builder::new().prefix("briartray-trial-").tempdir()?;
         let rules = folder.path().join("rules.yaml");
-        std::fs::write(&rules, TRIAL_RULES)?;
+        std::fs::write(&rules, &plan.rules)?;
         let mut peers = Vec::new();
         for number in 0..plan.controls {
             let node = NodeName::new(&format!("control-{number}"));
--- a/crates/cli/tests/load_limits.rs
+++ b/crates/cli/tests/load_limits.rs
@@ -3,9 +3,11 @@
 mod fleet;
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use briartray::demo::DemoPlan;
+use briartray::trial::{ProcessFleet, TrialPlan};
 use serde_json::Value;
 
 use fleet::{completion, post, ready_fleet};
@@ -119,3 +121,46 @@
     }
     fleet.stop();
 }
+
+/// Requests that the engine at `address` holds, by its own report.
+fn engine_load(address: SocketAddr) -> u64 {
+    let response = attohttpc::get(format!("http://{address}/load")).send();
+    let body = response.and_then(attohttpc::Response::bytes).expect("the engine tells its load");
+    let load: Value = serde_json::from_slice(&body).expect("the load is JSON");
+    load["running"].as_u64().unwrap_or_default() + load["waiting"].as_u64().unwrap_or_default()
+}
+
+#[test]
+fn limit_holds_over_two_entries() {
+    // A team calls through two entries at once. If each of them applied the whole limit, the engine
+    // would see twice what the rule allows.
+    let rules = "
+services:
+  - { name: desk, kind: engine, hosts_per_replica: 1, replicas: 1, capacity: 64 }
+teams: [{ name: default }, { name: office }]
+rules:
+  - rule: office-limit
+    when: { team: [office] }
+    then: { admit: { concurrency: 4, deadline_ms: 60000 } }
+";
+    let programs = Path::new(env!("CARGO_BIN_EXE_briartray")).parent().expect("a folder");
+    let plan = TrialPlan::new(programs).entries(2).endpoints(1, 0).rules(rules);
+    let fleet = ProcessFleet::start(&plan).expect("the fleet starts; build the workspace");
+    let engine = fleet.endpoint_addresses()[0];
+    let callers: Vec<_> = fleet.entry_addresses().to_vec();
+
+    let bursts: Vec<_> = callers
+        .into_iter()
+        .map(|entry| std::thread::spawn(move || send_many(entry, "office", 12, 20)))
+        .collect();
+    let mut most = 0;
+    while bursts.iter().any(|burst| !burst.is_finished()) {
+        most = most.max(engine_load(engine));
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let replies: Vec<Reply> =
+        bursts.into_iter().flat_map(|burst| burst.join().expect("the burst ends")).collect();
+
+    assert!(replies.iter().all(|reply| reply.status == 200));
+    assert!((1..=4).contains(&most), "{most} requests ran at one time");
+}
