--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -9,6 +9,8 @@
 mod outcomes;
 mod overhead;
 mod overload;
+mod planner;
+mod streams;
 
 use gumdrop::Options;
 
@@ -32,12 +34,16 @@
     Choice(choice::ChoiceOptions),
     #[options(help = "what entry and agent add over the engine called directly")]
     Overhead(overhead::OverheadOptions),
+    #[options(help = "memory and processor time of open streams")]
+    Streams(streams::StreamsOptions),
     #[options(help = "useful answers as the load rises over the capacity")]
     Overload(overload::OverloadOptions),
     #[options(help = "what callers are told under faults, against what truly ran")]
     Outcomes(outcomes::OutcomesOptions),
     #[options(help = "claims a second, and what a claim adds to a call")]
     Claims(claims::ClaimsOptions),
+    #[options(help = "planned groups beside first-come ones, by weighted cost")]
+    Planner(planner::PlannerOptions),
     #[options(help = "what one more of something costs each role, and the capacity page")]
     Capacity(capacity::CapacityOptions),
 }
@@ -48,9 +54,11 @@
         Some(MeasureCommand::Agreement(options)) => agreement::run(options),
         Some(MeasureCommand::Choice(options)) => choice::run(options),
         Some(MeasureCommand::Overhead(options)) => overhead::run(options),
+        Some(MeasureCommand::Streams(options)) => streams::run(options),
         Some(MeasureCommand::Overload(options)) => overload::run(options),
         Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
         Some(MeasureCommand::Claims(options)) => claims::run(options),
+        Some(MeasureCommand::Planner(options)) => planner::run(options),
         Some(MeasureCommand::Capacity(options)) => capacity::run(options),
         None => Err(CommandError::unusable("name a measurement; see briartray measure --help")),
     }
--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -32,21 +32,24 @@
 /// Availability zones of a trial.
 const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 
-/// Rules of a trial.
-const TRIAL_RULES: &str = "
-services:
-  - { name: desk, kind: engine, hosts_per_replica: 1, replicas: 4, capacity: 64 }
-  - { name: ledger, kind: plain, hosts_per_replica: 1, replicas: 2, capacity: 64 }
+/// Rules of a trial with this many engines and plain services.
+fn trial_rules(engines: usize, services: usize) -> String {
+    format!(
+        "services:
+  - {{ name: desk, kind: engine, hosts_per_replica: 1, replicas: {engines}, capacity: 64 }}
+  - {{ name: ledger, kind: plain, hosts_per_replica: 1, replicas: {services}, capacity: 64 }}
 teams:
-  - { name: default }
+  - {{ name: default }}
 rules:
   - rule: everyone
     then:
-      admit: { deadline_ms: 15000 }
-      retry: { attempts: 4, budget_percent: 100 }
-      place: { wait_ms: 60000 }
-      stop: { min_replicas: 1 }
-";
+      admit: {{ deadline_ms: 15000 }}
+      retry: {{ attempts: 4, budget_percent: 100 }}
+      place: {{ wait_ms: 60000 }}
+      stop: {{ min_replicas: 1 }}
+"
+    )
+}
 
 /// What a trial consists of, built step by step.
 #[derive(Debug, Clone)]
@@ -59,7 +62,8 @@
     engine_faults: Vec<String>,
     service_faults: Vec<String>,
     service_work_ms: u64,
-    rules: String,
+    engine_step_ms: u64,
+    rules: Option<String>,
 }
 
 impl TrialPlan {
@@ -74,17 +78,11 @@
             engine_faults: Vec::new(),
             service_faults: Vec::new(),
             service_work_ms: 2,
-            rules: TRIAL_RULES.to_owned(),
+            engine_step_ms: 8,
+            rules: None,
         }
     }
 
-    /// Sets the rule document.
-    #[must_use]
-    pub fn rules(mut self, rules: &str) -> Self {
-        rules.clone_into(&mut self.rules);
-        self
-    }
-
     /// Sets how many control hosts there are.
     #[must_use]
     pub fn controls(mut self, count: usize) -> Self {
@@ -121,6 +119,20 @@
         self
     }
 
+    /// Sets the time of one engine step.
+    #[must_use]
+    pub fn engine_step(mut self, step: Duration) -> Self {
+        self.engine_step_ms = u64::try_from(step.as_millis()).unwrap_or(u64::MAX);
+        self
+    }
+
+    /// Sets the rule document.
+    #[must_use]
+    pub fn rules(mut self, document: &str) -> Self {
+        self.rules = Some(document.to_owned());
+        self
+    }
+
     /// Sets the time of one call to a plain service.
     #[must_use]
     pub fn service_work(mut self, work: Duration) -> Self {
@@ -168,7 +180,8 @@
     pub fn start(plan: &TrialPlan) -> Result<Self, TrialError> {
         let folder = tempfile::Builder::new().prefix("briartray-trial-").tempdir()?;
         let rules = folder.path().join("rules.yaml");
-        std::fs::write(&rules, &plan.rules)?;
+        let own = || trial_rules(plan.engines, plan.services);
+        std::fs::write(&rules, plan.rules.clone().unwrap_or_else(own))?;
         let mut peers = Vec::new();
         for number in 0..plan.controls {
             let node = NodeName::new(&format!("control-{number}"));
@@ -322,10 +335,12 @@
     ) -> Result<ChildProcess, TrialError> {
         let listen = address.to_string();
         let work = self.plan.service_work_ms.to_string();
+        let step = self.plan.engine_step_ms.to_string();
         let mut arguments = vec!["stand-in"];
         let faults = match kind {
             EndpointKind::Engine => {
                 arguments.extend(["engine", "--listen", &listen, "--event-loss", "0"]);
+                arguments.extend(["--step-ms", &step]);
                 &self.plan.engine_faults
             }
             EndpointKind::Plain => {
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -18,6 +18,7 @@
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use serde_json::{Value, json};
 
+use super::accounting::FleetCounter;
 use super::fleet::FleetRoster;
 use super::input::{ControlInput, InspectKind};
 use super::limits::LimitRegistry;
@@ -28,7 +29,7 @@
 use super::stops::{self, StopDriver};
 use super::version::SnapshotVersion;
 use crate::ClockReader;
-use crate::metrics::AgreementMetrics;
+use crate::metrics::{AgreementMetrics, GroupMetrics};
 
 /// Time between two rounds of planning.
 const TICK: Duration = Duration::from_millis(200);
@@ -63,6 +64,7 @@
     pub(super) peers: PeerLinks,
     pub(super) shared: Arc<ControlShared>,
     pub(super) metrics: AgreementMetrics,
+    pub(super) groups: GroupMetrics,
     /// Rules to start with when nothing was ever accepted.
     pub(super) first_rules: Option<String>,
 }
@@ -74,6 +76,7 @@
     pub(super) book: RuleBook,
     pub(super) roster: FleetRoster,
     pub(super) planner: PlanDriver,
+    pub(super) counter: FleetCounter,
     pub(super) stops: StopDriver,
     pub(super) version: SnapshotVersion,
     limits: LimitRegistry,
@@ -85,8 +88,10 @@
 
 impl ControlCore {
     pub(super) fn new(parts: ControlParts) -> Self {
+        let counter = FleetCounter::new(parts.groups.clone());
         Self {
             parts,
+            counter,
             state: ControlState::default(),
             book: RuleBook::default(),
             roster: FleetRoster::default(),
@@ -111,6 +116,10 @@
                 next_tick = self.now().after(TICK);
             }
             while self.advance() {}
+            if self.parts.shared.failure().is_some() {
+                // A state that misses a command, or a log that is not kept, answers nobody.
+                return;
+            }
             let until = next_tick.min(self.parts.agreement.deadline());
             let first = match queue.recv_timeout(until.since(self.now())) {
                 Ok(input) => input,
@@ -251,11 +260,12 @@
 
     fn plan(&mut self, now: TimePoint) {
         let Some(leadership) = &self.leadership else { return };
+        let in_grace = now.since(leadership.since) < RECONNECT_GRACE;
+        let mut view = self.roster.view(&self.state.groups);
+        self.counter.count(now, &view, &self.book);
         if leadership.plans_open > 0 {
             return;
         }
-        let in_grace = now.since(leadership.since) < RECONNECT_GRACE;
-        let mut view = self.roster.view(&self.state.groups);
         stops::mark_hosts(&mut view, &self.state.stops);
         for command in self.planner.step(now, &view, &self.book) {
             // A host that is missing now may only not have found the new leader yet.
@@ -344,6 +354,7 @@
                 self.stops.list(&self.state.stops, &view, &self.book, drained)
             }
             InspectKind::Groups => json!(self.roster.records(&self.state.groups)),
+            InspectKind::Account => self.counter.show(&self.book),
             InspectKind::Rules => json!({ "revision": rules.revision.0, "text": rules.text }),
         }
     }
--- a/crates/placement/src/replay/run.rs
+++ b/crates/placement/src/replay/run.rs
@@ -5,22 +5,55 @@
 use briartray_model::{SortedTable, TimePoint, plain_choice, plain_value};
 
 use super::fleet::{ReplayFleet, from_ms};
-use super::trace::{HostTrace, TraceEvent, TraceLine};
+use super::trace::{HostTrace, TraceEvent, TraceHeader, TraceLine};
 use crate::accounting::ServiceAccount;
 use crate::planner::{GroupPlanner, PlanAction, PlanReason, plan_first_come};
 
 /// Time from a change to the round of planning that sees it.
 const TICK: Duration = Duration::from_millis(200);
 
+/// Decisions that are made again in every round while a group stays as it is.
+const LASTING_REASONS: [PlanReason; 3] =
+    [PlanReason::WaitForReturn, PlanReason::WaitNoSpare, PlanReason::RebuildElsewhere];
+
+impl std::str::FromStr for PlannerKind {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "naive" => Ok(Self::Naive),
+            "cost" => Ok(Self::Cost),
+            "unprepared" => Ok(Self::Unprepared),
+            _ => Err("use naive, cost or unprepared"),
+        }
+    }
+}
+
+impl PlannerKind {
+    /// Every kind, the one to be compared with first.
+    pub const ALL: [Self; 3] = [Self::Naive, Self::Unprepared, Self::Cost];
+
+    /// The name used in reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Naive => "naive",
+            Self::Cost => "cost",
+            Self::Unprepared => "unprepared",
+        }
+    }
+}
+
 plain_choice! {
     /// Which planner is replayed.
     #[derive(Default)]
     pub enum PlannerKind {
         /// First come, first grouped.
         Naive,
-        /// By expected cost.
+        /// By expected cost, with hosts that load ahead.
         #[default]
         Cost,
+        /// By expected cost, with hosts that load only once they belong to a group.
+        Unprepared,
     }
 }
 
@@ -80,7 +113,7 @@
 }
 
 /// A replay in progress.
-struct TraceRun<'a> {
+pub(super) struct TraceRun<'a> {
     fleet: ReplayFleet,
     planner: GroupPlanner,
     kind: PlannerKind,
@@ -102,29 +135,51 @@
     kind: PlannerKind,
     meter: &mut dyn FnMut() -> Duration,
 ) -> ReplayReport {
-    let mut run = TraceRun {
-        fleet: ReplayFleet::new(&trace.header),
-        planner: GroupPlanner::default(),
-        kind,
-        meter,
-        plan_at: None,
-        wake: None,
-        rounds: 0,
-        planning: Duration::ZERO,
-        longest: Duration::ZERO,
-        decisions: SortedTable::default(),
-        waits: Vec::new(),
-        outcomes: Vec::new(),
-    };
-    for line in &trace.lines {
-        run.run_until(from_ms(line.at_ms));
-        run.take(line);
-    }
-    run.run_until(from_ms(trace.header.end_ms));
+    let mut run = TraceRun::new(&trace.header, kind, meter);
+    run.replay(&trace.lines, from_ms(trace.header.end_ms));
     run.report(&trace.header.trace)
 }
 
-impl TraceRun<'_> {
+impl<'a> TraceRun<'a> {
+    pub(super) fn new(
+        header: &TraceHeader,
+        kind: PlannerKind,
+        meter: &'a mut dyn FnMut() -> Duration,
+    ) -> Self {
+        let planner = match kind {
+            PlannerKind::Cost => GroupPlanner::with_loads_ahead(),
+            PlannerKind::Naive | PlannerKind::Unprepared => GroupPlanner::default(),
+        };
+        Self {
+            fleet: ReplayFleet::new(header),
+            planner,
+            kind,
+            meter,
+            plan_at: None,
+            wake: None,
+            rounds: 0,
+            planning: Duration::ZERO,
+            longest: Duration::ZERO,
+            decisions: SortedTable::default(),
+            waits: Vec::new(),
+            outcomes: Vec::new(),
+        }
+    }
+
+    /// Takes in `lines` one after the other and goes on to `end`.
+    pub(super) fn replay(&mut self, lines: &[TraceLine], end: TimePoint) {
+        for line in lines {
+            self.run_until(from_ms(line.at_ms));
+            self.take(line);
+        }
+        self.run_until(end);
+    }
+
+    /// The fleet as it is now.
+    pub(super) fn fleet(&self) -> &ReplayFleet {
+        &self.fleet
+    }
+
     /// Lets loads end and planning rounds happen up to `end`.
     fn run_until(&mut self, end: TimePoint) {
         loop {
@@ -154,7 +209,7 @@
         let started = (self.meter)();
         let actions = match self.kind {
             PlannerKind::Naive => plan_first_come(self.fleet.view(), self.fleet.book()),
-            PlannerKind::Cost => self.plan_by_cost(),
+            PlannerKind::Cost | PlannerKind::Unprepared => self.plan_by_cost(),
         };
         let spent = (self.meter)().saturating_sub(started);
         self.rounds += 1;
@@ -175,8 +230,7 @@
         self.wake = round.wake.map(|wake| wake.max(now.after(TICK)));
         let mut waits = Vec::new();
         for decision in &round.decisions {
-            let waiting =
-                matches!(decision.reason, PlanReason::WaitForReturn | PlanReason::WaitNoSpare);
+            let waiting = decision.group.is_some() && LASTING_REASONS.contains(&decision.reason);
             let key = (decision.group.map_or(0, |group| group.0), decision.reason);
             if waiting {
                 waits.push(key);
