--- a/crates/standin/src/load/call.rs
+++ b/crates/standin/src/load/call.rs
@@ -66,8 +66,8 @@
     };
     let mut request: RequestBuilder = attohttpc::post(format!("http://{}{path}", plan.address))
         .connect_timeout(CONNECT_TIMEOUT)
+        // The client keeps a thread for a bound on the whole call; streams are bounded below.
         .read_timeout(plan.timeout)
-        .timeout(plan.timeout)
         .header("content-type", "application/json");
     if let Some(team) = &call.team {
         request = request.header("x-briartray-team", team);
@@ -179,6 +179,9 @@
                 return CallResult { outcome: io_outcome(&error).to_owned(), ..result };
             }
         }
+        if planned.elapsed() > plan.timeout {
+            return CallResult { outcome: "timed_out".to_owned(), ..result };
+        }
         let Some(data) = line.trim_end().strip_prefix("data:") else { continue };
         if data.trim() == "[DONE]" {
             break;
