Trials wait until entries know every group

Cause: a trial counted as ready once control called every group whole; an entry learns that up to one renewal later, and a request sent between was refused with `no_replica`, truthfully. On a busy machine the test of keys and stops failed by it.

Change: `/readyz` tells the groups that the entry knows as whole and its rules revision; trials wait for both sides.

--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -383,10 +383,13 @@
         self.operators.iter().map(|operator| whole_groups(*operator)).max().unwrap_or(0)
     }
 
+    /// Whether every entry takes requests and knows every group as whole.
     fn entries_ready(&self) -> bool {
         self.entry_addresses.iter().all(|address| {
             let response = attohttpc::get(format!("http://{address}/readyz")).send();
-            response.is_ok_and(|response| response.is_success())
+            let Ok(body) = response.and_then(attohttpc::Response::bytes) else { return false };
+            let state: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+            state["ready"] == true && state["whole_groups"] == self.agents.len()
         })
     }
 }
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -80,7 +80,13 @@
 
 fn readiness(shared: &EntryShared) -> JsonReply {
     let ready = shared.is_ready();
-    JsonReply::new(if ready { 200 } else { 503 }, json!({ "ready": ready }))
+    let view = shared.view();
+    let body = json!({
+        "ready": ready,
+        "whole_groups": view.snapshot.groups.iter().filter(|record| record.whole).count(),
+        "revision": view.book.revision().0,
+    });
+    JsonReply::new(if ready { 200 } else { 503 }, body)
 }
 
 fn models(view: &EntryView) -> JsonReply {
