Order engines through their agents, and ask a majority before the first order

Cause: agents gave their engines no orders at all and called every endpoint ready, so a group with a dead engine counted as whole; and a leader that was replaced without noticing could give a restarted agent an old assignment.

Change: each agent sends its engine the model and the role of its newest assignment, one order at a time, and vouches for the endpoint only while it answers and has them. Directives go out on a session only after a majority confirmed, since it was opened, that the host leads.

Loading times of real weights are left to the weight store's limits.

--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -66,6 +66,8 @@
     engine_step_ms: u64,
     rules: Option<String>,
     hold: HoldPolicy,
+    hosts_per_group: usize,
+    checks_fencing: bool,
 }
 
 impl TrialPlan {
@@ -83,6 +85,8 @@
             engine_step_ms: 8,
             rules: None,
             hold: HoldPolicy::default(),
+            hosts_per_group: 1,
+            checks_fencing: false,
         }
     }
 
@@ -93,6 +97,20 @@
         self
     }
 
+    /// Sets how many hosts the rules put into one group; they share a fabric domain.
+    #[must_use]
+    pub fn hosts_per_group(mut self, count: usize) -> Self {
+        self.hosts_per_group = count.max(1);
+        self
+    }
+
+    /// Makes the engines refuse orders with an old fencing number.
+    #[must_use]
+    pub fn checks_fencing(mut self, checks: bool) -> Self {
+        self.checks_fencing = checks;
+        self
+    }
+
     /// Sets how many control hosts there are.
     #[must_use]
     pub fn controls(mut self, count: usize) -> Self {
@@ -311,7 +329,7 @@
         service: &str,
         kind: EndpointKind,
     ) -> Result<(), TrialError> {
-        let zone = ZONES[self.agents.len() % ZONES.len()];
+        let zone = ZONES[self.agents.len() / self.plan.hosts_per_group % ZONES.len()];
         let endpoint_address = free_address()?;
         let endpoint = self.start_endpoint(host, kind, endpoint_address)?;
         let link = free_address()?;
@@ -329,7 +347,7 @@
                 address: endpoint_address,
                 service: ServiceName::new(service),
                 kind,
-                checks_fencing: false,
+                checks_fencing: self.plan.checks_fencing,
             },
         });
         let agent = start_daemon(&self.plan, self.folder.path(), &settings)?;
@@ -352,6 +370,9 @@
             EndpointKind::Engine => {
                 arguments.extend(["engine", "--listen", &listen, "--event-loss", "0"]);
                 arguments.extend(["--step-ms", &step]);
+                if self.plan.checks_fencing {
+                    arguments.push("--checks-fencing");
+                }
                 &self.plan.engine_faults
             }
             EndpointKind::Plain => {
@@ -369,7 +390,7 @@
     fn wait_until_ready(&self) -> Result<(), TrialError> {
         let started = Instant::now();
         while started.elapsed() < READY_WAIT {
-            if self.whole_groups() == self.agents.len() && self.entries_ready() {
+            if self.whole_groups() == self.groups() && self.entries_ready() {
                 return Ok(());
             }
             std::thread::sleep(READY_CHECK);
@@ -378,6 +399,23 @@
         Err(TrialError::NotReady { seconds: READY_WAIT.as_secs(), folder })
     }
 
+    /// Groups that the hosts make up.
+    fn groups(&self) -> usize {
+        self.agents.len() / self.plan.hosts_per_group
+    }
+
+    /// Kills the agent with this number and starts it again with the same settings.
+    ///
+    /// # Errors
+    /// A `TrialError` when it cannot be started.
+    pub fn restart_agent(&mut self, number: usize) -> Result<(), TrialError> {
+        self.agents[number].agent.signal(ProcessSignal::Kill);
+        self.agents[number].agent.wait(READY_WAIT);
+        let name = format!("agent-{}", self.agents[number].host);
+        self.agents[number].agent = run_daemon(&self.plan, self.folder.path(), &name)?;
+        Ok(())
+    }
+
     /// Groups that are whole now.
     pub fn whole_groups(&self) -> usize {
         self.operators.iter().map(|operator| whole_groups(*operator)).max().unwrap_or(0)
@@ -389,7 +427,7 @@
             let response = attohttpc::get(format!("http://{address}/readyz")).send();
             let Ok(body) = response.and_then(attohttpc::Response::bytes) else { return false };
             let state: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
-            state["ready"] == true && state["whole_groups"] == self.agents.len()
+            state["ready"] == true && state["whole_groups"] == self.groups()
         })
     }
 }
--- a/crates/cli/src/trial/mod.rs
+++ b/crates/cli/src/trial/mod.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod fault;
 mod fleet;
+mod probe;
 mod process;
 mod relay;
 
@@ -12,5 +13,6 @@
 pub use claims::{ClaimRow, measure_claims};
 pub use fault::{OutcomeRow, TrialFault, run_fault};
 pub use fleet::{FleetAgent, ProcessFleet, TrialPlan};
+pub use probe::{ask_desk, get_json, post_json};
 pub use process::{ChildProcess, ProcessSignal, TrialError};
 pub use relay::PathRelay;
--- a/crates/cli/tests/rules_in_force.rs
+++ b/crates/cli/tests/rules_in_force.rs
@@ -5,7 +5,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use briartray::trial::{ProcessFleet, ProcessSignal, TrialPlan};
+use briartray::trial::{ProcessFleet, ProcessSignal, TrialPlan, ask_desk, post_json};
 use briartray_model::lease::HoldPolicy;
 use serde_json::{Value, json};
 
@@ -48,20 +48,12 @@
 }
 
 fn post(address: SocketAddr, path: &str, body: &Value) -> (u16, Value) {
-    let response = attohttpc::post(format!("http://{address}{path}"))
-        .timeout(SOON)
-        .bytes(body.to_string().into_bytes())
-        .send()
-        .expect("the process answers");
-    let status = response.status().as_u16();
-    let text = response.text().expect("the answer is text");
-    (status, serde_json::from_str(&text).expect("the answer is JSON"))
+    post_json(address, path, body).expect("the process answers")
 }
 
 /// Asks for one token; returns status and body.
 fn ask(entry: SocketAddr) -> (u16, Value) {
-    let body = json!({ "model": "desk", "prompt": "status of lot 7", "max_tokens": 1 });
-    post(entry, "/v1/completions", &body)
+    ask_desk(entry, 1).expect("the entry answers")
 }
 
 /// Looks again and again until `look` holds.
--- a/crates/node/src/agent/core.rs
+++ b/crates/node/src/agent/core.rs
@@ -9,11 +9,12 @@
 use briartray_model::message::{
     AgentReport, ControlDirective, GroupAssignment, MemberReply, MemberRequest,
 };
-use briartray_model::names::HostName;
+use briartray_model::names::{FencingNumber, HostName};
 use briartray_placement::lease::{GroupGate, HostPromise, PromiseDecision};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 
 use super::member;
+use super::orders::{EndpointDuty, OrderDesk};
 use super::session::SessionHandle;
 use super::shared::{AgentShared, GateView};
 
@@ -31,6 +32,8 @@
     MemberAsk { request: MemberRequest, writer: LinkWriter },
     /// A member answered, or did not.
     LeaseAnswer { lease: LeaseAsked, reply: Option<MemberReply> },
+    /// The endpoint became ready for this fencing number, or for none.
+    EndpointReady(Option<FencingNumber>),
     /// The process ends.
     Stop,
 }
@@ -57,14 +60,22 @@
     }
 }
 
+/// What the control thread reaches others through.
+pub(super) struct AgentLinks {
+    pub(super) client: LinkClient,
+    pub(super) session: SessionHandle,
+    pub(super) orders: OrderDesk,
+}
+
 /// The agent's own state.
 pub(super) struct AgentCore {
     shared: Arc<AgentShared>,
-    client: LinkClient,
-    session: SessionHandle,
+    links: AgentLinks,
     inputs: Sender<AgentInput>,
     promise: HostPromise,
     lead: Option<LeadRole>,
+    /// Fencing number for which the endpoint has its model and role.
+    endpoint_ready: Option<FencingNumber>,
     /// Whether control knows that the group it told to leave has no work left.
     told_drained: bool,
 }
@@ -72,12 +83,19 @@
 impl AgentCore {
     pub(super) fn new(
         shared: Arc<AgentShared>,
-        client: LinkClient,
-        session: SessionHandle,
+        links: AgentLinks,
         inputs: Sender<AgentInput>,
     ) -> Self {
         let promise = HostPromise::new(shared.clock.now());
-        Self { shared, client, session, inputs, promise, lead: None, told_drained: false }
+        Self {
+            shared,
+            links,
+            inputs,
+            promise,
+            lead: None,
+            endpoint_ready: None,
+            told_drained: false,
+        }
     }
 
     /// Runs until told to stop.
@@ -85,7 +103,7 @@
         loop {
             match queue.recv_timeout(TICK) {
                 Ok(AgentInput::Stop) | Err(RecvTimeoutError::Disconnected) => {
-                    self.session.stop();
+                    self.links.session.stop();
                     return;
                 }
                 Ok(input) => self.handle(input),
@@ -105,6 +123,7 @@
             }
             AgentInput::MemberAsk { request, writer } => self.answer_member(&request, &writer),
             AgentInput::LeaseAnswer { lease, reply } => self.take_answer(&lease, reply.as_ref()),
+            AgentInput::EndpointReady(fencing) => self.endpoint_ready = fencing,
             AgentInput::Stop => {}
         }
     }
@@ -114,6 +133,7 @@
             ControlDirective::Assign(assignment) => self.assign(assignment),
             ControlDirective::Free { fencing } => {
                 if self.promise.free(fencing) {
+                    self.links.orders.set(None);
                     self.drop_lead();
                 }
             }
@@ -131,6 +151,8 @@
             log::warn!(group = assignment.group.0; "an old assignment was ignored");
             return;
         }
+        let duty = EndpointDuty::of(&assignment, &self.shared.settings.host);
+        self.links.orders.set(Some(duty));
         let leads = assignment.members.first().map(|member| &member.host)
             == Some(&self.shared.settings.host);
         let known = self.lead.as_ref().is_some_and(|lead| *lead.assignment == assignment);
@@ -149,7 +171,7 @@
         let gate = GroupGate::new(&assignment);
         for member in &assignment.members {
             let renewal = member::RenewalTask {
-                client: self.client.clone(),
+                client: self.links.client.clone(),
                 clock: self.shared.clock,
                 assignment: Arc::clone(&assignment),
                 member: member.clone(),
@@ -176,7 +198,7 @@
             PromiseDecision::Granted(duration) => MemberReply::Granted {
                 nonce,
                 duration_ms: u32::try_from(duration.as_millis()).unwrap_or(u32::MAX),
-                endpoint_ready: true,
+                endpoint_ready: self.endpoint_ready == Some(fencing),
             },
             PromiseDecision::Refused(fencing) => MemberReply::Refused { nonce, fencing },
         };
@@ -218,7 +240,7 @@
             return;
         }
         let host = self.shared.settings.host.clone();
-        self.told_drained = self.session.report(&AgentReport::Drained { host, fencing });
+        self.told_drained = self.links.session.report(&AgentReport::Drained { host, fencing });
     }
 
     /// Tells control when the group became whole or broke, or when `always` asks for it.
@@ -235,7 +257,7 @@
             whole,
             missing: lead.gate.missing(now),
         };
-        if self.session.report(&report) {
+        if self.links.session.report(&report) {
             lead.told_whole = whole;
         }
     }
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod core;
 mod endpoint;
 mod member;
+mod orders;
 mod pace;
 mod running;
 mod serve;
@@ -22,7 +23,7 @@
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
 use crossbeam::channel::{Sender, bounded};
 
-use self::core::{AgentCore, AgentInput};
+use self::core::{AgentCore, AgentInput, AgentLinks};
 use self::session::SessionHandle;
 use self::shared::AgentShared;
 use crate::DaemonError;
@@ -77,7 +78,9 @@
             announce(settings, role, &shared, role.announce.unwrap_or(link.address()));
         let peers = settings.cluster.control.iter().map(|peer| peer.link).collect();
         let session = session::start(client.clone(), peers, announcement, inputs.clone())?;
-        let core = AgentCore::new(Arc::clone(&shared), client, session.clone(), inputs.clone());
+        let orders = orders::start(role.endpoint.clone(), inputs.clone())?;
+        let links = AgentLinks { client, session: session.clone(), orders };
+        let core = AgentCore::new(Arc::clone(&shared), links, inputs.clone());
         spawn_worker("agent", 4 * WORKER_STACK_BYTES, move || core.run(&queue))?;
         Ok(Self { link, shared, session, inputs })
     }
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -237,7 +237,10 @@
             }
             // Agents belong to the leader; a dropped writer ends their stream.
             ControlInput::FleetOpened { .. } | ControlInput::FleetReport { .. } if !leads => {}
-            ControlInput::FleetOpened { session, writer } => self.roster.open(session, writer),
+            ControlInput::FleetOpened { session, writer } => {
+                self.roster.open(session, writer);
+                self.confirm(ReadOrigin::Fleet(session));
+            }
             ControlInput::FleetReport { session, report } => {
                 if self.roster.report(now, session, report) {
                     self.version.bump();
@@ -254,6 +257,10 @@
         }
         let now = self.now();
         self.leases.settle(now);
+        // A confirmation that was refused for want of room is asked for again.
+        for session in self.roster.waiting() {
+            self.confirm(ReadOrigin::Fleet(session));
+        }
         self.roster.prune(now, &self.state.groups);
         self.roster.direct(&self.state.groups);
         if self.roster.settle(now, &self.state.groups) {
--- a/crates/node/src/control/fleet.rs
+++ b/crates/node/src/control/fleet.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Default)]
 pub(super) struct FleetRoster {
     sessions: SortedTable<SessionId, LinkWriter>,
+    /// Sessions on which nothing is said yet; see `admit`.
+    waiting: SortedTable<SessionId, LinkWriter>,
     hosts: SortedTable<HostName, KnownHost>,
     health: SortedTable<GroupId, GroupHealth>,
     /// Fencing numbers of groups that have no work left.
@@ -52,12 +54,31 @@
 }
 
 impl FleetRoster {
+    /// Takes a new session, on which nothing is said before `admit`.
     pub(super) fn open(&mut self, session: SessionId, writer: LinkWriter) {
-        self.sessions.insert(session, writer);
+        self.waiting.insert(session, writer);
+    }
+
+    /// Sessions that are not admitted yet.
+    pub(super) fn waiting(&self) -> Vec<SessionId> {
+        self.waiting.keys().copied().collect()
+    }
+
+    /// Lets directives go out on `session`: a majority has confirmed since it was opened that this
+    /// host leads.
+    ///
+    /// An agent that restarted knows no fencing number. A leader that was replaced without
+    /// noticing could give it an old assignment, and with it an order that its engine has long
+    /// outgrown.
+    pub(super) fn admit(&mut self, session: SessionId) {
+        if let Some(writer) = self.waiting.remove(&session) {
+            self.sessions.insert(session, writer);
+        }
     }
 
     pub(super) fn close(&mut self, now: TimePoint, session: SessionId) {
         self.sessions.remove(&session);
+        self.waiting.remove(&session);
         for host in self.hosts.values_mut().filter(|host| host.session == Some(session)) {
             host.session = None;
             host.since = now;
--- a/crates/node/src/control/origin.rs
+++ b/crates/node/src/control/origin.rs
@@ -8,7 +8,7 @@
 use crossbeam::channel::Sender;
 use serde_json::Value;
 
-use super::input::{InspectKind, LedgerPort};
+use super::input::{InspectKind, LedgerPort, SessionId};
 
 /// Who waits for the outcome of a command.
 #[derive(Debug)]
@@ -32,6 +32,8 @@
 pub(super) enum ReadOrigin {
     /// An entry that renews its lease.
     Watch(WatchRequest, LinkWriter),
+    /// An agent that opened a session.
+    Fleet(SessionId),
     /// An operator.
     Inspect(InspectKind, Sender<InspectAnswer>),
 }
--- a/crates/node/src/control/replication.rs
+++ b/crates/node/src/control/replication.rs
@@ -160,6 +160,10 @@
     fn answer_read(&mut self, origin: ReadOrigin) {
         match origin {
             ReadOrigin::Watch(request, writer) => self.answer_watch(&request, &writer),
+            ReadOrigin::Fleet(session) => {
+                self.roster.admit(session);
+                self.roster.direct(&self.state.groups);
+            }
             ReadOrigin::Inspect(what, reply) => {
                 let _ = reply.send(InspectAnswer::Shown(self.inspect(what)));
             }
