Count each event of a stream once

Change: the times are taken where events are written to the caller, and there only. Conclusion: the histograms tell what callers see.

--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -123,7 +123,6 @@
     view: &EntryView,
     trace: TraceContext,
 ) -> Result<CallPlan, CallRefusal> {
-    let arrived = shared.clock.now();
     if shared.is_stopped() {
         let message = "this entry is stopping; connect again through the balancer";
         return Err(CallRefusal::not_run(RefusalCode::Stopping, message));
@@ -186,7 +185,6 @@
         service: service.clone(),
         team: team.clone(),
         trace,
-        arrived,
         target: target_of(request, target_path),
         body,
         stream,
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -78,16 +78,8 @@
         // The reader tells why the stream is gone, and with it whether anything was sent.
         log::debug!("dispatch was not taken: {error}");
     }
-    let run = AttemptRun {
-        shared,
-        record,
-        attempt,
-        tracker,
-        stream,
-        answer: WholeAnswer::default(),
-        last_event: plan.arrived,
-        events: 0,
-    };
+    let run =
+        AttemptRun { shared, record, attempt, tracker, stream, answer: WholeAnswer::default() };
     let (end, back) = run.follow(output);
     if let AttemptEnd::Failed(refusal) = &end {
         span.fail(&refusal.message);
@@ -104,9 +96,6 @@
     tracker: AttemptTracker,
     stream: AttemptStream,
     answer: WholeAnswer,
-    /// When the last event of a stream went to the caller; the request's arrival before the first.
-    last_event: TimePoint,
-    events: u64,
 }
 
 impl Drop for AttemptRun<'_> {
@@ -138,7 +127,6 @@
                 }
                 TrackerAction::Deliver(data) => {
                     self.tracker.mark_shown();
-                    self.time_event();
                     if output.event(&data).is_err() {
                         return (self.caller_gone(), None);
                     }
@@ -171,20 +159,6 @@
         }
     }
 
-    /// Records how long the caller waited for this event.
-    fn time_event(&mut self) {
-        let now = self.shared.clock.now();
-        let metrics = &self.shared.load_metrics;
-        let times = if self.events == 0 {
-            &metrics.first_token_seconds
-        } else {
-            &metrics.inter_token_seconds
-        };
-        times.observe(now.since(self.last_event).as_secs_f64());
-        self.last_event = now;
-        self.events += 1;
-    }
-
     /// Waits for one event; tells also whether it was a progress mark.
     fn next_action(&mut self) -> (TrackerAction, bool) {
         let wait = self.tracker.wait(self.shared.clock.now());
