--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -129,6 +129,7 @@
     view: &EntryView,
     trace: TraceContext,
 ) -> Result<CallPlan, CallRefusal> {
+    let arrived = shared.clock.now();
     if shared.is_stopped() {
         let message = "this entry is stopping; connect again through the balancer";
         return Err(CallRefusal::not_run(RefusalCode::Stopping, message));
@@ -181,6 +182,7 @@
         service,
         team,
         trace,
+        arrived,
         target: target_of(request, target_path),
         body,
         stream,
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -29,6 +29,8 @@
     pub(super) service: ServiceName,
     pub(super) team: TeamName,
     pub(super) trace: TraceContext,
+    /// When the request came.
+    pub(super) arrived: TimePoint,
     pub(super) target: CallTarget,
     pub(super) body: Vec<u8>,
     pub(super) stream: bool,
