Choose addresses for known listeners below the system's own ports

Cause: five places chose a free port by listening on port zero and closing again. Such a port lies where the system puts outgoing connections; on a busy machine it was taken before a killed control host was started again, which then ended, and three hosts were left without a majority.

Change: one function in the stand-ins' package, used by the demonstration, the trials, the measurements and the tests, chooses below that range and never the same twice.

Conclusion: four copies fewer, and restarts find their port free.

--- a/crates/cli/src/cmd/measure/agreement.rs
+++ b/crates/cli/src/cmd/measure/agreement.rs
@@ -3,7 +3,7 @@
 //! Control hosts run in this process with their data folders on a real disk and talk over
 //! loopback. A commit is one claim of the ledger: it is answered once it is synced on a majority.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -131,7 +131,7 @@
 
 impl HostSet {
     fn start(folder: &Path, members: usize) -> Result<Self, CommandError> {
-        let links = free_addresses(members)?;
+        let links = briartray_standin::free_addresses(members).map_err(CommandError::unusable)?;
         let control: Vec<ControlPeer> = links
             .iter()
             .enumerate()
@@ -330,11 +330,3 @@
         agent: None,
     }
 }
-
-fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, CommandError> {
-    let held: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
-        .collect::<Result<_, _>>()
-        .map_err(CommandError::unusable)?;
-    held.iter().map(|held| held.local_addr().map_err(CommandError::unusable)).collect()
-}
--- a/crates/cli/src/cmd/measure/capacity/child.rs
+++ b/crates/cli/src/cmd/measure/capacity/child.rs
@@ -1,6 +1,6 @@
 //! Daemons as processes of their own, so that the system counts what each role uses.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -75,7 +75,5 @@
 
 /// An address that is free now.
 pub(super) fn free_address() -> Result<SocketAddr, CommandError> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-        .and_then(|listener| listener.local_addr())
-        .map_err(CommandError::refused)
+    briartray_standin::free_address().map_err(CommandError::refused)
 }
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -1,6 +1,6 @@
 //! A whole fleet on loopback in one process: control, entry, agents and stand-in engines.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,7 @@
 use briartray_node::{DaemonError, RunningDaemon};
 use briartray_standin::engine::{EngineSettings, StandinEngine};
 use briartray_standin::fault::FaultPlan;
+use briartray_standin::free_address;
 use briartray_standin::service::{ServiceSettings, StandinService};
 use briartray_web::ListenError;
 use snafu::Snafu;
@@ -252,11 +253,6 @@
     }
 }
 
-/// An address that is free now; agents must know it before control listens on it.
-fn free_address() -> std::io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
-
 fn front_settings(
     plan: &DemoPlan,
     cluster: &ClusterSettings,
--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -1,6 +1,6 @@
 //! A fleet of real processes on loopback.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -10,6 +10,7 @@
     AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
     EndpointSettings, EntrySettings, LogSettings, StopSettings, TraceSettings, UnconfirmedPolicy,
 };
+use briartray_standin::free_address;
 use tempfile::TempDir;
 
 use super::process::{ChildProcess, ProcessSignal, TrialError};
@@ -21,12 +22,6 @@
 /// How often readiness is looked at.
 const READY_CHECK: Duration = Duration::from_millis(100);
 
-/// Ports that trials choose from.
-const PORTS: std::ops::Range<u16> = 12_000..30_000;
-
-/// Ports that are tried before giving up.
-const PORT_TRIES: u32 = 100;
-
 /// Secret between the processes of a trial; it never leaves loopback.
 const TRIAL_TOKEN: &str = "trial-only";
 
@@ -474,19 +469,3 @@
     let log = folder.join(format!("{name}.log"));
     ChildProcess::start(&plan.programs.join("briartrayd"), &["--settings", &file], &log)
 }
-
-/// An address that is free now.
-///
-/// It lies below the ports that the system hands out by itself: one of those could be taken by an
-/// outgoing connection before the process that is to listen there has started.
-fn free_address() -> std::io::Result<SocketAddr> {
-    let mut last = None;
-    for _ in 0..PORT_TRIES {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS)));
-        match TcpListener::bind(address) {
-            Ok(_) => return Ok(address),
-            Err(error) => last = Some(error),
-        }
-    }
-    Err(last.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()))
-}
--- a/crates/cli/tests/leader_change.rs
+++ b/crates/cli/tests/leader_change.rs
@@ -1,12 +1,13 @@
 //! A whole fleet with three control hosts, while the leading one goes away.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
 use briartray_model::settings::parse;
 use briartray_node::RunningDaemon;
 use briartray_standin::engine::{EngineSettings, StandinEngine};
+use briartray_standin::free_addresses;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
@@ -30,13 +31,9 @@
 
 /// The part of the settings that names the control hosts.
 fn cluster_of(size: usize) -> Value {
-    let held: Vec<TcpListener> =
-        (0..size).map(|_| TcpListener::bind(loopback()).expect("a free port")).collect();
-    let peer = |(host, held): (usize, &TcpListener)| {
-        let link = held.local_addr().expect("an address");
-        json!({ "node": format!("control-{host}"), "link": link })
-    };
-    let control: Vec<Value> = held.iter().enumerate().map(peer).collect();
+    let addresses = free_addresses(size).expect("free ports");
+    let peer = |(host, link): (usize, &SocketAddr)| json!({ "node": format!("control-{host}"), "link": link });
+    let control: Vec<Value> = addresses.iter().enumerate().map(peer).collect();
     json!({ "token": "test-token-only", "control": control })
 }
 
--- a/crates/daemon/tests/hosts/mod.rs
+++ b/crates/daemon/tests/hosts/mod.rs
@@ -1,10 +1,11 @@
 //! Fixtures: three control hosts as real processes, and an operator.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use briartray_standin::free_addresses;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
@@ -96,12 +97,7 @@
     /// Three fresh hosts, one of which leads.
     pub fn ready() -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder");
-        let listeners: Vec<TcpListener> = (0..2 * SIZE)
-            .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port"))
-            .collect();
-        let addresses: Vec<SocketAddr> =
-            listeners.iter().map(|held| held.local_addr().expect("an address")).collect();
-        drop(listeners);
+        let addresses = free_addresses(2 * SIZE).expect("free ports");
         let peers: Vec<Value> = (0..SIZE)
             .map(|host| json!({ "node": format!("control-{host}"), "link": addresses[host] }))
             .collect();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,9 +4,11 @@
 pub mod engine;
 pub mod fault;
 pub mod load;
+mod ports;
 pub mod runs;
 pub mod service;
 mod text;
 pub mod weights;
 
+pub use ports::{free_address, free_addresses};
 pub use text::{expected_text, prompt_digest, token_text};
