A trial hands out no port twice

Cause: two processes of one trial could draw the same free port before either had bound it, about once in a hundred fleets; one of them never started and the test failed as not ready after 60 s. Change: ports are handed out in turn from a random start.

--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use briartray_model::lease::HoldPolicy;
@@ -439,9 +441,17 @@
 /// It lies below the ports that the system hands out by itself: one of those could be taken by an
 /// outgoing connection before the process that is to listen there has started.
 fn free_address() -> std::io::Result<SocketAddr> {
+    // No port is handed out twice: the first process may not have bound it yet when the second one
+    // is chosen, and one of them would then never start.
+    static START: OnceLock<u16> = OnceLock::new();
+    static HANDED_OUT: AtomicU16 = AtomicU16::new(0);
+
+    let start = *START.get_or_init(|| rand::random_range(0..PORTS.end - PORTS.start));
     let mut last = None;
     for _ in 0..PORT_TRIES {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS)));
+        let step = HANDED_OUT.fetch_add(1, Ordering::Relaxed);
+        let offset = start.wrapping_add(step) % (PORTS.end - PORTS.start);
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, PORTS.start + offset));
         match TcpListener::bind(address) {
             Ok(_) => return Ok(address),
             Err(error) => last = Some(error),
