--- a/crates/standin/src/ports.rs
+++ b/crates/standin/src/ports.rs
@@ -3,6 +3,8 @@
 use std::io::{Error, ErrorKind, Result};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::ops::Range;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU16, Ordering};
 
 /// Ports to choose from.
 ///
@@ -27,15 +29,24 @@
 /// # Errors
 /// As [`free_address`].
 pub fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
-    // Held until all are chosen, so that none is chosen twice.
-    let held = (0..count).map(|_| hold_address()).collect::<Result<Vec<_>>>()?;
-    Ok(held.into_iter().map(|(address, _)| address).collect())
+    (0..count).map(|_| free_address()).collect()
 }
 
+/// Chooses the next port that is free; one process hands none out twice.
+///
+/// Whoever was given a port may not listen on it yet when the next one is chosen, and one of two
+/// processes with the same port would never start.
 fn hold_address() -> Result<(SocketAddr, TcpListener)> {
+    static START: OnceLock<u16> = OnceLock::new();
+    static HANDED_OUT: AtomicU16 = AtomicU16::new(0);
+
+    let width = PORTS.end - PORTS.start;
+    let start = *START.get_or_init(|| rand::random_range(0..width));
     let mut last = Error::from(ErrorKind::AddrInUse);
     for _ in 0..PORT_TRIES {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS)));
+        let step = HANDED_OUT.fetch_add(1, Ordering::Relaxed) % width;
+        let port = PORTS.start + (start + step) % width;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         match TcpListener::bind(address) {
             Ok(listener) => return Ok((address, listener)),
             Err(error) => last = error,
