--- a/crates/cli/src/cmd/measure/capacity/peers.rs
+++ b/crates/cli/src/cmd/measure/capacity/peers.rs
@@ -10,7 +10,7 @@
 };
 use briartray_model::message::{
     AgentReport, ControlDirective, GroupAssignment, GroupMember, HostAnnouncement, MemberReply,
-    MemberRequest, WatchReply, WatchRequest,
+    MemberRequest, SnapshotUpdate, WatchReply, WatchRequest,
 };
 use briartray_model::names::{
     FencingNumber, GroupId, HostName, LeaseNonce, NodeName, RevisionNumber,
@@ -175,9 +175,17 @@
             demands: Vec::new(),
         })?;
         let reply: WatchReply = reader.receive(ANSWER_WAIT)?;
-        if let Some(snapshot) = reply.snapshot {
-            adopted = snapshot.version;
-            revision = snapshot.revision;
+        if let Some(update) = reply.snapshot {
+            match update {
+                SnapshotUpdate::Whole(snapshot) => {
+                    adopted = snapshot.version;
+                    revision = snapshot.revision;
+                }
+                SnapshotUpdate::Changes(change) => {
+                    adopted = change.to;
+                    revision = change.rules.map_or(revision, |rules| rules.revision);
+                }
+            }
             seen.store(revision.0, Ordering::Relaxed);
         }
         std::thread::sleep(RENEW_INTERVAL);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod agreement;
 pub mod lease;
+pub mod snapshots;
 pub mod state;
 pub mod storage;
--- a/crates/model/src/message/mod.rs
+++ b/crates/model/src/message/mod.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod fleet;
 mod ledger;
+mod update;
 mod watch;
 
 pub use dispatch::{
@@ -20,6 +21,7 @@
     ClaimKey, KeptAnswer, KeptBody, LedgerAnswer, LedgerCall, LedgerReply, LedgerRequest,
     MAX_KEPT_ANSWER_BYTES, MAX_KEY_BYTES, call_digest,
 };
+pub use update::{RuleText, SnapshotChange, SnapshotUpdate};
 pub use watch::{
     GroupRecord, LeavingMark, LimitDemand, LimitGrant, RoutingSnapshot, WatchReply, WatchRequest,
 };
--- a/crates/model/src/message/watch.rs
+++ b/crates/model/src/message/watch.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::update::SnapshotUpdate;
 use crate::lease::LeaseTerms;
 use crate::names::{
     DomainName, FencingNumber, GroupId, HostName, LeaseNonce, NodeName, ProviderName,
@@ -65,7 +66,7 @@
         /// How long the rules may be held, counted by the watcher from sending.
         pub terms: LeaseTerms,
         /// A newer snapshot, when there is one.
-        pub snapshot: Option<RoutingSnapshot>,
+        pub snapshot: Option<SnapshotUpdate>,
         /// Shares of the limits that were asked for.
         pub shares: Vec<LimitGrant>,
     }
--- a/crates/model/tests/decoders.rs
+++ b/crates/model/tests/decoders.rs
@@ -11,7 +11,7 @@
     AgentReply, AgentReport, CallTarget, ClaimKey, ControlDirective, DispatchOrder, EntryRequest,
     GroupAssignment, GroupMember, GroupRecord, HeaderField, LedgerAnswer, LedgerReply,
     LedgerRequest, LimitDemand, LimitGrant, LoadReport, MemberReply, MemberRequest, RefusalReason,
-    RoutingSnapshot, TraceContext, WatchReply, WatchRequest,
+    RoutingSnapshot, SnapshotUpdate, TraceContext, WatchReply, WatchRequest,
 };
 use briartray_model::names::{
     AttemptId, FencingNumber, GroupId, LeaseNonce, RequestId, RevisionNumber,
@@ -159,7 +159,7 @@
     feed(&WatchReply {
         nonce: LeaseNonce(1),
         terms: LeaseTerms::with_hold(HoldPolicy::UntilForgotten),
-        snapshot: Some(snapshot()),
+        snapshot: Some(SnapshotUpdate::Whole(snapshot())),
         shares: vec![LimitGrant {
             rule: "office".into(),
             team: "office".into(),
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -7,6 +7,7 @@
     AgreementCore, MemberRole, ProposalRefusal, ProposalToken, ReadToken, WriteBatch,
 };
 use briartray_control::lease::{HoldPolicy, LeaseTerms};
+use briartray_control::snapshots::SnapshotLog;
 use briartray_control::state::{CommandOutcome, ControlCommand, ControlState};
 use briartray_link::LinkWriter;
 use briartray_model::lease::LEASE_LENGTH;
@@ -81,6 +82,7 @@
     pub(super) counter: FleetCounter,
     pub(super) stops: StopDriver,
     pub(super) leases: LeaseDesk,
+    pub(super) snapshots: SnapshotLog,
     pub(super) version: SnapshotVersion,
     limits: LimitRegistry,
     pub(super) leadership: Option<Leadership>,
@@ -101,6 +103,7 @@
             planner: PlanDriver::default(),
             stops: StopDriver::default(),
             leases: LeaseDesk::default(),
+            snapshots: SnapshotLog::default(),
             version: SnapshotVersion::default(),
             limits: LimitRegistry::default(),
             leadership: None,
@@ -329,11 +332,14 @@
     }
 
     fn grant_lease(&mut self, request: &WatchRequest, writer: &LinkWriter, terms: LeaseTerms) {
-        let newer = request.adopted != self.version.number();
+        if self.snapshots.version() != self.version.number() {
+            let snapshot = self.snapshot();
+            self.snapshots.push(snapshot);
+        }
         let reply = WatchReply {
             nonce: request.nonce,
             terms,
-            snapshot: newer.then(|| self.snapshot()),
+            snapshot: self.snapshots.update(request.adopted),
             shares: self.share_limits(request),
         };
         // A watcher that is behind asks again; its lease runs out meanwhile.
--- a/crates/node/src/control/replication.rs
+++ b/crates/node/src/control/replication.rs
@@ -72,6 +72,7 @@
         self.planner = PlanDriver::default();
         self.stops = StopDriver::default();
         self.leases.end();
+        self.snapshots.clear();
         self.leadership = None;
         if leads {
             let since = self.now();
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -6,7 +6,7 @@
 
 use briartray_control::lease::RulesHolder;
 use briartray_link::{CallKind, LinkError, LinkReader, LinkWriter};
-use briartray_model::message::{WatchReply, WatchRequest};
+use briartray_model::message::{SnapshotUpdate, WatchReply, WatchRequest};
 use briartray_model::names::LeaseNonce;
 use briartray_model::rules::RuleBook;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
@@ -61,7 +61,7 @@
             continue;
         }
         shared.gate.grant(&reply.shares, sent.after(reply.terms.confirmed()));
-        adopt(shared, reply, holder);
+        adopt(shared, &reply, holder);
         std::thread::sleep(RENEW_INTERVAL);
     }
     let nonce = holder.ask(shared.clock.now());
@@ -81,10 +81,16 @@
     }
 }
 
-fn adopt(shared: &EntryShared, reply: WatchReply, holder: &RulesHolder) {
+fn adopt(shared: &EntryShared, reply: &WatchReply, holder: &RulesHolder) {
     let before = shared.view();
     let window = holder.window();
-    let Some(mut snapshot) = reply.snapshot else {
+    let newer = match &reply.snapshot {
+        None => None,
+        Some(SnapshotUpdate::Whole(whole)) => Some(whole.clone()),
+        // Changes from another version are left: the next renewal says which one is held.
+        Some(SnapshotUpdate::Changes(change)) => before.snapshot.after(change),
+    };
+    let Some(mut snapshot) = newer else {
         shared.adopt(EntryView {
             snapshot: Arc::clone(&before.snapshot),
             book: Arc::clone(&before.book),
