Measure the terms of rules leases; tell refused resends the truth

Cause: the default for entries whose rules cannot be confirmed was chosen without figures. And a keyed request that was refused before the ledger was asked said `not_run`, though it may be a resend of a call that ran; its caller would send it again under a new key.

--- /dev/null
+++ b/crates/cli/src/cmd/measure/leases.rs
@@ -0,0 +1,196 @@
+//! `briartray measure leases`: what the terms of a rules lease cost when something is lost.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use briartray_model::lease::HoldPolicy;
+use briartray_model::settings::UnconfirmedPolicy;
+use briartray_standin::load::{LoadPlan, run_load};
+use gumdrop::Options;
+use serde::Serialize;
+use serde_json::json;
+
+use super::outcomes::program_folder;
+use crate::cmd::{CommandError, OutputFormat};
+use crate::trial::{ProcessFleet, ProcessSignal, TrialError, TrialPlan, ask_desk, post_json};
+
+/// Requests sent at an entry right after it wakes.
+const WOKEN_REQUESTS: usize = 100;
+
+/// Longest that an entry stands still; no longer than an operator's call may take.
+const STANDSTILL: Duration = Duration::from_secs(16);
+
+#[derive(Debug, Options)]
+pub(super) struct LeasesOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "requests a second", meta = "N", default = "50")]
+    rate: f64,
+    #[options(no_short, help = "length of the load in seconds", meta = "N", default = "20")]
+    seconds: f64,
+    #[options(no_short, help = "text or json", meta = "FORMAT", default = "text")]
+    output: OutputFormat,
+}
+
+/// One way to hold rules, with the number of control hosts.
+#[derive(Debug, Clone, Copy)]
+struct HoldCase {
+    name: &'static str,
+    controls: usize,
+    hold: HoldPolicy,
+    unconfirmed: UnconfirmedPolicy,
+}
+
+const CASES: [HoldCase; 5] = [
+    HoldCase {
+        name: "refuse when the lease ends",
+        controls: 3,
+        hold: HoldPolicy::BoundedMs(3000),
+        unconfirmed: UnconfirmedPolicy::Refuse,
+    },
+    HoldCase {
+        name: "hold for 10 s",
+        controls: 3,
+        hold: HoldPolicy::BoundedMs(10_000),
+        unconfirmed: UnconfirmedPolicy::Refuse,
+    },
+    HoldCase {
+        name: "hold for 10 s, five voters",
+        controls: 5,
+        hold: HoldPolicy::BoundedMs(10_000),
+        unconfirmed: UnconfirmedPolicy::Refuse,
+    },
+    HoldCase {
+        name: "hold until forgotten",
+        controls: 3,
+        hold: HoldPolicy::UntilForgotten,
+        unconfirmed: UnconfirmedPolicy::Refuse,
+    },
+    HoldCase {
+        name: "serve without confirmation",
+        controls: 3,
+        hold: HoldPolicy::BoundedMs(10_000),
+        unconfirmed: UnconfirmedPolicy::Serve,
+    },
+];
+
+/// What one case costs.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+struct HoldRow {
+    name: &'static str,
+    /// Requests while two control hosts are lost.
+    sent: u64,
+    /// Of these, refused.
+    refused: u64,
+    /// Seconds until a change is answered while an entry stands still.
+    answered_seconds: f64,
+    /// Whether that answer was `accepted`.
+    accepted: bool,
+    /// Requests that the woken entry let in under the rules that were replaced.
+    stale: usize,
+}
+
+pub(super) fn run(options: &LeasesOptions) -> Result<(), CommandError> {
+    let mut rows = Vec::new();
+    for case in CASES {
+        eprintln!("measuring: {}", case.name);
+        rows.push(measure(case, options).map_err(CommandError::refused)?);
+    }
+    match options.output {
+        OutputFormat::Json => println!("{}", json!(rows)),
+        OutputFormat::Text => print_rows(&rows),
+    }
+    Ok(())
+}
+
+fn measure(case: HoldCase, options: &LeasesOptions) -> Result<HoldRow, TrialError> {
+    let (sent, refused) = lose_two_hosts(case, options)?;
+    let (answered_seconds, accepted, stale) = stand_still(case)?;
+    Ok(HoldRow { name: case.name, sent, refused, answered_seconds, accepted, stale })
+}
+
+fn plan_of(case: HoldCase) -> Result<TrialPlan, TrialError> {
+    let programs =
+        program_folder().map_err(|error| TrialError::Load { detail: error.to_string() })?;
+    Ok(TrialPlan::new(&programs)
+        .controls(case.controls)
+        .entries(2)
+        .endpoints(2, 0)
+        .hold(case.hold)
+        .unconfirmed(case.unconfirmed))
+}
+
+/// Loses two control hosts under load; returns requests sent and refused.
+fn lose_two_hosts(case: HoldCase, options: &LeasesOptions) -> Result<(u64, u64), TrialError> {
+    let fleet = ProcessFleet::start(&plan_of(case)?)?;
+    for host in &fleet.controls[..2] {
+        host.signal(ProcessSignal::Kill);
+    }
+    let load = LoadPlan::new(fleet.entry_addresses()[0])
+        .pace(options.rate, Duration::from_secs_f64(options.seconds))
+        .model("desk", 4)
+        .shares(0.5, 0.0);
+    let report = run_load(&load, |_, _| {})
+        .map_err(|error| TrialError::Load { detail: error.to_string() })?;
+    Ok((report.sent, report.told_not_run))
+}
+
+/// Changes the rules while an entry stands still; returns how long the answer took, whether it was
+/// `accepted`, and how many callers the woken entry let in under the old rules.
+fn stand_still(case: HoldCase) -> Result<(f64, bool, usize), TrialError> {
+    let fleet = ProcessFleet::start(&plan_of(case)?)?;
+    let entry = fleet.entry_addresses()[0];
+    ask_desk(entry, 1)?;
+    fleet.entries[0].signal(ProcessSignal::Stop);
+    let started = Instant::now();
+    let accepted = forbid_all(&fleet, started)?;
+    let answered = started.elapsed();
+    fleet.entries[0].signal(ProcessSignal::Continue);
+    let stale = (0..WOKEN_REQUESTS)
+        .filter(|_| ask_desk(entry, 1).is_ok_and(|(status, _)| status == 200))
+        .count();
+    Ok((answered.as_secs_f64(), accepted, stale))
+}
+
+/// Applies rules that let nobody in, at whichever control host leads.
+fn forbid_all(fleet: &ProcessFleet, started: Instant) -> Result<bool, TrialError> {
+    let text = "services: [{ name: desk, replicas: 2 }]\nrules:\n- rule: nobody\n  \
+                then: { admit: { allow: false } }\n";
+    let body = json!({ "change": format!("{:032x}", 1), "text": text });
+    loop {
+        for operator in fleet.operators() {
+            let (status, _) = apply(*operator, &body)?;
+            if status == 200 || status == 202 {
+                return Ok(status == 200);
+            }
+        }
+        if started.elapsed() > STANDSTILL {
+            return Ok(false);
+        }
+    }
+}
+
+fn apply(
+    operator: SocketAddr,
+    body: &serde_json::Value,
+) -> Result<(u16, serde_json::Value), TrialError> {
+    post_json(operator, "/v1/rules", body)
+}
+
+fn print_rows(rows: &[HoldRow]) {
+    println!(
+        "{:<28} {:>6} {:>8} {:>10} {:>10} {:>6}",
+        "terms", "sent", "refused", "answer s", "answer", "stale"
+    );
+    for row in rows {
+        println!(
+            "{:<28} {:>6} {:>8} {:>10.1} {:>10} {:>6}",
+            row.name,
+            row.sent,
+            row.refused,
+            row.answered_seconds,
+            if row.accepted { "accepted" } else { "committed" },
+            row.stale,
+        );
+    }
+}
--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod claims;
 mod idle;
+mod leases;
 mod outcomes;
 mod overhead;
 mod overload;
@@ -44,6 +45,8 @@
     Claims(claims::ClaimsOptions),
     #[options(help = "planned groups beside first-come ones, by weighted cost")]
     Planner(planner::PlannerOptions),
+    #[options(help = "what the terms of a rules lease cost when something is lost")]
+    Leases(leases::LeasesOptions),
     #[options(help = "what one more of something costs each role, and the capacity page")]
     Capacity(capacity::CapacityOptions),
 }
@@ -59,6 +62,7 @@
         Some(MeasureCommand::Outcomes(options)) => outcomes::run(options),
         Some(MeasureCommand::Claims(options)) => claims::run(options),
         Some(MeasureCommand::Planner(options)) => planner::run(options),
+        Some(MeasureCommand::Leases(options)) => leases::run(options),
         Some(MeasureCommand::Capacity(options)) => capacity::run(options),
         None => Err(CommandError::unusable("name a measurement; see briartray measure --help")),
     }
--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -61,6 +61,7 @@
     engine_step_ms: u64,
     rules: Option<String>,
     hold: HoldPolicy,
+    unconfirmed: UnconfirmedPolicy,
     hosts_per_group: usize,
     checks_fencing: bool,
 }
@@ -80,6 +81,7 @@
             engine_step_ms: 8,
             rules: None,
             hold: HoldPolicy::default(),
+            unconfirmed: UnconfirmedPolicy::Refuse,
             hosts_per_group: 1,
             checks_fencing: false,
         }
@@ -92,6 +94,13 @@
         self
     }
 
+    /// Sets what entries do when their lease has run out all the same.
+    #[must_use]
+    pub fn unconfirmed(mut self, policy: UnconfirmedPolicy) -> Self {
+        self.unconfirmed = policy;
+        self
+    }
+
     /// Sets how many hosts the rules put into one group; they share a fabric domain.
     #[must_use]
     pub fn hosts_per_group(mut self, count: usize) -> Self {
@@ -235,6 +244,11 @@
         &self.entry_addresses
     }
 
+    /// Where operators connect, by control host.
+    pub fn operators(&self) -> &[SocketAddr] {
+        &self.operators
+    }
+
     /// Where operators connect to the first control host.
     pub fn operator_address(&self) -> SocketAddr {
         self.operators[0]
@@ -301,7 +315,7 @@
             listen,
             max_open_requests: 4096,
             max_body_bytes: 1024 * 1024,
-            when_rules_unconfirmed: UnconfirmedPolicy::Refuse,
+            when_rules_unconfirmed: self.plan.unconfirmed,
         });
         self.entries.push(start_daemon(&self.plan, self.folder.path(), &settings)?);
         self.entry_addresses.push(listen);
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -114,6 +114,8 @@
             CallerOutput::new(id, request).timed(&shared.load_metrics, shared.clock, plan.arrived),
         ),
         Err(refusal) => {
+            let keyed = header_value(&request, "idempotency-key").is_some();
+            let refusal = if keyed { once::refuse_unasked(refusal) } else { refusal };
             span.fail(refusal.code.as_str());
             shared.metrics.ended(refusal.code.as_str());
             reply_json(request, &refusal.reply(id));
--- a/crates/node/src/entry/once.rs
+++ b/crates/node/src/entry/once.rs
@@ -10,7 +10,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briartray_model::message::{ClaimKey, LedgerReply, LedgerRequest, MAX_KEY_BYTES, call_digest};
+use briartray_model::message::{
+    CallOutcome, ClaimKey, LedgerReply, LedgerRequest, MAX_KEY_BYTES, call_digest,
+};
 use briartray_model::names::AttemptId;
 use briartray_model::rules::KeyPolicy;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
@@ -50,6 +52,21 @@
     Err(CallRefusal::not_run(RefusalCode::BadKey, &message))
 }
 
+/// What a caller with a key is told when its request was refused before the ledger was asked.
+///
+/// It may be a resend whose first answer was lost. Told `not_run`, its caller would send the call
+/// under a new key, and it would run twice.
+pub(super) fn refuse_unasked(mut refusal: CallRefusal) -> CallRefusal {
+    if refusal.outcome == CallOutcome::NotRun && refusal.code.may_pass() {
+        refusal.outcome = CallOutcome::Unknown;
+        refusal.message.push_str(
+            "; nothing was run now, but an earlier call under this key may have been: send the same \
+             key again",
+        );
+    }
+    refusal
+}
+
 /// Runs `plan`, once for each key.
 pub(super) fn run(shared: &Arc<EntryShared>, plan: &CallPlan, mut output: CallerOutput) {
     let Some(key) = &plan.key else { return run_call(shared, plan, output) };
@@ -115,9 +132,11 @@
             RefusalCode::LedgerFull,
             "the ledger of keys is full; ask your operator to forget old keys",
         ),
-        _ => CallRefusal::not_run(
+        // Nothing was run now. Whether an earlier call under the key was, only the ledger knows.
+        _ => CallRefusal::unknown(
             RefusalCode::LedgerUnavailable,
-            "the ledger of keys does not answer; send the same key again in a second",
+            "nothing was run now, and the ledger of keys does not tell whether an earlier call under \
+             this key was; send the same key again in a second",
         ),
     }
 }
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -85,6 +85,19 @@
         }
     }
 
+    /// Whether the same request might have been let in at another time.
+    pub(super) fn may_pass(self) -> bool {
+        matches!(
+            self,
+            Self::UnknownModel
+                | Self::UnknownService
+                | Self::UnknownTeam
+                | Self::Forbidden
+                | Self::RulesUnconfirmed
+                | Self::Stopping
+        )
+    }
+
     fn status(self) -> u16 {
         match self {
             Self::UnknownPath | Self::UnknownModel | Self::UnknownService => 404,
