Begin tests of stops once the entry knows both groups

Cause: the fixture waited until control called both groups whole. An entry that had heard of one only sent all eight drafts there, and the test waited a minute for work on the other. The requests themselves were served.

Change: the fixture waits for the entry as well.

--- a/crates/cli/tests/stops.rs
+++ b/crates/cli/tests/stops.rs
@@ -32,8 +32,10 @@
         rules: RULES.to_owned(),
         ..DemoPlan::default()
     });
-    let address = fleet.operator_address();
-    wait_for("two whole groups", || whole_groups(address) == 2);
+    // The entry learns of a group up to one renewal after control does.
+    let (callers, operators) = (fleet.caller_address(), fleet.operator_address());
+    wait_for("two whole groups", || whole_groups(operators) == 2);
+    wait_for("an entry that knows them", || get(callers, "/readyz")["whole_groups"] == 2);
     fleet
 }
 
