Announce hosts when something changes; part the leader's side of the agreement

Change: an agent announces on a change and every 15 s; progress of other hosts and sending to them have files of their own.

Conclusion: no behaviour of the agreement changes.

--- a/crates/cli/src/cmd/measure/capacity/peers.rs
+++ b/crates/cli/src/cmd/measure/capacity/peers.rs
@@ -24,7 +24,7 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time between announcements of an agent, as agents announce.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1000);
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(15);
 
 /// How long an answer may take.
 const ANSWER_WAIT: Duration = Duration::from_secs(10);
--- a/crates/control/src/agreement/lead.rs
+++ b/crates/control/src/agreement/lead.rs
@@ -1,4 +1,4 @@
-//! The leader's side: proposals, replication, majority commit and confirmed reads.
+//! The leader's side: proposals, answers of the other hosts, majority commit and confirmed reads.
 
 use std::collections::VecDeque;
 
@@ -6,10 +6,10 @@
 use briartray_model::{SortedTable, TimePoint};
 
 use super::core::{AgreementCore, RoleState};
-use super::log::entry_bytes;
+use super::progress::PeerProgress;
 use super::{
-    AppendCall, AppendReply, EntryPayload, FolderId, InstallCall, LogEntry, MemberSeat, PeerBody,
-    ProposalRefusal, ProposalToken, ReadToken, StorageWrite,
+    AppendReply, EntryPayload, FolderId, LogEntry, MemberSeat, ProposalRefusal, ProposalToken,
+    ReadToken, StorageWrite,
 };
 
 /// Proposals that may wait for a majority.
@@ -27,18 +27,6 @@
 /// Reads that may wait for a majority.
 const MAX_READS: usize = 65_536;
 
-/// Bytes of entries in one message, unless a single entry is larger.
-const MAX_BATCH_BYTES: usize = 512 * 1024;
-
-/// Bytes of entries on the way to one host without an answer.
-const MAX_IN_FLIGHT_BYTES: usize = 4 * 1024 * 1024;
-
-/// Messages on the way to one host without an answer.
-const MAX_IN_FLIGHT: usize = 8;
-
-/// Bytes of a snapshot in one message.
-const PIECE_BYTES: usize = 256 * 1024;
-
 /// A proposal that is not committed yet.
 #[derive(Debug)]
 pub(super) struct OpenProposal {
@@ -50,35 +38,18 @@
 /// A read that waits for a majority's answer to `round`.
 #[derive(Debug)]
 pub(super) struct OpenRead {
-    round: u64,
+    pub(super) round: u64,
     pub(super) token: ReadToken,
 }
 
-/// How far one other host is.
-#[derive(Debug)]
-struct PeerProgress {
-    folder: Option<FolderId>,
-    next: LogIndex,
-    matched: LogIndex,
-    /// Entries are sent ahead of answers; otherwise one message at a time finds the common point.
-    streaming: bool,
-    in_flight: VecDeque<(LogIndex, usize)>,
-    in_flight_bytes: usize,
-    asked_at: Option<TimePoint>,
-    heard_at: TimePoint,
-    round: u64,
-    piece: Option<u64>,
-    admitting: Option<FolderId>,
-}
-
 /// What a leader keeps for its term.
 #[derive(Debug)]
 pub(super) struct LeadState {
     first: LogIndex,
     pub(super) beat_at: TimePoint,
-    beat_due: bool,
-    round: u64,
-    peers: SortedTable<NodeName, PeerProgress>,
+    pub(super) beat_due: bool,
+    pub(super) round: u64,
+    pub(super) peers: SortedTable<NodeName, PeerProgress>,
     pub(super) proposals: VecDeque<OpenProposal>,
     proposal_bytes: usize,
     pub(super) reads: VecDeque<OpenRead>,
@@ -87,22 +58,7 @@
 impl LeadState {
     /// A leader whose first own entry will be `first`.
     pub(super) fn new(now: TimePoint, first: LogIndex, peers: &[NodeName]) -> Self {
-        let progress = |node: &NodeName| {
-            let progress = PeerProgress {
-                folder: None,
-                next: first,
-                matched: LogIndex::default(),
-                streaming: false,
-                in_flight: VecDeque::new(),
-                in_flight_bytes: 0,
-                asked_at: None,
-                heard_at: now,
-                round: 0,
-                piece: None,
-                admitting: None,
-            };
-            (node.clone(), progress)
-        };
+        let progress = |node: &NodeName| (node.clone(), PeerProgress::unknown(now, first));
         Self {
             first,
             beat_at: now,
@@ -116,32 +72,6 @@
     }
 }
 
-impl PeerProgress {
-    fn forget_in_flight(&mut self) {
-        self.in_flight.clear();
-        self.in_flight_bytes = 0;
-    }
-
-    fn acknowledge(&mut self, index: LogIndex) {
-        self.matched = self.matched.max(index);
-        self.next = self.next.max(index.next());
-        while let Some((last, bytes)) = self.in_flight.front().copied() {
-            if last > index {
-                break;
-            }
-            self.in_flight_bytes -= bytes;
-            self.in_flight.pop_front();
-        }
-    }
-
-    fn has_room(&self) -> bool {
-        if !self.streaming {
-            return self.asked_at.is_none();
-        }
-        self.in_flight.len() < MAX_IN_FLIGHT && self.in_flight_bytes < MAX_IN_FLIGHT_BYTES
-    }
-}
-
 impl AgreementCore {
     /// Proposes `command`; its outcome comes with `token` out of a later drain.
     ///
@@ -239,95 +169,6 @@
         }
     }
 
-    /// Sends what the other hosts lack, and heartbeats that are due.
-    pub(super) fn replicate(&mut self, now: TimePoint) {
-        let RoleState::Leading(lead) = &mut self.role else { return };
-        let reads_wait = lead.reads.back().is_some_and(|read| read.round > lead.round);
-        if reads_wait || lead.beat_due {
-            lead.round += 1;
-        }
-        let beat = reads_wait || std::mem::take(&mut lead.beat_due);
-        for node in self.peers() {
-            self.replicate_to(now, &node, beat);
-        }
-    }
-
-    fn replicate_to(&mut self, now: TimePoint, node: &NodeName, beat: bool) {
-        let resend_after = self.times.heartbeat * 2;
-        let (last, base) = (self.log.last_index(), self.log.base());
-        let RoleState::Leading(lead) = &mut self.role else { return };
-        let Some(peer) = lead.peers.get_mut(node) else { return };
-        // A lost message or answer is made up for after a while.
-        if peer.asked_at.is_some_and(|at| now.since(at) >= resend_after) {
-            peer.asked_at = None;
-        }
-        if peer.next <= base {
-            let due = peer.asked_at.is_none();
-            if due || beat {
-                self.send_piece(now, node, due);
-            }
-            return;
-        }
-        let mut sent = false;
-        while let Some(next) = self.next_entries(node).filter(|next| *next <= last) {
-            let entries = self.log.slice(next, MAX_BATCH_BYTES);
-            self.send_append(now, node, entries);
-            sent = true;
-        }
-        if beat && !sent {
-            self.send_append(now, node, Vec::new());
-        }
-    }
-
-    /// Where entries to `node` go on, when there is room for more.
-    fn next_entries(&self, node: &NodeName) -> Option<LogIndex> {
-        let RoleState::Leading(lead) = &self.role else { return None };
-        lead.peers.get(node).filter(|peer| peer.has_room()).map(|peer| peer.next)
-    }
-
-    fn send_append(&mut self, now: TimePoint, node: &NodeName, entries: Vec<LogEntry>) {
-        let commit = self.commit;
-        let RoleState::Leading(lead) = &mut self.role else { return };
-        let round = lead.round;
-        let Some(peer) = lead.peers.get_mut(node) else { return };
-        let prev_index = LogIndex(peer.next.0 - 1);
-        let Some(prev_term) = self.log.term_at(prev_index) else { return };
-        if let Some(last) = entries.last() {
-            peer.asked_at = Some(now);
-            if peer.streaming {
-                let bytes = entries.iter().map(entry_bytes).sum();
-                peer.next = last.index.next();
-                peer.in_flight.push_back((last.index, bytes));
-                peer.in_flight_bytes += bytes;
-            }
-        }
-        let call = AppendCall { prev_index, prev_term, entries, commit, round };
-        self.send(node.clone(), PeerBody::Append(call));
-    }
-
-    /// Sends the next piece of the snapshot, or an empty one as a heartbeat.
-    fn send_piece(&mut self, now: TimePoint, node: &NodeName, with_data: bool) {
-        let Some(snapshot) = &self.snapshot else { return };
-        let RoleState::Leading(lead) = &mut self.role else { return };
-        let round = lead.round;
-        let Some(peer) = lead.peers.get_mut(node) else { return };
-        let total = snapshot.data.len();
-        let offset = *peer.piece.get_or_insert(0);
-        let start = usize::try_from(offset).unwrap_or(total).min(total);
-        let end = if with_data { (start + PIECE_BYTES).min(total) } else { start };
-        if with_data {
-            peer.asked_at = Some(now);
-        }
-        let call = InstallCall {
-            meta: snapshot.meta.clone(),
-            offset,
-            total: total as u64,
-            data: snapshot.data[start..end].to_vec(),
-            round,
-        };
-        self.send(node.clone(), PeerBody::Install(call));
-    }
-
     pub(super) fn take_append_reply(
         &mut self,
         now: TimePoint,
--- a/crates/control/src/agreement/mod.rs
+++ b/crates/control/src/agreement/mod.rs
@@ -11,6 +11,8 @@
 mod log;
 mod message;
 mod output;
+mod progress;
+mod replicate;
 mod seats;
 mod sync;
 
--- a/crates/node/src/agent/session.rs
+++ b/crates/node/src/agent/session.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use briartray_link::{CallKind, LinkClient, LinkError, LinkWriter};
 use briartray_model::message::{AgentReport, ControlDirective, HostAnnouncement};
@@ -12,8 +12,14 @@
 
 use super::core::AgentInput;
 
-/// Time between announcements on an open session.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time between two announcements on an open session when nothing changes.
+///
+/// That the agent is there is shown by the connection itself, whose pings are answered below the
+/// control thread; the announcement only renews what control knows of the host.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(15);
+
+/// Time between two looks whether there is something new to announce.
+const LOOK_INTERVAL: Duration = Duration::from_millis(1000);
 
 /// Wait before the next control host is tried.
 const RECONNECT_WAIT: Duration = Duration::from_millis(300);
@@ -32,14 +38,17 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     /// Whether there is a session with a control host.
     pub(super) fn is_open(&self) -> bool {
         self.writer.lock().unwrap_or_else(PoisonError::into_inner).is_some()
     }
 
     fn announcement(&self, said: &HostAnnouncement) -> AgentReport {
-        let leaving = self.leaving.load(Ordering::Relaxed);
-        AgentReport::Announce(HostAnnouncement { leaving, ..said.clone() })
+        AgentReport::Announce(HostAnnouncement { leaving: self.is_leaving(), ..said.clone() })
     }
 
     /// Sends `report`; `false` when there is no session that takes it now.
@@ -94,6 +103,8 @@
     inputs: &Sender<AgentInput>,
 ) {
     let (writer, reader) = client.open(peer, CallKind::Fleet);
+    // Looked at before it is announced: a change in between is then announced once more.
+    let (mut said_leaving, mut announced) = (session.is_leaving(), Instant::now());
     if writer.send(&session.announcement(announcement)).is_err() {
         return;
     }
@@ -102,13 +113,18 @@
         return;
     }
     while session.running.load(Ordering::Relaxed) {
-        match reader.receive::<ControlDirective>(ANNOUNCE_INTERVAL) {
+        match reader.receive::<ControlDirective>(LOOK_INTERVAL) {
             Ok(directive) => {
                 if inputs.send(AgentInput::Directive(directive)).is_err() {
                     return;
                 }
             }
             Err(LinkError::TimedOut) => {
+                let leaving = session.is_leaving();
+                if leaving == said_leaving && announced.elapsed() < ANNOUNCE_INTERVAL {
+                    continue;
+                }
+                (said_leaving, announced) = (leaving, Instant::now());
                 if writer.send(&session.announcement(announcement)).is_err() {
                     return;
                 }
