Name the large fleet by the size it stands for

Change: the shape is called `design`, the test's type `LeaseMessage`.

Conclusion: names say what they stand for.

--- a/crates/cli/src/cmd/measure/planner.rs
+++ b/crates/cli/src/cmd/measure/planner.rs
@@ -21,7 +21,7 @@
     [("downtime first", 1000.0, 1.0), ("stranded first", 10.0, 1.0)];
 
 const SMALL_SHAPES: [TraceShape; 2] = [TraceShape::Parkland, TraceShape::Hollis];
-const LARGE_SHAPES: [TraceShape; 3] = [TraceShape::Letter, TraceShape::Large, TraceShape::Mixed];
+const LARGE_SHAPES: [TraceShape; 3] = [TraceShape::Design, TraceShape::Large, TraceShape::Mixed];
 
 /// Rounds that are timed.
 const TIMED_ROUNDS: u32 = 50;
@@ -165,7 +165,7 @@
 }
 
 fn print_steps(output: OutputFormat) {
-    let steps = [TraceShape::Letter, TraceShape::Large].map(|shape| (shape, time_rounds(shape)));
+    let steps = [TraceShape::Design, TraceShape::Large].map(|shape| (shape, time_rounds(shape)));
     if output == OutputFormat::Text {
         println!(
             "| fleet | hosts | groups | quiet round | round with a loss | fleet view | planner |"
--- a/crates/cli/src/cmd/replay.rs
+++ b/crates/cli/src/cmd/replay.rs
@@ -22,7 +22,7 @@
     trace: Option<String>,
     #[options(
         no_short,
-        help = "make a trace: parkland, hollis, letter, large, mixed or small",
+        help = "make a trace: parkland, hollis, design, large, mixed or small",
         meta = "SHAPE"
     )]
     generate: Option<String>,
--- a/crates/control/tests/rules_lease.rs
+++ b/crates/control/tests/rules_lease.rs
@@ -19,7 +19,7 @@
 
 /// A request or grant on its way.
 #[derive(Debug, Clone, Copy)]
-enum Letter {
+enum LeaseMessage {
     Ask { entry: usize, nonce: LeaseNonce, adopted: RevisionNumber },
     Grant { entry: usize, nonce: LeaseNonce, revision: RevisionNumber, terms: LeaseTerms },
 }
@@ -40,7 +40,7 @@
     accepted: RevisionNumber,
     book: LeaseBook,
     entries: Vec<TestEntry>,
-    letters: Vec<(TimePoint, Letter)>,
+    messages: Vec<(TimePoint, LeaseMessage)>,
     accepted_changes: u64,
 }
 
@@ -79,7 +79,7 @@
             accepted: RevisionNumber(0),
             book: LeaseBook::new(now, &registered(terms(hold))),
             entries,
-            letters: Vec::new(),
+            messages: Vec::new(),
             accepted_changes: 0,
         }
     }
@@ -88,14 +88,14 @@
         self.random.random_range(0..one_in) == 0
     }
 
-    fn post(&mut self, letter: Letter) {
+    fn post(&mut self, message: LeaseMessage) {
         if self.chance(5) {
             return;
         }
         let delay = Duration::from_millis(self.random.random_range(0..2500));
-        self.letters.push((self.now.after(delay), letter));
+        self.messages.push((self.now.after(delay), message));
         if self.chance(10) {
-            self.letters.push((self.now.after(2 * delay), letter));
+            self.messages.push((self.now.after(2 * delay), message));
         }
     }
 
@@ -126,28 +126,32 @@
         if self.chance(6) {
             let nonce = self.entries[entry].holder.ask(self.now);
             let adopted = self.entries[entry].adopted;
-            self.post(Letter::Ask { entry, nonce, adopted });
+            self.post(LeaseMessage::Ask { entry, nonce, adopted });
         }
     }
 
     fn deliver(&mut self) {
         let now = self.now;
-        let due: Vec<Letter> =
-            self.letters.iter().filter(|(at, _)| *at <= now).map(|(_, letter)| *letter).collect();
-        self.letters.retain(|(at, _)| *at > now);
-        for letter in due {
-            let (Letter::Ask { entry, .. } | Letter::Grant { entry, .. }) = letter;
+        let due: Vec<LeaseMessage> = self
+            .messages
+            .iter()
+            .filter(|(at, _)| *at <= now)
+            .map(|(_, message)| *message)
+            .collect();
+        self.messages.retain(|(at, _)| *at > now);
+        for message in due {
+            let (LeaseMessage::Ask { entry, .. } | LeaseMessage::Grant { entry, .. }) = message;
             if now < self.entries[entry].cut_off_until {
                 continue;
             }
-            match letter {
-                Letter::Ask { entry, nonce, adopted } => {
+            match message {
+                LeaseMessage::Ask { entry, nonce, adopted } => {
                     self.book.adopted(&name(entry), adopted);
                     let terms = self.book.grant(now, &name(entry)).expect("it is registered");
                     let revision = self.committed;
-                    self.post(Letter::Grant { entry, nonce, revision, terms });
+                    self.post(LeaseMessage::Grant { entry, nonce, revision, terms });
                 }
-                Letter::Grant { entry, nonce, revision, terms } => {
+                LeaseMessage::Grant { entry, nonce, revision, terms } => {
                     let entry = &mut self.entries[entry];
                     if entry.holder.granted(nonce, terms) {
                         entry.adopted = entry.adopted.max(revision);
--- a/crates/placement/src/replay/generate/shape.rs
+++ b/crates/placement/src/replay/generate/shape.rs
@@ -17,7 +17,7 @@
         /// Hollis & Pratt's fleet of today over thirty days.
         Hollis,
         /// 2,800 replicas on 22,000 accelerators, an ordinary day and a lost switch.
-        Letter,
+        Design,
         /// Replicas of 8 to 32 hosts on 22,000 accelerators, an ordinary day and a lost switch.
         Large,
         /// The fleet of 2,800 replicas through a day with everything that goes wrong in a year.
@@ -32,10 +32,10 @@
         match text {
             "parkland" => Ok(Self::Parkland),
             "hollis" => Ok(Self::Hollis),
-            "letter" => Ok(Self::Letter),
+            "design" => Ok(Self::Design),
             "large" => Ok(Self::Large),
             "mixed" => Ok(Self::Mixed),
-            _ => Err("use parkland, hollis, letter, large, mixed or small"),
+            _ => Err("use parkland, hollis, design, large, mixed or small"),
         }
     }
 }
@@ -97,7 +97,7 @@
         match shape {
             TraceShape::Parkland => today("desk", 4, 1, DOWNTIME_FIRST),
             TraceShape::Hollis => today("drafting", 3, 2, STRANDED_FIRST),
-            TraceShape::Letter => letter(),
+            TraceShape::Design => design(),
             TraceShape::Large => large(),
             TraceShape::Mixed => Self {
                 power_cuts: 2,
@@ -105,7 +105,7 @@
                 zone_losses: 1,
                 migrations: 3,
                 stop_rate: 0.004,
-                ..letter()
+                ..design()
             },
         }
     }
@@ -222,7 +222,7 @@
 }
 
 /// Hosts of two accelerators: 10,800 in 2,800 replicas, and one spare host in each domain.
-fn letter() -> FleetShape {
+fn design() -> FleetShape {
     let chat = ServiceShape { name: "chat", hosts: 4, replicas: 2600, accelerators: 2, ..ENGINE };
     let draft = ServiceShape { name: "draft", hosts: 2, replicas: 200, accelerators: 2, ..ENGINE };
     FleetShape {
@@ -262,6 +262,6 @@
         ],
         restart_rate: RESTART_RATE / 2.0,
         failure_rate: FAILURE_RATE / 2.0,
-        ..letter()
+        ..design()
     }
 }
