Build settings step by step where programs make them

Cause: three places spelled out every field of every role's settings; each new setting broke them all.

Change: builders with the defaults of the settings file; the demonstration, the trials and a measurement use them.

Conclusion: a new setting is added in one place.

--- a/crates/cli/src/cmd/measure/agreement.rs
+++ b/crates/cli/src/cmd/measure/agreement.rs
@@ -8,13 +8,9 @@
 use std::time::{Duration, Instant};
 
 use briartray_link::{CallKind, ClientSettings, LinkClient};
-use briartray_model::lease::HoldPolicy;
 use briartray_model::message::{ClaimKey, LedgerReply, LedgerRequest};
-use briartray_model::names::{NodeName, TeamName, ZoneName};
-use briartray_model::settings::{
-    ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, LogSettings, StopSettings,
-    TraceSettings,
-};
+use briartray_model::names::{NodeName, TeamName};
+use briartray_model::settings::{ClusterSettings, ControlPeer, ControlSettings, DaemonSettings};
 use briartray_node::{RunningDaemon, new_attempt};
 use gumdrop::Options;
 use serde_json::{Value, json};
@@ -311,22 +307,8 @@
 }
 
 fn host_settings(cluster: &ClusterSettings, folder: &Path, host: usize) -> DaemonSettings {
-    DaemonSettings {
-        node: node_name(host),
-        zone: ZoneName::new("local-a"),
-        cluster: cluster.clone(),
-        log: LogSettings::default(),
-        trace: TraceSettings::default(),
-        stop: StopSettings::default(),
-        entry: None,
-        control: Some(ControlSettings {
-            link: cluster.control[host].link,
-            operator: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-            operator_token: None,
-            data_folder: folder.join(host.to_string()),
-            first_rules: None,
-            rules_hold: HoldPolicy::default(),
-        }),
-        agent: None,
-    }
+    let operator = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let data_folder = folder.join(host.to_string());
+    let control = ControlSettings::new(cluster.control[host].link, operator, &data_folder);
+    DaemonSettings::new(node_name(host).as_str(), "local-a", cluster).control(control)
 }
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -4,11 +4,10 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use briartray_model::lease::HoldPolicy;
-use briartray_model::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
+use briartray_model::names::NodeName;
 use briartray_model::settings::{
     AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
-    EndpointSettings, EntrySettings, LogSettings, StopSettings, TraceSettings, UnconfirmedPolicy,
+    EndpointSettings, EntrySettings,
 };
 use briartray_node::entry::EntryNode;
 use briartray_node::{DaemonError, RunningDaemon};
@@ -128,7 +127,7 @@
         std::fs::write(&rules, &plan.rules)?;
         let peer = ControlPeer { node: NodeName::new("front"), link: free_address()? };
         let cluster = ClusterSettings { token: DEMO_TOKEN.to_owned(), control: vec![peer.clone()] };
-        let front = RunningDaemon::start(&front_settings(plan, &cluster, &peer, &folder, rules))?;
+        let front = RunningDaemon::start(&front_settings(plan, &cluster, &peer, &folder, &rules))?;
         let mut engines = Vec::new();
         let mut agents = Vec::new();
         for number in 0..plan.engines {
@@ -141,7 +140,7 @@
                 .faults(plan.engine_faults.clone());
             let engine = StandinEngine::start(settings)?;
             let endpoint =
-                endpoint_settings(engine.address(), ENGINE_SERVICE, EndpointKind::Engine);
+                EndpointSettings::new(engine.address(), ENGINE_SERVICE, EndpointKind::Engine);
             agents.push(RunningDaemon::start(&agent_settings(plan, &cluster, number, endpoint))?);
             engines.push(engine);
         }
@@ -150,7 +149,8 @@
             let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
             let settings = ServiceSettings::new(listen).faults(plan.service_faults.clone());
             let service = StandinService::start(settings)?;
-            let endpoint = endpoint_settings(service.address(), PLAIN_SERVICE, EndpointKind::Plain);
+            let endpoint =
+                EndpointSettings::new(service.address(), PLAIN_SERVICE, EndpointKind::Plain);
             agents.push(RunningDaemon::start(&agent_settings(plan, &cluster, number, endpoint))?);
             services.push(service);
         }
@@ -258,35 +258,13 @@
     cluster: &ClusterSettings,
     peer: &ControlPeer,
     folder: &Path,
-    rules: PathBuf,
+    rules: &Path,
 ) -> DaemonSettings {
-    DaemonSettings {
-        node: peer.node.clone(),
-        zone: ZoneName::new("local-a"),
-        cluster: cluster.clone(),
-        log: LogSettings::default(),
-        trace: TraceSettings { file: plan.trace_file.clone() },
-        stop: StopSettings::default(),
-        entry: Some(EntrySettings {
-            listen: plan.listen,
-            max_open_requests: 4096,
-            max_body_bytes: 1024 * 1024,
-            when_rules_unconfirmed: UnconfirmedPolicy::Refuse,
-        }),
-        control: Some(ControlSettings {
-            link: peer.link,
-            operator: plan.operator,
-            operator_token: None,
-            data_folder: folder.join("control"),
-            first_rules: Some(rules),
-            rules_hold: HoldPolicy::default(),
-        }),
-        agent: None,
-    }
-}
-
-fn endpoint_settings(address: SocketAddr, service: &str, kind: EndpointKind) -> EndpointSettings {
-    EndpointSettings { address, service: ServiceName::new(service), kind, checks_fencing: false }
+    let control = ControlSettings::new(peer.link, plan.operator, &folder.join("control"));
+    DaemonSettings::new(peer.node.as_str(), "local-a", cluster)
+        .trace_file(plan.trace_file.as_deref())
+        .entry(EntrySettings::new(plan.listen))
+        .control(control.first_rules(rules))
 }
 
 fn agent_settings(
@@ -295,23 +273,9 @@
     number: u32,
     endpoint: EndpointSettings,
 ) -> DaemonSettings {
-    DaemonSettings {
-        node: NodeName::new(&format!("agent-{number}")),
-        zone: ZoneName::new("local-a"),
-        cluster: cluster.clone(),
-        log: LogSettings::default(),
-        trace: TraceSettings { file: plan.trace_file.clone() },
-        stop: StopSettings::default(),
-        entry: None,
-        control: None,
-        agent: Some(AgentSettings {
-            link: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-            announce: None,
-            host: HostName::new(&format!("host-{number}")),
-            domain: DomainName::new("rack-1"),
-            provider: ProviderName::new("local"),
-            accelerators: 8,
-            endpoint,
-        }),
-    }
+    let link = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let agent = AgentSettings::new(link, &format!("host-{number}"), endpoint).domain("rack-1");
+    DaemonSettings::new(&format!("agent-{number}"), "local-a", cluster)
+        .trace_file(plan.trace_file.as_deref())
+        .agent(agent)
 }
--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant};
 
 use briartray_model::lease::HoldPolicy;
-use briartray_model::names::{DomainName, HostName, NodeName, ProviderName, ServiceName, ZoneName};
+use briartray_model::names::NodeName;
 use briartray_model::settings::{
     AgentSettings, ClusterSettings, ControlPeer, ControlSettings, DaemonSettings, EndpointKind,
-    EndpointSettings, EntrySettings, LogSettings, StopSettings, TraceSettings, UnconfirmedPolicy,
+    EndpointSettings, EntrySettings, StopSettings, UnconfirmedPolicy,
 };
 use briartray_standin::free_address;
 use tempfile::TempDir;
@@ -293,14 +293,11 @@
         for (number, peer) in self.cluster.control.clone().into_iter().enumerate() {
             let operator = free_address()?;
             let mut settings = daemon_settings(peer.node.as_str(), ZONES[0], &self.cluster);
-            settings.control = Some(ControlSettings {
-                link: peer.link,
-                operator,
-                operator_token: None,
-                data_folder: self.folder.path().join(format!("data-{number}")),
-                first_rules: Some(rules.to_owned()),
-                rules_hold: self.plan.hold,
-            });
+            let data_folder = self.folder.path().join(format!("data-{number}"));
+            let control = ControlSettings::new(peer.link, operator, &data_folder)
+                .first_rules(rules)
+                .rules_hold(self.plan.hold);
+            settings.control = Some(control);
             self.controls.push(start_daemon(&self.plan, self.folder.path(), &settings)?);
             self.operators.push(operator);
         }
@@ -311,12 +308,7 @@
         let listen = free_address()?;
         let name = format!("entry-{number}");
         let mut settings = daemon_settings(&name, ZONES[0], &self.cluster);
-        settings.entry = Some(EntrySettings {
-            listen,
-            max_open_requests: 4096,
-            max_body_bytes: 1024 * 1024,
-            when_rules_unconfirmed: self.plan.unconfirmed,
-        });
+        settings.entry = Some(EntrySettings::new(listen).unconfirmed(self.plan.unconfirmed));
         self.entries.push(start_daemon(&self.plan, self.folder.path(), &settings)?);
         self.entry_addresses.push(listen);
         Ok(())
@@ -345,20 +337,12 @@
         let relay = PathRelay::start()?;
         relay.set_target(link);
         let mut settings = daemon_settings(&format!("agent-{host}"), zone, &self.cluster);
-        settings.agent = Some(AgentSettings {
-            link,
-            announce: Some(relay.address()),
-            host: HostName::new(host),
-            domain: DomainName::new(&format!("rack-{zone}")),
-            provider: ProviderName::new("local"),
-            accelerators: 8,
-            endpoint: EndpointSettings {
-                address: endpoint_address,
-                service: ServiceName::new(service),
-                kind,
-                checks_fencing: self.plan.checks_fencing,
-            },
-        });
+        let endpoint_settings = EndpointSettings::new(endpoint_address, service, kind)
+            .checks_fencing(self.plan.checks_fencing);
+        let agent_settings = AgentSettings::new(link, host, endpoint_settings)
+            .announce(relay.address())
+            .domain(&format!("rack-{zone}"));
+        settings.agent = Some(agent_settings);
         let agent = start_daemon(&self.plan, self.folder.path(), &settings)?;
         let host = host.to_owned();
         self.agents.push(FleetAgent { agent, endpoint, endpoint_address, relay, host, zone });
@@ -451,17 +435,8 @@
 }
 
 fn daemon_settings(node: &str, zone: &str, cluster: &ClusterSettings) -> DaemonSettings {
-    DaemonSettings {
-        node: NodeName::new(node),
-        zone: ZoneName::new(zone),
-        cluster: cluster.clone(),
-        log: LogSettings::default(),
-        trace: TraceSettings::default(),
-        stop: StopSettings { notice_ms: 500, wait_ms: 30_000 },
-        entry: None,
-        control: None,
-        agent: None,
-    }
+    let stop = StopSettings { notice_ms: 500, wait_ms: 30_000 };
+    DaemonSettings { stop, ..DaemonSettings::new(node, zone, cluster) }
 }
 
 /// Starts a daemon; its settings are written as JSON, which is YAML too.
--- a/crates/model/src/settings/mod.rs
+++ b/crates/model/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings of one process, read from a YAML file.
 
+mod build;
 mod lines;
 mod load;
 mod problem;
--- a/crates/model/src/settings/types.rs
+++ b/crates/model/src/settings/types.rs
@@ -195,10 +195,10 @@
     pub checks_fencing: bool,
 }
 
-fn default_open_requests() -> u32 {
+pub(super) fn default_open_requests() -> u32 {
     4096
 }
 
-fn default_body_bytes() -> usize {
+pub(super) fn default_body_bytes() -> usize {
     1024 * 1024
 }
