Count what updates of changed groups cost on the capacity page

Change: the measurement encodes updates of 1, 12 and 97 changed groups of 2,800; a row for what is sent, one for what is avoided.

--- a/crates/cli/src/cmd/measure/capacity/encoding.rs
+++ b/crates/cli/src/cmd/measure/capacity/encoding.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use briartray_model::codec;
-use briartray_model::message::{GroupRecord, RoutingSnapshot};
+use briartray_model::message::{GroupRecord, RoutingSnapshot, SnapshotChange};
 use briartray_model::names::{FencingNumber, GroupId, HostName};
 
 use super::lines::MeasuredLine;
@@ -33,6 +33,21 @@
     ])
 }
 
+/// Bytes of an update by the groups that changed, out of as many as the design size has.
+pub(super) fn changes(sizes: &[usize], groups: usize) -> Result<Vec<MeasuredLine>, CommandError> {
+    let mut bytes = Vec::new();
+    for size in sizes {
+        let earlier = sample(groups);
+        let mut later = earlier.clone();
+        later.version += 1;
+        later.groups.iter_mut().take(*size).for_each(|record| record.whole = false);
+        let change = SnapshotChange::between(&earlier, &later);
+        let encoded = codec::encode(&change).map_err(CommandError::refused)?;
+        bytes.push(SizePoint { size: *size as f64, cost: encoded.len() as f64 });
+    }
+    Ok(vec![MeasuredLine::new("entry", "changed group in an update", "bytes", bytes)])
+}
+
 fn sample(groups: usize) -> RoutingSnapshot {
     let record = |number: usize| GroupRecord {
         group: GroupId(number as u64),
--- a/crates/cli/src/cmd/measure/capacity/mod.rs
+++ b/crates/cli/src/cmd/measure/capacity/mod.rs
@@ -39,6 +39,9 @@
 /// Groups in a snapshot.
 const GROUPS: [usize; 4] = [30, 300, 1000, 2800];
 
+/// Groups that change in one update: one, a rack's, a zone's.
+const CHANGED: [usize; 3] = [1, 12, 97];
+
 /// Requests a second while tokens vary.
 const FIXED_RATE: usize = 40;
 
@@ -67,6 +70,8 @@
     measured.extend(lines::serving(&rates, &tokens, FIXED_RATE)?);
     progress("snapshots");
     measured.extend(encoding::snapshot(&repeat(&GROUPS, options.runs))?);
+    let groups = GROUPS[GROUPS.len() - 1];
+    measured.extend(encoding::changes(&repeat(&CHANGED, options.runs), groups)?);
     report(options, &measured)
 }
 
--- a/crates/cli/src/cmd/measure/capacity/rows.rs
+++ b/crates/cli/src/cmd/measure/capacity/rows.rs
@@ -25,6 +25,9 @@
 /// Changes of rules in a day.
 const RULE_CHANGES: f64 = 2000.0;
 
+/// Size of a rule document at the design size, in bytes; assumed.
+const RULES_BYTES: f64 = 20_000.0;
+
 /// Hosts that fail or are restarted in a day; each takes a group down and back up.
 const HOST_EVENTS: f64 = 21.0 + 370.0;
 
@@ -168,6 +171,7 @@
     let tokens = shelf.each("entry", "token/s", "% of a core");
     let bytes = shelf.each("control leader", "watching entry", "bytes/s");
     let snapshot = shelf.at("entry", "group in a snapshot", "bytes", REPLICAS);
+    let update = shelf.at("entry", "changed group in an update", "bytes", 1.0);
     let changes = RULE_CHANGES + 2.0 * HOST_EVENTS;
     vec![
         CapacityRow {
@@ -181,12 +185,26 @@
         },
         CapacityRow {
             role: "entry",
-            what: "network, whole snapshot at every change",
+            what: "network, changes of groups and rules",
+            need: (2.0 * HOST_EVENTS * update + RULE_CHANGES * RULES_BYTES) / DAY,
+            unit: "bytes/s",
+            limit: Some(NETWORK_LIMIT),
+            sum: format!(
+                "{} group changes a day of {update:.0} bytes, {RULE_CHANGES} rule changes of \
+                 {:.0} kB",
+                2.0 * HOST_EVENTS,
+                RULES_BYTES / 1000.0
+            ),
+            mechanism: "updates hold what changed; the view is swapped as a whole",
+        },
+        CapacityRow {
+            role: "entry",
+            what: "network, were whole snapshots sent",
             need: snapshot * changes / DAY,
             unit: "bytes/s",
             limit: Some(NETWORK_LIMIT),
             sum: format!("{changes} changes a day of {:.0} kB", snapshot / 1000.0),
-            mechanism: "snapshot that is swapped as a whole",
+            mechanism: "what updates avoid; sent after a change of leader only",
         },
         CapacityRow {
             role: "entry",
