--- a/crates/cli/src/cmd/measure/capacity/rows.rs
+++ b/crates/cli/src/cmd/measure/capacity/rows.rs
@@ -107,7 +107,8 @@
     let role = "control leader";
     let (watcher, agent) = ("watching entry", "connected agent");
     let leases = "rules leases, renewed by every entry";
-    let sessions = "sessions of first hosts and free hosts; members report to their first host";
+    let sessions = "a session for each agent, which announces on a change and every 15 s";
+    let avoided = "not built: members without a session, vouched for by their first host";
     vec![
         CapacityRow {
             role,
@@ -139,29 +140,38 @@
         CapacityRow {
             role,
             what: "processor, sessions",
-            need: shelf.at(role, agent, "% of a core", REPLICAS),
+            need: shelf.at(role, agent, "% of a core", HOSTS),
             unit: "% of a core",
             limit: Some(WHOLE_CORE),
-            sum: format!("line at {REPLICAS} first hosts"),
+            sum: format!("line at {HOSTS} hosts"),
+            mechanism: sessions,
+        },
+        CapacityRow {
+            role,
+            what: "network, sessions",
+            need: shelf.at(role, agent, "bytes/s", HOSTS),
+            unit: "bytes/s",
+            limit: None,
+            sum: format!("line at {HOSTS} hosts"),
             mechanism: sessions,
         },
         CapacityRow {
             role,
             what: "memory, sessions",
-            need: shelf.at(role, agent, "bytes of memory", REPLICAS),
+            need: shelf.at(role, agent, "bytes of memory", HOSTS),
             unit: "bytes",
             limit: None,
-            sum: format!("line at {REPLICAS} first hosts"),
+            sum: format!("line at {HOSTS} hosts"),
             mechanism: sessions,
         },
         CapacityRow {
             role,
-            what: "processor, were every host connected",
-            need: shelf.at(role, agent, "% of a core", HOSTS),
+            what: "processor, were only first hosts connected",
+            need: shelf.at(role, agent, "% of a core", REPLICAS),
             unit: "% of a core",
             limit: Some(WHOLE_CORE),
-            sum: format!("line at {HOSTS} hosts"),
-            mechanism: "what the hierarchy of sessions avoids",
+            sum: format!("line at {REPLICAS} first hosts"),
+            mechanism: avoided,
         },
     ]
 }
@@ -247,6 +257,15 @@
             sum: format!("line at {others} members"),
             mechanism: leases,
         },
+        CapacityRow {
+            role: "agent",
+            what: "network, session",
+            need: shelf.each("control leader", "connected agent", "bytes/s"),
+            unit: "bytes/s",
+            limit: Some(NETWORK_LIMIT),
+            sum: "each of the leader's line".to_owned(),
+            mechanism: "a session, pings once a second",
+        },
         CapacityRow {
             role,
             what: "memory, leases",
--- a/crates/model/src/settings/lines.rs
+++ b/crates/model/src/settings/lines.rs
@@ -73,7 +73,8 @@
         true
     }
 
-    /// Puts `value` in place of the one at `line` and `column`.
+    /// Puts `value` in place of the one at `line` and `column`; `false` when a key stands there,
+    /// with whose value nothing sound could be put.
     pub(super) fn replace_value(&mut self, line: u64, column: u64, value: &str) -> bool {
         let Some(text) = index_of(line).and_then(|index| self.lines.get_mut(index)) else {
             return false;
@@ -83,6 +84,9 @@
         };
         let tail = &text[start..];
         let end = tail.find([',', '}', ']', '#']).unwrap_or(tail.len());
+        if entry_before(&tail[..end], 0).is_some() {
+            return false;
+        }
         text.replace_range(start..start + end, value);
         true
     }
--- a/crates/model/tests/settings_problems.rs
+++ b/crates/model/tests/settings_problems.rs
@@ -58,6 +58,21 @@
     assert_eq!(found, expected);
 }
 
+#[test]
+fn misspelt_choice_with_a_value_is_one_problem() {
+    // An operator misspells a choice that carries a value. Told besides of problems that only came
+    // of trying to read on, the operator would look for mistakes that are not in the file.
+    let text = format!(
+        "{SOUND}control:\n  link: 127.0.0.1:7000\n  operator: 127.0.0.1:9000\n  \
+         data_folder: d\n  rules_hold: {{ bounded: 5 }}\n"
+    );
+
+    let found = problems(&text);
+
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].detail.contains("unknown variant `bounded`"), "{found:?}");
+}
+
 #[test]
 fn slip_of_the_pen_is_answered_with_the_right_key() {
     let found = problems(&format!("{SOUND}  max_open_request: 4\n"));
