State the options of operators' commands once

`entries forget` had no output for scripts.

Change: a macro adds the three options and makes the port; it takes a command's own fields as they stand, since the derive looks at how a type is written.

Conclusion: a new operators' command states what is its own.

--- a/crates/cli/src/cmd/entries.rs
+++ b/crates/cli/src/cmd/entries.rs
@@ -3,7 +3,6 @@
 use gumdrop::Options;
 use serde_json::json;
 
-use super::operator::{DEFAULT_OPERATOR, OperatorPort};
 use super::{CommandError, OutputFormat};
 
 #[derive(Debug, Options)]
@@ -22,38 +21,20 @@
     Forget(ForgetOptions),
 }
 
-#[derive(Debug, Options)]
-struct ListOptions {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(
-        no_short,
-        help = "operators' addresses",
-        meta = "ADDRESS",
-        default_expr = "DEFAULT_OPERATOR.to_owned()"
-    )]
-    operator: String,
-    #[options(no_short, help = "operators' token", meta = "TOKEN")]
-    token: Option<String>,
-    #[options(no_short, help = "text or json", meta = "FORMAT")]
-    output: OutputFormat,
+operator_command! {
+    struct ListOptions {
+        #[options(help = "print this help")]
+        help: bool,
+    }
 }
 
-#[derive(Debug, Options)]
-struct ForgetOptions {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(free, required, help = "node name of the entry")]
-    node: String,
-    #[options(
-        no_short,
-        help = "operators' addresses",
-        meta = "ADDRESS",
-        default_expr = "DEFAULT_OPERATOR.to_owned()"
-    )]
-    operator: String,
-    #[options(no_short, help = "operators' token", meta = "TOKEN")]
-    token: Option<String>,
+operator_command! {
+    struct ForgetOptions {
+        #[options(help = "print this help")]
+        help: bool,
+        #[options(free, required, help = "node name of the entry")]
+        node: String,
+    }
 }
 
 pub(super) fn run(options: &EntriesOptions) -> Result<(), CommandError> {
@@ -65,7 +46,7 @@
 }
 
 fn list(options: &ListOptions) -> Result<(), CommandError> {
-    let port = OperatorPort { address: &options.operator, token: options.token.as_deref() };
+    let port = options.port();
     let entries = port.get("/v1/entries")?;
     if options.output == OutputFormat::Json {
         println!("{entries}");
@@ -80,8 +61,11 @@
 }
 
 fn forget(options: &ForgetOptions) -> Result<(), CommandError> {
-    let port = OperatorPort { address: &options.operator, token: options.token.as_deref() };
-    port.post("/v1/entries/forget", &json!({ "node": options.node }))?;
-    println!("{} is struck off", options.node);
+    let port = options.port();
+    let reply = port.post("/v1/entries/forget", &json!({ "node": options.node }))?;
+    match options.output {
+        OutputFormat::Json => println!("{reply}"),
+        OutputFormat::Text => println!("{} is struck off", options.node),
+    }
     Ok(())
 }
--- a/crates/cli/src/cmd/groups.rs
+++ b/crates/cli/src/cmd/groups.rs
@@ -1,33 +1,21 @@
 //! `briartray groups`: every group and whether it is whole, or what downtime and stranded
 //! accelerators have been counted.
 
-use gumdrop::Options;
 use serde_json::Value;
 
-use super::operator::{DEFAULT_OPERATOR, OperatorPort};
 use super::{CommandError, OutputFormat};
 
-#[derive(Debug, Options)]
-pub(super) struct GroupsOptions {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(
-        no_short,
-        help = "operators' address, or those of all control hosts with commas between",
-        meta = "ADDRESS",
-        default_expr = "DEFAULT_OPERATOR.to_owned()"
-    )]
-    operator: String,
-    #[options(no_short, help = "operators' token", meta = "TOKEN")]
-    token: Option<String>,
-    #[options(no_short, help = "show downtime and stranded accelerators instead")]
-    account: bool,
-    #[options(no_short, help = "text or json", meta = "FORMAT")]
-    output: OutputFormat,
+operator_command! {
+    pub(super) struct GroupsOptions {
+        #[options(help = "print this help")]
+        help: bool,
+        #[options(no_short, help = "show downtime and stranded accelerators instead")]
+        account: bool,
+    }
 }
 
 pub(super) fn run(options: &GroupsOptions) -> Result<(), CommandError> {
-    let port = OperatorPort { address: &options.operator, token: options.token.as_deref() };
+    let port = options.port();
     if options.account {
         let account = port.get("/v1/groups/account")?;
         match options.output {
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -3,6 +3,9 @@
 //! Exit codes: 0 done, 1 refused or failed, 2 wrong usage or input that cannot be used,
 //! 3 committed but not yet in force everywhere.
 
+#[macro_use]
+mod operator;
+
 mod check;
 mod demo;
 mod entries;
@@ -10,7 +13,6 @@
 mod help;
 mod load;
 mod measure;
-mod operator;
 mod replay;
 mod rules;
 mod stand_in;
--- a/crates/cli/src/cmd/operator.rs
+++ b/crates/cli/src/cmd/operator.rs
@@ -25,6 +25,39 @@
 /// Address of the operators' port when none is given.
 pub(super) const DEFAULT_OPERATOR: &str = "127.0.0.1:8081";
 
+/// Defines the options of a command that calls the operators' port: its own, then where the port
+/// is, the token for it and how to print.
+///
+/// The fields are taken as they stand: the derive looks at how a type is written.
+macro_rules! operator_command {
+    ($vis:vis struct $name:ident { $($own:tt)* }) => {
+        #[derive(Debug, ::gumdrop::Options)]
+        $vis struct $name {
+            $($own)*
+            #[options(
+                no_short,
+                help = "operators' addresses, separated by commas",
+                meta = "ADDRESS",
+                default_expr = "crate::cmd::operator::DEFAULT_OPERATOR.to_owned()"
+            )]
+            operator: String,
+            #[options(no_short, help = "operators' token", meta = "TOKEN")]
+            token: Option<String>,
+            #[options(no_short, help = "text or json", meta = "FORMAT")]
+            output: $crate::cmd::OutputFormat,
+        }
+
+        impl $name {
+            fn port(&self) -> $crate::cmd::operator::OperatorPort<'_> {
+                $crate::cmd::operator::OperatorPort {
+                    address: &self.operator,
+                    token: self.token.as_deref(),
+                }
+            }
+        }
+    };
+}
+
 /// The operators' ports, separated by commas, and the token for them.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct OperatorPort<'a> {
--- a/crates/cli/src/cmd/rules/apply.rs
+++ b/crates/cli/src/cmd/rules/apply.rs
@@ -1,40 +1,28 @@
 //! `briartray rules apply`: replace the rules in force.
 
 use briartray_node::new_change;
-use gumdrop::Options;
 use serde_json::json;
 
 use super::read_document;
-use crate::cmd::operator::{DEFAULT_OPERATOR, OperatorPort};
 use crate::cmd::{CommandError, OutputFormat};
 
-#[derive(Debug, Options)]
-pub(super) struct ApplyOptions {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(free, required, help = "rule document in YAML")]
-    file: String,
-    #[options(no_short, help = "revision that must be in force", meta = "REVISION")]
-    expect: Option<u64>,
-    #[options(no_short, help = "change id of 32 hexadecimal digits, for a resend", meta = "ID")]
-    change: Option<String>,
-    #[options(
-        no_short,
-        help = "operators' address, or those of all control hosts with commas between",
-        meta = "ADDRESS",
-        default_expr = "DEFAULT_OPERATOR.to_owned()"
-    )]
-    operator: String,
-    #[options(no_short, help = "operators' token", meta = "TOKEN")]
-    token: Option<String>,
-    #[options(no_short, help = "text or json", meta = "FORMAT")]
-    output: OutputFormat,
+operator_command! {
+    pub(super) struct ApplyOptions {
+        #[options(help = "print this help")]
+        help: bool,
+        #[options(free, required, help = "rule document in YAML")]
+        file: String,
+        #[options(no_short, help = "revision that must be in force", meta = "REVISION")]
+        expect: Option<u64>,
+        #[options(no_short, help = "change id of 32 hexadecimal digits, for a resend", meta = "ID")]
+        change: Option<String>,
+    }
 }
 
 pub(super) fn run(options: &ApplyOptions) -> Result<(), CommandError> {
     let text = read_document(&options.file)?;
     let change = options.change.clone().unwrap_or_else(|| new_change().to_string());
-    let port = OperatorPort { address: &options.operator, token: options.token.as_deref() };
+    let port = options.port();
     let body = json!({ "change": change, "expect": options.expect, "text": text });
     let reply = port.post("/v1/rules", &body).map_err(|error| {
         CommandError::refused(format!("{error} (change {change}; send it again with --change)"))
--- a/crates/cli/src/cmd/rules/show.rs
+++ b/crates/cli/src/cmd/rules/show.rs
@@ -1,29 +1,16 @@
 //! `briartray rules show`: the rules in force.
 
-use gumdrop::Options;
-
-use crate::cmd::operator::{DEFAULT_OPERATOR, OperatorPort};
 use crate::cmd::{CommandError, OutputFormat};
 
-#[derive(Debug, Options)]
-pub(super) struct ShowOptions {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(
-        no_short,
-        help = "operators' address, or those of all control hosts with commas between",
-        meta = "ADDRESS",
-        default_expr = "DEFAULT_OPERATOR.to_owned()"
-    )]
-    operator: String,
-    #[options(no_short, help = "operators' token", meta = "TOKEN")]
-    token: Option<String>,
-    #[options(no_short, help = "text or json", meta = "FORMAT")]
-    output: OutputFormat,
+operator_command! {
+    pub(super) struct ShowOptions {
+        #[options(help = "print this help")]
+        help: bool,
+    }
 }
 
 pub(super) fn run(options: &ShowOptions) -> Result<(), CommandError> {
-    let port = OperatorPort { address: &options.operator, token: options.token.as_deref() };
+    let port = options.port();
     let rules = port.get("/v1/rules")?;
     match options.output {
         OutputFormat::Json => println!("{rules}"),
--- a/crates/cli/src/cmd/stop.rs
+++ b/crates/cli/src/cmd/stop.rs
@@ -4,7 +4,6 @@
 use gumdrop::Options;
 use serde_json::{Value, json};
 
-use super::operator::{DEFAULT_OPERATOR, OperatorPort};
 use super::{CommandError, OutputFormat};
 
 #[derive(Debug, Options)]
@@ -25,67 +24,37 @@
     Cancel(CancelOptions),
 }
 
-#[derive(Debug, Options)]
-struct PlanOptions {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(no_short, help = "host to stop", meta = "HOST")]
-    host: Option<String>,
-    #[options(no_short, help = "group to stop", meta = "NUMBER")]
-    group: Option<u64>,
-    #[options(no_short, help = "availability zone to stop", meta = "ZONE")]
-    zone: Option<String>,
-    #[options(no_short, help = "provider to stop", meta = "PROVIDER")]
-    provider: Option<String>,
-    #[options(no_short, help = "change id of 32 hexadecimal digits, for a resend", meta = "ID")]
-    change: Option<String>,
-    #[options(
-        no_short,
-        help = "operators' address",
-        meta = "ADDRESS",
-        default_expr = "DEFAULT_OPERATOR.to_owned()"
-    )]
-    operator: String,
-    #[options(no_short, help = "operators' token", meta = "TOKEN")]
-    token: Option<String>,
-    #[options(no_short, help = "text or json", meta = "FORMAT")]
-    output: OutputFormat,
+operator_command! {
+    struct PlanOptions {
+        #[options(help = "print this help")]
+        help: bool,
+        #[options(no_short, help = "host to stop", meta = "HOST")]
+        host: Option<String>,
+        #[options(no_short, help = "group to stop", meta = "NUMBER")]
+        group: Option<u64>,
+        #[options(no_short, help = "availability zone to stop", meta = "ZONE")]
+        zone: Option<String>,
+        #[options(no_short, help = "provider to stop", meta = "PROVIDER")]
+        provider: Option<String>,
+        #[options(no_short, help = "change id of 32 hexadecimal digits, for a resend", meta = "ID")]
+        change: Option<String>,
+    }
 }
 
-#[derive(Debug, Options)]
-struct ListOptions {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(
-        no_short,
-        help = "operators' address",
-        meta = "ADDRESS",
-        default_expr = "DEFAULT_OPERATOR.to_owned()"
-    )]
-    operator: String,
-    #[options(no_short, help = "operators' token", meta = "TOKEN")]
-    token: Option<String>,
-    #[options(no_short, help = "text or json", meta = "FORMAT")]
-    output: OutputFormat,
+operator_command! {
+    struct ListOptions {
+        #[options(help = "print this help")]
+        help: bool,
+    }
 }
 
-#[derive(Debug, Options)]
-struct CancelOptions {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(free, required, help = "number of the stop")]
-    stop: u64,
-    #[options(
-        no_short,
-        help = "operators' address",
-        meta = "ADDRESS",
-        default_expr = "DEFAULT_OPERATOR.to_owned()"
-    )]
-    operator: String,
-    #[options(no_short, help = "operators' token", meta = "TOKEN")]
-    token: Option<String>,
-    #[options(no_short, help = "text or json", meta = "FORMAT")]
-    output: OutputFormat,
+operator_command! {
+    struct CancelOptions {
+        #[options(help = "print this help")]
+        help: bool,
+        #[options(free, required, help = "number of the stop")]
+        stop: u64,
+    }
 }
 
 pub(super) fn run(options: &StopOptions) -> Result<(), CommandError> {
@@ -100,7 +69,7 @@
 fn plan(options: &PlanOptions) -> Result<(), CommandError> {
     let target = target_of(options)?;
     let change = options.change.clone().unwrap_or_else(|| new_change().to_string());
-    let port = OperatorPort { address: &options.operator, token: options.token.as_deref() };
+    let port = options.port();
     let body = json!({ "change": change, "target": target });
     let reply = port.post("/v1/stops", &body).map_err(|error| {
         CommandError::refused(format!("{error} (change {change}; send it again with --change)"))
@@ -127,7 +96,7 @@
 }
 
 fn list(options: &ListOptions) -> Result<(), CommandError> {
-    let port = OperatorPort { address: &options.operator, token: options.token.as_deref() };
+    let port = options.port();
     let reply = port.get("/v1/stops")?;
     match options.output {
         OutputFormat::Json => println!("{reply}"),
@@ -154,7 +123,7 @@
 }
 
 fn cancel(options: &CancelOptions) -> Result<(), CommandError> {
-    let port = OperatorPort { address: &options.operator, token: options.token.as_deref() };
+    let port = options.port();
     let reply = port.post("/v1/stops/cancel", &json!({ "stop": options.stop }))?;
     match options.output {
         OutputFormat::Json => println!("{reply}"),
