--- a/crates/cli/src/cmd/measure/idle.rs
+++ b/crates/cli/src/cmd/measure/idle.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use briartray_control::agreement::{
-    AgreementCore, AgreementSettings, AgreementTimes, FolderId, MemberRole, PeerMessage,
-    RecoveredState,
+    AgreementCore, AgreementSettings, AgreementTimes, FolderId, MemberRole, MembershipMode,
+    PeerMessage, RecoveredState,
 };
 use briartray_model::names::NodeName;
 use briartray_model::{TimePoint, codec};
@@ -66,6 +66,7 @@
         node: name(host),
         folder: FolderId(host as u64),
         members: (0..SIZE).map(name).collect(),
+        membership: MembershipMode::Fixed,
         times: AgreementTimes::default(),
         seed: host as u64,
     };
--- a/crates/control/src/agreement/core.rs
+++ b/crates/control/src/agreement/core.rs
@@ -47,8 +47,10 @@
     pub node: NodeName,
     /// Its data folder.
     pub folder: FolderId,
-    /// All control hosts, this one among them.
+    /// All control hosts, this one among them; those known so far when membership is dynamic.
     pub members: Vec<NodeName>,
+    /// How it is settled who votes.
+    pub membership: MembershipMode,
     /// The times.
     pub times: AgreementTimes,
     /// Seed of the election timeouts.
@@ -56,6 +58,19 @@
 }
 
 plain_choice! {
+    /// How it is settled who votes.
+    #[derive(Default)]
+    pub enum MembershipMode {
+        /// The settings name every voter, and together they found the log.
+        #[default]
+        Fixed,
+        /// One host founds the log alone; every other voter is added and removed through the log.
+        Dynamic {
+            /// Voters that the log is grown to.
+            voters: usize,
+        },
+    }
+
     /// What a control host is in the current term.
     pub enum MemberRole {
         /// Its data folder has no seat yet; it takes entries and does not vote.
@@ -85,6 +100,7 @@
     pub(super) node: NodeName,
     pub(super) folder: FolderId,
     pub(super) members: Vec<NodeName>,
+    pub(super) membership: MembershipMode,
     pub(super) times: AgreementTimes,
     random: ChaCha8Rng,
     pub(super) hard: HardState,
@@ -126,6 +142,7 @@
             node: settings.node,
             folder: settings.folder,
             members,
+            membership: settings.membership,
             times: settings.times,
             random: ChaCha8Rng::seed_from_u64(settings.seed),
             hard,
@@ -300,7 +317,10 @@
 
     /// How many seats make a majority.
     pub(super) fn majority(&self) -> usize {
-        self.members.len() / 2 + 1
+        match self.membership {
+            MembershipMode::Fixed => self.members.len() / 2 + 1,
+            MembershipMode::Dynamic { .. } => self.seats.len() / 2 + 1,
+        }
     }
 
     pub(super) fn delay_election(&mut self, now: TimePoint) {
@@ -353,8 +373,10 @@
         while self.delivered < self.commit {
             let Some(entry) = self.log.get(self.delivered.next()).cloned() else { return };
             self.delivered = entry.index;
-            if let EntryPayload::Admit(seat) = &entry.payload {
-                self.seat(seat.clone());
+            match &entry.payload {
+                EntryPayload::Admit(seat) => self.seat(seat.clone()),
+                EntryPayload::Dismiss(node) => self.unseat(node),
+                EntryPayload::Blank | EntryPayload::Command(_) => {}
             }
             let token = self.take_token(&entry);
             self.output.deliveries.push(LogDelivery::Entry(CommittedEntry { entry, token }));
--- a/crates/control/src/agreement/election.rs
+++ b/crates/control/src/agreement/election.rs
@@ -111,8 +111,9 @@
         granted: bool,
     ) {
         let wanted = granted && term == self.hard.term.next() && self.is_seat(&from, folder);
+        let majority = self.majority();
         let RoleState::PreVoting(votes) = &mut self.role else { return };
-        if wanted && count_in(votes, from) > self.members.len() / 2 {
+        if wanted && count_in(votes, from) >= majority {
             self.start_vote(now);
         }
     }
--- a/crates/control/src/agreement/follow.rs
+++ b/crates/control/src/agreement/follow.rs
@@ -3,7 +3,7 @@
 use briartray_model::TimePoint;
 use briartray_model::names::{LogIndex, NodeName};
 
-use super::core::{AgreementCore, RoleState};
+use super::core::{AgreementCore, MembershipMode, RoleState};
 use super::log::EntryLog;
 use super::{
     AppendCall, AppendReply, InstallCall, LogEntry, LogSnapshot, PeerBody, SnapshotMeta,
@@ -22,7 +22,7 @@
 
 impl AgreementCore {
     pub(super) fn take_append(&mut self, now: TimePoint, from: NodeName, call: AppendCall) {
-        if !self.follow(now, &from) {
+        if self.awaits_founding() || !self.follow(now, &from) {
             return;
         }
         let (prev, round) = (call.prev_index, call.round);
@@ -45,6 +45,14 @@
         self.send_after(self.sync.hard_ticket(), from, reply(true, synced));
     }
 
+    /// Whether the founding seats must be known before entries are taken.
+    ///
+    /// With dynamic membership the seats follow from the founding ones and the entries: applied
+    /// to nothing, the entries would leave a host that counts other majorities than the rest.
+    fn awaits_founding(&self) -> bool {
+        matches!(self.membership, MembershipMode::Dynamic { .. }) && self.founding.is_none()
+    }
+
     /// Takes `from` as the leader of the current term; `false` when that cannot be.
     fn follow(&mut self, now: TimePoint, from: &NodeName) -> bool {
         if matches!(self.role, RoleState::Leading(_)) {
@@ -106,7 +114,7 @@
     }
 
     pub(super) fn take_install(&mut self, now: TimePoint, from: NodeName, call: InstallCall) {
-        if !self.follow(now, &from) {
+        if self.awaits_founding() || !self.follow(now, &from) {
             return;
         }
         let (index, round) = (call.meta.index, call.round);
--- a/crates/control/src/agreement/lead.rs
+++ b/crates/control/src/agreement/lead.rs
@@ -45,7 +45,7 @@
 /// What a leader keeps for its term.
 #[derive(Debug)]
 pub(super) struct LeadState {
-    first: LogIndex,
+    pub(super) first: LogIndex,
     pub(super) beat_at: TimePoint,
     pub(super) beat_due: bool,
     pub(super) round: u64,
@@ -53,6 +53,8 @@
     pub(super) proposals: VecDeque<OpenProposal>,
     proposal_bytes: usize,
     pub(super) reads: VecDeque<OpenRead>,
+    /// The newest change of the seats proposed here; the next one waits until it is committed.
+    pub(super) seat_change: LogIndex,
 }
 
 impl LeadState {
@@ -68,6 +70,7 @@
             proposals: VecDeque::new(),
             proposal_bytes: 0,
             reads: VecDeque::new(),
+            seat_change: LogIndex::default(),
         }
     }
 }
@@ -145,7 +148,7 @@
     pub(super) fn check_quorum(&mut self, now: TimePoint) {
         let RoleState::Leading(lead) = &self.role else { return };
         let hangs = self.sync.waiting(now) >= self.times.election * MAX_SYNC_TIMEOUTS;
-        if hangs && self.members.len() > 1 {
+        if hangs && self.majority() > 1 {
             log::warn!(term = self.hard.term.0; "the disk hangs; stepping down");
             return self.step_down(now, self.hard.term);
         }
@@ -160,8 +163,12 @@
         // A new leader has heard the votes, but not yet which folder sent them.
         let fresh = lead
             .peers
-            .values()
-            .filter(|peer| peer.folder.is_none() && now.since(peer.heard_at) < self.times.election)
+            .iter()
+            .filter(|(node, peer)| {
+                peer.folder.is_none()
+                    && self.seats.iter().any(|seat| seat.node == **node)
+                    && now.since(peer.heard_at) < self.times.election
+            })
             .count();
         if heard + fresh + 1 < self.majority() {
             log::warn!(term = self.hard.term.0; "no majority answers; stepping down");
@@ -256,6 +263,7 @@
                 round: 0,
                 piece: None,
                 admitting: None,
+                absent: false,
             };
             *peer = fresh;
         }
@@ -267,7 +275,7 @@
 
     /// Proposes a seat for a folder that has caught up.
     fn admit(&mut self, node: &NodeName, folder: FolderId) {
-        if self.is_seat(node, folder) {
+        if self.is_seat(node, folder) || !self.may_admit(node) {
             return;
         }
         let commit = self.commit;
@@ -279,7 +287,7 @@
         }
         peer.admitting = Some(folder);
         log::info!(node = node.as_str(); "a new data folder has caught up and gets its seat");
-        self.append(EntryPayload::Admit(MemberSeat { node: node.clone(), folder }));
+        self.change_seats(EntryPayload::Admit(MemberSeat { node: node.clone(), folder }));
     }
 
     /// Commits what a majority has synced, this host among it, in the current term.
--- a/crates/control/src/agreement/log.rs
+++ b/crates/control/src/agreement/log.rs
@@ -109,6 +109,6 @@
     const OVERHEAD: usize = 64;
     match &entry.payload {
         EntryPayload::Command(data) => OVERHEAD + data.len(),
-        EntryPayload::Blank | EntryPayload::Admit(_) => OVERHEAD,
+        EntryPayload::Blank | EntryPayload::Admit(_) | EntryPayload::Dismiss(_) => OVERHEAD,
     }
 }
--- a/crates/control/src/agreement/message.rs
+++ b/crates/control/src/agreement/message.rs
@@ -26,6 +26,8 @@
         Blank,
         /// A new data folder may vote in its host's name.
         Admit(MemberSeat),
+        /// A host votes no longer.
+        Dismiss(NodeName),
         /// An encoded command.
         Command(Vec<u8>),
     }
--- a/crates/control/src/agreement/mod.rs
+++ b/crates/control/src/agreement/mod.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod lead;
 mod log;
+mod membership;
 mod message;
 mod output;
 mod progress;
@@ -16,7 +17,9 @@
 mod seats;
 mod sync;
 
-pub use self::core::{AgreementCore, AgreementSettings, AgreementTimes, MemberRole};
+pub use self::core::{
+    AgreementCore, AgreementSettings, AgreementTimes, MemberRole, MembershipMode,
+};
 pub use message::{
     AppendCall, AppendReply, EntryPayload, FolderId, HardState, InstallCall, LogEntry, LogSnapshot,
     MemberSeat, PeerBody, PeerMessage, RecoveredState, SnapshotMeta, VoteCall,
--- a/crates/control/src/agreement/progress.rs
+++ b/crates/control/src/agreement/progress.rs
@@ -28,6 +28,8 @@
     pub(super) round: u64,
     pub(super) piece: Option<u64>,
     pub(super) admitting: Option<FolderId>,
+    /// The host counts as gone for good; another one may be added in its stead.
+    pub(super) absent: bool,
 }
 
 impl PeerProgress {
@@ -45,6 +47,7 @@
             round: 0,
             piece: None,
             admitting: None,
+            absent: false,
         }
     }
 
--- a/crates/control/src/agreement/seats.rs
+++ b/crates/control/src/agreement/seats.rs
@@ -9,7 +9,7 @@
 use briartray_model::TimePoint;
 use briartray_model::names::NodeName;
 
-use super::core::AgreementCore;
+use super::core::{AgreementCore, MembershipMode};
 use super::{FolderId, MemberSeat, PeerBody, StorageWrite};
 
 impl AgreementCore {
@@ -34,7 +34,8 @@
 
     /// Looks for the other hosts while the own folder has no seat.
     pub(super) fn seek_seat(&mut self, now: TimePoint) {
-        if self.may_found() && self.members.len() == 1 {
+        let fixed = self.membership == MembershipMode::Fixed;
+        if fixed && self.may_found() && self.members.len() == 1 {
             return self.found(now, self.greeted_seats());
         }
         if now < self.hello_at {
@@ -71,7 +72,7 @@
             // founding is not among them.
             Some(seats) if self.founding.is_none() => self.found(now, seats),
             Some(_) => {}
-            None if self.may_found() => {
+            None if self.may_found() && self.membership == MembershipMode::Fixed => {
                 self.greeted.insert(from, folder);
                 // One host alone settles the seats: two could settle different ones while a third
                 // is being wiped.
@@ -97,14 +98,14 @@
     }
 
     /// Whether the folder has never taken part in anything.
-    fn may_found(&self) -> bool {
+    pub(super) fn may_found(&self) -> bool {
         self.founding.is_none()
             && self.hard.term.0 == 0
             && self.log.last_index().0 == 0
             && self.snapshot.is_none()
     }
 
-    fn found(&mut self, now: TimePoint, seats: Vec<MemberSeat>) {
+    pub(super) fn found(&mut self, now: TimePoint, seats: Vec<MemberSeat>) {
         log::info!(members = seats.len(); "the control log is founded");
         // Seats that were given later stand.
         for seat in &seats {
--- a/crates/control/src/storage/record.rs
+++ b/crates/control/src/storage/record.rs
@@ -4,7 +4,7 @@
 //! number of the sync (8), records of that sync still to come (4); little endian.
 
 use briartray_model::codec;
-use briartray_model::names::{LogIndex, TermNumber};
+use briartray_model::names::{LogIndex, NodeName, TermNumber};
 
 use crate::agreement::{EntryPayload, LogEntry};
 
@@ -85,6 +85,7 @@
 const KIND_BLANK: u8 = 0;
 const KIND_ADMIT: u8 = 1;
 const KIND_COMMAND: u8 = 2;
+const KIND_DISMISS: u8 = 3;
 
 fn encode_payload(payload: &EntryPayload) -> Vec<u8> {
     match payload {
@@ -94,6 +95,11 @@
             bytes.extend(codec::encode(seat).expect("a seat is plain data"));
             bytes
         }
+        EntryPayload::Dismiss(node) => {
+            let mut bytes = vec![KIND_DISMISS];
+            bytes.extend_from_slice(node.as_str().as_bytes());
+            bytes
+        }
         EntryPayload::Command(command) => {
             let mut bytes = Vec::with_capacity(command.len() + 1);
             bytes.push(KIND_COMMAND);
@@ -108,6 +114,10 @@
     match *kind {
         KIND_BLANK => Some(EntryPayload::Blank),
         KIND_ADMIT => codec::decode(rest).ok().map(EntryPayload::Admit),
+        KIND_DISMISS => {
+            let name = std::str::from_utf8(rest).ok()?;
+            Some(EntryPayload::Dismiss(NodeName::new(name)))
+        }
         KIND_COMMAND => Some(EntryPayload::Command(rest.to_vec())),
         _ => None,
     }
--- a/crates/control/tests/agreement/cluster.rs
+++ b/crates/control/tests/agreement/cluster.rs
@@ -5,8 +5,8 @@
 
 use briartray_control::agreement::{
     AgreementCore, AgreementSettings, AgreementTimes, CoreOutput, EntryPayload, FolderId,
-    LogDelivery, LogEntry, LogSnapshot, MemberRole, PeerMessage, ProposalToken, ReadToken,
-    RecoveredState, StorageWrite, WriteBatch,
+    LogDelivery, LogEntry, LogSnapshot, MemberRole, MembershipMode, PeerMessage, ProposalToken,
+    ReadToken, RecoveredState, StorageWrite, WriteBatch,
 };
 use briartray_control::state::{CommandOutcome, ControlCommand, ControlState};
 use briartray_model::names::{ChangeId, LogIndex, NodeName, RevisionNumber};
@@ -139,6 +139,7 @@
             node: Self::name(host),
             folder: self.hosts[host].folder,
             members: (0..self.hosts.len().max(host + 1)).map(Self::name).collect(),
+            membership: MembershipMode::Fixed,
             times: AgreementTimes::default(),
             seed: self.random.random_range(0..u64::MAX),
         };
--- a/crates/control/tests/agreement/steps.rs
+++ b/crates/control/tests/agreement/steps.rs
@@ -2,8 +2,8 @@
 
 use briartray_control::agreement::{
     AgreementCore, AgreementSettings, AgreementTimes, AppendReply, CoreOutput, EntryPayload,
-    FolderId, HardState, LogEntry, MemberRole, MemberSeat, PeerBody, PeerMessage, ProposalToken,
-    RecoveredState, VoteCall,
+    FolderId, HardState, LogEntry, MemberRole, MemberSeat, MembershipMode, PeerBody, PeerMessage,
+    ProposalToken, RecoveredState, VoteCall,
 };
 use briartray_model::TimePoint;
 use briartray_model::names::{LogIndex, NodeName, TermNumber};
@@ -24,6 +24,7 @@
         node: TestCluster::name(0),
         folder: FolderId(0),
         members: (0..3).map(TestCluster::name).collect(),
+        membership: MembershipMode::Fixed,
         times: AgreementTimes::default(),
         seed: 1,
     };
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -21,6 +21,8 @@
     help: bool,
     #[options(required, help = "settings file in YAML", meta = "FILE")]
     settings: PathBuf,
+    #[options(no_short, help = "run before endpoints that announce themselves")]
+    registered: bool,
 }
 
 fn main() -> ExitCode {
@@ -35,6 +37,9 @@
 }
 
 fn run(options: &DaemonOptions) -> Result<(), String> {
+    if options.registered {
+        return briartray_gateway::run(&options.settings).map_err(|error| error.to_string());
+    }
     let settings = settings::load(&options.settings).map_err(|error| error.to_string())?;
     logs::start(&settings.log.level);
     // Signals are caught before any role starts, so that an early stop is a clean one too.
--- /dev/null
+++ b/crates/fleet/src/deployment/engine.rs
@@ -0,0 +1,74 @@
+//! The published model of an engine: how long its work takes.
+
+use std::time::Duration;
+
+use briartray_model::plain_value;
+
+plain_value! {
+    /// A model that groups of hosts serve.
+    pub struct ModelSpec {
+        /// Its name.
+        pub name: String,
+        /// Hosts that make one replica.
+        pub size: usize,
+        /// Its part of the work at the start, 0 to 1.
+        pub share: f64,
+        /// Factor on every time of a group that serves it.
+        pub pace: f64,
+        /// Time to load its weights from the store.
+        pub load_time: Duration,
+        /// Time to join where its weights are staged.
+        pub warmup: Duration,
+    }
+
+    /// How one replica of a service works.
+    pub struct EngineModel {
+        /// Requests it runs at one time.
+        pub slots: usize,
+        /// Tokens its KV cache holds.
+        pub kv_tokens: u64,
+        /// Steps between two looks for new work while it writes.
+        pub stride: u32,
+        /// Time of one step.
+        pub step: Duration,
+        /// Added time of a step for each request that writes, in milliseconds.
+        pub per_writer_ms: f64,
+        /// Added time of a step for 1,000 tokens of context of each writer, in milliseconds.
+        pub per_context_ms: f64,
+        /// Prompt tokens it reads in a second.
+        pub read_rate: f64,
+        /// Added reading time for a million pairs of tokens, in milliseconds.
+        pub pairs_ms: f64,
+        /// Prompt tokens read in one step at the most.
+        pub chunk: u32,
+        /// Loads from the weight store that may begin in a second.
+        pub loads_per_second: f64,
+        /// Loads beyond which each of them slows down.
+        pub loads_at_once: usize,
+        /// Time from an order to open until the group serves.
+        pub formation: Duration,
+        /// The models.
+        pub models: Vec<ModelSpec>,
+    }
+}
+
+impl EngineModel {
+    /// The model called `name`.
+    pub fn model(&self, name: &str) -> Option<&ModelSpec> {
+        self.models.iter().find(|model| model.name == name)
+    }
+
+    /// Time to read a prompt of `tokens`, before the model's pace, in milliseconds.
+    pub fn read_ms(&self, tokens: u32) -> f64 {
+        let tokens = f64::from(tokens);
+        let pairs = tokens * tokens / 2.0 / 1e6;
+        tokens / self.read_rate * 1e3 + pairs * self.pairs_ms
+    }
+
+    /// Time of one step with `writers` requests of `context` tokens each, before the pace, in
+    /// milliseconds.
+    pub fn step_ms(&self, writers: f64, context: f64) -> f64 {
+        let fixed = self.step.as_secs_f64() * 1e3;
+        fixed + writers * (self.per_writer_ms + self.per_context_ms * context / 1e3)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/deployment/mod.rs
@@ -0,0 +1,12 @@
+//! What operators declare: routes, services, teams and limits, and the ordered rules made of them.
+
+mod book;
+mod engine;
+mod plan;
+
+pub use book::{RouteBook, TeamAccess};
+pub use engine::{EngineModel, ModelSpec};
+pub use plan::{
+    CallerLimits, DeploymentPlan, PlanProblem, RepeatKind, RouteRule, ServiceSpec, TeamKeys,
+    WeightedTarget,
+};
--- /dev/null
+++ b/crates/fleet/src/director/group.rs
@@ -0,0 +1,226 @@
+//! What one group needs next.
+//!
+//! [`next_step`] looks at what the members report and names one step. Every step may be asked for
+//! again: orders get lost, or are carried out seconds late, so a step counts as done only when a
+//! report shows it. An order names its group, and a group's number is never used again, so an
+//! order that arrives late finds either its own group or nothing.
+
+use std::time::Duration;
+
+use briartray_model::names::{GroupId, IncarnationId};
+use briartray_model::{SortedTable, TimePoint};
+
+use super::hosts::HostTable;
+use super::pulse::PulseBook;
+use super::{CloseMethod, EndpointOrder, MarkState, OrderCall};
+use crate::state::{FleetState, GroupRecord};
+
+/// Wait before an order that shows no effect is sent again.
+const ORDER_AGAIN: Duration = Duration::from_millis(600);
+
+/// Time for a group to form, beyond the time of its loads, before another one is tried.
+const FORM_SLACK: Duration = Duration::from_secs(3);
+
+/// Time that a group which closes for a planned reason has for the work that runs. The longest
+/// answers take three seconds; a member that drains stays for ten.
+const CLOSE_PATIENCE: Duration = Duration::from_secs(6);
+
+/// What the leader remembers of a group beside the log and the reports.
+#[derive(Debug, Clone)]
+pub(super) struct GroupRun {
+    pub(super) since: TimePoint,
+    /// Longest time its loads may take.
+    pub(super) patience: Duration,
+    /// Members that reported to be ready for this very group.
+    pub(super) ready: Vec<IncarnationId>,
+    asked: SortedTable<IncarnationId, (EndpointOrder, TimePoint)>,
+    /// When it was found to lack a member, or to have a leaving one.
+    pub(super) ending: Option<TimePoint>,
+    /// Whether it has served.
+    pub(super) opened: bool,
+}
+
+impl GroupRun {
+    pub(super) fn new(now: TimePoint, patience: Duration) -> Self {
+        Self {
+            since: now,
+            patience,
+            ready: Vec::new(),
+            asked: SortedTable::new(),
+            ending: None,
+            opened: false,
+        }
+    }
+
+    /// Whether `order` is due: it is not the one asked for last, or that was a while ago.
+    fn may_ask(&mut self, now: TimePoint, id: &IncarnationId, order: &EndpointOrder) -> bool {
+        let asked = self.asked.get(id);
+        let due = asked.is_none_or(|(last, at)| last != order || now.since(*at) >= ORDER_AGAIN);
+        if due {
+            self.asked.insert(id.clone(), (order.clone(), now));
+        }
+        due
+    }
+}
+
+/// What a group needs.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum GroupStep {
+    Nothing,
+    Order(Vec<OrderCall>),
+    End,
+}
+
+/// Everything that a decision about a group looks at.
+pub(super) struct GroupScene<'a> {
+    pub(super) now: TimePoint,
+    pub(super) hosts: &'a HostTable,
+    pub(super) pulses: &'a PulseBook,
+    pub(super) state: &'a FleetState,
+}
+
+impl GroupScene<'_> {
+    fn is_lost(&self, id: &IncarnationId) -> bool {
+        self.hosts.get(id).is_none_or(super::HostRecord::is_lost)
+    }
+
+    fn is_leaving(&self, id: &IncarnationId) -> bool {
+        self.state.is_leaving(id) || self.hosts.get(id).is_some_and(|host| host.beat.leaving)
+    }
+
+    /// How far `id` is in `group`; `None` when it is not in it.
+    fn mark(&self, id: &IncarnationId, group: GroupId) -> Option<MarkState> {
+        let mark = self.hosts.get(id)?.beat.report.mark.as_ref()?;
+        (mark.group == group).then_some(mark.state)
+    }
+
+    /// Whether the group serves: its first host says so, and it lacks nobody.
+    pub(super) fn is_open(&self, group: GroupId, record: &GroupRecord) -> bool {
+        let head = record.members.first();
+        let open = head.is_some_and(|head| self.mark(&head.id, group) == Some(MarkState::Open));
+        open && !self.is_impaired(group, record)
+    }
+
+    /// Whether a member is lost, and no entry proves the opposite, or one is leaving.
+    fn is_impaired(&self, group: GroupId, record: &GroupRecord) -> bool {
+        let lost = record.members.iter().any(|host| self.is_lost(&host.id));
+        let leaving = record.members.iter().any(|host| self.is_leaving(&host.id));
+        leaving || (lost && !self.pulses.is_moving(self.now, group))
+    }
+}
+
+/// The next step of `group`.
+pub(super) fn next_step(
+    scene: &GroupScene<'_>,
+    group: GroupId,
+    record: &GroupRecord,
+    run: &mut GroupRun,
+) -> GroupStep {
+    for host in &record.members {
+        let here = matches!(
+            scene.mark(&host.id, group),
+            Some(MarkState::Ready | MarkState::Open | MarkState::Closing)
+        );
+        if here && !run.ready.contains(&host.id) {
+            run.ready.push(host.id.clone());
+        }
+    }
+    if run.ending.is_none() && must_end(scene, group, record, run) {
+        run.ending = Some(scene.now);
+    }
+    match run.ending {
+        Some(since) => end_step(scene, group, record, run, since),
+        None => form_step(scene, group, record, run),
+    }
+}
+
+fn must_end(scene: &GroupScene<'_>, group: GroupId, record: &GroupRecord, run: &GroupRun) -> bool {
+    if scene.is_impaired(group, record) {
+        return true;
+    }
+    let Some(head) = record.members.first() else { return true };
+    if run.opened {
+        let state = scene.mark(&head.id, group);
+        // A member that fell out stops the group as one that died does.
+        let fell_out = !matches!(state, Some(MarkState::Open | MarkState::Ready))
+            || record.members.iter().any(|host| scene.mark(&host.id, group).is_none());
+        return fell_out && !scene.pulses.is_moving(scene.now, group);
+    }
+    scene.now.since(run.since) > run.patience + FORM_SLACK
+}
+
+/// Brings a group to serve: every member joins, then the first host opens.
+fn form_step(
+    scene: &GroupScene<'_>,
+    group: GroupId,
+    record: &GroupRecord,
+    run: &mut GroupRun,
+) -> GroupStep {
+    let Some(head) = record.members.first() else { return GroupStep::End };
+    let head_state = scene.mark(&head.id, group);
+    if head_state == Some(MarkState::Open) {
+        run.opened = true;
+        return GroupStep::Nothing;
+    }
+    let all_ready = record.members.iter().all(|host| run.ready.contains(&host.id));
+    if all_ready && head_state == Some(MarkState::Ready) {
+        return order(scene, run, &head.id, EndpointOrder::Open { group });
+    }
+    let members: Vec<IncarnationId> = record.members.iter().map(|host| host.id.clone()).collect();
+    let mut calls = Vec::new();
+    for host in &record.members {
+        let missing = scene.mark(&host.id, group).is_none() && !run.ready.contains(&host.id);
+        let (model, members) = (record.model.clone(), members.clone());
+        let join = EndpointOrder::Join { group, model, members };
+        if missing && run.may_ask(scene.now, &host.id, &join) {
+            calls.push(call(scene, &host.id, join));
+        }
+    }
+    GroupStep::Order(calls.into_iter().flatten().collect())
+}
+
+/// Takes a group apart. Its hosts are free only when its first host serves no more: a member
+/// that joined elsewhere earlier would be in two groups at once.
+fn end_step(
+    scene: &GroupScene<'_>,
+    group: GroupId,
+    record: &GroupRecord,
+    run: &mut GroupRun,
+    since: TimePoint,
+) -> GroupStep {
+    let Some(head) = record.members.first() else { return GroupStep::End };
+    if scene.is_lost(&head.id) {
+        return GroupStep::End;
+    }
+    match scene.mark(&head.id, group) {
+        None | Some(MarkState::Broken | MarkState::Joining) => GroupStep::End,
+        Some(MarkState::Ready) => {
+            // Left in place it could still be opened by an order that arrives late.
+            order(scene, run, &head.id, EndpointOrder::Leave { group })
+        }
+        Some(MarkState::Open | MarkState::Closing) => {
+            let lost = record.members.iter().any(|host| scene.is_lost(&host.id));
+            let late = scene.now.since(since) > CLOSE_PATIENCE;
+            // Without all members nothing moves, and waiting would only hold the hosts.
+            let method = if lost || late { CloseMethod::Truncate } else { CloseMethod::Wait };
+            order(scene, run, &head.id, EndpointOrder::Close { group, method })
+        }
+    }
+}
+
+fn order(
+    scene: &GroupScene<'_>,
+    run: &mut GroupRun,
+    id: &IncarnationId,
+    order: EndpointOrder,
+) -> GroupStep {
+    if !run.may_ask(scene.now, id, &order) {
+        return GroupStep::Nothing;
+    }
+    GroupStep::Order(call(scene, id, order).into_iter().collect())
+}
+
+fn call(scene: &GroupScene<'_>, id: &IncarnationId, order: EndpointOrder) -> Option<OrderCall> {
+    let address = scene.hosts.get(id)?.beat.address.clone();
+    Some(OrderCall { id: id.clone(), address, order })
+}
--- /dev/null
+++ b/crates/fleet/src/director/hosts.rs
@@ -0,0 +1,172 @@
+//! The endpoints that the leader knows, and which of them are lost.
+//!
+//! A beat every second or so is too slow a sign of death: a group stands still as soon as one
+//! member is gone, while its first host goes on accepting requests. So members are asked for a
+//! report every [`PROBE_EVERY`], at once when an entry finds a group silent, and again
+//! right after a failure. Two failures in a row without any sign of life between them count as
+//! lost; one may be a lost packet.
+
+use std::time::Duration;
+
+use briartray_model::names::{IncarnationId, ServiceName};
+use briartray_model::{SortedTable, TimePoint};
+
+use super::{EndpointBeat, EndpointReport};
+
+/// Time between two reports of a group's member. A report costs a hundredth of a small request;
+/// 24 members asked this often cost 0.1% of what a deployment of 30 hosts earns.
+pub const PROBE_EVERY: Duration = Duration::from_millis(800);
+
+/// Silence after which a host in no group is probed: two beats of 1.2 s may come late.
+const SILENT_AFTER: Duration = Duration::from_millis(3_000);
+
+/// Silence after which an endpoint is forgotten unless it answers probes.
+const FORGET_AFTER: Duration = Duration::from_secs(12);
+
+/// Probes without an answer, one after the other, that make an endpoint count as lost.
+const LOST_FAILURES: u32 = 2;
+
+/// An endpoint as the leader knows it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HostRecord {
+    /// Its last beat; the report in it is brought up to date by probes.
+    pub beat: EndpointBeat,
+    /// Last sign of life.
+    pub heard: TimePoint,
+    /// Probes in a row without an answer.
+    pub failures: u32,
+    probing: bool,
+    probe_at: TimePoint,
+    /// Order to stage a model, and until when it is left to finish.
+    pub staging: Option<(String, TimePoint)>,
+}
+
+impl HostRecord {
+    fn new(now: TimePoint, beat: EndpointBeat) -> Self {
+        let probe_at = now.after(PROBE_EVERY);
+        Self { beat, heard: now, failures: 0, probing: false, probe_at, staging: None }
+    }
+
+    /// Whether it no longer answers.
+    pub fn is_lost(&self) -> bool {
+        self.failures >= LOST_FAILURES
+    }
+
+    /// Whether the weights of `model` are on the host.
+    pub fn has_staged(&self, model: &str) -> bool {
+        self.beat.report.staged.iter().any(|staged| staged == model)
+    }
+}
+
+/// All known endpoints.
+#[derive(Debug, Clone, Default)]
+pub struct HostTable {
+    records: SortedTable<IncarnationId, HostRecord>,
+}
+
+impl HostTable {
+    /// Takes a beat; `false` when it is older than what is known.
+    pub fn beat(&mut self, now: TimePoint, beat: EndpointBeat) -> bool {
+        let Some(record) = self.records.get_mut(&beat.id) else {
+            self.records.insert(beat.id.clone(), HostRecord::new(now, beat));
+            return true;
+        };
+        // Beats overtake each other: a late one would bring back a group that has ended.
+        if beat.sequence <= record.beat.sequence {
+            return false;
+        }
+        record.heard = now;
+        record.failures = 0;
+        let leaving = record.beat.leaving || beat.leaving;
+        record.beat = EndpointBeat { leaving, ..beat };
+        true
+    }
+
+    /// Takes the answer to a probe, or that none came.
+    pub fn probed(&mut self, now: TimePoint, id: &IncarnationId, report: Option<EndpointReport>) {
+        let Some(record) = self.records.get_mut(id) else { return };
+        record.probing = false;
+        match report {
+            Some(report) => {
+                record.failures = 0;
+                record.heard = now;
+                record.probe_at = now.after(PROBE_EVERY);
+                let domain = report.domain.clone().or(record.beat.report.domain.take());
+                record.beat.report = EndpointReport { domain, ..report };
+            }
+            None => {
+                record.failures += 1;
+                record.probe_at = if record.is_lost() { now.after(PROBE_EVERY) } else { now };
+            }
+        }
+    }
+
+    /// Asks for a probe of `id` as soon as possible.
+    pub fn probe_now(&mut self, now: TimePoint, id: &IncarnationId) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.probe_at = record.probe_at.min(now);
+        }
+    }
+
+    /// Endpoints to be probed now; `in_group` tells which are watched closely.
+    pub fn due_probes(
+        &mut self,
+        now: TimePoint,
+        in_group: impl Fn(&IncarnationId) -> bool,
+    ) -> Vec<(IncarnationId, String)> {
+        let mut due = Vec::new();
+        for (id, record) in self.records.iter_mut() {
+            let silent = now.since(record.heard) >= SILENT_AFTER;
+            if !record.probing && now >= record.probe_at && (silent || in_group(id)) {
+                record.probing = true;
+                due.push((id.clone(), record.beat.address.clone()));
+            }
+        }
+        due
+    }
+
+    /// Forgets endpoints that gave no sign of life for long.
+    pub fn prune(&mut self, now: TimePoint) {
+        self.records.retain(|_, record| now.since(record.heard) < FORGET_AFTER);
+    }
+
+    /// Counts an endpoint as lost until it gives a sign of life.
+    pub fn mark_lost(&mut self, id: &IncarnationId) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.failures = LOST_FAILURES;
+        }
+    }
+
+    /// Forgets an endpoint.
+    pub fn remove(&mut self, id: &IncarnationId) {
+        self.records.remove(id);
+    }
+
+    /// The endpoint called `id`.
+    pub fn get(&self, id: &IncarnationId) -> Option<&HostRecord> {
+        self.records.get(id)
+    }
+
+    /// The endpoint called `id`, to change.
+    pub fn get_mut(&mut self, id: &IncarnationId) -> Option<&mut HostRecord> {
+        self.records.get_mut(id)
+    }
+
+    /// Every endpoint of `service`.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (&'a IncarnationId, &'a HostRecord)> {
+        self.records.iter().filter(move |(_, record)| record.beat.service == *service)
+    }
+
+    /// Every endpoint, to change.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&IncarnationId, &mut HostRecord)> {
+        self.records.iter_mut()
+    }
+
+    /// Every endpoint.
+    pub fn iter(&self) -> impl Iterator<Item = (&IncarnationId, &HostRecord)> {
+        self.records.iter()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/director/mod.rs
@@ -0,0 +1,23 @@
+//! How the leader knows endpoints, forms groups of them, mends them and stages weights ahead.
+//!
+//! [`FleetDirector`] is stepped: it is told beats, probe results, outcomes of orders and what
+//! entries see, and a step hands back orders, probes and commands for the log. It keeps only
+//! what can be learnt again: a new leader starts with an empty one, and beats fill it within a
+//! heartbeat.
+
+mod beat;
+mod group;
+mod hosts;
+mod loads;
+mod order;
+mod plan;
+mod pulse;
+mod step;
+
+pub use beat::{EndpointBeat, EndpointReport, GroupMark, MarkState};
+pub use hosts::{HostRecord, HostTable};
+pub use loads::LoadLimiter;
+pub use order::{CloseMethod, EndpointOrder, OrderCall, OrderOutcome};
+pub use plan::{FreeHost, GroupPlanner, PlanAction, PlanView};
+pub use pulse::PulseBook;
+pub use step::{DirectorOutput, FleetDirector, ProbeCall};
--- /dev/null
+++ b/crates/fleet/src/entry/load.rs
@@ -0,0 +1,98 @@
+//! What one entry knows of the load of one target.
+//!
+//! The target tells its load with each answer, a moment late and with this entry's own requests in
+//! it. The rest is the other entries' load, which changes slowly: it is smoothed, and the own
+//! requests, known exactly, are added.
+
+use std::time::Duration;
+
+use briartray_model::TimePoint;
+
+/// Weight of a new sample in the smoothed load of the other entries: three or four answers, a
+/// quarter of a second under load, replace what was known.
+const SAMPLE_WEIGHT: f64 = 0.35;
+
+/// Time after which what was told of the others has lost half its weight.
+const HALF_LIFE: Duration = Duration::from_millis(1_500);
+
+/// Load that a target told with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadSample {
+    /// Requests it runs.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests it runs at one time.
+    pub slots: u32,
+}
+
+/// Load of one target as one entry knows it.
+#[derive(Debug, Clone, Default)]
+pub struct TargetLoad {
+    /// Requests of this entry.
+    pub own: u32,
+    others: f64,
+    sampled: Option<TimePoint>,
+    /// Last byte that came from it.
+    pub moved: Option<TimePoint>,
+    /// Oldest moment since which something of this entry waits without a byte.
+    pub waiting_since: Option<TimePoint>,
+    /// Not chosen before this moment, since it does not answer.
+    pub suspect_until: Option<TimePoint>,
+}
+
+impl TargetLoad {
+    /// A request was sent.
+    pub fn begin(&mut self, now: TimePoint) {
+        if self.own == 0 {
+            self.waiting_since = Some(now);
+        }
+        self.own += 1;
+    }
+
+    /// A request ended.
+    pub fn end(&mut self) {
+        self.own = self.own.saturating_sub(1);
+        if self.own == 0 {
+            self.waiting_since = None;
+        }
+    }
+
+    /// Bytes came.
+    pub fn moved(&mut self, now: TimePoint) {
+        self.moved = Some(now);
+        self.waiting_since = Some(now);
+        self.suspect_until = None;
+    }
+
+    /// The target told its load.
+    pub fn sample(&mut self, now: TimePoint, sample: LoadSample) {
+        let total = f64::from(sample.running + sample.waiting);
+        let others = (total - f64::from(self.own)).max(0.0);
+        let known = self.others_now(now);
+        let weight = if self.sampled.is_none() { 1.0 } else { SAMPLE_WEIGHT };
+        self.others = known + (others - known) * weight;
+        self.sampled = Some(now);
+    }
+
+    /// Requests it runs and holds, as far as is known.
+    pub fn total(&self, now: TimePoint) -> f64 {
+        f64::from(self.own) + self.others_now(now)
+    }
+
+    /// Time without a byte while something of this entry waits.
+    pub fn silence(&self, now: TimePoint) -> Option<Duration> {
+        self.waiting_since.map(|since| now.since(since))
+    }
+
+    /// Whether it is left alone for now.
+    pub fn is_suspect(&self, now: TimePoint) -> bool {
+        self.suspect_until.is_some_and(|until| now < until)
+    }
+
+    fn others_now(&self, now: TimePoint) -> f64 {
+        let Some(sampled) = self.sampled else { return 0.0 };
+        let halves = now.since(sampled).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.others * 0.5_f64.powf(halves)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/entry/mod.rs
@@ -0,0 +1,16 @@
+//! How an entry decides on a request: where it goes, whether it is taken at all, and what happens
+//! when an attempt fails. Nothing here reads a clock or opens a socket.
+
+mod attempt;
+mod budget;
+mod events;
+mod lease;
+mod load;
+mod table;
+
+pub use attempt::{AttemptEnd, AttemptPlan, NextMove};
+pub use budget::RetryBudget;
+pub use events::{EventCutter, StreamEvent};
+pub use lease::EntryLease;
+pub use load::{LoadSample, TargetLoad};
+pub use table::{ChoiceRefusal, TargetChoice, TargetId, TargetTable};
--- /dev/null
+++ b/crates/fleet/src/entry/table.rs
@@ -0,0 +1,318 @@
+//! Where a request may go, and whether it is taken at all.
+//!
+//! A group that runs as many requests as it has slots answers a further one only when another
+//! ends, seconds later: the caller's target is missed and the wait is lost. Such a request is
+//! refused at once, with a time to come back at, while the rest stay on time. A target from which
+//! nothing comes although something waits is left alone: it may lack a member, and every request
+//! sent there would wait out the stall.
+
+use std::time::Duration;
+
+use briartray_model::names::{GroupId, IncarnationId, ServiceName, ZoneName};
+use briartray_model::{SortedTable, TimePoint};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{LoadSample, TargetLoad};
+use crate::deployment::{RouteBook, RouteRule};
+use crate::message::{EndpointView, FleetView, GroupPulse, GroupView, ViewVersion};
+
+/// Silence of a group, with requests of this entry on it, after which it is left alone. The
+/// longest pause of a loaded group that works is 300 ms.
+const SILENT_GROUP: Duration = Duration::from_millis(450);
+
+/// As above while no request of this entry has seen a byte: the first one waits for its prompt.
+const SILENT_FRESH: Duration = Duration::from_millis(900);
+
+/// How long a target that failed is left alone before one request tries it.
+const SUSPECT_FOR: Duration = Duration::from_millis(2_000);
+
+/// Requests beyond a group's slots that are still sent: they start when the next one ends, 30 to
+/// 60 ms later under load.
+const QUEUE_BEYOND_SLOTS: f64 = 2.0;
+
+/// Requests for each slot of a plain endpoint that may wait there; one takes 30 ms.
+const PLAIN_QUEUE: f64 = 3.0;
+
+/// What a target in another zone is worth less, in requests: a way of some milliseconds.
+const ZONE_HANDICAP: f64 = 1.0;
+
+/// Random part of the comparison, in requests: entries that know the same must not all choose
+/// the same target.
+const JITTER: f64 = 1.5;
+
+/// A target, for as long as it lives.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum TargetId {
+    /// A group of hosts.
+    Group(GroupId),
+    /// An endpoint that serves alone.
+    Endpoint(IncarnationId),
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TargetChoice {
+    /// The target.
+    pub target: TargetId,
+    /// The endpoint that takes it.
+    pub endpoint: IncarnationId,
+    /// Where that listens.
+    pub address: String,
+}
+
+/// Why there is no target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChoiceRefusal {
+    /// None serves what was asked for.
+    NoReplica,
+    /// All are as full as they may be.
+    Full,
+}
+
+/// All targets with what this entry knows of them.
+#[derive(Debug)]
+pub struct TargetTable {
+    zone: ZoneName,
+    view: FleetView,
+    loads: SortedTable<TargetId, TargetLoad>,
+    leaving: Vec<IncarnationId>,
+    random: ChaCha8Rng,
+}
+
+impl TargetTable {
+    /// An empty table of an entry in `zone`.
+    pub fn new(zone: ZoneName, seed: u64) -> Self {
+        Self {
+            zone,
+            view: FleetView::default(),
+            loads: SortedTable::new(),
+            leaving: Vec::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes a newer view.
+    pub fn adopt(&mut self, view: FleetView) {
+        self.view = view;
+        let view = &self.view;
+        self.loads.retain(|target, load| {
+            load.own > 0
+                || match target {
+                    TargetId::Group(group) => view.groups.iter().any(|g| g.group == *group),
+                    TargetId::Endpoint(id) => view.endpoints.iter().any(|e| e.id == *id),
+                }
+        });
+    }
+
+    /// Takes endpoints that accept no new work; they never come back under the same id.
+    pub fn mark_leaving(&mut self, leaving: Vec<IncarnationId>) {
+        self.leaving = leaving;
+    }
+
+    /// Version of the view.
+    pub fn version(&self) -> ViewVersion {
+        self.view.version
+    }
+
+    /// Entries that share limits with this one.
+    pub fn entries(&self) -> usize {
+        self.view.entries
+    }
+
+    /// Whether anything can be sent anywhere.
+    pub fn is_empty(&self) -> bool {
+        self.view.endpoints.is_empty() && !self.view.groups.iter().any(|group| group.open)
+    }
+
+    /// The service a request under `rule` goes to, by the weights of the rule.
+    pub fn pick_service(&mut self, rule: &RouteRule) -> Option<ServiceName> {
+        let total: u32 = rule.targets.iter().map(|target| target.weight).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut drawn = self.random.random_range(0..total);
+        for target in &rule.targets {
+            if drawn < target.weight {
+                return Some(target.service.clone());
+            }
+            drawn -= target.weight;
+        }
+        None
+    }
+
+    /// The target for a request to `service`, for `model` where it serves models.
+    ///
+    /// # Errors
+    /// A `ChoiceRefusal` when there is none.
+    pub fn choose(
+        &mut self,
+        now: TimePoint,
+        book: &RouteBook,
+        service: &ServiceName,
+        model: Option<&str>,
+        tried: &[TargetId],
+    ) -> Result<TargetChoice, ChoiceRefusal> {
+        let slots = book
+            .service(service)
+            .and_then(|spec| spec.engine.as_ref())
+            .map(|engine| engine.slots as f64);
+        let candidates = match (slots, model) {
+            (Some(slots), Some(model)) => self.groups(service, model, slots),
+            (None, _) => self.endpoints(service),
+            (Some(_), None) => Vec::new(),
+        };
+        self.best(now, candidates, tried)
+    }
+
+    /// A request was sent to `target`.
+    pub fn begin(&mut self, now: TimePoint, target: &TargetId) {
+        self.load(target).begin(now);
+    }
+
+    /// A request ended at `target`.
+    pub fn end(&mut self, target: &TargetId) {
+        self.load(target).end();
+    }
+
+    /// Bytes came from `target`.
+    pub fn moved(&mut self, now: TimePoint, target: &TargetId) {
+        self.load(target).moved(now);
+    }
+
+    /// `target` told its load.
+    pub fn sample(&mut self, now: TimePoint, target: &TargetId, sample: LoadSample) {
+        self.load(target).sample(now, sample);
+    }
+
+    /// `target` failed; it is left alone for a while.
+    pub fn failed(&mut self, now: TimePoint, target: &TargetId) {
+        self.load(target).suspect_until = Some(now.after(SUSPECT_FOR));
+    }
+
+    /// Groups that have gone silent since the last look; they are left alone from now on.
+    pub fn find_silent(&mut self, now: TimePoint) -> Vec<GroupId> {
+        let mut silent = Vec::new();
+        for (target, load) in self.loads.iter_mut() {
+            let TargetId::Group(group) = target else { continue };
+            let limit = if load.moved.is_some() { SILENT_GROUP } else { SILENT_FRESH };
+            let quiet = load.silence(now).is_some_and(|silence| silence >= limit);
+            if quiet && !load.is_suspect(now) {
+                load.suspect_until = Some(now.after(SUSPECT_FOR));
+                silent.push(*group);
+            }
+        }
+        silent
+    }
+
+    /// Whether `target` is left alone, or is no longer among those that serve.
+    pub fn is_given_up(&self, now: TimePoint, target: &TargetId) -> bool {
+        let suspect = self.loads.get(target).is_some_and(|load| load.is_suspect(now));
+        let open = match target {
+            TargetId::Group(group) => self.view.groups.iter().any(|g| g.group == *group && g.open),
+            TargetId::Endpoint(_) => true,
+        };
+        suspect || !open
+    }
+
+    /// What this entry saw of the groups.
+    pub fn pulses(&self, now: TimePoint) -> Vec<GroupPulse> {
+        let pulse = |(target, load): (&TargetId, &TargetLoad)| match target {
+            TargetId::Group(group) => Some(GroupPulse {
+                group: *group,
+                quiet_ms: load
+                    .moved
+                    .map(|at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)),
+                running: load.own,
+                suspect: load.is_suspect(now),
+            }),
+            TargetId::Endpoint(_) => None,
+        };
+        self.loads.iter().filter_map(pulse).collect()
+    }
+
+    fn load(&mut self, target: &TargetId) -> &mut TargetLoad {
+        self.loads.get_or_insert_with(target.clone(), TargetLoad::default)
+    }
+
+    fn groups(&self, service: &ServiceName, model: &str, slots: f64) -> Vec<Candidate> {
+        let fits = |group: &&GroupView| {
+            group.open
+                && group.service == *service
+                && group.model == model
+                && !self.leaving.contains(&group.head)
+        };
+        let candidate = |group: &GroupView| Candidate {
+            choice: TargetChoice {
+                target: TargetId::Group(group.group),
+                endpoint: group.head.clone(),
+                address: group.address.clone(),
+            },
+            near: group.zone == self.zone,
+            room: slots + QUEUE_BEYOND_SLOTS,
+        };
+        self.view.groups.iter().filter(fits).map(candidate).collect()
+    }
+
+    fn endpoints(&self, service: &ServiceName) -> Vec<Candidate> {
+        let fits = |endpoint: &&EndpointView| {
+            endpoint.service == *service && !self.leaving.contains(&endpoint.id)
+        };
+        let candidate = |endpoint: &EndpointView| Candidate {
+            choice: TargetChoice {
+                target: TargetId::Endpoint(endpoint.id.clone()),
+                endpoint: endpoint.id.clone(),
+                address: endpoint.address.clone(),
+            },
+            near: endpoint.zone == self.zone,
+            room: endpoint.slots as f64 * PLAIN_QUEUE,
+        };
+        self.view.endpoints.iter().filter(fits).map(candidate).collect()
+    }
+
+    /// The least loaded candidate that is neither tried nor left alone. When all are left alone,
+    /// the least loaded one is tried anyway: nothing is lost by it.
+    fn best(
+        &mut self,
+        now: TimePoint,
+        candidates: Vec<Candidate>,
+        tried: &[TargetId],
+    ) -> Result<TargetChoice, ChoiceRefusal> {
+        let mut best: Option<(bool, f64, Candidate)> = None;
+        let mut full = false;
+        for candidate in candidates {
+            if tried.contains(&candidate.choice.target) {
+                continue;
+            }
+            let load = self.loads.get(&candidate.choice.target);
+            let total = load.map_or(0.0, |load| load.total(now));
+            if total >= candidate.room {
+                full = true;
+                continue;
+            }
+            let suspect = load.is_some_and(|load| load.is_suspect(now));
+            let far = if candidate.near { 0.0 } else { ZONE_HANDICAP };
+            let score = total + far + self.random.random_range(0.0..JITTER);
+            let better =
+                best.as_ref().is_none_or(|(known, least, _)| (suspect, score) < (*known, *least));
+            if better {
+                best = Some((suspect, score, candidate));
+            }
+        }
+        match best {
+            // A silent group holds what it is sent for seconds; a plain endpoint may just be slow.
+            Some((true, _, candidate)) if matches!(candidate.choice.target, TargetId::Group(_)) => {
+                Err(ChoiceRefusal::NoReplica)
+            }
+            Some((_, _, candidate)) => Ok(candidate.choice),
+            None if full => Err(ChoiceRefusal::Full),
+            None => Err(ChoiceRefusal::NoReplica),
+        }
+    }
+}
+
+struct Candidate {
+    choice: TargetChoice,
+    near: bool,
+    room: f64,
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,11 @@
+//! Serving endpoints that announce themselves: the decisions, without input and output.
+//!
+//! [`deployment`] holds what operators declare, [`state`] what control hosts agree on,
+//! [`director`] how the leader forms and mends groups, [`entry`] how a request is admitted, sent
+//! and resumed, and [`message`] what entries and control hosts tell each other.
+
+pub mod deployment;
+pub mod director;
+pub mod entry;
+pub mod message;
+pub mod state;
--- /dev/null
+++ b/crates/fleet/src/message/mod.rs
@@ -0,0 +1,142 @@
+//! What entries and control hosts tell each other.
+
+use briartray_model::names::{GroupId, IncarnationId, NodeName, ServiceName, TermNumber, ZoneName};
+use briartray_model::{plain_choice, plain_value};
+
+use crate::state::StoredPlan;
+
+plain_choice! {
+    /// Which view an entry holds: the leader's term, and the number of the view in that term.
+    #[derive(Default)]
+    pub struct ViewVersion {
+        /// Term of the leader that made it.
+        pub term: TermNumber,
+        /// Its number in the term.
+        pub number: u64,
+    }
+}
+
+plain_value! {
+    /// What an entry saw of one group since its last report.
+    pub struct GroupPulse {
+        /// The group.
+        pub group: GroupId,
+        /// Time since its last byte here, in milliseconds; `None` without any.
+        pub quiet_ms: Option<u64>,
+        /// Requests of this entry that wait on it.
+        pub running: u32,
+        /// Whether this entry has stopped sending to it because it does not answer.
+        pub suspect: bool,
+    }
+
+    /// How much of a model callers asked for since the last report.
+    pub struct ModelDemand {
+        /// The service.
+        pub service: ServiceName,
+        /// The model.
+        pub model: String,
+        /// Time of one group's work that was asked for, in milliseconds.
+        pub work_ms: f64,
+    }
+
+    /// An entry asks for the newest state, and tells what it sees.
+    pub struct EntryReport {
+        /// The entry.
+        pub node: NodeName,
+        /// Echoed in the answer, which starts the lease at the time this was sent.
+        pub nonce: u64,
+        /// Version of the declaration it holds.
+        pub plan: Option<u64>,
+        /// View it holds.
+        pub view: ViewVersion,
+        /// What it saw of the groups.
+        pub pulses: Vec<GroupPulse>,
+        /// What callers asked for.
+        pub demand: Vec<ModelDemand>,
+        /// Whether any caller asked for anything yet.
+        pub serving: bool,
+    }
+
+    /// A single endpoint that serves alone.
+    pub struct EndpointView {
+        /// The endpoint.
+        pub id: IncarnationId,
+        /// Service it serves.
+        pub service: ServiceName,
+        /// Where it listens.
+        pub address: String,
+        /// Its availability zone.
+        pub zone: ZoneName,
+        /// Requests it runs at one time.
+        pub slots: usize,
+    }
+
+    /// A group that serves as one replica.
+    pub struct GroupView {
+        /// The group.
+        pub group: GroupId,
+        /// Service it serves.
+        pub service: ServiceName,
+        /// Model it serves.
+        pub model: String,
+        /// Its first host, which takes the requests.
+        pub head: IncarnationId,
+        /// Where the first host listens.
+        pub address: String,
+        /// Availability zone of the first host.
+        pub zone: ZoneName,
+        /// Whether it takes new work.
+        pub open: bool,
+    }
+
+    /// Everything that may be sent to, as the leader knows it.
+    #[derive(Default)]
+    pub struct FleetView {
+        /// Which view this is.
+        pub version: ViewVersion,
+        /// Endpoints of plain services.
+        pub endpoints: Vec<EndpointView>,
+        /// Groups.
+        pub groups: Vec<GroupView>,
+        /// Entries that hold a lease.
+        pub entries: usize,
+    }
+
+    /// A control host's answer to a report, or news that it sends unasked.
+    pub struct EntryNotice {
+        /// Nonce of the report that a majority has confirmed the leader after; `None` in news.
+        pub nonce: Option<u64>,
+        /// The declaration, when the entry holds an older one.
+        pub plan: Option<StoredPlan>,
+        /// The view, when the entry holds another one and the leader knows the fleet.
+        pub view: Option<FleetView>,
+        /// Endpoints that take no new work, whatever the view says.
+        pub leaving: Vec<IncarnationId>,
+        /// Where control hosts can be found.
+        pub control: Vec<NodeName>,
+        /// Who leads, when the sender does not.
+        pub leader: Option<NodeName>,
+    }
+
+    /// What one control host tells the others about itself.
+    pub struct HostHello {
+        /// The control host.
+        pub node: NodeName,
+        /// Whether it has a disk and so may vote.
+        pub has_disk: bool,
+        /// Whether its folder has a past.
+        pub founded: bool,
+        /// The leader it knows, with the term.
+        pub leader: Option<LeaderHint>,
+        /// Other control hosts that it heard of lately.
+        pub known: Vec<NodeName>,
+    }
+
+    /// Who leads, as far as somebody knows.
+    pub struct LeaderHint {
+        /// Its term.
+        pub term: TermNumber,
+        /// The leader.
+        pub node: NodeName,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/state/mod.rs
@@ -0,0 +1,147 @@
+//! What control hosts agree on through the log: the declaration in force, the groups with their
+//! epochs, and the endpoints that are leaving.
+//!
+//! A [`FleetCommand`] is applied in the order of the log on every control host, and the outcome
+//! follows from the state alone. An epoch is a number of the log, so that two leaders never give
+//! the same one and an order of an earlier leader is always lower than those of a later one.
+
+use briartray_model::names::{DomainName, GroupId, IncarnationId, ServiceName, ZoneName};
+use briartray_model::{SortedTable, plain_value};
+
+/// Leaving endpoints that are remembered. An endpoint leaves within seconds; the bound is far
+/// above what a fleet of 22,000 hosts takes down in that time (370 a day).
+const MAX_LEAVING: usize = 1024;
+
+plain_value! {
+    /// A declaration as the operator sent it.
+    pub struct StoredPlan {
+        /// Its version.
+        pub version: u64,
+        /// The text, byte for byte.
+        pub body: Vec<u8>,
+    }
+
+    /// A host of a group.
+    pub struct GroupHost {
+        /// Its endpoint.
+        pub id: IncarnationId,
+        /// Where the endpoint listens.
+        pub address: String,
+    }
+
+    /// A group that was formed and has not ended.
+    pub struct GroupRecord {
+        /// The service it serves.
+        pub service: ServiceName,
+        /// The model it serves.
+        pub model: String,
+        /// Fabric domain of its hosts.
+        pub domain: DomainName,
+        /// Availability zone of its first host.
+        pub zone: ZoneName,
+        /// Its hosts; requests go to the first one.
+        pub members: Vec<GroupHost>,
+    }
+
+    /// One change of the state.
+    pub enum FleetCommand {
+        /// Put a declaration in force, unless a newer one is.
+        PutPlan(StoredPlan),
+        /// Form a group; its epoch is the next free one.
+        FormGroup(GroupRecord),
+        /// A group is over and its hosts are free.
+        EndGroup(GroupId),
+        /// An endpoint takes no new work.
+        MarkLeaving(IncarnationId),
+    }
+
+    /// Everything that the control hosts agree on.
+    #[derive(Default)]
+    pub struct FleetState {
+        plan: Option<StoredPlan>,
+        last_epoch: u64,
+        groups: SortedTable<GroupId, GroupRecord>,
+        leaving: Vec<IncarnationId>,
+    }
+}
+
+/// What a command did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FleetOutcome {
+    /// The declaration is in force.
+    PlanInForce,
+    /// A newer or equal version was in force already; nothing changed.
+    PlanOvertaken,
+    /// The group has this epoch.
+    GroupFormed(GroupId),
+    /// The group was not formed: one of its hosts is in another group or leaving.
+    GroupRefused,
+    /// Nothing else to tell.
+    Noted,
+}
+
+impl FleetState {
+    /// Applies `command`.
+    pub fn apply(&mut self, command: &FleetCommand) -> FleetOutcome {
+        match command {
+            FleetCommand::PutPlan(plan) => self.put_plan(plan),
+            FleetCommand::FormGroup(group) => self.form_group(group),
+            FleetCommand::EndGroup(epoch) => {
+                self.groups.remove(epoch);
+                FleetOutcome::Noted
+            }
+            FleetCommand::MarkLeaving(id) => self.mark_leaving(id),
+        }
+    }
+
+    /// The declaration in force.
+    pub fn plan(&self) -> Option<&StoredPlan> {
+        self.plan.as_ref()
+    }
+
+    /// The groups.
+    pub fn groups(&self) -> &SortedTable<GroupId, GroupRecord> {
+        &self.groups
+    }
+
+    /// Endpoints that take no new work, the longest known first.
+    pub fn leaving(&self) -> &[IncarnationId] {
+        &self.leaving
+    }
+
+    /// Whether the endpoint takes no new work.
+    pub fn is_leaving(&self, id: &IncarnationId) -> bool {
+        self.leaving.contains(id)
+    }
+
+    fn put_plan(&mut self, plan: &StoredPlan) -> FleetOutcome {
+        let held = self.plan.as_ref().map_or(0, |held| held.version);
+        if self.plan.is_some() && plan.version <= held {
+            return FleetOutcome::PlanOvertaken;
+        }
+        self.plan = Some(plan.clone());
+        FleetOutcome::PlanInForce
+    }
+
+    fn form_group(&mut self, group: &GroupRecord) -> FleetOutcome {
+        let taken = |id: &IncarnationId| {
+            self.groups.values().any(|other| other.members.iter().any(|host| host.id == *id))
+        };
+        if group.members.iter().any(|host| taken(&host.id) || self.is_leaving(&host.id)) {
+            return FleetOutcome::GroupRefused;
+        }
+        self.last_epoch += 1;
+        let epoch = GroupId(self.last_epoch);
+        self.groups.insert(epoch, group.clone());
+        FleetOutcome::GroupFormed(epoch)
+    }
+
+    fn mark_leaving(&mut self, id: &IncarnationId) -> FleetOutcome {
+        if !self.is_leaving(id) {
+            self.leaving.push(id.clone());
+        }
+        let surplus = self.leaving.len().saturating_sub(MAX_LEAVING);
+        self.leaving.drain(..surplus);
+        FleetOutcome::Noted
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/api.rs
@@ -0,0 +1,194 @@
+//! The interface of control hosts for operators and endpoints.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use briartray_fleet::state::StoredPlan;
+use briartray_model::names::IncarnationId;
+use briartray_platform::{ControlCall, beat_answer, read_beat, read_plan, redirect_to};
+use briartray_web::spawn_worker;
+use bytes::Bytes;
+use crossbeam::channel::Sender;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use serde_json::json;
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+
+use super::calls::{EndpointCall, EndpointCaller};
+use super::input::{ControlReply, CoreInput, ReplySender};
+use crate::http::{AnswerBody, HttpServer, ServerLimits};
+use crate::process::{ProcessError, SetupSnafu};
+
+/// Largest declaration, in bytes: 25 KB for 110 routes, so thousands of routes fit.
+const MAX_BODY: usize = 4 * 1024 * 1024;
+
+/// Time for the control thread to answer. Callers give up after one second or more.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Connections of operators and endpoints that are open at one time.
+const MAX_CONNECTIONS: usize = 1_024;
+
+/// Time a connection may be idle.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// Stack of the HTTP thread, in bytes.
+const HTTP_STACK_BYTES: usize = 2 * 1024 * 1024;
+
+/// Starts the HTTP thread; calls to endpoints go into the returned queue.
+///
+/// # Errors
+/// A `ProcessError` when the port or the thread cannot be had.
+pub(super) fn start(
+    address: SocketAddr,
+    inputs: Sender<CoreInput>,
+) -> Result<mpsc::UnboundedSender<EndpointCall>, ProcessError> {
+    let listener =
+        std::net::TcpListener::bind(address).context(SetupSnafu { what: "the control port" })?;
+    listener.set_nonblocking(true).context(SetupSnafu { what: "the control port" })?;
+    let (calls, queue) = mpsc::unbounded_channel();
+    let run = move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        match runtime {
+            Ok(runtime) => {
+                let local = tokio::task::LocalSet::new();
+                local.block_on(&runtime, serve_all(listener, address, inputs, queue));
+            }
+            Err(error) => log::error!("the control port cannot be served: {error}"),
+        }
+    };
+    spawn_worker("control-http", HTTP_STACK_BYTES, run)
+        .context(SetupSnafu { what: "the HTTP thread" })?;
+    Ok(calls)
+}
+
+async fn serve_all(
+    listener: std::net::TcpListener,
+    address: SocketAddr,
+    inputs: Sender<CoreInput>,
+    mut calls: mpsc::UnboundedReceiver<EndpointCall>,
+) {
+    let listener = match TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => return log::error!("the control port cannot be served: {error}"),
+    };
+    let limits = ServerLimits { connections: MAX_CONNECTIONS, idle: IDLE_LIMIT };
+    let api = ControlApi { address, inputs: inputs.clone() };
+    let _server = HttpServer::start(listener, limits, move |request| api.clone().handle(request));
+    let caller = EndpointCaller::new(inputs);
+    while let Some(call) = calls.recv().await {
+        tokio::task::spawn_local(caller.clone().make(call));
+    }
+}
+
+#[derive(Clone)]
+struct ControlApi {
+    address: SocketAddr,
+    inputs: Sender<CoreInput>,
+}
+
+impl ControlApi {
+    async fn handle(self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let call = ControlCall::read(&request);
+        let path = request.uri().path().to_owned();
+        let Ok(body) = Limited::new(request.into_body(), MAX_BODY).collect().await else {
+            return problem(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or incomplete");
+        };
+        let body = body.to_bytes();
+        match call {
+            ControlCall::PutPlan => self.put(&path, body).await,
+            ControlCall::GetPlan => {
+                let reply = self.ask(|reply| CoreInput::Get { reply }).await;
+                self.answer(&path, reply)
+            }
+            ControlCall::Beat { id } => self.beat(&path, &id, &body).await,
+            ControlCall::Leave { id } => {
+                let id = IncarnationId::new(&id);
+                let reply = self.ask(|reply| CoreInput::Leave { id, reply }).await;
+                self.answer(&path, reply)
+            }
+            ControlCall::Other => problem(StatusCode::NOT_FOUND, "there is no such call"),
+        }
+    }
+
+    async fn put(&self, path: &str, body: Bytes) -> Response<AnswerBody> {
+        match read_plan(&body) {
+            Ok(plan) => {
+                let plan = StoredPlan { version: plan.version, body: body.to_vec() };
+                let version = plan.version;
+                let reply = self.ask(|reply| CoreInput::Put { plan, reply }).await;
+                log::info!(version; "a declaration was sent: {}", describe(&reply));
+                self.answer(path, reply)
+            }
+            Err(error) => {
+                log::info!("a declaration is refused: {error}");
+                problem(StatusCode::BAD_REQUEST, &error.to_string())
+            }
+        }
+    }
+
+    async fn beat(&self, path: &str, id: &str, body: &[u8]) -> Response<AnswerBody> {
+        match read_beat(id, body) {
+            Ok(beat) => match self.ask(|reply| CoreInput::Beat { beat, reply }).await {
+                ControlReply::Done => beat_answer(&self.address.to_string()).map(AnswerBody::whole),
+                reply => self.answer(path, reply),
+            },
+            Err(error) => {
+                log::warn!(endpoint = id; "a beat does not read: {error}");
+                problem(StatusCode::BAD_REQUEST, &error.to_string())
+            }
+        }
+    }
+
+    /// Asks the control thread.
+    async fn ask(&self, wrap: impl FnOnce(ReplySender) -> CoreInput) -> ControlReply {
+        let (reply, answer) = oneshot::channel();
+        if self.inputs.try_send(wrap(reply)).is_err() {
+            return ControlReply::Unavailable;
+        }
+        match tokio::time::timeout(REPLY_TIMEOUT, answer).await {
+            Ok(Ok(reply)) => reply,
+            _ => ControlReply::Unavailable,
+        }
+    }
+
+    fn answer(&self, path: &str, reply: ControlReply) -> Response<AnswerBody> {
+        match reply {
+            ControlReply::Done => Response::new(AnswerBody::whole(Vec::new())),
+            ControlReply::Plan(body) => {
+                let mut answer = Response::new(AnswerBody::whole(body));
+                let json = HeaderValue::from_static("application/json");
+                answer.headers_mut().insert(header::CONTENT_TYPE, json);
+                answer
+            }
+            ControlReply::NoPlan => problem(StatusCode::NOT_FOUND, "nothing was declared yet"),
+            ControlReply::AskLeader(node) => {
+                let address = format!("{node}:{}", self.address.port());
+                redirect_to(&address, path).map(AnswerBody::whole)
+            }
+            ControlReply::Unavailable => {
+                problem(StatusCode::SERVICE_UNAVAILABLE, "no majority answers; try again")
+            }
+        }
+    }
+}
+
+fn describe(reply: &ControlReply) -> &'static str {
+    match reply {
+        ControlReply::Done => "acknowledged",
+        ControlReply::AskLeader(_) => "sent to the leader",
+        ControlReply::Unavailable => "no majority",
+        ControlReply::Plan(_) | ControlReply::NoPlan => "answered",
+    }
+}
+
+fn problem(status: StatusCode, message: &str) -> Response<AnswerBody> {
+    let body = json!({ "message": message }).to_string();
+    let mut answer = Response::new(AnswerBody::whole(body));
+    *answer.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    answer
+}
--- /dev/null
+++ b/crates/gateway/src/control/calls.rs
@@ -0,0 +1,113 @@
+//! Orders and probes on their way to endpoints.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use briartray_fleet::director::{OrderCall, OrderOutcome, ProbeCall};
+use briartray_node::ClockReader;
+use briartray_platform::{AnswerHead, order_outcome, order_request, read_report, report_request};
+use bytes::Bytes;
+use crossbeam::channel::Sender;
+use http::{Request, StatusCode};
+
+use super::input::{CoreInput, ProbeResult};
+use crate::http::{ConnectionPool, SendFailure, pool};
+
+/// Time for a report. A report needs no slot; hosts are a few milliseconds apart.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time for the answer to an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// A call to an endpoint.
+#[derive(Debug)]
+pub(super) enum EndpointCall {
+    /// Ask for a report.
+    Probe(ProbeCall),
+    /// Give an order in the leader's term.
+    Order { call: OrderCall, term: u64 },
+}
+
+/// Makes calls and tells the control thread what came of them.
+#[derive(Clone)]
+pub(super) struct EndpointCaller {
+    pool: Rc<RefCell<ConnectionPool>>,
+    clock: ClockReader,
+    inputs: Sender<CoreInput>,
+}
+
+impl EndpointCaller {
+    pub(super) fn new(inputs: Sender<CoreInput>) -> Self {
+        Self { pool: Rc::default(), clock: ClockReader::start(), inputs }
+    }
+
+    /// Makes `call`.
+    pub(super) async fn make(self, call: EndpointCall) {
+        let input = match call {
+            EndpointCall::Probe(probe) => {
+                let result = self.probe(&probe).await;
+                CoreInput::Probed { id: probe.id, result }
+            }
+            EndpointCall::Order { call, term } => {
+                let outcome = self.order(&call, term).await;
+                log::info!(endpoint = call.id.as_str(), term;
+                    "order {:?}: {outcome:?}", call.order);
+                CoreInput::Ordered { call, outcome }
+            }
+        };
+        if self.inputs.try_send(input).is_err() {
+            log::warn!("the result of a call to an endpoint found no room and is dropped");
+        }
+    }
+
+    async fn probe(&self, probe: &ProbeCall) -> ProbeResult {
+        let request = report_request(&probe.id, &probe.address);
+        let asked = tokio::time::timeout(PROBE_TIMEOUT, self.ask(&probe.address, request)).await;
+        let Ok(Ok((status, told, body))) = asked else { return ProbeResult::Silent };
+        let other = told.endpoint.as_ref().is_some_and(|endpoint| *endpoint != probe.id);
+        if status == StatusCode::MISDIRECTED_REQUEST || other {
+            return ProbeResult::OtherEndpoint;
+        }
+        match read_report(&body) {
+            Ok(report) => ProbeResult::Told(report),
+            Err(error) => {
+                log::warn!(endpoint = probe.id.as_str(); "a report does not read: {error}");
+                ProbeResult::Silent
+            }
+        }
+    }
+
+    async fn order(&self, call: &OrderCall, term: u64) -> OrderOutcome {
+        let request = order_request(&call.id, &call.address, &call.order, term);
+        match tokio::time::timeout(ORDER_TIMEOUT, self.ask(&call.address, request)).await {
+            Ok(Ok((status, _, body))) => {
+                if !status.is_success() {
+                    log::warn!(endpoint = call.id.as_str(), status = status.as_u16();
+                        "an order is not taken: {}", String::from_utf8_lossy(&body));
+                }
+                order_outcome(status)
+            }
+            Ok(Err(_)) | Err(_) => OrderOutcome::Unknown,
+        }
+    }
+
+    async fn ask(
+        &self,
+        address: &str,
+        request: Request<Bytes>,
+    ) -> Result<(StatusCode, AnswerHead, Bytes), SendFailure> {
+        let address: SocketAddr = address.parse().map_err(|_| SendFailure::NotConnected)?;
+        let idle = self.pool.borrow_mut().take(self.clock.now(), address);
+        let connection = pool::connect(idle, address).await?;
+        let exchange = connection.send(request).await?;
+        let (head, body, connection) = exchange.whole().await?;
+        let told = AnswerHead::read(head.status, &head.headers);
+        if !told.closes {
+            let now = self.clock.now();
+            self.pool.borrow_mut().put(now, address, connection, told.idle_limit);
+        }
+        Ok((head.status, told, body))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/core.rs
@@ -0,0 +1,326 @@
+//! The control thread: steps the agreement and the director, answers operators, endpoints and
+//! entries.
+
+use std::time::Duration;
+
+use briartray_control::agreement::{
+    AgreementCore, AgreementSettings, AgreementTimes, MembershipMode, ProposalToken, ReadToken,
+    WriteBatch,
+};
+use briartray_control::storage::OpenedFolder;
+use briartray_fleet::deployment::DeploymentPlan;
+use briartray_fleet::director::OrderOutcome;
+use briartray_fleet::message::EntryReport;
+use briartray_fleet::state::{FleetCommand, FleetState, StoredPlan};
+use briartray_link::LinkWriter;
+use briartray_model::names::{IncarnationId, NodeName};
+use briartray_model::{SortedTable, TimePoint, codec};
+use briartray_node::ClockReader;
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use tokio::sync::mpsc;
+
+use super::calls::EndpointCall;
+use super::disk;
+use super::input::{ControlReply, CoreInput, CoreMessage, ProbeResult, ReplySender};
+use super::leader::Leadership;
+use super::peers::PeerLinks;
+use super::voters::HostBook;
+use crate::settings::{ControlRole, GatewaySettings};
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Inputs that share one step of the agreement, and so one sync, at most.
+const MAX_INPUTS_PER_STEP: usize = 512;
+
+/// Exit code after a failed disk; the platform starts the process again.
+const EXIT_DISK: i32 = 3;
+
+/// What a control thread is made of.
+pub(super) struct CoreParts {
+    pub(super) settings: GatewaySettings,
+    pub(super) role: ControlRole,
+    pub(super) calls: mpsc::UnboundedSender<EndpointCall>,
+    pub(super) peers: PeerLinks,
+    pub(super) inputs: Sender<CoreInput>,
+}
+
+/// Who waits for a command.
+pub(super) enum CommandOrigin {
+    /// An operator or endpoint.
+    Caller(ReplySender),
+    /// The director.
+    Director,
+}
+
+/// Who waits for a confirmation that this host leads.
+pub(super) enum ReadOrigin {
+    /// An operator who asks for the declaration in force.
+    Plan(ReplySender),
+    /// An operator whose declaration is in force or overtaken.
+    Overtaken(ReplySender),
+    /// An entry that asks for news and a lease.
+    Entry(Box<EntryReport>, LinkWriter),
+}
+
+/// State and knowledge of one control host.
+pub(super) struct ControlCore {
+    pub(super) parts: CoreParts,
+    pub(super) clock: ClockReader,
+    /// `None` on a host without a disk.
+    pub(super) agreement: Option<AgreementCore>,
+    pub(super) disk: Option<Sender<WriteBatch>>,
+    pub(super) state: FleetState,
+    pub(super) plan: Option<DeploymentPlan>,
+    pub(super) hosts: HostBook,
+    pub(super) leadership: Option<Leadership>,
+    pub(super) proposals: SortedTable<ProposalToken, CommandOrigin>,
+    pub(super) reads: SortedTable<ReadToken, ReadOrigin>,
+    next_token: u64,
+}
+
+impl ControlCore {
+    pub(super) fn new(parts: CoreParts, folder: Option<OpenedFolder>) -> Self {
+        let clock = ClockReader::start();
+        let hosts = HostBook::new(&parts.settings, &parts.role);
+        let mut core = Self {
+            clock,
+            agreement: None,
+            disk: None,
+            state: FleetState::default(),
+            plan: None,
+            hosts,
+            leadership: None,
+            proposals: SortedTable::new(),
+            reads: SortedTable::new(),
+            next_token: 0,
+            parts,
+        };
+        if let Some(opened) = folder {
+            core.take_part(opened);
+        }
+        core
+    }
+
+    /// Takes part in the agreement with an opened folder.
+    fn take_part(&mut self, opened: OpenedFolder) {
+        let voters = 2 * self.parts.role.losses + 1;
+        let settings = AgreementSettings {
+            node: self.parts.settings.node_name(),
+            folder: opened.id,
+            members: vec![self.parts.settings.node_name()],
+            membership: MembershipMode::Dynamic { voters },
+            times: AgreementTimes::default(),
+            seed: rand::random(),
+        };
+        match disk::start(opened.folder, self.parts.inputs.clone()) {
+            Ok(disk) => self.disk = Some(disk),
+            Err(error) => return log::error!("no storage thread: {error}; raise the limit"),
+        }
+        self.agreement = Some(AgreementCore::new(self.now(), settings, opened.recovered));
+    }
+
+    /// Runs until told to stop.
+    pub(super) fn run(mut self, queue: &Receiver<CoreInput>) {
+        let mut next_tick = self.now();
+        loop {
+            let now = self.now();
+            if let Some(agreement) = &mut self.agreement {
+                agreement.tick(now);
+            }
+            if now >= next_tick {
+                self.tick(now);
+                next_tick = now.after(TICK);
+            }
+            while self.advance() {}
+            self.follow_up(now);
+            let deadline = self.agreement.as_ref().map_or(next_tick, AgreementCore::deadline);
+            let wait = next_tick.min(deadline).since(self.now());
+            let first = match queue.recv_timeout(wait) {
+                Ok(input) => input,
+                Err(RecvTimeoutError::Timeout) => continue,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            for input in std::iter::once(first).chain(queue.try_iter().take(MAX_INPUTS_PER_STEP)) {
+                if matches!(input, CoreInput::Stop) {
+                    return;
+                }
+                self.handle(input);
+            }
+        }
+    }
+
+    pub(super) fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    /// Who leads, as far as is known here.
+    pub(super) fn leader(&self) -> Option<NodeName> {
+        let known = self.agreement.as_ref().and_then(|agreement| {
+            let leader = agreement.leader()?;
+            Some((agreement.term(), leader.clone()))
+        });
+        self.hosts.leader(self.now(), known).filter(|node| *node != self.parts.settings.node_name())
+    }
+
+    /// Submits `command`; whoever waits learns the outcome once it is committed and applied.
+    pub(super) fn submit(&mut self, command: &FleetCommand, origin: CommandOrigin) {
+        let now = self.now();
+        let token = ProposalToken(self.take_token());
+        let proposed = match (codec::encode(command), &mut self.agreement) {
+            (Ok(encoded), Some(agreement)) => agreement.propose(now, token, encoded).is_ok(),
+            _ => false,
+        };
+        if proposed {
+            self.proposals.insert(token, origin);
+        } else {
+            self.lose(origin);
+        }
+    }
+
+    /// Lets `origin` wait until a majority confirms that this host leads.
+    pub(super) fn confirm(&mut self, origin: ReadOrigin) {
+        let now = self.now();
+        let token = ReadToken(self.take_token());
+        let asked = match &mut self.agreement {
+            Some(agreement) => agreement.read(now, token).is_ok(),
+            None => false,
+        };
+        if asked {
+            self.reads.insert(token, origin);
+        } else {
+            self.unconfirmed(origin);
+        }
+    }
+
+    /// A command that may or may not be applied later.
+    pub(super) fn lose(&mut self, origin: CommandOrigin) {
+        match origin {
+            CommandOrigin::Caller(reply) => {
+                let _ = reply.send(ControlReply::Unavailable);
+            }
+            CommandOrigin::Director => {
+                if let Some(leadership) = &mut self.leadership {
+                    leadership.director.command_done();
+                }
+            }
+        }
+    }
+
+    /// A read that was not confirmed.
+    pub(super) fn unconfirmed(&mut self, origin: ReadOrigin) {
+        match origin {
+            ReadOrigin::Plan(reply) | ReadOrigin::Overtaken(reply) => self.redirect(reply),
+            ReadOrigin::Entry(_, writer) => self.name_leader(&writer),
+        }
+    }
+
+    /// Sends a caller to the leader.
+    pub(super) fn redirect(&self, reply: ReplySender) {
+        let answer = self.leader().map_or(ControlReply::Unavailable, ControlReply::AskLeader);
+        let _ = reply.send(answer);
+    }
+
+    fn take_token(&mut self) -> u64 {
+        self.next_token += 1;
+        self.next_token
+    }
+
+    fn handle(&mut self, input: CoreInput) {
+        let now = self.now();
+        match input {
+            CoreInput::Core(CoreMessage::Agreement(message)) => {
+                if let Some(agreement) = &mut self.agreement {
+                    agreement.receive(now, message);
+                }
+            }
+            CoreInput::Core(CoreMessage::Hello(hello)) => self.take_hello(now, hello),
+            CoreInput::Stored { ticket } => {
+                if let Some(agreement) = &mut self.agreement {
+                    agreement.stored(now, ticket);
+                }
+            }
+            CoreInput::DiskFailed => {
+                log::error!("ending: the disk failed, and what it holds is not known");
+                std::process::exit(EXIT_DISK);
+            }
+            CoreInput::Entry { report, writer } => self.take_report(now, report, writer),
+            CoreInput::Put { plan, reply } => self.put(now, plan, reply),
+            CoreInput::Get { reply } => self.confirm(ReadOrigin::Plan(reply)),
+            CoreInput::Beat { beat, reply } => self.beat(now, beat, reply),
+            CoreInput::Leave { id, reply } => self.leave(id, reply),
+            CoreInput::Probed { id, result } => self.probed(now, &id, result),
+            CoreInput::Ordered { call, outcome } => {
+                if let Some(leadership) = &mut self.leadership {
+                    leadership.director.ordered(now, &call, outcome);
+                    leadership.dirty |= outcome != OrderOutcome::Unknown;
+                }
+            }
+            CoreInput::Stop => {}
+        }
+    }
+
+    fn put(&mut self, now: TimePoint, plan: StoredPlan, reply: ReplySender) {
+        if !self.is_established() {
+            return self.redirect(reply);
+        }
+        // A single voter could lose what it acknowledged together with its disk.
+        if !self.has_voters(now) {
+            let _ = reply.send(ControlReply::Unavailable);
+            return;
+        }
+        let held = self.state.plan().is_some_and(|held| held.version >= plan.version);
+        if held {
+            self.confirm(ReadOrigin::Overtaken(reply));
+        } else {
+            self.submit(&FleetCommand::PutPlan(plan), CommandOrigin::Caller(reply));
+        }
+    }
+
+    fn beat(
+        &mut self,
+        now: TimePoint,
+        beat: briartray_fleet::director::EndpointBeat,
+        reply: ReplySender,
+    ) {
+        let Some(leadership) = self.leadership.as_mut().filter(|lead| lead.established) else {
+            return self.redirect(reply);
+        };
+        let (id, leaving) = (beat.id.clone(), beat.leaving);
+        log::trace!("beat {beat:?}");
+        leadership.director.beat(now, beat);
+        leadership.dirty = true;
+        if leaving && !self.state.is_leaving(&id) {
+            self.leave(id, reply);
+        } else {
+            let _ = reply.send(ControlReply::Done);
+        }
+    }
+
+    /// An endpoint's notice counts only when a majority holds it: a later leader must not send
+    /// work there again.
+    fn leave(&mut self, id: IncarnationId, reply: ReplySender) {
+        if !self.is_established() {
+            return self.redirect(reply);
+        }
+        log::info!(endpoint = id.as_str(); "an endpoint is leaving");
+        self.submit(&FleetCommand::MarkLeaving(id), CommandOrigin::Caller(reply));
+    }
+
+    fn probed(&mut self, now: TimePoint, id: &IncarnationId, result: ProbeResult) {
+        let Some(leadership) = &mut self.leadership else { return };
+        match result {
+            ProbeResult::Told(report) => leadership.director.probed(now, id, Some(report)),
+            ProbeResult::OtherEndpoint => leadership.director.gone(id),
+            ProbeResult::Silent => {
+                log::info!(endpoint = id.as_str(); "an endpoint does not answer a probe");
+                leadership.director.probed(now, id, None);
+            }
+        }
+        leadership.dirty = true;
+    }
+
+    pub(super) fn is_established(&self) -> bool {
+        self.leadership.as_ref().is_some_and(|leadership| leadership.established)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/leader.rs
@@ -0,0 +1,213 @@
+//! What a leader does: directs the endpoints and keeps the entries informed.
+
+use briartray_fleet::director::FleetDirector;
+use briartray_fleet::message::{EntryNotice, EntryReport, FleetView, ViewVersion};
+use briartray_link::LinkWriter;
+use briartray_model::names::{NodeName, TermNumber};
+use briartray_model::{SortedTable, TimePoint};
+
+use super::calls::EndpointCall;
+use super::core::{CommandOrigin, ControlCore, ReadOrigin};
+
+/// Time without a report after which an entry no longer counts.
+const ENTRY_GONE: std::time::Duration = std::time::Duration::from_secs(3);
+
+/// Shortest time between two views: changes that come together are told together.
+const INFORM_EVERY: std::time::Duration = std::time::Duration::from_millis(15);
+
+/// Leaving endpoints told with every notice: those of the last minutes.
+const LEAVING_TOLD: usize = 128;
+
+/// An entry that reports to this leader.
+pub(super) struct EntrySession {
+    writer: LinkWriter,
+    heard: TimePoint,
+    /// Version of the declaration it was sent last.
+    plan: Option<u64>,
+}
+
+/// What a leader keeps while it leads.
+pub(super) struct Leadership {
+    pub(super) term: TermNumber,
+    /// Whether everything committed before is applied here.
+    pub(super) established: bool,
+    pub(super) director: FleetDirector,
+    /// Something may have changed in the view.
+    pub(super) dirty: bool,
+    /// The director has something to follow up.
+    pub(super) step_due: bool,
+    entries: SortedTable<NodeName, EntrySession>,
+    view: Option<FleetView>,
+    number: u64,
+    informed_at: TimePoint,
+}
+
+impl Leadership {
+    /// A leadership that begins at `now`.
+    pub(super) fn new(now: TimePoint, term: TermNumber) -> Self {
+        Self {
+            term,
+            established: false,
+            director: FleetDirector::new(now, true),
+            dirty: true,
+            step_due: false,
+            entries: SortedTable::new(),
+            view: None,
+            number: 0,
+            informed_at: now,
+        }
+    }
+}
+
+impl ControlCore {
+    /// Starts to act as leader: everything that was committed before is applied here now.
+    pub(super) fn establish(&mut self) {
+        let now = self.now();
+        let first = self.state.groups().is_empty();
+        let Some(leadership) = &mut self.leadership else { return };
+        leadership.established = true;
+        leadership.director = FleetDirector::new(now, first);
+        log::info!(term = leadership.term.0, first; "leading");
+    }
+
+    /// Looks at what is due.
+    pub(super) fn tick(&mut self, now: TimePoint) {
+        self.greet(now);
+        self.manage_voters(now);
+        self.direct(now);
+        self.inform(now);
+    }
+
+    /// Does what follows from what was just learnt, without waiting for the next tick: a group that
+    /// opens or ends a tenth of a second earlier is a tenth of a second of service.
+    pub(super) fn follow_up(&mut self, now: TimePoint) {
+        let Some(leadership) = &self.leadership else { return };
+        if leadership.step_due {
+            self.direct(now);
+        }
+        let due = |lead: &Leadership| now.since(lead.informed_at) >= INFORM_EVERY;
+        if self.leadership.as_ref().is_some_and(|lead| lead.dirty && due(lead)) {
+            self.inform(now);
+        }
+    }
+
+    /// Steps the director and carries out what follows.
+    pub(super) fn direct(&mut self, now: TimePoint) {
+        let Some(leadership) = self.leadership.as_mut().filter(|lead| lead.established) else {
+            return;
+        };
+        let Some(plan) = &self.plan else { return };
+        leadership.step_due = false;
+        let term = leadership.term.0;
+        let output = leadership.director.step(now, &self.state, plan);
+        for probe in output.probes {
+            let _ = self.parts.calls.send(EndpointCall::Probe(probe));
+        }
+        for call in output.orders {
+            let _ = self.parts.calls.send(EndpointCall::Order { call, term });
+        }
+        for command in output.commands {
+            self.submit(&command, CommandOrigin::Director);
+        }
+    }
+
+    /// Tells the entries what has changed.
+    fn inform(&mut self, now: TimePoint) {
+        let fresh = self.refresh_view(now);
+        if let Some(leadership) = &mut self.leadership {
+            leadership.informed_at = now;
+        }
+        if !fresh {
+            return;
+        }
+        let notice = self.news();
+        let Some(leadership) = &mut self.leadership else { return };
+        leadership.entries.retain(|_, entry| now.since(entry.heard) < ENTRY_GONE);
+        let newest = self.state.plan().map(|plan| plan.version);
+        for entry in leadership.entries.values_mut() {
+            let behind = entry.plan < newest;
+            let plan = self.state.plan().filter(|_| behind).cloned();
+            // One that is behind asks again with its next report.
+            let sent = entry.writer.try_send(&EntryNotice { plan, ..notice.clone() });
+            if matches!(sent, Ok(true)) {
+                entry.plan = newest;
+            }
+        }
+    }
+
+    /// Makes a new view when something has changed; `true` when entries are to be told.
+    fn refresh_view(&mut self, now: TimePoint) -> bool {
+        let Some(leadership) = self.leadership.as_mut().filter(|lead| lead.established) else {
+            return false;
+        };
+        let Some(plan) = &self.plan else { return false };
+        if !leadership.dirty || !leadership.director.is_settled(now) {
+            return std::mem::take(&mut leadership.dirty);
+        }
+        leadership.dirty = false;
+        let version = ViewVersion { term: leadership.term, number: leadership.number + 1 };
+        let mut view = leadership.director.view(now, &self.state, plan, version);
+        view.entries = leadership.entries.len();
+        let same = leadership.view.as_ref().is_some_and(|known| {
+            known.endpoints == view.endpoints
+                && known.groups == view.groups
+                && known.entries == view.entries
+        });
+        let newest = self.state.plan().map(|plan| plan.version);
+        let behind = leadership.entries.values().any(|entry| entry.plan < newest);
+        if !same {
+            leadership.number += 1;
+            leadership.view = Some(view);
+        }
+        !same || behind
+    }
+
+    /// A notice without a confirmation.
+    fn news(&self) -> EntryNotice {
+        let leaving = self.state.leaving();
+        let told = leaving.len().saturating_sub(LEAVING_TOLD);
+        EntryNotice {
+            nonce: None,
+            plan: None,
+            view: self.leadership.as_ref().and_then(|lead| lead.view.clone()),
+            leaving: leaving[told..].to_vec(),
+            control: self.hosts.names(),
+            leader: None,
+        }
+    }
+
+    /// Takes what an entry saw, and answers once a majority confirms that this host leads.
+    pub(super) fn take_report(&mut self, now: TimePoint, report: EntryReport, writer: LinkWriter) {
+        let Some(leadership) = self.leadership.as_mut().filter(|lead| lead.established) else {
+            return self.name_leader(&writer);
+        };
+        leadership.director.report(now, &report, &self.state);
+        leadership.dirty = true;
+        let session = EntrySession { writer: writer.clone(), heard: now, plan: report.plan };
+        leadership.entries.insert(report.node.clone(), session);
+        self.confirm(ReadOrigin::Entry(Box::new(report), writer));
+    }
+
+    pub(super) fn answer_report(&mut self, report: &EntryReport, writer: &LinkWriter) {
+        let news = self.news();
+        let behind = report.plan < self.state.plan().map(|plan| plan.version);
+        let plan = self.state.plan().filter(|_| behind).cloned();
+        let view = news.view.clone().filter(|view| view.version != report.view);
+        let notice = EntryNotice { nonce: Some(report.nonce), plan, view, ..news };
+        // An entry that is behind asks again; its lease runs out meanwhile.
+        let _ = writer.try_send(&notice);
+    }
+
+    /// Tells an entry who leads.
+    pub(super) fn name_leader(&self, writer: &LinkWriter) {
+        let notice = EntryNotice {
+            nonce: None,
+            plan: None,
+            view: None,
+            leaving: Vec::new(),
+            control: self.hosts.names(),
+            leader: self.leader(),
+        };
+        let _ = writer.try_send(&notice);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/replication.rs
@@ -0,0 +1,165 @@
+//! What follows from the agreement: messages, writes, applied commands, changes of leadership.
+
+use briartray_control::agreement::{
+    CommittedEntry, EntryPayload, LogDelivery, LogSnapshot, MemberRole,
+};
+use briartray_fleet::state::{FleetCommand, FleetOutcome};
+use briartray_model::codec;
+
+use super::core::{CommandOrigin, ControlCore, ReadOrigin};
+use super::input::{ControlReply, CoreMessage};
+use super::leader::Leadership;
+
+/// Exit code when the state cannot be read; going on would make this copy differ from the others.
+const EXIT_STATE: i32 = 4;
+
+impl ControlCore {
+    /// Carries out everything that follows from the steps so far; `true` when something was
+    /// applied, from which more may follow.
+    pub(super) fn advance(&mut self) -> bool {
+        let now = self.now();
+        let Some(agreement) = &mut self.agreement else { return false };
+        let output = agreement.drain(now);
+        if let (Some(batch), Some(disk)) = (output.batch, &self.disk) {
+            // A closed channel means that the disk has failed, of which the thread is told.
+            let _ = disk.send(batch);
+        }
+        for (to, message) in output.messages {
+            self.parts.peers.send(&to, CoreMessage::Agreement(message));
+        }
+        for token in output.lost {
+            if let Some(origin) = self.proposals.remove(&token) {
+                self.lose(origin);
+            }
+        }
+        self.note_role();
+        let applied = !output.deliveries.is_empty();
+        for delivery in output.deliveries {
+            match delivery {
+                LogDelivery::Entry(committed) => self.apply(committed),
+                LogDelivery::Restore(snapshot) => self.restore(&snapshot),
+            }
+        }
+        for token in output.unconfirmed {
+            if let Some(origin) = self.reads.remove(&token) {
+                self.unconfirmed(origin);
+            }
+        }
+        for token in output.confirmed {
+            if let Some(origin) = self.reads.remove(&token) {
+                self.answer_read(origin);
+            }
+        }
+        self.take_snapshot();
+        applied
+    }
+
+    /// Begins or ends leadership as the agreement says.
+    fn note_role(&mut self) {
+        let Some(agreement) = &self.agreement else { return };
+        let term = agreement.term();
+        let leads = agreement.role() == MemberRole::Leader;
+        let known = self.leadership.as_ref().map(|leadership| leadership.term);
+        if known == leads.then_some(term) {
+            return;
+        }
+        self.leadership = leads.then(|| Leadership::new(self.now(), term));
+    }
+
+    fn apply(&mut self, committed: CommittedEntry) {
+        let CommittedEntry { entry, token } = committed;
+        let origin = token.and_then(|token| self.proposals.remove(&token));
+        let own_term = self.leadership.as_ref().is_some_and(|lead| lead.term == entry.term);
+        match entry.payload {
+            EntryPayload::Blank if own_term => self.establish(),
+            EntryPayload::Blank | EntryPayload::Admit(_) | EntryPayload::Dismiss(_) => {}
+            EntryPayload::Command(bytes) => self.apply_command(&bytes, origin),
+        }
+    }
+
+    fn apply_command(&mut self, bytes: &[u8], origin: Option<CommandOrigin>) {
+        let command: FleetCommand = match codec::decode(bytes) {
+            Ok(command) => command,
+            Err(error) => {
+                log::error!("ending: a committed command does not read: {error}");
+                std::process::exit(EXIT_STATE);
+            }
+        };
+        let outcome = self.state.apply(&command);
+        log::info!("applied {}: {outcome:?}", summary(&command));
+        if outcome == FleetOutcome::PlanInForce {
+            self.adopt_plan();
+        }
+        if let Some(leadership) = &mut self.leadership {
+            leadership.dirty = true;
+            leadership.step_due = true;
+        }
+        match origin {
+            Some(CommandOrigin::Caller(reply)) => {
+                let _ = reply.send(ControlReply::Done);
+            }
+            Some(CommandOrigin::Director) => {
+                if let Some(leadership) = &mut self.leadership {
+                    leadership.director.command_done();
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn adopt_plan(&mut self) {
+        let Some(stored) = self.state.plan() else { return };
+        match briartray_platform::read_plan(&stored.body) {
+            Ok(plan) => self.plan = Some(plan),
+            Err(error) => log::error!("an accepted declaration does not read: {error}"),
+        }
+    }
+
+    fn restore(&mut self, snapshot: &LogSnapshot) {
+        match codec::decode(&snapshot.data) {
+            Ok(state) => self.state = state,
+            Err(error) => {
+                log::error!("ending: a snapshot does not read: {error}");
+                std::process::exit(EXIT_STATE);
+            }
+        }
+        self.adopt_plan();
+    }
+
+    fn answer_read(&mut self, origin: ReadOrigin) {
+        match origin {
+            ReadOrigin::Plan(reply) => {
+                let plan = self.state.plan().map(|plan| ControlReply::Plan(plan.body.clone()));
+                let _ = reply.send(plan.unwrap_or(ControlReply::NoPlan));
+            }
+            ReadOrigin::Overtaken(reply) => {
+                let _ = reply.send(ControlReply::Done);
+            }
+            ReadOrigin::Entry(report, writer) => self.answer_report(&report, &writer),
+        }
+    }
+
+    fn take_snapshot(&mut self) {
+        let Some(agreement) = &mut self.agreement else { return };
+        if !agreement.wants_snapshot() {
+            return;
+        }
+        match codec::encode(&self.state) {
+            Ok(data) => agreement.compact(data),
+            Err(error) => log::error!("no snapshot can be taken: {error}"),
+        }
+    }
+}
+
+/// A command without the text it carries.
+fn summary(command: &FleetCommand) -> String {
+    match command {
+        FleetCommand::PutPlan(plan) => format!("declaration {}", plan.version),
+        FleetCommand::FormGroup(group) => {
+            let members: Vec<&str> = group.members.iter().map(|host| host.id.as_str()).collect();
+            format!("group of {} in {}: {}", group.model, group.domain, members.join(" "))
+        }
+        FleetCommand::EndGroup(group) => format!("end of group {group}"),
+        FleetCommand::MarkLeaving(id) => format!("{id} is leaving"),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -0,0 +1,221 @@
+//! One attempt: choosing a target, sending, and judging the head of the answer.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use briartray_fleet::deployment::{RepeatKind, RouteBook, RouteRule};
+use briartray_fleet::entry::{AttemptEnd, ChoiceRefusal, TargetChoice, TargetId};
+use briartray_model::TimePoint;
+use briartray_model::names::{ServiceName, TeamName};
+use briartray_platform::{AnswerHead, CallerHead, DispatchTerms, dispatch_request};
+use bytes::Bytes;
+use http::request::Parts;
+
+use super::state::EntryState;
+use crate::http::{Exchange, SendFailure, pool};
+
+/// Time that is kept back for the way to the caller and for answering in time.
+const ANSWER_MARGIN: Duration = Duration::from_millis(30);
+
+/// A request that is being served.
+pub(super) struct ServedRequest {
+    pub(super) state: Rc<EntryState>,
+    pub(super) book: Rc<RouteBook>,
+    pub(super) rule: RouteRule,
+    pub(super) service: ServiceName,
+    pub(super) team: Option<TeamName>,
+    pub(super) priority: Option<u8>,
+    pub(super) parts: Parts,
+    pub(super) head: CallerHead,
+    pub(super) body: Bytes,
+    /// When the caller or the rule gives up.
+    pub(super) until: TimePoint,
+    /// Target of the attempt in progress.
+    pub(super) chosen: Rc<RefCell<Option<TargetId>>>,
+    /// Targets it was sent to.
+    pub(super) tried: Vec<TargetId>,
+    /// Whether an attempt may have run.
+    pub(super) may_have_run: bool,
+}
+
+/// Counts a request on its target until it is dropped.
+pub(super) struct TargetGuard {
+    state: Rc<EntryState>,
+    pub(super) target: TargetId,
+}
+
+impl TargetGuard {
+    fn new(state: &Rc<EntryState>, target: TargetId) -> Self {
+        state.table.borrow_mut().begin(state.now(), &target);
+        Self { state: Rc::clone(state), target }
+    }
+
+    /// Bytes came from the target.
+    pub(super) fn moved(&self) {
+        self.state.table.borrow_mut().moved(self.state.now(), &self.target);
+    }
+
+    /// Whether nothing is to be expected of the target.
+    pub(super) fn is_given_up(&self) -> bool {
+        self.state.table.borrow().is_given_up(self.state.now(), &self.target)
+    }
+}
+
+impl Drop for TargetGuard {
+    fn drop(&mut self) {
+        self.state.table.borrow_mut().end(&self.target);
+    }
+}
+
+/// An answer of a replica whose head has been judged.
+pub(super) struct LiveAnswer {
+    pub(super) exchange: Exchange,
+    pub(super) told: AnswerHead,
+    pub(super) address: SocketAddr,
+    pub(super) guard: TargetGuard,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AttemptFailure {
+    /// There was nowhere to send it.
+    NoTarget(ChoiceRefusal),
+    /// It was sent, or nearly.
+    Ended(AttemptEnd),
+}
+
+impl ServedRequest {
+    /// Time that is left.
+    pub(super) fn left(&self) -> Duration {
+        self.until.since(self.state.now())
+    }
+
+    /// Whether a further attempt makes sense, apart from what it may do.
+    pub(super) fn may_try(&self) -> bool {
+        self.left() > ANSWER_MARGIN * 2 && self.state.take_repeat(&self.service)
+    }
+
+    /// Chooses a target.
+    pub(super) fn choose(&self) -> Result<TargetChoice, ChoiceRefusal> {
+        let model = self.head.model.as_deref();
+        let mut table = self.state.table.borrow_mut();
+        table.choose(self.state.now(), &self.book, &self.service, model, &self.tried)
+    }
+
+    /// Sends the request to a target and waits for the head of its answer; `last_event` is where
+    /// a stream goes on.
+    pub(super) async fn attempt(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<LiveAnswer, AttemptFailure> {
+        let choice = self.choose().map_err(AttemptFailure::NoTarget)?;
+        let Some(address) = EntryState::parse_address(&choice.address) else {
+            return Err(AttemptFailure::NoTarget(ChoiceRefusal::NoReplica));
+        };
+        let guard = TargetGuard::new(&self.state, choice.target.clone());
+        let request = dispatch_request(
+            &self.parts,
+            &DispatchTerms {
+                endpoint: &choice.endpoint,
+                left: self.left().saturating_sub(ANSWER_MARGIN),
+                team: self.team.as_ref(),
+                priority: self.priority,
+                last_event,
+            },
+            self.body.clone(),
+        );
+        *self.chosen.borrow_mut() = Some(choice.target.clone());
+        self.tried.push(choice.target.clone());
+        let outcome = self.send(address, request, &choice.target).await;
+        match outcome {
+            Ok(exchange) => self.judge(exchange, address, guard),
+            Err(failure) => {
+                if failure == SendFailure::NotConnected {
+                    self.state.table.borrow_mut().failed(self.state.now(), &choice.target);
+                }
+                let end = match failure {
+                    SendFailure::NotConnected | SendFailure::NotSent => AttemptEnd::NotRun,
+                    SendFailure::Broken => AttemptEnd::MayHaveRun,
+                };
+                Err(self.ended(end))
+            }
+        }
+    }
+
+    async fn send(
+        &mut self,
+        address: SocketAddr,
+        request: http::Request<Bytes>,
+        target: &TargetId,
+    ) -> Result<Exchange, SendFailure> {
+        // A request that must not run twice goes over a new connection: one from the pool may be
+        // closed by the endpoint while the request is on its way, and its outcome is then unknown.
+        let once = self.rule.kind == RepeatKind::Once;
+        let now = self.state.now();
+        let idle = if once { None } else { self.state.pool.borrow_mut().take(now, address) };
+        let pooled = idle.is_some();
+        let connection = pool::connect(idle, address).await?;
+        let sent = connection.send(request.clone()).await;
+        match sent {
+            Err(SendFailure::NotSent) if pooled => {
+                log::debug!("a kept connection to {address} was closed ({target:?})");
+                pool::connect(None, address).await?.send(request).await
+            }
+            sent => sent,
+        }
+    }
+
+    /// Whether the answer is this request's, and what it says.
+    fn judge(
+        &mut self,
+        exchange: Exchange,
+        address: SocketAddr,
+        guard: TargetGuard,
+    ) -> Result<LiveAnswer, AttemptFailure> {
+        let status = exchange.head.status;
+        let told = AnswerHead::read(status, &exchange.head.headers);
+        if !told.answers(self.head.request_id.as_ref()) {
+            log::warn!("an answer at {address} belongs to another request and is dropped");
+            return Err(self.ended(AttemptEnd::MayHaveRun));
+        }
+        let now = self.state.now();
+        if let Some(load) = told.load {
+            self.state.table.borrow_mut().sample(now, &guard.target, load);
+        }
+        if told.other_endpoint {
+            self.state.table.borrow_mut().failed(now, &guard.target);
+        }
+        if told.not_run {
+            log::debug!(status = status.as_u16(); "a replica did not take a request");
+            return Err(self.ended(AttemptEnd::NotRun));
+        }
+        if !told.stamped {
+            log::warn!(status = status.as_u16(); "an answer without a replica's proof is dropped");
+            return Err(self.ended(AttemptEnd::MayHaveRun));
+        }
+        Ok(LiveAnswer { exchange, told, address, guard })
+    }
+
+    /// Notes how an attempt ended.
+    pub(super) fn ended(&mut self, end: AttemptEnd) -> AttemptFailure {
+        self.may_have_run |= end != AttemptEnd::NotRun;
+        AttemptFailure::Ended(end)
+    }
+}
+
+impl LiveAnswer {
+    /// Keeps the connection for later, when the answer was whole and allows it.
+    pub(super) fn release(self, state: &EntryState) {
+        if !self.told.closes {
+            let connection = self.exchange.into_connection();
+            state.pool.borrow_mut().put(
+                state.now(),
+                self.address,
+                connection,
+                self.told.idle_limit,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/mod.rs
@@ -0,0 +1,158 @@
+//! The entry role: one thread serves callers, another one talks to the leading control host.
+
+mod dispatch;
+mod plain;
+mod refusal;
+mod relay;
+mod serve;
+mod state;
+mod watch;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use briartray_web::spawn_worker;
+use crossbeam::channel::{Receiver, Sender, bounded};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+use self::state::EntryState;
+use crate::http::{AnswerBody, HttpServer, ServerLimits};
+use crate::process::{ProcessError, SetupSnafu};
+use crate::settings::{EntryRole, GatewaySettings};
+
+/// Stack of the traffic thread, in bytes.
+const TRAFFIC_STACK_BYTES: usize = 2 * 1024 * 1024;
+
+/// Callers' connections that are open at one time; descriptors for endpoints are left beside.
+const MAX_CONNECTIONS: usize = 2_500;
+
+/// Idle time of callers' connections before a declaration names one; callers keep connections for
+/// up to four fifths of the declared time, so this is above what declarations name.
+const IDLE_LIMIT: Duration = Duration::from_secs(40);
+
+/// Time between two looks for silent targets and idle connections.
+const HOUSEKEEPING: Duration = Duration::from_millis(50);
+
+/// Time after SIGTERM in which new connections still come: the balancer asks every second and
+/// takes an entry out after two misses.
+const STILL_CHOSEN: Duration = Duration::from_millis(3_200);
+
+/// Part of the grace period after which what still runs is cut off.
+const GRACE_PART: f64 = 0.95;
+
+/// A running entry.
+#[derive(Debug)]
+pub struct EntryProcess {
+    stop: oneshot::Sender<Duration>,
+    ended: Receiver<()>,
+}
+
+impl EntryProcess {
+    /// Starts the traffic thread.
+    ///
+    /// # Errors
+    /// A `ProcessError` when a port or a thread cannot be had.
+    pub fn start(settings: &GatewaySettings, role: &EntryRole) -> Result<Self, ProcessError> {
+        let (stop, stopped) = oneshot::channel();
+        let (end, ended) = bounded(1);
+        let callers = listen(role.callers)?;
+        let ready = listen(role.ready)?;
+        let (watch, notices) = watch::start(settings)?;
+        let state = EntryState::builder(settings.clone(), watch);
+        let run = move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            match runtime {
+                Ok(runtime) => {
+                    let local = tokio::task::LocalSet::new();
+                    let state = Rc::new(state.build());
+                    let serve = serve_all(state, callers, ready, notices, stopped, end);
+                    local.block_on(&runtime, serve);
+                }
+                Err(error) => log::error!("traffic cannot be served: {error}"),
+            }
+        };
+        spawn_worker("traffic", TRAFFIC_STACK_BYTES, run)
+            .context(SetupSnafu { what: "the traffic thread" })?;
+        Ok(Self { stop, ended })
+    }
+
+    /// Ends as a planned stop: takes no new connections once the balancer has noticed, and cuts
+    /// off nothing that ends within `grace`.
+    pub fn drain(self, grace: Duration) {
+        let _ = self.stop.send(grace);
+        let _ = self.ended.recv_timeout(grace);
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<std::net::TcpListener, ProcessError> {
+    let listener = std::net::TcpListener::bind(address).context(SetupSnafu { what: "a port" })?;
+    listener.set_nonblocking(true).context(SetupSnafu { what: "a port" })?;
+    Ok(listener)
+}
+
+async fn serve_all(
+    state: Rc<EntryState>,
+    callers: std::net::TcpListener,
+    ready: std::net::TcpListener,
+    notices: tokio::sync::mpsc::UnboundedReceiver<watch::WatchEvent>,
+    stopped: oneshot::Receiver<Duration>,
+    end: Sender<()>,
+) {
+    let limits = ServerLimits { connections: MAX_CONNECTIONS, idle: IDLE_LIMIT };
+    let (Ok(callers), Ok(ready)) = (TcpListener::from_std(callers), TcpListener::from_std(ready))
+    else {
+        return log::error!("the ports for callers cannot be served");
+    };
+    let serving = Rc::clone(&state);
+    let traffic = HttpServer::start(callers, limits, move |request| {
+        serve::handle(Rc::clone(&serving), request)
+    });
+    let asked = Rc::clone(&state);
+    let _readiness = HttpServer::start(ready, limits, move |request| {
+        let answer = tell_readiness(&asked, &request);
+        async move { answer }
+    });
+    tokio::task::spawn_local(keep_house(Rc::clone(&state)));
+    tokio::task::spawn_local(watch::follow(Rc::clone(&state), notices));
+    if let Ok(grace) = stopped.await {
+        drain(&state, &traffic, grace).await;
+    }
+    let _ = end.send(());
+}
+
+fn tell_readiness(state: &EntryState, request: &Request<Incoming>) -> Response<AnswerBody> {
+    let known = request.uri().path() == briartray_platform::READINESS_PATH;
+    let status = match (known, state.is_ready()) {
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        (false, _) => StatusCode::NOT_FOUND,
+    };
+    let mut answer = Response::new(AnswerBody::whole(Vec::new()));
+    *answer.status_mut() = status;
+    answer
+}
+
+async fn keep_house(state: Rc<EntryState>) {
+    loop {
+        tokio::time::sleep(HOUSEKEEPING).await;
+        state.keep_house();
+    }
+}
+
+async fn drain(state: &EntryState, traffic: &HttpServer, grace: Duration) {
+    let started = Instant::now();
+    state.begin_drain();
+    log::info!(open = traffic.open(), running = state.running(); "draining");
+    tokio::time::sleep(STILL_CHOSEN.min(grace / 2)).await;
+    traffic.stop();
+    let limit = grace.mul_f64(GRACE_PART);
+    while traffic.open() > 0 && started.elapsed() < limit {
+        tokio::time::sleep(HOUSEKEEPING).await;
+    }
+    log::info!(left = traffic.open(), running = state.running(); "drained");
+}
--- /dev/null
+++ b/crates/gateway/src/entry/plain.rs
@@ -0,0 +1,116 @@
+//! Answers that are taken whole before the caller gets any of them.
+
+use std::time::Duration;
+
+use briartray_fleet::entry::{AttemptEnd, AttemptPlan, ChoiceRefusal, NextMove};
+use briartray_platform::answer_headers;
+use bytes::Bytes;
+use http::Response;
+use http::response::Parts;
+
+use super::dispatch::{AttemptFailure, ServedRequest};
+use super::refusal::{RefusalKind, refuse};
+use crate::http::AnswerBody;
+
+/// Times the expected latency that an attempt which may be repeated is waited for. A replica that
+/// hangs gives no sign; the slowest tenth of sound answers takes twice the expected time.
+const PATIENCE: u32 = 3;
+
+/// A replica's whole answer.
+struct WholeAnswer {
+    head: Parts,
+    body: Bytes,
+}
+
+/// Serves `request`, sending it again where that is allowed.
+pub(super) async fn serve(mut request: ServedRequest) -> Response<AnswerBody> {
+    let mut failed_answer = None;
+    loop {
+        let end = match attempt(&mut request).await {
+            Ok(answer) if !answer.head.status.is_server_error() => return pass_on(answer),
+            Ok(answer) => {
+                request.may_have_run = true;
+                failed_answer = Some(answer);
+                AttemptEnd::RunFailed
+            }
+            Err(AttemptFailure::Ended(end)) => end,
+            Err(AttemptFailure::NoTarget(refusal)) => {
+                return match failed_answer {
+                    Some(answer) => pass_on(answer),
+                    None => refuse(no_target(&request, refusal)),
+                };
+            }
+        };
+        let plan = AttemptPlan {
+            kind: request.rule.kind,
+            sent: u32::try_from(request.tried.len()).unwrap_or(u32::MAX),
+            max_attempts: request.rule.max_attempts,
+            may_have_run: request.may_have_run,
+            may_try: true,
+        };
+        let next = match plan.next(end) {
+            // The budget is asked only when everything else allows another attempt.
+            NextMove::SendAgain if !request.may_try() => {
+                AttemptPlan { may_try: false, ..plan }.next(end)
+            }
+            next => next,
+        };
+        match (next, failed_answer.take()) {
+            (NextMove::SendAgain, answer) => failed_answer = answer,
+            (_, Some(answer)) => return pass_on(answer),
+            (NextMove::Refuse, None) => return refuse(RefusalKind::NotRun),
+            (_, None) if request.left() < TIMED_OUT => return refuse(RefusalKind::LateUnknown),
+            (_, None) => return refuse(RefusalKind::Unknown),
+        }
+    }
+}
+
+/// Time left below which a request without an answer counts as out of time.
+const TIMED_OUT: Duration = Duration::from_millis(60);
+
+async fn attempt(request: &mut ServedRequest) -> Result<WholeAnswer, AttemptFailure> {
+    let left = request.left();
+    let first = request.tried.is_empty() && request.rule.max_attempts > 1;
+    let patient = request.rule.target_latency * PATIENCE;
+    let limit = if first && request.rule.kind.may_repeat() { left.min(patient) } else { left };
+    match tokio::time::timeout(limit, take_whole(request)).await {
+        Ok(outcome) => outcome,
+        Err(_) => {
+            log::debug!("an attempt at {:?} was given up", request.tried.last());
+            Err(request.ended(AttemptEnd::MayHaveRun))
+        }
+    }
+}
+
+async fn take_whole(request: &mut ServedRequest) -> Result<WholeAnswer, AttemptFailure> {
+    let answer = request.attempt(request.head.last_event).await?;
+    answer.guard.moved();
+    let (told, address) = (answer.told, answer.address);
+    match answer.exchange.whole().await {
+        Ok((head, body, connection)) => {
+            if !told.closes {
+                let state = &request.state;
+                let now = state.now();
+                state.pool.borrow_mut().put(now, address, connection, told.idle_limit);
+            }
+            Ok(WholeAnswer { head, body })
+        }
+        Err(_) => Err(request.ended(AttemptEnd::MayHaveRun)),
+    }
+}
+
+/// The truth about a request for which there is no target (any more).
+pub(super) fn no_target(request: &ServedRequest, refusal: ChoiceRefusal) -> RefusalKind {
+    match refusal {
+        _ if request.may_have_run => RefusalKind::Unknown,
+        ChoiceRefusal::Full => RefusalKind::Full,
+        ChoiceRefusal::NoReplica => RefusalKind::NoReplica,
+    }
+}
+
+fn pass_on(answer: WholeAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(answer.body));
+    *response.status_mut() = answer.head.status;
+    *response.headers_mut() = answer_headers(&answer.head.headers);
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/entry/refusal.rs
@@ -0,0 +1,119 @@
+//! Answers of the entry's own, which always tell the truth about whether a request has run.
+
+use std::time::Duration;
+
+use http::{HeaderValue, Response, StatusCode, header};
+use rand::RngExt;
+use serde_json::json;
+
+use crate::http::AnswerBody;
+
+/// Why a request gets no answer of a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RefusalKind {
+    /// The rules in force are not known here at the moment.
+    NotInTouch,
+    /// No rule matches.
+    NoRoute,
+    /// The key is missing or unknown.
+    NoKey,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The body did not arrive.
+    BadBody,
+    /// No replica serves what was asked for at the moment.
+    NoReplica,
+    /// All replicas are full.
+    Full,
+    /// The replicas that were asked have not run it.
+    NotRun,
+    /// It may have run; no answer came in time.
+    LateUnknown,
+    /// It may have run; its answer was lost.
+    Unknown,
+}
+
+impl RefusalKind {
+    fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BadBody => StatusCode::BAD_REQUEST,
+            Self::NotInTouch | Self::NoReplica | Self::Full | Self::NotRun => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::LateUnknown => StatusCode::GATEWAY_TIMEOUT,
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// A stable word for scripts.
+    pub(super) fn code(self) -> &'static str {
+        match self {
+            Self::NotInTouch => "not_in_touch",
+            Self::NoRoute => "no_route",
+            Self::NoKey => "no_key",
+            Self::TooLarge => "too_large",
+            Self::BadBody => "bad_body",
+            Self::NoReplica => "no_replica",
+            Self::Full => "full",
+            Self::NotRun => "not_run",
+            Self::LateUnknown => "late_unknown",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    fn remedy(self) -> &'static str {
+        match self {
+            Self::NotInTouch => "this entry has lost the control hosts; come back in a moment",
+            Self::NoRoute => "no route matches; check host name and path",
+            Self::NoKey => "present a key of a team that is in force",
+            Self::TooLarge => "send a smaller body",
+            Self::BadBody => "send the whole body",
+            Self::NoReplica => "replicas are being set up; come back in a moment",
+            Self::Full => "all replicas are busy; come back in a moment",
+            Self::NotRun => "the replicas that were asked did not take it; come back in a moment",
+            Self::LateUnknown => "it may have run; look before you send it again",
+            Self::Unknown => {
+                "it may have run and its answer is lost; look before you send it again"
+            }
+        }
+    }
+
+    /// When to come back, for requests that have not run.
+    fn retry_after(self) -> Option<Duration> {
+        let (least, most) = match self {
+            // A lease is renewed four times a second; an election takes up to two seconds.
+            Self::NotInTouch => (500, 1_000),
+            // A group is mended in one to two seconds.
+            Self::NoReplica => (600, 1_400),
+            // Some request ends on every group within a tenth of a second; spread over several
+            // pauses, so that those who were refused together do not come back together.
+            Self::Full => (300, 1_200),
+            Self::NotRun => (300, 800),
+            _ => return None,
+        };
+        Some(Duration::from_millis(rand::rng().random_range(least..most)))
+    }
+}
+
+/// The answer for `kind`.
+pub(super) fn refuse(kind: RefusalKind) -> Response<AnswerBody> {
+    let outcome = match kind {
+        RefusalKind::LateUnknown | RefusalKind::Unknown => "unknown",
+        _ => "not_run",
+    };
+    let body = json!({ "code": kind.code(), "message": kind.remedy(), "outcome": outcome });
+    let mut answer = Response::new(AnswerBody::whole(body.to_string()));
+    *answer.status_mut() = kind.status();
+    let headers = answer.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(wait) = kind.retry_after() {
+        let seconds = format!("{:.2}", wait.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    answer
+}
--- /dev/null
+++ b/crates/gateway/src/entry/relay.rs
@@ -0,0 +1,290 @@
+//! Answers that are streams of events: passed on as they come, and resumed at another replica.
+//!
+//! The caller gets nothing before the first whole event, so a replica that dies before it costs
+//! no more than time. Afterwards the stream goes on at another replica behind the last event that
+//! was passed on, or it is cut off so that it does not look complete.
+
+use std::time::Duration;
+
+use briartray_fleet::entry::{AttemptEnd, AttemptPlan, EventCutter, NextMove, StreamEvent};
+use briartray_platform::answer_headers;
+use bytes::Bytes;
+use http::Response;
+use http::response::Parts;
+
+use super::dispatch::{AttemptFailure, LiveAnswer, ServedRequest};
+use super::plain::no_target;
+use super::refusal::{RefusalKind, refuse};
+use crate::http::{AnswerBody, BodySender, StreamCut};
+
+/// Time between two looks whether a replica that is waited on has been given up.
+const LOOK_EVERY: Duration = Duration::from_millis(40);
+
+/// A stream in progress.
+struct LiveStream {
+    answer: LiveAnswer,
+    cutter: EventCutter,
+}
+
+/// What came of waiting for the next event.
+enum StreamStep {
+    Event(StreamEvent),
+    /// The replica ended its answer as whole.
+    End,
+    /// It broke off, or nothing more is to be expected of it.
+    Broken,
+}
+
+/// Why there is no stream.
+enum OpenFailure {
+    Refused(RefusalKind),
+    /// The replica answered with something else than a stream.
+    Other(Box<LiveAnswer>),
+}
+
+/// Serves `request` as a stream.
+pub(super) async fn serve(mut request: ServedRequest) -> Response<AnswerBody> {
+    let last = request.head.last_event;
+    match open(&mut request, last).await {
+        Ok((stream, first)) => {
+            let head = answer_head(&stream.answer.exchange.head);
+            let (sender, body) = AnswerBody::parts();
+            let position = Position { last: first.as_ref().and_then(|event| event.id).or(last) };
+            tokio::task::spawn_local(pump(request, stream, first, position, sender));
+            let mut response = Response::new(body);
+            *response.status_mut() = head.0;
+            *response.headers_mut() = head.1;
+            response
+        }
+        Err(OpenFailure::Refused(kind)) => refuse(kind),
+        Err(OpenFailure::Other(answer)) => pass_other(&request, *answer).await,
+    }
+}
+
+/// How far the caller has got.
+struct Position {
+    last: Option<u64>,
+}
+
+fn answer_head(head: &Parts) -> (http::StatusCode, http::HeaderMap) {
+    (head.status, answer_headers(&head.headers))
+}
+
+/// A failure of the replica's own, passed on as it is.
+async fn pass_other(request: &ServedRequest, answer: LiveAnswer) -> Response<AnswerBody> {
+    let LiveAnswer { exchange, guard, .. } = answer;
+    let limit = request.left();
+    let whole = tokio::time::timeout(limit, exchange.whole()).await;
+    drop(guard);
+    match whole {
+        Ok(Ok((head, body, _))) => {
+            let mut response = Response::new(AnswerBody::whole(body));
+            *response.status_mut() = head.status;
+            *response.headers_mut() = answer_headers(&head.headers);
+            response
+        }
+        _ => refuse(RefusalKind::Unknown),
+    }
+}
+
+/// Brings a stream to its first event; `None` for a stream that has no event.
+async fn open(
+    request: &mut ServedRequest,
+    last: Option<u64>,
+) -> Result<(LiveStream, Option<StreamEvent>), OpenFailure> {
+    loop {
+        let end = match attempt(request, last).await {
+            Ok(answer) if !answer.exchange.head.status.is_success() => {
+                return Err(OpenFailure::Other(Box::new(answer)));
+            }
+            Ok(answer) => {
+                let mut stream = LiveStream { answer, cutter: EventCutter::default() };
+                match next_step(request, &mut stream).await {
+                    StreamStep::Event(event) if follows(last, event.id) => {
+                        return Ok((stream, Some(event)));
+                    }
+                    StreamStep::End => return Ok((stream, None)),
+                    StreamStep::Event(_) | StreamStep::Broken => {
+                        request.may_have_run = true;
+                        AttemptEnd::MayHaveRun
+                    }
+                }
+            }
+            Err(AttemptFailure::Ended(end)) => end,
+            Err(AttemptFailure::NoTarget(refusal)) => {
+                return Err(OpenFailure::Refused(no_target(request, refusal)));
+            }
+        };
+        match next_move(request, end) {
+            NextMove::SendAgain => {}
+            NextMove::Refuse => return Err(OpenFailure::Refused(RefusalKind::NotRun)),
+            NextMove::Unknown | NextMove::PassOn => {
+                let late = request.left().is_zero();
+                let kind = if late { RefusalKind::LateUnknown } else { RefusalKind::Unknown };
+                return Err(OpenFailure::Refused(kind));
+            }
+        }
+    }
+}
+
+fn next_move(request: &ServedRequest, end: AttemptEnd) -> NextMove {
+    let plan = AttemptPlan {
+        kind: request.rule.kind,
+        sent: u32::try_from(request.tried.len()).unwrap_or(u32::MAX),
+        max_attempts: request.rule.max_attempts,
+        may_have_run: request.may_have_run,
+        may_try: true,
+    };
+    match plan.next(end) {
+        NextMove::SendAgain if !request.may_try() => {
+            AttemptPlan { may_try: false, ..plan }.next(end)
+        }
+        next => next,
+    }
+}
+
+/// Whether an event may follow the last one that the caller has.
+fn follows(last: Option<u64>, id: Option<u64>) -> bool {
+    match (last, id) {
+        (Some(last), Some(id)) => id == last + 1,
+        _ => true,
+    }
+}
+
+/// Sends the request and waits for a head, until the target is given up.
+async fn attempt(
+    request: &mut ServedRequest,
+    last: Option<u64>,
+) -> Result<LiveAnswer, AttemptFailure> {
+    let left = request.left();
+    let sending = tokio::time::timeout(left, until_given_up(request, last)).await;
+    sending.unwrap_or_else(|_| Err(request.ended(AttemptEnd::MayHaveRun)))
+}
+
+/// Waits for a head as long as the target may still be expected to send one.
+async fn until_given_up(
+    request: &mut ServedRequest,
+    last: Option<u64>,
+) -> Result<LiveAnswer, AttemptFailure> {
+    let state = std::rc::Rc::clone(&request.state);
+    let movable = request.rule.kind.may_repeat()
+        && request.tried.len() + 1 < request.rule.max_attempts as usize;
+    let chosen = std::rc::Rc::clone(&request.chosen);
+    let abandoned = async {
+        loop {
+            tokio::time::sleep(LOOK_EVERY).await;
+            let target = chosen.borrow().clone();
+            let lost =
+                target.is_some_and(|target| state.table.borrow().is_given_up(state.now(), &target));
+            if lost && movable {
+                return;
+            }
+        }
+    };
+    let outcome = tokio::select! {
+        outcome = request.attempt(last) => Some(outcome),
+        () = abandoned => None,
+    };
+    outcome.unwrap_or_else(|| Err(request.ended(AttemptEnd::MayHaveRun)))
+}
+
+/// The next whole event of `stream`.
+async fn next_step(request: &ServedRequest, stream: &mut LiveStream) -> StreamStep {
+    loop {
+        if let Some(event) = stream.cutter.next_event() {
+            return StreamStep::Event(event);
+        }
+        if request.left().is_zero() {
+            return StreamStep::Broken;
+        }
+        match tokio::time::timeout(LOOK_EVERY, stream.answer.exchange.next_bytes()).await {
+            Ok(Ok(Some(bytes))) => {
+                stream.answer.guard.moved();
+                if !stream.cutter.push(&bytes) {
+                    return StreamStep::Broken;
+                }
+            }
+            Ok(Ok(None)) if stream.cutter.has_rest() => return StreamStep::Broken,
+            Ok(Ok(None)) => return StreamStep::End,
+            Ok(Err(_)) => return StreamStep::Broken,
+            Err(_) if stream.answer.guard.is_given_up() && can_move(request) => {
+                return StreamStep::Broken;
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+/// Whether the stream could go on elsewhere.
+fn can_move(request: &ServedRequest) -> bool {
+    let sent = u32::try_from(request.tried.len()).unwrap_or(u32::MAX);
+    request.rule.kind.may_repeat() && sent < request.rule.max_attempts && request.choose().is_ok()
+}
+
+/// Passes events on until the stream is whole, cannot go on, or the caller has left.
+async fn pump(
+    mut request: ServedRequest,
+    mut stream: LiveStream,
+    first: Option<StreamEvent>,
+    mut position: Position,
+    sender: BodySender,
+) {
+    let state = std::rc::Rc::clone(&request.state);
+    let _running = state.begin_request();
+    let whole = {
+        let relayed = relay(&mut request, &mut stream, first, &mut position, &sender);
+        tokio::select! {
+            whole = relayed => whole,
+            // The caller is gone: dropping the stream closes the replica's connection.
+            () = sender.closed() => return,
+        }
+    };
+    if whole {
+        stream.answer.release(&request.state);
+    } else {
+        let id = request.head.request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("");
+        log::warn!(request = id, after = position.last.unwrap_or(0); "a stream is cut off");
+        let _ = sender.send(Err(StreamCut)).await;
+    }
+}
+
+/// Whether the stream was passed on to its end.
+async fn relay(
+    request: &mut ServedRequest,
+    stream: &mut LiveStream,
+    first: Option<StreamEvent>,
+    position: &mut Position,
+    sender: &BodySender,
+) -> bool {
+    let mut next = first.map(StreamStep::Event);
+    loop {
+        let step = match next.take() {
+            Some(step) => step,
+            None => next_step(request, stream).await,
+        };
+        match step {
+            StreamStep::Event(event) => {
+                position.last = event.id.or(position.last);
+                if sender.send(Ok(Bytes::from(event.bytes))).await.is_err() {
+                    return false;
+                }
+            }
+            StreamStep::End => return true,
+            StreamStep::Broken => {
+                request.may_have_run = true;
+                if next_move(request, AttemptEnd::MayHaveRun) != NextMove::SendAgain {
+                    return false;
+                }
+                let Ok((resumed, event)) = open(request, position.last).await else {
+                    return false;
+                };
+                log::info!(after = position.last.unwrap_or(0); "a stream goes on elsewhere");
+                *stream = resumed;
+                match event {
+                    Some(event) => next = Some(StreamStep::Event(event)),
+                    None => return true,
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/serve.rs
@@ -0,0 +1,98 @@
+//! A caller's request from its head to its answer.
+
+use std::rc::Rc;
+
+use briartray_fleet::deployment::{RouteBook, RouteRule};
+use briartray_model::names::TeamName;
+use briartray_platform::CallerHead;
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use super::dispatch::ServedRequest;
+use super::refusal::{RefusalKind, refuse};
+use super::state::EntryState;
+use super::{plain, relay};
+use crate::http::AnswerBody;
+
+/// Time to wait for a caller who names none.
+const DEFAULT_DEADLINE: std::time::Duration = std::time::Duration::from_secs(60);
+
+/// Serves one request.
+pub(super) async fn handle(
+    state: Rc<EntryState>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let _running = state.begin_request();
+    let (parts, body) = request.into_parts();
+    let mut answer = match take(&state, parts, body).await {
+        Ok(request) if request.rule.kind.is_stream() => relay::serve(request).await,
+        Ok(request) => plain::serve(request).await,
+        Err(kind) => refuse(kind),
+    };
+    if state.is_draining() {
+        // The caller's next request goes to an entry that stays.
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+/// Admits a request: rule, key, body, service.
+async fn take(
+    state: &Rc<EntryState>,
+    parts: Parts,
+    body: Incoming,
+) -> Result<ServedRequest, RefusalKind> {
+    let arrived = state.now();
+    let head = CallerHead::read(&parts);
+    let book = state.book().ok_or(RefusalKind::NotInTouch)?;
+    let rule = book.find(&head.host, parts.uri.path()).ok_or(RefusalKind::NoRoute)?.clone();
+    let team = check_key(&book, &rule, &head)?;
+    let body = read_body(body, book.plan().limits.max_body_bytes).await?;
+    let priority = team.as_ref().and_then(|(_, priority)| *priority).or(Some(rule.priority));
+    let service = state.table.borrow_mut().pick_service(&rule).ok_or(RefusalKind::NoReplica)?;
+    state.count_request(&service);
+    let patience = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(rule.timeout);
+    Ok(ServedRequest {
+        state: Rc::clone(state),
+        until: arrived.after(patience),
+        book,
+        rule,
+        service,
+        team: team.map(|(team, _)| team),
+        priority,
+        parts,
+        head,
+        body,
+        chosen: Rc::default(),
+        tried: Vec::new(),
+        may_have_run: false,
+    })
+}
+
+/// The team of the caller, where a key is needed.
+fn check_key(
+    book: &RouteBook,
+    rule: &RouteRule,
+    head: &CallerHead,
+) -> Result<Option<(TeamName, Option<u8>)>, RefusalKind> {
+    if !book.needs_key(rule) {
+        return Ok(None);
+    }
+    let key = head.key.as_deref().ok_or(RefusalKind::NoKey)?;
+    let access = book.access(key).ok_or(RefusalKind::NoKey)?;
+    Ok(Some((access.team.clone(), access.priority)))
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, RefusalKind> {
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(RefusalKind::TooLarge),
+        Err(error) => {
+            log::debug!("a body did not arrive: {error}");
+            Err(RefusalKind::BadBody)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/state.rs
@@ -0,0 +1,208 @@
+//! What the traffic thread knows and shares between requests.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use briartray_fleet::deployment::RouteBook;
+use briartray_fleet::entry::{EntryLease, RetryBudget, TargetTable};
+use briartray_fleet::message::{EntryNotice, EntryReport};
+use briartray_model::TimePoint;
+use briartray_model::names::{NodeName, ServiceName};
+use briartray_node::ClockReader;
+use crossbeam::channel::Sender;
+
+use crate::http::ConnectionPool;
+use crate::settings::GatewaySettings;
+
+/// Everything that requests share; one thread uses it.
+pub(super) struct EntryState {
+    pub(super) settings: GatewaySettings,
+    clock: ClockReader,
+    book: RefCell<Option<Rc<RouteBook>>>,
+    pub(super) table: RefCell<TargetTable>,
+    lease: RefCell<EntryLease>,
+    budget: RefCell<RetryBudget>,
+    pub(super) pool: RefCell<ConnectionPool>,
+    reports: Sender<EntryReport>,
+    draining: Cell<bool>,
+    serving: Cell<bool>,
+    running: Cell<usize>,
+}
+
+/// The parts of an entry's state that can cross threads.
+pub(super) struct StateBuilder {
+    settings: GatewaySettings,
+    reports: Sender<EntryReport>,
+}
+
+impl StateBuilder {
+    /// The state, on the thread that will use it.
+    pub(super) fn build(self) -> EntryState {
+        let Self { settings, reports } = self;
+        let limits = &settings.limits;
+        let budget =
+            RetryBudget::new(limits.retry_ratio, limits.retry_allowance, limits.retry_window());
+        EntryState {
+            clock: ClockReader::start(),
+            book: RefCell::new(None),
+            table: RefCell::new(TargetTable::new(settings.zone.clone(), rand::random())),
+            lease: RefCell::new(EntryLease::new(limits.revocation())),
+            budget: RefCell::new(budget),
+            pool: RefCell::new(ConnectionPool::default()),
+            reports,
+            draining: Cell::new(false),
+            serving: Cell::new(false),
+            running: Cell::new(0),
+            settings,
+        }
+    }
+}
+
+/// Counts one request for as long as it runs.
+pub(super) struct RunningGuard(Rc<EntryState>);
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+impl EntryState {
+    pub(super) fn builder(settings: GatewaySettings, reports: Sender<EntryReport>) -> StateBuilder {
+        StateBuilder { settings, reports }
+    }
+
+    pub(super) fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    /// Rules to decide a request by; `None` while they cannot be known to be in force.
+    pub(super) fn book(&self) -> Option<Rc<RouteBook>> {
+        let fresh = self.now() < self.lease.borrow().until();
+        self.book.borrow().clone().filter(|_| fresh)
+    }
+
+    /// Whether callers should be sent here.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.draining.get() && self.book().is_some() && !self.table.borrow().is_empty()
+    }
+
+    pub(super) fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    pub(super) fn begin_drain(&self) {
+        self.draining.set(true);
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.running.get()
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(super) fn begin_request(self: &Rc<Self>) -> RunningGuard {
+        self.serving.set(true);
+        self.running.set(self.running.get() + 1);
+        RunningGuard(Rc::clone(self))
+    }
+
+    /// Counts a request against the budget for repeats.
+    pub(super) fn count_request(&self, service: &ServiceName) {
+        self.budget.borrow_mut().request(self.now(), service);
+    }
+
+    /// Takes one repeat out of the budget.
+    pub(super) fn take_repeat(&self, service: &ServiceName) -> bool {
+        let entries = self.table.borrow().entries();
+        self.budget.borrow_mut().take(self.now(), service, entries)
+    }
+
+    pub(super) fn keep_house(&self) {
+        let now = self.now();
+        let silent = self.table.borrow_mut().find_silent(now);
+        if !silent.is_empty() {
+            for group in &silent {
+                log::warn!(group = group.0; "a group gives no sign of life and is left alone");
+            }
+            self.send_report();
+        }
+        self.pool.borrow_mut().prune(now);
+    }
+
+    /// Tells the leader what was seen, and asks for a longer lease.
+    pub(super) fn send_report(&self) {
+        let now = self.now();
+        let table = self.table.borrow();
+        let report = EntryReport {
+            node: self.settings.node_name(),
+            nonce: self.lease.borrow_mut().ask(now),
+            plan: self.book.borrow().as_ref().map(|book| book.version()),
+            view: table.version(),
+            pulses: table.pulses(now),
+            demand: Vec::new(),
+            serving: self.serving.get(),
+        };
+        // A report that finds no room is made up for by the next one.
+        let _ = self.reports.try_send(report);
+    }
+
+    /// Takes what the leader tells.
+    pub(super) fn adopt(&self, notice: EntryNotice) {
+        if let Some(plan) = notice.plan {
+            self.adopt_plan(plan.version, &plan.body);
+        }
+        let mut table = self.table.borrow_mut();
+        if !notice.leaving.is_empty() {
+            table.mark_leaving(notice.leaving);
+        }
+        if let Some(view) = notice.view {
+            log::debug!(term = view.version.term.0, number = view.version.number,
+                groups = view.groups.len(), open = view.groups.iter().filter(|g| g.open).count(),
+                endpoints = view.endpoints.len(); "a view is adopted");
+            table.adopt(view);
+        }
+        // The lease comes last: it confirms what was told with it.
+        if let Some(nonce) = notice.nonce {
+            self.lease.borrow_mut().grant(nonce);
+        }
+    }
+
+    fn adopt_plan(&self, version: u64, body: &[u8]) {
+        // A leader that is behind must not bring back what was replaced.
+        if self.book.borrow().as_ref().is_some_and(|book| book.version() >= version) {
+            return;
+        }
+        match briartray_platform::read_plan(body) {
+            Ok(plan) => {
+                log::info!(version, routes = plan.routes.len(); "a declaration is in force here");
+                *self.book.borrow_mut() = Some(Rc::new(RouteBook::compile(plan)));
+            }
+            Err(error) => log::error!(version; "an accepted declaration does not read: {error}"),
+        }
+    }
+
+    /// The address of an endpoint, when it is one.
+    pub(super) fn parse_address(text: &str) -> Option<SocketAddr> {
+        text.parse().ok()
+    }
+
+    /// Control hosts to begin with.
+    pub(super) fn report_interval() -> Duration {
+        REPORT_EVERY
+    }
+}
+
+/// Time between two reports to the leader: the lease lasts three seconds, and what entries see of
+/// groups must be fresher than the time after which a silent group is given up.
+const REPORT_EVERY: Duration = Duration::from_millis(250);
+
+/// Names of control hosts, without repetition.
+pub(super) fn merge_hosts(known: &mut Vec<NodeName>, more: Vec<NodeName>) {
+    for host in more {
+        if !known.contains(&host) {
+            known.push(host);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/watch.rs
@@ -0,0 +1,173 @@
+//! The conversation of an entry with the leading control host.
+//!
+//! Two threads hold one stream: reports go out, notices come in. A host that does not lead names
+//! the leader it knows; one that does not confirm a report in time is left for the next one.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use briartray_fleet::message::{EntryNotice, EntryReport};
+use briartray_link::{CallKind, ClientSettings, LinkClient, LinkError, LinkReader, LinkWriter};
+use briartray_model::names::NodeName;
+use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
+use crossbeam::channel::{Receiver, Sender, bounded};
+use snafu::ResultExt;
+use tokio::sync::mpsc;
+
+use super::state::{EntryState, merge_hosts};
+use crate::process::{ProcessError, SetupSnafu};
+use crate::settings::GatewaySettings;
+
+/// Reports that may wait to be sent.
+const REPORT_QUEUE: usize = 16;
+
+/// Time to connect to a control host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time without a confirmed report after which another control host is tried. An election takes up
+/// to 1.8 s; a host that leads confirms within two ways and a sync.
+const UNCONFIRMED: Duration = Duration::from_millis(900);
+
+/// Pause before the next control host is tried.
+const NEXT_HOST: Duration = Duration::from_millis(60);
+
+/// What the traffic thread is told.
+pub(super) enum WatchEvent {
+    /// News of a control host.
+    Notice(EntryNotice),
+    /// A stream was opened; a report is wanted.
+    Opened,
+}
+
+/// Starts the conversation.
+///
+/// # Errors
+/// A `ProcessError` when a thread cannot be had.
+pub(super) fn start(
+    settings: &GatewaySettings,
+) -> Result<(Sender<EntryReport>, mpsc::UnboundedReceiver<WatchEvent>), ProcessError> {
+    let (reports, queue) = bounded(REPORT_QUEUE);
+    let (events, receiver) = mpsc::unbounded_channel();
+    let link =
+        ClientSettings { token: settings.link_token.clone(), connect_timeout: CONNECT_TIMEOUT };
+    let client = LinkClient::start("control-link", link)?;
+    let talk = ControlTalk {
+        client,
+        settings: settings.clone(),
+        hosts: settings.seed_names(),
+        next: 0,
+        leader: None,
+        queue,
+        events,
+    };
+    spawn_worker("control-talk", WORKER_STACK_BYTES, move || talk.run())
+        .context(SetupSnafu { what: "the thread that talks to control" })?;
+    Ok((reports, receiver))
+}
+
+/// Hands events to the traffic thread's state, and reports at a steady pace.
+pub(super) async fn follow(state: Rc<EntryState>, mut events: mpsc::UnboundedReceiver<WatchEvent>) {
+    let mut pace = tokio::time::interval(EntryState::report_interval());
+    pace.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            event = events.recv() => match event {
+                Some(WatchEvent::Notice(notice)) => state.adopt(notice),
+                Some(WatchEvent::Opened) => state.send_report(),
+                None => return,
+            },
+            _ = pace.tick() => state.send_report(),
+        }
+    }
+}
+
+struct ControlTalk {
+    client: LinkClient,
+    settings: GatewaySettings,
+    hosts: Vec<NodeName>,
+    next: usize,
+    leader: Option<NodeName>,
+    queue: Receiver<EntryReport>,
+    events: mpsc::UnboundedSender<WatchEvent>,
+}
+
+/// Why a stream was left.
+enum TalkEnd {
+    /// The traffic thread is gone.
+    Stopped,
+    /// The host does not lead, or does not answer.
+    Next,
+}
+
+impl ControlTalk {
+    fn run(mut self) {
+        loop {
+            let Some(host) = self.next_host() else { return };
+            let Some(address) = self.settings.link_address(&host) else { continue };
+            let (writer, reader) = self.client.open(address, CallKind::Routing);
+            log::debug!("asking the control host at {address}");
+            if self.events.send(WatchEvent::Opened).is_err() {
+                return;
+            }
+            if matches!(self.talk(&host, &writer, &reader), TalkEnd::Stopped) {
+                return;
+            }
+            std::thread::sleep(NEXT_HOST);
+        }
+    }
+
+    /// The leader that was named last, or the next of the known hosts.
+    fn next_host(&mut self) -> Option<NodeName> {
+        if let Some(leader) = self.leader.take() {
+            return Some(leader);
+        }
+        let host = self.hosts.get(self.next % self.hosts.len().max(1)).cloned();
+        self.next += 1;
+        host
+    }
+
+    fn talk(&mut self, host: &NodeName, writer: &LinkWriter, reader: &LinkReader) -> TalkEnd {
+        let mut confirmed = Instant::now();
+        loop {
+            for report in self.queue.try_iter() {
+                if writer.try_send(&report).is_err() {
+                    return TalkEnd::Next;
+                }
+            }
+            match reader.receive::<EntryNotice>(POLL) {
+                Ok(notice) => {
+                    if notice.nonce.is_some() {
+                        confirmed = Instant::now();
+                    }
+                    if self.take(host, notice).is_none() {
+                        return TalkEnd::Stopped;
+                    }
+                    if self.leader.is_some() {
+                        return TalkEnd::Next;
+                    }
+                }
+                Err(LinkError::TimedOut) => {}
+                Err(error) => {
+                    log::debug!("the control host {host} is left: {error}");
+                    return TalkEnd::Next;
+                }
+            }
+            if confirmed.elapsed() >= UNCONFIRMED {
+                return TalkEnd::Next;
+            }
+        }
+    }
+
+    /// Passes a notice on; `None` when the traffic thread is gone.
+    fn take(&mut self, host: &NodeName, notice: EntryNotice) -> Option<()> {
+        merge_hosts(&mut self.hosts, notice.control.clone());
+        self.leader = notice.leader.clone().filter(|leader| leader != host);
+        if notice.leader.is_some() {
+            return Some(());
+        }
+        self.events.send(WatchEvent::Notice(notice)).ok()
+    }
+}
+
+/// Longest wait for a notice before reports are looked for.
+const POLL: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/crates/gateway/src/http/mod.rs
@@ -0,0 +1,11 @@
+//! HTTP/1.1 on one current-thread runtime: connections to endpoints and from callers.
+
+mod body;
+mod connection;
+pub(crate) mod pool;
+mod server;
+
+pub use body::{AnswerBody, BodySender, StreamCut};
+pub use connection::{EndpointConnection, Exchange, SendFailure};
+pub use pool::ConnectionPool;
+pub use server::{HttpServer, ServerLimits};
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -44,11 +44,23 @@
     Ledger,
     /// Control host to control host: messages of the replicated log.
     Peer,
+    /// Control host to control host, where voters come and go: `CoreMessage`.
+    Core,
+    /// Entry to control, where endpoints announce themselves: `EntryReport` and `EntryNotice`.
+    Routing,
 }
 
 impl CallKind {
-    const ALL: [Self; 6] =
-        [Self::Dispatch, Self::Member, Self::Fleet, Self::Watch, Self::Ledger, Self::Peer];
+    const ALL: [Self; 8] = [
+        Self::Dispatch,
+        Self::Member,
+        Self::Fleet,
+        Self::Watch,
+        Self::Ledger,
+        Self::Peer,
+        Self::Core,
+        Self::Routing,
+    ];
 
     fn path(self) -> &'static str {
         match self {
@@ -58,6 +70,8 @@
             Self::Watch => "/watch",
             Self::Ledger => "/ledger",
             Self::Peer => "/peer",
+            Self::Core => "/core",
+            Self::Routing => "/routing",
         }
     }
 
--- a/crates/model/src/names/mod.rs
+++ b/crates/model/src/names/mod.rs
@@ -17,6 +17,8 @@
     NodeName;
     /// A rule, unique in its book.
     RuleName;
+    /// One start of an endpoint's process; an endpoint that restarts gets another one.
+    IncarnationId;
 }
 
 number_type! {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -25,7 +25,7 @@
 use std::sync::Arc;
 
 use briartray_control::agreement::{
-    AgreementCore, AgreementSettings, AgreementTimes, FolderId, RecoveredState,
+    AgreementCore, AgreementSettings, AgreementTimes, FolderId, MembershipMode, RecoveredState,
 };
 use briartray_control::storage::{DataFolder, FileAccess, OpenedFolder};
 use briartray_link::LinkServer;
@@ -154,6 +154,7 @@
         node: settings.node.clone(),
         folder,
         members,
+        membership: MembershipMode::Fixed,
         times: AgreementTimes::default(),
         seed: rand::random(),
     };
--- a/crates/node/src/control/replication.rs
+++ b/crates/node/src/control/replication.rs
@@ -93,7 +93,7 @@
         let own_term = self.leadership.as_ref().is_some_and(|lead| lead.term == entry.term);
         match entry.payload {
             EntryPayload::Blank if own_term => self.establish(),
-            EntryPayload::Blank | EntryPayload::Admit(_) => {}
+            EntryPayload::Blank | EntryPayload::Admit(_) | EntryPayload::Dismiss(_) => {}
             EntryPayload::Command(bytes) => self.apply_command(&bytes, origin),
         }
     }
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -1,9 +1,10 @@
-//! Logs as JSON lines on standard error, one schema for every line:
+//! Logs as JSON lines, one schema for every line:
 //! `time`, `level`, `target`, `message`, `trace_id` and `fields`.
 
 use std::io::Write;
 use std::time::SystemTime;
 
+use env_logger::Target;
 use log::Record;
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::{Map, json};
@@ -13,8 +14,18 @@
 
 /// Starts logging at `level`; a second start in one process changes nothing.
 pub fn start(level: &str) {
+    start_to(level, Target::Stderr);
+}
+
+/// As [`start`], on standard output, where platforms collect the logs of their processes.
+pub fn start_on_output(level: &str) {
+    start_to(level, Target::Stdout);
+}
+
+fn start_to(level: &str, target: Target) {
     let _ = env_logger::Builder::new()
         .parse_filters(level)
+        .target(target)
         .format(|output, record| writeln!(output, "{}", format_line(SystemTime::now(), record)))
         .try_init();
 }
