--- a/crates/fleet/src/deployment/engine.rs
+++ b/crates/fleet/src/deployment/engine.rs
@@ -4,6 +4,18 @@
 
 use briartray_model::plain_value;
 
+/// Context of a request that writes, in tokens, where nothing better is known.
+const USUAL_CONTEXT: f64 = 1_000.0;
+
+/// Part of the slots that write in a group that is as busy as it should be.
+const BUSY_SLOTS: f64 = 0.75;
+
+/// Factor on the longest pause of a group that works: hosts differ somewhat in speed.
+const SILENCE_FACTOR: f64 = 1.2;
+
+/// Time for the way from the endpoint and for an entry that is busy.
+const SILENCE_SLACK: Duration = Duration::from_millis(80);
+
 plain_value! {
     /// A model that groups of hosts serve.
     pub struct ModelSpec {
@@ -58,6 +70,28 @@
         self.models.iter().find(|model| model.name == name)
     }
 
+    /// Longest pause between two events of a group that serves `model`, works and is full: a pass
+    /// of steps with every slot writing, and as much reading as fits in.
+    pub fn longest_pause(&self, model: &ModelSpec) -> Duration {
+        let steps = f64::from(self.stride) * self.step_ms(self.slots as f64, USUAL_CONTEXT);
+        let reading = f64::from(self.stride) * f64::from(self.chunk) / self.read_rate * 1e3;
+        Duration::from_secs_f64((steps + reading) * model.pace / 1e3)
+    }
+
+    /// Silence after which a group that serves `model` most likely stands still.
+    pub fn silence_limit(&self, model: &ModelSpec) -> Duration {
+        self.longest_pause(model).mul_f64(SILENCE_FACTOR) + SILENCE_SLACK
+    }
+
+    /// Time of a whole group that one request takes, in milliseconds: its reading, and its part of
+    /// the passes that write its answer while three quarters of the slots write.
+    pub fn work_ms(&self, model: &ModelSpec, prompt: u32, answer: u32) -> f64 {
+        let writers = self.slots as f64 * BUSY_SLOTS;
+        let events = f64::from(answer) / f64::from(self.stride);
+        let pass = f64::from(self.stride) * self.step_ms(writers, USUAL_CONTEXT);
+        (self.read_ms(prompt) + events * pass / writers) * model.pace
+    }
+
     /// Time to read a prompt of `tokens`, before the model's pace, in milliseconds.
     pub fn read_ms(&self, tokens: u32) -> f64 {
         let tokens = f64::from(tokens);
--- /dev/null
+++ b/crates/fleet/src/director/demand.rs
@@ -0,0 +1,64 @@
+//! How much work callers ask for, by model.
+//!
+//! Entries count what arrives, refused requests included, in time of a whole group. The sum is
+//! smoothed over some seconds: a group takes a second to form and many to load, so a burst that
+//! is over sooner is not worth chasing.
+
+use std::time::Duration;
+
+use briartray_model::names::ServiceName;
+use briartray_model::{SortedTable, TimePoint};
+
+use crate::message::ModelDemand;
+
+/// Time over which demand is smoothed.
+const SMOOTHING: Duration = Duration::from_secs(4);
+
+/// Time of counting before the figures are believed.
+const WARM_UP: Duration = Duration::from_secs(3);
+
+/// Demand by service and model, in groups kept busy.
+#[derive(Debug, Clone, Default)]
+pub struct DemandBook {
+    counts: SortedTable<(ServiceName, String), f64>,
+    rates: SortedTable<(ServiceName, String), f64>,
+    began: Option<TimePoint>,
+    rolled: Option<TimePoint>,
+}
+
+impl DemandBook {
+    /// Adds what an entry counted since its last report.
+    pub fn add(&mut self, now: TimePoint, demand: &ModelDemand) {
+        self.began.get_or_insert(now);
+        let key = (demand.service.clone(), demand.model.clone());
+        *self.counts.get_or_insert_with(key, || 0.0) += demand.work_ms;
+    }
+
+    /// Folds what was added into the smoothed rates; called at a steady pace.
+    pub fn roll(&mut self, now: TimePoint) {
+        let Some(rolled) = self.rolled.replace(now) else { return };
+        let span = now.since(rolled).as_secs_f64();
+        if span <= 0.0 {
+            return;
+        }
+        let weight = 1.0 - (-span / SMOOTHING.as_secs_f64()).exp();
+        for (key, count) in self.counts.iter_mut() {
+            let rate = self.rates.get_or_insert_with(key.clone(), || 0.0);
+            *rate += (*count / 1e3 / span - *rate) * weight;
+            *count = 0.0;
+        }
+    }
+
+    /// Groups kept busy by `model`; `None` before that is known.
+    pub fn busy(&self, now: TimePoint, service: &ServiceName, model: &str) -> Option<f64> {
+        let began = self.began?;
+        let age = now.since(began);
+        if age < WARM_UP {
+            return None;
+        }
+        let rate = self.rates.get(&(service.clone(), model.to_owned())).copied().unwrap_or(0.0);
+        // Smoothing began at nothing.
+        let seen = 1.0 - (-age.as_secs_f64() / SMOOTHING.as_secs_f64()).exp();
+        Some(rate / seen)
+    }
+}
--- a/crates/fleet/src/director/group.rs
+++ b/crates/fleet/src/director/group.rs
@@ -13,10 +13,15 @@
 use super::hosts::HostTable;
 use super::pulse::PulseBook;
 use super::{CloseMethod, EndpointOrder, MarkState, OrderCall};
+use crate::deployment::DeploymentPlan;
 use crate::state::{FleetState, GroupRecord};
 
 /// Wait before an order that shows no effect is sent again.
-const ORDER_AGAIN: Duration = Duration::from_millis(600);
+const ORDER_AGAIN: Duration = Duration::from_millis(500);
+
+/// As above for a join, which shows only when the model is warm. One that was not answered is
+/// sent again at once.
+const JOIN_AGAIN: Duration = Duration::from_millis(3_000);
 
 /// Time for a group to form, beyond the time of its loads, before another one is tried.
 const FORM_SLACK: Duration = Duration::from_secs(3);
@@ -52,10 +57,21 @@
         }
     }
 
+    /// An order to `id` was not answered; the next one may be sent at once.
+    pub(super) fn forget_asked(&mut self, id: &IncarnationId, order: &EndpointOrder) {
+        if self.asked.get(id).is_some_and(|(last, _)| last == order) {
+            self.asked.remove(id);
+        }
+    }
+
     /// Whether `order` is due: it is not the one asked for last, or that was a while ago.
     fn may_ask(&mut self, now: TimePoint, id: &IncarnationId, order: &EndpointOrder) -> bool {
         let asked = self.asked.get(id);
-        let due = asked.is_none_or(|(last, at)| last != order || now.since(*at) >= ORDER_AGAIN);
+        let wait = match order {
+            EndpointOrder::Join { .. } => JOIN_AGAIN,
+            _ => ORDER_AGAIN,
+        };
+        let due = asked.is_none_or(|(last, at)| last != order || now.since(*at) >= wait);
         if due {
             self.asked.insert(id.clone(), (order.clone(), now));
         }
@@ -77,6 +93,7 @@
     pub(super) hosts: &'a HostTable,
     pub(super) pulses: &'a PulseBook,
     pub(super) state: &'a FleetState,
+    pub(super) plan: &'a DeploymentPlan,
 }
 
 impl GroupScene<'_> {
@@ -103,12 +120,31 @@
 
     /// Whether a member is lost, and no entry proves the opposite, or one is leaving.
     fn is_impaired(&self, group: GroupId, record: &GroupRecord) -> bool {
-        let lost = record.members.iter().any(|host| self.is_lost(&host.id));
+        let lost = record.members.iter().any(|host| self.is_missing(group, &host.id));
         let leaving = record.members.iter().any(|host| self.is_leaving(&host.id));
-        leaving || (lost && !self.pulses.is_moving(self.now, group))
+        leaving || (lost && !self.is_moving(group, record))
+    }
+
+    /// Whether a member is lost: two probes went unanswered, or one while an entry finds the
+    /// group silent. The second witness saves the time of a probe.
+    fn is_missing(&self, group: GroupId, id: &IncarnationId) -> bool {
+        let failed = self.hosts.get(id).is_some_and(|host| host.failures > 0);
+        self.is_lost(id) || (failed && self.pulses.is_suspect(self.now, group))
+    }
+
+    /// Whether entries prove that the whole group works.
+    fn is_moving(&self, group: GroupId, record: &GroupRecord) -> bool {
+        let engine = self.plan.service(&record.service).and_then(|service| service.engine.as_ref());
+        let limit = engine
+            .and_then(|engine| Some(engine.silence_limit(engine.model(&record.model)?)))
+            .unwrap_or(PROOF_AGE);
+        self.pulses.is_moving(self.now, group, limit)
     }
 }
 
+/// Age up to which bytes of a group prove that it works, where its engine is not known.
+const PROOF_AGE: Duration = Duration::from_millis(700);
+
 /// The next step of `group`.
 pub(super) fn next_step(
     scene: &GroupScene<'_>,
@@ -144,7 +180,10 @@
         // A member that fell out stops the group as one that died does.
         let fell_out = !matches!(state, Some(MarkState::Open | MarkState::Ready))
             || record.members.iter().any(|host| scene.mark(&host.id, group).is_none());
-        return fell_out && !scene.pulses.is_moving(scene.now, group);
+        return fell_out && !scene.is_moving(group, record);
+    }
+    if record.standby && run.ready.contains(&head.id) {
+        return scene.mark(&head.id, group).is_none();
     }
     scene.now.since(run.since) > run.patience + FORM_SLACK
 }
@@ -163,6 +202,9 @@
         return GroupStep::Nothing;
     }
     let all_ready = record.members.iter().all(|host| run.ready.contains(&host.id));
+    if all_ready && record.standby {
+        return GroupStep::Nothing;
+    }
     if all_ready && head_state == Some(MarkState::Ready) {
         return order(scene, run, &head.id, EndpointOrder::Open { group });
     }
@@ -189,7 +231,7 @@
     since: TimePoint,
 ) -> GroupStep {
     let Some(head) = record.members.first() else { return GroupStep::End };
-    if scene.is_lost(&head.id) {
+    if scene.is_missing(group, &head.id) {
         return GroupStep::End;
     }
     match scene.mark(&head.id, group) {
@@ -199,7 +241,7 @@
             order(scene, run, &head.id, EndpointOrder::Leave { group })
         }
         Some(MarkState::Open | MarkState::Closing) => {
-            let lost = record.members.iter().any(|host| scene.is_lost(&host.id));
+            let lost = record.members.iter().any(|host| scene.is_missing(group, &host.id));
             let late = scene.now.since(since) > CLOSE_PATIENCE;
             // Without all members nothing moves, and waiting would only hold the hosts.
             let method = if lost || late { CloseMethod::Truncate } else { CloseMethod::Wait };
--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -37,6 +37,10 @@
     pub failures: u32,
     probing: bool,
     probe_at: TimePoint,
+    /// Known from an earlier leader, and not heard of yet.
+    inherited: bool,
+    /// Model of the last group it was ready in: it joins the next one with that model at once.
+    pub warm: Option<String>,
     /// Order to stage a model, and until when it is left to finish.
     pub staging: Option<(String, TimePoint)>,
 }
@@ -44,7 +48,16 @@
 impl HostRecord {
     fn new(now: TimePoint, beat: EndpointBeat) -> Self {
         let probe_at = now.after(PROBE_EVERY);
-        Self { beat, heard: now, failures: 0, probing: false, probe_at, staging: None }
+        Self {
+            beat,
+            heard: now,
+            failures: 0,
+            probing: false,
+            probe_at,
+            inherited: false,
+            warm: None,
+            staging: None,
+        }
     }
 
     /// Whether it no longer answers.
@@ -77,11 +90,25 @@
         }
         record.heard = now;
         record.failures = 0;
+        record.inherited = false;
         let leaving = record.beat.leaving || beat.leaving;
         record.beat = EndpointBeat { leaving, ..beat };
         true
     }
 
+    /// Takes an endpoint that an earlier leader knew, of which nothing was heard yet.
+    pub fn inherit(&mut self, now: TimePoint, beat: EndpointBeat) {
+        let mut record = HostRecord::new(now, beat);
+        record.probe_at = now;
+        record.inherited = true;
+        self.records.insert(record.beat.id.clone(), record);
+    }
+
+    /// Whether every inherited endpoint has answered, or failed to.
+    pub fn is_surveyed(&self) -> bool {
+        self.records.values().all(|record| !record.inherited || record.is_lost())
+    }
+
     /// Takes the answer to a probe, or that none came.
     pub fn probed(&mut self, now: TimePoint, id: &IncarnationId, report: Option<EndpointReport>) {
         let Some(record) = self.records.get_mut(id) else { return };
@@ -90,6 +117,7 @@
             Some(report) => {
                 record.failures = 0;
                 record.heard = now;
+                record.inherited = false;
                 record.probe_at = now.after(PROBE_EVERY);
                 let domain = report.domain.clone().or(record.beat.report.domain.take());
                 record.beat.report = EndpointReport { domain, ..report };
@@ -117,7 +145,8 @@
         let mut due = Vec::new();
         for (id, record) in self.records.iter_mut() {
             let silent = now.since(record.heard) >= SILENT_AFTER;
-            if !record.probing && now >= record.probe_at && (silent || in_group(id)) {
+            let watched = silent || record.inherited || in_group(id);
+            if !record.probing && now >= record.probe_at && watched {
                 record.probing = true;
                 due.push((id.clone(), record.beat.address.clone()));
             }
--- a/crates/fleet/src/director/mod.rs
+++ b/crates/fleet/src/director/mod.rs
@@ -6,6 +6,7 @@
 //! heartbeat.
 
 mod beat;
+mod demand;
 mod group;
 mod hosts;
 mod loads;
@@ -15,6 +16,7 @@
 mod step;
 
 pub use beat::{EndpointBeat, EndpointReport, GroupMark, MarkState};
+pub use demand::DemandBook;
 pub use hosts::{HostRecord, HostTable};
 pub use loads::LoadLimiter;
 pub use order::{CloseMethod, EndpointOrder, OrderCall, OrderOutcome};
--- a/crates/fleet/src/director/plan.rs
+++ b/crates/fleet/src/director/plan.rs
@@ -14,6 +14,16 @@
 /// lost every three seconds on the worst days seen, and loads take four times as long.
 const GROUPED_PART: f64 = 0.8;
 
+/// Part of its time that a group is planned to be busy. Arrivals come in clumps, and entries do not
+/// know each other's last requests.
+const BUSY_PART: f64 = 0.9;
+
+/// Hosts of a group for which its domain keeps one spare.
+const SPARE_FOR_HOSTS: usize = 2;
+
+/// Free hosts with the weights of a model that each domain keeps beyond its groups.
+const SPARES_KEPT: usize = 1;
+
 /// A host that is in no group.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FreeHost {
@@ -29,6 +39,10 @@
     pub staged: Vec<String>,
     /// Model that it is loading.
     pub staging: Option<String>,
+    /// Model that it can join a group of at once.
+    pub warm: Option<String>,
+    /// Whether it is in a standby group.
+    pub standby: bool,
 }
 
 impl FreeHost {
@@ -36,6 +50,10 @@
         self.staging.is_none() && self.staged.iter().any(|staged| staged == model)
     }
 
+    fn is_warm(&self, model: &str) -> bool {
+        self.has(model) && self.warm.as_deref() == Some(model)
+    }
+
     fn will_have(&self, model: &str) -> bool {
         match &self.staging {
             Some(staging) => staging == model,
@@ -51,10 +69,10 @@
     pub service: &'a ServiceName,
     /// Its engine.
     pub engine: &'a EngineModel,
-    /// Hosts in no group.
+    /// Hosts in no group that serves.
     pub free: Vec<FreeHost>,
-    /// Groups by model that serve or form, in the order of the engine's models.
-    pub groups: Vec<usize>,
+    /// Domains of the groups that serve or form, by model in the order of the engine's models.
+    pub groups: Vec<Vec<DomainName>>,
     /// Hosts that are alive.
     pub hosts: usize,
     /// Work that callers ask for by model, in groups kept busy; `None` before it is known.
@@ -94,8 +112,18 @@
         Self { view }
     }
 
-    /// Groups of each model that should serve.
+    /// Groups of each model that should serve: what callers ask for, or the declared shares of
+    /// the work while that is not known.
     pub fn targets(&self) -> Vec<usize> {
+        match &self.view.demand {
+            Some(demand) => {
+                demand.iter().map(|busy| ((busy / BUSY_PART).ceil() as usize).max(1)).collect()
+            }
+            None => self.shares(),
+        }
+    }
+
+    fn shares(&self) -> Vec<usize> {
         let models = &self.view.engine.models;
         let grouped = self.view.hosts as f64 * GROUPED_PART;
         let total: f64 = models.iter().map(|model| model.share).sum();
@@ -108,65 +136,82 @@
 
     /// The next action, the most urgent one; `None` when nothing is to be done.
     pub fn next(&self) -> Option<PlanAction> {
-        self.form().or_else(|| self.stage())
+        let targets = self.targets();
+        self.form(&targets).or_else(|| self.warm_up()).or_else(|| self.stage(&targets))
     }
 
-    /// Forms a group of the model that is furthest below its target.
-    fn form(&self) -> Option<PlanAction> {
-        let targets = self.targets();
+    /// Models by how much they lack, the one that lacks most first.
+    fn by_lack(&self, targets: &[usize]) -> Vec<usize> {
         let models = &self.view.engine.models;
-        let filled = |index: usize| self.view.groups[index] as f64 / targets[index] as f64;
+        let filled = |index: usize| self.view.groups[index].len() as f64 / targets[index] as f64;
         let mut order: Vec<usize> = (0..models.len()).collect();
-        order.sort_by(|a, b| filled(*a).total_cmp(&filled(*b)));
-        order.into_iter().find_map(|index| {
-            let surplus = self.view.groups[index] >= targets[index];
-            let model = &models[index];
-            // Beyond the target a group is worth its hosts only when they would wait idle anyway.
-            if surplus && self.spares_after(model) < self.spares_wanted() {
-                return None;
-            }
-            self.form_of(model, surplus)
-        })
-    }
-
-    fn spares_wanted(&self) -> usize {
-        let part = 1.0 - GROUPED_PART;
-        ((self.view.hosts as f64) * part * 0.5).round() as usize
+        order.sort_by(|a, b| {
+            // At the start the large groups come first: small ones find room between them.
+            let size = models[*b].size.cmp(&models[*a].size);
+            let lack = filled(*a).total_cmp(&filled(*b));
+            if self.view.serving { lack.then(size) } else { size.then(lack) }
+        });
+        order
     }
 
-    fn spares_after(&self, model: &ModelSpec) -> usize {
-        self.view.free.len().saturating_sub(model.size)
+    /// Forms a group of a model that is below its target, or a further one of hosts that no
+    /// repair would miss.
+    fn form(&self, targets: &[usize]) -> Option<PlanAction> {
+        let order = self.by_lack(targets);
+        let below = order.iter().filter(|index| self.view.groups[**index].len() < targets[**index]);
+        let missing = below.copied().find_map(|index| self.form_of(index, 0));
+        missing.or_else(|| order.iter().find_map(|index| self.form_of(*index, SPARES_KEPT)))
     }
 
-    fn form_of(&self, model: &ModelSpec, surplus: bool) -> Option<PlanAction> {
-        let mut best: Option<(usize, usize, Vec<&FreeHost>)> = None;
+    /// A group of the model at `index` in the domain that has fewest of them, which leaves at
+    /// least `spares` hosts with its weights.
+    fn form_of(&self, index: usize, spares: usize) -> Option<PlanAction> {
+        let model = &self.view.engine.models[index];
+        let mut best: Option<(usize, usize, usize, Vec<&FreeHost>)> = None;
         for domain in self.domains() {
-            let mut hosts: Vec<&FreeHost> = self
-                .view
-                .free
-                .iter()
-                .filter(|host| host.domain == domain && host.staging.is_none())
-                .collect();
-            let free = hosts.len();
+            let mut hosts = self.free_in(&domain);
+            hosts.retain(|host| host.staging.is_none());
+            let with_weights = hosts.iter().filter(|host| host.has(&model.name)).count();
+            // Spares serve their own domain only: where no group is left to mend, they are of most
+            // use as one.
+            let alone = !self.view.groups[index].contains(&domain);
+            let kept = if alone { 0 } else { spares };
+            if spares > 0 && with_weights < model.size + kept {
+                continue;
+            }
+            let taken = hosts.len();
             // Hosts without any weights first among those that must load: they serve no repair.
-            hosts.sort_by_key(|host| (!host.has(&model.name), !host.staged.is_empty()));
+            hosts.sort_by_key(|host| {
+                (!host.has(&model.name), !host.staged.is_empty(), !host.is_warm(&model.name))
+            });
             hosts.truncate(model.size);
             let loads = hosts.iter().filter(|host| !host.has(&model.name)).count();
-            let slow = loads > 0 && (self.view.serving || surplus);
-            if hosts.len() < model.size || slow {
+            if hosts.len() < model.size || (loads > 0 && self.view.serving) {
                 continue;
             }
-            let better = best
-                .as_ref()
-                .is_none_or(|(known, room, _)| loads < *known || (loads == *known && free > *room));
-            if better {
-                best = Some((loads, free, hosts));
+            // Spread over the domains, since a whole domain can go dark.
+            let same = self.view.groups[index].iter().filter(|other| **other == domain).count();
+            let rank = (loads, same, usize::MAX - taken);
+            if best.as_ref().is_none_or(|(a, b, c, _)| rank < (*a, *b, *c)) {
+                best = Some((rank.0, rank.1, rank.2, hosts));
             }
         }
-        let (loads, _, hosts) = best?;
+        let (loads, _, _, hosts) = best?;
         Some(PlanAction::Form { group: self.record(model, &hosts), loads })
     }
 
+    /// Lets a spare join a group of its own, so that its model is warm when it is needed.
+    fn warm_up(&self) -> Option<PlanAction> {
+        self.view.free.iter().filter(|host| !host.standby).find_map(|host| {
+            let model = self.view.engine.models.iter().find(|model| host.has(&model.name))?;
+            if host.is_warm(&model.name) {
+                return None;
+            }
+            let group = GroupRecord { standby: true, ..self.record(model, &[host]) };
+            Some(PlanAction::Form { group, loads: 0 })
+        })
+    }
+
     fn record(&self, model: &ModelSpec, hosts: &[&FreeHost]) -> GroupRecord {
         let member =
             |host: &&FreeHost| GroupHost { id: host.id.clone(), address: host.address.clone() };
@@ -176,63 +221,89 @@
             domain: hosts[0].domain.clone(),
             zone: hosts[0].zone.clone(),
             members: hosts.iter().map(member).collect(),
+            standby: false,
         }
     }
 
-    /// Stages the model that a domain's free hosts lack most.
-    fn stage(&self) -> Option<PlanAction> {
-        let targets = self.targets();
-        let short = |index: usize| self.view.groups[index] < targets[index];
-        for domain in self.domains() {
-            let free: Vec<&FreeHost> =
-                self.view.free.iter().filter(|host| host.domain == domain).collect();
-            let Some(model) = self.wanted(&free, short) else { continue };
-            let candidate = free
-                .iter()
-                .filter(|host| host.staging.is_none() && !host.has(&model.name))
-                .find(|host| host.staged.is_empty() || self.is_idle_surplus(&free, host));
-            if let Some(host) = candidate {
-                return Some(PlanAction::Stage {
-                    host: host.id.clone(),
-                    model: model.name.clone(),
-                });
-            }
-        }
-        None
+    /// Stages what is lacking most: weights for a group that is missing, then one spare of each
+    /// model in each domain, then whatever an empty host can be of use for.
+    fn stage(&self, targets: &[usize]) -> Option<PlanAction> {
+        self.stage_missing(targets)
+            .or_else(|| self.stage_spare(targets))
+            .or_else(|| self.stage_empty())
     }
 
-    /// The model that the free hosts of a domain should have more of.
-    fn wanted(&self, free: &[&FreeHost], short: impl Fn(usize) -> bool) -> Option<&ModelSpec> {
-        let models = &self.view.engine.models;
-        let count =
-            |model: &ModelSpec| free.iter().filter(|host| host.will_have(&model.name)).count();
-        // A group that is missing comes first, if the domain has the hosts for it.
-        let missing = models.iter().enumerate().find(|(index, model)| {
-            let held = count(model);
-            short(*index) && held > 0 && held < model.size && free.len() >= model.size
-        });
-        if let Some((_, model)) = missing {
-            return Some(model);
-        }
-        let even = |model: &&ModelSpec| {
-            // Larger groups lose a member more often, and need one spare all the same.
-            count(model) as f64 / model.size as f64
-        };
-        models
-            .iter()
-            .filter(|model| count(model) < model.size)
-            .min_by(|a, b| even(a).total_cmp(&even(b)))
+    /// Completes a group that is missing, in the domain that lacks the fewest hosts for it.
+    fn stage_missing(&self, targets: &[usize]) -> Option<PlanAction> {
+        let order = self.by_lack(targets);
+        order.into_iter().filter(|index| self.view.groups[*index].len() < targets[*index]).find_map(
+            |index| {
+                let model = &self.view.engine.models[index];
+                let mut domains = self.domains();
+                domains.retain(|domain| self.free_in(domain).len() >= model.size);
+                domains.sort_by_key(|domain| usize::MAX - self.held(domain, model));
+                domains.iter().find_map(|domain| {
+                    let lacking = self.held(domain, model) < model.size;
+                    lacking.then(|| self.stage_in(domain, model, targets, |_| 0)).flatten()
+                })
+            },
+        )
     }
 
-    /// Whether `host` holds weights of which its domain has more spares than a repair wants.
-    fn is_idle_surplus(&self, free: &[&FreeHost], host: &FreeHost) -> bool {
-        let models = &self.view.engine.models;
-        let holds = models.iter().find(|model| host.has(&model.name));
-        holds.is_none_or(|model| {
-            free.iter().filter(|other| other.will_have(&model.name)).count() > model.size
+    /// Spares for the largest groups first: a large group without a spare idles all its hosts,
+    /// while two small ones that lose a host each leave the hosts of one.
+    fn stage_spare(&self, targets: &[usize]) -> Option<PlanAction> {
+        let mut models: Vec<&ModelSpec> = self.view.engine.models.iter().collect();
+        models.sort_by_key(|model| usize::MAX - model.size);
+        let domains = self.domains();
+        models.iter().find_map(|model| {
+            let wanted = spares_of(model);
+            let mut lacking = domains.iter().filter(|domain| self.held(domain, model) < wanted);
+            lacking.find_map(|domain| self.stage_in(domain, model, targets, spares_of))
         })
     }
 
+    fn stage_empty(&self) -> Option<PlanAction> {
+        let empty = |host: &&FreeHost| host.staged.is_empty() && host.staging.is_none();
+        let host = self.view.free.iter().find(empty)?;
+        let models = &self.view.engine.models;
+        let held = |model: &ModelSpec| self.held(&host.domain, model) as f64 / model.size as f64;
+        let model = models.iter().min_by(|a, b| held(a).total_cmp(&held(b)))?;
+        Some(PlanAction::Stage { host: host.id.clone(), model: model.name.clone() })
+    }
+
+    /// Stages `model` on a host of `domain` that is empty, or holds weights of a model of which
+    /// more hosts are free than `keep` asks for.
+    fn stage_in(
+        &self,
+        domain: &DomainName,
+        model: &ModelSpec,
+        targets: &[usize],
+        keep: impl Fn(&ModelSpec) -> usize,
+    ) -> Option<PlanAction> {
+        let mut hosts = self.free_in(domain);
+        hosts.retain(|host| host.staging.is_none() && !host.has(&model.name));
+        hosts.sort_by_key(|host| !host.staged.is_empty());
+        let host = hosts.into_iter().find(|host| {
+            let held = self.view.engine.models.iter().position(|other| host.has(&other.name));
+            held.is_none_or(|index| {
+                let other = &self.view.engine.models[index];
+                let whole = self.view.groups[index].len() >= targets[index];
+                whole && self.held(domain, other) > keep(other)
+            })
+        })?;
+        Some(PlanAction::Stage { host: host.id.clone(), model: model.name.clone() })
+    }
+
+    /// Free hosts of `domain` that have the weights of `model`, or will have them.
+    fn held(&self, domain: &DomainName, model: &ModelSpec) -> usize {
+        self.free_in(domain).iter().filter(|host| host.will_have(&model.name)).count()
+    }
+
+    fn free_in(&self, domain: &DomainName) -> Vec<&FreeHost> {
+        self.view.free.iter().filter(|host| host.domain == *domain).collect()
+    }
+
     fn domains(&self) -> Vec<DomainName> {
         let mut domains: Vec<DomainName> =
             self.view.free.iter().map(|host| host.domain.clone()).collect();
@@ -241,3 +312,8 @@
         domains
     }
 }
+
+/// Spares with the weights of `model` that a domain keeps.
+fn spares_of(model: &ModelSpec) -> usize {
+    (model.size / SPARE_FOR_HOSTS).max(SPARES_KEPT)
+}
--- a/crates/fleet/src/director/pulse.rs
+++ b/crates/fleet/src/director/pulse.rs
@@ -11,9 +11,8 @@
 
 use crate::message::GroupPulse;
 
-/// Age up to which bytes of a group prove that all of its hosts work. Entries report every
-/// 250 ms, and the longest pause of a loaded group is 300 ms.
-pub const FRESH: Duration = Duration::from_millis(700);
+/// How long an entry's finding that a group is silent counts.
+const SUSPICION: Duration = Duration::from_millis(1_500);
 
 /// Latest signs of life of each group.
 #[derive(Debug, Clone, Default)]
@@ -41,10 +40,18 @@
         pulse.suspect
     }
 
-    /// Whether bytes of the group reached an entry lately.
-    pub fn is_moving(&self, now: TimePoint, group: GroupId) -> bool {
+    /// Whether bytes of the group reached an entry within `limit`.
+    pub fn is_moving(&self, now: TimePoint, group: GroupId, limit: Duration) -> bool {
         let moved = self.seen.get(&group).and_then(|sight| sight.moved);
-        moved.is_some_and(|at| now.since(at) < FRESH)
+        moved.is_some_and(|at| now.since(at) < limit)
+    }
+
+    /// Whether an entry found the group silent lately, and nothing came from it since.
+    pub fn is_suspect(&self, now: TimePoint, group: GroupId) -> bool {
+        self.seen.get(&group).is_some_and(|sight| {
+            sight.suspected > sight.moved
+                && sight.suspected.is_some_and(|at| now.since(at) < SUSPICION)
+        })
     }
 
     /// Forgets every group that `keep` does not name.
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -5,19 +5,37 @@
 use briartray_model::names::{DomainName, GroupId, IncarnationId, NodeName, ServiceName};
 use briartray_model::{SortedTable, TimePoint};
 
+use super::demand::DemandBook;
 use super::group::{GroupRun, GroupScene, GroupStep, next_step};
 use super::hosts::HostTable;
 use super::loads::LoadLimiter;
 use super::plan::{FreeHost, GroupPlanner, PlanAction, PlanView};
 use super::pulse::PulseBook;
-use super::{EndpointBeat, EndpointOrder, EndpointReport, OrderCall, OrderOutcome};
-use crate::deployment::{DeploymentPlan, EngineModel, ServiceSpec};
+use super::{
+    EndpointBeat, EndpointOrder, EndpointReport, HostRecord, MarkState, OrderCall, OrderOutcome,
+};
+use crate::deployment::{DeploymentPlan, EngineModel, ModelSpec, ServiceSpec};
 use crate::message::{EndpointView, EntryReport, FleetView, GroupView, ViewVersion};
-use crate::state::{FleetCommand, FleetState, GroupRecord};
+use crate::state::{EndpointRecord, FleetCommand, FleetState, GroupRecord};
 
-/// Time a new leader listens before it acts on what it does not hear: beats come every 1.2 s,
-/// and an endpoint that failed to reach the old leader tries others first.
-const LISTEN_FIRST: Duration = Duration::from_millis(2_200);
+/// Time a new leader asks the endpoints it inherits before it acts: two probes fit in.
+const SURVEY: Duration = Duration::from_millis(700);
+
+/// Time a first leader listens before it forms groups: beats come every 1.2 s, and groups that are
+/// formed of the first few hosts to be heard are not those that all of them would make.
+const LISTEN_FIRST: Duration = Duration::from_millis(1_300);
+
+/// As above, while further endpoints are still heard for the first time.
+const LISTEN_LONGEST: Duration = Duration::from_millis(2_200);
+
+/// Time after a first start before weights are staged on hosts that are left over.
+const GATHER: Duration = Duration::from_millis(3_500);
+
+/// Time without a new endpoint after which all of them are taken to be known.
+const NEWCOMER_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time between two looks at the demand.
+const DEMAND_EVERY: Duration = Duration::from_millis(500);
 
 /// Factor on a load's time after which it counts as failed: loads slow each other down.
 const LOAD_PATIENCE: u32 = 3;
@@ -50,28 +68,41 @@
     inherits: bool,
     hosts: HostTable,
     pulses: PulseBook,
+    demand: DemandBook,
+    demand_at: TimePoint,
+    /// When an endpoint was heard of for the first time, lately.
+    newcomer_at: TimePoint,
     runs: SortedTable<GroupId, GroupRun>,
     loads: LoadLimiter,
     serving: bool,
     /// Commands that are not applied yet; nothing is planned meanwhile.
     open_commands: usize,
     entries: SortedTable<NodeName, TimePoint>,
+    /// Endpoints whose record is on its way into the log.
+    announced: Vec<IncarnationId>,
 }
 
 impl FleetDirector {
-    /// A director of a leader that begins at `now`; `first` on the first start of a deployment.
-    pub fn new(now: TimePoint, first: bool) -> Self {
-        let loads = if first { LoadLimiter::default() } else { LoadLimiter::used_up(now, 1.0) };
-        Self { since: now, inherits: !first, loads, ..Self::default() }
+    /// A director of a leader that begins at `now` with what was agreed before.
+    pub fn new(now: TimePoint, state: &FleetState) -> Self {
+        let inherits = !state.endpoints().is_empty();
+        let loads = if inherits { LoadLimiter::used_up(now, 1.0) } else { LoadLimiter::default() };
+        let mut director = Self { since: now, inherits, loads, ..Self::default() };
+        for record in state.endpoints().values() {
+            director.hosts.inherit(now, inherited_beat(record));
+        }
+        director
     }
 
-    /// Takes a beat; `false` when it is older than what is known.
+    /// Takes a beat; tells whether it says something new.
     pub fn beat(&mut self, now: TimePoint, beat: EndpointBeat) -> bool {
-        let known = self.hosts.get(&beat.id).is_some();
-        if !known {
+        let known = self.hosts.get(&beat.id).map(|host| host.beat.report.clone());
+        if known.is_none() {
             self.supersede(&beat);
+            self.newcomer_at = now;
         }
-        self.hosts.beat(now, beat)
+        let news = known.as_ref() != Some(&beat.report);
+        self.hosts.beat(now, beat) && news
     }
 
     /// Takes the answer to a probe, or that none came.
@@ -84,7 +115,13 @@
         match outcome {
             OrderOutcome::OtherEndpoint => self.hosts.remove(&call.id),
             // What it did, if anything, shows in the next report.
-            OrderOutcome::Unknown | OrderOutcome::Holds => self.hosts.probe_now(now, &call.id),
+            OrderOutcome::Unknown => {
+                for run in self.runs.values_mut() {
+                    run.forget_asked(&call.id, &call.order);
+                }
+                self.hosts.probe_now(now, &call.id);
+            }
+            OrderOutcome::Holds => self.hosts.probe_now(now, &call.id),
             OrderOutcome::Begun | OrderOutcome::Misfit | OrderOutcome::Fenced => {}
         }
     }
@@ -93,6 +130,9 @@
     pub fn report(&mut self, now: TimePoint, report: &EntryReport, state: &FleetState) {
         self.entries.insert(report.node.clone(), now);
         self.serving |= report.serving;
+        for demand in &report.demand {
+            self.demand.add(now, demand);
+        }
         for pulse in &report.pulses {
             let silent = self.pulses.take(now, pulse);
             let Some(group) = state.groups().get(&pulse.group).filter(|_| silent) else { continue };
@@ -114,7 +154,14 @@
 
     /// Whether enough was heard to act on what was not.
     pub fn is_settled(&self, now: TimePoint) -> bool {
-        !self.inherits || now.since(self.since) >= LISTEN_FIRST
+        let waited = now.since(self.since);
+        match self.inherits {
+            true => waited >= SURVEY || self.hosts.is_surveyed(),
+            false => {
+                let quiet = now.since(self.newcomer_at) >= NEWCOMER_PAUSE;
+                (waited >= LISTEN_FIRST && quiet) || waited >= LISTEN_LONGEST
+            }
+        }
     }
 
     /// Everything that is due.
@@ -125,25 +172,41 @@
         plan: &DeploymentPlan,
     ) -> DirectorOutput {
         let mut output = DirectorOutput::default();
-        self.hosts.prune(now);
+        self.keep_records(now, state, &mut output);
         self.runs.retain(|group, _| state.groups().contains_key(group));
         self.pulses.retain(|group| state.groups().contains_key(&group));
         self.ask_reports(now, state, &mut output);
-        if !self.is_settled(now) {
-            return output;
-        }
-        self.step_groups(now, state, plan, &mut output);
-        if self.open_commands == 0 {
-            for service in &plan.services {
-                if let Some(engine) = &service.engine {
-                    self.plan_groups(now, state, service, engine, &mut output);
-                }
-            }
+        if self.is_settled(now) {
+            self.act(now, state, plan, &mut output);
         }
         self.open_commands += output.commands.len();
         output
     }
 
+    /// Steps the groups, and plans further ones while no command is under way.
+    fn act(
+        &mut self,
+        now: TimePoint,
+        state: &FleetState,
+        plan: &DeploymentPlan,
+        output: &mut DirectorOutput,
+    ) {
+        if now >= self.demand_at {
+            self.demand.roll(now);
+            self.demand_at = now.after(DEMAND_EVERY);
+        }
+        self.note_warm(state);
+        self.step_groups(now, state, plan, output);
+        if self.open_commands > 0 {
+            return;
+        }
+        for service in &plan.services {
+            if let Some(engine) = &service.engine {
+                self.plan_groups(now, state, service, engine, output);
+            }
+        }
+    }
+
     /// What entries may send to.
     pub fn view(
         &self,
@@ -152,12 +215,12 @@
         plan: &DeploymentPlan,
         version: ViewVersion,
     ) -> FleetView {
-        let scene = self.scene(now, state);
+        let scene = self.scene(now, state, plan);
         let mut view = FleetView { version, ..FleetView::default() };
         for service in plan.services.iter().filter(|service| service.engine.is_none()) {
             view.endpoints.extend(self.endpoints_of(service, state));
         }
-        for (group, record) in state.groups().iter() {
+        for (group, record) in state.groups().iter().filter(|(_, record)| !record.standby) {
             let Some(head) = record.members.first() else { continue };
             view.groups.push(GroupView {
                 group: *group,
@@ -172,6 +235,28 @@
         view
     }
 
+    /// Hosts that are in no group, by domain and by the weights they have, in a few words.
+    pub fn spare_summary(&self, state: &FleetState) -> String {
+        let mut kinds: Vec<String> = Vec::new();
+        for (id, host) in self.hosts.iter() {
+            let Some(domain) = &host.beat.report.domain else { continue };
+            let grouped = state
+                .groups()
+                .values()
+                .any(|group| !group.standby && group.members.iter().any(|member| member.id == *id));
+            if grouped || host.is_lost() || host.beat.leaving || state.is_leaving(id) {
+                continue;
+            }
+            let staged = host.beat.report.staged.join("+");
+            let loading = host.staging.as_ref().map_or("", |(model, _)| model);
+            kinds.push(format!("{domain}:{staged}>{loading}"));
+        }
+        kinds.sort();
+        let counts =
+            kinds.chunk_by(|a, b| a == b).map(|same| format!("{} {}", same[0], same.len()));
+        counts.collect::<Vec<_>>().join(", ")
+    }
+
     /// The endpoints that are known.
     pub fn hosts(&self) -> &HostTable {
         &self.hosts
@@ -209,8 +294,42 @@
         }
     }
 
-    fn scene<'a>(&'a self, now: TimePoint, state: &'a FleetState) -> GroupScene<'a> {
-        GroupScene { now, hosts: &self.hosts, pulses: &self.pulses, state }
+    fn scene<'a>(
+        &'a self,
+        now: TimePoint,
+        state: &'a FleetState,
+        plan: &'a DeploymentPlan,
+    ) -> GroupScene<'a> {
+        GroupScene { now, hosts: &self.hosts, pulses: &self.pulses, state, plan }
+    }
+
+    /// Brings the agreed list of endpoints up to date with what was heard.
+    fn keep_records(&mut self, now: TimePoint, state: &FleetState, output: &mut DirectorOutput) {
+        self.hosts.prune(now);
+        for (id, host) in self.hosts.iter() {
+            let known = state.endpoints().get(id);
+            if known.is_none() && !host.is_lost() && !self.announced.contains(id) {
+                self.announced.push(id.clone());
+                output.commands.push(FleetCommand::Announce(record_of(host)));
+            }
+        }
+        for id in state.endpoints().keys().filter(|id| self.hosts.get(id).is_none()) {
+            self.announced.retain(|known| known != id);
+            output.commands.push(FleetCommand::Forget(id.clone()));
+        }
+    }
+
+    /// Notes which model each host can join a group of at once.
+    fn note_warm(&mut self, state: &FleetState) {
+        for (_, host) in self.hosts.iter_mut() {
+            let Some(mark) = &host.beat.report.mark else { continue };
+            let warm = matches!(mark.state, MarkState::Ready | MarkState::Open);
+            if let Some(record) = state.groups().get(&mark.group).filter(|_| warm)
+                && host.warm.as_deref() != Some(&record.model)
+            {
+                host.warm = Some(record.model.clone());
+            }
+        }
     }
 
     fn ask_reports(&mut self, now: TimePoint, state: &FleetState, output: &mut DirectorOutput) {
@@ -232,7 +351,7 @@
         for (group, record) in state.groups().iter() {
             let patience = load_time(plan, record) * LOAD_PATIENCE;
             let run = runs.get_or_insert_with(*group, || GroupRun::new(now, patience));
-            match next_step(&self.scene(now, state), *group, record, run) {
+            match next_step(&self.scene(now, state, plan), *group, record, run) {
                 GroupStep::Nothing => {}
                 GroupStep::Order(calls) => output.orders.extend(calls),
                 GroupStep::End => output.commands.push(FleetCommand::EndGroup(*group)),
@@ -251,12 +370,12 @@
     ) {
         let view = self.plan_view(now, state, &service.name, engine);
         match GroupPlanner::new(view).next() {
-            Some(PlanAction::Form { group, loads }) => {
-                if self.may_load(now, engine, loads, 0) {
-                    self.loads.begin(now, if self.serving { loads } else { 0 });
-                    output.commands.push(FleetCommand::FormGroup(group));
-                }
+            Some(PlanAction::Form { group, loads }) if self.may_load(now, engine, loads, 0) => {
+                self.loads.begin(now, if self.serving { loads } else { 0 });
+                output.commands.push(FleetCommand::FormGroup(group));
             }
+            // Hosts that are heard late would else find no partners for a group.
+            Some(PlanAction::Stage { .. }) if !self.serving && self.is_gathering(now) => {}
             Some(PlanAction::Stage { host, model }) => {
                 let busy = self.hosts.iter().filter(|(_, host)| host.staging.is_some()).count();
                 if self.may_load(now, engine, 1, busy) {
@@ -264,10 +383,15 @@
                     self.stage(now, engine, &host, model, output);
                 }
             }
-            None => {}
+            Some(PlanAction::Form { .. }) | None => {}
         }
     }
 
+    /// Whether hosts may still be heard for the first time after a first start.
+    fn is_gathering(&self, now: TimePoint) -> bool {
+        !self.inherits && now.since(self.since) < GATHER
+    }
+
     /// Before callers ask for anything, loads are short and do not count against the rate.
     fn may_load(&self, now: TimePoint, engine: &EngineModel, loads: usize, busy: usize) -> bool {
         let free = loads == 0 || !self.serving;
@@ -298,8 +422,8 @@
         engine: &'a EngineModel,
     ) -> PlanView<'a> {
         self.settle_staging(now);
-        let taken = |id: &IncarnationId| {
-            state.groups().values().any(|group| group.members.iter().any(|host| host.id == *id))
+        let group_of = |id: &IncarnationId| {
+            state.groups().values().find(|group| group.members.iter().any(|host| host.id == *id))
         };
         let mut free = Vec::new();
         let mut hosts = 0;
@@ -309,7 +433,8 @@
                 continue;
             }
             hosts += 1;
-            if taken(id) {
+            let group = group_of(id);
+            if group.is_some_and(|group| !group.standby) {
                 continue;
             }
             let nowhere = DomainName::new("");
@@ -320,6 +445,8 @@
                 zone: host.beat.zone.clone(),
                 staged: host.beat.report.staged.clone(),
                 staging: host.staging.as_ref().map(|(model, _)| model.clone()),
+                warm: host.warm.clone(),
+                standby: group.is_some(),
             });
         }
         let serving_groups = |model: &str| {
@@ -329,12 +456,18 @@
                 .groups()
                 .iter()
                 .filter(|(group, record)| {
-                    record.service == *service && record.model == model && !ends(group)
+                    !record.standby
+                        && record.service == *service
+                        && record.model == model
+                        && !ends(group)
                 })
-                .count()
+                .map(|(_, record)| record.domain.clone())
+                .collect()
         };
         let groups = engine.models.iter().map(|model| serving_groups(&model.name)).collect();
-        PlanView { service, engine, free, groups, hosts, demand: None, serving: self.serving }
+        let busy = |model: &ModelSpec| self.demand.busy(now, service, &model.name);
+        let demand = engine.models.iter().map(busy).collect();
+        PlanView { service, engine, free, groups, hosts, demand, serving: self.serving }
     }
 
     /// Staging is over once the host reports the weights, or too much time has passed.
@@ -351,6 +484,33 @@
     }
 }
 
+/// What is agreed on of an endpoint.
+fn record_of(host: &HostRecord) -> EndpointRecord {
+    let beat = &host.beat;
+    EndpointRecord {
+        id: beat.id.clone(),
+        service: beat.service.clone(),
+        address: beat.address.clone(),
+        zone: beat.zone.clone(),
+        domain: beat.report.domain.clone(),
+        slots: beat.slots,
+    }
+}
+
+/// The beat that an earlier leader would have had; any real one is newer.
+fn inherited_beat(record: &EndpointRecord) -> EndpointBeat {
+    EndpointBeat {
+        id: record.id.clone(),
+        service: record.service.clone(),
+        address: record.address.clone(),
+        zone: record.zone.clone(),
+        slots: record.slots,
+        leaving: false,
+        sequence: 0,
+        report: EndpointReport { domain: record.domain.clone(), ..EndpointReport::default() },
+    }
+}
+
 fn load_time(plan: &DeploymentPlan, record: &GroupRecord) -> Duration {
     let engine = plan.service(&record.service).and_then(|service| service.engine.as_ref());
     let model = engine.and_then(|engine| engine.model(&record.model));
--- a/crates/fleet/src/entry/load.rs
+++ b/crates/fleet/src/entry/load.rs
@@ -37,6 +37,8 @@
     pub moved: Option<TimePoint>,
     /// Oldest moment since which something of this entry waits without a byte.
     pub waiting_since: Option<TimePoint>,
+    /// Silence after which it most likely stands still.
+    pub silence_limit: Option<Duration>,
     /// Not chosen before this moment, since it does not answer.
     pub suspect_until: Option<TimePoint>,
 }
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -17,12 +17,12 @@
 use crate::deployment::{RouteBook, RouteRule};
 use crate::message::{EndpointView, FleetView, GroupPulse, GroupView, ViewVersion};
 
-/// Silence of a group, with requests of this entry on it, after which it is left alone. The
-/// longest pause of a loaded group that works is 300 ms.
+/// Silence of a group after which it is left alone, where its engine is not known.
 const SILENT_GROUP: Duration = Duration::from_millis(450);
 
-/// As above while no request of this entry has seen a byte: the first one waits for its prompt.
-const SILENT_FRESH: Duration = Duration::from_millis(900);
+/// Factor on the limit of silence while no request of this entry has seen a byte: the first one
+/// waits for a slot and its prompt.
+const SILENT_FRESH: u32 = 2;
 
 /// How long a target that failed is left alone before one request tries it.
 const SUSPECT_FOR: Duration = Duration::from_millis(2_000);
@@ -153,16 +153,21 @@
         model: Option<&str>,
         tried: &[TargetId],
     ) -> Result<TargetChoice, ChoiceRefusal> {
-        let slots = book
-            .service(service)
-            .and_then(|spec| spec.engine.as_ref())
-            .map(|engine| engine.slots as f64);
+        let engine = book.service(service).and_then(|spec| spec.engine.as_ref());
+        let slots = engine.map(|engine| engine.slots as f64);
         let candidates = match (slots, model) {
             (Some(slots), Some(model)) => self.groups(service, model, slots),
             (None, _) => self.endpoints(service),
             (Some(_), None) => Vec::new(),
         };
-        self.best(now, candidates, tried)
+        let choice = self.best(now, candidates, tried)?;
+        if let Some((engine, spec)) = engine
+            .zip(model)
+            .and_then(|(engine, model)| engine.model(model).map(|spec| (engine, spec)))
+        {
+            self.load(&choice.target).silence_limit = Some(engine.silence_limit(spec));
+        }
+        Ok(choice)
     }
 
     /// A request was sent to `target`.
@@ -195,7 +200,8 @@
         let mut silent = Vec::new();
         for (target, load) in self.loads.iter_mut() {
             let TargetId::Group(group) = target else { continue };
-            let limit = if load.moved.is_some() { SILENT_GROUP } else { SILENT_FRESH };
+            let limit = load.silence_limit.unwrap_or(SILENT_GROUP);
+            let limit = if load.moved.is_some() { limit } else { limit * SILENT_FRESH };
             let quiet = load.silence(now).is_some_and(|silence| silence >= limit);
             if quiet && !load.is_suspect(now) {
                 load.suspect_until = Some(now.after(SUSPECT_FOR));
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -140,3 +140,25 @@
         pub node: NodeName,
     }
 }
+
+impl FleetView {
+    /// Open and other groups of each model, and endpoints, in a few words.
+    pub fn summary(&self) -> String {
+        let mut models: Vec<&str> = self.groups.iter().map(|group| &*group.model).collect();
+        models.sort_unstable();
+        models.dedup();
+        let count = |model: &str, open: bool| {
+            self.groups.iter().filter(|group| group.model == model && group.open == open).count()
+        };
+        let tell = |model: &&str| {
+            format!("{model} {} open {} not", count(model, true), count(model, false))
+        };
+        let groups: Vec<String> = models.iter().map(tell).collect();
+        format!(
+            "{}; {} endpoints, {} entries",
+            groups.join(", "),
+            self.endpoints.len(),
+            self.entries
+        )
+    }
+}
--- a/crates/fleet/src/state/mod.rs
+++ b/crates/fleet/src/state/mod.rs
@@ -12,6 +12,9 @@
 /// above what a fleet of 22,000 hosts takes down in that time (370 a day).
 const MAX_LEAVING: usize = 1024;
 
+/// Endpoints that are remembered: twice the 22,000 that the design aims for.
+const MAX_ENDPOINTS: usize = 44_000;
+
 plain_value! {
     /// A declaration as the operator sent it.
     pub struct StoredPlan {
@@ -21,6 +24,22 @@
         pub body: Vec<u8>,
     }
 
+    /// An endpoint that has announced itself.
+    pub struct EndpointRecord {
+        /// Its present life.
+        pub id: IncarnationId,
+        /// Service it serves.
+        pub service: ServiceName,
+        /// Where it listens.
+        pub address: String,
+        /// Its availability zone.
+        pub zone: ZoneName,
+        /// Fabric domain, where it serves in groups.
+        pub domain: Option<DomainName>,
+        /// Requests it runs at one time.
+        pub slots: usize,
+    }
+
     /// A host of a group.
     pub struct GroupHost {
         /// Its endpoint.
@@ -41,6 +60,9 @@
         pub zone: ZoneName,
         /// Its hosts; requests go to the first one.
         pub members: Vec<GroupHost>,
+        /// Whether it never serves: a single host that joined so that its model is warm. A host
+        /// whose last group had the same model joins the next one within a fraction of a second.
+        pub standby: bool,
     }
 
     /// One change of the state.
@@ -53,6 +75,10 @@
         EndGroup(GroupId),
         /// An endpoint takes no new work.
         MarkLeaving(IncarnationId),
+        /// An endpoint has announced itself.
+        Announce(EndpointRecord),
+        /// An endpoint is gone.
+        Forget(IncarnationId),
     }
 
     /// Everything that the control hosts agree on.
@@ -62,6 +88,7 @@
         last_epoch: u64,
         groups: SortedTable<GroupId, GroupRecord>,
         leaving: Vec<IncarnationId>,
+        endpoints: SortedTable<IncarnationId, EndpointRecord>,
     }
 }
 
@@ -91,6 +118,11 @@
                 FleetOutcome::Noted
             }
             FleetCommand::MarkLeaving(id) => self.mark_leaving(id),
+            FleetCommand::Announce(record) => self.announce(record),
+            FleetCommand::Forget(id) => {
+                self.endpoints.remove(id);
+                FleetOutcome::Noted
+            }
         }
     }
 
@@ -104,6 +136,14 @@
         &self.groups
     }
 
+    /// The endpoints that have announced themselves.
+    ///
+    /// Kept in the log so that a new leader knows whom to ask at once: beats come only every
+    /// second, and an endpoint whose leader is gone first finds another one.
+    pub fn endpoints(&self) -> &SortedTable<IncarnationId, EndpointRecord> {
+        &self.endpoints
+    }
+
     /// Endpoints that take no new work, the longest known first.
     pub fn leaving(&self) -> &[IncarnationId] {
         &self.leaving
@@ -125,17 +165,29 @@
 
     fn form_group(&mut self, group: &GroupRecord) -> FleetOutcome {
         let taken = |id: &IncarnationId| {
-            self.groups.values().any(|other| other.members.iter().any(|host| host.id == *id))
+            self.groups
+                .values()
+                .any(|other| !other.standby && other.members.iter().any(|host| host.id == *id))
         };
         if group.members.iter().any(|host| taken(&host.id) || self.is_leaving(&host.id)) {
             return FleetOutcome::GroupRefused;
         }
+        let joins = |id: &IncarnationId| group.members.iter().any(|host| host.id == *id);
+        self.groups
+            .retain(|_, other| !(other.standby && other.members.iter().any(|h| joins(&h.id))));
         self.last_epoch += 1;
         let epoch = GroupId(self.last_epoch);
         self.groups.insert(epoch, group.clone());
         FleetOutcome::GroupFormed(epoch)
     }
 
+    fn announce(&mut self, record: &EndpointRecord) -> FleetOutcome {
+        if self.endpoints.len() < MAX_ENDPOINTS {
+            self.endpoints.insert(record.id.clone(), record.clone());
+        }
+        FleetOutcome::Noted
+    }
+
     fn mark_leaving(&mut self, id: &IncarnationId) -> FleetOutcome {
         if !self.is_leaving(id) {
             self.leaving.push(id.clone());
--- a/crates/gateway/src/control/calls.rs
+++ b/crates/gateway/src/control/calls.rs
@@ -16,7 +16,7 @@
 use crate::http::{ConnectionPool, SendFailure, pool};
 
 /// Time for a report. A report needs no slot; hosts are a few milliseconds apart.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Time for the answer to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -33,6 +33,11 @@
 /// Inputs that share one step of the agreement, and so one sync, at most.
 const MAX_INPUTS_PER_STEP: usize = 512;
 
+/// Times of the agreement. An election is a second without repairs of groups and renewals of
+/// leases; hosts are milliseconds apart, and a lost packet costs a fifth of a second.
+const AGREEMENT_TIMES: AgreementTimes =
+    AgreementTimes { heartbeat: Duration::from_millis(100), election: Duration::from_millis(500) };
+
 /// Exit code after a failed disk; the platform starts the process again.
 const EXIT_DISK: i32 = 3;
 
@@ -110,7 +115,7 @@
             folder: opened.id,
             members: vec![self.parts.settings.node_name()],
             membership: MembershipMode::Dynamic { voters },
-            times: AgreementTimes::default(),
+            times: AGREEMENT_TIMES,
             seed: rand::random(),
         };
         match disk::start(opened.folder, self.parts.inputs.clone()) {
@@ -288,8 +293,10 @@
         };
         let (id, leaving) = (beat.id.clone(), beat.leaving);
         log::trace!("beat {beat:?}");
-        leadership.director.beat(now, beat);
-        leadership.dirty = true;
+        if leadership.director.beat(now, beat) {
+            leadership.dirty = true;
+            leadership.step_due = true;
+        }
         if leaving && !self.state.is_leaving(&id) {
             self.leave(id, reply);
         } else {
@@ -315,6 +322,7 @@
             ProbeResult::Silent => {
                 log::info!(endpoint = id.as_str(); "an endpoint does not answer a probe");
                 leadership.director.probed(now, id, None);
+                leadership.step_due = true;
             }
         }
         leadership.dirty = true;
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -48,7 +48,7 @@
         Self {
             term,
             established: false,
-            director: FleetDirector::new(now, true),
+            director: FleetDirector::default(),
             dirty: true,
             step_due: false,
             entries: SortedTable::new(),
@@ -63,11 +63,11 @@
     /// Starts to act as leader: everything that was committed before is applied here now.
     pub(super) fn establish(&mut self) {
         let now = self.now();
-        let first = self.state.groups().is_empty();
         let Some(leadership) = &mut self.leadership else { return };
         leadership.established = true;
-        leadership.director = FleetDirector::new(now, first);
-        log::info!(term = leadership.term.0, first; "leading");
+        leadership.director = FleetDirector::new(now, &self.state);
+        log::info!(term = leadership.term.0, endpoints = self.state.endpoints().len();
+            "leading");
     }
 
     /// Looks at what is due.
@@ -156,6 +156,8 @@
         let newest = self.state.plan().map(|plan| plan.version);
         let behind = leadership.entries.values().any(|entry| entry.plan < newest);
         if !same {
+            let spares = leadership.director.spare_summary(&self.state);
+            log::info!("view {}: {}; free {spares}", version.number, view.summary());
             leadership.number += 1;
             leadership.view = Some(view);
         }
--- a/crates/gateway/src/control/replication.rs
+++ b/crates/gateway/src/control/replication.rs
@@ -161,5 +161,7 @@
         }
         FleetCommand::EndGroup(group) => format!("end of group {group}"),
         FleetCommand::MarkLeaving(id) => format!("{id} is leaving"),
+        FleetCommand::Announce(record) => format!("{} at {}", record.id, record.address),
+        FleetCommand::Forget(id) => format!("{id} is gone"),
     }
 }
--- a/crates/gateway/src/control/voters.rs
+++ b/crates/gateway/src/control/voters.rs
@@ -26,7 +26,7 @@
 const START_TIME: Duration = Duration::from_secs(4);
 
 /// Time after the start before the log is founded: processes start within 0.3 s of each other.
-const FOUND_AFTER: Duration = Duration::from_millis(700);
+const FOUND_AFTER: Duration = Duration::from_millis(400);
 
 /// Time after which the log is founded although a seed has not answered.
 const FOUND_ANYWAY: Duration = Duration::from_millis(4_000);
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -54,6 +54,9 @@
     let priority = team.as_ref().and_then(|(_, priority)| *priority).or(Some(rule.priority));
     let service = state.table.borrow_mut().pick_service(&rule).ok_or(RefusalKind::NoReplica)?;
     state.count_request(&service);
+    if let (Some(model), Some(tokens)) = (&head.model, head.tokens) {
+        state.count_demand(&book, &service, model, tokens);
+    }
     let patience = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(rule.timeout);
     Ok(ServedRequest {
         state: Rc::clone(state),
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -7,10 +7,11 @@
 
 use briartray_fleet::deployment::RouteBook;
 use briartray_fleet::entry::{EntryLease, RetryBudget, TargetTable};
-use briartray_fleet::message::{EntryNotice, EntryReport};
-use briartray_model::TimePoint;
+use briartray_fleet::message::{EntryNotice, EntryReport, ModelDemand};
 use briartray_model::names::{NodeName, ServiceName};
+use briartray_model::{SortedTable, TimePoint};
 use briartray_node::ClockReader;
+use briartray_platform::TokenCount;
 use crossbeam::channel::Sender;
 
 use crate::http::ConnectionPool;
@@ -26,6 +27,7 @@
     budget: RefCell<RetryBudget>,
     pub(super) pool: RefCell<ConnectionPool>,
     reports: Sender<EntryReport>,
+    demand: RefCell<SortedTable<(ServiceName, String), f64>>,
     draining: Cell<bool>,
     serving: Cell<bool>,
     running: Cell<usize>,
@@ -52,6 +54,7 @@
             budget: RefCell::new(budget),
             pool: RefCell::new(ConnectionPool::default()),
             reports,
+            demand: RefCell::default(),
             draining: Cell::new(false),
             serving: Cell::new(false),
             running: Cell::new(0),
@@ -141,13 +144,39 @@
             plan: self.book.borrow().as_ref().map(|book| book.version()),
             view: table.version(),
             pulses: table.pulses(now),
-            demand: Vec::new(),
+            demand: self.take_demand(),
             serving: self.serving.get(),
         };
         // A report that finds no room is made up for by the next one.
         let _ = self.reports.try_send(report);
     }
 
+    /// Counts what a request for a model asks for.
+    pub(super) fn count_demand(
+        &self,
+        book: &RouteBook,
+        service: &ServiceName,
+        model: &str,
+        tokens: TokenCount,
+    ) {
+        let engine = book.service(service).and_then(|spec| spec.engine.as_ref());
+        let Some(engine) = engine else { return };
+        let Some(spec) = engine.model(model) else { return };
+        let work = engine.work_ms(spec, tokens.prompt, tokens.answer);
+        let key = (service.clone(), model.to_owned());
+        *self.demand.borrow_mut().get_or_insert_with(key, || 0.0) += work;
+    }
+
+    fn take_demand(&self) -> Vec<ModelDemand> {
+        let counted = std::mem::take(&mut *self.demand.borrow_mut());
+        let tell = |((service, model), work): (&(ServiceName, String), &f64)| ModelDemand {
+            service: service.clone(),
+            model: model.clone(),
+            work_ms: *work,
+        };
+        counted.iter().map(tell).collect()
+    }
+
     /// Takes what the leader tells.
     pub(super) fn adopt(&self, notice: EntryNotice) {
         if let Some(plan) = notice.plan {
--- a/crates/gateway/src/entry/watch.rs
+++ b/crates/gateway/src/entry/watch.rs
@@ -25,8 +25,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time without a confirmed report after which another control host is tried. An election takes up
-/// to 1.8 s; a host that leads confirms within two ways and a sync.
-const UNCONFIRMED: Duration = Duration::from_millis(900);
+/// to a second; a host that leads confirms within two ways and a sync.
+const UNCONFIRMED: Duration = Duration::from_millis(700);
 
 /// Pause before the next control host is tried.
 const NEXT_HOST: Duration = Duration::from_millis(60);
