Keep spares of other models unless a model has lost much

Cause: when one small group of six was missing, the spares of the large model in every domain were given other weights, twelve seconds of loading each, and the next large group that lost a host could not be mended.

Change: weights that are on their way count towards the missing groups, and spares of other models are given up only below three fifths of a model's target.

--- a/crates/fleet/src/director/plan.rs
+++ b/crates/fleet/src/director/plan.rs
@@ -21,6 +21,9 @@
 /// Hosts of a group for which its domain keeps one spare.
 const SPARE_FOR_HOSTS: usize = 2;
 
+/// Part of the wanted groups of a model below which spares of other models are given up for it.
+const URGENT_PART: f64 = 0.6;
+
 /// Free hosts with the weights of a model that each domain keeps beyond its groups.
 const SPARES_KEPT: usize = 1;
 
@@ -236,18 +239,23 @@
     /// Completes a group that is missing, in the domain that lacks the fewest hosts for it.
     fn stage_missing(&self, targets: &[usize]) -> Option<PlanAction> {
         let order = self.by_lack(targets);
-        order.into_iter().filter(|index| self.view.groups[*index].len() < targets[*index]).find_map(
-            |index| {
-                let model = &self.view.engine.models[index];
-                let mut domains = self.domains();
-                domains.retain(|domain| self.free_in(domain).len() >= model.size);
-                domains.sort_by_key(|domain| usize::MAX - self.held(domain, model));
-                domains.iter().find_map(|domain| {
-                    let lacking = self.held(domain, model) < model.size;
-                    lacking.then(|| self.stage_in(domain, model, targets, |_| 0)).flatten()
-                })
-            },
-        )
+        order.into_iter().find_map(|index| {
+            let model = &self.view.engine.models[index];
+            let mut domains = self.domains();
+            // Weights that are on their way to a domain may be enough for the groups that lack.
+            let coming: usize =
+                domains.iter().map(|domain| self.held(domain, model) / model.size).sum();
+            let groups = self.view.groups[index].len();
+            if groups + coming >= targets[index] {
+                return None;
+            }
+            // Spares of other models are worth more than one group among many.
+            let urgent = (groups as f64) < targets[index] as f64 * URGENT_PART;
+            let keep = |other: &ModelSpec| if urgent { 0 } else { spares_of(other) };
+            domains.retain(|domain| self.free_in(domain).len() >= model.size);
+            domains.sort_by_key(|domain| usize::MAX - self.held(domain, model) % model.size);
+            domains.iter().find_map(|domain| self.stage_in(domain, model, targets, keep))
+        })
     }
 
     /// Spares for the largest groups first: a large group without a spare idles all its hosts,
