Get endpoints out of ended groups before they join others; trust the last told load

And entries smoothed the load of groups, so that each found room in the same full group: 700 ms median under a burst.

Change: an endpoint is free only when it says that it is in no ended group; until then it is told to close and to leave. The last told load counts alone, one slot is left.

--- a/crates/fleet/src/director/group.rs
+++ b/crates/fleet/src/director/group.rs
@@ -235,11 +235,8 @@
         return GroupStep::End;
     }
     match scene.mark(&head.id, group) {
-        None | Some(MarkState::Broken | MarkState::Joining) => GroupStep::End,
-        Some(MarkState::Ready) => {
-            // Left in place it could still be opened by an order that arrives late.
-            order(scene, run, &head.id, EndpointOrder::Leave { group })
-        }
+        // The members are told to leave once the group has ended.
+        None | Some(MarkState::Broken | MarkState::Joining | MarkState::Ready) => GroupStep::End,
         Some(MarkState::Open | MarkState::Closing) => {
             let lost = record.members.iter().any(|host| scene.is_missing(group, &host.id));
             let late = scene.now.since(since) > CLOSE_PATIENCE;
--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -11,7 +11,7 @@
 use briartray_model::names::{IncarnationId, ServiceName};
 use briartray_model::{SortedTable, TimePoint};
 
-use super::{EndpointBeat, EndpointReport};
+use super::{EndpointBeat, EndpointOrder, EndpointReport};
 
 /// Time between two reports of a group's member. A report costs a hundredth of a small request;
 /// 24 members asked this often cost 0.1% of what a deployment of 30 hosts earns.
@@ -41,6 +41,8 @@
     inherited: bool,
     /// Model of the last group it was ready in: it joins the next one with that model at once.
     pub warm: Option<String>,
+    /// Last order to get out of a group that has ended, and when it was given.
+    pub stray_order: Option<(EndpointOrder, TimePoint)>,
     /// Order to stage a model, and until when it is left to finish.
     pub staging: Option<(String, TimePoint)>,
 }
@@ -56,6 +58,7 @@
             probe_at,
             inherited: false,
             warm: None,
+            stray_order: None,
             staging: None,
         }
     }
--- a/crates/fleet/src/director/mod.rs
+++ b/crates/fleet/src/director/mod.rs
@@ -14,6 +14,7 @@
 mod plan;
 mod pulse;
 mod step;
+mod stray;
 
 pub use beat::{EndpointBeat, EndpointReport, GroupMark, MarkState};
 pub use demand::DemandBook;
--- a/crates/fleet/src/director/plan.rs
+++ b/crates/fleet/src/director/plan.rs
@@ -249,10 +249,14 @@
             if groups + coming >= targets[index] {
                 return None;
             }
-            // Spares of other models are worth more than one group among many.
+            // The last spare of another model is worth more than one group among many.
             let urgent = (groups as f64) < targets[index] as f64 * URGENT_PART;
-            let keep = |other: &ModelSpec| if urgent { 0 } else { spares_of(other) };
-            domains.retain(|domain| self.free_in(domain).len() >= model.size);
+            let keep = |_: &ModelSpec| if urgent { 0 } else { SPARES_KEPT };
+            domains.retain(|domain| {
+                // Hosts that a lost member left behind are of no use until they are completed.
+                let left_over = self.held(domain, model) % model.size > 0;
+                (urgent || left_over) && self.free_in(domain).len() >= model.size
+            });
             domains.sort_by_key(|domain| usize::MAX - self.held(domain, model) % model.size);
             domains.iter().find_map(|domain| self.stage_in(domain, model, targets, keep))
         })
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -11,6 +11,7 @@
 use super::loads::LoadLimiter;
 use super::plan::{FreeHost, GroupPlanner, PlanAction, PlanView};
 use super::pulse::PulseBook;
+use super::stray;
 use super::{
     EndpointBeat, EndpointOrder, EndpointReport, HostRecord, MarkState, OrderCall, OrderOutcome,
 };
@@ -196,6 +197,7 @@
             self.demand_at = now.after(DEMAND_EVERY);
         }
         self.note_warm(state);
+        output.orders.extend(stray::recall(now, &mut self.hosts, state));
         self.step_groups(now, state, plan, output);
         if self.open_commands > 0 {
             return;
@@ -433,6 +435,9 @@
                 continue;
             }
             hosts += 1;
+            if stray::is_stray(host, state) {
+                continue;
+            }
             let group = group_of(id);
             if group.is_some_and(|group| !group.standby) {
                 continue;
--- a/crates/fleet/src/entry/load.rs
+++ b/crates/fleet/src/entry/load.rs
@@ -1,19 +1,20 @@
 //! What one entry knows of the load of one target.
 //!
-//! The target tells its load with each answer, a moment late and with this entry's own requests in
-//! it. The rest is the other entries' load, which changes slowly: it is smoothed, and the own
-//! requests, known exactly, are added.
+//! The target tells its load with each answer, with this entry's own requests in it. The rest is
+//! the other entries' load, and the own requests, known exactly, are added. The last answer counts
+//! alone: smoothed over several, the figure lagged a second behind, every entry found room in the
+//! same full group, and requests waited for a second there instead of being refused at once.
 
 use std::time::Duration;
 
 use briartray_model::TimePoint;
 
-/// Weight of a new sample in the smoothed load of the other entries: three or four answers, a
-/// quarter of a second under load, replace what was known.
-const SAMPLE_WEIGHT: f64 = 0.35;
+/// Time for which what was told of the others counts in full: under load an entry gets three
+/// answers a second from each group.
+const FRESH: Duration = Duration::from_millis(1_000);
 
-/// Time after which what was told of the others has lost half its weight.
-const HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// Time after that in which it loses half its weight.
+const HALF_LIFE: Duration = Duration::from_millis(1_000);
 
 /// Load that a target told with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,10 +71,7 @@
     /// The target told its load.
     pub fn sample(&mut self, now: TimePoint, sample: LoadSample) {
         let total = f64::from(sample.running + sample.waiting);
-        let others = (total - f64::from(self.own)).max(0.0);
-        let known = self.others_now(now);
-        let weight = if self.sampled.is_none() { 1.0 } else { SAMPLE_WEIGHT };
-        self.others = known + (others - known) * weight;
+        self.others = (total - f64::from(self.own)).max(0.0);
         self.sampled = Some(now);
     }
 
@@ -94,7 +92,8 @@
 
     fn others_now(&self, now: TimePoint) -> f64 {
         let Some(sampled) = self.sampled else { return 0.0 };
-        let halves = now.since(sampled).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let stale = now.since(sampled).saturating_sub(FRESH);
+        let halves = stale.as_secs_f64() / HALF_LIFE.as_secs_f64();
         self.others * 0.5_f64.powf(halves)
     }
 }
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -27,9 +27,9 @@
 /// How long a target that failed is left alone before one request tries it.
 const SUSPECT_FOR: Duration = Duration::from_millis(2_000);
 
-/// Requests beyond a group's slots that are still sent: they start when the next one ends, 30 to
-/// 60 ms later under load.
-const QUEUE_BEYOND_SLOTS: f64 = 2.0;
+/// Slots of a group that are left free as far as this entry knows: several entries may fill the
+/// last ones at the same time.
+const SLOTS_LEFT: f64 = 1.0;
 
 /// Requests for each slot of a plain endpoint that may wait there; one takes 30 ms.
 const PLAIN_QUEUE: f64 = 3.0;
@@ -255,7 +255,7 @@
                 address: group.address.clone(),
             },
             near: group.zone == self.zone,
-            room: slots + QUEUE_BEYOND_SLOTS,
+            room: slots - SLOTS_LEFT,
         };
         self.view.groups.iter().filter(fits).map(candidate).collect()
     }
