Keep streams on groups that close for a planned reason; test voters that come and go

Cause: an entry gave up a group as soon as the leader no longer listed it as open. Attempts that a replica had not run counted towards the attempts of a route.

Change: only a silent target is given up; what did not run does not count. The leader tells voters of a change of seats at once, and trims them inside the agreement.

--- a/crates/control/src/agreement/core.rs
+++ b/crates/control/src/agreement/core.rs
@@ -374,8 +374,14 @@
             let Some(entry) = self.log.get(self.delivered.next()).cloned() else { return };
             self.delivered = entry.index;
             match &entry.payload {
-                EntryPayload::Admit(seat) => self.seat(seat.clone()),
-                EntryPayload::Dismiss(node) => self.unseat(node),
+                EntryPayload::Admit(seat) => {
+                    self.seat(seat.clone());
+                    self.hurry_beat();
+                }
+                EntryPayload::Dismiss(node) => {
+                    self.unseat(node);
+                    self.hurry_beat();
+                }
                 EntryPayload::Blank | EntryPayload::Command(_) => {}
             }
             let token = self.take_token(&entry);
--- a/crates/control/src/agreement/membership.rs
+++ b/crates/control/src/agreement/membership.rs
@@ -50,16 +50,22 @@
         lead.peers.retain(|node, _| peers.contains(node));
     }
 
-    /// Proposes that `node` votes no longer; `false` when that cannot be proposed now.
-    pub fn dismiss(&mut self, node: &NodeName) -> bool {
-        let seated = self.seats.iter().any(|seat| seat.node == *node);
-        let leads = matches!(self.role, RoleState::Leading(_));
-        if !leads || !seated || *node == self.node || !self.seats_settled() {
-            return false;
+    /// Proposes that a voter beyond the wanted number votes no longer, an absent one first.
+    ///
+    /// A host that was only away and comes back to find itself replaced takes part as any other.
+    pub fn trim_seats(&mut self) {
+        let MembershipMode::Dynamic { voters } = self.membership else { return };
+        if self.seats.len() <= voters || !self.seats_settled() {
+            return;
+        }
+        let RoleState::Leading(lead) = &self.role else { return };
+        let absent = |node: &NodeName| lead.peers.get(node).is_some_and(|peer| peer.absent);
+        let others = || self.seats.iter().map(|seat| &seat.node).filter(|node| **node != self.node);
+        let surplus = others().find(|node| absent(node)).or_else(|| others().next_back()).cloned();
+        if let Some(node) = surplus {
+            log::info!(node = node.as_str(); "a voter is removed");
+            self.change_seats(EntryPayload::Dismiss(node));
         }
-        log::info!(node = node.as_str(); "a voter is removed");
-        self.change_seats(EntryPayload::Dismiss(node.clone()));
-        true
     }
 
     /// Whether a seat may be proposed for `node` now.
@@ -96,6 +102,14 @@
         self.append(payload);
     }
 
+    /// Lets the voters know of a change at once: until they do, they count other majorities than
+    /// the leader, and could elect none without it.
+    pub(super) fn hurry_beat(&mut self) {
+        if let RoleState::Leading(lead) = &mut self.role {
+            lead.beat_due = true;
+        }
+    }
+
     pub(super) fn unseat(&mut self, node: &NodeName) {
         self.seats.retain(|seat| seat.node != *node);
         self.write_hard();
--- a/crates/control/tests/agreement/cluster.rs
+++ b/crates/control/tests/agreement/cluster.rs
@@ -89,10 +89,29 @@
     pub naive: ControlState,
     leaders: Vec<(u64, usize)>,
     next_folder: u64,
+    membership: MembershipMode,
+    /// Since when each host that has no process has none.
+    down_since: Vec<Option<TimePoint>>,
 }
 
+/// Time without a process after which a voter counts as gone.
+const ABSENT: Duration = Duration::from_secs(3);
+
 impl TestCluster {
     pub fn new(size: usize, seed: u64, faults: WireFaults) -> Self {
+        Self::with(size, seed, faults, MembershipMode::Fixed)
+    }
+
+    /// A cluster whose first host founds the log alone; `voters` of the hosts get seats.
+    pub fn dynamic(size: usize, voters: usize, seed: u64, faults: WireFaults) -> Self {
+        let mut cluster = Self::with(size, seed, faults, MembershipMode::Dynamic { voters });
+        let now = cluster.now;
+        let core = cluster.hosts[0].core.as_mut().expect("every host was started");
+        assert!(core.found_alone(now), "an empty folder can found the log");
+        cluster
+    }
+
+    fn with(size: usize, seed: u64, faults: WireFaults, membership: MembershipMode) -> Self {
         let mut cluster = Self {
             now: TimePoint(1_000_000),
             hosts: Vec::new(),
@@ -105,6 +124,8 @@
             naive: ControlState::default(),
             leaders: Vec::new(),
             next_folder: 1,
+            membership,
+            down_since: vec![None; size],
         };
         for _ in 0..size {
             let folder = cluster.new_folder();
@@ -139,10 +160,11 @@
             node: Self::name(host),
             folder: self.hosts[host].folder,
             members: (0..self.hosts.len().max(host + 1)).map(Self::name).collect(),
-            membership: MembershipMode::Fixed,
+            membership: self.membership,
             times: AgreementTimes::default(),
             seed: self.random.random_range(0..u64::MAX),
         };
+        self.down_since[host] = None;
         self.hosts[host].state = ControlState::default();
         self.hosts[host].applied = LogIndex(0);
         self.hosts[host].core =
@@ -158,6 +180,7 @@
         }
         self.hosts[host].core = None;
         self.hosts[host].inbox.clear();
+        self.down_since[host].get_or_insert(self.now);
     }
 
     /// Kills `host` and empties its data folder.
@@ -256,6 +279,7 @@
         }
         let inbox = std::mem::take(&mut self.hosts[host].inbox);
         let synced = self.finish_writes(host);
+        self.manage_voters(host);
         let Some(core) = &mut self.hosts[host].core else { return };
         for message in inbox {
             core.receive(now, message);
@@ -272,6 +296,36 @@
         self.note_leader(host);
     }
 
+    /// What the process around a core does with dynamic membership.
+    fn manage_voters(&mut self, host: usize) {
+        if self.membership == MembershipMode::Fixed {
+            return;
+        }
+        let now = self.now;
+        let names: Vec<NodeName> = (0..self.hosts.len()).map(Self::name).collect();
+        let absent: Vec<bool> = self
+            .down_since
+            .iter()
+            .map(|since| since.is_some_and(|since| now.since(since) > ABSENT))
+            .collect();
+        let Some(core) = &mut self.hosts[host].core else { return };
+        core.set_peers(now, &names);
+        if core.role() == MemberRole::Leader {
+            for (name, absent) in names.iter().zip(absent) {
+                core.mark_absent(name, absent);
+            }
+            core.trim_seats();
+        }
+    }
+
+    /// Names of the voters as the leader knows them.
+    pub fn voters(&self) -> Vec<NodeName> {
+        let leader = self.leader().and_then(|host| self.hosts[host].core.as_ref());
+        leader.map_or_else(Vec::new, |core| {
+            core.seats().iter().map(|seat| seat.node.clone()).collect()
+        })
+    }
+
     fn finish_writes(&mut self, host: usize) -> Vec<u64> {
         let now = self.now;
         let disk = &mut self.hosts[host].disk;
--- a/crates/control/tests/agreement/main.rs
+++ b/crates/control/tests/agreement/main.rs
@@ -2,5 +2,6 @@
 
 mod cluster;
 mod faults;
+mod membership;
 mod seeded;
 mod steps;
--- a/crates/fleet/src/entry/attempt.rs
+++ b/crates/fleet/src/entry/attempt.rs
@@ -35,12 +35,10 @@
 pub struct AttemptPlan {
     /// What may be repeated.
     pub kind: RepeatKind,
-    /// Replicas it was sent to.
-    pub sent: u32,
-    /// Replicas it may be sent to.
+    /// Replicas that may have run it, the attempt that ended counted in.
+    pub runs: u32,
+    /// Replicas that may run it.
     pub max_attempts: u32,
-    /// Whether an earlier attempt may have run.
-    pub may_have_run: bool,
     /// Whether there is time and budget for another attempt.
     pub may_try: bool,
 }
@@ -48,9 +46,9 @@
 impl AttemptPlan {
     /// What follows from `end`.
     pub fn next(&self, end: AttemptEnd) -> NextMove {
-        let may_have_run = self.may_have_run || end != AttemptEnd::NotRun;
+        let may_have_run = self.runs > 0 || end != AttemptEnd::NotRun;
         let repeatable = self.kind.may_repeat() || !may_have_run;
-        if repeatable && self.may_try && self.sent < self.max_attempts.max(1) {
+        if repeatable && self.may_try && self.runs < self.max_attempts.max(1) {
             return NextMove::SendAgain;
         }
         match end {
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -211,14 +211,12 @@
         silent
     }
 
-    /// Whether `target` is left alone, or is no longer among those that serve.
+    /// Whether nothing more is to be expected of `target`.
+    ///
+    /// One that takes no new work is not given up: a group that closes for a planned reason ends
+    /// what runs, and a request that was moved away could find no other place.
     pub fn is_given_up(&self, now: TimePoint, target: &TargetId) -> bool {
-        let suspect = self.loads.get(target).is_some_and(|load| load.is_suspect(now));
-        let open = match target {
-            TargetId::Group(group) => self.view.groups.iter().any(|g| g.group == *group && g.open),
-            TargetId::Endpoint(_) => true,
-        };
-        suspect || !open
+        self.loads.get(target).is_some_and(|load| load.is_suspect(now))
     }
 
     /// What this entry saw of the groups.
--- a/crates/gateway/src/control/voters.rs
+++ b/crates/gateway/src/control/voters.rs
@@ -34,9 +34,10 @@
 /// Time without a greeting after which a host is not offered to others.
 const SILENT: Duration = Duration::from_secs(3);
 
-/// Time without a greeting after which a voter counts as gone, if another host stands by. Hosts
-/// come back from a loss of power within four seconds.
-const ABSENT: Duration = Duration::from_secs(5);
+/// Time without a greeting after which a voter counts as gone, if another host stands by. The next
+/// loss may follow as soon as the other host has had a few seconds to catch up; a voter that comes
+/// back later takes part as any other host.
+const ABSENT: Duration = Duration::from_millis(1_800);
 
 /// Time after which a host that was never heard again is forgotten.
 const FORGET: Duration = Duration::from_secs(60);
@@ -208,23 +209,12 @@
         if self.leadership.is_none() {
             return;
         }
-        let wanted = 2 * self.parts.role.losses + 1;
         let own = self.parts.settings.node_name();
         let seats: Vec<NodeName> = agreement.seats().iter().map(|seat| seat.node.clone()).collect();
-        let mut surplus = None;
         for node in seats.iter().filter(|node| **node != own) {
-            let absent = self.hosts.is_silent(now, node, ABSENT);
-            agreement.mark_absent(node, absent);
-            if absent {
-                surplus = Some(node);
-            }
-        }
-        if seats.len() > wanted {
-            let last = seats.iter().rfind(|node| **node != own);
-            if let Some(node) = surplus.or(last) {
-                agreement.dismiss(node);
-            }
+            agreement.mark_absent(node, self.hosts.is_silent(now, node, ABSENT));
         }
+        agreement.trim_seats();
     }
 
     /// Whether enough hosts vote for a declaration to survive the stated losses.
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use briartray_fleet::deployment::{RepeatKind, RouteBook, RouteRule};
-use briartray_fleet::entry::{AttemptEnd, ChoiceRefusal, TargetChoice, TargetId};
+use briartray_fleet::entry::{
+    AttemptEnd, AttemptPlan, ChoiceRefusal, NextMove, TargetChoice, TargetId,
+};
 use briartray_model::TimePoint;
 use briartray_model::names::{ServiceName, TeamName};
 use briartray_platform::{AnswerHead, CallerHead, DispatchTerms, dispatch_request};
@@ -36,10 +38,14 @@
     pub(super) chosen: Rc<RefCell<Option<TargetId>>>,
     /// Targets it was sent to.
     pub(super) tried: Vec<TargetId>,
-    /// Whether an attempt may have run.
-    pub(super) may_have_run: bool,
+    /// Replicas that may have run it. One that said that it had not does not count towards the
+    /// attempts that the rule allows.
+    pub(super) runs: u32,
 }
 
+/// Sends beyond the attempts that a rule allows, when replicas did not take the request.
+const EXTRA_SENDS: u32 = 1;
+
 /// Counts a request on its target until it is dropped.
 pub(super) struct TargetGuard {
     state: Rc<EntryState>,
@@ -97,6 +103,25 @@
         self.left() > ANSWER_MARGIN * 2 && self.state.take_repeat(&self.service)
     }
 
+    /// What follows from the end of an attempt.
+    pub(super) fn next_move(&self, end: AttemptEnd) -> NextMove {
+        let sends = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        let may_send = sends < self.rule.max_attempts.max(1) + EXTRA_SENDS;
+        let plan = AttemptPlan {
+            kind: self.rule.kind,
+            runs: self.runs,
+            max_attempts: self.rule.max_attempts,
+            may_try: may_send,
+        };
+        match plan.next(end) {
+            // The budget is asked only when everything else allows another attempt.
+            NextMove::SendAgain if !self.may_try() => {
+                AttemptPlan { may_try: false, ..plan }.next(end)
+            }
+            next => next,
+        }
+    }
+
     /// Chooses a target.
     pub(super) fn choose(&self) -> Result<TargetChoice, ChoiceRefusal> {
         let model = self.head.model.as_deref();
@@ -200,7 +225,7 @@
 
     /// Notes how an attempt ended.
     pub(super) fn ended(&mut self, end: AttemptEnd) -> AttemptFailure {
-        self.may_have_run |= end != AttemptEnd::NotRun;
+        self.runs += u32::from(end != AttemptEnd::NotRun);
         AttemptFailure::Ended(end)
     }
 }
--- a/crates/gateway/src/entry/plain.rs
+++ b/crates/gateway/src/entry/plain.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use briartray_fleet::entry::{AttemptEnd, AttemptPlan, ChoiceRefusal, NextMove};
+use briartray_fleet::entry::{AttemptEnd, ChoiceRefusal, NextMove};
 use briartray_platform::answer_headers;
 use bytes::Bytes;
 use http::Response;
@@ -29,7 +29,7 @@
         let end = match attempt(&mut request).await {
             Ok(answer) if !answer.head.status.is_server_error() => return pass_on(answer),
             Ok(answer) => {
-                request.may_have_run = true;
+                request.runs += 1;
                 failed_answer = Some(answer);
                 AttemptEnd::RunFailed
             }
@@ -41,21 +41,7 @@
                 };
             }
         };
-        let plan = AttemptPlan {
-            kind: request.rule.kind,
-            sent: u32::try_from(request.tried.len()).unwrap_or(u32::MAX),
-            max_attempts: request.rule.max_attempts,
-            may_have_run: request.may_have_run,
-            may_try: true,
-        };
-        let next = match plan.next(end) {
-            // The budget is asked only when everything else allows another attempt.
-            NextMove::SendAgain if !request.may_try() => {
-                AttemptPlan { may_try: false, ..plan }.next(end)
-            }
-            next => next,
-        };
-        match (next, failed_answer.take()) {
+        match (request.next_move(end), failed_answer.take()) {
             (NextMove::SendAgain, answer) => failed_answer = answer,
             (_, Some(answer)) => return pass_on(answer),
             (NextMove::Refuse, None) => return refuse(RefusalKind::NotRun),
@@ -102,7 +88,7 @@
 /// The truth about a request for which there is no target (any more).
 pub(super) fn no_target(request: &ServedRequest, refusal: ChoiceRefusal) -> RefusalKind {
     match refusal {
-        _ if request.may_have_run => RefusalKind::Unknown,
+        _ if request.runs > 0 => RefusalKind::Unknown,
         ChoiceRefusal::Full => RefusalKind::Full,
         ChoiceRefusal::NoReplica => RefusalKind::NoReplica,
     }
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use briartray_fleet::entry::{AttemptEnd, AttemptPlan, EventCutter, NextMove, StreamEvent};
+use briartray_fleet::entry::{AttemptEnd, EventCutter, NextMove, StreamEvent};
 use briartray_platform::answer_headers;
 use bytes::Bytes;
 use http::Response;
@@ -105,7 +105,7 @@
                     }
                     StreamStep::End => return Ok((stream, None)),
                     StreamStep::Event(_) | StreamStep::Broken => {
-                        request.may_have_run = true;
+                        request.runs += 1;
                         AttemptEnd::MayHaveRun
                     }
                 }
@@ -115,7 +115,7 @@
                 return Err(OpenFailure::Refused(no_target(request, refusal)));
             }
         };
-        match next_move(request, end) {
+        match request.next_move(end) {
             NextMove::SendAgain => {}
             NextMove::Refuse => return Err(OpenFailure::Refused(RefusalKind::NotRun)),
             NextMove::Unknown | NextMove::PassOn => {
@@ -127,22 +127,6 @@
     }
 }
 
-fn next_move(request: &ServedRequest, end: AttemptEnd) -> NextMove {
-    let plan = AttemptPlan {
-        kind: request.rule.kind,
-        sent: u32::try_from(request.tried.len()).unwrap_or(u32::MAX),
-        max_attempts: request.rule.max_attempts,
-        may_have_run: request.may_have_run,
-        may_try: true,
-    };
-    match plan.next(end) {
-        NextMove::SendAgain if !request.may_try() => {
-            AttemptPlan { may_try: false, ..plan }.next(end)
-        }
-        next => next,
-    }
-}
-
 /// Whether an event may follow the last one that the caller has.
 fn follows(last: Option<u64>, id: Option<u64>) -> bool {
     match (last, id) {
@@ -167,8 +151,7 @@
     last: Option<u64>,
 ) -> Result<LiveAnswer, AttemptFailure> {
     let state = std::rc::Rc::clone(&request.state);
-    let movable = request.rule.kind.may_repeat()
-        && request.tried.len() + 1 < request.rule.max_attempts as usize;
+    let movable = request.rule.kind.may_repeat() && request.runs + 1 < request.rule.max_attempts;
     let chosen = std::rc::Rc::clone(&request.chosen);
     let abandoned = async {
         loop {
@@ -271,8 +254,8 @@
             }
             StreamStep::End => return true,
             StreamStep::Broken => {
-                request.may_have_run = true;
-                if next_move(request, AttemptEnd::MayHaveRun) != NextMove::SendAgain {
+                request.runs += 1;
+                if request.next_move(AttemptEnd::MayHaveRun) != NextMove::SendAgain {
                     return false;
                 }
                 let Ok((resumed, event)) = open(request, position.last).await else {
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -71,7 +71,7 @@
         body,
         chosen: Rc::default(),
         tried: Vec::new(),
-        may_have_run: false,
+        runs: 0,
     })
 }
 
