--- a/crates/fleet/src/director/plan.rs
+++ b/crates/fleet/src/director/plan.rs
@@ -5,7 +5,7 @@
 //! the weights that the next repair will want. Hosts of one group share a fabric domain: across
 //! domains a group runs several times slower.
 
-use briartray_model::names::{DomainName, IncarnationId, ServiceName, ZoneName};
+use briartray_model::names::{DomainName, GroupId, IncarnationId, ServiceName, ZoneName};
 
 use crate::deployment::{EngineModel, ModelSpec};
 use crate::state::{GroupHost, GroupRecord};
@@ -74,8 +74,8 @@
     pub engine: &'a EngineModel,
     /// Hosts in no group that serves.
     pub free: Vec<FreeHost>,
-    /// Domains of the groups that serve or form, by model in the order of the engine's models.
-    pub groups: Vec<Vec<DomainName>>,
+    /// Groups that serve or form with their domains, by model in the order of the engine's models.
+    pub groups: Vec<Vec<(GroupId, DomainName)>>,
     /// Hosts that are alive.
     pub hosts: usize,
     /// Work that callers ask for by model, in groups kept busy; `None` before it is known.
@@ -94,6 +94,8 @@
         /// Members without the weights.
         loads: usize,
     },
+    /// Let a group end in peace, so that its hosts can serve a model that has none.
+    End(GroupId),
     /// Stage a model on a free host.
     Stage {
         /// The host.
@@ -140,7 +142,10 @@
     /// The next action, the most urgent one; `None` when nothing is to be done.
     pub fn next(&self) -> Option<PlanAction> {
         let targets = self.targets();
-        self.form(&targets).or_else(|| self.warm_up()).or_else(|| self.stage(&targets))
+        self.form(&targets)
+            .or_else(|| self.warm_up())
+            .or_else(|| self.stage(&targets))
+            .or_else(|| self.reclaim())
     }
 
     /// Models by how much they lack, the one that lacks most first.
@@ -172,12 +177,16 @@
         let model = &self.view.engine.models[index];
         let mut best: Option<(usize, usize, usize, Vec<&FreeHost>)> = None;
         for domain in self.domains() {
+            if self.reserved().is_some_and(|(held, other)| held == domain && other != index) {
+                continue;
+            }
             let mut hosts = self.free_in(&domain);
             hosts.retain(|host| host.staging.is_none());
             let with_weights = hosts.iter().filter(|host| host.has(&model.name)).count();
             // Spares serve their own domain only: where no group is left to mend, they are of most
             // use as one.
-            let alone = !self.view.groups[index].contains(&domain);
+            let same = self.view.groups[index].iter().filter(|(_, other)| *other == domain).count();
+            let alone = same == 0;
             let kept = if alone { 0 } else { spares };
             if spares > 0 && with_weights < model.size + kept {
                 continue;
@@ -193,7 +202,6 @@
                 continue;
             }
             // Spread over the domains, since a whole domain can go dark.
-            let same = self.view.groups[index].iter().filter(|other| **other == domain).count();
             let rank = (loads, same, usize::MAX - taken);
             if best.as_ref().is_none_or(|(a, b, c, _)| rank < (*a, *b, *c)) {
                 best = Some((rank.0, rank.1, rank.2, hosts));
@@ -203,6 +211,51 @@
         Some(PlanAction::Form { group: self.record(model, &hosts), loads })
     }
 
+    /// The domain whose free hosts are kept for a model that has no group at all: the one that
+    /// has most of its weights, among those with hosts enough.
+    fn reserved(&self) -> Option<(DomainName, usize)> {
+        let index = self.starved()?;
+        let model = &self.view.engine.models[index];
+        let mut domains = self.domains();
+        domains.retain(|domain| self.free_in(domain).len() >= model.size);
+        let domain = domains.into_iter().max_by_key(|domain| self.held(domain, model))?;
+        Some((domain, index))
+    }
+
+    /// A model that callers ask for and no group serves.
+    fn starved(&self) -> Option<usize> {
+        if !self.view.serving {
+            return None;
+        }
+        (0..self.view.groups.len()).find(|index| self.view.groups[*index].is_empty())
+    }
+
+    /// Ends a group of another model where that gives a starved one hosts enough.
+    ///
+    /// Without this a few losses in each domain could leave a large model without any group for
+    /// good: its hosts wait in all domains, and none has enough of them.
+    fn reclaim(&self) -> Option<PlanAction> {
+        let index = self.starved()?;
+        if self.reserved().is_some() {
+            return None;
+        }
+        let model = &self.view.engine.models[index];
+        let mut domains = self.domains();
+        domains.sort_by_key(|domain| usize::MAX - self.held(domain, model));
+        domains.iter().find_map(|domain| {
+            let missing = model.size.checked_sub(self.free_in(domain).len())?;
+            let others = self.view.engine.models.iter().zip(&self.view.groups);
+            let mut groups = others.filter(|(other, groups)| {
+                // Never the last group of a model.
+                groups.len() > 1 && other.size >= missing
+            });
+            groups.find_map(|(_, groups)| {
+                let group = groups.iter().find(|(_, place)| place == domain)?;
+                Some(PlanAction::End(group.0))
+            })
+        })
+    }
+
     /// Lets a spare join a group of its own, so that its model is warm when it is needed.
     fn warm_up(&self) -> Option<PlanAction> {
         self.view.free.iter().filter(|host| !host.standby).find_map(|host| {
@@ -254,7 +307,7 @@
             let keep = |_: &ModelSpec| if urgent { 0 } else { SPARES_KEPT };
             domains.retain(|domain| {
                 // Hosts that a lost member left behind are of no use until they are completed.
-                let left_over = self.held(domain, model) % model.size > 0;
+                let left_over = !self.held(domain, model).is_multiple_of(model.size);
                 (urgent || left_over) && self.free_in(domain).len() >= model.size
             });
             domains.sort_by_key(|domain| usize::MAX - self.held(domain, model) % model.size);
@@ -293,6 +346,9 @@
         targets: &[usize],
         keep: impl Fn(&ModelSpec) -> usize,
     ) -> Option<PlanAction> {
+        // For a model without any group the others give hosts although they lack groups as well.
+        let starved =
+            self.starved().is_some_and(|index| self.view.engine.models[index].name == model.name);
         let mut hosts = self.free_in(domain);
         hosts.retain(|host| host.staging.is_none() && !host.has(&model.name));
         hosts.sort_by_key(|host| !host.staged.is_empty());
@@ -300,7 +356,7 @@
             let held = self.view.engine.models.iter().position(|other| host.has(&other.name));
             held.is_none_or(|index| {
                 let other = &self.view.engine.models[index];
-                let whole = self.view.groups[index].len() >= targets[index];
+                let whole = starved || self.view.groups[index].len() >= targets[index];
                 whole && self.held(domain, other) > keep(other)
             })
         })?;
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -385,6 +385,11 @@
                     self.stage(now, engine, &host, model, output);
                 }
             }
+            Some(PlanAction::End(group)) => {
+                if let Some(run) = self.runs.get_mut(&group) {
+                    run.ending = Some(now);
+                }
+            }
             Some(PlanAction::Form { .. }) | None => {}
         }
     }
@@ -466,7 +471,7 @@
                         && record.model == model
                         && !ends(group)
                 })
-                .map(|(_, record)| record.domain.clone())
+                .map(|(group, record)| (*group, record.domain.clone()))
                 .collect()
         };
         let groups = engine.models.iter().map(|model| serving_groups(&model.name)).collect();
--- /dev/null
+++ b/crates/fleet/tests/director/fleet.rs
@@ -0,0 +1,427 @@
+//! Fixtures: stand-in endpoints under a director, stepped in one thread, and the promises that are
+//! checked at every step.
+
+use std::time::Duration;
+
+use briartray_fleet::deployment::{
+    CallerLimits, DeploymentPlan, EngineModel, ModelSpec, ServiceSpec,
+};
+use briartray_fleet::director::{EndpointBeat, FleetDirector, MarkState, OrderCall, OrderOutcome};
+use briartray_fleet::message::{EntryReport, GroupPulse, ModelDemand, ViewVersion};
+use briartray_fleet::state::{FleetCommand, FleetState};
+use briartray_model::TimePoint;
+use briartray_model::names::{
+    DomainName, GroupId, IncarnationId, NodeName, ServiceName, TermNumber, ZoneName,
+};
+use briartray_standin::group_host::{HostModel, HostPlace};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Time of one step.
+pub const STEP: Duration = Duration::from_millis(20);
+
+/// Time between two beats.
+const BEAT: Duration = Duration::from_millis(1_200);
+
+/// Time after which an entry finds a group silent.
+const SILENCE: Duration = Duration::from_millis(400);
+
+/// Hosts of one fabric domain.
+pub const DOMAIN: usize = 10;
+
+/// The large model, of four hosts.
+pub const LARGE: &str = "large";
+
+/// The small model, of two.
+pub const SMALL: &str = "small";
+
+/// A deployment of two models over one pool of hosts.
+pub fn two_models() -> DeploymentPlan {
+    let model = |name: &str, size, pace, load, warmup| ModelSpec {
+        name: name.to_owned(),
+        size,
+        share: 0.5,
+        pace,
+        load_time: Duration::from_secs(load),
+        warmup: Duration::from_millis(warmup),
+    };
+    let engine = EngineModel {
+        slots: 34,
+        kv_tokens: 1_860_000,
+        stride: 5,
+        step: Duration::from_micros(7_800),
+        per_writer_ms: 0.0947,
+        per_context_ms: 0.0096,
+        read_rate: 45_900.0,
+        pairs_ms: 0.433,
+        chunk: 2_048,
+        loads_per_second: 3.0,
+        loads_at_once: 6,
+        formation: Duration::from_millis(300),
+        models: vec![model(LARGE, 4, 1.0, 16, 1_600), model(SMALL, 2, 0.6, 12, 1_100)],
+    };
+    let service = ServiceSpec {
+        name: ServiceName::new("desk"),
+        health_path: "/health".to_owned(),
+        max_connections: 400,
+        engine: Some(engine),
+    };
+    let limits = CallerLimits {
+        max_head_bytes: 16_384,
+        max_body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    DeploymentPlan {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service],
+        limits,
+        teams: Vec::new(),
+    }
+}
+
+/// An endpoint and whether it can be reached.
+pub struct TestHost {
+    pub model: HostModel,
+    pub alive: bool,
+    /// Cut off from the control hosts, while entries still reach it.
+    pub cut: bool,
+    beat_at: TimePoint,
+}
+
+/// How orders fare.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OrderFaults {
+    /// Orders in a hundred that get no answer and are carried out 2 to 12 s later.
+    pub late: u32,
+    /// Probes in a hundred that get no answer.
+    pub lost_probes: u32,
+}
+
+/// Endpoints, the agreed state, and whoever leads.
+pub struct TestFleet {
+    pub now: TimePoint,
+    pub hosts: Vec<TestHost>,
+    pub state: FleetState,
+    pub director: FleetDirector,
+    pub faults: OrderFaults,
+    pub random: ChaCha8Rng,
+    /// Work that callers ask for a second, in groups: large, small.
+    pub demand: (f64, f64),
+    /// Whether callers have begun to ask.
+    pub serving: bool,
+    plan: DeploymentPlan,
+    term: u64,
+    late: Vec<(TimePoint, OrderCall, u64)>,
+    /// Members that were ready for a group.
+    ready: Vec<(GroupId, IncarnationId)>,
+    moved: Vec<(GroupId, TimePoint)>,
+    report_at: TimePoint,
+    next_id: u64,
+}
+
+impl TestFleet {
+    /// Three domains of ten hosts, all just started.
+    pub fn new(seed: u64) -> Self {
+        let now = TimePoint(1_000_000);
+        let mut fleet = Self {
+            now,
+            hosts: Vec::new(),
+            state: FleetState::default(),
+            director: FleetDirector::default(),
+            faults: OrderFaults::default(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            demand: (2.0, 4.0),
+            serving: false,
+            plan: two_models(),
+            term: 1,
+            late: Vec::new(),
+            ready: Vec::new(),
+            moved: Vec::new(),
+            report_at: now,
+            next_id: 0,
+        };
+        fleet.director = FleetDirector::new(now, &fleet.state);
+        for domain in 0..3 {
+            for _ in 0..DOMAIN {
+                fleet.add_host(domain);
+            }
+        }
+        fleet
+    }
+
+    /// A fleet whose groups serve, with callers.
+    pub fn serving(seed: u64) -> Self {
+        let mut fleet = Self::new(seed);
+        fleet.run_for(Duration::from_secs(40));
+        fleet.serving = true;
+        fleet.run_for(Duration::from_secs(20));
+        fleet
+    }
+
+    /// Adds an empty host.
+    pub fn add_host(&mut self, domain: usize) -> usize {
+        self.next_id += 1;
+        let place = HostPlace {
+            id: IncarnationId::new(&format!("i-{:04}", self.next_id)),
+            service: ServiceName::new("desk"),
+            address: format!("10.{domain}.0.{}:80", self.next_id),
+            zone: ZoneName::new(&format!("zone-{domain}")),
+            domain: DomainName::new(&format!("domain-{domain}")),
+        };
+        let beat_at = self.now.after(Duration::from_millis(self.random.random_range(0..1_200)));
+        self.hosts.push(TestHost {
+            model: HostModel::new(place),
+            alive: true,
+            cut: false,
+            beat_at,
+        });
+        self.hosts.len() - 1
+    }
+
+    /// Another host leads from now on; it knows what was agreed, and nothing else.
+    pub fn change_leader(&mut self) {
+        self.term += 1;
+        self.director = FleetDirector::new(self.now, &self.state);
+    }
+
+    /// Hosts that are in a group which serves, by position.
+    pub fn grouped(&self) -> Vec<usize> {
+        let open: Vec<&IncarnationId> = self
+            .open_groups()
+            .iter()
+            .filter_map(|group| self.state.groups().get(group))
+            .flat_map(|record| record.members.iter().map(|member| &member.id))
+            .collect();
+        (0..self.hosts.len())
+            .filter(|host| open.contains(&&self.hosts[*host].model.place.id))
+            .collect()
+    }
+
+    /// Groups whose head is open and whose members are all there.
+    pub fn open_groups(&self) -> Vec<GroupId> {
+        let whole =
+            |(group, _): &(&GroupId, &briartray_fleet::state::GroupRecord)| self.is_whole(**group);
+        self.state.groups().iter().filter(whole).map(|(group, _)| *group).collect()
+    }
+
+    /// Groups of `model` that serve.
+    pub fn open_of(&self, model: &str) -> usize {
+        let of = |group: &GroupId| {
+            self.state.groups().get(group).is_some_and(|record| record.model == model)
+        };
+        self.open_groups().iter().filter(|group| of(group)).count()
+    }
+
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now.after(time);
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Steps until `done` holds and tells how long it took; panics when that is over `limit`.
+    pub fn run_until(
+        &mut self,
+        limit: Duration,
+        what: &str,
+        done: impl Fn(&Self) -> bool,
+    ) -> Duration {
+        let start = self.now;
+        while !done(self) {
+            assert!(self.now.since(start) < limit, "not in time: {what}");
+            self.step();
+        }
+        self.now.since(start)
+    }
+
+    pub fn step(&mut self) {
+        self.now = self.now.after(STEP);
+        self.carry_late();
+        self.step_hosts();
+        self.report();
+        let output = self.director.step(self.now, &self.state, &self.plan);
+        for probe in output.probes {
+            self.probe(&probe.id);
+        }
+        for call in output.orders {
+            self.order(call);
+        }
+        for command in output.commands {
+            self.state.apply(&command);
+            self.director.command_done();
+            if let FleetCommand::FormGroup(_) = command {
+                let plan = self.plan.clone();
+                let more = self.director.step(self.now, &self.state, &plan);
+                more.orders.into_iter().for_each(|call| self.order(call));
+                more.probes.iter().for_each(|probe| self.probe(&probe.id));
+                for command in more.commands {
+                    self.state.apply(&command);
+                    self.director.command_done();
+                }
+            }
+        }
+    }
+
+    fn position(&self, id: &IncarnationId) -> Option<usize> {
+        self.hosts.iter().position(|host| host.model.place.id == *id)
+    }
+
+    fn is_whole(&self, group: GroupId) -> bool {
+        let Some(record) = self.state.groups().get(&group) else { return false };
+        let member = |id: &IncarnationId| {
+            let host = &self.hosts[self.position(id)?];
+            let member = host.model.member.as_ref().filter(|_| host.alive)?;
+            (member.group == group).then_some(member.state)
+        };
+        let states: Vec<_> = record.members.iter().map(|host| member(&host.id)).collect();
+        states.first() == Some(&Some(MarkState::Open)) && states.iter().all(Option::is_some)
+    }
+
+    fn step_hosts(&mut self) {
+        for position in 0..self.hosts.len() {
+            let now = self.now;
+            let host = &mut self.hosts[position];
+            if !host.alive {
+                continue;
+            }
+            let changed = host.model.tick(now);
+            let due = changed || now >= host.beat_at;
+            if let Some(member) = &host.model.member
+                && member.state == MarkState::Ready
+            {
+                let seen = (member.group, host.model.place.id.clone());
+                if !self.ready.contains(&seen) {
+                    self.ready.push(seen);
+                }
+            }
+            if due && !host.cut {
+                host.beat_at = now.after(BEAT);
+                let beat = host.model.beat();
+                self.beat(beat);
+            }
+            self.check_open(position);
+        }
+    }
+
+    fn beat(&mut self, beat: EndpointBeat) {
+        if beat.leaving {
+            self.state.apply(&FleetCommand::MarkLeaving(beat.id.clone()));
+        }
+        self.director.beat(self.now, beat);
+    }
+
+    fn probe(&mut self, id: &IncarnationId) {
+        let answers = |host: &TestHost| host.alive && !host.cut;
+        let lost = self.random.random_range(0..100) < self.faults.lost_probes;
+        let host = self.position(id).map(|position| &self.hosts[position]);
+        let report = host.filter(|host| answers(host) && !lost).map(|host| host.model.report());
+        self.director.probed(self.now, id, report);
+    }
+
+    fn order(&mut self, call: OrderCall) {
+        if self.random.random_range(0..100) < self.faults.late {
+            let wait = Duration::from_millis(self.random.random_range(2_000..12_000));
+            self.late.push((self.now.after(wait), call.clone(), self.term));
+            return self.director.ordered(self.now, &call, OrderOutcome::Unknown);
+        }
+        let outcome = self.carry_out(&call, self.term);
+        self.director.ordered(self.now, &call, outcome);
+    }
+
+    fn carry_late(&mut self) {
+        let now = self.now;
+        let (due, waiting) = std::mem::take(&mut self.late).into_iter().partition(|l| l.0 <= now);
+        self.late = waiting;
+        let due: Vec<(TimePoint, OrderCall, u64)> = due;
+        for (_, call, term) in due {
+            self.carry_out(&call, term);
+        }
+    }
+
+    fn carry_out(&mut self, call: &OrderCall, term: u64) -> OrderOutcome {
+        let Some(position) = self.position(&call.id) else { return OrderOutcome::Unknown };
+        let host = &self.hosts[position];
+        if !host.alive || host.cut {
+            return OrderOutcome::Unknown;
+        }
+        let before = host.model.member.clone();
+        let engine = self.plan.services[0].engine.clone().expect("the fixture has an engine");
+        let now = self.now;
+        let outcome = self.hosts[position].model.order(now, &call.order, term, &engine);
+        let after = self.hosts[position].model.member.clone();
+        if let (Some(before), Some(after)) = (before, after) {
+            self.check_join(&call.id, before, after.group);
+        }
+        outcome
+    }
+
+    /// No host may be taken into another group while the head of its own still serves.
+    fn check_join(
+        &self,
+        id: &IncarnationId,
+        before: briartray_standin::group_host::Membership,
+        group: GroupId,
+    ) {
+        if before.group == group {
+            return;
+        }
+        let head = before.members.first().and_then(|head| self.position(head));
+        let serves = head.is_some_and(|head| {
+            let host = &self.hosts[head];
+            let open = host.model.member.as_ref().is_some_and(|member| {
+                member.group == before.group
+                    && matches!(member.state, MarkState::Open | MarkState::Closing)
+            });
+            host.alive && open
+        });
+        assert!(!serves, "{id} joins group {group} while group {} serves", before.group);
+    }
+
+    /// No group may serve before each of its members was ready for it.
+    fn check_open(&self, position: usize) {
+        let host = &self.hosts[position].model;
+        let Some(member) = host.member.as_ref().filter(|m| m.state == MarkState::Open) else {
+            return;
+        };
+        for id in &member.members {
+            let seen = (member.group, id.clone());
+            assert!(self.ready.contains(&seen), "group {} opened without {id}", member.group);
+        }
+    }
+
+    /// What an entry sees: whole groups move, others fall silent.
+    fn report(&mut self) {
+        for group in self.open_groups() {
+            self.moved.retain(|(known, _)| *known != group);
+            self.moved.push((group, self.now));
+        }
+        if !self.serving || self.now < self.report_at {
+            return;
+        }
+        let since = Duration::from_millis(100);
+        self.report_at = self.now.after(since);
+        let pulse = |(group, moved): &(GroupId, TimePoint)| GroupPulse {
+            group: *group,
+            quiet_ms: u64::try_from(self.now.since(*moved).as_millis()).ok(),
+            running: 1,
+            suspect: self.now.since(*moved) > SILENCE,
+        };
+        let ask = |model: &str, groups: f64| ModelDemand {
+            service: ServiceName::new("desk"),
+            model: model.to_owned(),
+            work_ms: groups * since.as_secs_f64() * 1e3,
+        };
+        let report = EntryReport {
+            node: NodeName::new("entry"),
+            nonce: 0,
+            plan: Some(1),
+            view: ViewVersion { term: TermNumber(self.term), number: 0 },
+            pulses: self.moved.iter().map(pulse).collect(),
+            demand: vec![ask(LARGE, self.demand.0), ask(SMALL, self.demand.1)],
+            serving: true,
+        };
+        self.director.report(self.now, &report, &self.state);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/director/losses.rs
@@ -0,0 +1,139 @@
+//! Single losses, each with the time until the group serves again.
+
+use std::time::Duration;
+
+use crate::fleet::{LARGE, OrderFaults, SMALL, TestFleet};
+
+/// Longest time until a group serves again when a warm spare stands by: silence, one probe, close
+/// and leave, join, open.
+const MENDED: Duration = Duration::from_millis(1_600);
+
+/// A host of `model` that serves; the head of its group, or another member.
+fn member_of(fleet: &TestFleet, model: &str, head: bool) -> usize {
+    let group = fleet
+        .open_groups()
+        .into_iter()
+        .filter_map(|group| fleet.state.groups().get(&group))
+        .find(|record| record.model == model)
+        .expect("a group of the model serves");
+    let id = if head { &group.members[0].id } else { &group.members[1].id };
+    fleet.hosts.iter().position(|host| host.model.place.id == *id).expect("a member is a host")
+}
+
+/// Thirty hosts are started together, before any caller asks for anything. Ten seconds later both
+/// models are served, and each domain holds a spare for its large group.
+#[test]
+fn a_first_start_forms_groups_of_both_models() {
+    let mut fleet = TestFleet::new(1);
+
+    fleet.run_for(Duration::from_secs(40));
+
+    assert_eq!(fleet.open_of(LARGE), 3);
+    assert_eq!(fleet.open_of(SMALL), 6);
+}
+
+/// A host of a large group dies. Callers of that model see late answers until a spare, which
+/// was kept warm, takes its place.
+#[test]
+fn a_dead_member_is_replaced_by_a_warm_spare() {
+    let mut fleet = TestFleet::serving(2);
+    let before = fleet.open_of(LARGE);
+    let dead = member_of(&fleet, LARGE, false);
+
+    fleet.hosts[dead].alive = false;
+
+    let took =
+        fleet.run_until(MENDED, "the group is mended", |fleet| fleet.open_of(LARGE) == before);
+    assert!(took > Duration::ZERO);
+}
+
+/// The first host of a group dies, which is the one that takes requests and orders. Its members
+/// know nothing of it; they are told to leave and form another group with a spare.
+#[test]
+fn a_dead_head_frees_its_members() {
+    let mut fleet = TestFleet::serving(3);
+    let before = fleet.open_of(LARGE);
+    let dead = member_of(&fleet, LARGE, true);
+
+    fleet.hosts[dead].alive = false;
+
+    fleet.run_until(MENDED, "another group in its place", |fleet| fleet.open_of(LARGE) == before);
+}
+
+/// The control hosts lose sight of a group's first host, while callers are still served by it. The
+/// group is left alone: taken apart it would have been in two groups at once.
+#[test]
+fn a_group_that_callers_reach_is_left_alone() {
+    let mut fleet = TestFleet::serving(4);
+    let head = member_of(&fleet, SMALL, true);
+    let groups = fleet.open_groups();
+
+    fleet.hosts[head].cut = true;
+    fleet.run_for(Duration::from_secs(8));
+
+    assert_eq!(fleet.open_groups(), groups);
+}
+
+/// A link loses packets, and one probe in five gets no answer for ten seconds. The groups work all
+/// the while, and none of them is taken apart.
+#[test]
+fn lost_probes_alone_break_nothing() {
+    let mut fleet = TestFleet::serving(5);
+    let groups = fleet.open_groups();
+    fleet.faults = OrderFaults { late: 0, lost_probes: 20 };
+
+    fleet.run_for(Duration::from_secs(10));
+
+    assert_eq!(fleet.open_groups(), groups);
+}
+
+/// A host announces that it will leave. Its group takes no new work at once, ends what runs, and
+/// another group serves in its place without it.
+#[test]
+fn a_leaving_member_ends_its_group_in_peace() {
+    let mut fleet = TestFleet::serving(6);
+    let before = fleet.open_of(LARGE);
+    let leaving = member_of(&fleet, LARGE, false);
+
+    fleet.hosts[leaving].model.leaving = true;
+    fleet.run_for(Duration::from_secs(6));
+
+    assert_eq!(fleet.open_of(LARGE), before);
+    assert!(!fleet.grouped().contains(&leaving));
+}
+
+/// The leading control host dies in the middle of a repair. The next one knows the endpoints from
+/// the log, asks them at once, and finishes what was begun.
+#[test]
+fn the_next_leader_finishes_a_repair() {
+    let mut fleet = TestFleet::serving(7);
+    let before = fleet.open_of(LARGE);
+    let dead = member_of(&fleet, LARGE, false);
+    fleet.hosts[dead].alive = false;
+    fleet.run_for(Duration::from_millis(500));
+
+    fleet.change_leader();
+
+    fleet.run_until(Duration::from_secs(4), "the repair", |fleet| fleet.open_of(LARGE) == before);
+}
+
+/// A whole fabric domain loses power. What is left serves both models, and when the domain is back
+/// its hosts are used again.
+#[test]
+fn a_dark_domain_leaves_both_models_served() {
+    let mut fleet = TestFleet::serving(8);
+    let domain = |host: &crate::fleet::TestHost| host.model.place.domain.as_str() == "domain-0";
+
+    for host in fleet.hosts.iter_mut().filter(|host| domain(host)) {
+        host.alive = false;
+    }
+    fleet.run_for(Duration::from_secs(4));
+    assert!(fleet.open_of(LARGE) >= 2);
+    assert!(fleet.open_of(SMALL) >= 4);
+
+    for _ in 0..crate::fleet::DOMAIN {
+        fleet.add_host(0);
+    }
+    fleet.run_for(Duration::from_secs(60));
+    assert!(fleet.open_of(LARGE) >= 3);
+}
--- /dev/null
+++ b/crates/fleet/tests/director/main.rs
@@ -0,0 +1,6 @@
+//! The director against stand-in endpoints: groups are formed, mended and taken apart while
+//! orders are lost or late, hosts die, and leaders change.
+
+mod fleet;
+mod losses;
+mod seeded;
--- /dev/null
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -0,0 +1,229 @@
+//! What an entry decides: lease, budget, choice, repeats, and whole events.
+
+use std::time::Duration;
+
+use briartray_fleet::deployment::{
+    CallerLimits, DeploymentPlan, EngineModel, ModelSpec, RepeatKind, RouteBook, ServiceSpec,
+};
+use briartray_fleet::entry::{
+    AttemptEnd, AttemptPlan, ChoiceRefusal, EntryLease, EventCutter, LoadSample, NextMove,
+    RetryBudget, TargetId, TargetTable,
+};
+use briartray_fleet::message::{EndpointView, FleetView, GroupView};
+use briartray_model::TimePoint;
+use briartray_model::names::{GroupId, IncarnationId, ServiceName, ZoneName};
+
+const SLOTS: u32 = 34;
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint(10_000_000 + millis * 1_000)
+}
+
+fn book() -> RouteBook {
+    let engine = EngineModel {
+        slots: 34,
+        kv_tokens: 1_000_000,
+        stride: 5,
+        step: Duration::from_millis(8),
+        per_writer_ms: 0.1,
+        per_context_ms: 0.01,
+        read_rate: 46_000.0,
+        pairs_ms: 0.4,
+        chunk: 2_048,
+        loads_per_second: 3.0,
+        loads_at_once: 6,
+        formation: Duration::from_millis(300),
+        models: vec![ModelSpec {
+            name: "small".to_owned(),
+            size: 2,
+            share: 1.0,
+            pace: 0.6,
+            load_time: Duration::from_secs(12),
+            warmup: Duration::from_secs(1),
+        }],
+    };
+    let service = |name: &str, engine| ServiceSpec {
+        name: ServiceName::new(name),
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+        engine,
+    };
+    RouteBook::compile(DeploymentPlan {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service("desk", Some(engine)), service("ledger", None)],
+        limits: CallerLimits {
+            max_head_bytes: 1 << 14,
+            max_body_bytes: 1 << 20,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+        teams: Vec::new(),
+    })
+}
+
+fn table(groups: u64) -> TargetTable {
+    let group = |number| GroupView {
+        group: GroupId(number),
+        service: ServiceName::new("desk"),
+        model: "small".to_owned(),
+        head: IncarnationId::new(&format!("head-{number}")),
+        address: format!("10.0.0.{number}:80"),
+        zone: ZoneName::new("a"),
+        open: true,
+    };
+    let endpoint = |number: u64| EndpointView {
+        id: IncarnationId::new(&format!("plain-{number}")),
+        service: ServiceName::new("ledger"),
+        address: format!("10.0.1.{number}:80"),
+        zone: ZoneName::new("a"),
+        slots: 6,
+    };
+    let mut table = TargetTable::new(ZoneName::new("a"), 1);
+    table.adopt(FleetView {
+        groups: (1..=groups).map(group).collect(),
+        endpoints: (1..=3).map(endpoint).collect(),
+        ..FleetView::default()
+    });
+    table
+}
+
+fn choose(table: &mut TargetTable, now: TimePoint) -> Result<TargetId, ChoiceRefusal> {
+    let desk = ServiceName::new("desk");
+    table.choose(now, &book(), &desk, Some("small"), &[]).map(|choice| choice.target)
+}
+
+/// An entry is cut off from the control hosts. A key may be taken away meanwhile, so it may serve
+/// callers with keys only for a part of the time within which the key must be refused.
+#[test]
+fn a_lease_runs_from_when_it_was_asked_for() {
+    let mut lease = EntryLease::new(Duration::from_millis(5_000));
+    let nonce = lease.ask(at(0));
+
+    lease.grant(nonce);
+
+    assert_eq!(lease.until(), at(3_000));
+    lease.grant(nonce);
+    assert_eq!(lease.until(), at(3_000), "an answer counts once");
+}
+
+/// Half of all endpoints die and every request could be sent twice. Over eight entries the repeats
+/// stay below a fifth of the requests and the allowance.
+#[test]
+fn repeats_of_all_entries_stay_in_the_budget() {
+    let service = ServiceName::new("desk");
+    let window = Duration::from_secs(10);
+    let mut budgets = vec![RetryBudget::new(0.2, 160.0, window); 8];
+    let mut repeats = 0;
+
+    for step in 0..10_000 {
+        let budget = &mut budgets[step % 8];
+        budget.request(at(step as u64), &service);
+        repeats += usize::from(budget.take(at(step as u64), &service, 8));
+    }
+
+    assert!(repeats <= 10_000 / 5 + 160, "{repeats} repeats");
+    assert!(repeats > 1_000, "{repeats} repeats");
+}
+
+/// A group is full. A further request would wait there for a second and be late; it is refused
+/// while it can still come back in time.
+#[test]
+fn full_groups_are_not_sent_to() {
+    let mut table = table(2);
+    let full = LoadSample { running: SLOTS, waiting: 0, slots: SLOTS };
+
+    table.sample(at(0), &TargetId::Group(GroupId(1)), full);
+    assert_eq!(choose(&mut table, at(10)), Ok(TargetId::Group(GroupId(2))));
+
+    table.sample(at(10), &TargetId::Group(GroupId(2)), full);
+    assert_eq!(choose(&mut table, at(20)), Err(ChoiceRefusal::Full));
+}
+
+/// A member of a group dies: its head goes on accepting, and nothing comes any more. The entry
+/// leaves the group alone after a few hundred milliseconds instead of six seconds.
+#[test]
+fn a_silent_group_is_left_alone() {
+    let mut table = table(1);
+    let target = choose(&mut table, at(0)).expect("a group serves");
+    table.begin(at(0), &target);
+    table.moved(at(100), &target);
+
+    assert_eq!(table.find_silent(at(300)), []);
+    assert_eq!(table.find_silent(at(600)), [GroupId(1)]);
+
+    assert_eq!(choose(&mut table, at(610)), Err(ChoiceRefusal::NoReplica));
+    table.moved(at(700), &target);
+    assert_eq!(choose(&mut table, at(710)), Ok(target));
+}
+
+/// An endpoint leaves; whatever view still names it, nothing more is sent there.
+#[test]
+fn leaving_endpoints_are_not_chosen() {
+    let mut table = table(1);
+
+    table.mark_leaving(vec![IncarnationId::new("head-1")]);
+
+    assert_eq!(choose(&mut table, at(0)), Err(ChoiceRefusal::NoReplica));
+}
+
+#[test]
+fn equal_targets_share_the_requests() {
+    let mut table = table(4);
+    let mut counts = [0_u32; 5];
+
+    for step in 0..100 {
+        let target = choose(&mut table, at(step)).expect("there is room");
+        table.begin(at(step), &target);
+        if let TargetId::Group(group) = target {
+            counts[usize::try_from(group.0).expect("a small number")] += 1;
+        }
+    }
+
+    assert!(counts[1..].iter().all(|count| (20..=30).contains(count)), "{counts:?}");
+}
+
+fn attempt(kind: RepeatKind, runs: u32, may_try: bool) -> AttemptPlan {
+    AttemptPlan { kind, runs, max_attempts: 2, may_try }
+}
+
+/// The connection dies under a confirmation that may run once. It may have run: it is neither sent
+/// again, nor is the caller told that it has not run.
+#[test]
+fn what_may_have_run_once_is_not_sent_again() {
+    let plan = attempt(RepeatKind::Once, 1, true);
+
+    assert_eq!(plan.next(AttemptEnd::MayHaveRun), NextMove::Unknown);
+}
+
+#[test]
+fn what_has_not_run_is_sent_again_or_refused() {
+    assert_eq!(attempt(RepeatKind::Once, 0, true).next(AttemptEnd::NotRun), NextMove::SendAgain);
+    assert_eq!(attempt(RepeatKind::Once, 0, false).next(AttemptEnd::NotRun), NextMove::Refuse);
+}
+
+#[test]
+fn attempts_are_bounded() {
+    let again = attempt(RepeatKind::Idempotent, 1, true);
+    let enough = attempt(RepeatKind::Idempotent, 2, true);
+
+    assert_eq!(again.next(AttemptEnd::RunFailed), NextMove::SendAgain);
+    assert_eq!(enough.next(AttemptEnd::RunFailed), NextMove::PassOn);
+    assert_eq!(enough.next(AttemptEnd::MayHaveRun), NextMove::Unknown);
+}
+
+/// A replica dies in the middle of an event. Only whole events count, and their ids tell where
+/// another replica goes on.
+#[test]
+fn events_are_cut_whole() {
+    let mut cutter = EventCutter::default();
+
+    assert!(cutter.push(b"id: 7\ndata: a\n\nid: 8\nda"));
+
+    let first = cutter.next_event().expect("a whole event");
+    assert_eq!((first.id, first.bytes.as_slice()), (Some(7), b"id: 7\ndata: a\n\n".as_slice()));
+    assert_eq!(cutter.next_event(), None);
+    assert!(cutter.has_rest());
+    assert!(cutter.push(b"ta: b\n\n"));
+    assert_eq!(cutter.next_event().and_then(|event| event.id), Some(8));
+}
--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -19,8 +19,8 @@
 
 use super::calls::{EndpointCall, EndpointCaller};
 use super::input::{ControlReply, CoreInput, ReplySender};
-use crate::http::{AnswerBody, HttpServer, ServerLimits};
 use crate::process::{ProcessError, SetupSnafu};
+use briartray_http::{AnswerBody, HttpServer, ServerLimits};
 
 /// Largest declaration, in bytes: 25 KB for 110 routes, so thousands of routes fit.
 const MAX_BODY: usize = 4 * 1024 * 1024;
--- a/crates/gateway/src/control/calls.rs
+++ b/crates/gateway/src/control/calls.rs
@@ -13,7 +13,7 @@
 use http::{Request, StatusCode};
 
 use super::input::{CoreInput, ProbeResult};
-use crate::http::{ConnectionPool, SendFailure, pool};
+use briartray_http::{ConnectionPool, SendFailure};
 
 /// Time for a report. A report needs no slot; hosts are a few milliseconds apart.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
@@ -100,7 +100,7 @@
     ) -> Result<(StatusCode, AnswerHead, Bytes), SendFailure> {
         let address: SocketAddr = address.parse().map_err(|_| SendFailure::NotConnected)?;
         let idle = self.pool.borrow_mut().take(self.clock.now(), address);
-        let connection = pool::connect(idle, address).await?;
+        let connection = briartray_http::connect(idle, address).await?;
         let exchange = connection.send(request).await?;
         let (head, body, connection) = exchange.whole().await?;
         let told = AnswerHead::read(head.status, &head.headers);
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -25,6 +25,7 @@
 use super::leader::Leadership;
 use super::peers::PeerLinks;
 use super::voters::HostBook;
+use crate::process::RoleFailure;
 use crate::settings::{ControlRole, GatewaySettings};
 
 /// Time between two looks at what is due.
@@ -38,9 +39,6 @@
 const AGREEMENT_TIMES: AgreementTimes =
     AgreementTimes { heartbeat: Duration::from_millis(100), election: Duration::from_millis(500) };
 
-/// Exit code after a failed disk; the platform starts the process again.
-const EXIT_DISK: i32 = 3;
-
 /// What a control thread is made of.
 pub(super) struct CoreParts {
     pub(super) settings: GatewaySettings,
@@ -48,6 +46,8 @@
     pub(super) calls: mpsc::UnboundedSender<EndpointCall>,
     pub(super) peers: PeerLinks,
     pub(super) inputs: Sender<CoreInput>,
+    /// Told when the role cannot go on.
+    pub(super) failure: Sender<RoleFailure>,
 }
 
 /// Who waits for a command.
@@ -81,6 +81,8 @@
     pub(super) leadership: Option<Leadership>,
     pub(super) proposals: SortedTable<ProposalToken, CommandOrigin>,
     pub(super) reads: SortedTable<ReadToken, ReadOrigin>,
+    /// Why the thread has to end.
+    pub(super) failed: Option<RoleFailure>,
     next_token: u64,
 }
 
@@ -98,6 +100,7 @@
             leadership: None,
             proposals: SortedTable::new(),
             reads: SortedTable::new(),
+            failed: None,
             next_token: 0,
             parts,
         };
@@ -138,6 +141,11 @@
                 next_tick = now.after(TICK);
             }
             while self.advance() {}
+            if let Some(failure) = self.failed {
+                // A state that misses a command, or a log that is not kept, answers nobody.
+                let _ = self.parts.failure.try_send(failure);
+                return;
+            }
             self.follow_up(now);
             let deadline = self.agreement.as_ref().map_or(next_tick, AgreementCore::deadline);
             let wait = next_tick.min(deadline).since(self.now());
@@ -245,10 +253,7 @@
                     agreement.stored(now, ticket);
                 }
             }
-            CoreInput::DiskFailed => {
-                log::error!("ending: the disk failed, and what it holds is not known");
-                std::process::exit(EXIT_DISK);
-            }
+            CoreInput::DiskFailed => self.failed = Some(RoleFailure::Disk),
             CoreInput::Entry { report, writer } => self.take_report(now, report, writer),
             CoreInput::Put { plan, reply } => self.put(now, plan, reply),
             CoreInput::Get { reply } => self.confirm(ReadOrigin::Plan(reply)),
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -19,12 +19,12 @@
 use briartray_control::storage::{DataFolder, FileAccess, OpenedFolder, StorageError};
 use briartray_link::LinkServer;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
-use crossbeam::channel::{Sender, bounded};
+use crossbeam::channel::{Receiver, Sender, bounded};
 use snafu::ResultExt;
 
 use self::core::{ControlCore, CoreParts};
 use self::input::CoreInput;
-use crate::process::{ProcessError, SetupSnafu};
+use crate::process::{ProcessError, RoleFailure, SetupSnafu};
 use crate::settings::{ControlRole, GatewaySettings};
 
 /// Inputs that may wait for the control thread.
@@ -42,6 +42,7 @@
 pub struct ControlProcess {
     link: LinkServer,
     inputs: Sender<CoreInput>,
+    failures: Receiver<RoleFailure>,
 }
 
 impl ControlProcess {
@@ -51,6 +52,7 @@
     /// A `ProcessError` when a port or a thread cannot be had.
     pub fn start(settings: &GatewaySettings, role: &ControlRole) -> Result<Self, ProcessError> {
         let (inputs, queue) = bounded(INPUT_QUEUE);
+        let (failure, failures) = bounded(1);
         let calls = api::start(role.listen, inputs.clone())?;
         let link_inputs = inputs.clone();
         let handler = Box::new(move |stream| streams::accept(stream, &link_inputs));
@@ -62,6 +64,7 @@
             calls,
             peers: peers::PeerLinks::start(settings)?,
             inputs: inputs.clone(),
+            failure,
         };
         spawn_worker("control", CONTROL_STACK_BYTES, move || {
             let folder = parts.role.data_folder.clone();
@@ -69,7 +72,12 @@
             ControlCore::new(parts, folder).run(&queue);
         })
         .context(SetupSnafu { what: "the control thread" })?;
-        Ok(Self { link, inputs })
+        Ok(Self { link, inputs, failures })
+    }
+
+    /// Tells when the role cannot go on.
+    pub fn failures(&self) -> &Receiver<RoleFailure> {
+        &self.failures
     }
 
     /// Stops the role.
--- a/crates/gateway/src/control/replication.rs
+++ b/crates/gateway/src/control/replication.rs
@@ -9,9 +9,7 @@
 use super::core::{CommandOrigin, ControlCore, ReadOrigin};
 use super::input::{ControlReply, CoreMessage};
 use super::leader::Leadership;
-
-/// Exit code when the state cannot be read; going on would make this copy differ from the others.
-const EXIT_STATE: i32 = 4;
+use crate::process::RoleFailure;
 
 impl ControlCore {
     /// Carries out everything that follows from the steps so far; `true` when something was
@@ -39,6 +37,9 @@
                 LogDelivery::Entry(committed) => self.apply(committed),
                 LogDelivery::Restore(snapshot) => self.restore(&snapshot),
             }
+            if self.failed.is_some() {
+                return false;
+            }
         }
         for token in output.unconfirmed {
             if let Some(origin) = self.reads.remove(&token) {
@@ -81,8 +82,9 @@
         let command: FleetCommand = match codec::decode(bytes) {
             Ok(command) => command,
             Err(error) => {
-                log::error!("ending: a committed command does not read: {error}");
-                std::process::exit(EXIT_STATE);
+                log::error!("a committed command does not read: {error}");
+                self.failed = Some(RoleFailure::State);
+                return;
             }
         };
         let outcome = self.state.apply(&command);
@@ -119,8 +121,9 @@
         match codec::decode(&snapshot.data) {
             Ok(state) => self.state = state,
             Err(error) => {
-                log::error!("ending: a snapshot does not read: {error}");
-                std::process::exit(EXIT_STATE);
+                log::error!("a snapshot does not read: {error}");
+                self.failed = Some(RoleFailure::State);
+                return;
             }
         }
         self.adopt_plan();
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -16,7 +16,7 @@
 use http::request::Parts;
 
 use super::state::EntryState;
-use crate::http::{Exchange, SendFailure, pool};
+use briartray_http::{Exchange, SendFailure};
 
 /// Time that is kept back for the way to the caller and for answering in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
@@ -181,12 +181,12 @@
         let now = self.state.now();
         let idle = if once { None } else { self.state.pool.borrow_mut().take(now, address) };
         let pooled = idle.is_some();
-        let connection = pool::connect(idle, address).await?;
+        let connection = briartray_http::connect(idle, address).await?;
         let sent = connection.send(request.clone()).await;
         match sent {
             Err(SendFailure::NotSent) if pooled => {
                 log::debug!("a kept connection to {address} was closed ({target:?})");
-                pool::connect(None, address).await?.send(request).await
+                briartray_http::connect(None, address).await?.send(request).await
             }
             sent => sent,
         }
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -21,9 +21,9 @@
 use tokio::sync::oneshot;
 
 use self::state::EntryState;
-use crate::http::{AnswerBody, HttpServer, ServerLimits};
 use crate::process::{ProcessError, SetupSnafu};
 use crate::settings::{EntryRole, GatewaySettings};
+use briartray_http::{AnswerBody, HttpServer, ServerLimits};
 
 /// Stack of the traffic thread, in bytes.
 const TRAFFIC_STACK_BYTES: usize = 2 * 1024 * 1024;
--- a/crates/gateway/src/entry/plain.rs
+++ b/crates/gateway/src/entry/plain.rs
@@ -10,7 +10,7 @@
 
 use super::dispatch::{AttemptFailure, ServedRequest};
 use super::refusal::{RefusalKind, refuse};
-use crate::http::AnswerBody;
+use briartray_http::AnswerBody;
 
 /// Times the expected latency that an attempt which may be repeated is waited for. A replica that
 /// hangs gives no sign; the slowest tenth of sound answers takes twice the expected time.
--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use serde_json::json;
 
-use crate::http::AnswerBody;
+use briartray_http::AnswerBody;
 
 /// Why a request gets no answer of a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -15,7 +15,7 @@
 use super::dispatch::{AttemptFailure, LiveAnswer, ServedRequest};
 use super::plain::no_target;
 use super::refusal::{RefusalKind, refuse};
-use crate::http::{AnswerBody, BodySender, StreamCut};
+use briartray_http::{AnswerBody, BodySender, StreamCut};
 
 /// Time between two looks whether a replica that is waited on has been given up.
 const LOOK_EVERY: Duration = Duration::from_millis(40);
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -15,7 +15,7 @@
 use super::refusal::{RefusalKind, refuse};
 use super::state::EntryState;
 use super::{plain, relay};
-use crate::http::AnswerBody;
+use briartray_http::AnswerBody;
 
 /// Time to wait for a caller who names none.
 const DEFAULT_DEADLINE: std::time::Duration = std::time::Duration::from_secs(60);
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -14,8 +14,8 @@
 use briartray_platform::TokenCount;
 use crossbeam::channel::Sender;
 
-use crate::http::ConnectionPool;
 use crate::settings::GatewaySettings;
+use briartray_http::ConnectionPool;
 
 /// Everything that requests share; one thread uses it.
 pub(super) struct EntryState {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,9 +3,12 @@
 
 mod control;
 mod entry;
-mod http;
 mod process;
 mod settings;
 
-pub use process::{ProcessError, run};
-pub use settings::{GatewaySettings, SettingsError, load};
+pub use control::ControlProcess;
+pub use entry::EntryProcess;
+pub use process::{ProcessError, RoleFailure, run};
+pub use settings::{
+    ControlRole, DeploymentLimits, EntryRole, GatewaySettings, SettingsError, load,
+};
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -5,6 +5,9 @@
 use briartray_control::storage::StorageError;
 use briartray_link::LinkError;
 use briartray_node::logs;
+use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
+use crossbeam::channel::{Receiver, unbounded};
+use crossbeam::select;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use snafu::{ResultExt, Snafu};
@@ -35,6 +38,12 @@
         /// Why.
         source: StorageError,
     },
+    /// A role had to end.
+    #[snafu(display("{source}"), context(false))]
+    Role {
+        /// Why.
+        source: RoleFailure,
+    },
     /// A port, a thread or a signal cannot be had.
     #[snafu(display("cannot set up {what}: {source}; check addresses and process limits"))]
     Setup {
@@ -45,6 +54,17 @@
     },
 }
 
+/// Why a role that runs has to end. The platform starts the process again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum RoleFailure {
+    /// A write or sync failed, and what the disk holds is not known.
+    #[snafu(display("control state cannot be kept; check the disk of the data folder"))]
+    Disk,
+    /// What was agreed on does not read.
+    #[snafu(display("agreed state does not read; run the same version on every control host"))]
+    State,
+}
+
 /// Runs the roles that the settings at `path` name, until the process is told to stop.
 ///
 /// # Errors
@@ -63,7 +83,9 @@
         Some(role) => Some(EntryProcess::start(&settings, role)?),
         None => None,
     };
-    wait_for_stop(signals, path, &settings);
+    let never = crossbeam::channel::never();
+    let failures = control.as_ref().map_or(&never, ControlProcess::failures);
+    let failure = wait_for_end(signals, failures, path, &settings)?;
     if let Some(entry) = entry {
         entry.drain(settings.limits.grace());
     }
@@ -71,22 +93,48 @@
         control.stop();
     }
     log::info!("stopped");
-    Ok(())
+    failure.map_or(Ok(()), |failure| Err(failure.into()))
 }
 
-/// Waits for a signal to stop; on a hang-up the settings are looked at again.
-fn wait_for_stop(mut signals: Signals, path: &Path, settings: &GatewaySettings) {
-    for signal in signals.forever() {
-        if signal != SIGHUP {
-            log::info!(signal; "told to stop");
-            return;
+/// Waits for a signal to stop, or for a role that cannot go on; on a hang-up the settings are
+/// looked at again.
+fn wait_for_end(
+    mut signals: Signals,
+    failures: &Receiver<RoleFailure>,
+    path: &Path,
+    settings: &GatewaySettings,
+) -> Result<Option<RoleFailure>, ProcessError> {
+    let (told, queue) = unbounded();
+    let mut forward = move || signals.forever().try_for_each(|signal| told.send(signal));
+    spawn_worker("signals", WORKER_STACK_BYTES, move || {
+        // The channel is closed when the process ends anyway.
+        let _ = forward();
+    })
+    .context(SetupSnafu { what: "the thread for signals" })?;
+    loop {
+        select! {
+            recv(queue) -> signal => match signal {
+                Ok(SIGHUP) => look_again(path, settings),
+                signal => {
+                    log::info!(signal = signal.unwrap_or_default(); "told to stop");
+                    return Ok(None);
+                }
+            },
+            recv(failures) -> failure => {
+                let failure = failure.unwrap_or(RoleFailure::State);
+                log::error!("ending: {failure}");
+                return Ok(Some(failure));
+            },
         }
-        match settings::load(path) {
-            // Seeds matter at the start only: a running process knows its control hosts.
-            Ok(read) => {
-                log::info!(changed = read.seeds != settings.seeds; "settings read again");
-            }
-            Err(error) => log::error!("settings stay as they are: {error}"),
+    }
+}
+
+fn look_again(path: &Path, settings: &GatewaySettings) {
+    match settings::load(path) {
+        // Seeds matter at the start only: a running process knows its control hosts.
+        Ok(read) => {
+            log::info!(changed = read.seeds != settings.seeds; "settings read again");
         }
+        Err(error) => log::error!("settings stay as they are: {error}"),
     }
 }
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/http/src/lib.rs
@@ -2,10 +2,10 @@
 
 mod body;
 mod connection;
-pub(crate) mod pool;
+mod pool;
 mod server;
 
 pub use body::{AnswerBody, BodySender, StreamCut};
 pub use connection::{EndpointConnection, Exchange, SendFailure};
-pub use pool::ConnectionPool;
+pub use pool::{ConnectionPool, connect};
 pub use server::{HttpServer, ServerLimits};
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/http/src/pool.rs
@@ -73,7 +73,7 @@
 ///
 /// # Errors
 /// `SendFailure::NotConnected`.
-pub(crate) async fn connect(
+pub async fn connect(
     idle: Option<EndpointConnection>,
     address: SocketAddr,
 ) -> Result<EndpointConnection, SendFailure> {
--- /dev/null
+++ b/crates/standin/src/group_host/model.rs
@@ -0,0 +1,254 @@
+//! The state of one endpoint and what orders do to it.
+
+use std::time::Duration;
+
+use briartray_fleet::deployment::EngineModel;
+use briartray_fleet::director::{
+    CloseMethod, EndpointBeat, EndpointOrder, EndpointReport, GroupMark, MarkState, OrderOutcome,
+};
+use briartray_model::TimePoint;
+use briartray_model::names::{DomainName, GroupId, IncarnationId, ServiceName, ZoneName};
+
+/// Time to join a group whose model is that of the last one.
+const REJOIN: Duration = Duration::from_millis(200);
+
+/// Where an endpoint is and what it serves.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HostPlace {
+    /// Its present life.
+    pub id: IncarnationId,
+    /// Service it serves.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: String,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its fabric domain.
+    pub domain: DomainName,
+}
+
+/// Its part in a group.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Membership {
+    /// The group.
+    pub group: GroupId,
+    /// The model.
+    pub model: String,
+    /// All members, the head first.
+    pub members: Vec<IncarnationId>,
+    /// How far it is.
+    pub state: MarkState,
+    /// When the next state follows by itself.
+    pub until: Option<TimePoint>,
+}
+
+/// One endpoint.
+#[derive(Debug, Clone)]
+pub struct HostModel {
+    /// Where it is.
+    pub place: HostPlace,
+    /// Its group.
+    pub member: Option<Membership>,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Loads from the weight store that it has begun, by time.
+    pub loads: Vec<TimePoint>,
+    staged: Option<String>,
+    loading: Option<(String, TimePoint)>,
+    last_model: Option<String>,
+    highest_epoch: u64,
+    highest_term: u64,
+    sequence: u64,
+}
+
+impl HostModel {
+    /// An endpoint that has just started with nothing staged.
+    pub fn new(place: HostPlace) -> Self {
+        Self {
+            place,
+            member: None,
+            leaving: false,
+            loads: Vec::new(),
+            staged: None,
+            loading: None,
+            last_model: None,
+            highest_epoch: 0,
+            highest_term: 0,
+            sequence: 0,
+        }
+    }
+
+    /// Carries out `order` of a leader of `term`.
+    pub fn order(
+        &mut self,
+        now: TimePoint,
+        order: &EndpointOrder,
+        term: u64,
+        engine: &EngineModel,
+    ) -> OrderOutcome {
+        if term < self.highest_term {
+            return OrderOutcome::Fenced;
+        }
+        self.highest_term = term;
+        match order {
+            EndpointOrder::Join { group, model, members } => {
+                self.join(now, *group, model, members, engine)
+            }
+            EndpointOrder::Open { group } => self.open(now, *group, engine),
+            EndpointOrder::Close { group, method } => self.close(now, *group, *method),
+            EndpointOrder::Leave { group } => {
+                if self.member.as_ref().is_some_and(|member| member.group == *group) {
+                    self.member = None;
+                }
+                OrderOutcome::Holds
+            }
+            EndpointOrder::Stage { model } => self.stage(now, model, engine),
+        }
+    }
+
+    /// Brings it up to `now`; tells whether its report has changed.
+    pub fn tick(&mut self, now: TimePoint) -> bool {
+        let before = self.report();
+        if let Some((model, until)) = &self.loading
+            && now >= *until
+        {
+            self.staged = Some(model.clone());
+            self.loading = None;
+        }
+        if let Some(member) = &mut self.member
+            && member.until.is_some_and(|until| now >= until)
+        {
+            member.until = None;
+            member.state = match member.state {
+                MarkState::Joining => {
+                    self.last_model = Some(member.model.clone());
+                    self.staged = Some(member.model.clone());
+                    MarkState::Ready
+                }
+                MarkState::Closing => MarkState::Ready,
+                MarkState::Ready => MarkState::Open,
+                state => state,
+            };
+        }
+        before != self.report()
+    }
+
+    /// What it tells of itself.
+    pub fn report(&self) -> EndpointReport {
+        EndpointReport {
+            domain: Some(self.place.domain.clone()),
+            staged: self.staged.iter().cloned().collect(),
+            mark: self
+                .member
+                .as_ref()
+                .map(|member| GroupMark { group: member.group, state: member.state }),
+            pace: Some(1.0),
+        }
+    }
+
+    /// Its next beat.
+    pub fn beat(&mut self) -> EndpointBeat {
+        self.sequence += 1;
+        EndpointBeat {
+            id: self.place.id.clone(),
+            service: self.place.service.clone(),
+            address: self.place.address.clone(),
+            zone: self.place.zone.clone(),
+            slots: 34,
+            leaving: self.leaving,
+            sequence: self.sequence,
+            report: self.report(),
+        }
+    }
+
+    fn join(
+        &mut self,
+        now: TimePoint,
+        group: GroupId,
+        model: &str,
+        members: &[IncarnationId],
+        engine: &EngineModel,
+    ) -> OrderOutcome {
+        let same = self.member.as_ref().filter(|member| member.group == group);
+        if same.is_some_and(|member| member.members == members) {
+            return OrderOutcome::Holds;
+        }
+        if group.0 < self.highest_epoch || same.is_some() {
+            return OrderOutcome::Fenced;
+        }
+        let Some(spec) = engine.model(model) else { return OrderOutcome::Misfit };
+        self.highest_epoch = group.0;
+        let time = if self.last_model.as_deref() == Some(model) {
+            REJOIN
+        } else if self.staged.as_deref() == Some(model) {
+            spec.warmup
+        } else {
+            self.loads.push(now);
+            spec.load_time
+        };
+        self.member = Some(Membership {
+            group,
+            model: model.to_owned(),
+            members: members.to_vec(),
+            state: MarkState::Joining,
+            until: Some(now.after(time)),
+        });
+        OrderOutcome::Begun
+    }
+
+    fn open(&mut self, now: TimePoint, group: GroupId, engine: &EngineModel) -> OrderOutcome {
+        let heads = |member: &Membership| {
+            member.group == group && member.members.first() == Some(&self.place.id)
+        };
+        let head = self.member.as_ref().is_some_and(heads);
+        let Some(member) = self.member.as_mut().filter(|_| head) else {
+            return OrderOutcome::Misfit;
+        };
+        match member.state {
+            MarkState::Open => OrderOutcome::Holds,
+            MarkState::Ready if member.until.is_some() => OrderOutcome::Holds,
+            MarkState::Ready => {
+                member.until = Some(now.after(engine.formation));
+                OrderOutcome::Begun
+            }
+            _ => OrderOutcome::Misfit,
+        }
+    }
+
+    fn close(&mut self, now: TimePoint, group: GroupId, method: CloseMethod) -> OrderOutcome {
+        let Some(member) = self.member.as_mut().filter(|member| member.group == group) else {
+            return OrderOutcome::Misfit;
+        };
+        match (member.state, method) {
+            (MarkState::Open | MarkState::Closing, CloseMethod::Truncate) => {
+                member.state = MarkState::Ready;
+                member.until = None;
+                OrderOutcome::Begun
+            }
+            (MarkState::Open, CloseMethod::Wait) => {
+                member.state = MarkState::Closing;
+                member.until = Some(now.after(Duration::from_secs(2)));
+                OrderOutcome::Begun
+            }
+            (MarkState::Closing, CloseMethod::Wait) => OrderOutcome::Holds,
+            (MarkState::Ready, _) => {
+                // An opening that is under way is taken back.
+                member.until = None;
+                OrderOutcome::Holds
+            }
+            _ => OrderOutcome::Misfit,
+        }
+    }
+
+    fn stage(&mut self, now: TimePoint, model: &str, engine: &EngineModel) -> OrderOutcome {
+        let Some(spec) = engine.model(model) else { return OrderOutcome::Misfit };
+        if self.staged.as_deref() == Some(model) {
+            return OrderOutcome::Holds;
+        }
+        if self.loading.as_ref().is_none_or(|(loading, _)| loading != model) {
+            self.loads.push(now);
+            self.loading = Some((model.to_owned(), now.after(spec.load_time)));
+        }
+        OrderOutcome::Begun
+    }
+}
--- /dev/null
+++ b/crates/standin/src/group_host/server.rs
@@ -0,0 +1,267 @@
+//! A stand-in endpoint on a real socket: takes orders, tells its state, beats, and answers
+//! requests as a head of a group or as a plain service.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use briartray_fleet::deployment::EngineModel;
+use briartray_fleet::director::MarkState;
+use briartray_http::{AnswerBody, EndpointConnection, HttpServer, ServerLimits};
+use briartray_model::TimePoint;
+use briartray_model::names::{DomainName, IncarnationId, ServiceName, ZoneName};
+use briartray_platform::stand_in::{
+    ServedHead, beat_request, outcome_status, read_order, report_body, served_head,
+};
+use briartray_platform::{ORDER_PATH, REPORT_PATH};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+
+use super::{HostModel, HostPlace};
+
+/// Time between two looks at its own state.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Time between two beats.
+const BEAT: Duration = Duration::from_millis(400);
+
+/// Time between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time for one try of a beat.
+const BEAT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What a stand-in endpoint is.
+#[derive(Debug, Clone)]
+pub struct HostSettings {
+    /// Its present life.
+    pub id: String,
+    /// Service it serves.
+    pub service: String,
+    /// Engine, for one that serves in groups.
+    pub engine: Option<EngineModel>,
+    /// Control hosts to announce itself to.
+    pub control: Vec<SocketAddr>,
+    /// Events of a stream.
+    pub events: u64,
+}
+
+/// A running stand-in endpoint.
+#[derive(Debug)]
+pub struct HostServer {
+    address: SocketAddr,
+    stop: Option<tokio::sync::oneshot::Sender<()>>,
+    runs: Arc<Mutex<Vec<String>>>,
+}
+
+impl HostServer {
+    /// Starts an endpoint on a free loopback port.
+    ///
+    /// # Errors
+    /// What the system said of the port or the thread.
+    pub fn start(settings: HostSettings) -> std::io::Result<Self> {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = tokio::sync::oneshot::channel();
+        let runs = Arc::new(Mutex::new(Vec::new()));
+        let log = Arc::clone(&runs);
+        std::thread::Builder::new().name("stand-in-host".to_owned()).spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let Ok(runtime) = runtime else { return };
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, async move {
+                tokio::select! {
+                    () = serve(listener, address, settings, log) => {}
+                    _ = stopped => {}
+                }
+            });
+        })?;
+        Ok(Self { address, stop: Some(stop), runs })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Ids of the requests that it ran.
+    pub fn runs(&self) -> Vec<String> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Ends it at once, in the middle of whatever it does.
+    pub fn kill(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+    }
+}
+
+struct HostState {
+    model: RefCell<HostModel>,
+    settings: HostSettings,
+    started: Instant,
+    runs: Arc<Mutex<Vec<String>>>,
+}
+
+impl HostState {
+    fn now(&self) -> TimePoint {
+        TimePoint(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
+async fn serve(
+    listener: std::net::TcpListener,
+    address: SocketAddr,
+    settings: HostSettings,
+    runs: Arc<Mutex<Vec<String>>>,
+) {
+    let Ok(listener) = TcpListener::from_std(listener) else { return };
+    let place = HostPlace {
+        id: IncarnationId::new(&settings.id),
+        service: ServiceName::new(&settings.service),
+        address: address.to_string(),
+        zone: ZoneName::new("zone"),
+        domain: DomainName::new("domain"),
+    };
+    let state = Rc::new(HostState {
+        model: RefCell::new(HostModel::new(place)),
+        settings,
+        started: Instant::now(),
+        runs,
+    });
+    let limits = ServerLimits { connections: 256, idle: Duration::from_secs(20) };
+    let serving = Rc::clone(&state);
+    let _server =
+        HttpServer::start(listener, limits, move |request| handle(Rc::clone(&serving), request));
+    announce(&state).await;
+}
+
+/// Beats at a steady pace and after every change.
+async fn announce(state: &HostState) {
+    let mut beat_at = Instant::now();
+    let mut next = 0;
+    loop {
+        tokio::time::sleep(TICK).await;
+        let changed = state.model.borrow_mut().tick(state.now());
+        if !changed && Instant::now() < beat_at {
+            continue;
+        }
+        beat_at = Instant::now() + BEAT;
+        let beat = state.model.borrow_mut().beat();
+        for _ in 0..state.settings.control.len() {
+            let control = state.settings.control[next % state.settings.control.len()];
+            if send_beat(control, &beat).await {
+                break;
+            }
+            next += 1;
+        }
+    }
+}
+
+/// Whether the beat was acknowledged, by `control` or by the host that it names.
+async fn send_beat(control: SocketAddr, beat: &briartray_fleet::director::EndpointBeat) -> bool {
+    let mut address = control;
+    for _ in 0..3 {
+        let request = beat_request(&address.to_string(), beat);
+        let sent = async {
+            let exchange = EndpointConnection::open(address).await?.send(request).await?;
+            exchange.whole().await
+        };
+        let Ok(Ok((head, _, _))) = tokio::time::timeout(BEAT_TIMEOUT, sent).await else {
+            return false;
+        };
+        let named = head.headers.get(header::LOCATION).and_then(|value| value.to_str().ok());
+        let named = named
+            .and_then(|location| location.strip_prefix("http://")?.split('/').next()?.parse().ok());
+        match named {
+            Some(leader) => address = leader,
+            None => return head.status.is_success(),
+        }
+    }
+    false
+}
+
+async fn handle(state: Rc<HostState>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let (parts, body) = request.into_parts();
+    let head = ServedHead::read(&parts.headers);
+    let Ok(body) = body.collect().await else { return status(StatusCode::BAD_REQUEST) };
+    let body = body.to_bytes();
+    if head.expected.as_deref().is_some_and(|expected| expected != state.settings.id) {
+        return not_run(&head, StatusCode::MISDIRECTED_REQUEST);
+    }
+    match parts.uri.path() {
+        REPORT_PATH => {
+            let report = report_body(&state.model.borrow().report());
+            Response::new(AnswerBody::whole(report.to_string()))
+        }
+        ORDER_PATH => take_order(&state, &body),
+        _ => run(&state, &head),
+    }
+}
+
+fn take_order(state: &HostState, body: &[u8]) -> Response<AnswerBody> {
+    let (Some((order, term)), Some(engine)) = (read_order(body), &state.settings.engine) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let outcome = state.model.borrow_mut().order(state.now(), &order, term, engine);
+    status(outcome_status(outcome))
+}
+
+fn run(state: &Rc<HostState>, head: &ServedHead) -> Response<AnswerBody> {
+    if state.settings.engine.is_none() {
+        note_run(state, head);
+        let team = head.team.as_deref().unwrap_or("nobody");
+        let body = AnswerBody::whole(format!("{} {} {team}", state.settings.id, head.request_id));
+        return served(head).body(body).unwrap_or_else(|_| status(StatusCode::BAD_GATEWAY));
+    }
+    let member = state.model.borrow().member.clone();
+    let heads = member.as_ref().is_some_and(|member| {
+        member.state == MarkState::Open
+            && member.members.first() == Some(&state.model.borrow().place.id)
+    });
+    if !heads {
+        return not_run(head, StatusCode::MISDIRECTED_REQUEST);
+    }
+    note_run(state, head);
+    let (sender, body) = AnswerBody::parts();
+    let first = head.last_event.map_or(1, |last| last + 1);
+    let last = state.settings.events;
+    tokio::task::spawn_local(async move {
+        for id in first..=last {
+            tokio::time::sleep(EVENT_PAUSE).await;
+            let event = format!("id: {id}\ndata: part {id}\n\n");
+            if sender.send(Ok(Bytes::from(event))).await.is_err() {
+                return;
+            }
+        }
+    });
+    let answer = served(head).header(header::CONTENT_TYPE, "text/event-stream").body(body);
+    answer.unwrap_or_else(|_| status(StatusCode::BAD_GATEWAY))
+}
+
+fn note_run(state: &HostState, head: &ServedHead) {
+    state.runs.lock().unwrap_or_else(PoisonError::into_inner).push(head.request_id.clone());
+}
+
+fn served(head: &ServedHead) -> http::response::Builder {
+    served_head(StatusCode::OK, &head.request_id, true, (1, 0, 6))
+}
+
+fn not_run(head: &ServedHead, code: StatusCode) -> Response<AnswerBody> {
+    served_head(code, &head.request_id, false, (0, 0, 6))
+        .body(AnswerBody::whole(Vec::new()))
+        .unwrap_or_else(|_| status(code))
+}
+
+fn status(code: StatusCode) -> Response<AnswerBody> {
+    let mut answer = Response::new(AnswerBody::whole(Vec::new()));
+    *answer.status_mut() = code;
+    answer
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod engine;
 pub mod fault;
+pub mod group_host;
 pub mod load;
 mod ports;
 pub mod runs;
