Plan by what callers ask for, not by the most tokens they allow; one spare of each model

Cause: demand was counted with the most tokens that a caller allows, three times the usual answer, so targets were never met and spares of every domain were given other weights, 12 to 16 s of loading each. When a dark domain came back, the first hosts to be heard were restaged although they formed a group with those that followed a moment later. At a first start, the domains that were heard first got all small groups.

Change: demand by the caller's guess or the usual answer; one warm spare of each model in each domain; a host keeps its weights for 2.5 s after it is first heard; groups are spread over domains while hosts are still heard; a host may be given to the model that is served worse, never the last spare; lost hosts are probed every 2.5 s.

--- a/crates/fleet/src/deployment/engine.rs
+++ b/crates/fleet/src/deployment/engine.rs
@@ -59,6 +59,8 @@
         pub loads_at_once: usize,
         /// Time from an order to open until the group serves.
         pub formation: Duration,
+        /// Tokens of an answer, on average.
+        pub usual_answer: u32,
         /// The models.
         pub models: Vec<ModelSpec>,
     }
--- a/crates/fleet/src/director/demand.rs
+++ b/crates/fleet/src/director/demand.rs
@@ -61,4 +61,11 @@
         let seen = 1.0 - (-age.as_secs_f64() / SMOOTHING.as_secs_f64()).exp();
         Some(rate / seen)
     }
+
+    /// The smoothed rates in a few words.
+    pub fn summary(&self) -> String {
+        let tell =
+            |((_, model), rate): (&(ServiceName, String), &f64)| format!("{model} {rate:.1}");
+        self.rates.iter().map(tell).collect::<Vec<_>>().join(" ")
+    }
 }
--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -17,6 +17,9 @@
 /// 24 members asked this often cost 0.1% of what a deployment of 30 hosts earns.
 pub const PROBE_EVERY: Duration = Duration::from_millis(800);
 
+/// As above for one that is lost: its first beat tells of its return.
+const PROBE_LOST: Duration = Duration::from_millis(2_500);
+
 /// Silence after which a host in no group is probed: two beats of 1.2 s may come late.
 const SILENT_AFTER: Duration = Duration::from_millis(3_000);
 
@@ -31,6 +34,8 @@
 pub struct HostRecord {
     /// Its last beat; the report in it is brought up to date by probes.
     pub beat: EndpointBeat,
+    /// When it was heard for the first time.
+    pub since: TimePoint,
     /// Last sign of life.
     pub heard: TimePoint,
     /// Probes in a row without an answer.
@@ -52,6 +57,7 @@
         let probe_at = now.after(PROBE_EVERY);
         Self {
             beat,
+            since: now,
             heard: now,
             failures: 0,
             probing: false,
@@ -127,7 +133,7 @@
             }
             None => {
                 record.failures += 1;
-                record.probe_at = if record.is_lost() { now.after(PROBE_EVERY) } else { now };
+                record.probe_at = if record.is_lost() { now.after(PROBE_LOST) } else { now };
             }
         }
     }
--- a/crates/fleet/src/director/plan.rs
+++ b/crates/fleet/src/director/plan.rs
@@ -18,9 +18,6 @@
 /// know each other's last requests.
 const BUSY_PART: f64 = 0.9;
 
-/// Hosts of a group for which its domain keeps one spare.
-const SPARE_FOR_HOSTS: usize = 2;
-
 /// Part of the wanted groups of a model below which spares of other models are given up for it.
 const URGENT_PART: f64 = 0.6;
 
@@ -44,6 +41,10 @@
     pub staging: Option<String>,
     /// Model that it can join a group of at once.
     pub warm: Option<String>,
+    /// Whether it has just been heard for the first time: when a domain comes back, its hosts are
+    /// heard one after the other, and the first ones would be given other weights although they
+    /// form a group with those that follow.
+    pub fresh: bool,
     /// Whether it is in a standby group.
     pub standby: bool,
 }
@@ -80,6 +81,8 @@
     pub hosts: usize,
     /// Work that callers ask for by model, in groups kept busy; `None` before it is known.
     pub demand: Option<Vec<f64>>,
+    /// Domains known so far, while hosts are still heard for the first time.
+    pub gathering: Option<usize>,
     /// Whether callers have begun to ask: before that, loads cost a tenth of their time.
     pub serving: bool,
 }
@@ -151,7 +154,7 @@
     /// Models by how much they lack, the one that lacks most first.
     fn by_lack(&self, targets: &[usize]) -> Vec<usize> {
         let models = &self.view.engine.models;
-        let filled = |index: usize| self.view.groups[index].len() as f64 / targets[index] as f64;
+        let filled = |index: usize| self.filled(index, targets);
         let mut order: Vec<usize> = (0..models.len()).collect();
         order.sort_by(|a, b| {
             // At the start the large groups come first: small ones find room between them.
@@ -162,18 +165,30 @@
         order
     }
 
+    /// Groups of the model at `index`, as a part of those wanted.
+    fn filled(&self, index: usize, targets: &[usize]) -> f64 {
+        self.view.groups[index].len() as f64 / targets[index] as f64
+    }
+
+    fn filled_of(&self, model: &ModelSpec, targets: &[usize]) -> f64 {
+        let models = &self.view.engine.models;
+        let index = models.iter().position(|other| other.name == model.name);
+        index.map_or(0.0, |index| self.filled(index, targets))
+    }
+
     /// Forms a group of a model that is below its target, or a further one of hosts that no
     /// repair would miss.
     fn form(&self, targets: &[usize]) -> Option<PlanAction> {
         let order = self.by_lack(targets);
         let below = order.iter().filter(|index| self.view.groups[**index].len() < targets[**index]);
-        let missing = below.copied().find_map(|index| self.form_of(index, 0));
-        missing.or_else(|| order.iter().find_map(|index| self.form_of(*index, SPARES_KEPT)))
+        let missing = below.copied().find_map(|index| self.form_of(index, 0, targets));
+        missing
+            .or_else(|| order.iter().find_map(|index| self.form_of(*index, SPARES_KEPT, targets)))
     }
 
     /// A group of the model at `index` in the domain that has fewest of them, which leaves at
     /// least `spares` hosts with its weights.
-    fn form_of(&self, index: usize, spares: usize) -> Option<PlanAction> {
+    fn form_of(&self, index: usize, spares: usize, targets: &[usize]) -> Option<PlanAction> {
         let model = &self.view.engine.models[index];
         let mut best: Option<(usize, usize, usize, Vec<&FreeHost>)> = None;
         for domain in self.domains() {
@@ -186,6 +201,9 @@
             // Spares serve their own domain only: where no group is left to mend, they are of most
             // use as one.
             let same = self.view.groups[index].iter().filter(|(_, other)| *other == domain).count();
+            if same >= self.most_in_domain(index, targets) {
+                continue;
+            }
             let alone = same == 0;
             let kept = if alone { 0 } else { spares };
             if spares > 0 && with_weights < model.size + kept {
@@ -256,6 +274,15 @@
         })
     }
 
+    /// Groups of a model that one domain takes. While hosts are still heard for the first time,
+    /// each domain gets its part, so that the domains heard first do not get all of them.
+    fn most_in_domain(&self, index: usize, targets: &[usize]) -> usize {
+        match self.view.gathering {
+            Some(domains) => targets[index].div_ceil(domains.max(1)),
+            None => usize::MAX,
+        }
+    }
+
     /// Lets a spare join a group of its own, so that its model is warm when it is needed.
     fn warm_up(&self) -> Option<PlanAction> {
         self.view.free.iter().filter(|host| !host.standby).find_map(|host| {
@@ -322,9 +349,9 @@
         models.sort_by_key(|model| usize::MAX - model.size);
         let domains = self.domains();
         models.iter().find_map(|model| {
-            let wanted = spares_of(model);
-            let mut lacking = domains.iter().filter(|domain| self.held(domain, model) < wanted);
-            lacking.find_map(|domain| self.stage_in(domain, model, targets, spares_of))
+            let mut lacking =
+                domains.iter().filter(|domain| self.held(domain, model) < SPARES_KEPT);
+            lacking.find_map(|domain| self.stage_in(domain, model, targets, |_| SPARES_KEPT))
         })
     }
 
@@ -351,13 +378,14 @@
             self.starved().is_some_and(|index| self.view.engine.models[index].name == model.name);
         let mut hosts = self.free_in(domain);
         hosts.retain(|host| host.staging.is_none() && !host.has(&model.name));
+        hosts.retain(|host| host.staged.is_empty() || !host.fresh);
         hosts.sort_by_key(|host| !host.staged.is_empty());
         let host = hosts.into_iter().find(|host| {
             let held = self.view.engine.models.iter().position(|other| host.has(&other.name));
             held.is_none_or(|index| {
                 let other = &self.view.engine.models[index];
-                let whole = starved || self.view.groups[index].len() >= targets[index];
-                whole && self.held(domain, other) > keep(other)
+                let served_better = self.filled(index, targets) >= self.filled_of(model, targets);
+                (starved || served_better) && self.held(domain, other) > keep(other)
             })
         })?;
         Some(PlanAction::Stage { host: host.id.clone(), model: model.name.clone() })
@@ -380,8 +408,3 @@
         domains
     }
 }
-
-/// Spares with the weights of `model` that a domain keeps.
-fn spares_of(model: &ModelSpec) -> usize {
-    (model.size / SPARE_FOR_HOSTS).max(SPARES_KEPT)
-}
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -35,6 +35,9 @@
 /// Time without a new endpoint after which all of them are taken to be known.
 const NEWCOMER_PAUSE: Duration = Duration::from_millis(300);
 
+/// Time for which a host that was heard for the first time keeps the weights it has.
+const FRESH: Duration = Duration::from_millis(2_500);
+
 /// Time between two looks at the demand.
 const DEMAND_EVERY: Duration = Duration::from_millis(500);
 
@@ -254,9 +257,10 @@
             kinds.push(format!("{domain}:{staged}>{loading}"));
         }
         kinds.sort();
+        let asked = self.demand.summary();
         let counts =
             kinds.chunk_by(|a, b| a == b).map(|same| format!("{} {}", same[0], same.len()));
-        counts.collect::<Vec<_>>().join(", ")
+        format!("{}; busy {asked}", counts.collect::<Vec<_>>().join(", "))
     }
 
     /// The endpoints that are known.
@@ -394,6 +398,16 @@
         }
     }
 
+    /// Fabric domains that hosts of `service` were heard from.
+    fn domains(&self, service: &ServiceName) -> usize {
+        let domain = |host: &HostRecord| host.beat.report.domain.clone();
+        let mut domains: Vec<DomainName> =
+            self.hosts.of_service(service).filter_map(|(_, host)| domain(host)).collect();
+        domains.sort();
+        domains.dedup();
+        domains.len()
+    }
+
     /// Whether hosts may still be heard for the first time after a first start.
     fn is_gathering(&self, now: TimePoint) -> bool {
         !self.inherits && now.since(self.since) < GATHER
@@ -456,6 +470,7 @@
                 staged: host.beat.report.staged.clone(),
                 staging: host.staging.as_ref().map(|(model, _)| model.clone()),
                 warm: host.warm.clone(),
+                fresh: now.since(host.since) < FRESH,
                 standby: group.is_some(),
             });
         }
@@ -477,7 +492,9 @@
         let groups = engine.models.iter().map(|model| serving_groups(&model.name)).collect();
         let busy = |model: &ModelSpec| self.demand.busy(now, service, &model.name);
         let demand = engine.models.iter().map(busy).collect();
-        PlanView { service, engine, free, groups, hosts, demand, serving: self.serving }
+        let gathering = self.is_gathering(now).then(|| self.domains(service));
+        let serving = self.serving;
+        PlanView { service, engine, free, groups, hosts, demand, gathering, serving }
     }
 
     /// Staging is over once the host reports the weights, or too much time has passed.
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -13,4 +13,4 @@
 pub use events::{EventCutter, StreamEvent};
 pub use lease::EntryLease;
 pub use load::{LoadSample, TargetLoad};
-pub use table::{ChoiceRefusal, TargetChoice, TargetId, TargetTable};
+pub use table::{ChoiceRefusal, TargetChoice, TargetId, TargetTable, TargetWish};
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -31,6 +31,11 @@
 /// last ones at the same time.
 const SLOTS_LEFT: f64 = 1.0;
 
+/// Slots of a group that are left, beyond those, to requests that can still meet their target.
+/// One that comes back after a refusal has missed it already: under a load above what the groups
+/// do, served first come first served, most answers were late (p50 560 ms of a target of 300).
+const SLOTS_FOR_TIMELY: f64 = 0.0;
+
 /// Requests for each slot of a plain endpoint that may wait there; one takes 30 ms.
 const PLAIN_QUEUE: f64 = 3.0;
 
@@ -61,6 +66,19 @@
     pub address: String,
 }
 
+/// What a request needs of a target.
+#[derive(Debug, Clone, Copy)]
+pub struct TargetWish<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The model, where the service serves models.
+    pub model: Option<&'a str>,
+    /// Targets it was sent to already.
+    pub tried: &'a [TargetId],
+    /// Whether it can still meet its target latency.
+    pub timely: bool,
+}
+
 /// Why there is no target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChoiceRefusal {
@@ -149,14 +167,16 @@
         &mut self,
         now: TimePoint,
         book: &RouteBook,
-        service: &ServiceName,
-        model: Option<&str>,
-        tried: &[TargetId],
+        wish: &TargetWish<'_>,
     ) -> Result<TargetChoice, ChoiceRefusal> {
+        let TargetWish { service, model, tried, timely } = *wish;
         let engine = book.service(service).and_then(|spec| spec.engine.as_ref());
         let slots = engine.map(|engine| engine.slots as f64);
         let candidates = match (slots, model) {
-            (Some(slots), Some(model)) => self.groups(service, model, slots),
+            (Some(slots), Some(model)) => {
+                let kept = if timely { 0.0 } else { SLOTS_FOR_TIMELY };
+                self.groups(service, model, slots - SLOTS_LEFT - kept)
+            }
             (None, _) => self.endpoints(service),
             (Some(_), None) => Vec::new(),
         };
@@ -239,7 +259,7 @@
         self.loads.get_or_insert_with(target.clone(), TargetLoad::default)
     }
 
-    fn groups(&self, service: &ServiceName, model: &str, slots: f64) -> Vec<Candidate> {
+    fn groups(&self, service: &ServiceName, model: &str, room: f64) -> Vec<Candidate> {
         let fits = |group: &&GroupView| {
             group.open
                 && group.service == *service
@@ -253,7 +273,7 @@
                 address: group.address.clone(),
             },
             near: group.zone == self.zone,
-            room: slots - SLOTS_LEFT,
+            room,
         };
         self.view.groups.iter().filter(fits).map(candidate).collect()
     }
--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -7,7 +7,7 @@
 };
 use briartray_fleet::entry::{
     AttemptEnd, AttemptPlan, ChoiceRefusal, EntryLease, EventCutter, LoadSample, NextMove,
-    RetryBudget, TargetId, TargetTable,
+    RetryBudget, TargetId, TargetTable, TargetWish,
 };
 use briartray_fleet::message::{EndpointView, FleetView, GroupView};
 use briartray_model::TimePoint;
@@ -33,6 +33,7 @@
         loads_per_second: 3.0,
         loads_at_once: 6,
         formation: Duration::from_millis(300),
+        usual_answer: 135,
         models: vec![ModelSpec {
             name: "small".to_owned(),
             size: 2,
@@ -89,8 +90,17 @@
 }
 
 fn choose(table: &mut TargetTable, now: TimePoint) -> Result<TargetId, ChoiceRefusal> {
+    choose_for(table, now, true)
+}
+
+fn choose_for(
+    table: &mut TargetTable,
+    now: TimePoint,
+    timely: bool,
+) -> Result<TargetId, ChoiceRefusal> {
     let desk = ServiceName::new("desk");
-    table.choose(now, &book(), &desk, Some("small"), &[]).map(|choice| choice.target)
+    let wish = TargetWish { service: &desk, model: Some("small"), tried: &[], timely };
+    table.choose(now, &book(), &wish).map(|choice| choice.target)
 }
 
 /// An entry is cut off from the control hosts. A key may be taken away meanwhile, so it may serve
@@ -140,6 +150,19 @@
     assert_eq!(choose(&mut table, at(20)), Err(ChoiceRefusal::Full));
 }
 
+/// More is asked for than the groups do, and those who were refused come back. The last slots go to
+/// requests that can still be on time, so that some callers are served well rather than all late.
+#[test]
+fn the_last_slots_are_for_timely_requests() {
+    let mut table = table(1);
+    let busy = LoadSample { running: SLOTS - 3, waiting: 0, slots: SLOTS };
+
+    table.sample(at(0), &TargetId::Group(GroupId(1)), busy);
+
+    assert_eq!(choose_for(&mut table, at(10), false), Err(ChoiceRefusal::Full));
+    assert_eq!(choose_for(&mut table, at(10), true), Ok(TargetId::Group(GroupId(1))));
+}
+
 /// A member of a group dies: its head goes on accepting, and nothing comes any more. The entry
 /// leaves the group alone after a few hundred milliseconds instead of six seconds.
 #[test]
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -7,7 +7,7 @@
 
 use briartray_fleet::deployment::{RepeatKind, RouteBook, RouteRule};
 use briartray_fleet::entry::{
-    AttemptEnd, AttemptPlan, ChoiceRefusal, NextMove, TargetChoice, TargetId,
+    AttemptEnd, AttemptPlan, ChoiceRefusal, NextMove, TargetChoice, TargetId, TargetWish,
 };
 use briartray_model::TimePoint;
 use briartray_model::names::{ServiceName, TeamName};
@@ -34,6 +34,8 @@
     pub(super) body: Bytes,
     /// When the caller or the rule gives up.
     pub(super) until: TimePoint,
+    /// Whether it can still meet its target latency.
+    pub(super) timely: bool,
     /// Target of the attempt in progress.
     pub(super) chosen: Rc<RefCell<Option<TargetId>>>,
     /// Targets it was sent to.
@@ -124,9 +126,14 @@
 
     /// Chooses a target.
     pub(super) fn choose(&self) -> Result<TargetChoice, ChoiceRefusal> {
-        let model = self.head.model.as_deref();
-        let mut table = self.state.table.borrow_mut();
-        table.choose(self.state.now(), &self.book, &self.service, model, &self.tried)
+        let wish = TargetWish {
+            service: &self.service,
+            model: self.head.model.as_deref(),
+            tried: &self.tried,
+            // A stream that is under way must go on, whatever its start was.
+            timely: self.timely || self.runs > 0,
+        };
+        self.state.table.borrow_mut().choose(self.state.now(), &self.book, &wish)
     }
 
     /// Sends the request to a target and waits for the head of its answer; `last_event` is where
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -1,6 +1,7 @@
 //! A caller's request from its head to its answer.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use briartray_fleet::deployment::{RouteBook, RouteRule};
 use briartray_model::names::TeamName;
@@ -18,7 +19,7 @@
 use briartray_http::AnswerBody;
 
 /// Time to wait for a caller who names none.
-const DEFAULT_DEADLINE: std::time::Duration = std::time::Duration::from_secs(60);
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
 /// Serves one request.
 pub(super) async fn handle(
@@ -55,10 +56,13 @@
     let service = state.table.borrow_mut().pick_service(&rule).ok_or(RefusalKind::NoReplica)?;
     state.count_request(&service);
     if let (Some(model), Some(tokens)) = (&head.model, head.tokens) {
-        state.count_demand(&book, &service, model, tokens);
+        state.count_demand(&book, &service, model, tokens.prompt, head.answer_guess);
     }
     let patience = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(rule.timeout);
+    // Callers allow what the rule allows; what is missing of it has passed since they first asked.
+    let passed = head.deadline.map_or(Duration::ZERO, |left| rule.timeout.saturating_sub(left));
     Ok(ServedRequest {
+        timely: passed < rule.target_latency,
         state: Rc::clone(state),
         until: arrived.after(patience),
         book,
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -11,7 +11,6 @@
 use briartray_model::names::{NodeName, ServiceName};
 use briartray_model::{SortedTable, TimePoint};
 use briartray_node::ClockReader;
-use briartray_platform::TokenCount;
 use crossbeam::channel::Sender;
 
 use crate::settings::GatewaySettings;
@@ -157,12 +156,14 @@
         book: &RouteBook,
         service: &ServiceName,
         model: &str,
-        tokens: TokenCount,
+        prompt: u32,
+        answer: Option<u32>,
     ) {
         let engine = book.service(service).and_then(|spec| spec.engine.as_ref());
         let Some(engine) = engine else { return };
         let Some(spec) = engine.model(model) else { return };
-        let work = engine.work_ms(spec, tokens.prompt, tokens.answer);
+        // The most that a caller allows says little: it is three times the usual answer.
+        let work = engine.work_ms(spec, prompt, answer.unwrap_or(engine.usual_answer));
         let key = (service.clone(), model.to_owned());
         *self.demand.borrow_mut().get_or_insert_with(key, || 0.0) += work;
     }
