Count only ready spares when one is given away; no slots for timely requests

Cause: two hosts that were still loading counted as spares, so the ready one was given other weights, and the large group of its domain could not be mended for 30 s.

Change: as the title says.

--- a/crates/fleet/src/director/plan.rs
+++ b/crates/fleet/src/director/plan.rs
@@ -385,12 +385,18 @@
             held.is_none_or(|index| {
                 let other = &self.view.engine.models[index];
                 let served_better = self.filled(index, targets) >= self.filled_of(model, targets);
-                (starved || served_better) && self.held(domain, other) > keep(other)
+                (starved || served_better) && self.ready(domain, other) > keep(other)
             })
         })?;
         Some(PlanAction::Stage { host: host.id.clone(), model: model.name.clone() })
     }
 
+    /// Free hosts of `domain` that have the weights of `model` now. A spare that is still loading
+    /// mends nothing for many seconds, so it is no reason to give one away that is ready.
+    fn ready(&self, domain: &DomainName, model: &ModelSpec) -> usize {
+        self.free_in(domain).iter().filter(|host| host.has(&model.name)).count()
+    }
+
     /// Free hosts of `domain` that have the weights of `model`, or will have them.
     fn held(&self, domain: &DomainName, model: &ModelSpec) -> usize {
         self.free_in(domain).iter().filter(|host| host.will_have(&model.name)).count()
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -31,11 +31,6 @@
 /// last ones at the same time.
 const SLOTS_LEFT: f64 = 1.0;
 
-/// Slots of a group that are left, beyond those, to requests that can still meet their target.
-/// One that comes back after a refusal has missed it already: under a load above what the groups
-/// do, served first come first served, most answers were late (p50 560 ms of a target of 300).
-const SLOTS_FOR_TIMELY: f64 = 0.0;
-
 /// Requests for each slot of a plain endpoint that may wait there; one takes 30 ms.
 const PLAIN_QUEUE: f64 = 3.0;
 
@@ -75,8 +70,6 @@
     pub model: Option<&'a str>,
     /// Targets it was sent to already.
     pub tried: &'a [TargetId],
-    /// Whether it can still meet its target latency.
-    pub timely: bool,
 }
 
 /// Why there is no target.
@@ -169,14 +162,11 @@
         book: &RouteBook,
         wish: &TargetWish<'_>,
     ) -> Result<TargetChoice, ChoiceRefusal> {
-        let TargetWish { service, model, tried, timely } = *wish;
+        let TargetWish { service, model, tried } = *wish;
         let engine = book.service(service).and_then(|spec| spec.engine.as_ref());
         let slots = engine.map(|engine| engine.slots as f64);
         let candidates = match (slots, model) {
-            (Some(slots), Some(model)) => {
-                let kept = if timely { 0.0 } else { SLOTS_FOR_TIMELY };
-                self.groups(service, model, slots - SLOTS_LEFT - kept)
-            }
+            (Some(slots), Some(model)) => self.groups(service, model, slots - SLOTS_LEFT),
             (None, _) => self.endpoints(service),
             (Some(_), None) => Vec::new(),
         };
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -34,8 +34,6 @@
     pub(super) body: Bytes,
     /// When the caller or the rule gives up.
     pub(super) until: TimePoint,
-    /// Whether it can still meet its target latency.
-    pub(super) timely: bool,
     /// Target of the attempt in progress.
     pub(super) chosen: Rc<RefCell<Option<TargetId>>>,
     /// Targets it was sent to.
@@ -130,8 +128,6 @@
             service: &self.service,
             model: self.head.model.as_deref(),
             tried: &self.tried,
-            // A stream that is under way must go on, whatever its start was.
-            timely: self.timely || self.runs > 0,
         };
         self.state.table.borrow_mut().choose(self.state.now(), &self.book, &wish)
     }
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -59,10 +59,7 @@
         state.count_demand(&book, &service, model, tokens.prompt, head.answer_guess);
     }
     let patience = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(rule.timeout);
-    // Callers allow what the rule allows; what is missing of it has passed since they first asked.
-    let passed = head.deadline.map_or(Duration::ZERO, |left| rule.timeout.saturating_sub(left));
     Ok(ServedRequest {
-        timely: passed < rule.target_latency,
         state: Rc::clone(state),
         until: arrived.after(patience),
         book,
