Stage weights on empty hosts only, but for a model without any group

Cause: every restaging of a spare takes a host out for 12 to 16 s, longer than the mean time to the next loss in its domain; by then the other model lacked it.

Change: a host that has weights keeps them, unless a model has no group at all.

--- a/crates/fleet/src/director/plan.rs
+++ b/crates/fleet/src/director/plan.rs
@@ -378,7 +378,7 @@
             self.starved().is_some_and(|index| self.view.engine.models[index].name == model.name);
         let mut hosts = self.free_in(domain);
         hosts.retain(|host| host.staging.is_none() && !host.has(&model.name));
-        hosts.retain(|host| host.staged.is_empty() || !host.fresh);
+        hosts.retain(|host| host.staged.is_empty() || (starved && !host.fresh));
         hosts.sort_by_key(|host| !host.staged.is_empty());
         let host = hosts.into_iter().find(|host| {
             let held = self.view.engine.models.iter().position(|other| host.has(&other.name));
