Let refused callers come back when a lost group is mended

Cause: refused callers came back after 0.3 to 1.4 s, while a group takes 1 to 2 s from its loss to service, and were refused again.

Change: Retry-After of 0.7 to 1.9 s for full groups, 0.9 to 1.9 s where none serves.

--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -87,10 +87,10 @@
             // A lease is renewed four times a second; an election takes up to two seconds.
             Self::NotInTouch => (500, 1_000),
             // A group is mended in one to two seconds.
-            Self::NoReplica => (600, 1_400),
+            Self::NoReplica => (900, 1_900),
             // Some request ends on every group within a tenth of a second; spread over several
             // pauses, so that those who were refused together do not come back together.
-            Self::Full => (300, 1_200),
+            Self::Full => (700, 1_900),
             Self::NotRun => (300, 800),
             _ => return None,
         };
