Metrics and a line for each failed request

Cause: a failed request could not be explained afterwards: nothing was counted, and only a few decisions were written.

Change: entries and control hosts serve counters, states and a histogram of the time to the first part; every failed attempt and every answer that is no success is a line with the request's id, versions of declaration and view, and what is left of the lease, 40 lines a second at most, the rest counted.

--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -5,6 +5,7 @@
 
 use briartray_fleet::state::StoredPlan;
 use briartray_model::names::IncarnationId;
+use briartray_node::metrics::MetricsHub;
 use briartray_platform::{ControlCall, beat_answer, read_beat, read_plan, redirect_to};
 use briartray_web::spawn_worker;
 use bytes::Bytes;
@@ -19,6 +20,7 @@
 
 use super::calls::{EndpointCall, EndpointCaller};
 use super::input::{ControlReply, CoreInput, ReplySender};
+use crate::metrics_port;
 use crate::process::{ProcessError, SetupSnafu};
 use briartray_http::{AnswerBody, HttpServer, ServerLimits};
 
@@ -44,6 +46,8 @@
 pub(super) fn start(
     address: SocketAddr,
     inputs: Sender<CoreInput>,
+    metrics: Option<SocketAddr>,
+    hub: MetricsHub,
 ) -> Result<mpsc::UnboundedSender<EndpointCall>, ProcessError> {
     let listener =
         std::net::TcpListener::bind(address).context(SetupSnafu { what: "the control port" })?;
@@ -54,7 +58,10 @@
         match runtime {
             Ok(runtime) => {
                 let local = tokio::task::LocalSet::new();
-                local.block_on(&runtime, serve_all(listener, address, inputs, queue));
+                local.block_on(&runtime, async move {
+                    let _metrics = metrics_port::serve(metrics, hub).await;
+                    serve_all(listener, address, inputs, queue).await;
+                });
             }
             Err(error) => log::error!("the control port cannot be served: {error}"),
         }
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -23,6 +23,7 @@
 use super::disk;
 use super::input::{ControlReply, CoreInput, CoreMessage, ProbeResult, ReplySender};
 use super::leader::Leadership;
+use super::metrics::ControlMetrics;
 use super::peers::PeerLinks;
 use super::voters::HostBook;
 use crate::process::RoleFailure;
@@ -46,6 +47,7 @@
     pub(super) calls: mpsc::UnboundedSender<EndpointCall>,
     pub(super) peers: PeerLinks,
     pub(super) inputs: Sender<CoreInput>,
+    pub(super) metrics: ControlMetrics,
     /// Told when the role cannot go on.
     pub(super) failure: Sender<RoleFailure>,
 }
@@ -261,6 +263,7 @@
             CoreInput::Leave { id, reply } => self.leave(id, reply),
             CoreInput::Probed { id, result } => self.probed(now, &id, result),
             CoreInput::Ordered { call, outcome } => {
+                self.parts.metrics.ordered(outcome_word(outcome));
                 if let Some(leadership) = &mut self.leadership {
                     leadership.director.ordered(now, &call, outcome);
                     leadership.dirty |= outcome != OrderOutcome::Unknown;
@@ -325,6 +328,7 @@
             ProbeResult::Told(report) => leadership.director.probed(now, id, Some(report)),
             ProbeResult::OtherEndpoint => leadership.director.gone(id),
             ProbeResult::Silent => {
+                self.parts.metrics.silent_probes.inc();
                 log::info!(endpoint = id.as_str(); "an endpoint does not answer a probe");
                 leadership.director.probed(now, id, None);
                 leadership.step_due = true;
@@ -337,3 +341,14 @@
         self.leadership.as_ref().is_some_and(|leadership| leadership.established)
     }
 }
+
+fn outcome_word(outcome: OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Begun => "begun",
+        OrderOutcome::Holds => "holds",
+        OrderOutcome::Misfit => "misfit",
+        OrderOutcome::Fenced => "fenced",
+        OrderOutcome::OtherEndpoint => "other_endpoint",
+        OrderOutcome::Unknown => "unknown",
+    }
+}
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -73,11 +73,27 @@
     /// Looks at what is due.
     pub(super) fn tick(&mut self, now: TimePoint) {
         self.greet(now);
+        self.measure();
         self.manage_voters(now);
         self.direct(now);
         self.inform(now);
     }
 
+    /// Brings the metrics up to date.
+    fn measure(&self) {
+        let metrics = &self.parts.metrics;
+        let number = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        metrics.leads.set(i64::from(self.is_established()));
+        metrics.plan.set(number(self.state.plan().map_or(0, |plan| plan.version)));
+        metrics.groups.set(number(self.state.groups().len() as u64));
+        metrics.endpoints.set(number(self.state.endpoints().len() as u64));
+        if let Some(agreement) = &self.agreement {
+            metrics.term.set(number(agreement.term().0));
+            metrics.commit.set(number(agreement.commit().0));
+            metrics.voters.set(number(agreement.seats().len() as u64));
+        }
+    }
+
     /// Does what follows from what was just learnt, without waiting for the next tick: a group that
     /// opens or ends a tenth of a second earlier is a tenth of a second of service.
     pub(super) fn follow_up(&mut self, now: TimePoint) {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod disk;
 mod input;
 mod leader;
+mod metrics;
 mod peers;
 mod replication;
 mod streams;
@@ -18,12 +19,14 @@
 use briartray_control::agreement::FolderId;
 use briartray_control::storage::{DataFolder, FileAccess, OpenedFolder, StorageError};
 use briartray_link::LinkServer;
+use briartray_node::metrics::MetricsHub;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
 use crossbeam::channel::{Receiver, Sender, bounded};
 use snafu::ResultExt;
 
 use self::core::{ControlCore, CoreParts};
 use self::input::CoreInput;
+use self::metrics::ControlMetrics;
 use crate::process::{ProcessError, RoleFailure, SetupSnafu};
 use crate::settings::{ControlRole, GatewaySettings};
 
@@ -53,7 +56,9 @@
     pub fn start(settings: &GatewaySettings, role: &ControlRole) -> Result<Self, ProcessError> {
         let (inputs, queue) = bounded(INPUT_QUEUE);
         let (failure, failures) = bounded(1);
-        let calls = api::start(role.listen, inputs.clone())?;
+        let hub = MetricsHub::default();
+        let metrics = hub.add(ControlMetrics::register);
+        let calls = api::start(role.listen, inputs.clone(), settings.metrics, hub)?;
         let link_inputs = inputs.clone();
         let handler = Box::new(move |stream| streams::accept(stream, &link_inputs));
         let address = std::net::SocketAddr::new(settings.node, settings.link_port);
@@ -64,6 +69,7 @@
             calls,
             peers: peers::PeerLinks::start(settings)?,
             inputs: inputs.clone(),
+            metrics,
             failure,
         };
         spawn_worker("control", CONTROL_STACK_BYTES, move || {
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -93,6 +93,11 @@
 }
 
 impl ServedRequest {
+    /// The caller's id, for the log.
+    pub(super) fn id(&self) -> &str {
+        self.head.request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("")
+    }
+
     /// Time that is left.
     pub(super) fn left(&self) -> Duration {
         self.until.since(self.state.now())
@@ -229,6 +234,20 @@
     /// Notes how an attempt ended.
     pub(super) fn ended(&mut self, end: AttemptEnd) -> AttemptFailure {
         self.runs += u32::from(end != AttemptEnd::NotRun);
+        let outcome = match end {
+            AttemptEnd::NotRun => "not_run",
+            AttemptEnd::MayHaveRun => "unknown",
+            AttemptEnd::RunFailed => "failed",
+        };
+        self.state.metrics.attempt(outcome);
+        if self.state.lines.allows(self.state.now()) {
+            log::info!(
+                request = self.id(), service = self.service.as_str(), outcome,
+                sends = self.tried.len(), runs = self.runs,
+                left_ms = u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX);
+                "an attempt failed at {:?}", self.tried.last()
+            );
+        }
         AttemptFailure::Ended(end)
     }
 }
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry role: one thread serves callers, another one talks to the leading control host.
 
 mod dispatch;
+mod journal;
 mod plain;
 mod refusal;
 mod relay;
@@ -12,6 +13,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use briartray_node::metrics::MetricsHub;
 use briartray_web::spawn_worker;
 use crossbeam::channel::{Receiver, Sender, bounded};
 use http::{Request, Response, StatusCode};
@@ -20,7 +22,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
+use self::journal::EntryMetrics;
 use self::state::EntryState;
+use crate::metrics_port;
 use crate::process::{ProcessError, SetupSnafu};
 use crate::settings::{EntryRole, GatewaySettings};
 use briartray_http::{AnswerBody, HttpServer, ServerLimits};
@@ -63,15 +67,17 @@
         let callers = listen(role.callers)?;
         let ready = listen(role.ready)?;
         let (watch, notices) = watch::start(settings)?;
-        let state = EntryState::builder(settings.clone(), watch);
+        let hub = MetricsHub::default();
+        let metrics = hub.add(EntryMetrics::register);
+        let state = EntryState::builder(settings.clone(), watch, metrics);
         let run = move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             match runtime {
                 Ok(runtime) => {
                     let local = tokio::task::LocalSet::new();
                     let state = Rc::new(state.build());
-                    let serve = serve_all(state, callers, ready, notices, stopped, end);
-                    local.block_on(&runtime, serve);
+                    let parts = EntryParts { callers, ready, notices, stopped, end, hub };
+                    local.block_on(&runtime, serve_all(state, parts));
                 }
                 Err(error) => log::error!("traffic cannot be served: {error}"),
             }
@@ -95,14 +101,19 @@
     Ok(listener)
 }
 
-async fn serve_all(
-    state: Rc<EntryState>,
+/// What the traffic thread is made of, beside its state.
+struct EntryParts {
     callers: std::net::TcpListener,
     ready: std::net::TcpListener,
     notices: tokio::sync::mpsc::UnboundedReceiver<watch::WatchEvent>,
     stopped: oneshot::Receiver<Duration>,
     end: Sender<()>,
-) {
+    hub: MetricsHub,
+}
+
+async fn serve_all(state: Rc<EntryState>, parts: EntryParts) {
+    let EntryParts { callers, ready, notices, stopped, end, hub } = parts;
+    let _metrics = metrics_port::serve(state.settings.metrics, hub).await;
     let limits = ServerLimits { connections: MAX_CONNECTIONS, idle: IDLE_LIMIT };
     let (Ok(callers), Ok(ready)) = (TcpListener::from_std(callers), TcpListener::from_std(ready))
     else {
--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -107,6 +107,8 @@
     let body = json!({ "code": kind.code(), "message": kind.remedy(), "outcome": outcome });
     let mut answer = Response::new(AnswerBody::whole(body.to_string()));
     *answer.status_mut() = kind.status();
+    // Told to whoever counts and writes about the request.
+    answer.extensions_mut().insert(kind);
     let headers = answer.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Some(wait) = kind.retry_after() {
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -225,8 +225,11 @@
     if whole {
         stream.answer.release(&request.state);
     } else {
-        let id = request.head.request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("");
-        log::warn!(request = id, after = position.last.unwrap_or(0); "a stream is cut off");
+        state.metrics.cut.inc();
+        if state.lines.allows(state.now()) {
+            let after = position.last.unwrap_or(0);
+            log::warn!(request = request.id(), after; "a stream is cut off");
+        }
         let _ = sender.send(Err(StreamCut)).await;
     }
 }
@@ -261,7 +264,11 @@
                 let Ok((resumed, event)) = open(request, position.last).await else {
                     return false;
                 };
-                log::info!(after = position.last.unwrap_or(0); "a stream goes on elsewhere");
+                request.state.metrics.resumed.inc();
+                if request.state.lines.allows(request.state.now()) {
+                    let after = position.last.unwrap_or(0);
+                    log::info!(request = request.id(), after; "a stream goes on elsewhere");
+                }
                 *stream = resumed;
                 match event {
                     Some(event) => next = Some(StreamStep::Event(event)),
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use briartray_fleet::deployment::{RouteBook, RouteRule};
+use briartray_model::TimePoint;
 use briartray_model::names::TeamName;
 use briartray_platform::CallerHead;
 use bytes::Bytes;
@@ -27,12 +28,15 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let _running = state.begin_request();
+    let arrived = state.now();
     let (parts, body) = request.into_parts();
+    let id = CallerHead::read(&parts).request_id;
     let mut answer = match take(&state, parts, body).await {
         Ok(request) if request.rule.kind.is_stream() => relay::serve(request).await,
         Ok(request) => plain::serve(request).await,
         Err(kind) => refuse(kind),
     };
+    note_answer(&state, id.as_ref(), arrived, &answer);
     if state.is_draining() {
         // The caller's next request goes to an entry that stays.
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -40,6 +44,34 @@
     answer
 }
 
+/// Counts an answer, and writes a line when it is not a success.
+fn note_answer(
+    state: &EntryState,
+    id: Option<&HeaderValue>,
+    arrived: TimePoint,
+    answer: &Response<AnswerBody>,
+) {
+    let refused = answer.extensions().get::<RefusalKind>().map(|kind| kind.code());
+    let outcome =
+        refused.unwrap_or(if answer.status().is_success() { "answered" } else { "failed" });
+    state.metrics.ended(outcome);
+    let took = state.now().since(arrived);
+    if answer.status().is_success() {
+        return state.metrics.first_part.observe(took.as_secs_f64());
+    }
+    if state.lines.allows(state.now()) {
+        let view = state.table.borrow().version();
+        log::info!(
+            request = id.and_then(|id| id.to_str().ok()).unwrap_or(""),
+            status = answer.status().as_u16(), outcome,
+            ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+            plan = state.held_plan(), lease_left_ms = state.lease_left_ms(),
+            view_term = view.term.0, view = view.number;
+            "a request is not served"
+        );
+    }
+}
+
 /// Admits a request: rule, key, body, service.
 async fn take(
     state: &Rc<EntryState>,
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -13,6 +13,7 @@
 use briartray_node::ClockReader;
 use crossbeam::channel::Sender;
 
+use super::journal::{EntryMetrics, LineBudget};
 use crate::settings::GatewaySettings;
 use briartray_http::ConnectionPool;
 
@@ -30,18 +31,21 @@
     draining: Cell<bool>,
     serving: Cell<bool>,
     running: Cell<usize>,
+    pub(super) lines: LineBudget,
+    pub(super) metrics: EntryMetrics,
 }
 
 /// The parts of an entry's state that can cross threads.
 pub(super) struct StateBuilder {
     settings: GatewaySettings,
     reports: Sender<EntryReport>,
+    metrics: EntryMetrics,
 }
 
 impl StateBuilder {
     /// The state, on the thread that will use it.
     pub(super) fn build(self) -> EntryState {
-        let Self { settings, reports } = self;
+        let Self { settings, reports, metrics } = self;
         let limits = &settings.limits;
         let budget =
             RetryBudget::new(limits.retry_ratio, limits.retry_allowance, limits.retry_window());
@@ -57,6 +61,8 @@
             draining: Cell::new(false),
             serving: Cell::new(false),
             running: Cell::new(0),
+            lines: LineBudget::default(),
+            metrics,
             settings,
         }
     }
@@ -68,12 +74,17 @@
 impl Drop for RunningGuard {
     fn drop(&mut self) {
         self.0.running.set(self.0.running.get() - 1);
+        self.0.metrics.running.dec();
     }
 }
 
 impl EntryState {
-    pub(super) fn builder(settings: GatewaySettings, reports: Sender<EntryReport>) -> StateBuilder {
-        StateBuilder { settings, reports }
+    pub(super) fn builder(
+        settings: GatewaySettings,
+        reports: Sender<EntryReport>,
+        metrics: EntryMetrics,
+    ) -> StateBuilder {
+        StateBuilder { settings, reports, metrics }
     }
 
     pub(super) fn now(&self) -> TimePoint {
@@ -107,6 +118,7 @@
     pub(super) fn begin_request(self: &Rc<Self>) -> RunningGuard {
         self.serving.set(true);
         self.running.set(self.running.get() + 1);
+        self.metrics.running.inc();
         RunningGuard(Rc::clone(self))
     }
 
@@ -115,6 +127,17 @@
         self.budget.borrow_mut().request(self.now(), service);
     }
 
+    /// Time left of the lease, in milliseconds.
+    pub(super) fn lease_left_ms(&self) -> u64 {
+        let left = self.lease.borrow().until().since(self.now());
+        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Version of the declaration that is held, whether or not it may be used.
+    pub(super) fn held_plan(&self) -> u64 {
+        self.book.borrow().as_ref().map_or(0, |book| book.version())
+    }
+
     /// Takes one repeat out of the budget.
     pub(super) fn take_repeat(&self, service: &ServiceName) -> bool {
         let entries = self.table.borrow().entries();
@@ -195,7 +218,8 @@
         }
         // The lease comes last: it confirms what was told with it.
         if let Some(nonce) = notice.nonce {
-            self.lease.borrow_mut().grant(nonce);
+            let left = self.lease.borrow_mut().grant(nonce).since(self.now());
+            self.metrics.lease_left.set(i64::try_from(left.as_millis()).unwrap_or(i64::MAX));
         }
     }
 
@@ -207,6 +231,7 @@
         match briartray_platform::read_plan(body) {
             Ok(plan) => {
                 log::info!(version, routes = plan.routes.len(); "a declaration is in force here");
+                self.metrics.plan.set(i64::try_from(version).unwrap_or(i64::MAX));
                 *self.book.borrow_mut() = Some(Rc::new(RouteBook::compile(plan)));
             }
             Err(error) => log::error!(version; "an accepted declaration does not read: {error}"),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod control;
 mod entry;
+mod metrics_port;
 mod process;
 mod settings;
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -43,6 +43,8 @@
     pub link_token: String,
     /// Addresses of some control hosts, on the port for operators and endpoints.
     pub seeds: Vec<SocketAddr>,
+    /// Where metrics are served; nowhere without it.
+    pub metrics: Option<SocketAddr>,
     /// Filter of the log, as in `info,briartray_gateway=debug`.
     #[serde(default = "default_level")]
     pub log_level: String,
