Share the room of a group between entries by what it tells of its load

Cause: under a burst groups told 34 running and 3 to 5 waiting on average, 13 and more in one answer of ten: each of eight entries filled all of the room that it saw.

Change: an entry sends its part of the room that the last answer told, and one request for each of its own that ended since; a part of a request is the chance of one.

--- a/crates/fleet/src/entry/load.rs
+++ b/crates/fleet/src/entry/load.rs
@@ -9,6 +9,11 @@
 
 use briartray_model::TimePoint;
 
+/// Part of a target's free room that one entry may fill before it is told its load again, in
+/// entries' equal parts. Where each took all of the room it saw, eight entries sent ten requests
+/// too many to a full group, and those waited there for 150 to 400 ms.
+const ROOM_SHARE: f64 = 1.5;
+
 /// Time for which what was told of the others counts in full: under load an entry gets three
 /// answers a second from each group.
 const FRESH: Duration = Duration::from_millis(1_000);
@@ -34,6 +39,8 @@
     pub own: u32,
     others: f64,
     sampled: Option<TimePoint>,
+    /// Requests that were sent since its load was told, less those that ended.
+    grown: i32,
     /// Last byte that came from it.
     pub moved: Option<TimePoint>,
     /// Oldest moment since which something of this entry waits without a byte.
@@ -51,11 +58,13 @@
             self.waiting_since = Some(now);
         }
         self.own += 1;
+        self.grown += 1;
     }
 
     /// A request ended.
     pub fn end(&mut self) {
         self.own = self.own.saturating_sub(1);
+        self.grown -= 1;
         if self.own == 0 {
             self.waiting_since = None;
         }
@@ -73,6 +82,7 @@
         let total = f64::from(sample.running + sample.waiting);
         self.others = (total - f64::from(self.own)).max(0.0);
         self.sampled = Some(now);
+        self.grown = 0;
     }
 
     /// Requests it runs and holds, as far as is known.
@@ -80,6 +90,16 @@
         f64::from(self.own) + self.others_now(now)
     }
 
+    /// Requests that this entry may send to a target of `slots` now, one of `entries` that share
+    /// it: its part of the room, less what it has sent since it was told of it. A part of a request
+    /// is the chance of one.
+    pub fn room(&self, now: TimePoint, slots: f64, entries: usize) -> f64 {
+        let share = ROOM_SHARE / entries.max(1) as f64;
+        let grown = f64::from(self.grown);
+        let told = self.total(now) - grown;
+        (slots - told) * share - grown
+    }
+
     /// Time without a byte while something of this entry waits.
     pub fn silence(&self, now: TimePoint) -> Option<Duration> {
         self.waiting_since.map(|since| now.since(since))
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -27,10 +27,6 @@
 /// How long a target that failed is left alone before one request tries it.
 const SUSPECT_FOR: Duration = Duration::from_millis(2_000);
 
-/// Slots of a group that are left free as far as this entry knows: several entries may fill the
-/// last ones at the same time.
-const SLOTS_LEFT: f64 = 1.0;
-
 /// Requests for each slot of a plain endpoint that may wait there; one takes 30 ms.
 const PLAIN_QUEUE: f64 = 3.0;
 
@@ -166,7 +162,7 @@
         let engine = book.service(service).and_then(|spec| spec.engine.as_ref());
         let slots = engine.map(|engine| engine.slots as f64);
         let candidates = match (slots, model) {
-            (Some(slots), Some(model)) => self.groups(service, model, slots - SLOTS_LEFT),
+            (Some(slots), Some(model)) => self.groups(service, model, slots),
             (None, _) => self.endpoints(service),
             (Some(_), None) => Vec::new(),
         };
@@ -249,7 +245,7 @@
         self.loads.get_or_insert_with(target.clone(), TargetLoad::default)
     }
 
-    fn groups(&self, service: &ServiceName, model: &str, room: f64) -> Vec<Candidate> {
+    fn groups(&self, service: &ServiceName, model: &str, slots: f64) -> Vec<Candidate> {
         let fits = |group: &&GroupView| {
             group.open
                 && group.service == *service
@@ -263,7 +259,8 @@
                 address: group.address.clone(),
             },
             near: group.zone == self.zone,
-            room,
+            slots,
+            shared: true,
         };
         self.view.groups.iter().filter(fits).map(candidate).collect()
     }
@@ -279,7 +276,8 @@
                 address: endpoint.address.clone(),
             },
             near: endpoint.zone == self.zone,
-            room: endpoint.slots as f64 * PLAIN_QUEUE,
+            slots: endpoint.slots as f64 * PLAIN_QUEUE,
+            shared: false,
         };
         self.view.endpoints.iter().filter(fits).map(candidate).collect()
     }
@@ -292,6 +290,7 @@
         candidates: Vec<Candidate>,
         tried: &[TargetId],
     ) -> Result<TargetChoice, ChoiceRefusal> {
+        let entries = self.view.entries;
         let mut best: Option<(bool, f64, Candidate)> = None;
         let mut full = false;
         for candidate in candidates {
@@ -300,7 +299,12 @@
             }
             let load = self.loads.get(&candidate.choice.target);
             let total = load.map_or(0.0, |load| load.total(now));
-            if total >= candidate.room {
+            // A queue at a plain endpoint is short; one at a group makes every answer late.
+            let room = match load {
+                Some(load) if candidate.shared => load.room(now, candidate.slots, entries),
+                _ => candidate.slots - total,
+            };
+            if room < 1.0 && room <= self.random.random_range(0.0..1.0) {
                 full = true;
                 continue;
             }
@@ -328,5 +332,7 @@
 struct Candidate {
     choice: TargetChoice,
     near: bool,
-    room: f64,
+    slots: f64,
+    /// Whether entries share its room by what it tells of its load.
+    shared: bool,
 }
