Believe each entry's newest word on a group, not the age of bytes

Change: an entry's newest report proves for 0.35 s that the group moves, and a finding of silence takes that back.

--- a/crates/fleet/src/director/group.rs
+++ b/crates/fleet/src/director/group.rs
@@ -120,25 +120,30 @@
 
     /// Whether a member is lost, and no entry proves the opposite, or one is leaving.
     fn is_impaired(&self, group: GroupId, record: &GroupRecord) -> bool {
-        let lost = record.members.iter().any(|host| self.is_missing(group, &host.id));
+        let lost = record.members.iter().any(|host| self.is_missing(group, record, &host.id));
         let leaving = record.members.iter().any(|host| self.is_leaving(&host.id));
         leaving || (lost && !self.is_moving(group, record))
     }
 
     /// Whether a member is lost: two probes went unanswered, or one while an entry finds the
     /// group silent. The second witness saves the time of a probe.
-    fn is_missing(&self, group: GroupId, id: &IncarnationId) -> bool {
+    fn is_missing(&self, group: GroupId, record: &GroupRecord, id: &IncarnationId) -> bool {
         let failed = self.hosts.get(id).is_some_and(|host| host.failures > 0);
-        self.is_lost(id) || (failed && self.pulses.is_suspect(self.now, group))
+        let limit = self.silence_limit(record);
+        self.is_lost(id) || (failed && self.pulses.is_suspect(self.now, group, limit))
     }
 
     /// Whether entries prove that the whole group works.
     fn is_moving(&self, group: GroupId, record: &GroupRecord) -> bool {
+        self.pulses.is_moving(self.now, group, self.silence_limit(record))
+    }
+
+    /// Silence after which the group most likely stands still.
+    fn silence_limit(&self, record: &GroupRecord) -> Duration {
         let engine = self.plan.service(&record.service).and_then(|service| service.engine.as_ref());
-        let limit = engine
+        engine
             .and_then(|engine| Some(engine.silence_limit(engine.model(&record.model)?)))
-            .unwrap_or(PROOF_AGE);
-        self.pulses.is_moving(self.now, group, limit)
+            .unwrap_or(PROOF_AGE)
     }
 }
 
@@ -231,14 +236,14 @@
     since: TimePoint,
 ) -> GroupStep {
     let Some(head) = record.members.first() else { return GroupStep::End };
-    if scene.is_missing(group, &head.id) {
+    if scene.is_missing(group, record, &head.id) {
         return GroupStep::End;
     }
     match scene.mark(&head.id, group) {
         // The members are told to leave once the group has ended.
         None | Some(MarkState::Broken | MarkState::Joining | MarkState::Ready) => GroupStep::End,
         Some(MarkState::Open | MarkState::Closing) => {
-            let lost = record.members.iter().any(|host| scene.is_missing(group, &host.id));
+            let lost = record.members.iter().any(|host| scene.is_missing(group, record, &host.id));
             let late = scene.now.since(since) > CLOSE_PATIENCE;
             // Without all members nothing moves, and waiting would only hold the hosts.
             let method = if lost || late { CloseMethod::Truncate } else { CloseMethod::Wait };
--- a/crates/fleet/src/director/pulse.rs
+++ b/crates/fleet/src/director/pulse.rs
@@ -3,59 +3,71 @@
 //! An endpoint that is cut off from the control hosts may serve callers all the same. Its group
 //! must not be taken apart then: a host would be in two groups at once. Bytes that reach any
 //! entry prove that the whole group works, since it stands still when one member is missing.
+//!
+//! Each entry's newest word counts, for a little longer than the time between two of its reports.
+//! Ages of bytes alone would not do: a byte that is 100 ms old when it is told looks as old as a
+//! stall by the time of the next report.
 
 use std::time::Duration;
 
-use briartray_model::names::GroupId;
+use briartray_model::names::{GroupId, NodeName};
 use briartray_model::{SortedTable, TimePoint};
 
 use crate::message::GroupPulse;
 
+/// How long an entry's word counts. Entries report every 250 ms, and at once when they find a
+/// group silent.
+const WORD_LASTS: Duration = Duration::from_millis(350);
+
 /// How long an entry's finding that a group is silent counts.
 const SUSPICION: Duration = Duration::from_millis(1_500);
 
-/// Latest signs of life of each group.
+/// The newest word of each entry on each group.
 #[derive(Debug, Clone, Default)]
 pub struct PulseBook {
-    seen: SortedTable<GroupId, GroupSight>,
+    seen: SortedTable<(GroupId, NodeName), GroupSight>,
 }
 
-#[derive(Debug, Clone, Default)]
+/// What one entry said of one group.
+#[derive(Debug, Clone)]
 struct GroupSight {
-    moved: Option<TimePoint>,
-    suspected: Option<TimePoint>,
+    told: TimePoint,
+    quiet: Option<Duration>,
+    suspect: bool,
 }
 
 impl PulseBook {
-    /// Takes what one entry saw; `true` when it finds the group silent.
-    pub fn take(&mut self, now: TimePoint, pulse: &GroupPulse) -> bool {
-        let sight = self.seen.get_or_insert_with(pulse.group, GroupSight::default);
-        if let Some(quiet) = pulse.quiet_ms {
-            let moved = TimePoint(now.0.saturating_sub(quiet * 1000));
-            sight.moved = sight.moved.max(Some(moved));
-        }
-        if pulse.suspect {
-            sight.suspected = Some(now);
-        }
+    /// Takes what `entry` saw; `true` when it finds the group silent.
+    pub fn take(&mut self, now: TimePoint, entry: &NodeName, pulse: &GroupPulse) -> bool {
+        let sight = GroupSight {
+            told: now,
+            quiet: pulse.quiet_ms.map(Duration::from_millis),
+            suspect: pulse.suspect,
+        };
+        self.seen.insert((pulse.group, entry.clone()), sight);
         pulse.suspect
     }
 
-    /// Whether bytes of the group reached an entry within `limit`.
+    /// Whether some entry had bytes of the group within `limit` of its newest word.
     pub fn is_moving(&self, now: TimePoint, group: GroupId, limit: Duration) -> bool {
-        let moved = self.seen.get(&group).and_then(|sight| sight.moved);
-        moved.is_some_and(|at| now.since(at) < limit)
+        self.sights(group).any(|sight| {
+            let fresh = now.since(sight.told) < WORD_LASTS;
+            fresh && !sight.suspect && sight.quiet.is_some_and(|quiet| quiet < limit)
+        })
     }
 
-    /// Whether an entry found the group silent lately, and nothing came from it since.
-    pub fn is_suspect(&self, now: TimePoint, group: GroupId) -> bool {
-        self.seen.get(&group).is_some_and(|sight| {
-            sight.suspected > sight.moved
-                && sight.suspected.is_some_and(|at| now.since(at) < SUSPICION)
-        })
+    /// Whether an entry finds the group silent, and none has bytes of it.
+    pub fn is_suspect(&self, now: TimePoint, group: GroupId, limit: Duration) -> bool {
+        let silent = |sight: &GroupSight| sight.suspect && now.since(sight.told) < SUSPICION;
+        !self.is_moving(now, group, limit) && self.sights(group).any(silent)
     }
 
     /// Forgets every group that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(GroupId) -> bool) {
-        self.seen.retain(|group, _| keep(*group));
+        self.seen.retain(|(group, _), _| keep(*group));
+    }
+
+    fn sights(&self, group: GroupId) -> impl Iterator<Item = &GroupSight> {
+        self.seen.iter().filter(move |((known, _), _)| *known == group).map(|(_, sight)| sight)
     }
 }
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -138,7 +138,7 @@
             self.demand.add(now, demand);
         }
         for pulse in &report.pulses {
-            let silent = self.pulses.take(now, pulse);
+            let silent = self.pulses.take(now, &report.node, pulse);
             let Some(group) = state.groups().get(&pulse.group).filter(|_| silent) else { continue };
             for host in &group.members {
                 self.hosts.probe_now(now, &host.id);
