Split the director by what it does; one courier and one merge of batches

Change: view, records and planning are files of their own; the courier is in the link package, merging is a method of the batch.

Measured: linter and the tests of fleet and link pass; no behaviour changes.

--- a/crates/control/src/agreement/output.rs
+++ b/crates/control/src/agreement/output.rs
@@ -45,6 +45,21 @@
     pub writes: Vec<StorageWrite>,
 }
 
+impl WriteBatch {
+    /// Adds `more`, entries to those before them, so that they share one sync.
+    pub fn absorb(&mut self, more: Self) {
+        self.ticket = more.ticket;
+        for write in more.writes {
+            match (self.writes.last_mut(), write) {
+                (Some(StorageWrite::Append(entries)), StorageWrite::Append(next)) => {
+                    entries.extend(next);
+                }
+                (_, write) => self.writes.push(write),
+            }
+        }
+    }
+}
+
 /// A committed entry.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CommittedEntry {
--- a/crates/fleet/src/director/mod.rs
+++ b/crates/fleet/src/director/mod.rs
@@ -12,9 +12,12 @@
 mod loads;
 mod order;
 mod plan;
+mod planning;
 mod pulse;
+mod records;
 mod step;
 mod stray;
+mod view;
 
 pub use beat::{EndpointBeat, EndpointReport, GroupMark, MarkState};
 pub use demand::DemandBook;
--- /dev/null
+++ b/crates/fleet/src/director/view.rs
@@ -0,0 +1,78 @@
+//! What entries are told of endpoints and groups.
+
+use briartray_model::TimePoint;
+
+use super::FleetDirector;
+use crate::deployment::{DeploymentPlan, ServiceSpec};
+use crate::message::{EndpointView, FleetView, GroupView, ViewVersion};
+use crate::state::FleetState;
+
+impl FleetDirector {
+    /// What entries may send to.
+    pub fn view(
+        &self,
+        now: TimePoint,
+        state: &FleetState,
+        plan: &DeploymentPlan,
+        version: ViewVersion,
+    ) -> FleetView {
+        let scene = self.scene(now, state, plan);
+        let mut view = FleetView { version, ..FleetView::default() };
+        for service in plan.services.iter().filter(|service| service.engine.is_none()) {
+            view.endpoints.extend(self.endpoints_of(service, state));
+        }
+        for (group, record) in state.groups().iter().filter(|(_, record)| !record.standby) {
+            let Some(head) = record.members.first() else { continue };
+            view.groups.push(GroupView {
+                group: *group,
+                service: record.service.clone(),
+                model: record.model.clone(),
+                head: head.id.clone(),
+                address: head.address.clone(),
+                zone: record.zone.clone(),
+                open: scene.is_open(*group, record),
+            });
+        }
+        view
+    }
+
+    /// Hosts that are in no group, by domain and by the weights they have, in a few words.
+    pub fn spare_summary(&self, state: &FleetState) -> String {
+        let mut kinds: Vec<String> = Vec::new();
+        for (id, host) in self.hosts.iter() {
+            let Some(domain) = &host.beat.report.domain else { continue };
+            let grouped = state
+                .groups()
+                .values()
+                .any(|group| !group.standby && group.members.iter().any(|member| member.id == *id));
+            if grouped || host.is_lost() || host.beat.leaving || state.is_leaving(id) {
+                continue;
+            }
+            let staged = host.beat.report.staged.join("+");
+            let loading = host.staging.as_ref().map_or("", |(model, _)| model);
+            kinds.push(format!("{domain}:{staged}>{loading}"));
+        }
+        kinds.sort();
+        let asked = self.demand.summary();
+        let counts =
+            kinds.chunk_by(|a, b| a == b).map(|same| format!("{} {}", same[0], same.len()));
+        format!("{}; busy {asked}", counts.collect::<Vec<_>>().join(", "))
+    }
+
+    fn endpoints_of<'a>(
+        &'a self,
+        service: &'a ServiceSpec,
+        state: &'a FleetState,
+    ) -> impl Iterator<Item = EndpointView> + 'a {
+        self.hosts
+            .of_service(&service.name)
+            .filter(|(id, host)| !host.beat.leaving && !state.is_leaving(id))
+            .map(|(id, host)| EndpointView {
+                id: id.clone(),
+                service: host.beat.service.clone(),
+                address: host.beat.address.clone(),
+                zone: host.beat.zone.clone(),
+                slots: host.beat.slots,
+            })
+    }
+}
--- a/crates/gateway/src/control/disk.rs
+++ b/crates/gateway/src/control/disk.rs
@@ -1,7 +1,7 @@
 //! The storage thread: writes what the agreement hands out, so that the control thread never
 //! waits for a disk.
 
-use briartray_control::agreement::{StorageWrite, WriteBatch};
+use briartray_control::agreement::WriteBatch;
 use briartray_control::storage::DataFolder;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
 use crossbeam::channel::{Receiver, Sender, unbounded};
@@ -29,7 +29,7 @@
     while let Ok(first) = queue.recv() {
         let mut batch = first;
         for more in queue.try_iter().take(MAX_MERGED) {
-            merge(&mut batch, more);
+            batch.absorb(more);
         }
         if let Err(error) = folder.write(&batch) {
             // Nothing after a failed write or sync may count as stored.
@@ -42,16 +42,3 @@
         }
     }
 }
-
-/// Adds `more` to `batch`, entries to those before them, so that they share one sync.
-fn merge(batch: &mut WriteBatch, more: WriteBatch) {
-    batch.ticket = more.ticket;
-    for write in more.writes {
-        match (batch.writes.last_mut(), write) {
-            (Some(StorageWrite::Append(entries)), StorageWrite::Append(next)) => {
-                entries.extend(next);
-            }
-            (_, write) => batch.writes.push(write),
-        }
-    }
-}
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -1,14 +1,13 @@
 //! Links to the other control hosts, one stream and one thread for each; hosts become known while
 //! the process runs.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use briartray_link::{CallKind, ClientSettings, LinkClient};
+use briartray_link::{CallKind, ClientSettings, LinkClient, carry_messages};
 use briartray_model::SortedTable;
 use briartray_model::names::NodeName;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crossbeam::channel::{Sender, bounded};
 
 use super::input::CoreMessage;
 use crate::process::ProcessError;
@@ -20,9 +19,6 @@
 /// Time to connect to another control host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Wait before a broken stream is opened again.
-const REOPEN_WAIT: Duration = Duration::from_millis(100);
-
 /// Queues to the other control hosts.
 #[derive(Debug)]
 pub(super) struct PeerLinks {
@@ -62,8 +58,9 @@
         let Some(address) = self.settings.link_address(to) else { return false };
         let (sender, queue) = bounded(PEER_QUEUE);
         let client = self.client.clone();
-        let started =
-            spawn_worker("peer", WORKER_STACK_BYTES, move || carry(&client, address, &queue));
+        let started = spawn_worker("peer", WORKER_STACK_BYTES, move || {
+            carry_messages(&client, address, CallKind::Core, &queue)
+        });
         if let Err(error) = started {
             log::error!("no thread for the link to {to}: {error}; raise the thread limit");
             return false;
@@ -72,20 +69,3 @@
         true
     }
 }
-
-/// Carries messages to `address` until the queue is closed.
-fn carry(client: &LinkClient, address: SocketAddr, queue: &Receiver<CoreMessage>) {
-    while let Ok(first) = queue.recv() {
-        let (writer, reader) = client.open(address, CallKind::Core);
-        let mut sent = writer.send(&first);
-        while sent.is_ok() {
-            let Ok(message) = queue.recv() else { return };
-            sent = writer.send(&message);
-        }
-        drop(reader);
-        log::debug!("the stream to the control host at {address} broke");
-        std::thread::sleep(REOPEN_WAIT);
-        // What waited meanwhile is old; the agreement sends again what still counts.
-        queue.try_iter().take(PEER_QUEUE).for_each(drop);
-    }
-}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod connection;
+mod courier;
 mod error;
 mod frame;
 mod server;
@@ -13,6 +14,7 @@
 
 pub use client::{ClientSettings, LinkClient};
 pub use connection::PathProof;
+pub use courier::carry_messages;
 pub use error::LinkError;
 pub use frame::MAX_FRAME_BYTES;
 pub use server::{LinkServer, LinkStream};
--- a/crates/node/src/control/disk.rs
+++ b/crates/node/src/control/disk.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use briartray_control::agreement::{StorageWrite, WriteBatch};
+use briartray_control::agreement::WriteBatch;
 use briartray_control::storage::DataFolder;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
 use crossbeam::channel::{Receiver, Sender, unbounded};
@@ -42,7 +42,7 @@
     while let Ok(first) = queue.recv() {
         let mut batch = first;
         for more in queue.try_iter().take(MAX_MERGED) {
-            merge(&mut batch, more);
+            batch.absorb(more);
         }
         let started = Instant::now();
         if let Err(error) = folder.write(&batch) {
@@ -56,16 +56,3 @@
         }
     }
 }
-
-/// Adds `more` to `batch`, entries to those before them, so that they share one sync.
-fn merge(batch: &mut WriteBatch, more: WriteBatch) {
-    batch.ticket = more.ticket;
-    for write in more.writes {
-        match (batch.writes.last_mut(), write) {
-            (Some(StorageWrite::Append(entries)), StorageWrite::Append(next)) => {
-                entries.extend(next);
-            }
-            (_, write) => batch.writes.push(write),
-        }
-    }
-}
--- a/crates/node/src/control/peers.rs
+++ b/crates/node/src/control/peers.rs
@@ -1,15 +1,14 @@
 //! Links to the other control hosts, one stream and one thread for each.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use briartray_control::agreement::PeerMessage;
-use briartray_link::{CallKind, ClientSettings, LinkClient};
+use briartray_link::{CallKind, ClientSettings, LinkClient, carry_messages};
 use briartray_model::SortedTable;
 use briartray_model::names::NodeName;
 use briartray_model::settings::ControlPeer;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crossbeam::channel::{Sender, bounded};
 
 use crate::DaemonError;
 
@@ -19,9 +18,6 @@
 /// Time to connect to another control host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Wait before a broken stream is opened again.
-const REOPEN_WAIT: Duration = Duration::from_millis(100);
-
 /// Queues to the other control hosts.
 #[derive(Debug)]
 pub(super) struct PeerLinks {
@@ -41,7 +37,9 @@
         for peer in peers.iter().filter(|peer| peer.node != *own) {
             let (sender, queue) = bounded(PEER_QUEUE);
             let (client, address) = (client.clone(), peer.link);
-            spawn_worker("peer", WORKER_STACK_BYTES, move || carry(&client, address, &queue))?;
+            spawn_worker("peer", WORKER_STACK_BYTES, move || {
+                carry_messages(&client, address, CallKind::Peer, &queue)
+            })?;
             queues.insert(peer.node.clone(), sender);
         }
         Ok(Self { queues })
@@ -54,20 +52,3 @@
         }
     }
 }
-
-/// Carries messages to `address` until the control thread is gone.
-fn carry(client: &LinkClient, address: SocketAddr, queue: &Receiver<PeerMessage>) {
-    while let Ok(first) = queue.recv() {
-        let (writer, reader) = client.open(address, CallKind::Peer);
-        let mut sent = writer.send(&first);
-        while sent.is_ok() {
-            let Ok(message) = queue.recv() else { return };
-            sent = writer.send(&message);
-        }
-        drop(reader);
-        log::debug!("the stream to the control host at {address} broke");
-        std::thread::sleep(REOPEN_WAIT);
-        // What waited meanwhile is old; the agreement sends again what still counts.
-        queue.try_iter().take(PEER_QUEUE).for_each(drop);
-    }
-}
