Keep no more idle connections than an endpoint's share for an entry

Cause: each entry kept up to 16 idle connections to an endpoint, which accepts 52 to 130 from all of them and resets further ones; a request that must not run twice, on a new connection, was answered 502.

Change: an entry keeps its part of half of what the declaration says is accepted.

--- a/crates/gateway/src/control/calls.rs
+++ b/crates/gateway/src/control/calls.rs
@@ -21,6 +21,9 @@
 /// Time for the answer to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Idle connections that are kept to one endpoint: calls to it come one at a time.
+const IDLE_CONNECTIONS: usize = 1;
+
 /// A call to an endpoint.
 #[derive(Debug)]
 pub(super) enum EndpointCall {
@@ -106,7 +109,7 @@
         let told = AnswerHead::read(head.status, &head.headers);
         if !told.closes {
             let now = self.clock.now();
-            self.pool.borrow_mut().put(now, address, connection, told.idle_limit);
+            self.pool.borrow_mut().put(now, address, connection, told.idle_limit, IDLE_CONNECTIONS);
         }
         Ok((head.status, told, body))
     }
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -34,6 +34,8 @@
     pub(super) body: Bytes,
     /// When the caller or the rule gives up.
     pub(super) until: TimePoint,
+    /// Idle connections that this entry keeps to one endpoint of the service.
+    pub(super) idle_connections: usize,
     /// Target of the attempt in progress.
     pub(super) chosen: Rc<RefCell<Option<TargetId>>>,
     /// Targets it was sent to.
@@ -254,15 +256,12 @@
 
 impl LiveAnswer {
     /// Keeps the connection for later, when the answer was whole and allows it.
-    pub(super) fn release(self, state: &EntryState) {
+    pub(super) fn release(self, request: &ServedRequest) {
         if !self.told.closes {
             let connection = self.exchange.into_connection();
-            state.pool.borrow_mut().put(
-                state.now(),
-                self.address,
-                connection,
-                self.told.idle_limit,
-            );
+            let (now, limit) = (request.state.now(), self.told.idle_limit);
+            let mut pool = request.state.pool.borrow_mut();
+            pool.put(now, self.address, connection, limit, request.idle_connections);
         }
     }
 }
--- a/crates/gateway/src/entry/plain.rs
+++ b/crates/gateway/src/entry/plain.rs
@@ -77,7 +77,8 @@
             if !told.closes {
                 let state = &request.state;
                 let now = state.now();
-                state.pool.borrow_mut().put(now, address, connection, told.idle_limit);
+                let most = request.idle_connections;
+                state.pool.borrow_mut().put(now, address, connection, told.idle_limit, most);
             }
             Ok(WholeAnswer { head, body })
         }
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -223,7 +223,7 @@
         }
     };
     if whole {
-        stream.answer.release(&request.state);
+        stream.answer.release(&request);
     } else {
         state.metrics.cut.inc();
         if state.lines.allows(state.now()) {
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -5,7 +5,7 @@
 
 use briartray_fleet::deployment::{RouteBook, RouteRule};
 use briartray_model::TimePoint;
-use briartray_model::names::TeamName;
+use briartray_model::names::{ServiceName, TeamName};
 use briartray_platform::CallerHead;
 use bytes::Bytes;
 use http::request::Parts;
@@ -19,6 +19,9 @@
 use super::{plain, relay};
 use briartray_http::AnswerBody;
 
+/// Idle connections to one endpoint at the most.
+const MAX_IDLE: usize = 16;
+
 /// Time to wait for a caller who names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -91,7 +94,9 @@
         state.count_demand(&book, &service, model, tokens.prompt, head.answer_guess);
     }
     let patience = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(rule.timeout);
+    let idle_connections = idle_connections(state, &book, &service);
     Ok(ServedRequest {
+        idle_connections,
         state: Rc::clone(state),
         until: arrived.after(patience),
         book,
@@ -108,6 +113,14 @@
     })
 }
 
+/// Idle connections to keep to one endpoint of `service`: this entry's part of half of those that
+/// the endpoint accepts, so that new ones find room.
+fn idle_connections(state: &EntryState, book: &RouteBook, service: &ServiceName) -> usize {
+    let accepted = book.service(service).map_or(0, |spec| spec.max_connections as usize);
+    let entries = state.table.borrow().entries().max(1);
+    (accepted / entries / 2).clamp(1, MAX_IDLE)
+}
+
 /// The team of the caller, where a key is needed.
 fn check_key(
     book: &RouteBook,
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -17,9 +17,6 @@
 /// Part of the named limit that is used, and what it is shortened by: limits are whole seconds.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
 
-/// Idle connections to one endpoint.
-const MAX_IDLE: usize = 16;
-
 /// Connections that wait for their next request.
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
@@ -45,17 +42,24 @@
         None
     }
 
-    /// Keeps a connection for later; `limit` is how long the endpoint keeps it.
+    /// Keeps a connection for later, one of `most` to its endpoint; `limit` is how long the endpoint
+    /// keeps it.
+    ///
+    /// An endpoint accepts a bounded number of connections from all processes together and resets
+    /// further ones. A request on a connection that is reset may have run: callers of what must
+    /// not run twice were told that the outcome is unknown, one in six on a deployment of 18
+    /// entries that kept 16 connections each before an endpoint which accepts 72.
     pub fn put(
         &mut self,
         now: TimePoint,
         address: SocketAddr,
         connection: EndpointConnection,
         limit: Option<Duration>,
+        most: usize,
     ) {
         let time = limit.map_or(DEFAULT_IDLE, |limit| limit.saturating_sub(IDLE_MARGIN));
         let idle = self.idle.get_or_insert_with(address, Vec::new);
-        if idle.len() < MAX_IDLE && !time.is_zero() {
+        if idle.len() < most && !time.is_zero() {
             idle.push(IdleConnection { connection, until: now.after(time) });
         }
     }
