Recover faster when everything was restarted

Cause: after all processes were stopped, half a second to a second passed before the first election, and another third until a view was told, while nobody served.

Change: where voters come and go, a host that has just started waits three eighths of the usual timeout; a leader tells a partial view, which only entries without a whole one take.

--- a/crates/control/src/agreement/core.rs
+++ b/crates/control/src/agreement/core.rs
@@ -25,6 +25,9 @@
 /// Entries that stay behind a snapshot, so that a host that is a little late needs no snapshot.
 const TRAILING_ENTRIES: u64 = 512;
 
+/// Part of the usual election timeout that a host waits after its start, as a fraction.
+const FIRST_ELECTION: (u32, u32) = (3, 8);
+
 /// The times of the agreement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AgreementTimes {
@@ -166,13 +169,28 @@
             core.output.deliveries.push(LogDelivery::Restore(snapshot));
         }
         core.deliver();
-        // A single member has nobody to wait for.
-        if core.members.len() > 1 {
-            core.delay_election(now);
-        }
+        core.delay_first_election(now);
         core
     }
 
+    /// When a host that has just started asks for votes.
+    ///
+    /// Where voters come and go it waits a part of the usual time only: when every process was
+    /// stopped at once, nobody leads, and the usual wait is most of the time without service. A
+    /// leader that does exist is not disturbed, since its followers refuse the pre-vote.
+    fn delay_first_election(&mut self, now: TimePoint) {
+        match self.membership {
+            // A single member has nobody to wait for.
+            MembershipMode::Fixed if self.members.len() == 1 => {}
+            MembershipMode::Fixed => self.delay_election(now),
+            MembershipMode::Dynamic { .. } => {
+                self.delay_election(now);
+                let usual = self.election_at.since(now);
+                self.election_at = now.after(usual * FIRST_ELECTION.0 / FIRST_ELECTION.1);
+            }
+        }
+    }
+
     /// Takes note of the time: elections, heartbeats, and the end of a leadership that a majority
     /// no longer confirms.
     pub fn tick(&mut self, now: TimePoint) {
--- a/crates/fleet/src/director/view.rs
+++ b/crates/fleet/src/director/view.rs
@@ -17,7 +17,8 @@
         version: ViewVersion,
     ) -> FleetView {
         let scene = self.scene(now, state, plan);
-        let mut view = FleetView { version, ..FleetView::default() };
+        let partial = !self.is_settled(now);
+        let mut view = FleetView { version, partial, ..FleetView::default() };
         for service in plan.services.iter().filter(|service| service.engine.is_none()) {
             view.endpoints.extend(self.endpoints_of(service, state));
         }
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -100,7 +100,13 @@
     }
 
     /// Takes a newer view.
+    ///
+    /// One of a leader that has not heard of all endpoints yet is better than none, as after a
+    /// restart of everything, and worse than what the leader before it knew.
     pub fn adopt(&mut self, view: FleetView) {
+        if view.partial && !self.view.partial && !self.is_empty() {
+            return;
+        }
         self.view = view;
         let view = &self.view;
         self.loads.retain(|target, load| {
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -100,6 +100,8 @@
         pub groups: Vec<GroupView>,
         /// Entries that hold a lease.
         pub entries: usize,
+        /// Whether the leader has not heard of all endpoints yet.
+        pub partial: bool,
     }
 
     /// A control host's answer to a report, or news that it sends unasked.
--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -159,6 +159,21 @@
     assert_eq!(choose(&mut table, at(710)), Ok(target));
 }
 
+/// A leader has just taken over and has heard of one group in four. An entry that knows them all goes on
+/// sending to all; one that was restarted takes what there is.
+#[test]
+fn a_partial_view_replaces_nothing_but_another_one() {
+    let part = || FleetView { partial: true, ..FleetView::default() };
+    let mut knowing = table(4);
+    let mut restarted = TargetTable::new(ZoneName::new("a"), 1);
+
+    knowing.adopt(part());
+    restarted.adopt(FleetView { entries: 3, ..part() });
+
+    assert!(!knowing.is_empty());
+    assert_eq!(restarted.entries(), 3);
+}
+
 /// An endpoint leaves; whatever view still names it, nothing more is sent there.
 #[test]
 fn leaving_endpoints_are_not_chosen() {
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -157,8 +157,8 @@
             return false;
         };
         let Some(plan) = &self.plan else { return false };
-        if !leadership.dirty || !leadership.director.is_settled(now) {
-            return std::mem::take(&mut leadership.dirty);
+        if !leadership.dirty {
+            return false;
         }
         leadership.dirty = false;
         let version = ViewVersion { term: leadership.term, number: leadership.number + 1 };
@@ -168,6 +168,7 @@
             known.endpoints == view.endpoints
                 && known.groups == view.groups
                 && known.entries == view.entries
+                && known.partial == view.partial
         });
         let newest = self.state.plan().map(|plan| plan.version);
         let behind = leadership.entries.values().any(|entry| entry.plan < newest);
