Send less to slow targets; repeat orders without an answer after 0.25 s

Cause: a group runs at the pace of its slowest host, and got its equal part all the same; an order without an answer was repeated after 0.6 s, and three in ten have none while orders are carried out late.

Change: a target counts as having more requests by how much later its first parts come than those of the quickest one, six times at the most; orders time out after 0.25 s.

--- a/crates/fleet/src/entry/load.rs
+++ b/crates/fleet/src/entry/load.rs
@@ -14,6 +14,12 @@
 /// too many to a full group, and those waited there for 150 to 400 ms.
 const ROOM_SHARE: f64 = 1.5;
 
+/// Weight of a new time to the first part in the smoothed one.
+const FIRST_WEIGHT: f64 = 0.25;
+
+/// Time for which the smoothed one counts: then the target is tried as any other.
+const FIRST_LASTS: Duration = Duration::from_millis(2_500);
+
 /// Time for which what was told of the others counts in full: under load an entry gets three
 /// answers a second from each group.
 const FRESH: Duration = Duration::from_millis(1_000);
@@ -43,6 +49,7 @@
     grown: i32,
     /// Last byte that came from it.
     pub moved: Option<TimePoint>,
+    first: Option<(TimePoint, f64)>,
     /// Oldest moment since which something of this entry waits without a byte.
     pub waiting_since: Option<TimePoint>,
     /// Silence after which it most likely stands still.
@@ -77,6 +84,18 @@
         self.suspect_until = None;
     }
 
+    /// The first part of an answer came after `took`.
+    pub fn first_part(&mut self, now: TimePoint, took: Duration) {
+        let took = took.as_secs_f64();
+        let known = self.first_now(now).unwrap_or(took);
+        self.first = Some((now, known + (took - known) * FIRST_WEIGHT));
+    }
+
+    /// Time to the first part of an answer lately, in seconds.
+    pub fn first_now(&self, now: TimePoint) -> Option<f64> {
+        self.first.filter(|(at, _)| now.since(*at) < FIRST_LASTS).map(|(_, took)| took)
+    }
+
     /// The target told its load.
     pub fn sample(&mut self, now: TimePoint, sample: LoadSample) {
         let total = f64::from(sample.running + sample.waiting);
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -30,6 +30,14 @@
 /// Requests for each slot of a plain endpoint that may wait there; one takes 30 ms.
 const PLAIN_QUEUE: f64 = 3.0;
 
+/// Requests that a target counts as having beyond those it runs, so that a slow one is avoided also
+/// when it is idle.
+const IDLE_LOAD: f64 = 4.0;
+
+/// Times that a target may count as slower than the quickest one. A group runs at the pace of its
+/// slowest host, which may be a tenth of the usual one for seconds.
+const MOST_SLOWNESS: f64 = 6.0;
+
 /// What a target in another zone is worth less, in requests: a way of some milliseconds.
 const ZONE_HANDICAP: f64 = 1.0;
 
@@ -197,6 +205,11 @@
         self.load(target).moved(now);
     }
 
+    /// The first part of an answer came from `target` after `took`.
+    pub fn first_part(&mut self, now: TimePoint, target: &TargetId, took: Duration) {
+        self.load(target).first_part(now, took);
+    }
+
     /// `target` told its load.
     pub fn sample(&mut self, now: TimePoint, target: &TargetId, sample: LoadSample) {
         self.load(target).sample(now, sample);
@@ -297,9 +310,19 @@
         tried: &[TargetId],
     ) -> Result<TargetChoice, ChoiceRefusal> {
         let entries = self.view.entries;
+        let first = |target: &TargetId| self.loads.get(target).and_then(|load| load.first_now(now));
+        let quickest = candidates
+            .iter()
+            .filter_map(|candidate| first(&candidate.choice.target))
+            .fold(f64::INFINITY, f64::min);
+        let slowness: Vec<f64> = candidates
+            .iter()
+            .map(|candidate| first(&candidate.choice.target).map_or(1.0, |took| took / quickest))
+            .map(|slowness| slowness.clamp(1.0, MOST_SLOWNESS))
+            .collect();
         let mut best: Option<(bool, f64, Candidate)> = None;
         let mut full = false;
-        for candidate in candidates {
+        for (candidate, slowness) in candidates.into_iter().zip(slowness) {
             if tried.contains(&candidate.choice.target) {
                 continue;
             }
@@ -316,7 +339,8 @@
             }
             let suspect = load.is_some_and(|load| load.is_suspect(now));
             let far = if candidate.near { 0.0 } else { ZONE_HANDICAP };
-            let score = total + far + self.random.random_range(0.0..JITTER);
+            let score =
+                (total + IDLE_LOAD) * slowness + far + self.random.random_range(0.0..JITTER);
             let better =
                 best.as_ref().is_none_or(|(known, least, _)| (suspect, score) < (*known, *least));
             if better {
--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -159,6 +159,27 @@
     assert_eq!(choose(&mut table, at(710)), Ok(target));
 }
 
+/// One host of a group works at a quarter of its usual pace, and the whole group with it. It gets a
+/// few requests and the others the rest, instead of equal parts.
+#[test]
+fn slow_groups_get_less() {
+    let mut table = table(3);
+    for (group, millis) in [(1, 200), (2, 200), (3, 800)] {
+        table.first_part(at(0), &TargetId::Group(GroupId(group)), Duration::from_millis(millis));
+    }
+    let mut counts = [0_u32; 4];
+
+    for step in 0..30 {
+        let target = choose(&mut table, at(step)).expect("there is room");
+        table.begin(at(step), &target);
+        if let TargetId::Group(group) = target {
+            counts[usize::try_from(group.0).expect("a small number")] += 1;
+        }
+    }
+
+    assert!(counts[3] <= 3, "{counts:?}");
+}
+
 /// A leader has just taken over and has heard of one group in four. An entry that knows them all goes on
 /// sending to all; one that was restarted takes what there is.
 #[test]
--- a/crates/gateway/src/control/calls.rs
+++ b/crates/gateway/src/control/calls.rs
@@ -19,7 +19,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Time for the answer to an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Idle connections that are kept to one endpoint: calls to it come one at a time.
 const IDLE_CONNECTIONS: usize = 1;
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -51,13 +51,14 @@
 /// Counts a request on its target until it is dropped.
 pub(super) struct TargetGuard {
     state: Rc<EntryState>,
+    began: TimePoint,
     pub(super) target: TargetId,
 }
 
 impl TargetGuard {
     fn new(state: &Rc<EntryState>, target: TargetId) -> Self {
         state.table.borrow_mut().begin(state.now(), &target);
-        Self { state: Rc::clone(state), target }
+        Self { state: Rc::clone(state), began: state.now(), target }
     }
 
     /// Bytes came from the target.
@@ -65,6 +66,13 @@
         self.state.table.borrow_mut().moved(self.state.now(), &self.target);
     }
 
+    /// The first part of the answer came.
+    pub(super) fn first_part(&self) {
+        let now = self.state.now();
+        let took = now.since(self.began);
+        self.state.table.borrow_mut().first_part(now, &self.target, took);
+    }
+
     /// Whether nothing is to be expected of the target.
     pub(super) fn is_given_up(&self) -> bool {
         self.state.table.borrow().is_given_up(self.state.now(), &self.target)
--- a/crates/gateway/src/entry/plain.rs
+++ b/crates/gateway/src/entry/plain.rs
@@ -71,6 +71,7 @@
 async fn take_whole(request: &mut ServedRequest) -> Result<WholeAnswer, AttemptFailure> {
     let answer = request.attempt(request.head.last_event).await?;
     answer.guard.moved();
+    answer.guard.first_part();
     let (told, address) = (answer.told, answer.address);
     match answer.exchange.whole().await {
         Ok((head, body, connection)) => {
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -101,6 +101,7 @@
                 let mut stream = LiveStream { answer, cutter: EventCutter::default() };
                 match next_step(request, &mut stream).await {
                     StreamStep::Event(event) if follows(last, event.id) => {
+                        stream.answer.guard.first_part();
                         return Ok((stream, Some(event)));
                     }
                     StreamStep::End => return Ok((stream, None)),
