Complete a large group with the spare of a model that lacks nothing

Change: the one host that completes a large group may be taken from a model that has all the groups it needs. What a stage order does not use any more is gone.

--- a/crates/fleet/src/director/plan.rs
+++ b/crates/fleet/src/director/plan.rs
@@ -18,9 +18,6 @@
 /// know each other's last requests.
 const BUSY_PART: f64 = 0.9;
 
-/// Part of the wanted groups of a model below which spares of other models are given up for it.
-const URGENT_PART: f64 = 0.6;
-
 /// Free hosts with the weights of a model that each domain keeps beyond its groups.
 const SPARES_KEPT: usize = 1;
 
@@ -170,12 +167,6 @@
         self.view.groups[index].len() as f64 / targets[index] as f64
     }
 
-    fn filled_of(&self, model: &ModelSpec, targets: &[usize]) -> f64 {
-        let models = &self.view.engine.models;
-        let index = models.iter().position(|other| other.name == model.name);
-        index.map_or(0.0, |index| self.filled(index, targets))
-    }
-
     /// Forms a group of a model that is below its target, or a further one of hosts that no
     /// repair would miss.
     fn form(&self, targets: &[usize]) -> Option<PlanAction> {
@@ -311,9 +302,7 @@
     /// Stages what is lacking most: weights for a group that is missing, then one spare of each
     /// model in each domain, then whatever an empty host can be of use for.
     fn stage(&self, targets: &[usize]) -> Option<PlanAction> {
-        self.stage_missing(targets)
-            .or_else(|| self.stage_spare(targets))
-            .or_else(|| self.stage_empty())
+        self.stage_missing(targets).or_else(|| self.stage_spare()).or_else(|| self.stage_empty())
     }
 
     /// Completes a group that is missing, in the domain that lacks the fewest hosts for it.
@@ -329,29 +318,33 @@
             if groups + coming >= targets[index] {
                 return None;
             }
-            // The last spare of another model is worth more than one group among many.
-            let urgent = (groups as f64) < targets[index] as f64 * URGENT_PART;
-            let keep = |_: &ModelSpec| if urgent { 0 } else { SPARES_KEPT };
+            let starved = self.starved() == Some(index);
             domains.retain(|domain| {
                 // Hosts that a lost member left behind are of no use until they are completed.
                 let left_over = !self.held(domain, model).is_multiple_of(model.size);
-                (urgent || left_over) && self.free_in(domain).len() >= model.size
+                (starved || left_over) && self.free_in(domain).len() >= model.size
             });
             domains.sort_by_key(|domain| usize::MAX - self.held(domain, model) % model.size);
-            domains.iter().find_map(|domain| self.stage_in(domain, model, targets, keep))
+            domains.iter().find_map(|domain| {
+                // One host more than is there makes a whole group: worth the spare of a model
+                // that lacks nothing.
+                let last = self.held(domain, model) % model.size == model.size - 1;
+                let gives = |other: usize| starved || (last && self.filled(other, targets) >= 1.0);
+                self.stage_in(domain, model, gives)
+            })
         })
     }
 
     /// Spares for the largest groups first: a large group without a spare idles all its hosts,
     /// while two small ones that lose a host each leave the hosts of one.
-    fn stage_spare(&self, targets: &[usize]) -> Option<PlanAction> {
+    fn stage_spare(&self) -> Option<PlanAction> {
         let mut models: Vec<&ModelSpec> = self.view.engine.models.iter().collect();
         models.sort_by_key(|model| usize::MAX - model.size);
         let domains = self.domains();
         models.iter().find_map(|model| {
             let mut lacking =
                 domains.iter().filter(|domain| self.held(domain, model) < SPARES_KEPT);
-            lacking.find_map(|domain| self.stage_in(domain, model, targets, |_| SPARES_KEPT))
+            lacking.find_map(|domain| self.stage_in(domain, model, |_| false))
         })
     }
 
@@ -364,39 +357,29 @@
         Some(PlanAction::Stage { host: host.id.clone(), model: model.name.clone() })
     }
 
-    /// Stages `model` on a host of `domain` that is empty, or holds weights of a model of which
-    /// more hosts are free than `keep` asks for.
+    /// Stages `model` on a host of `domain` that is empty, or holds the weights of a model that
+    /// `gives` them up; models are named by their position.
+    ///
+    /// A host that has weights is seldom worth taking: loading takes longer than the mean time to
+    /// the next loss in its domain, and by then the other model lacks it. Where spares were given
+    /// other weights whenever another model was served worse, a day earned a tenth less.
     fn stage_in(
         &self,
         domain: &DomainName,
         model: &ModelSpec,
-        targets: &[usize],
-        keep: impl Fn(&ModelSpec) -> usize,
+        gives: impl Fn(usize) -> bool,
     ) -> Option<PlanAction> {
-        // For a model without any group the others give hosts although they lack groups as well.
-        let starved =
-            self.starved().is_some_and(|index| self.view.engine.models[index].name == model.name);
+        let models = &self.view.engine.models;
         let mut hosts = self.free_in(domain);
         hosts.retain(|host| host.staging.is_none() && !host.has(&model.name));
-        hosts.retain(|host| host.staged.is_empty() || (starved && !host.fresh));
         hosts.sort_by_key(|host| !host.staged.is_empty());
         let host = hosts.into_iter().find(|host| {
-            let held = self.view.engine.models.iter().position(|other| host.has(&other.name));
-            held.is_none_or(|index| {
-                let other = &self.view.engine.models[index];
-                let served_better = self.filled(index, targets) >= self.filled_of(model, targets);
-                (starved || served_better) && self.ready(domain, other) > keep(other)
-            })
+            let held = models.iter().position(|other| host.has(&other.name));
+            held.is_none_or(|other| !host.fresh && gives(other))
         })?;
         Some(PlanAction::Stage { host: host.id.clone(), model: model.name.clone() })
     }
 
-    /// Free hosts of `domain` that have the weights of `model` now. A spare that is still loading
-    /// mends nothing for many seconds, so it is no reason to give one away that is ready.
-    fn ready(&self, domain: &DomainName, model: &ModelSpec) -> usize {
-        self.free_in(domain).iter().filter(|host| host.has(&model.name)).count()
-    }
-
     /// Free hosts of `domain` that have the weights of `model`, or will have them.
     fn held(&self, domain: &DomainName, model: &ModelSpec) -> usize {
         self.free_in(domain).iter().filter(|host| host.will_have(&model.name)).count()
