--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -20,12 +20,12 @@
 use tokio::sync::mpsc;
 
 use super::calls::EndpointCall;
-use super::disk;
 use super::input::{ControlReply, CoreInput, CoreMessage, ProbeResult, ReplySender};
 use super::leader::Leadership;
 use super::metrics::ControlMetrics;
 use super::peers::PeerLinks;
 use super::voters::HostBook;
+use super::{REOPEN_PAUSE, disk, open_folder};
 use crate::process::RoleFailure;
 use crate::settings::{ControlRole, GatewaySettings};
 
@@ -52,6 +52,15 @@
     pub(super) failure: Sender<RoleFailure>,
 }
 
+/// Why a control thread cannot go on as it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CoreFailure {
+    /// A write or sync failed, and what the disk holds is not known.
+    Disk,
+    /// What was agreed on does not read.
+    State,
+}
+
 /// Who waits for a command.
 pub(super) enum CommandOrigin {
     /// An operator or endpoint.
@@ -83,8 +92,8 @@
     pub(super) leadership: Option<Leadership>,
     pub(super) proposals: SortedTable<ProposalToken, CommandOrigin>,
     pub(super) reads: SortedTable<ReadToken, ReadOrigin>,
-    /// Why the thread has to end.
-    pub(super) failed: Option<RoleFailure>,
+    /// Why it cannot go on as it is.
+    pub(super) failed: Option<CoreFailure>,
     next_token: u64,
 }
 
@@ -112,6 +121,20 @@
         core
     }
 
+    /// Begins again from what the disk holds, as a process that was started anew would.
+    ///
+    /// A full disk takes no bytes for seconds. A process that ended each time would be started over
+    /// and over, and none of its other work would be done.
+    fn begin_again(self) -> Self {
+        let parts = self.parts;
+        // Ends the storage thread, which holds the folder's lock.
+        drop(self.disk);
+        std::thread::sleep(REOPEN_PAUSE);
+        let folder = parts.role.data_folder.as_deref();
+        let folder = folder.map(|path| open_folder(path, &parts.settings));
+        Self::new(parts, folder)
+    }
+
     /// Takes part in the agreement with an opened folder.
     fn take_part(&mut self, opened: OpenedFolder) {
         let voters = 2 * self.parts.role.losses + 1;
@@ -143,10 +166,14 @@
                 next_tick = now.after(TICK);
             }
             while self.advance() {}
-            if let Some(failure) = self.failed {
-                // A state that misses a command, or a log that is not kept, answers nobody.
-                let _ = self.parts.failure.try_send(failure);
-                return;
+            match self.failed {
+                Some(CoreFailure::Disk) => self = self.begin_again(),
+                Some(CoreFailure::State) => {
+                    // A state that misses a command answers nobody.
+                    let _ = self.parts.failure.try_send(RoleFailure::State);
+                    return;
+                }
+                None => {}
             }
             self.follow_up(now);
             let deadline = self.agreement.as_ref().map_or(next_tick, AgreementCore::deadline);
@@ -255,7 +282,7 @@
                     agreement.stored(now, ticket);
                 }
             }
-            CoreInput::DiskFailed => self.failed = Some(RoleFailure::Disk),
+            CoreInput::DiskFailed => self.failed = Some(CoreFailure::Disk),
             CoreInput::Entry { report, writer } => self.take_report(now, report, writer),
             CoreInput::Put { plan, reply } => self.put(now, plan, reply),
             CoreInput::Get { reply } => self.confirm(ReadOrigin::Plan(reply)),
--- a/crates/gateway/src/control/replication.rs
+++ b/crates/gateway/src/control/replication.rs
@@ -6,10 +6,9 @@
 use briartray_fleet::state::{FleetCommand, FleetOutcome};
 use briartray_model::codec;
 
-use super::core::{CommandOrigin, ControlCore, ReadOrigin};
+use super::core::{CommandOrigin, ControlCore, CoreFailure, ReadOrigin};
 use super::input::{ControlReply, CoreMessage};
 use super::leader::Leadership;
-use crate::process::RoleFailure;
 
 impl ControlCore {
     /// Carries out everything that follows from the steps so far; `true` when something was
@@ -83,7 +82,7 @@
             Ok(command) => command,
             Err(error) => {
                 log::error!("a committed command does not read: {error}");
-                self.failed = Some(RoleFailure::State);
+                self.failed = Some(CoreFailure::State);
                 return;
             }
         };
@@ -122,7 +121,7 @@
             Ok(state) => self.state = state,
             Err(error) => {
                 log::error!("a snapshot does not read: {error}");
-                self.failed = Some(RoleFailure::State);
+                self.failed = Some(CoreFailure::State);
                 return;
             }
         }
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -53,7 +53,7 @@
 #[derive(Debug)]
 pub struct EntryProcess {
     stop: oneshot::Sender<Duration>,
-    ended: Receiver<()>,
+    ended: Receiver<bool>,
 }
 
 impl EntryProcess {
@@ -88,10 +88,10 @@
     }
 
     /// Ends as a planned stop: takes no new connections once the balancer has noticed, and cuts
-    /// off nothing that ends within `grace`.
-    pub fn drain(self, grace: Duration) {
+    /// off nothing that ends within `grace`. Tells whether all requests had ended by then.
+    pub fn drain(self, grace: Duration) -> bool {
         let _ = self.stop.send(grace);
-        let _ = self.ended.recv_timeout(grace);
+        self.ended.recv_timeout(grace).unwrap_or(false)
     }
 }
 
@@ -107,7 +107,7 @@
     ready: std::net::TcpListener,
     notices: tokio::sync::mpsc::UnboundedReceiver<watch::WatchEvent>,
     stopped: oneshot::Receiver<Duration>,
-    end: Sender<()>,
+    end: Sender<bool>,
     hub: MetricsHub,
 }
 
@@ -130,10 +130,12 @@
     });
     tokio::task::spawn_local(keep_house(Rc::clone(&state)));
     tokio::task::spawn_local(watch::follow(Rc::clone(&state), notices));
-    if let Ok(grace) = stopped.await {
-        drain(&state, &traffic, grace).await;
-    }
-    let _ = end.send(());
+    let whole = match stopped.await {
+        Ok(grace) => drain(&state, &traffic, grace).await,
+        Err(_) => false,
+    };
+    // Nobody waits for it when the process is ended otherwise.
+    let _ = end.send(whole);
 }
 
 fn tell_readiness(state: &EntryState, request: &Request<Incoming>) -> Response<AnswerBody> {
@@ -155,7 +157,8 @@
     }
 }
 
-async fn drain(state: &EntryState, traffic: &HttpServer, grace: Duration) {
+/// Whether every request ended before the limit.
+async fn drain(state: &EntryState, traffic: &HttpServer, grace: Duration) -> bool {
     let started = Instant::now();
     state.begin_drain();
     log::info!(open = traffic.open(), running = state.running(); "draining");
@@ -166,4 +169,5 @@
         tokio::time::sleep(HOUSEKEEPING).await;
     }
     log::info!(left = traffic.open(), running = state.running(); "drained");
+    started.elapsed() < limit
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -57,9 +57,6 @@
 /// Why a role that runs has to end. The platform starts the process again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum RoleFailure {
-    /// A write or sync failed, and what the disk holds is not known.
-    #[snafu(display("control state cannot be kept; check the disk of the data folder"))]
-    Disk,
     /// What was agreed on does not read.
     #[snafu(display("agreed state does not read; run the same version on every control host"))]
     State,
@@ -86,8 +83,9 @@
     let never = crossbeam::channel::never();
     let failures = control.as_ref().map_or(&never, ControlProcess::failures);
     let failure = wait_for_end(signals, failures, path, &settings)?;
-    if let Some(entry) = entry {
-        entry.drain(settings.limits.grace());
+    let whole = entry.is_none_or(|entry| entry.drain(settings.limits.grace()));
+    if !whole {
+        log::warn!("requests were left when the time for a stop was over");
     }
     if let Some(control) = control {
         control.stop();
