Count records of a failed sync only once they are written again

Cause: the role that begins again after a failed write opened its folder and counted every record that reads as kept. The system shows bytes whose sync failed and takes them for clean, so a majority could have acknowledged what a loss of power takes away. A folder that is in use was emptied as if it did not read. While the disk took nothing, inputs filled the queue and a stop could hang; knowledge of other control hosts was dropped, with which a second log could have been founded.

Change: opening a folder writes its newest file of records and its vote anew. Only errors of the contents let a folder be begun anew (`StorageError::blames_contents`). Inputs are refused while the folder cannot be opened, and hosts and clock are kept.

--- a/crates/control/src/storage/error.rs
+++ b/crates/control/src/storage/error.rs
@@ -83,3 +83,16 @@
         path: PathBuf,
     },
 }
+
+impl StorageError {
+    /// Whether what the folder holds cannot be used. Otherwise it may open later as it is.
+    pub fn blames_contents(&self) -> bool {
+        match self {
+            Self::Damaged { .. } | Self::OtherNode { .. } | Self::OtherMembers { .. } => true,
+            Self::Locked { .. }
+            | Self::System { .. }
+            | Self::Failed { .. }
+            | Self::Missing { .. } => false,
+        }
+    }
+}
--- a/crates/control/src/storage/folder.rs
+++ b/crates/control/src/storage/folder.rs
@@ -85,14 +85,18 @@
         let mut members = members.to_vec();
         members.sort();
         members.dedup();
-        let identity = match read_identity(path)? {
+        let found = read_identity(path)?;
+        let made = found.is_none();
+        let identity = match found {
             Some(identity) => identity,
             None => make(&mut access, path, node, &members, fresh)?,
         };
         check_owner(path, &identity, node, &members)?;
         let mut contents = FolderContents::read(path)?;
         contents.drop_replaced()?;
-        cut_torn_tail(&mut access, &contents)?;
+        if !made {
+            keep_again(&mut access, path, &contents)?;
+        }
         let id = identity.folder;
         let recovered = RecoveredState {
             hard: contents.hard,
@@ -369,14 +373,39 @@
     Ok(())
 }
 
-fn cut_torn_tail(access: &mut FileAccess, contents: &FolderContents) -> Result<(), StorageError> {
-    let Some(scan) = contents.scans.last().filter(|scan| scan.torn > 0) else { return Ok(()) };
-    let (path, size) = (&scan.segment.path, scan.segment.size);
-    log::warn!(
-        file = path.display().to_string().as_str(), offset = size, bytes = scan.torn;
-        "a torn tail was cut off; it had not been answered"
-    );
-    shorten(access, path, size)
+/// Writes anew what the last sync of an earlier run may not have reached: the newest records, the
+/// vote, and the names of both.
+///
+/// When a sync fails, the system goes on to show the bytes and takes them for clean, so that
+/// syncing again tells nothing. Entries that were counted as kept on that ground would be missing
+/// after a loss of power, although a majority was said to hold them.
+fn keep_again(
+    access: &mut FileAccess,
+    path: &Path,
+    contents: &FolderContents,
+) -> Result<(), StorageError> {
+    if let Some(scan) = contents.scans.last() {
+        rewrite_tail(access, path, scan)?;
+    }
+    sealed::replace(access, path, VOTE, &encode(&contents.hard))
+}
+
+/// Replaces the newest file of records by its whole records, without a torn tail.
+fn rewrite_tail(
+    access: &mut FileAccess,
+    folder: &Path,
+    scan: &SegmentScan,
+) -> Result<(), StorageError> {
+    let path = &scan.segment.path;
+    if scan.torn > 0 {
+        log::warn!(
+            file = path.display().to_string().as_str(), offset = scan.segment.size,
+            bytes = scan.torn; "a torn tail was cut off; it had not been answered"
+        );
+    }
+    let mut bytes = sealed::read_file(path)?.unwrap_or_default();
+    bytes.truncate(usize::try_from(scan.segment.size).unwrap_or(usize::MAX));
+    sealed::replace_file(access, folder, path, &[&bytes])
 }
 
 fn shorten(access: &mut FileAccess, path: &Path, size: u64) -> Result<(), StorageError> {
--- a/crates/control/src/storage/sealed.rs
+++ b/crates/control/src/storage/sealed.rs
@@ -21,21 +21,33 @@
     name: &str,
     content: &[u8],
 ) -> Result<(), StorageError> {
-    let path = folder.join(name);
-    let aside = folder.join(format!("{name}.new"));
     let mut head = Vec::with_capacity(HEAD_BYTES);
     head.extend_from_slice(&MAGIC);
     head.extend_from_slice(&crc32fast::hash(content).to_le_bytes());
+    replace_file(access, folder, &folder.join(name), &[&head, content])
+}
+
+/// Replaces the file at `path` in `folder` by `parts`, without a seal.
+pub(super) fn replace_file(
+    access: &mut FileAccess,
+    folder: &Path,
+    path: &Path,
+    parts: &[&[u8]],
+) -> Result<(), StorageError> {
+    let name = path.file_name().unwrap_or_default().to_string_lossy();
+    // No log file is named so: a half-written copy is never read as one.
+    let aside = folder.join(format!("{name}.new"));
     let mut file = OpenOptions::new()
         .write(true)
         .create(true)
         .truncate(true)
         .open(&aside)
         .context(SystemSnafu { path: &aside, action: "create" })?;
-    (access.write)(&mut file, &head).context(SystemSnafu { path: &aside, action: "write" })?;
-    (access.write)(&mut file, content).context(SystemSnafu { path: &aside, action: "write" })?;
+    for part in parts {
+        (access.write)(&mut file, part).context(SystemSnafu { path: &aside, action: "write" })?;
+    }
     (access.sync)(&file).context(SystemSnafu { path: &aside, action: "sync" })?;
-    std::fs::rename(&aside, &path).context(SystemSnafu { path: &path, action: "rename" })?;
+    std::fs::rename(&aside, path).context(SystemSnafu { path, action: "rename" })?;
     sync_folder(access, folder)
 }
 
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -25,7 +25,7 @@
 use super::metrics::ControlMetrics;
 use super::peers::PeerLinks;
 use super::voters::HostBook;
-use super::{REOPEN_PAUSE, disk, open_folder};
+use super::{FileSource, FolderOpening, REOPEN_PAUSE, disk, open_folder, refuse_for};
 use crate::process::RoleFailure;
 use crate::settings::{ControlRole, GatewaySettings};
 
@@ -50,6 +50,7 @@
     pub(super) metrics: ControlMetrics,
     /// Told when the role cannot go on.
     pub(super) failure: Sender<RoleFailure>,
+    pub(super) files: FileSource,
 }
 
 /// Why a control thread cannot go on as it is.
@@ -121,18 +122,29 @@
         core
     }
 
-    /// Begins again from what the disk holds, as a process that was started anew would.
+    /// Begins again from what the disk holds, as a process that was started anew would; `None` when
+    /// told to stop.
     ///
     /// A full disk takes no bytes for seconds. A process that ended each time would be started over
-    /// and over, and none of its other work would be done.
-    fn begin_again(self) -> Self {
-        let parts = self.parts;
-        // Ends the storage thread, which holds the folder's lock.
-        drop(self.disk);
-        std::thread::sleep(REOPEN_PAUSE);
-        let folder = parts.role.data_folder.as_deref();
-        let folder = folder.map(|path| open_folder(path, &parts.settings));
-        Self::new(parts, folder)
+    /// and over, and none of its other work would be done. What is known of other control hosts is
+    /// kept: without it this one could take the deployment for new and found a second log.
+    fn begin_again(self, queue: &Receiver<CoreInput>) -> Option<Self> {
+        let Self { parts, clock, hosts, disk, .. } = self;
+        // The storage thread has ended, and with it the folder's lock.
+        drop(disk);
+        if !refuse_for(REOPEN_PAUSE, queue) {
+            return None;
+        }
+        let folder = match open_folder(&parts, queue) {
+            FolderOpening::Opened(opened) => Some(opened),
+            FolderOpening::NoFolder => None,
+            FolderOpening::Stopped => return None,
+        };
+        let mut core = Self { clock, hosts, ..Self::new(parts, None) };
+        if let Some(opened) = folder {
+            core.take_part(opened);
+        }
+        Some(core)
     }
 
     /// Takes part in the agreement with an opened folder.
@@ -167,7 +179,10 @@
             }
             while self.advance() {}
             match self.failed {
-                Some(CoreFailure::Disk) => self = self.begin_again(),
+                Some(CoreFailure::Disk) => match self.begin_again(queue) {
+                    Some(core) => self = core,
+                    None => return,
+                },
                 Some(CoreFailure::State) => {
                     // A state that misses a command answers nobody.
                     let _ = self.parts.failure.try_send(RoleFailure::State);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -14,14 +14,14 @@
 mod voters;
 
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use briartray_control::agreement::FolderId;
-use briartray_control::storage::{DataFolder, FileAccess, OpenedFolder, StorageError};
+use briartray_control::storage::{DataFolder, FileAccess, OpenedFolder};
 use briartray_link::LinkServer;
 use briartray_node::metrics::MetricsHub;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use snafu::ResultExt;
 
 use self::core::{ControlCore, CoreParts};
@@ -40,6 +40,9 @@
 /// a process that ended instead would be started over and over.
 const REOPEN_PAUSE: Duration = Duration::from_millis(300);
 
+/// Gives the file operations of a data folder each time it is opened.
+pub type FileSource = Box<dyn Fn() -> FileAccess + Send>;
+
 /// A running control role.
 #[derive(Debug)]
 pub struct ControlProcess {
@@ -49,11 +52,15 @@
 }
 
 impl ControlProcess {
-    /// Starts the threads of the role.
+    /// Starts the threads of the role; `files` reach its data folder.
     ///
     /// # Errors
     /// A `ProcessError` when a port or a thread cannot be had.
-    pub fn start(settings: &GatewaySettings, role: &ControlRole) -> Result<Self, ProcessError> {
+    pub fn start(
+        settings: &GatewaySettings,
+        role: &ControlRole,
+        files: FileSource,
+    ) -> Result<Self, ProcessError> {
         let (inputs, queue) = bounded(INPUT_QUEUE);
         let (failure, failures) = bounded(1);
         let hub = MetricsHub::default();
@@ -71,10 +78,14 @@
             inputs: inputs.clone(),
             metrics,
             failure,
+            files,
         };
         spawn_worker("control", CONTROL_STACK_BYTES, move || {
-            let folder = parts.role.data_folder.clone();
-            let folder = folder.map(|path| open_folder(&path, &parts.settings));
+            let folder = match open_folder(&parts, &queue) {
+                FolderOpening::Opened(opened) => Some(opened),
+                FolderOpening::NoFolder => None,
+                FolderOpening::Stopped => return,
+            };
             ControlCore::new(parts, folder).run(&queue);
         })
         .context(SetupSnafu { what: "the control thread" })?;
@@ -93,25 +104,51 @@
     }
 }
 
-/// Opens the data folder, however long its disk takes.
+/// What became of opening a data folder.
+enum FolderOpening {
+    /// It is open.
+    Opened(OpenedFolder),
+    /// The host has none.
+    NoFolder,
+    /// The role was told to stop.
+    Stopped,
+}
+
+/// Opens the data folder, however long its disk takes; inputs of `queue` are refused meanwhile.
 ///
 /// A folder whose contents do not read is begun anew: its host then takes part as one that has
 /// lost its disk, and does not vote before the others have brought it up to date.
-fn open_folder(path: &Path, settings: &GatewaySettings) -> OpenedFolder {
+fn open_folder(parts: &CoreParts, queue: &Receiver<CoreInput>) -> FolderOpening {
+    let Some(path) = parts.role.data_folder.as_deref() else { return FolderOpening::NoFolder };
+    let node = parts.settings.node_name();
     loop {
         let fresh = FolderId(rand::random());
-        let node = settings.node_name();
-        match DataFolder::open(path, &node, &[], fresh, FileAccess::default()) {
-            Ok(opened) => return opened,
-            Err(error @ StorageError::System { .. }) => {
-                log::error!("{error}");
-                std::thread::sleep(REOPEN_PAUSE);
-            }
-            Err(error) => {
+        match DataFolder::open(path, &node, &[], fresh, (parts.files)()) {
+            Ok(opened) => return FolderOpening::Opened(opened),
+            Err(error) if error.blames_contents() => {
                 log::error!("the data folder is begun anew: {error}");
                 clear_folder(path);
-                std::thread::sleep(REOPEN_PAUSE);
             }
+            Err(error) => log::error!("{error}"),
+        }
+        if !refuse_for(REOPEN_PAUSE, queue) {
+            return FolderOpening::Stopped;
+        }
+    }
+}
+
+/// Drops inputs for `pause`: whoever waits for an answer is refused at once. `false` when the role
+/// is to stop.
+///
+/// Inputs that were left to wait would fill the queue, and the threads that feed it would stand
+/// still, the one that asks for a stop among them.
+fn refuse_for(pause: Duration, queue: &Receiver<CoreInput>) -> bool {
+    let ends = Instant::now() + pause;
+    loop {
+        match queue.recv_deadline(ends) {
+            Ok(CoreInput::Stop) | Err(RecvTimeoutError::Disconnected) => return false,
+            Ok(_) => {}
+            Err(RecvTimeoutError::Timeout) => return true,
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,7 @@
 mod process;
 mod settings;
 
-pub use control::ControlProcess;
+pub use control::{ControlProcess, FileSource};
 pub use entry::EntryProcess;
 pub use process::{ProcessError, RoleFailure, run};
 pub use settings::{
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use briartray_control::storage::FileAccess;
 use briartray_control::storage::StorageError;
 use briartray_link::LinkError;
 use briartray_node::logs;
@@ -73,7 +74,7 @@
         Signals::new([SIGINT, SIGTERM, SIGHUP]).context(SetupSnafu { what: "signals" })?;
     log::info!(node = settings.node_name().as_str(), zone = settings.zone.as_str(); "starting");
     let control = match &settings.control {
-        Some(role) => Some(ControlProcess::start(&settings, role)?),
+        Some(role) => Some(ControlProcess::start(&settings, role, Box::new(FileAccess::default))?),
         None => None,
     };
     let entry = match &settings.entry {
