--- a/crates/control/src/agreement/lead.rs
+++ b/crates/control/src/agreement/lead.rs
@@ -251,21 +251,7 @@
                 // A late answer of a folder that is gone would have no seat; this one is back.
                 log::warn!(from = from.as_str(); "a host answers from its earlier data folder");
             }
-            let fresh = PeerProgress {
-                folder: Some(folder),
-                next: peer.next,
-                matched: LogIndex::default(),
-                streaming: false,
-                in_flight: VecDeque::new(),
-                in_flight_bytes: 0,
-                asked_at: None,
-                heard_at: now,
-                round: 0,
-                piece: None,
-                admitting: None,
-                absent: false,
-            };
-            *peer = fresh;
+            *peer = PeerProgress::unknown(now, peer.next);
         }
         peer.folder = Some(folder);
         peer.heard_at = now;
--- a/crates/control/src/agreement/output.rs
+++ b/crates/control/src/agreement/output.rs
@@ -46,8 +46,9 @@
 }
 
 impl WriteBatch {
-    /// Adds `more`, entries to those before them, so that they share one sync.
-    pub fn absorb(&mut self, more: Self) {
+    /// With `more` added, entries to those before them, so that they share one sync.
+    #[must_use]
+    pub fn merged(mut self, more: Self) -> Self {
         self.ticket = more.ticket;
         for write in more.writes {
             match (self.writes.last_mut(), write) {
@@ -57,6 +58,7 @@
                 (_, write) => self.writes.push(write),
             }
         }
+        self
     }
 }
 
