Split the planner's view and the choice of a target

Cause: `plan_view` and `best` each did several things in sixty lines.

Change: `free_host`, `lasting_groups` and `slowness` are functions of their own; what is decided is the same, in the same order of random draws.

--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -10,7 +10,7 @@
 use super::stray;
 use super::{EndpointOrder, FleetDirector, HostRecord, OrderCall};
 use crate::deployment::{EngineModel, ModelSpec, ServiceSpec};
-use crate::state::{FleetCommand, FleetState};
+use crate::state::{FleetCommand, FleetState, GroupRecord};
 
 /// Time after a first start before weights are staged on hosts that are left over.
 const GATHER: Duration = Duration::from_millis(3_500);
@@ -96,60 +96,42 @@
         engine: &'a EngineModel,
     ) -> PlanView<'a> {
         self.settle_staging(now);
-        let group_of = |id: &IncarnationId| {
-            state.groups().values().find(|group| group.members.iter().any(|host| host.id == *id))
+        let usable = |id: &IncarnationId, host: &HostRecord| {
+            !host.is_lost() && !host.beat.leaving && !state.is_leaving(id)
         };
-        let mut free = Vec::new();
-        let mut hosts = 0;
-        for (id, host) in self.hosts.of_service(service) {
-            let usable = !host.is_lost() && !host.beat.leaving && !state.is_leaving(id);
-            if !usable {
-                continue;
-            }
-            hosts += 1;
-            if stray::is_stray(host, state) {
-                continue;
-            }
-            let group = group_of(id);
-            if group.is_some_and(|group| !group.standby) {
-                continue;
-            }
-            let nowhere = DomainName::new("");
-            free.push(FreeHost {
-                id: id.clone(),
-                address: host.beat.address.clone(),
-                domain: host.beat.report.domain.clone().unwrap_or(nowhere),
-                zone: host.beat.zone.clone(),
-                staged: host.beat.report.staged.clone(),
-                staging: host.staging.as_ref().map(|(model, _)| model.clone()),
-                warm: host.warm.clone(),
-                fresh: now.since(host.since) < FRESH,
-                standby: group.is_some(),
-            });
-        }
-        let serving_groups = |model: &str| {
-            let ends =
-                |group: &GroupId| self.runs.get(group).is_some_and(|run| run.ending.is_some());
-            state
-                .groups()
-                .iter()
-                .filter(|(group, record)| {
-                    !record.standby
-                        && record.service == *service
-                        && record.model == model
-                        && !ends(group)
-                })
-                .map(|(group, record)| (*group, record.domain.clone()))
-                .collect()
-        };
-        let groups = engine.models.iter().map(|model| serving_groups(&model.name)).collect();
+        let hosts = self.hosts.of_service(service).filter(|(id, host)| usable(id, host)).count();
+        let free = self
+            .hosts
+            .of_service(service)
+            .filter(|(id, host)| usable(id, host))
+            .filter_map(|(id, host)| free_host(now, state, id, host))
+            .collect();
+        let models = &engine.models;
+        let groups =
+            models.iter().map(|model| self.lasting_groups(state, service, &model.name)).collect();
         let busy = |model: &ModelSpec| self.demand.busy(now, service, &model.name);
-        let demand = engine.models.iter().map(busy).collect();
+        let demand = models.iter().map(busy).collect();
         let gathering = self.is_gathering(now).then(|| self.domains(service));
         let serving = self.serving;
         PlanView { service, engine, free, groups, hosts, demand, gathering, serving }
     }
 
+    /// Groups of `model` that serve or form and are not about to end, with their domains.
+    fn lasting_groups(
+        &self,
+        state: &FleetState,
+        service: &ServiceName,
+        model: &str,
+    ) -> Vec<(GroupId, DomainName)> {
+        let ends = |group: &GroupId| self.runs.get(group).is_some_and(|run| run.ending.is_some());
+        let serves = |record: &GroupRecord| {
+            !record.standby && record.service == *service && record.model == model
+        };
+        let groups = state.groups().iter();
+        let lasting = groups.filter(|(group, record)| serves(record) && !ends(group));
+        lasting.map(|(group, record)| (*group, record.domain.clone())).collect()
+    }
+
     /// Staging is over once the host reports the weights, or too much time has passed.
     fn settle_staging(&mut self, now: TimePoint) {
         for (_, host) in self.hosts.iter_mut() {
@@ -163,3 +145,29 @@
         }
     }
 }
+
+/// The host as the planner sees it; `None` while a group that serves, or an ended one, has it.
+fn free_host(
+    now: TimePoint,
+    state: &FleetState,
+    id: &IncarnationId,
+    host: &HostRecord,
+) -> Option<FreeHost> {
+    let has = |group: &&GroupRecord| group.members.iter().any(|member| member.id == *id);
+    let group = state.groups().values().find(has);
+    if stray::is_stray(host, state) || group.is_some_and(|group| !group.standby) {
+        return None;
+    }
+    let nowhere = || DomainName::new("");
+    Some(FreeHost {
+        id: id.clone(),
+        address: host.beat.address.clone(),
+        domain: host.beat.report.domain.clone().unwrap_or_else(nowhere),
+        zone: host.beat.zone.clone(),
+        staged: host.beat.report.staged.clone(),
+        staging: host.staging.as_ref().map(|(model, _)| model.clone()),
+        warm: host.warm.clone(),
+        fresh: now.since(host.since) < FRESH,
+        standby: group.is_some(),
+    })
+}
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -310,16 +310,7 @@
         tried: &[TargetId],
     ) -> Result<TargetChoice, ChoiceRefusal> {
         let entries = self.view.entries;
-        let first = |target: &TargetId| self.loads.get(target).and_then(|load| load.first_now(now));
-        let quickest = candidates
-            .iter()
-            .filter_map(|candidate| first(&candidate.choice.target))
-            .fold(f64::INFINITY, f64::min);
-        let slowness: Vec<f64> = candidates
-            .iter()
-            .map(|candidate| first(&candidate.choice.target).map_or(1.0, |took| took / quickest))
-            .map(|slowness| slowness.clamp(1.0, MOST_SLOWNESS))
-            .collect();
+        let slowness = self.slowness(now, &candidates);
         let mut best: Option<(bool, f64, Candidate)> = None;
         let mut full = false;
         for (candidate, slowness) in candidates.into_iter().zip(slowness) {
@@ -357,6 +348,16 @@
             None => Err(ChoiceRefusal::NoReplica),
         }
     }
+
+    /// How many times slower than the quickest candidate each one is, by its first parts.
+    fn slowness(&self, now: TimePoint, candidates: &[Candidate]) -> Vec<f64> {
+        let first = |candidate: &Candidate| {
+            self.loads.get(&candidate.choice.target).and_then(|load| load.first_now(now))
+        };
+        let quickest = candidates.iter().filter_map(first).fold(f64::INFINITY, f64::min);
+        let times = |candidate| first(candidate).map_or(1.0, |took| took / quickest);
+        candidates.iter().map(|candidate| times(candidate).clamp(1.0, MOST_SLOWNESS)).collect()
+    }
 }
 
 struct Candidate {
