Refuse heads beyond the declared limit

Cause: the limit on a request's head was read from the declaration and used nowhere; a test whose description spoke of too large bodies tried none.

--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -17,6 +17,8 @@
     NoRoute,
     /// The key is missing or unknown.
     NoKey,
+    /// Request line and headers are larger than allowed.
+    HeadTooLarge,
     /// The body is larger than allowed.
     TooLarge,
     /// The body did not arrive.
@@ -38,6 +40,7 @@
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
             Self::NotInTouch | Self::NoReplica | Self::Full | Self::NotRun => {
@@ -54,6 +57,7 @@
             Self::NotInTouch => "not_in_touch",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
+            Self::HeadTooLarge => "head_too_large",
             Self::TooLarge => "too_large",
             Self::BadBody => "bad_body",
             Self::NoReplica => "no_replica",
@@ -69,6 +73,7 @@
             Self::NotInTouch => "this entry has lost the control hosts; come back in a moment",
             Self::NoRoute => "no route matches; check host name and path",
             Self::NoKey => "present a key of a team that is in force",
+            Self::HeadTooLarge => "send fewer or shorter headers",
             Self::TooLarge => "send a smaller body",
             Self::BadBody => "send the whole body",
             Self::NoReplica => "replicas are being set up; come back in a moment",
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -9,7 +9,7 @@
 use briartray_platform::CallerHead;
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderName, HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
@@ -84,9 +84,13 @@
     let arrived = state.now();
     let head = CallerHead::read(&parts);
     let book = state.book().ok_or(RefusalKind::NotInTouch)?;
+    let limits = &book.plan().limits;
+    if head_bytes(&parts) > limits.max_head_bytes {
+        return Err(RefusalKind::HeadTooLarge);
+    }
     let rule = book.find(&head.host, parts.uri.path()).ok_or(RefusalKind::NoRoute)?.clone();
     let team = check_key(&book, &rule, &head)?;
-    let body = read_body(body, book.plan().limits.max_body_bytes).await?;
+    let body = read_body(body, limits.max_body_bytes).await?;
     let priority = team.as_ref().and_then(|(_, priority)| *priority).or(Some(rule.priority));
     let service = state.table.borrow_mut().pick_service(&rule).ok_or(RefusalKind::NoReplica)?;
     state.count_request(&service);
@@ -113,6 +117,16 @@
     })
 }
 
+/// Bytes of request line and headers, with the signs between names and values.
+fn head_bytes(parts: &Parts) -> usize {
+    const BETWEEN: usize = 4;
+    let line = parts.method.as_str().len() + parts.uri.to_string().len();
+    let header = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.as_bytes().len() + BETWEEN
+    };
+    line + parts.headers.iter().map(header).sum::<usize>()
+}
+
 /// Idle connections to keep to one endpoint of `service`: this entry's part of half of those that
 /// the endpoint accepts, so that new ones find room.
 fn idle_connections(state: &EntryState, book: &RouteBook, service: &ServiceName) -> usize {
