Keep a second model's weights on each host; rebalance groups between models

Cause: a host kept the weights of one model.

Change: a host is warm in the model of its last group, whatever is staged. The planner splits hosts by the proportion of work, claims hosts for the model that lacks most, and ends a group of a model that has enough where its hosts complete one that lacks some. A new leader takes loads under way from the reports, and a host whose state is wanted is probed also while it is in no group. The stand-in endpoint keeps staged weights over a warm join, as the published protocol says.

Test: a_second_loss_is_made_up_for_by_a_host_of_another_model failed before, passes after.

--- a/crates/fleet/src/director/beat.rs
+++ b/crates/fleet/src/director/beat.rs
@@ -39,6 +39,8 @@
         pub mark: Option<GroupMark>,
         /// Factor on its times; above one it is slow.
         pub pace: Option<f64>,
+        /// Whether it carries out an order, as loading weights.
+        pub busy: bool,
     }
 
     /// One announcement.
--- a/crates/fleet/src/director/demand.rs
+++ b/crates/fleet/src/director/demand.rs
@@ -14,9 +14,13 @@
 /// Time over which demand is smoothed.
 const SMOOTHING: Duration = Duration::from_secs(4);
 
-/// Time of counting before the figures are believed.
+/// Time of counting before the figures are believed at all.
 const WARM_UP: Duration = Duration::from_secs(3);
 
+/// Time after that in which they come to be believed wholly. Prompts differ tenfold in length: after
+/// three seconds the figure for 30 requests a second was off by a half.
+const TRUSTED_AFTER: Duration = Duration::from_secs(6);
+
 /// Demand by service and model, in groups kept busy.
 #[derive(Debug, Clone, Default)]
 pub struct DemandBook {
@@ -49,17 +53,19 @@
         }
     }
 
-    /// Groups kept busy by `model`; `None` before that is known.
-    pub fn busy(&self, now: TimePoint, service: &ServiceName, model: &str) -> Option<f64> {
-        let began = self.began?;
-        let age = now.since(began);
-        if age < WARM_UP {
-            return None;
-        }
+    /// How much the figures are believed, 0 to 1.
+    pub fn trust(&self, now: TimePoint) -> f64 {
+        let counted = now.since(self.began.unwrap_or(now)).saturating_sub(WARM_UP);
+        (counted.as_secs_f64() / TRUSTED_AFTER.as_secs_f64()).min(1.0)
+    }
+
+    /// Groups kept busy by `model`.
+    pub fn busy(&self, now: TimePoint, service: &ServiceName, model: &str) -> f64 {
+        let age = now.since(self.began.unwrap_or(now));
         let rate = self.rates.get(&(service.clone(), model.to_owned())).copied().unwrap_or(0.0);
         // Smoothing began at nothing.
         let seen = 1.0 - (-age.as_secs_f64() / SMOOTHING.as_secs_f64()).exp();
-        Some(rate / seen)
+        if seen > 0.0 { rate / seen } else { 0.0 }
     }
 
     /// The smoothed rates in a few words.
--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -29,6 +29,9 @@
 /// Probes without an answer, one after the other, that make an endpoint count as lost.
 const LOST_FAILURES: u32 = 2;
 
+/// Wait before an order to stage that was not answered, or refused, is followed by another one.
+const STAGE_AGAIN: Duration = Duration::from_millis(1_000);
+
 /// An endpoint as the leader knows it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct HostRecord {
@@ -42,6 +45,8 @@
     pub failures: u32,
     probing: bool,
     probe_at: TimePoint,
+    /// Its state is wanted, whether or not it is in a group.
+    wanted: bool,
     /// Known from an earlier leader, and not heard of yet.
     inherited: bool,
     /// Model of the last group it was ready in: it joins the next one with that model at once.
@@ -62,6 +67,7 @@
             failures: 0,
             probing: false,
             probe_at,
+            wanted: false,
             inherited: false,
             warm: None,
             stray_order: None,
@@ -139,9 +145,13 @@
     }
 
     /// Asks for a probe of `id` as soon as possible.
+    ///
+    /// This holds for hosts in no group as well: one that has left its group and whose beat was lost
+    /// stayed unused for two seconds, until its next beat.
     pub fn probe_now(&mut self, now: TimePoint, id: &IncarnationId) {
         if let Some(record) = self.records.get_mut(id) {
             record.probe_at = record.probe_at.min(now);
+            record.wanted = true;
         }
     }
 
@@ -154,9 +164,10 @@
         let mut due = Vec::new();
         for (id, record) in self.records.iter_mut() {
             let silent = now.since(record.heard) >= SILENT_AFTER;
-            let watched = silent || record.inherited || in_group(id);
+            let watched = silent || record.inherited || record.wanted || in_group(id);
             if !record.probing && now >= record.probe_at && watched {
                 record.probing = true;
+                record.wanted = false;
                 due.push((id.clone(), record.beat.address.clone()));
             }
         }
@@ -168,6 +179,18 @@
         self.records.retain(|_, record| now.since(record.heard) < FORGET_AFTER);
     }
 
+    /// An order to stage a model was not answered, or refused: another one may follow soon.
+    ///
+    /// The order may still be carried out seconds later; the same one is then done already.
+    /// Without this a host whose order was lost waited for three times the time of a load.
+    pub fn give_up_staging(&mut self, now: TimePoint, id: &IncarnationId, order: &EndpointOrder) {
+        let EndpointOrder::Stage { model } = order else { return };
+        let Some(record) = self.records.get_mut(id) else { return };
+        if record.staging.as_ref().is_some_and(|(staging, _)| staging == model) {
+            record.staging = Some((model.clone(), now.after(STAGE_AGAIN)));
+        }
+    }
+
     /// Counts an endpoint as lost until it gives a sign of life.
     pub fn mark_lost(&mut self, id: &IncarnationId) {
         if let Some(record) = self.records.get_mut(id) {
--- a/crates/fleet/src/director/mod.rs
+++ b/crates/fleet/src/director/mod.rs
@@ -24,6 +24,6 @@
 pub use hosts::{HostRecord, HostTable};
 pub use loads::LoadLimiter;
 pub use order::{CloseMethod, EndpointOrder, OrderCall, OrderOutcome};
-pub use plan::{FreeHost, GroupPlanner, PlanAction, PlanView};
+pub use plan::{GroupPlanner, PlacedGroup, PlanAction, PlanView, PoolHost};
 pub use pulse::PulseBook;
 pub use step::{DirectorOutput, FleetDirector, ProbeCall};
--- /dev/null
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -0,0 +1,216 @@
+//! Which groups to form of the hosts, and which weights to keep where.
+//!
+//! Loading a model takes ten times as long as joining where its weights are. A host has weights in
+//! two places: those of its last group are warm in its accelerators, and it keeps others staged
+//! beside them. So hosts that serve one model are given the weights of another one to keep, and
+//! whichever model loses a host finds the next one among all hosts of the domain. Where a host kept
+//! its own model only, a large group that lost two hosts waited for 16 s with the rest of its hosts
+//! idle, half of a bad day. Hosts of one group share a fabric domain: across domains a group runs
+//! several times slower.
+
+mod form;
+mod host;
+mod rebalance;
+mod stage;
+
+use briartray_model::names::{DomainName, GroupId, IncarnationId, ServiceName};
+
+pub use self::host::{PlacedGroup, PoolHost};
+use crate::deployment::{EngineModel, ModelSpec};
+use crate::state::GroupRecord;
+
+/// Part of its time that a group is busy at the least before further ones are of no use.
+const LEAST_BUSY: f64 = 0.5;
+
+/// Part of a group that may be lacking for one more to be formed. Spares would be used up for halves
+/// of groups, and the next loss waits for a spare.
+const ROUND_UP: f64 = 0.2;
+
+/// Free hosts that each domain keeps to mend its groups, beyond groups that callers need.
+const SPARES_KEPT: usize = 1;
+
+/// What the planner looks at, for one service.
+#[derive(Debug, Clone)]
+pub struct PlanView<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Its engine.
+    pub engine: &'a EngineModel,
+    /// Hosts in no group that serves.
+    pub free: Vec<PoolHost>,
+    /// Hosts that are being told to leave a group which has ended: free in a moment.
+    pub leaving: Vec<PoolHost>,
+    /// Hosts of groups that are about to end, when what runs there has ended.
+    pub closing: Vec<PoolHost>,
+    /// Groups that serve or form, by model in the order of the engine's models.
+    pub groups: Vec<Vec<PlacedGroup>>,
+    /// Hosts that are alive.
+    pub hosts: usize,
+    /// Work that callers ask for by model, in groups kept busy.
+    pub demand: Vec<f64>,
+    /// How much of the demand is believed, 0 to 1; the declared shares count for the rest.
+    pub trust: f64,
+    /// Loads that are under way.
+    pub loading: usize,
+    /// Domains known so far, while hosts are still heard for the first time.
+    pub gathering: Option<usize>,
+    /// Whether callers have begun to ask: before that, loads cost a tenth of their time.
+    pub serving: bool,
+}
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlanAction {
+    /// Form a group; `loads` of its members have to load the weights first.
+    Form {
+        /// The group.
+        group: GroupRecord,
+        /// Members without the weights.
+        loads: usize,
+    },
+    /// Let a group end in peace, so that its hosts can serve a model that lacks more.
+    End(GroupId),
+    /// Stage a model on a host.
+    Stage {
+        /// The host.
+        host: IncarnationId,
+        /// The model.
+        model: String,
+    },
+}
+
+/// Plans groups of one service.
+#[derive(Debug, Clone)]
+pub struct GroupPlanner<'a> {
+    view: PlanView<'a>,
+}
+
+impl<'a> GroupPlanner<'a> {
+    /// A planner for what `view` shows.
+    pub fn new(view: PlanView<'a>) -> Self {
+        Self { view }
+    }
+
+    /// The next action, the most urgent one; `None` when nothing is to be done.
+    pub fn next(&self) -> Option<PlanAction> {
+        let wanted = self.wanted();
+        self.form_missing(&wanted)
+            .or_else(|| self.rebalance(&wanted))
+            .or_else(|| self.form_further(&wanted))
+            .or_else(|| self.warm_up())
+            .or_else(|| self.stage(&wanted))
+    }
+
+    /// Groups of each model that should serve: all hosts but some spares, split by the work that
+    /// callers ask for, so that all models are as well served as each other.
+    ///
+    /// The split counts, not the sum: with as many groups as the sum asks for, two models that both
+    /// lacked hosts took them from each other, and hosts were idle while a burst began.
+    fn wanted(&self) -> Vec<f64> {
+        let models = self.models();
+        let work: Vec<f64> =
+            models.iter().zip(&self.view.demand).map(|(m, busy)| busy * m.size as f64).collect();
+        let declared: Vec<f64> = models.iter().map(|model| model.share).collect();
+        let all: f64 = work.iter().sum();
+        let trust = if all > 0.0 { self.view.trust } else { 0.0 };
+        let hosts = self.grouped_hosts(all, trust);
+        let parts = normalized(&work).into_iter().zip(normalized(&declared));
+        let parts = parts.map(|(asked, declared)| asked * trust + declared * (1.0 - trust));
+        parts.zip(models).map(|(part, model)| part * hosts / model.size as f64).collect()
+    }
+
+    /// Hosts that should serve when callers ask for `work` hosts kept busy.
+    fn grouped_hosts(&self, work: f64, trust: f64) -> f64 {
+        let domains = domains_of(self.every_host()).len();
+        let most = self.view.hosts.saturating_sub(domains * SPARES_KEPT) as f64;
+        let useful = work / LEAST_BUSY;
+        if trust < 1.0 { most } else { most.min(useful) }
+    }
+
+    /// Models by how much they lack, the one that lacks most first.
+    fn by_lack(&self, wanted: &[f64]) -> Vec<usize> {
+        let models = &self.view.engine.models;
+        let mut order: Vec<usize> = (0..models.len()).collect();
+        order.sort_by(|a, b| {
+            // At the start the large groups come first: small ones find room between them.
+            let size = models[*b].size.cmp(&models[*a].size);
+            let lack = self.filled(*a, wanted).total_cmp(&self.filled(*b, wanted));
+            if self.view.serving { lack.then(size) } else { size.then(lack) }
+        });
+        order
+    }
+
+    /// Groups of the model at `index`, as a part of those wanted.
+    fn filled(&self, index: usize, wanted: &[f64]) -> f64 {
+        part_of(self.view.groups[index].len(), wanted[index])
+    }
+
+    /// Whether the model at `index` has fewer groups than callers need.
+    fn lacks(&self, index: usize, wanted: &[f64]) -> bool {
+        self.view.groups[index].len() < whole_groups(wanted[index])
+    }
+
+    /// A model that no group serves although callers ask.
+    fn starved(&self) -> Option<usize> {
+        if !self.view.serving {
+            return None;
+        }
+        (0..self.view.groups.len()).find(|index| self.view.groups[*index].is_empty())
+    }
+
+    /// Free hosts of `domain` that can serve `model`, or will when their load is over.
+    fn held(&self, domain: &DomainName, model: &ModelSpec) -> usize {
+        self.free_in(domain).iter().filter(|host| host.will_join(&model.name)).count()
+    }
+
+    fn free_in(&self, domain: &DomainName) -> Vec<&PoolHost> {
+        self.view.free.iter().filter(|host| host.domain == *domain).collect()
+    }
+
+    /// Domains with free hosts.
+    fn domains(&self) -> Vec<DomainName> {
+        domains_of(self.view.free.iter())
+    }
+
+    /// Hosts in groups that serve or form.
+    fn grouped(&self) -> impl Iterator<Item = &PoolHost> {
+        self.view.groups.iter().flatten().flat_map(|group| &group.hosts)
+    }
+
+    fn every_host(&self) -> impl Iterator<Item = &PoolHost> {
+        self.view.free.iter().chain(self.coming()).chain(self.grouped())
+    }
+
+    /// Hosts that are not free yet and will be.
+    fn coming(&self) -> impl Iterator<Item = &PoolHost> {
+        self.view.leaving.iter().chain(&self.view.closing)
+    }
+
+    fn models(&self) -> &'a [ModelSpec] {
+        &self.view.engine.models
+    }
+}
+
+/// `groups` as a part of what is `wanted`; no model is wanted less than one group.
+fn part_of(groups: usize, wanted: f64) -> f64 {
+    groups as f64 / wanted.max(1.0)
+}
+
+/// Whole groups for what is `wanted`.
+fn whole_groups(wanted: f64) -> usize {
+    ((wanted + ROUND_UP).floor() as usize).max(1)
+}
+
+/// `parts` of a whole; equal ones when all are nothing.
+fn normalized(parts: &[f64]) -> Vec<f64> {
+    let sum: f64 = parts.iter().sum();
+    let equal = 1.0 / parts.len().max(1) as f64;
+    parts.iter().map(|part| if sum > 0.0 { part / sum } else { equal }).collect()
+}
+
+fn domains_of<'h>(hosts: impl Iterator<Item = &'h PoolHost>) -> Vec<DomainName> {
+    let mut domains: Vec<DomainName> = hosts.map(|host| host.domain.clone()).collect();
+    domains.sort();
+    domains.dedup();
+    domains
+}
--- /dev/null
+++ b/crates/fleet/src/director/plan/rebalance.rs
@@ -0,0 +1,85 @@
+//! Giving hosts of one model's groups to a model that lacks more.
+//!
+//! Load pattern: hosts are lost one after the other, and by chance most of them hit one model. Its
+//! callers would be refused while the groups of the other model have time to spare. Ending one of
+//! those costs its callers a few late answers; its hosts serve the other model as soon as what runs
+//! has ended, since they keep its weights.
+
+use briartray_model::names::DomainName;
+
+use super::{GroupPlanner, PlacedGroup, PlanAction, domains_of, part_of};
+use crate::deployment::ModelSpec;
+
+/// How much better than the receiver the giver must still be served afterwards, so that the same
+/// hosts do not go to and fro.
+const MARGIN: f64 = 1.1;
+
+impl GroupPlanner<'_> {
+    /// Ends a group of a model that has enough of them, where that completes a group of one that
+    /// lacks some.
+    pub(super) fn rebalance(&self, wanted: &[f64]) -> Option<PlanAction> {
+        if !self.view.serving {
+            return None;
+        }
+        let order = self.by_lack(wanted);
+        let mut lacking = order.into_iter().filter(|index| self.lacks(*index, wanted));
+        lacking.find_map(|index| self.reclaim_for(index, wanted))
+    }
+
+    /// Ends the group whose hosts complete one of the model at `index` with the least loss.
+    fn reclaim_for(&self, index: usize, wanted: &[f64]) -> Option<PlanAction> {
+        let model = &self.models()[index];
+        let domains = domains_of(self.every_host());
+        let mut best: Option<(usize, &PlacedGroup)> = None;
+        for domain in &domains {
+            let missing = model.size.saturating_sub(self.usable(domain, model));
+            if missing == 0 {
+                // The hosts are there, or about to be.
+                return None;
+            }
+            for (other, groups) in self.view.groups.iter().enumerate() {
+                if other == index {
+                    continue;
+                }
+                let local: Vec<&PlacedGroup> =
+                    groups.iter().filter(|group| group.domain == *domain).collect();
+                let Some((cost, group)) = self.cheapest(&local, model, missing) else { continue };
+                let left = groups.len().saturating_sub(cost);
+                let fair = part_of(left, wanted[other]) >= self.filled(index, wanted) * MARGIN;
+                let better = best.is_none_or(|(least, _)| cost < least);
+                if left > 0 && fair && better {
+                    best = Some((cost, group));
+                }
+            }
+        }
+        best.map(|(_, group)| PlanAction::End(group.group))
+    }
+
+    /// How many of `groups` have to end to bring `missing` hosts for `model`, and which one first.
+    fn cheapest<'g>(
+        &self,
+        groups: &[&'g PlacedGroup],
+        model: &ModelSpec,
+        missing: usize,
+    ) -> Option<(usize, &'g PlacedGroup)> {
+        let gives = |group: &PlacedGroup| {
+            group.hosts.iter().filter(|host| host.can_join(&model.name)).count()
+        };
+        let mut ranked: Vec<(usize, &PlacedGroup)> =
+            groups.iter().map(|group| (gives(group), *group)).collect();
+        ranked.sort_by_key(|(gives, _)| usize::MAX - gives);
+        let first = ranked.first().map(|(_, group)| *group)?;
+        let mut brought = 0;
+        let needed = ranked.iter().position(|(gives, _)| {
+            brought += gives;
+            brought >= missing
+        })?;
+        Some((needed + 1, first))
+    }
+
+    /// Hosts of `domain` that are free, or about to be, and can join a group of `model`.
+    pub(super) fn usable(&self, domain: &DomainName, model: &ModelSpec) -> usize {
+        let hosts = self.view.free.iter().chain(self.coming());
+        hosts.filter(|host| host.domain == *domain && host.can_join(&model.name)).count()
+    }
+}
--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -5,10 +5,10 @@
 use briartray_model::TimePoint;
 use briartray_model::names::{DomainName, GroupId, IncarnationId, ServiceName};
 
-use super::plan::{FreeHost, GroupPlanner, PlanAction, PlanView};
+use super::plan::{GroupPlanner, PlacedGroup, PlanAction, PlanView, PoolHost};
 use super::step::{DirectorOutput, LOAD_PATIENCE};
 use super::stray;
-use super::{EndpointOrder, FleetDirector, HostRecord, OrderCall};
+use super::{EndpointOrder, FleetDirector, HostRecord, MarkState, OrderCall};
 use crate::deployment::{EngineModel, ModelSpec, ServiceSpec};
 use crate::state::{FleetCommand, FleetState, GroupRecord};
 
@@ -36,7 +36,7 @@
             // Hosts that are heard late would else find no partners for a group.
             Some(PlanAction::Stage { .. }) if !self.serving && self.is_gathering(now) => {}
             Some(PlanAction::Stage { host, model }) => {
-                let busy = self.hosts.iter().filter(|(_, host)| host.staging.is_some()).count();
+                let busy = self.staging_now();
                 if self.may_load(now, engine, 1, busy) {
                     self.loads.begin(now, 1);
                     self.stage(now, engine, &host, model, output);
@@ -51,6 +51,12 @@
         }
     }
 
+    /// Hosts that load weights.
+    fn staging_now(&self) -> usize {
+        let loads = |host: &HostRecord| host.staging.is_some() && !host.is_lost();
+        self.hosts.iter().filter(|(_, host)| loads(host)).count()
+    }
+
     /// Fabric domains that hosts of `service` were heard from.
     fn domains(&self, service: &ServiceName) -> usize {
         let domain = |host: &HostRecord| host.beat.report.domain.clone();
@@ -99,37 +105,71 @@
         let usable = |id: &IncarnationId, host: &HostRecord| {
             !host.is_lost() && !host.beat.leaving && !state.is_leaving(id)
         };
-        let hosts = self.hosts.of_service(service).filter(|(id, host)| usable(id, host)).count();
-        let free = self
+        let pool: Vec<PoolHost> = self
             .hosts
             .of_service(service)
             .filter(|(id, host)| usable(id, host))
-            .filter_map(|(id, host)| free_host(now, state, id, host))
+            .map(|(id, host)| pool_host(now, state, id, host))
             .collect();
+        let hosts = pool.len();
         let models = &engine.models;
-        let groups =
-            models.iter().map(|model| self.lasting_groups(state, service, &model.name)).collect();
+        let lasting = |model: &ModelSpec| self.lasting_groups(state, service, &model.name, &pool);
+        let groups: Vec<Vec<PlacedGroup>> = models.iter().map(lasting).collect();
+        let grouped = |host: &PoolHost| {
+            groups.iter().flatten().any(|group| group.hosts.iter().any(|other| other.id == host.id))
+        };
+        let rest = pool.iter().filter(|host| !grouped(host)).cloned();
+        let (leaving, rest): (Vec<_>, Vec<_>) = rest.partition(|host| self.is_stray(state, host));
+        let serves =
+            |host: &PoolHost| host.standby.is_none() && group_of(state, &host.id).is_some();
+        let (closing, free) = rest.into_iter().partition(serves);
         let busy = |model: &ModelSpec| self.demand.busy(now, service, &model.name);
         let demand = models.iter().map(busy).collect();
+        let trust = self.demand.trust(now);
+        let loading = self.staging_now();
         let gathering = self.is_gathering(now).then(|| self.domains(service));
         let serving = self.serving;
-        PlanView { service, engine, free, groups, hosts, demand, gathering, serving }
+        PlanView {
+            service,
+            engine,
+            free,
+            leaving,
+            closing,
+            groups,
+            hosts,
+            demand,
+            trust,
+            loading,
+            gathering,
+            serving,
+        }
     }
 
-    /// Groups of `model` that serve or form and are not about to end, with their domains.
+    /// Whether the host is still in a group that has ended.
+    fn is_stray(&self, state: &FleetState, host: &PoolHost) -> bool {
+        self.hosts.get(&host.id).is_some_and(|host| stray::is_stray(host, state))
+    }
+
+    /// Groups of `model` that serve or form and are not about to end, with their hosts in `pool`.
     fn lasting_groups(
         &self,
         state: &FleetState,
         service: &ServiceName,
         model: &str,
-    ) -> Vec<(GroupId, DomainName)> {
+        pool: &[PoolHost],
+    ) -> Vec<PlacedGroup> {
         let ends = |group: &GroupId| self.runs.get(group).is_some_and(|run| run.ending.is_some());
         let serves = |record: &GroupRecord| {
             !record.standby && record.service == *service && record.model == model
         };
         let groups = state.groups().iter();
         let lasting = groups.filter(|(group, record)| serves(record) && !ends(group));
-        lasting.map(|(group, record)| (*group, record.domain.clone())).collect()
+        let place = |(group, record): (&GroupId, &GroupRecord)| {
+            let member = |host: &&PoolHost| record.members.iter().any(|other| other.id == host.id);
+            let hosts = pool.iter().filter(member).cloned().collect();
+            PlacedGroup { group: *group, domain: record.domain.clone(), hosts }
+        };
+        lasting.map(place).collect()
     }
 
     /// Staging is over once the host reports the weights, or too much time has passed.
@@ -146,28 +186,37 @@
     }
 }
 
-/// The host as the planner sees it; `None` while a group that serves, or an ended one, has it.
-fn free_host(
+/// The host as the planner sees it.
+fn pool_host(
     now: TimePoint,
     state: &FleetState,
     id: &IncarnationId,
     host: &HostRecord,
-) -> Option<FreeHost> {
-    let has = |group: &&GroupRecord| group.members.iter().any(|member| member.id == *id);
-    let group = state.groups().values().find(has);
-    if stray::is_stray(host, state) || group.is_some_and(|group| !group.standby) {
-        return None;
-    }
+) -> PoolHost {
     let nowhere = || DomainName::new("");
-    Some(FreeHost {
+    PoolHost {
         id: id.clone(),
         address: host.beat.address.clone(),
         domain: host.beat.report.domain.clone().unwrap_or_else(nowhere),
         zone: host.beat.zone.clone(),
         staged: host.beat.report.staged.clone(),
-        staging: host.staging.as_ref().map(|(model, _)| model.clone()),
+        staging: staging_of(host),
         warm: host.warm.clone(),
         fresh: now.since(host.since) < FRESH,
-        standby: group.is_some(),
-    })
+        standby: group_of(state, id).filter(|group| group.standby).map(|group| group.model.clone()),
+    }
+}
+
+/// The model that the host is loading; an empty name where an earlier leader has ordered it.
+///
+/// Without this a new leader orders the loads under way once more: nine in a second.
+fn staging_of(host: &HostRecord) -> Option<String> {
+    let joins = host.beat.report.mark.as_ref().is_some_and(|mark| mark.state == MarkState::Joining);
+    let unknown = || (host.beat.report.busy && !joins).then(String::new);
+    host.staging.as_ref().map(|(model, _)| model.clone()).or_else(unknown)
+}
+
+/// The group that has the endpoint.
+fn group_of<'s>(state: &'s FleetState, id: &IncarnationId) -> Option<&'s GroupRecord> {
+    state.groups().values().find(|group| group.members.iter().any(|member| member.id == *id))
 }
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -83,7 +83,9 @@
     pub fn new(now: TimePoint, state: &FleetState) -> Self {
         let inherits = !state.endpoints().is_empty();
         let loads = if inherits { LoadLimiter::used_up(now, 1.0) } else { LoadLimiter::default() };
-        let mut director = Self { since: now, inherits, loads, ..Self::default() };
+        // Callers may be served already: loads count then, and take their full time.
+        let mut director =
+            Self { since: now, inherits, serving: inherits, loads, ..Self::default() };
         for record in state.endpoints().values() {
             director.hosts.inherit(now, inherited_beat(record));
         }
@@ -112,13 +114,17 @@
             OrderOutcome::OtherEndpoint => self.hosts.remove(&call.id),
             // What it did, if anything, shows in the next report.
             OrderOutcome::Unknown => {
+                self.hosts.give_up_staging(now, &call.id, &call.order);
                 for run in self.runs.values_mut() {
                     run.forget_asked(&call.id, &call.order);
                 }
                 self.hosts.probe_now(now, &call.id);
             }
             OrderOutcome::Holds => self.hosts.probe_now(now, &call.id),
-            OrderOutcome::Begun | OrderOutcome::Misfit | OrderOutcome::Fenced => {}
+            OrderOutcome::Misfit | OrderOutcome::Fenced => {
+                self.hosts.give_up_staging(now, &call.id, &call.order);
+            }
+            OrderOutcome::Begun => {}
         }
     }
 
--- a/crates/fleet/tests/director/losses.rs
+++ b/crates/fleet/tests/director/losses.rs
@@ -137,3 +137,35 @@
     fleet.run_for(Duration::from_secs(60));
     assert!(fleet.open_of(LARGE) >= 3);
 }
+
+/// Two hosts of the large group in one domain die a few seconds apart, and the domain has a spare for
+/// the first of them only. Callers of the large model were refused for the 16 s in which an empty
+/// host loaded its weights, three whole hosts idling meanwhile; a host of a small group takes the
+/// place now.
+#[test]
+fn a_second_loss_is_made_up_for_by_a_host_of_another_model() {
+    let mut fleet = TestFleet::serving(9);
+    fleet.demand = (2.6, 4.0);
+    fleet.run_for(Duration::from_secs(4));
+    let domain = |fleet: &TestFleet, host: usize| fleet.hosts[host].model.place.domain.clone();
+    let first = member_of(&fleet, LARGE, false);
+    let place = domain(&fleet, first);
+    for _ in 0..3 {
+        let large = |fleet: &TestFleet| {
+            let grouped = fleet.grouped().into_iter();
+            grouped.filter(|host| domain(fleet, *host) == place).find(|host| {
+                let member = fleet.hosts[*host].model.member.as_ref();
+                member.is_some_and(|member| member.model == LARGE)
+            })
+        };
+        let dead = large(&fleet).expect("the domain has a large group");
+
+        fleet.hosts[dead].alive = false;
+
+        fleet.run_until(RECLAIMED, "a large group in its place", |fleet| large(fleet).is_some());
+    }
+}
+
+/// Longest time until a group serves again with a host of a group that serves another model: that
+/// one ends what runs, then its host joins and warms up.
+const RECLAIMED: Duration = Duration::from_millis(7_000);
--- a/crates/standin/src/group_host/model.rs
+++ b/crates/standin/src/group_host/model.rs
@@ -40,6 +40,9 @@
     pub state: MarkState,
     /// When the next state follows by itself.
     pub until: Option<TimePoint>,
+    /// Whether it loads the weights while it joins; the host keeps them afterwards. One that joins
+    /// with the weights of its last group keeps on the host whatever was staged there.
+    loads: bool,
 }
 
 /// One endpoint.
@@ -122,7 +125,9 @@
             member.state = match member.state {
                 MarkState::Joining => {
                     self.last_model = Some(member.model.clone());
-                    self.staged = Some(member.model.clone());
+                    if std::mem::take(&mut member.loads) {
+                        self.staged = Some(member.model.clone());
+                    }
                     MarkState::Ready
                 }
                 MarkState::Closing => MarkState::Ready,
@@ -143,6 +148,7 @@
                 .as_ref()
                 .map(|member| GroupMark { group: member.group, state: member.state }),
             pace: Some(1.0),
+            busy: self.loading.is_some(),
         }
     }
 
@@ -178,13 +184,17 @@
         }
         let Some(spec) = engine.model(model) else { return OrderOutcome::Misfit };
         self.highest_epoch = group.0;
-        let time = if self.last_model.as_deref() == Some(model) {
+        let warm = self.last_model.as_deref() == Some(model);
+        let loads = !warm && self.staged.as_deref() != Some(model);
+        let time = if warm {
             REJOIN
-        } else if self.staged.as_deref() == Some(model) {
-            spec.warmup
-        } else {
+        } else if loads {
             self.loads.push(now);
             spec.load_time
+        } else {
+            // Staging that is under way comes first.
+            let staging = self.loading.as_ref().map_or(Duration::ZERO, |(_, at)| at.since(now));
+            staging + spec.warmup
         };
         self.member = Some(Membership {
             group,
@@ -192,6 +202,7 @@
             members: members.to_vec(),
             state: MarkState::Joining,
             until: Some(now.after(time)),
+            loads,
         });
         OrderOutcome::Begun
     }
