Believe no late beat of an earlier incarnation; count on no host that missed a probe

Cause: beats may be delayed for seconds. Third: hosts that were still loading their first weights raised the number of groups wanted.

Change: a beat that names another endpoint's address proves nothing until its sender answers a probe; hosts with a missed probe, or without weights, are not planned with; the last member of a group that callers lack is loaded first; loads of further models leave two places of the weight store to empty hosts. Views tell what the planner wanted.

--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -94,23 +94,58 @@
 
 impl HostTable {
     /// Takes a beat; `false` when it is older than what is known.
+    ///
+    /// A beat may be delayed for seconds, and arrive when its sender has died and another
+    /// incarnation has its address. So one that names the address of another endpoint proves
+    /// nothing: both are asked for a report, which only the one that is meant answers. Late beats
+    /// were believed once, the endpoints that had just come back were taken for dead, and their
+    /// groups were taken apart.
     pub fn beat(&mut self, now: TimePoint, beat: EndpointBeat) -> bool {
+        let rivals = self.rivals(&beat);
         let Some(record) = self.records.get_mut(&beat.id) else {
-            self.records.insert(beat.id.clone(), HostRecord::new(now, beat));
+            let mut record = HostRecord::new(now, beat);
+            if !rivals.is_empty() {
+                record.failures = LOST_FAILURES;
+            }
+            let id = record.beat.id.clone();
+            self.records.insert(id.clone(), record);
+            self.ask_all(now, rivals, &id);
             return true;
         };
         // Beats overtake each other: a late one would bring back a group that has ended.
         if beat.sequence <= record.beat.sequence {
             return false;
         }
-        record.heard = now;
-        record.failures = 0;
-        record.inherited = false;
+        if !record.is_lost() || rivals.is_empty() {
+            record.heard = now;
+            record.failures = 0;
+            record.inherited = false;
+        }
+        let id = beat.id.clone();
         let leaving = record.beat.leaving || beat.leaving;
         record.beat = EndpointBeat { leaving, ..beat };
+        self.ask_all(now, rivals, &id);
         true
     }
 
+    /// Other endpoints at the address that `beat` names.
+    fn rivals(&self, beat: &EndpointBeat) -> Vec<IncarnationId> {
+        let rival = |(id, host): &(&IncarnationId, &HostRecord)| {
+            host.beat.address == beat.address && **id != beat.id
+        };
+        self.records.iter().filter(rival).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Asks `rivals`, if any, and `id` for reports.
+    fn ask_all(&mut self, now: TimePoint, rivals: Vec<IncarnationId>, id: &IncarnationId) {
+        if rivals.is_empty() {
+            return;
+        }
+        for id in rivals.iter().chain([id]) {
+            self.probe_now(now, id);
+        }
+    }
+
     /// Takes an endpoint that an earlier leader knew, of which nothing was heard yet.
     pub fn inherit(&mut self, now: TimePoint, beat: EndpointBeat) {
         let mut record = HostRecord::new(now, beat);
@@ -191,13 +226,6 @@
         }
     }
 
-    /// Counts an endpoint as lost until it gives a sign of life.
-    pub fn mark_lost(&mut self, id: &IncarnationId) {
-        if let Some(record) = self.records.get_mut(id) {
-            record.failures = LOST_FAILURES;
-        }
-    }
-
     /// Forgets an endpoint.
     pub fn remove(&mut self, id: &IncarnationId) {
         self.records.remove(id);
--- a/crates/fleet/src/director/plan/host.rs
+++ b/crates/fleet/src/director/plan/host.rs
@@ -48,9 +48,14 @@
         }
     }
 
+    /// Whether it can serve some model without a load.
+    pub(in crate::director) fn has_weights(&self) -> bool {
+        !self.staged.is_empty() || self.warm.is_some()
+    }
+
     /// Whether it has no weights and is not loading any.
     pub(super) fn is_empty(&self) -> bool {
-        self.staged.is_empty() && self.staging.is_none() && self.warm.is_none()
+        !self.has_weights() && self.staging.is_none()
     }
 
     /// Whether further weights may take the place of what is staged: nothing is, or only the model
--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -44,7 +44,7 @@
     pub closing: Vec<PoolHost>,
     /// Groups that serve or form, by model in the order of the engine's models.
     pub groups: Vec<Vec<PlacedGroup>>,
-    /// Hosts that are alive.
+    /// Hosts that are alive and, once callers ask, have weights.
     pub hosts: usize,
     /// Work that callers ask for by model, in groups kept busy.
     pub demand: Vec<f64>,
@@ -101,6 +101,15 @@
             .or_else(|| self.stage(&wanted))
     }
 
+    /// What decides, in a few words: groups wanted of each model, and how far demand is believed.
+    pub fn summary(&self) -> String {
+        let wanted = self.wanted();
+        let tell = |(model, wanted): (&ModelSpec, &f64)| format!("{} {wanted:.1}", model.name);
+        let wanted: Vec<String> = self.models().iter().zip(&wanted).map(tell).collect();
+        let (hosts, trust) = (self.view.hosts, self.view.trust);
+        format!("wanted {} of {hosts} hosts, trust {trust:.1}", wanted.join(" "))
+    }
+
     /// Groups of each model that should serve: all hosts but some spares, split by the work that
     /// callers ask for, so that all models are as well served as each other.
     ///
--- a/crates/fleet/src/director/plan/stage.rs
+++ b/crates/fleet/src/director/plan/stage.rs
@@ -9,13 +9,58 @@
 use super::{GroupPlanner, PlanAction, PoolHost};
 use crate::deployment::ModelSpec;
 
-/// Part of the loads at one time that hosts with weights may take: one in so many.
-const FURTHER_LOADS: usize = 2;
+/// Loads beyond those that the weight store does at full speed: two of eight slow all down by a
+/// third, which is less than an empty host would wait.
+const EXTRA_LOADS: usize = 2;
+
+/// Places of the weight store that are left to hosts without weights.
+const KEPT_LOADS: usize = 2;
 
 impl GroupPlanner<'_> {
     /// The next load.
     pub(super) fn stage(&self, wanted: &[f64]) -> Option<PlanAction> {
-        self.stage_empty().or_else(|| self.stage_starved(wanted)).or_else(|| self.stage_further())
+        let most = self.view.engine.loads_at_once;
+        if self.view.serving && self.view.loading >= most + EXTRA_LOADS {
+            return None;
+        }
+        let urgent = self.stage_last_member(wanted).or_else(|| self.stage_empty());
+        let urgent = urgent.or_else(|| self.stage_starved(wanted));
+        if self.view.serving && self.view.loading >= most.saturating_sub(KEPT_LOADS) {
+            return urgent;
+        }
+        urgent.or_else(|| self.stage_further())
+    }
+
+    /// Weights for the last member of a group that callers lack: one load puts all hosts of the
+    /// group to use that are free already.
+    fn stage_last_member(&self, wanted: &[f64]) -> Option<PlanAction> {
+        let order = self.by_lack(wanted);
+        let mut lacking = order.into_iter().filter(|index| self.lacks(*index, wanted));
+        lacking.find_map(|index| {
+            let model = &self.models()[index];
+            let domains = self.domains();
+            let mut short = domains.iter().filter(|domain| {
+                // Nothing that is on its way completes the group.
+                self.held(domain, model) + 1 == model.size
+            });
+            short.find_map(|domain| {
+                let mut hosts = self.free_in(domain);
+                hosts.retain(|host| !host.will_join(&model.name) && self.may_give(host, wanted));
+                let host = hosts.into_iter().min_by_key(|host| !host.is_empty())?;
+                Some(PlanAction::Stage { host: host.id.clone(), model: model.name.clone() })
+            })
+        })
+    }
+
+    /// Whether the staged weights of `host` may be replaced: callers lack no group of their model,
+    /// or the host is warm in it.
+    fn may_give(&self, host: &PoolHost, wanted: &[f64]) -> bool {
+        let needed = |staged: &String| {
+            let index = self.models().iter().position(|model| model.name == *staged);
+            !host.is_warm(staged) && index.is_some_and(|index| self.lacks(index, wanted))
+        };
+        let joins = host.standby.is_some() && host.warm.is_none();
+        host.staging.is_none() && !host.fresh && !joins && !host.staged.iter().any(needed)
     }
 
     fn stage_empty(&self) -> Option<PlanAction> {
@@ -26,14 +71,7 @@
     }
 
     /// Another model for a host that keeps none beside the one it is warm in, free ones first.
-    ///
-    /// These loads take half of the store's places at the most while callers are served: where
-    /// they took all of them, empty hosts waited for several seconds to begin theirs.
     fn stage_further(&self) -> Option<PlanAction> {
-        let most = self.view.engine.loads_at_once / FURTHER_LOADS;
-        if self.view.serving && self.view.loading >= most {
-            return None;
-        }
         let mut hosts = self.view.free.iter().chain(self.grouped());
         hosts.find_map(|host| {
             if host.warm.is_none() || !host.has_room() {
--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -28,16 +28,20 @@
         output: &mut DirectorOutput,
     ) {
         let view = self.plan_view(now, state, &service.name, engine);
-        match GroupPlanner::new(view).next() {
-            Some(PlanAction::Form { group, loads }) if self.may_load(now, engine, loads, 0) => {
+        let planner = GroupPlanner::new(view);
+        let action = planner.next();
+        if action.is_some() {
+            self.plan_note = planner.summary();
+        }
+        match action {
+            Some(PlanAction::Form { group, loads }) if self.may_load(now, engine, loads) => {
                 self.loads.begin(now, if self.serving { loads } else { 0 });
                 output.commands.push(FleetCommand::FormGroup(group));
             }
             // Hosts that are heard late would else find no partners for a group.
             Some(PlanAction::Stage { .. }) if !self.serving && self.is_gathering(now) => {}
             Some(PlanAction::Stage { host, model }) => {
-                let busy = self.staging_now();
-                if self.may_load(now, engine, 1, busy) {
+                if self.may_load(now, engine, 1) {
                     self.loads.begin(now, 1);
                     self.stage(now, engine, &host, model, output);
                 }
@@ -73,10 +77,9 @@
     }
 
     /// Before callers ask for anything, loads are short and do not count against the rate.
-    fn may_load(&self, now: TimePoint, engine: &EngineModel, loads: usize, busy: usize) -> bool {
+    fn may_load(&self, now: TimePoint, engine: &EngineModel, loads: usize) -> bool {
         let free = loads == 0 || !self.serving;
-        let room = busy < engine.loads_at_once;
-        free || (room && self.loads.may_begin(now, engine.loads_per_second, loads))
+        free || self.loads.may_begin(now, engine.loads_per_second, loads)
     }
 
     fn stage(
@@ -103,7 +106,8 @@
     ) -> PlanView<'a> {
         self.settle_staging(now);
         let usable = |id: &IncarnationId, host: &HostRecord| {
-            !host.is_lost() && !host.beat.leaving && !state.is_leaving(id)
+            // One that has just missed a probe is most likely the reason for its group's end.
+            host.failures == 0 && !host.beat.leaving && !state.is_leaving(id)
         };
         let pool: Vec<PoolHost> = self
             .hosts
@@ -111,7 +115,8 @@
             .filter(|(id, host)| usable(id, host))
             .map(|(id, host)| pool_host(now, state, id, host))
             .collect();
-        let hosts = pool.len();
+        let able = |host: &&PoolHost| !self.serving || host.has_weights();
+        let hosts = pool.iter().filter(able).count();
         let models = &engine.models;
         let lasting = |model: &ModelSpec| self.lasting_groups(state, service, &model.name, &pool);
         let groups: Vec<Vec<PlacedGroup>> = models.iter().map(lasting).collect();
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -70,6 +70,8 @@
     newcomer_at: TimePoint,
     pub(super) runs: SortedTable<GroupId, GroupRun>,
     pub(super) loads: LoadLimiter,
+    /// What decided when something was planned last.
+    pub(super) plan_note: String,
     pub(super) serving: bool,
     /// Commands that are not applied yet; nothing is planned meanwhile.
     open_commands: usize,
@@ -96,7 +98,6 @@
     pub fn beat(&mut self, now: TimePoint, beat: EndpointBeat) -> bool {
         let known = self.hosts.get(&beat.id).map(|host| host.beat.report.clone());
         if known.is_none() {
-            self.supersede(&beat);
             self.newcomer_at = now;
         }
         let news = known.as_ref() != Some(&beat.report);
@@ -215,21 +216,6 @@
         &self.hosts
     }
 
-    /// Whoever was at the address of a new endpoint before is most likely gone.
-    ///
-    /// A beat of the earlier one may still arrive late; it counts as lost until it beats again.
-    fn supersede(&mut self, beat: &EndpointBeat) {
-        let earlier: Vec<IncarnationId> = self
-            .hosts
-            .iter()
-            .filter(|(id, host)| host.beat.address == beat.address && **id != beat.id)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in earlier {
-            self.hosts.mark_lost(&id);
-        }
-    }
-
     pub(super) fn scene<'a>(
         &'a self,
         now: TimePoint,
--- a/crates/fleet/src/director/view.rs
+++ b/crates/fleet/src/director/view.rs
@@ -57,7 +57,7 @@
         let asked = self.demand.summary();
         let counts =
             kinds.chunk_by(|a, b| a == b).map(|same| format!("{} {}", same[0], same.len()));
-        format!("{}; busy {asked}", counts.collect::<Vec<_>>().join(", "))
+        format!("{}; busy {asked}; {}", counts.collect::<Vec<_>>().join(", "), self.plan_note)
     }
 
     fn endpoints_of<'a>(
--- a/crates/fleet/tests/director/fleet.rs
+++ b/crates/fleet/tests/director/fleet.rs
@@ -181,6 +181,24 @@
         self.hosts.len() - 1
     }
 
+    /// The endpoint starts anew: another incarnation at the same address, with what its host keeps.
+    pub fn restart_host(&mut self, host: usize) -> usize {
+        self.hosts[host].alive = false;
+        let domain = self.hosts[host].model.place.domain.clone();
+        let domain = (0..).find(|number| domain.as_str() == format!("domain-{number}"));
+        let next = self.add_host(domain.expect("the fixture named the domain"));
+        let place = self.hosts[next].model.place.clone();
+        let address = self.hosts[host].model.place.address.clone();
+        self.hosts[next].model = self.hosts[host].model.restarted(HostPlace { address, ..place });
+        next
+    }
+
+    /// A beat that the endpoint sent before it died arrives now.
+    pub fn deliver_old_beat(&mut self, host: usize) {
+        let beat = self.hosts[host].model.beat();
+        self.director.beat(self.now, beat);
+    }
+
     /// Another host leads from now on; it knows what was agreed, and nothing else.
     pub fn change_leader(&mut self) {
         self.term += 1;
@@ -317,10 +335,18 @@
         let answers = |host: &TestHost| host.alive && !host.cut;
         let lost = self.random.random_range(0..100) < self.faults.lost_probes;
         let host = self.position(id).map(|position| &self.hosts[position]);
+        if host.is_some_and(|host| !host.alive && self.is_taken(&host.model.place.address)) {
+            // Another incarnation refuses what is meant for this one.
+            return self.director.gone(id);
+        }
         let report = host.filter(|host| answers(host) && !lost).map(|host| host.model.report());
         self.director.probed(self.now, id, report);
     }
 
+    fn is_taken(&self, address: &str) -> bool {
+        self.hosts.iter().any(|host| host.alive && host.model.place.address == address)
+    }
+
     fn order(&mut self, call: OrderCall) {
         if self.random.random_range(0..100) < self.faults.late {
             let wait = Duration::from_millis(self.random.random_range(2_000..12_000));
--- a/crates/fleet/tests/director/losses.rs
+++ b/crates/fleet/tests/director/losses.rs
@@ -169,3 +169,39 @@
 /// Longest time until a group serves again with a host of a group that serves another model: that
 /// one ends what runs, then its host joins and warms up.
 const RECLAIMED: Duration = Duration::from_millis(7_000);
+
+/// A fabric domain loses power and comes back: each endpoint is another incarnation at its old
+/// address. Beats that the earlier incarnations had sent arrive now, delayed on the way. They were
+/// taken for newer endpoints, the groups that had just been formed were taken apart, and callers got
+/// cut streams for seconds.
+#[test]
+fn late_beats_of_earlier_incarnations_change_nothing() {
+    let undisturbed = groups_after_a_power_loss(false);
+
+    let disturbed = groups_after_a_power_loss(true);
+
+    assert_eq!(disturbed, undisturbed);
+}
+
+/// Groups that serve some seconds after a domain has come back.
+fn groups_after_a_power_loss(late_beats: bool) -> Vec<briartray_model::names::GroupId> {
+    let mut fleet = TestFleet::serving(10);
+    let in_domain = |host: &crate::fleet::TestHost| host.model.place.domain.as_str() == "domain-0";
+    let old: Vec<usize> =
+        (0..fleet.hosts.len()).filter(|host| in_domain(&fleet.hosts[*host])).collect();
+    for host in &old {
+        fleet.hosts[*host].alive = false;
+    }
+    fleet.run_for(Duration::from_secs(4));
+    for host in &old {
+        fleet.restart_host(*host);
+    }
+    fleet.change_leader();
+    for host in old.iter().cycle().take(3 * old.len()) {
+        if late_beats {
+            fleet.deliver_old_beat(*host);
+        }
+        fleet.run_for(Duration::from_millis(140));
+    }
+    fleet.open_groups()
+}
--- a/crates/standin/src/group_host/model.rs
+++ b/crates/standin/src/group_host/model.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// The endpoint that starts at `place` on the same host: the weights on the host are kept, all
+    /// else is forgotten.
+    pub fn restarted(&self, place: HostPlace) -> Self {
+        Self { staged: self.staged.clone(), ..Self::new(place) }
+    }
+
     /// Carries out `order` of a leader of `term`.
     pub fn order(
         &mut self,
