Leave slow hosts out of groups; wake streams instead of letting each look by itself

Cause: a group runs at the pace of its slowest host, and nobody read the pace that endpoints report; a host that was four or twelve times slower stayed in its group until it recovered. And each stream of an entry set a timer of 40 ms to look whether its group was given up, while events come every 40 to 100 ms: half of the wake-ups found nothing.

Change: a host whose reports say twice the usual time or more for 1.2 s is replaced where a quick host of the domain is free; with none its group serves on, and slow hosts are taken into a group only when nothing else is there. Beats, which tell neither pace nor orders in progress, no longer wipe out what reports told. Streams wait on one notice of their entry and one timer for their whole time.

Tests: a_slow_member_is_replaced_while_a_spare_stands_by failed before; with it slow_groups_serve_on_where_nothing_replaces_them and eight single decisions of the planner (claims, margin, split by work, supply, places of the weight store).

--- a/crates/fleet/src/director/beat.rs
+++ b/crates/fleet/src/director/beat.rs
@@ -37,10 +37,10 @@
         pub staged: Vec<String>,
         /// Its group.
         pub mark: Option<GroupMark>,
-        /// Factor on its times; above one it is slow.
+        /// Factor on its times; above one it is slow. Beats do not tell.
         pub pace: Option<f64>,
-        /// Whether it carries out an order, as loading weights.
-        pub busy: bool,
+        /// Whether it carries out an order, as loading weights. Beats do not tell.
+        pub busy: Option<bool>,
     }
 
     /// One announcement.
@@ -63,3 +63,13 @@
         pub report: EndpointReport,
     }
 }
+
+impl EndpointReport {
+    /// This report with what `known` tells beside it: beats leave some things out. An order that
+    /// was carried out has changed the staged weights.
+    pub(super) fn completed(self, known: &Self) -> Self {
+        let same = self.staged == known.staged;
+        let busy = self.busy.or(known.busy.filter(|_| same));
+        Self { pace: self.pace.or(known.pace), busy, ..self }
+    }
+}
--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -26,6 +26,10 @@
 /// Silence after which an endpoint is forgotten unless it answers probes.
 const FORGET_AFTER: Duration = Duration::from_secs(12);
 
+/// Factor on its times from which a host is left out of groups: below it a group that is formed anew
+/// costs callers more than it saves them.
+const SLOW_PACE: f64 = 2.0;
+
 /// Probes without an answer, one after the other, that make an endpoint count as lost.
 const LOST_FAILURES: u32 = 2;
 
@@ -49,6 +53,8 @@
     wanted: bool,
     /// Known from an earlier leader, and not heard of yet.
     inherited: bool,
+    /// Since when its reports say that it is slow.
+    pub slow_since: Option<TimePoint>,
     /// Model of the last group it was ready in: it joins the next one with that model at once.
     pub warm: Option<String>,
     /// Last order to get out of a group that has ended, and when it was given.
@@ -69,6 +75,7 @@
             probe_at,
             wanted: false,
             inherited: false,
+            slow_since: None,
             warm: None,
             stray_order: None,
             staging: None,
@@ -80,6 +87,11 @@
         self.failures >= LOST_FAILURES
     }
 
+    /// Whether a group would run much slower with it: a group runs at the pace of its slowest host.
+    pub fn is_slow(&self) -> bool {
+        self.beat.report.pace.is_some_and(|pace| pace >= SLOW_PACE)
+    }
+
     /// Whether the weights of `model` are on the host.
     pub fn has_staged(&self, model: &str) -> bool {
         self.beat.report.staged.iter().any(|staged| staged == model)
@@ -123,7 +135,8 @@
         }
         let id = beat.id.clone();
         let leaving = record.beat.leaving || beat.leaving;
-        record.beat = EndpointBeat { leaving, ..beat };
+        let report = beat.report.clone().completed(&record.beat.report);
+        record.beat = EndpointBeat { leaving, report, ..beat };
         self.ask_all(now, rivals, &id);
         true
     }
@@ -171,6 +184,8 @@
                 record.probe_at = now.after(PROBE_EVERY);
                 let domain = report.domain.clone().or(record.beat.report.domain.take());
                 record.beat.report = EndpointReport { domain, ..report };
+                let since = record.slow_since.unwrap_or(now);
+                record.slow_since = record.is_slow().then_some(since);
             }
             None => {
                 record.failures += 1;
@@ -199,7 +214,9 @@
         let mut due = Vec::new();
         for (id, record) in self.records.iter_mut() {
             let silent = now.since(record.heard) >= SILENT_AFTER;
-            let watched = silent || record.inherited || record.wanted || in_group(id);
+            // A slow host in no group is watched, so that it is used again once it is quick.
+            let wanted = record.inherited || record.wanted || record.is_slow();
+            let watched = silent || wanted || in_group(id);
             if !record.probing && now >= record.probe_at && watched {
                 record.probing = true;
                 record.wanted = false;
--- a/crates/fleet/src/director/plan/form.rs
+++ b/crates/fleet/src/director/plan/form.rs
@@ -8,6 +8,8 @@
 
 /// A group that could be formed, and how good its domain is for it; less is better.
 struct Proposal<'h> {
+    /// Whether it would run at the pace of a slow member: late answers are better than none.
+    slow: bool,
     /// Members that have to load the weights.
     loads: usize,
     /// Groups of the model in the domain already: a whole domain can go dark.
@@ -20,8 +22,8 @@
 }
 
 impl Proposal<'_> {
-    fn rank(&self) -> (usize, usize, usize, usize) {
-        (self.loads, self.same, self.cold, self.left)
+    fn rank(&self) -> (bool, usize, usize, usize, usize) {
+        (self.slow, self.loads, self.same, self.cold, self.left)
     }
 }
 
@@ -68,6 +70,9 @@
             return None;
         }
         let mut hosts = self.free_in(domain);
+        if further {
+            hosts.retain(|host| !host.slow);
+        }
         let free = hosts.len();
         // Spares serve their own domain only: where no group is left to mend, they are of most use
         // as one.
@@ -83,13 +88,14 @@
         hosts.sort_by_key(|host| self.preference(host, model));
         hosts.truncate(model.size);
         let loads = hosts.iter().filter(|host| !host.can_join(&model.name)).count();
+        let slow = hosts.iter().any(|host| host.slow);
         let cold = hosts.iter().filter(|host| !host.is_warm(&model.name)).count();
         let warm = |host: &PoolHost| host.domain == *domain && host.is_warm(&model.name);
         if cold > 0 && self.view.leaving.iter().any(warm) {
             // The rest of a broken group is free in a moment, and joins at once.
             return None;
         }
-        Some(Proposal { loads, same, cold, left: usize::MAX - free, hosts })
+        Some(Proposal { slow, loads, same, cold, left: usize::MAX - free, hosts })
     }
 
     /// Whether a group of the model at `index` would take hosts of `domain`, free or about to be,
@@ -112,10 +118,11 @@
 
     /// Order in which hosts are taken into a group of `model`: those that are there soonest, and
     /// among them those that are of least use for another model.
-    fn preference(&self, host: &PoolHost, model: &ModelSpec) -> (bool, bool, bool, usize) {
+    fn preference(&self, host: &PoolHost, model: &ModelSpec) -> (bool, bool, bool, bool, usize) {
         let others = self.models().iter().filter(|other| host.will_join(&other.name)).count();
         let must_load = !host.can_join(&model.name);
-        (must_load, must_load && !host.staged.is_empty(), !host.is_warm(&model.name), others)
+        let gives_up = must_load && !host.staged.is_empty();
+        (host.slow, must_load, gives_up, !host.is_warm(&model.name), others)
     }
 
     /// The domain whose free hosts are kept for a model that has no group at all: the one that
--- a/crates/fleet/src/director/plan/host.rs
+++ b/crates/fleet/src/director/plan/host.rs
@@ -20,6 +20,10 @@
     /// Model of its last group: it joins the next one within a fraction of a second, whatever is
     /// staged.
     pub warm: Option<String>,
+    /// Whether it is much slower than it should be, as was its group's pace then.
+    pub slow: bool,
+    /// Whether it has been so for some time.
+    pub lasting_slow: bool,
     /// Whether it has just been heard for the first time: when a domain comes back, its hosts are
     /// heard one after the other, and the first ones would be given other work although they
     /// form a group with those that follow.
--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -100,6 +100,7 @@
     pub fn next(&self) -> Option<PlanAction> {
         let wanted = self.wanted();
         self.form_missing(&wanted)
+            .or_else(|| self.replace_slow())
             .or_else(|| self.rebalance(&wanted))
             .or_else(|| self.form_further(&wanted))
             .or_else(|| self.warm_up())
--- a/crates/fleet/src/director/plan/rebalance.rs
+++ b/crates/fleet/src/director/plan/rebalance.rs
@@ -7,7 +7,7 @@
 
 use briartray_model::names::DomainName;
 
-use super::{GroupPlanner, PlacedGroup, PlanAction, domains_of, part_of};
+use super::{GroupPlanner, PlacedGroup, PlanAction, PoolHost, domains_of, part_of};
 use crate::deployment::ModelSpec;
 
 /// How much better than the receiver the giver must still be served afterwards, so that the same
@@ -26,6 +26,22 @@
         lacking.find_map(|index| self.reclaim_for(index, wanted))
     }
 
+    /// Ends a group that runs at the pace of a slow member, where its other hosts and free ones of
+    /// the domain make a whole one. Without others to take its place a slow group serves on: late
+    /// answers are better than none.
+    pub(super) fn replace_slow(&self) -> Option<PlanAction> {
+        let models = self.models().iter().zip(&self.view.groups);
+        let mut groups =
+            models.flat_map(|(model, groups)| groups.iter().map(move |group| (model, group)));
+        let found = groups.find(|(model, group)| {
+            let slow = group.hosts.iter().any(|host| host.lasting_slow);
+            let quick = |host: &&PoolHost| !host.slow && host.can_join(&model.name);
+            let kept = group.hosts.iter().filter(quick).count();
+            slow && kept + self.usable(&group.domain, model) >= model.size
+        });
+        found.map(|(_, group)| PlanAction::End(group.group))
+    }
+
     /// Ends the group whose hosts complete one of the model at `index` with the least loss.
     fn reclaim_for(&self, index: usize, wanted: &[f64]) -> Option<PlanAction> {
         let model = &self.models()[index];
@@ -63,7 +79,8 @@
         missing: usize,
     ) -> Option<(usize, &'g PlacedGroup)> {
         let gives = |group: &PlacedGroup| {
-            group.hosts.iter().filter(|host| host.can_join(&model.name)).count()
+            let quick = group.hosts.iter().filter(|host| !host.slow);
+            quick.filter(|host| host.can_join(&model.name)).count()
         };
         let mut ranked: Vec<(usize, &PlacedGroup)> =
             groups.iter().map(|group| (gives(group), *group)).collect();
@@ -80,6 +97,7 @@
     /// Hosts of `domain` that are free, or about to be, and can join a group of `model`.
     pub(super) fn usable(&self, domain: &DomainName, model: &ModelSpec) -> usize {
         let hosts = self.view.free.iter().chain(self.coming());
-        hosts.filter(|host| host.domain == *domain && host.can_join(&model.name)).count()
+        let usable = |host: &&PoolHost| host.domain == *domain && !host.slow;
+        hosts.filter(usable).filter(|host| host.can_join(&model.name)).count()
     }
 }
--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -15,6 +15,10 @@
 /// Time after a first start before weights are staged on hosts that are left over.
 const GATHER: Duration = Duration::from_millis(3_500);
 
+/// Time for which a host is slow before its group is formed anew without it: by then the reports of
+/// all others have told whether they are slow as well.
+const SLOW_FOR: Duration = Duration::from_millis(1_200);
+
 /// Time for which a host that was heard for the first time keeps the weights it has.
 const FRESH: Duration = Duration::from_millis(2_500);
 
@@ -115,7 +119,7 @@
             .filter(|(id, host)| usable(id, host))
             .map(|(id, host)| pool_host(now, state, id, host))
             .collect();
-        let able = |host: &&PoolHost| !self.serving || host.has_weights();
+        let able = |host: &&PoolHost| !host.slow && (!self.serving || host.has_weights());
         let hosts = pool.iter().filter(able).count();
         let models = &engine.models;
         let lasting = |model: &ModelSpec| self.lasting_groups(state, service, &model.name, &pool);
@@ -207,6 +211,8 @@
         staged: host.beat.report.staged.clone(),
         staging: staging_of(host),
         warm: host.warm.clone(),
+        slow: host.is_slow(),
+        lasting_slow: host.slow_since.is_some_and(|since| now.since(since) >= SLOW_FOR),
         fresh: now.since(host.since) < FRESH,
         standby: group_of(state, id).filter(|group| group.standby).map(|group| group.model.clone()),
     }
@@ -217,7 +223,8 @@
 /// Without this a new leader orders the loads under way once more: nine in a second.
 fn staging_of(host: &HostRecord) -> Option<String> {
     let joins = host.beat.report.mark.as_ref().is_some_and(|mark| mark.state == MarkState::Joining);
-    let unknown = || (host.beat.report.busy && !joins).then(String::new);
+    let busy = host.beat.report.busy == Some(true);
+    let unknown = || (busy && !joins).then(String::new);
     host.staging.as_ref().map(|(model, _)| model.clone()).or_else(unknown)
 }
 
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -7,7 +7,7 @@
 
 use super::demand::DemandBook;
 use super::group::{GroupRun, GroupScene, GroupStep, next_step};
-use super::hosts::HostTable;
+use super::hosts::{HostRecord, HostTable};
 use super::loads::LoadLimiter;
 use super::pulse::PulseBook;
 use super::records::inherited_beat;
@@ -96,12 +96,13 @@
 
     /// Takes a beat; tells whether it says something new.
     pub fn beat(&mut self, now: TimePoint, beat: EndpointBeat) -> bool {
-        let known = self.hosts.get(&beat.id).map(|host| host.beat.report.clone());
+        let report = |host: &HostRecord| host.beat.report.clone();
+        let id = beat.id.clone();
+        let known = self.hosts.get(&id).map(report);
         if known.is_none() {
             self.newcomer_at = now;
         }
-        let news = known.as_ref() != Some(&beat.report);
-        self.hosts.beat(now, beat) && news
+        self.hosts.beat(now, beat) && known != self.hosts.get(&id).map(report)
     }
 
     /// Takes the answer to a probe, or that none came.
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -244,6 +244,11 @@
         self.loads.get(target).is_some_and(|load| load.is_suspect(now))
     }
 
+    /// Whether something of this entry waits on a target that was given up.
+    pub fn waits_on_silent(&self, now: TimePoint) -> bool {
+        self.loads.values().any(|load| load.own > 0 && load.is_suspect(now))
+    }
+
     /// What this entry saw of the groups.
     pub fn pulses(&self, now: TimePoint) -> Vec<GroupPulse> {
         let pulse = |(target, load): (&TargetId, &TargetLoad)| match target {
--- a/crates/fleet/tests/director/losses.rs
+++ b/crates/fleet/tests/director/losses.rs
@@ -205,3 +205,48 @@
     }
     fleet.open_groups()
 }
+
+/// A host of a large group turns eight times slower, as one that overheats does, and its group runs
+/// at its pace: nothing fails, and callers of that group get every event late. A spare takes the
+/// place, and the slow host serves again only when it is as quick as before.
+#[test]
+fn a_slow_member_is_replaced_while_a_spare_stands_by() {
+    let mut fleet = TestFleet::serving(11);
+    let before = fleet.open_of(LARGE);
+    let slow = member_of(&fleet, LARGE, false);
+    let domain = fleet.hosts[slow].model.place.domain.clone();
+
+    fleet.hosts[slow].model.pace = 8.0;
+    fleet.run_until(Duration::from_secs(6), "a group without the slow host", |fleet| {
+        fleet.open_of(LARGE) == before && !fleet.grouped().contains(&slow)
+    });
+
+    fleet.run_for(Duration::from_secs(10));
+    assert!(!fleet.grouped().contains(&slow));
+    fleet.hosts[slow].model.pace = 1.0;
+    for _ in 0..3 {
+        let serves = |fleet: &TestFleet, host: &usize| {
+            let there = fleet.hosts[*host].model.place.domain == domain;
+            there && *host != slow
+        };
+        let next = fleet.grouped().into_iter().find(|host| serves(&fleet, host));
+        fleet.hosts[next.expect("a group of the domain serves")].alive = false;
+        fleet.run_for(Duration::from_secs(8));
+    }
+    assert!(fleet.grouped().contains(&slow));
+}
+
+/// All hosts of a domain turn slow together. There is nothing to replace them with there, and a group
+/// that answers late is better than none.
+#[test]
+fn slow_groups_serve_on_where_nothing_replaces_them() {
+    let mut fleet = TestFleet::serving(12);
+    let groups = fleet.open_groups();
+
+    for host in &mut fleet.hosts {
+        host.model.pace = 3.0;
+    }
+    fleet.run_for(Duration::from_secs(10));
+
+    assert_eq!(fleet.open_groups(), groups);
+}
--- a/crates/fleet/tests/director/main.rs
+++ b/crates/fleet/tests/director/main.rs
@@ -3,4 +3,5 @@
 
 mod fleet;
 mod losses;
+mod planner;
 mod seeded;
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -4,13 +4,14 @@
 //! no more than time. Afterwards the stream goes on at another replica behind the last event that
 //! was passed on, or it is cut off so that it does not look complete.
 
-use std::time::Duration;
+use std::pin::Pin;
 
 use briartray_fleet::entry::{AttemptEnd, EventCutter, NextMove, StreamEvent};
 use briartray_platform::answer_headers;
 use bytes::Bytes;
 use http::Response;
 use http::response::Parts;
+use tokio::time::Sleep;
 
 use super::dispatch::{AttemptFailure, LiveAnswer, ServedRequest};
 use super::plain::no_target;
@@ -18,13 +19,12 @@
 use super::stream_clock::StreamClock;
 use briartray_http::{AnswerBody, BodySender, StreamCut};
 
-/// Time between two looks whether a replica that is waited on has been given up.
-const LOOK_EVERY: Duration = Duration::from_millis(40);
-
 /// A stream in progress.
 struct LiveStream {
     answer: LiveAnswer,
     cutter: EventCutter,
+    /// Fires when the request's time is over; one timer serves all events.
+    over: Pin<Box<Sleep>>,
 }
 
 /// What came of waiting for the next event.
@@ -101,7 +101,8 @@
                 return Err(OpenFailure::Other(Box::new(answer)));
             }
             Ok(answer) => {
-                let mut stream = LiveStream { answer, cutter: EventCutter::default() };
+                let over = Box::pin(tokio::time::sleep(request.left()));
+                let mut stream = LiveStream { answer, cutter: EventCutter::default(), over };
                 match next_step(request, &mut stream).await {
                     StreamStep::Event(event) if follows(last, event.id) => {
                         stream.answer.guard.first_part();
@@ -159,7 +160,7 @@
     let chosen = std::rc::Rc::clone(&request.chosen);
     let abandoned = async {
         loop {
-            tokio::time::sleep(LOOK_EVERY).await;
+            state.silence.notified().await;
             let target = chosen.borrow().clone();
             let lost =
                 target.is_some_and(|target| state.table.borrow().is_given_up(state.now(), &target));
@@ -176,28 +177,34 @@
 }
 
 /// The next whole event of `stream`.
+///
+/// It is woken when a target goes silent and does not look by itself: with a timer of 40 ms for each
+/// stream, half of an entry's wake-ups found nothing.
 async fn next_step(request: &ServedRequest, stream: &mut LiveStream) -> StreamStep {
     loop {
         if let Some(event) = stream.cutter.next_event() {
             return StreamStep::Event(event);
         }
-        if request.left().is_zero() {
-            return StreamStep::Broken;
-        }
-        match tokio::time::timeout(LOOK_EVERY, stream.answer.exchange.next_bytes()).await {
-            Ok(Ok(Some(bytes))) => {
-                stream.answer.guard.moved();
-                if !stream.cutter.push(&bytes) {
+        let LiveStream { answer, cutter, over } = &mut *stream;
+        let read = tokio::select! {
+            read = answer.exchange.next_bytes() => read,
+            () = request.state.silence.notified() => {
+                if answer.guard.is_given_up() && can_move(request) {
                     return StreamStep::Broken;
                 }
+                continue;
             }
-            Ok(Ok(None)) if stream.cutter.has_rest() => return StreamStep::Broken,
-            Ok(Ok(None)) => return StreamStep::End,
-            Ok(Err(_)) => return StreamStep::Broken,
-            Err(_) if stream.answer.guard.is_given_up() && can_move(request) => {
-                return StreamStep::Broken;
+            () = over.as_mut() => return StreamStep::Broken,
+        };
+        match read {
+            Ok(Some(bytes)) => {
+                answer.guard.moved();
+                if !cutter.push(&bytes) {
+                    return StreamStep::Broken;
+                }
             }
-            Err(_) => {}
+            Ok(None) if !cutter.has_rest() => return StreamStep::End,
+            Ok(None) | Err(_) => return StreamStep::Broken,
         }
     }
 }
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -12,6 +12,7 @@
 use briartray_model::{SortedTable, TimePoint};
 use briartray_node::ClockReader;
 use crossbeam::channel::Sender;
+use tokio::sync::Notify;
 
 use super::journal::{EntryMetrics, LineBudget};
 use crate::settings::GatewaySettings;
@@ -26,6 +27,8 @@
     lease: RefCell<EntryLease>,
     budget: RefCell<RetryBudget>,
     pub(super) pool: RefCell<ConnectionPool>,
+    /// Told at every look while something of this entry waits on a target that does not answer.
+    pub(super) silence: Notify,
     reports: Sender<EntryReport>,
     demand: RefCell<SortedTable<(ServiceName, String), f64>>,
     draining: Cell<bool>,
@@ -56,6 +59,7 @@
             lease: RefCell::new(EntryLease::new(limits.revocation())),
             budget: RefCell::new(budget),
             pool: RefCell::new(ConnectionPool::default()),
+            silence: Notify::new(),
             reports,
             demand: RefCell::default(),
             draining: Cell::new(false),
@@ -153,6 +157,9 @@
             }
             self.send_report();
         }
+        if self.table.borrow().waits_on_silent(now) {
+            self.silence.notify_waiters();
+        }
         self.pool.borrow_mut().prune(now);
     }
 
--- a/crates/standin/src/group_host/model.rs
+++ b/crates/standin/src/group_host/model.rs
@@ -56,6 +56,8 @@
     pub leaving: bool,
     /// Loads from the weight store that it has begun, by time.
     pub loads: Vec<TimePoint>,
+    /// Factor on its times.
+    pub pace: f64,
     staged: Option<String>,
     loading: Option<(String, TimePoint)>,
     last_model: Option<String>,
@@ -72,6 +74,7 @@
             member: None,
             leaving: false,
             loads: Vec::new(),
+            pace: 1.0,
             staged: None,
             loading: None,
             last_model: None,
@@ -153,14 +156,15 @@
                 .member
                 .as_ref()
                 .map(|member| GroupMark { group: member.group, state: member.state }),
-            pace: Some(1.0),
-            busy: self.loading.is_some(),
+            pace: Some(self.pace),
+            busy: Some(self.loading.is_some()),
         }
     }
 
-    /// Its next beat.
+    /// Its next beat, which tells neither its pace nor whether it carries out an order.
     pub fn beat(&mut self) -> EndpointBeat {
         self.sequence += 1;
+        let report = EndpointReport { pace: None, busy: None, ..self.report() };
         EndpointBeat {
             id: self.place.id.clone(),
             service: self.place.service.clone(),
@@ -169,7 +173,7 @@
             slots: 34,
             leaving: self.leaving,
             sequence: self.sequence,
-            report: self.report(),
+            report,
         }
     }
 
