Ask endpoints who they are before a lost one counts again

Cause: reports do not say who made them.

Change: an endpoint that was lost, and any that shares its address with another one, counts as lost until an order is answered, which only the one that is meant does (others answer 421). The order is to leave a group that never was.

--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -33,6 +33,9 @@
 /// Probes without an answer, one after the other, that make an endpoint count as lost.
 const LOST_FAILURES: u32 = 2;
 
+/// Wait before an endpoint is asked again who it is.
+const PROOF_AGAIN: Duration = Duration::from_millis(500);
+
 /// Wait before an order to stage that was not answered, or refused, is followed by another one.
 const STAGE_AGAIN: Duration = Duration::from_millis(1_000);
 
@@ -53,6 +56,12 @@
     wanted: bool,
     /// Known from an earlier leader, and not heard of yet.
     inherited: bool,
+    /// Another incarnation may have its address: it counts as lost until an order is answered, which
+    /// only the endpoint that is meant does. Reports do not tell who made them.
+    unproven: bool,
+    /// It is to be asked who it is.
+    proof_due: bool,
+    proof_at: TimePoint,
     /// Since when its reports say that it is slow.
     pub slow_since: Option<TimePoint>,
     /// Model of the last group it was ready in: it joins the next one with that model at once.
@@ -75,6 +84,9 @@
             probe_at,
             wanted: false,
             inherited: false,
+            unproven: false,
+            proof_due: false,
+            proof_at: now,
             slow_since: None,
             warm: None,
             stray_order: None,
@@ -84,7 +96,27 @@
 
     /// Whether it no longer answers.
     pub fn is_lost(&self) -> bool {
-        self.failures >= LOST_FAILURES
+        self.failures >= LOST_FAILURES || self.unproven
+    }
+
+    /// It gave a sign of life; one that was lost has to prove who it is.
+    ///
+    /// When a domain came back, its endpoints answered the probes meant for their earlier
+    /// incarnations before their own first beats came. Groups were formed of endpoints that no
+    /// longer existed, six times in half a second.
+    fn heard(&mut self, now: TimePoint) {
+        if self.failures >= LOST_FAILURES && self.serves_in_groups() {
+            self.unproven = true;
+        }
+        self.failures = 0;
+        self.inherited = false;
+        if !self.unproven {
+            self.heard = now;
+        }
+    }
+
+    fn serves_in_groups(&self) -> bool {
+        self.beat.report.domain.is_some()
     }
 
     /// Whether a group would run much slower with it: a group runs at the pace of its slowest host.
@@ -109,35 +141,25 @@
     ///
     /// A beat may be delayed for seconds, and arrive when its sender has died and another
     /// incarnation has its address. So one that names the address of another endpoint proves
-    /// nothing: both are asked for a report, which only the one that is meant answers. Late beats
-    /// were believed once, the endpoints that had just come back were taken for dead, and their
-    /// groups were taken apart.
+    /// nothing: both are asked who they are. Late beats were believed once, the endpoints that had
+    /// just come back were taken for dead, and their groups were taken apart.
     pub fn beat(&mut self, now: TimePoint, beat: EndpointBeat) -> bool {
         let rivals = self.rivals(&beat);
+        self.ask_proof(now, &rivals);
         let Some(record) = self.records.get_mut(&beat.id) else {
             let mut record = HostRecord::new(now, beat);
-            if !rivals.is_empty() {
-                record.failures = LOST_FAILURES;
-            }
-            let id = record.beat.id.clone();
-            self.records.insert(id.clone(), record);
-            self.ask_all(now, rivals, &id);
+            record.unproven = !rivals.is_empty() && record.serves_in_groups();
+            self.records.insert(record.beat.id.clone(), record);
             return true;
         };
         // Beats overtake each other: a late one would bring back a group that has ended.
         if beat.sequence <= record.beat.sequence {
             return false;
         }
-        if !record.is_lost() || rivals.is_empty() {
-            record.heard = now;
-            record.failures = 0;
-            record.inherited = false;
-        }
-        let id = beat.id.clone();
+        record.heard(now);
         let leaving = record.beat.leaving || beat.leaving;
         let report = beat.report.clone().completed(&record.beat.report);
         record.beat = EndpointBeat { leaving, report, ..beat };
-        self.ask_all(now, rivals, &id);
         true
     }
 
@@ -149,13 +171,34 @@
         self.records.iter().filter(rival).map(|(id, _)| id.clone()).collect()
     }
 
-    /// Asks `rivals`, if any, and `id` for reports.
-    fn ask_all(&mut self, now: TimePoint, rivals: Vec<IncarnationId>, id: &IncarnationId) {
-        if rivals.is_empty() {
-            return;
+    /// Asks endpoints who they are, as soon as possible.
+    fn ask_proof(&mut self, now: TimePoint, ids: &[IncarnationId]) {
+        for id in ids {
+            if let Some(record) = self.records.get_mut(id) {
+                record.proof_due = true;
+                record.proof_at = record.proof_at.min(now);
+            }
         }
-        for id in rivals.iter().chain([id]) {
-            self.probe_now(now, id);
+    }
+
+    /// Endpoints that are to be asked who they are.
+    pub fn due_proofs(&mut self, now: TimePoint) -> Vec<(IncarnationId, String)> {
+        let mut due = Vec::new();
+        for (id, record) in self.records.iter_mut() {
+            if (record.unproven || record.proof_due) && now >= record.proof_at {
+                record.proof_due = false;
+                record.proof_at = now.after(PROOF_AGAIN);
+                due.push((id.clone(), record.beat.address.clone()));
+            }
+        }
+        due
+    }
+
+    /// The endpoint answered an order: it is the one that was meant.
+    pub fn proven(&mut self, now: TimePoint, id: &IncarnationId) {
+        if let Some(record) = self.records.get_mut(id).filter(|record| record.unproven) {
+            record.unproven = false;
+            record.heard = now;
         }
     }
 
@@ -178,9 +221,7 @@
         record.probing = false;
         match report {
             Some(report) => {
-                record.failures = 0;
-                record.heard = now;
-                record.inherited = false;
+                record.heard(now);
                 record.probe_at = now.after(PROBE_EVERY);
                 let domain = report.domain.clone().or(record.beat.report.domain.take());
                 record.beat.report = EndpointReport { domain, ..report };
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -12,7 +12,7 @@
 use super::pulse::PulseBook;
 use super::records::inherited_beat;
 use super::stray;
-use super::{EndpointBeat, EndpointReport, MarkState, OrderCall, OrderOutcome};
+use super::{EndpointBeat, EndpointOrder, EndpointReport, MarkState, OrderCall, OrderOutcome};
 use crate::deployment::DeploymentPlan;
 use crate::message::EntryReport;
 use crate::state::{FleetCommand, FleetState, GroupRecord};
@@ -36,6 +36,9 @@
 /// Factor on a load's time after which it counts as failed: loads slow each other down.
 pub(super) const LOAD_PATIENCE: u32 = 3;
 
+/// Number that no group has.
+const NO_GROUP: GroupId = GroupId(0);
+
 /// A report to be asked for.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ProbeCall {
@@ -112,6 +115,9 @@
 
     /// Takes what came of an order.
     pub fn ordered(&mut self, now: TimePoint, call: &OrderCall, outcome: OrderOutcome) {
+        if !matches!(outcome, OrderOutcome::Unknown | OrderOutcome::OtherEndpoint) {
+            self.hosts.proven(now, &call.id);
+        }
         match outcome {
             OrderOutcome::OtherEndpoint => self.hosts.remove(&call.id),
             // What it did, if anything, shows in the next report.
@@ -245,6 +251,11 @@
         };
         let due = self.hosts.due_probes(now, grouped);
         output.probes.extend(due.into_iter().map(|(id, address)| ProbeCall { id, address }));
+        // To leave a group that never was changes nothing.
+        let order = EndpointOrder::Leave { group: NO_GROUP };
+        let proofs = self.hosts.due_proofs(now).into_iter();
+        let ask = |(id, address)| OrderCall { id, address, order: order.clone() };
+        output.orders.extend(proofs.map(ask));
     }
 
     fn step_groups(
