Ask no endpoint for a report that serves alone

Cause: plain services have no report. A new leader asked each of them, got an answer that does not read, and wrote two warnings and counted two silent probes for each; each probe also takes a place of the endpoint and is priced.

Change: only endpoints that serve in groups are probed and waited for. Nothing read the loss of the others: entries leave them alone when they fail, and they are forgotten 12 s after their last beat, as before.

--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -210,9 +210,10 @@
         self.records.insert(record.beat.id.clone(), record);
     }
 
-    /// Whether every inherited endpoint has answered, or failed to.
+    /// Whether every inherited endpoint that serves in groups has answered, or failed to.
     pub fn is_surveyed(&self) -> bool {
-        self.records.values().all(|record| !record.inherited || record.is_lost())
+        let awaited = |record: &HostRecord| record.inherited && record.serves_in_groups();
+        self.records.values().all(|record| !awaited(record) || record.is_lost())
     }
 
     /// Takes the answer to a probe, or that none came.
@@ -246,7 +247,8 @@
         }
     }
 
-    /// Endpoints to be probed now; `in_group` tells which are watched closely.
+    /// Endpoints to be probed now; `in_group` tells which are watched closely. Those that serve alone
+    /// have no report: asked for one they answer nothing that reads, and counted as silent.
     pub fn due_probes(
         &mut self,
         now: TimePoint,
@@ -258,7 +260,8 @@
             // A slow host in no group is watched, so that it is used again once it is quick.
             let wanted = record.inherited || record.wanted || record.is_slow();
             let watched = silent || wanted || in_group(id);
-            if !record.probing && now >= record.probe_at && watched {
+            let asked = watched && record.serves_in_groups();
+            if !record.probing && now >= record.probe_at && asked {
                 record.probing = true;
                 record.wanted = false;
                 due.push((id.clone(), record.beat.address.clone()));
