--- a/crates/fleet/src/director/plan/form.rs
+++ b/crates/fleet/src/director/plan/form.rs
@@ -58,9 +58,7 @@
         further: bool,
         wanted: &[f64],
     ) -> Option<Proposal<'_>> {
-        let reserved =
-            self.reserved().is_some_and(|(held, other)| held == *domain && other != index);
-        if reserved || self.is_claimed(domain, index, further, wanted) {
+        if self.is_reserved(domain, index) || self.is_claimed(domain, index, further, wanted) {
             return None;
         }
         let model = &self.models()[index];
@@ -69,14 +67,33 @@
         if same >= self.most_in_domain(index, wanted) {
             return None;
         }
+        // Spares serve their own domain only: where no group is left to mend, they are of most use
+        // as one.
+        let kept = if further && same > 0 { SPARES_KEPT } else { 0 };
+        let (hosts, free) = self.members_for(domain, model, further, kept)?;
+        let cold = hosts.iter().filter(|host| !host.is_warm(&model.name)).count();
+        if cold > 0 && self.is_rest_coming(domain, model) {
+            return None;
+        }
+        let slow = hosts.iter().any(|host| host.slow);
+        let loads = hosts.iter().filter(|host| !host.can_join(&model.name)).count();
+        Some(Proposal { slow, loads, same, cold, left: usize::MAX - free, hosts })
+    }
+
+    /// Free hosts of `domain` for a group of `model` that leaves `kept` others, and how many are
+    /// free in all; only a group that callers lack takes slow ones.
+    fn members_for(
+        &self,
+        domain: &DomainName,
+        model: &ModelSpec,
+        further: bool,
+        kept: usize,
+    ) -> Option<(Vec<&PoolHost>, usize)> {
         let mut hosts = self.free_in(domain);
         if further {
             hosts.retain(|host| !host.slow);
         }
         let free = hosts.len();
-        // Spares serve their own domain only: where no group is left to mend, they are of most use
-        // as one.
-        let kept = if further && same > 0 { SPARES_KEPT } else { 0 };
         if self.view.serving {
             hosts.retain(|host| host.can_join(&model.name));
         } else {
@@ -87,15 +104,19 @@
         }
         hosts.sort_by_key(|host| self.preference(host, model));
         hosts.truncate(model.size);
-        let loads = hosts.iter().filter(|host| !host.can_join(&model.name)).count();
-        let slow = hosts.iter().any(|host| host.slow);
-        let cold = hosts.iter().filter(|host| !host.is_warm(&model.name)).count();
+        Some((hosts, free))
+    }
+
+    /// Whether members of a broken group of `model` are free in a moment; they join at once, and
+    /// no other host has to warm up in their place.
+    fn is_rest_coming(&self, domain: &DomainName, model: &ModelSpec) -> bool {
         let warm = |host: &PoolHost| host.domain == *domain && host.is_warm(&model.name);
-        if cold > 0 && self.view.leaving.iter().any(warm) {
-            // The rest of a broken group is free in a moment, and joins at once.
-            return None;
-        }
-        Some(Proposal { slow, loads, same, cold, left: usize::MAX - free, hosts })
+        self.view.leaving.iter().any(warm)
+    }
+
+    /// Whether the free hosts of `domain` are kept for another model that has no group at all.
+    fn is_reserved(&self, domain: &DomainName, index: usize) -> bool {
+        self.reserved().is_some_and(|(held, other)| held == *domain && other != index)
     }
 
     /// Whether a group of the model at `index` would take hosts of `domain`, free or about to be,
@@ -127,7 +148,7 @@
 
     /// The domain whose free hosts are kept for a model that has no group at all: the one that
     /// has most of its weights, among those with hosts enough.
-    pub(super) fn reserved(&self) -> Option<(DomainName, usize)> {
+    fn reserved(&self) -> Option<(DomainName, usize)> {
         let index = self.starved()?;
         let model = &self.models()[index];
         let mut domains = self.domains();
--- a/crates/fleet/src/director/plan/rebalance.rs
+++ b/crates/fleet/src/director/plan/rebalance.rs
@@ -49,29 +49,38 @@
     fn reclaim_for(&self, index: usize, wanted: &[f64]) -> Option<PlanAction> {
         let model = &self.models()[index];
         let domains = domains_of(self.every_host());
-        let mut best: Option<(usize, &PlacedGroup)> = None;
-        for domain in &domains {
-            let missing = model.size.saturating_sub(self.usable(domain, model));
-            if missing == 0 {
-                // The hosts are there, or about to be.
-                return None;
-            }
-            for (other, groups) in self.view.groups.iter().enumerate() {
-                if other == index {
-                    continue;
-                }
-                let local: Vec<&PlacedGroup> =
-                    groups.iter().filter(|group| group.domain == *domain).collect();
-                let Some((cost, group)) = self.cheapest(&local, model, missing) else { continue };
-                let left = groups.len().saturating_sub(cost);
-                let fair = part_of(left, wanted[other]) >= self.filled(index, wanted) * MARGIN;
-                let better = best.is_none_or(|(least, _)| cost < least);
-                if left > 0 && fair && better {
-                    best = Some((cost, group));
-                }
-            }
+        let missing = |domain| model.size.saturating_sub(self.usable(domain, model));
+        if domains.iter().any(|domain| missing(domain) == 0) {
+            // The hosts are there, or about to be.
+            return None;
         }
-        best.map(|(_, group)| PlanAction::End(group.group))
+        let offers = domains.iter().flat_map(|domain| {
+            let others = (0..self.models().len()).filter(|other| *other != index);
+            others.filter_map(move |other| self.offer(domain, other, index, wanted))
+        });
+        let (_, group) = offers.min_by_key(|(cost, _)| *cost)?;
+        Some(PlanAction::End(group.group))
+    }
+
+    /// What the model at `giver` would have to give up in `domain` to complete a group of the one at
+    /// `index`: how many groups, and the first of them. `None` when it cannot, or when it would be
+    /// served worse itself.
+    fn offer(
+        &self,
+        domain: &DomainName,
+        giver: usize,
+        index: usize,
+        wanted: &[f64],
+    ) -> Option<(usize, &PlacedGroup)> {
+        let model = &self.models()[index];
+        let missing = model.size.saturating_sub(self.usable(domain, model));
+        let groups = &self.view.groups[giver];
+        let local: Vec<&PlacedGroup> =
+            groups.iter().filter(|group| group.domain == *domain).collect();
+        let (cost, first) = self.cheapest(&local, model, missing)?;
+        let left = groups.len().saturating_sub(cost);
+        let fair = part_of(left, wanted[giver]) >= self.filled(index, wanted) * MARGIN;
+        (left > 0 && fair).then_some((cost, first))
     }
 
     /// How many of `groups` have to end to bring `missing` hosts for `model`, and which one first.
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -90,8 +90,7 @@
         metrics.groups.set(number(self.state.groups().len() as u64));
         metrics.endpoints.set(number(self.state.endpoints().len() as u64));
         if let Some(agreement) = &self.agreement {
-            metrics.term.set(number(agreement.term().0));
-            metrics.commit.set(number(agreement.commit().0));
+            metrics.agreement.note(agreement);
             metrics.voters.set(number(agreement.seats().len() as u64));
         }
     }
--- a/crates/gateway/src/control/metrics.rs
+++ b/crates/gateway/src/control/metrics.rs
@@ -1,22 +1,20 @@
 //! What a control host counts.
 
-use briartray_node::metrics::OutcomeLabel;
+use briartray_node::metrics::{AgreementMetrics, OutcomeLabel};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
 /// Counters and states of one control host.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(super) struct ControlMetrics {
-    /// Current term.
-    pub(super) term: Gauge,
+    /// Where the replicated log stands.
+    pub(super) agreement: AgreementMetrics,
     /// One while this host leads.
     pub(super) leads: Gauge,
     /// Hosts that may vote.
     pub(super) voters: Gauge,
-    /// Last entry known to be committed.
-    pub(super) commit: Gauge,
     /// Version of the declaration in force.
     pub(super) plan: Gauge,
     /// Groups that are agreed on, spares that stand by counted in.
@@ -31,12 +29,19 @@
 impl ControlMetrics {
     /// Makes the metrics and adds them to `registry`.
     pub(super) fn register(registry: &mut Registry) -> Self {
-        let metrics = Self::default();
+        let metrics = Self {
+            agreement: AgreementMetrics::register(registry),
+            leads: Gauge::default(),
+            voters: Gauge::default(),
+            plan: Gauge::default(),
+            groups: Gauge::default(),
+            endpoints: Gauge::default(),
+            orders: Family::default(),
+            silent_probes: Counter::default(),
+        };
         let control = registry.sub_registry_with_prefix("control");
-        control.register("term", "Current term", metrics.term.clone());
         control.register("leads", "Whether this host leads", metrics.leads.clone());
         control.register("voters", "Hosts that may vote", metrics.voters.clone());
-        control.register("commit", "Last committed entry", metrics.commit.clone());
         control.register("plan_version", "Declaration in force", metrics.plan.clone());
         control.register("groups", "Groups that are agreed on", metrics.groups.clone());
         control.register("endpoints", "Endpoints agreed on", metrics.endpoints.clone());
