--- a/crates/fleet/src/state/stored_plan.rs
+++ b/crates/fleet/src/state/stored_plan.rs
@@ -2,7 +2,7 @@
 //!
 //! A declaration of 1,730 routes has 570 KB. Each change of it goes to every voter and every entry:
 //! 16 MB for 28 entries, more than a second of a link of 100 Mbit/s. Heartbeats waited behind it,
-//! and leaders lost their majority eight times in one day. Routes are alike, so the text is
+//! and leaders lost their majority seven times in one day. Routes are alike, so the text is
 //! compressed once, when it arrives, and unpacked where it is read.
 
 use std::io::{Read, Write};
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -179,7 +179,7 @@
 /// The next whole event of `stream`.
 ///
 /// It is woken when a target goes silent and does not look by itself: with a timer of 40 ms for each
-/// stream, half of an entry's wake-ups found nothing.
+/// stream all processes of one day took 13.9 s of processor time, and 13.0 s without.
 async fn next_step(request: &ServedRequest, stream: &mut LiveStream) -> StreamStep {
     loop {
         if let Some(event) = stream.cutter.next_event() {
--- a/crates/http/tests/answers.rs
+++ b/crates/http/tests/answers.rs
@@ -1,5 +1,7 @@
 //! Answers that are not what they should be, from an endpoint on a real socket.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -11,6 +13,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+use self::common::run;
+
 const NOW: TimePoint = TimePoint(1_000_000);
 
 /// A whole answer with a body of five bytes.
@@ -79,14 +83,6 @@
     connection.send(request.expect("the request is proper")).await
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime can be made");
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
 /// An endpoint sends a second answer behind the first one. Its bytes belong to nobody, and the next
 /// caller on that connection would get them as its own: the connection is not used again.
 #[test]
--- a/crates/http/tests/pool.rs
+++ b/crates/http/tests/pool.rs
@@ -1,11 +1,15 @@
 //! Kept connections to endpoints, on real sockets.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use briartray_http::{ConnectionPool, EndpointConnection};
 use briartray_model::TimePoint;
 
+use self::common::run;
+
 const NOW: TimePoint = TimePoint(1_000_000);
 
 /// A listener that accepts and keeps every connection.
@@ -21,14 +25,6 @@
     address
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime can be made");
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
 async fn put(pool: &mut ConnectionPool, address: SocketAddr, limit: Option<Duration>, most: usize) {
     let connection = EndpointConnection::open(address).await.expect("the keeper accepts");
     pool.put(NOW, address, connection, limit, most);
