Tell an endpoint's starts apart; believe whole beats only

Cause: an endpoint may start again under the name it had. Its beats then count from one again and were dropped as late ones; the groups that its earlier start was in counted as whole, since nothing had gone silent, and an endpoint that had announced its leaving counted as leaving for good. Beats of other writers were read generously: a missing number of slots became zero, an unknown state became ready, and a beat without a fabric domain became a host of a domain without name.

Change: IncarnationId holds the endpoint's name and the time of its start. A newer start replaces the earlier one with all that was known of it; beats of an earlier start say nothing; a report that names another start ends the one that was asked for. Names alone go to the wire. A beat that lacks a field, or has one of another type or an unknown word, is refused with its reason and changes nothing; a host without a domain is not planned with.

Tests: a_member_that_starts_again_under_its_name_is_replaced, a_host_that_left_is_used_again_after_its_next_start, and four in platform/tests/foreign_beats.rs. They need the new type, so they were not run on the code before; reading it shows that it fails them (beats by sequence alone, `#[serde(default)]` slots, state compared with one word).

--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -143,7 +143,14 @@
     /// incarnation has its address. So one that names the address of another endpoint proves
     /// nothing: both are asked who they are. Late beats were believed once, the endpoints that had
     /// just come back were taken for dead, and their groups were taken apart.
+    ///
+    /// An endpoint may also start again under its old name: its earlier start is gone then with its
+    /// groups and its count of beats, and a late beat of it says nothing.
     pub fn beat(&mut self, now: TimePoint, beat: EndpointBeat) -> bool {
+        if self.records.keys().any(|known| beat.id.is_before(known)) {
+            return false;
+        }
+        self.records.retain(|known, _| !known.is_before(&beat.id));
         let rivals = self.rivals(&beat);
         self.ask_proof(now, &rivals);
         let Some(record) = self.records.get_mut(&beat.id) else {
@@ -292,6 +299,11 @@
         self.records.remove(id);
     }
 
+    /// The start that is known of the endpoint called `endpoint`.
+    pub fn start_of(&self, endpoint: &str) -> Option<&IncarnationId> {
+        self.records.keys().find(|id| id.endpoint() == endpoint)
+    }
+
     /// The endpoint called `id`.
     pub fn get(&self, id: &IncarnationId) -> Option<&HostRecord> {
         self.records.get(id)
--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -110,8 +110,12 @@
     ) -> PlanView<'a> {
         self.settle_staging(now);
         let usable = |id: &IncarnationId, host: &HostRecord| {
-            // One that has just missed a probe is most likely the reason for its group's end.
-            host.failures == 0 && !host.beat.leaving && !state.is_leaving(id)
+            // One that tells no domain is no host of this service, whoever announced it; one that has
+            // just missed a probe is most likely the reason for its group's end.
+            host.beat.report.domain.is_some()
+                && host.failures == 0
+                && !host.beat.leaving
+                && !state.is_leaving(id)
         };
         let pool: Vec<PoolHost> = self
             .hosts
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -157,6 +157,15 @@
         self.open_commands = self.open_commands.saturating_sub(1);
     }
 
+    /// The start of an endpoint that is meant by `id`: the one that is known where `id` does not
+    /// tell.
+    pub fn leaving_start(&self, id: IncarnationId) -> IncarnationId {
+        match id.started_at() {
+            Some(_) => id,
+            None => self.hosts.start_of(id.endpoint()).cloned().unwrap_or(id),
+        }
+    }
+
     /// An endpoint is gone for good.
     pub fn gone(&mut self, id: &IncarnationId) {
         self.hosts.remove(id);
--- a/crates/fleet/tests/director/fleet.rs
+++ b/crates/fleet/tests/director/fleet.rs
@@ -196,6 +196,15 @@
         next
     }
 
+    /// The endpoint starts anew under its old name, with what its host keeps.
+    pub fn restart_under_its_name(&mut self, host: usize) -> usize {
+        let next = self.restart_host(host);
+        let name = self.hosts[host].model.place.id.endpoint();
+        let started = self.now.0 / 1_000;
+        self.hosts[next].model.place.id = IncarnationId::started(name, Some(started));
+        next
+    }
+
     /// A beat that the endpoint sent before it died arrives now.
     pub fn deliver_old_beat(&mut self, host: usize) {
         let beat = self.hosts[host].model.beat();
@@ -344,6 +353,11 @@
         // A report is told by whoever has the address now, and does not say who that is.
         let address = self.position(id).map(|position| &self.hosts[position].model.place.address);
         let host = address.and_then(|address| self.at(address));
+        // Unless it has started anew under its old name: then it tells since when it runs.
+        let starts_later = |host: &&TestHost| id.is_before(&host.model.place.id);
+        if host.filter(|host| answers(host) && !lost).is_some_and(|host| starts_later(&host)) {
+            return self.director.gone(id);
+        }
         let report = host.filter(|host| answers(host) && !lost).map(|host| host.model.report());
         self.director.probed(self.now, id, report);
     }
@@ -375,6 +389,7 @@
 
     fn carry_out(&mut self, call: &OrderCall, term: u64) -> OrderOutcome {
         let Some(position) = self.position(&call.id) else { return OrderOutcome::Unknown };
+        let position = self.later_start(position);
         let host = &self.hosts[position];
         if !host.alive && self.at(&host.model.place.address).is_some_and(|other| !other.cut) {
             return OrderOutcome::OtherEndpoint;
@@ -393,6 +408,13 @@
         outcome
     }
 
+    /// The living host under the name of the one at `position`, which takes orders meant for it.
+    fn later_start(&self, position: usize) -> usize {
+        let id = &self.hosts[position].model.place.id;
+        let later = |host: &TestHost| host.alive && id.is_before(&host.model.place.id);
+        self.hosts.iter().position(later).unwrap_or(position)
+    }
+
     /// No host may be taken into another group while the head of its own still serves.
     fn check_join(
         &self,
--- a/crates/fleet/tests/director/losses.rs
+++ b/crates/fleet/tests/director/losses.rs
@@ -281,3 +281,49 @@
 
     assert_eq!(fleet.open_groups(), groups);
 }
+
+/// A host of a large group crashes and is back a moment later under its old name, without its group.
+/// No probe ever fails, its group stands still all the same, and callers would wait until the stall
+/// is over. A beat of its earlier start that arrives afterwards changes nothing.
+#[test]
+fn a_member_that_starts_again_under_its_name_is_replaced() {
+    let mut fleet = TestFleet::serving(21);
+    let before = fleet.open_of(LARGE);
+    let host = member_of(&fleet, LARGE, false);
+
+    fleet.restart_under_its_name(host);
+    fleet.run_for(Duration::from_millis(50));
+    let broken = fleet.open_of(LARGE);
+    fleet.run_until(MENDED, "the group is mended", |fleet| fleet.open_of(LARGE) == before);
+    let groups = fleet.open_groups();
+    fleet.deliver_old_beat(host);
+    fleet.run_for(Duration::from_secs(5));
+
+    assert_eq!(broken, before - 1);
+    assert_eq!(fleet.open_groups(), groups);
+}
+
+/// A host announces that it leaves, ends, and starts again under its old name. It was left out for
+/// good, as though it were still leaving.
+#[test]
+fn a_host_that_left_is_used_again_after_its_next_start() {
+    let mut fleet = TestFleet::serving(22);
+    let host = member_of(&fleet, LARGE, false);
+    fleet.hosts[host].model.leaving = true;
+    fleet.run_for(Duration::from_secs(3));
+
+    let next = fleet.restart_under_its_name(host);
+    // The rest of its domain dies but for three, and callers ask for all that is left.
+    fleet.demand = (6.0, 12.0);
+    let domain = fleet.hosts[host].model.place.domain.clone();
+    let others: Vec<usize> = (0..fleet.hosts.len())
+        .filter(|other| fleet.hosts[*other].model.place.domain == domain)
+        .filter(|other| fleet.hosts[*other].alive && *other != next)
+        .collect();
+    for other in &others[3..] {
+        fleet.hosts[*other].alive = false;
+    }
+    fleet.run_for(Duration::from_secs(40));
+
+    assert!(fleet.grouped().contains(&next));
+}
--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use briartray_fleet::state::StoredPlan;
-use briartray_model::names::IncarnationId;
 use briartray_node::metrics::MetricsHub;
-use briartray_platform::{ControlCall, beat_answer, read_beat, read_plan, redirect_to};
+use briartray_platform::{ControlCall, beat_answer, read_beat, read_leave, read_plan, redirect_to};
 use briartray_web::spawn_worker;
 use bytes::Bytes;
 use crossbeam::channel::Sender;
@@ -112,7 +111,7 @@
             }
             ControlCall::Beat { id } => self.beat(&path, &id, &body).await,
             ControlCall::Leave { id } => {
-                let id = IncarnationId::new(&id);
+                let id = read_leave(&id, &body);
                 let reply = self.ask(|reply| CoreInput::Leave { id, reply }).await;
                 self.answer(&path, reply)
             }
--- a/crates/gateway/src/control/calls.rs
+++ b/crates/gateway/src/control/calls.rs
@@ -55,7 +55,7 @@
             }
             EndpointCall::Order { call, term } => {
                 let outcome = self.order(&call, term).await;
-                log::info!(endpoint = call.id.as_str(), term;
+                log::info!(endpoint:% = call.id, term;
                     "order {:?}: {outcome:?}", call.order);
                 CoreInput::Ordered { call, outcome }
             }
@@ -69,14 +69,18 @@
         let request = report_request(&probe.id, &probe.address);
         let asked = tokio::time::timeout(PROBE_TIMEOUT, self.ask(&probe.address, request)).await;
         let Ok(Ok((status, told, body))) = asked else { return ProbeResult::Silent };
-        let other = told.endpoint.as_ref().is_some_and(|endpoint| *endpoint != probe.id);
+        let other = told.endpoint.is_some_and(|endpoint| endpoint != probe.id.endpoint());
         if status == StatusCode::MISDIRECTED_REQUEST || other {
             return ProbeResult::OtherEndpoint;
         }
         match read_report(&body) {
-            Ok(report) => ProbeResult::Told(report),
+            // The endpoint has started anew under its old name, and is in no group.
+            Ok(told) if told.started.is_some() && told.started != probe.id.started_at() => {
+                ProbeResult::OtherEndpoint
+            }
+            Ok(told) => ProbeResult::Told(told.report),
             Err(error) => {
-                log::warn!(endpoint = probe.id.as_str(); "a report does not read: {error}");
+                log::warn!(endpoint:% = probe.id; "a report does not read: {error}");
                 ProbeResult::Silent
             }
         }
@@ -87,7 +91,7 @@
         match tokio::time::timeout(ORDER_TIMEOUT, self.ask(&call.address, request)).await {
             Ok(Ok((status, _, body))) => {
                 if !status.is_success() {
-                    log::warn!(endpoint = call.id.as_str(), status = status.as_u16();
+                    log::warn!(endpoint:% = call.id, status = status.as_u16();
                         "an order is not taken: {}", String::from_utf8_lossy(&body));
                 }
                 order_outcome(status)
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -357,10 +357,11 @@
     /// An endpoint's notice counts only when a majority holds it: a later leader must not send
     /// work there again.
     fn leave(&mut self, id: IncarnationId, reply: ReplySender) {
-        if !self.is_established() {
+        let Some(leadership) = self.leadership.as_ref().filter(|lead| lead.established) else {
             return self.redirect(reply);
-        }
-        log::info!(endpoint = id.as_str(); "an endpoint is leaving");
+        };
+        let id = leadership.director.leaving_start(id);
+        log::info!(endpoint:% = id; "an endpoint is leaving");
         self.submit(&FleetCommand::MarkLeaving(id), CommandOrigin::Caller(reply));
     }
 
@@ -371,7 +372,7 @@
             ProbeResult::OtherEndpoint => leadership.director.gone(id),
             ProbeResult::Silent => {
                 self.parts.metrics.silent_probes.inc();
-                log::info!(endpoint = id.as_str(); "an endpoint does not answer a probe");
+                log::info!(endpoint:% = id; "an endpoint does not answer a probe");
                 leadership.director.probed(now, id, None);
                 leadership.step_due = true;
             }
--- a/crates/gateway/src/control/replication.rs
+++ b/crates/gateway/src/control/replication.rs
@@ -169,7 +169,8 @@
     match command {
         FleetCommand::PutPlan(plan) => format!("declaration {}", plan.version),
         FleetCommand::FormGroup(group) => {
-            let members: Vec<&str> = group.members.iter().map(|host| host.id.as_str()).collect();
+            let members: Vec<String> =
+                group.members.iter().map(|host| host.id.to_string()).collect();
             format!("group of {} in {}: {}", group.model, group.domain, members.join(" "))
         }
         FleetCommand::EndGroup(group) => format!("end of group {group}"),
--- a/crates/model/src/names/mod.rs
+++ b/crates/model/src/names/mod.rs
@@ -1,5 +1,9 @@
 //! Names and numbers that identify things across processes.
 
+mod incarnation;
+
+pub use incarnation::IncarnationId;
+
 name_type! {
     /// A host, unique in the fleet.
     HostName;
@@ -17,8 +21,6 @@
     NodeName;
     /// A rule, unique in its book.
     RuleName;
-    /// One start of an endpoint's process; an endpoint that restarts gets another one.
-    IncarnationId;
 }
 
 number_type! {
