Take no request in the last part of a stop; wait for the first news after a start

Two changes of how an entry begins and ends, each with its own hypothesis.

An entry that had been told to end took a stream 3.02 s after the signal and cut it off 4.6 s later, with the grace period. It listened for 3.2 s, though the balancer takes an entry out after two misses of one second. Change: a process in its first three seconds lets a request wait for the first news of the leader, for 1.3 s or a third of the caller's time at the most. Afterwards it refuses at once, as before: nothing tells how long it will take.

Tests: nothing_is_taken_in_the_last_part_of_a_planned_stop (fails with 3.2 s), requests_wait_for_the_first_news_after_a_start.

--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -3,14 +3,18 @@
 
 mod attempt;
 mod budget;
+mod drain;
 mod events;
 mod lease;
 mod load;
+mod startup;
 mod table;
 
 pub use attempt::{AttemptEnd, AttemptPlan, NextMove};
 pub use budget::RetryBudget;
+pub use drain::DrainSchedule;
 pub use events::{EventCutter, StreamEvent};
 pub use lease::EntryLease;
 pub use load::{LoadSample, TargetLoad};
+pub use startup::StartupWait;
 pub use table::{ChoiceRefusal, TargetChoice, TargetId, TargetTable, TargetWish};
--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -6,8 +6,8 @@
     CallerLimits, DeploymentPlan, EngineModel, ModelSpec, RepeatKind, RouteBook, ServiceSpec,
 };
 use briartray_fleet::entry::{
-    AttemptEnd, AttemptPlan, ChoiceRefusal, EntryLease, EventCutter, LoadSample, NextMove,
-    RetryBudget, TargetId, TargetTable, TargetWish,
+    AttemptEnd, AttemptPlan, ChoiceRefusal, DrainSchedule, EntryLease, EventCutter, LoadSample,
+    NextMove, RetryBudget, StartupWait, TargetId, TargetTable, TargetWish,
 };
 use briartray_fleet::message::{EndpointView, FleetView, GroupView};
 use briartray_model::TimePoint;
@@ -265,3 +265,36 @@
     assert!(cutter.push(b"ta: b\n\n"));
     assert_eq!(cutter.next_event().and_then(|event| event.id), Some(8));
 }
+
+/// All processes are started again at once, and callers come before the new leader is known. They
+/// were refused, and most of them for the second time; now they wait for the second that an election
+/// takes, and no longer than their own time allows.
+#[test]
+fn requests_wait_for_the_first_news_after_a_start() {
+    let started = TimePoint(5_000_000);
+    let wait = StartupWait::new(started);
+    let long = Duration::from_secs(8);
+
+    let at_once = wait.patience(started, long);
+    let short = wait.patience(started, Duration::from_millis(900));
+    let at_the_end = wait.patience(started.after(Duration::from_millis(2_900)), long);
+    let later = wait.patience(started.after(Duration::from_secs(4)), long);
+
+    assert_eq!(at_once, Duration::from_millis(1_300));
+    assert_eq!(short, Duration::from_millis(300));
+    assert_eq!(at_the_end, Duration::from_millis(100));
+    assert_eq!(later, Duration::ZERO);
+}
+
+/// An entry is told to end and a caller still reaches it three seconds later. A long answer that is
+/// begun then is cut off by the end of the grace period, and the caller sees half of it.
+#[test]
+fn nothing_is_taken_in_the_last_part_of_a_planned_stop() {
+    let schedule = DrainSchedule::new(Duration::from_secs(8));
+    let short = DrainSchedule::new(Duration::from_secs(2));
+
+    assert!(schedule.listen < Duration::from_secs(3), "{schedule:?}");
+    assert!(schedule.cut - schedule.listen > Duration::from_millis(4_800), "{schedule:?}");
+    assert!(schedule.listen > Duration::from_millis(2_500), "the balancer still sends callers");
+    assert!(short.listen < short.cut, "{short:?}");
+}
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use briartray_fleet::entry::DrainSchedule;
 use briartray_node::metrics::MetricsHub;
 use briartray_web::spawn_worker;
 use crossbeam::channel::{Receiver, Sender, bounded};
@@ -43,13 +44,6 @@
 /// Time between two looks for silent targets and idle connections.
 const HOUSEKEEPING: Duration = Duration::from_millis(50);
 
-/// Time after SIGTERM in which new connections still come: the balancer asks every second and
-/// takes an entry out after two misses.
-const STILL_CHOSEN: Duration = Duration::from_millis(3_200);
-
-/// Part of the grace period after which what still runs is cut off.
-const GRACE_PART: f64 = 0.95;
-
 /// A running entry.
 #[derive(Debug)]
 pub struct EntryProcess {
@@ -163,12 +157,12 @@
     let started = Instant::now();
     state.begin_drain();
     log::info!(open = traffic.open(), running = state.running(); "draining");
-    tokio::time::sleep(STILL_CHOSEN.min(grace / 2)).await;
+    let schedule = DrainSchedule::new(grace);
+    tokio::time::sleep(schedule.listen).await;
     traffic.stop();
-    let limit = grace.mul_f64(GRACE_PART);
-    while traffic.open() > 0 && started.elapsed() < limit {
+    while traffic.open() > 0 && started.elapsed() < schedule.cut {
         tokio::time::sleep(HOUSEKEEPING).await;
     }
     log::info!(left = traffic.open(), running = state.running(); "drained");
-    started.elapsed() < limit
+    started.elapsed() < schedule.cut
 }
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -83,7 +83,8 @@
 ) -> Result<ServedRequest, RefusalKind> {
     let arrived = state.now();
     let head = CallerHead::read(&parts);
-    let book = state.book().ok_or(RefusalKind::NotInTouch)?;
+    let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let book = state.book_soon(deadline).await.ok_or(RefusalKind::NotInTouch)?;
     let limits = &book.plan().limits;
     if head_bytes(&parts) > limits.max_head_bytes {
         return Err(RefusalKind::HeadTooLarge);
@@ -97,7 +98,7 @@
     if let (Some(model), Some(tokens)) = (&head.model, head.tokens) {
         state.count_demand(&book, &service, model, tokens.prompt, head.answer_guess);
     }
-    let patience = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(rule.timeout);
+    let patience = deadline.min(rule.timeout);
     let idle_connections = idle_connections(state, &book, &service);
     Ok(ServedRequest {
         idle_connections,
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use briartray_fleet::deployment::RouteBook;
-use briartray_fleet::entry::{EntryLease, RetryBudget, TargetTable};
+use briartray_fleet::entry::{EntryLease, RetryBudget, StartupWait, TargetTable};
 use briartray_fleet::message::{EntryNotice, EntryReport, ModelDemand};
 use briartray_fleet::state::StoredPlan;
 use briartray_model::names::{NodeName, ServiceName};
@@ -31,6 +31,9 @@
     pub(super) pool: RefCell<ConnectionPool>,
     /// Told at every look while something of this entry waits on a target that does not answer.
     pub(super) silence: Notify,
+    /// Told whenever news of the leader came.
+    news: Notify,
+    wait: StartupWait,
     reports: Sender<EntryReport>,
     demand: RefCell<SortedTable<(ServiceName, String), f64>>,
     draining: Cell<bool>,
@@ -54,8 +57,11 @@
         let limits = &settings.limits;
         let budget =
             RetryBudget::new(limits.retry_ratio, limits.retry_allowance, limits.retry_window());
+        let clock = ClockReader::start();
         EntryState {
-            clock: ClockReader::start(),
+            wait: StartupWait::new(clock.now()),
+            news: Notify::new(),
+            clock,
             book: RefCell::new(None),
             table: RefCell::new(TargetTable::new(settings.zone.clone(), rand::random())),
             lease: RefCell::new(EntryLease::new(limits.revocation())),
@@ -103,9 +109,31 @@
         self.book.borrow().clone().filter(|_| fresh)
     }
 
+    /// As [`Self::book`]; a process that has just started waits a moment until it is in touch, as
+    /// long as `patience` of the caller allows.
+    pub(super) async fn book_soon(&self, patience: Duration) -> Option<Rc<RouteBook>> {
+        if self.is_in_touch() {
+            return self.book();
+        }
+        let limit = self.wait.patience(self.now(), patience);
+        let ready = async {
+            while !self.is_in_touch() {
+                self.news.notified().await;
+            }
+        };
+        // Whether it came or not shows in the book.
+        let _ = tokio::time::timeout(limit, ready).await;
+        self.book()
+    }
+
     /// Whether callers should be sent here.
     pub(super) fn is_ready(&self) -> bool {
-        !self.draining.get() && self.book().is_some() && !self.table.borrow().is_empty()
+        !self.draining.get() && self.is_in_touch()
+    }
+
+    /// Whether the rules in force are known, and where requests may go.
+    fn is_in_touch(&self) -> bool {
+        self.book().is_some() && !self.table.borrow().is_empty()
     }
 
     pub(super) fn is_draining(&self) -> bool {
@@ -230,6 +258,8 @@
             let left = self.lease.borrow_mut().grant(nonce).since(self.now());
             self.metrics.lease_left.set(i64::try_from(left.as_millis()).unwrap_or(i64::MAX));
         }
+        drop(table);
+        self.news.notify_waiters();
     }
 
     fn adopt_plan(&self, stored: &StoredPlan) {
