Draw among groups with room instead of sending to the least loaded one

Prompts met in one group: each entry sent to the least loaded one, all entries know the same one, and its first answers tell of the flood a third of a second later. Worst right after a group is mended.

Change: groups are drawn by the square of their free room against the cube of their slowness. Plain endpoints, which queue little, keep the least loaded one.

Test: a_new_group_is_not_flooded.

--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -30,8 +30,16 @@
 /// Requests for each slot of a plain endpoint that may wait there; one takes 30 ms.
 const PLAIN_QUEUE: f64 = 3.0;
 
-/// Requests that a target counts as having beyond those it runs, so that a slow one is avoided also
-/// when it is idle.
+/// Power of a group's free room in its chance. With the first power full groups get too much, with a
+/// higher one entries agree on the emptiest again.
+const FREE_POWER: i32 = 2;
+
+/// Power of a group's slowness in its chance: one that takes twice as long for a first part gets an
+/// eighth, since it ends its answers later as well and its load is told late.
+const SLOW_POWER: i32 = 3;
+
+/// Requests that a plain endpoint counts as having beyond those it runs, so that a slow one is avoided
+/// also when it is idle.
 const IDLE_LOAD: f64 = 4.0;
 
 /// Times that a target may count as slower than the quickest one. A group runs at the pace of its
@@ -306,17 +314,15 @@
         self.view.endpoints.iter().filter(fits).map(candidate).collect()
     }
 
-    /// The least loaded candidate that is neither tried nor left alone. When all are left alone,
-    /// the least loaded one is tried anyway: nothing is lost by it.
+    /// The candidate to send to: neither tried nor, for groups, left alone.
     fn best(
         &mut self,
         now: TimePoint,
         candidates: Vec<Candidate>,
         tried: &[TargetId],
     ) -> Result<TargetChoice, ChoiceRefusal> {
-        let entries = self.view.entries;
         let slowness = self.slowness(now, &candidates);
-        let mut best: Option<(bool, f64, Candidate)> = None;
+        let mut usable = Vec::new();
         let mut full = false;
         for (candidate, slowness) in candidates.into_iter().zip(slowness) {
             if tried.contains(&candidate.choice.target) {
@@ -324,36 +330,66 @@
             }
             let load = self.loads.get(&candidate.choice.target);
             let total = load.map_or(0.0, |load| load.total(now));
-            // A queue at a plain endpoint is short; one at a group makes every answer late.
-            let room = match load {
-                Some(load) if candidate.shared => load.room(now, candidate.slots, entries),
-                _ => candidate.slots - total,
-            };
+            let suspect = load.is_some_and(|load| load.is_suspect(now));
+            let room = self.room(now, &candidate);
             if room < 1.0 && room <= self.random.random_range(0.0..1.0) {
                 full = true;
                 continue;
             }
-            let suspect = load.is_some_and(|load| load.is_suspect(now));
-            let far = if candidate.near { 0.0 } else { ZONE_HANDICAP };
-            let score =
-                (total + IDLE_LOAD) * slowness + far + self.random.random_range(0.0..JITTER);
-            let better =
-                best.as_ref().is_none_or(|(known, least, _)| (suspect, score) < (*known, *least));
-            if better {
-                best = Some((suspect, score, candidate));
-            }
+            usable.push(UsableTarget { candidate, total, slowness, suspect });
         }
-        match best {
-            // A silent group holds what it is sent for seconds; a plain endpoint may just be slow.
-            Some((true, _, candidate)) if matches!(candidate.choice.target, TargetId::Group(_)) => {
-                Err(ChoiceRefusal::NoReplica)
-            }
-            Some((_, _, candidate)) => Ok(candidate.choice),
-            None if full => Err(ChoiceRefusal::Full),
-            None => Err(ChoiceRefusal::NoReplica),
+        let chosen = if usable.iter().any(|target| target.candidate.shared) {
+            // A silent group holds what it is sent for seconds.
+            usable.retain(|target| !target.suspect);
+            self.draw(usable)
+        } else {
+            self.least_loaded(usable)
+        };
+        let refusal = if full { ChoiceRefusal::Full } else { ChoiceRefusal::NoReplica };
+        chosen.map(|target| target.candidate.choice).ok_or(refusal)
+    }
+
+    /// Requests that this entry may send to `candidate` now.
+    fn room(&self, now: TimePoint, candidate: &Candidate) -> f64 {
+        let load = self.loads.get(&candidate.choice.target);
+        let total = load.map_or(0.0, |load| load.total(now));
+        match load {
+            // A queue at a plain endpoint is short; one at a group makes every answer late.
+            Some(load) if candidate.shared => load.room(now, candidate.slots, self.view.entries),
+            _ => candidate.slots - total,
         }
     }
 
+    /// One of `targets`, drawn in proportion to its free room.
+    ///
+    /// Load pattern: a group is mended, or ends many answers at once. All entries know it as the least
+    /// loaded one until its first answers tell otherwise, a third of a second later. Where each sent
+    /// to the least loaded one, ten prompts met there and were read one after the other: their first
+    /// parts took 593 ms at the median of those that were late, 400 being expected.
+    fn draw(&mut self, mut targets: Vec<UsableTarget>) -> Option<UsableTarget> {
+        let sum: f64 = targets.iter().map(UsableTarget::weight).sum();
+        let mut drawn = self.random.random_range(0.0..sum.max(f64::MIN_POSITIVE));
+        let position = targets.iter().position(|target| {
+            drawn -= target.weight();
+            drawn < 0.0
+        });
+        let last = targets.len().checked_sub(1)?;
+        Some(targets.swap_remove(position.unwrap_or(last)))
+    }
+
+    /// The least loaded of `targets`. When all are left alone, one of them is tried anyway: a plain
+    /// endpoint may just be slow.
+    fn least_loaded(&mut self, targets: Vec<UsableTarget>) -> Option<UsableTarget> {
+        let random = &mut self.random;
+        let scored = targets.into_iter().map(|target| {
+            let far = if target.candidate.near { 0.0 } else { ZONE_HANDICAP };
+            let load = (target.total + IDLE_LOAD) * target.slowness;
+            (target.suspect, load + far + random.random_range(0.0..JITTER), target)
+        });
+        let best = scored.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        best.map(|(_, _, target)| target)
+    }
+
     /// How many times slower than the quickest candidate each one is, by its first parts.
     fn slowness(&self, now: TimePoint, candidates: &[Candidate]) -> Vec<f64> {
         let first = |candidate: &Candidate| {
@@ -365,6 +401,25 @@
     }
 }
 
+/// A candidate with room.
+struct UsableTarget {
+    candidate: Candidate,
+    /// Requests it has, as far as is known.
+    total: f64,
+    /// Times slower than the quickest one.
+    slowness: f64,
+    /// Whether it is left alone.
+    suspect: bool,
+}
+
+impl UsableTarget {
+    /// How likely it is drawn, against others.
+    fn weight(&self) -> f64 {
+        let free = (self.candidate.slots - self.total).max(1.0);
+        free.powi(FREE_POWER) / self.slowness.powi(SLOW_POWER)
+    }
+}
+
 struct Candidate {
     choice: TargetChoice,
     near: bool,
--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -64,6 +64,11 @@
 }
 
 fn table(groups: u64) -> TargetTable {
+    table_with(groups, 1)
+}
+
+/// A table with `groups` whose draws are those of `seed`.
+fn table_with(groups: u64, seed: u64) -> TargetTable {
     let group = |number| GroupView {
         group: GroupId(number),
         service: ServiceName::new("desk"),
@@ -80,7 +85,7 @@
         zone: ZoneName::new("a"),
         slots: 6,
     };
-    let mut table = TargetTable::new(ZoneName::new("a"), 1);
+    let mut table = TargetTable::new(ZoneName::new("a"), seed);
     table.adopt(FleetView {
         groups: (1..=groups).map(group).collect(),
         endpoints: (1..=3).map(endpoint).collect(),
@@ -298,3 +303,28 @@
     assert!(schedule.listen > Duration::from_millis(2_500), "the balancer still sends callers");
     assert!(short.listen < short.cut, "{short:?}");
 }
+
+/// A group was just mended and has no work yet, as every entry knows, and the two others have some.
+/// Until its first answers tell otherwise nine entries would send it all that comes: thirty prompts
+/// that are read one after the other, each of them late.
+#[test]
+fn a_new_group_is_not_flooded() {
+    let mut sent = [0; 3];
+    for entry in 0..9 {
+        let mut table = table_with(3, entry);
+        for group in [1, 2] {
+            let busy = LoadSample { running: 12, waiting: 0, slots: SLOTS };
+            table.sample(at(0), &TargetId::Group(GroupId(group)), busy);
+        }
+        for step in 0..4 {
+            let target = choose(&mut table, at(step * 50)).expect("there is room");
+            table.begin(at(step * 50), &target);
+            let TargetId::Group(GroupId(group)) = target else { continue };
+            sent[group as usize - 1] += 1;
+        }
+    }
+
+    assert_eq!(sent.iter().sum::<i32>(), 36);
+    assert!(sent[2] > sent[0] && sent[2] > sent[1], "the empty one gets most: {sent:?}");
+    assert!(sent[2] <= 24, "and not nearly all: {sent:?}");
+}
