--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -147,10 +147,9 @@
     /// An endpoint may also start again under its old name: its earlier start is gone then with its
     /// groups and its count of beats, and a late beat of it says nothing.
     pub fn beat(&mut self, now: TimePoint, beat: EndpointBeat) -> bool {
-        if self.records.keys().any(|known| beat.id.is_before(known)) {
+        if self.records.get(&beat.id).is_none() && !self.replace_earlier(&beat.id) {
             return false;
         }
-        self.records.retain(|known, _| !known.is_before(&beat.id));
         let rivals = self.rivals(&beat);
         self.ask_proof(now, &rivals);
         let Some(record) = self.records.get_mut(&beat.id) else {
@@ -170,6 +169,15 @@
         true
     }
 
+    /// Forgets earlier starts of the endpoint; `false` when a later one than `id` is known.
+    fn replace_earlier(&mut self, id: &IncarnationId) -> bool {
+        let is_latest = !self.records.keys().any(|known| id.is_before(known));
+        if is_latest {
+            self.records.retain(|known, _| !known.is_before(id));
+        }
+        is_latest
+    }
+
     /// Other endpoints at the address that `beat` names.
     fn rivals(&self, beat: &EndpointBeat) -> Vec<IncarnationId> {
         let rival = |(id, host): &(&IncarnationId, &HostRecord)| {
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -33,7 +33,7 @@
     pub(super) silence: Notify,
     /// Told whenever news of the leader came.
     news: Notify,
-    wait: StartupWait,
+    startup_wait: StartupWait,
     reports: Sender<EntryReport>,
     demand: RefCell<SortedTable<(ServiceName, String), f64>>,
     draining: Cell<bool>,
@@ -59,7 +59,7 @@
             RetryBudget::new(limits.retry_ratio, limits.retry_allowance, limits.retry_window());
         let clock = ClockReader::start();
         EntryState {
-            wait: StartupWait::new(clock.now()),
+            startup_wait: StartupWait::new(clock.now()),
             news: Notify::new(),
             clock,
             book: RefCell::new(None),
@@ -115,7 +115,7 @@
         if self.is_in_touch() {
             return self.book();
         }
-        let limit = self.wait.patience(self.now(), patience);
+        let limit = self.startup_wait.patience(self.now(), patience);
         let ready = async {
             while !self.is_in_touch() {
                 self.news.notified().await;
