Ask members of a silent group for reports five times a second at the most

Cause: every report of every entry that finds a group silent asked all its members anew, four times a second for two seconds.

Change: a member that has just answered is asked again after 200 ms. One that does not answer is asked at once, as before.

Figures: the test's group of eight members is asked 88 times in two seconds at the most (832 before).

--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -33,6 +33,14 @@
 /// Probes without an answer, one after the other, that make an endpoint count as lost.
 const LOST_FAILURES: u32 = 2;
 
+/// Time between two reports of a member of a group that entries find silent.
+///
+/// Each entry with a request there tells so with every report for two seconds, and a fleet has many
+/// entries. Where each of their words asked all members anew, 39 entries that were cut off from one
+/// group caused 156 probes a second of each of its members, which had all answered. One that dies
+/// right after its answer is found this much later at the most.
+const SUSPECT_EVERY: Duration = Duration::from_millis(200);
+
 /// Wait before an endpoint is asked again who it is.
 const PROOF_AGAIN: Duration = Duration::from_millis(500);
 
@@ -52,6 +60,8 @@
     pub failures: u32,
     probing: bool,
     probe_at: TimePoint,
+    /// Last answer to a probe.
+    answered: Option<TimePoint>,
     /// Its state is wanted, whether or not it is in a group.
     wanted: bool,
     /// Known from an earlier leader, and not heard of yet.
@@ -84,6 +94,7 @@
             failures: 0,
             probing: false,
             probe_at,
+            answered: None,
             wanted: false,
             inherited: false,
             unproven: false,
@@ -254,6 +265,7 @@
         match report {
             Some(report) => {
                 record.heard(now);
+                record.answered = Some(now);
                 record.probe_at = now.after(PROBE_EVERY);
                 let domain = report.domain.clone().or(record.beat.report.domain.take());
                 record.beat.report = EndpointReport { domain, ..report };
@@ -278,6 +290,16 @@
         }
     }
 
+    /// Asks for a probe of `id`, a member of a group that an entry finds silent, unless it has just
+    /// answered one.
+    pub fn probe_suspect(&mut self, now: TimePoint, id: &IncarnationId) {
+        if let Some(record) = self.records.get_mut(id) {
+            let soonest = record.answered.map_or(now, |at| at.after(SUSPECT_EVERY)).max(now);
+            record.probe_at = record.probe_at.min(soonest);
+            record.wanted = true;
+        }
+    }
+
     /// Endpoints to be probed now; `in_group` tells which are watched closely. Those that serve alone
     /// have no report: asked for one they answer nothing that reads, and counted as silent.
     pub fn due_probes(
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -159,7 +159,7 @@
             let silent = self.pulses.take(now, &report.node, pulse);
             let Some(group) = state.groups().get(&pulse.group).filter(|_| silent) else { continue };
             for host in &group.members {
-                self.hosts.probe_now(now, &host.id);
+                self.hosts.probe_suspect(now, &host.id);
             }
         }
     }
--- a/crates/fleet/tests/director/fleet.rs
+++ b/crates/fleet/tests/director/fleet.rs
@@ -114,6 +114,8 @@
     pub serving: bool,
     /// Groups that were formed so far.
     pub formed: u64,
+    /// Endpoints that were asked for reports so far, one by one.
+    pub probed: Vec<IncarnationId>,
     plan: DeploymentPlan,
     term: u64,
     late: Vec<(TimePoint, OrderCall, u64)>,
@@ -127,6 +129,11 @@
 impl TestFleet {
     /// Three domains of ten hosts, all just started.
     pub fn new(seed: u64) -> Self {
+        Self::of(seed, two_models(), 3, DOMAIN)
+    }
+
+    /// `domains` of `hosts` each, all just started.
+    pub fn of(seed: u64, plan: DeploymentPlan, domains: usize, hosts: usize) -> Self {
         let now = TimePoint(1_000_000);
         let mut fleet = Self {
             now,
@@ -138,7 +145,8 @@
             demand: (2.0, 4.0),
             serving: false,
             formed: 0,
-            plan: two_models(),
+            probed: Vec::new(),
+            plan,
             term: 1,
             late: Vec::new(),
             ready: Vec::new(),
@@ -147,8 +155,8 @@
             next_id: 0,
         };
         fleet.director = FleetDirector::new(now, &fleet.state);
-        for domain in 0..3 {
-            for _ in 0..DOMAIN {
+        for domain in 0..domains {
+            for _ in 0..hosts {
                 fleet.add_host(domain);
             }
         }
@@ -348,6 +356,7 @@
     }
 
     fn probe(&mut self, id: &IncarnationId) {
+        self.probed.push(id.clone());
         let answers = |host: &TestHost| host.alive && !host.cut;
         let lost = self.random.random_range(0..100) < self.faults.lost_probes;
         // A report is told by whoever has the address now, and does not say who that is.
--- /dev/null
+++ b/crates/fleet/tests/director/large.rs
@@ -0,0 +1,83 @@
+//! Fleets of hundreds of hosts: what grows with their size.
+
+use std::time::Duration;
+
+use briartray_fleet::deployment::DeploymentPlan;
+use briartray_fleet::message::{EntryReport, GroupPulse, ViewVersion};
+use briartray_model::names::{GroupId, IncarnationId, NodeName, TermNumber};
+
+use crate::fleet::{TestFleet, two_models};
+
+/// Fabric domains of the fleet.
+const DOMAINS: usize = 20;
+
+/// Hosts of each domain.
+const DOMAIN_HOSTS: usize = 19;
+
+/// Entries before the fleet.
+const ENTRIES: usize = 39;
+
+/// Two models of eight and four hosts over 380 hosts, with the short loads of a first start.
+fn large_plan() -> DeploymentPlan {
+    let mut plan = two_models();
+    let engine = plan.services[0].engine.as_mut().expect("the fixture has an engine");
+    engine.models[0].size = 8;
+    engine.models[1].size = 4;
+    engine.loads_per_second = 32.0;
+    engine.loads_at_once = 47;
+    // Before callers ask, loads take a tenth of their time.
+    engine.models.iter_mut().for_each(|model| model.load_time /= 10);
+    plan
+}
+
+fn large_fleet(seed: u64) -> TestFleet {
+    TestFleet::of(seed, large_plan(), DOMAINS, DOMAIN_HOSTS)
+}
+
+/// One entry of a zone is cut off from a group that serves all others, and says in every report that
+/// it is silent; so do the 38 others of a zone beside it. All members answer each time they are asked.
+/// Asked anew at each word, eight members answered a thousand times a second, and the leader did
+/// little else.
+#[test]
+fn members_that_answer_are_not_asked_again_at_every_word() {
+    let mut fleet = large_fleet(2);
+    fleet.run_for(Duration::from_secs(8));
+    let group = *fleet.open_groups().first().expect("groups serve");
+    let members: Vec<IncarnationId> = fleet
+        .state
+        .groups()
+        .get(&group)
+        .expect("it is agreed on")
+        .members
+        .iter()
+        .map(|member| member.id.clone())
+        .collect();
+    fleet.probed.clear();
+
+    // For two seconds, four words a second of each entry, one after the other.
+    for word in 0..8 * ENTRIES {
+        tell_silent(&mut fleet, word % ENTRIES, group);
+        if word % 3 == 0 {
+            fleet.step();
+        }
+    }
+
+    // Five a second of each member at the most.
+    let asked = fleet.probed.iter().filter(|id| members.contains(id)).count();
+    assert!(asked <= members.len() * 11, "{asked} reports of {} members", members.len());
+}
+
+/// An entry reports that it has waited for `group` in vain.
+fn tell_silent(fleet: &mut TestFleet, entry: usize, group: GroupId) {
+    let pulse = GroupPulse { group, quiet_ms: Some(900), running: 1, suspect: true };
+    let report = EntryReport {
+        node: NodeName::new(&format!("entry-{entry}")),
+        nonce: 0,
+        plan: Some(1),
+        view: ViewVersion { term: TermNumber(1), number: 0 },
+        pulses: vec![pulse],
+        demand: Vec::new(),
+        serving: false,
+    };
+    fleet.director.report(fleet.now, &report, &fleet.state);
+}
--- a/crates/fleet/tests/director/main.rs
+++ b/crates/fleet/tests/director/main.rs
@@ -2,6 +2,7 @@
 //! orders are lost or late, hosts die, and leaders change.
 
 mod fleet;
+mod large;
 mod losses;
 mod planner;
 mod seeded;
