Split hosts by predicted lateness, in whole groups that their domains hold

Cause: the planner kept both models equally busy.

Change: entries tell reading time, events and targets of what is asked for; the published engine then predicts late first parts and long pauses, and hosts go where one more group saves the most harm. Hosts are counted in whole groups that fit into a domain. Before callers come, small groups are taken apart where a domain can hold a large one.

--- a/crates/fleet/src/deployment/engine.rs
+++ b/crates/fleet/src/deployment/engine.rs
@@ -75,7 +75,7 @@
     /// Longest pause between two events of a group that serves `model`, works and is full: a pass
     /// of steps with every slot writing, and as much reading as fits in.
     pub fn longest_pause(&self, model: &ModelSpec) -> Duration {
-        let steps = f64::from(self.stride) * self.step_ms(self.slots as f64, USUAL_CONTEXT);
+        let steps = self.pass_ms(self.slots as f64);
         let reading = f64::from(self.stride) * f64::from(self.chunk) / self.read_rate * 1e3;
         Duration::from_secs_f64((steps + reading) * model.pace / 1e3)
     }
@@ -89,9 +89,19 @@
     /// the passes that write its answer while three quarters of the slots write.
     pub fn work_ms(&self, model: &ModelSpec, prompt: u32, answer: u32) -> f64 {
         let writers = self.slots as f64 * BUSY_SLOTS;
-        let events = f64::from(answer) / f64::from(self.stride);
-        let pass = f64::from(self.stride) * self.step_ms(writers, USUAL_CONTEXT);
-        (self.read_ms(prompt) + events * pass / writers) * model.pace
+        let events = self.events(answer);
+        (self.read_ms(prompt) + events * self.pass_ms(writers) / writers) * model.pace
+    }
+
+    /// Events of an answer of `tokens`.
+    pub fn events(&self, tokens: u32) -> f64 {
+        f64::from(tokens) / f64::from(self.stride.max(1))
+    }
+
+    /// Time of the steps between two looks for new work with `writers` requests, before the model's
+    /// pace, in milliseconds.
+    pub fn pass_ms(&self, writers: f64) -> f64 {
+        f64::from(self.stride) * self.step_ms(writers, USUAL_CONTEXT)
     }
 
     /// Time to read a prompt of `tokens`, before the model's pace, in milliseconds.
--- a/crates/fleet/src/director/demand.rs
+++ b/crates/fleet/src/director/demand.rs
@@ -9,7 +9,7 @@
 use briartray_model::names::ServiceName;
 use briartray_model::{SortedTable, TimePoint};
 
-use crate::message::ModelDemand;
+use crate::message::{ModelDemand, WorkSum};
 
 /// Time over which demand is smoothed.
 const SMOOTHING: Duration = Duration::from_secs(4);
@@ -21,11 +21,11 @@
 /// three seconds the figure for 30 requests a second was off by a half.
 const TRUSTED_AFTER: Duration = Duration::from_secs(6);
 
-/// Demand by service and model, in groups kept busy.
+/// Demand by service and model, for each second.
 #[derive(Debug, Clone, Default)]
 pub struct DemandBook {
-    counts: SortedTable<(ServiceName, String), f64>,
-    rates: SortedTable<(ServiceName, String), f64>,
+    counts: SortedTable<(ServiceName, String), WorkSum>,
+    rates: SortedTable<(ServiceName, String), WorkSum>,
     began: Option<TimePoint>,
     rolled: Option<TimePoint>,
 }
@@ -35,7 +35,7 @@
     pub fn add(&mut self, now: TimePoint, demand: &ModelDemand) {
         self.began.get_or_insert(now);
         let key = (demand.service.clone(), demand.model.clone());
-        *self.counts.get_or_insert_with(key, || 0.0) += demand.work_ms;
+        self.counts.get_or_insert_with(key, WorkSum::default).add(&demand.sum);
     }
 
     /// Folds what was added into the smoothed rates; called at a steady pace.
@@ -47,9 +47,10 @@
         }
         let weight = 1.0 - (-span / SMOOTHING.as_secs_f64()).exp();
         for (key, count) in self.counts.iter_mut() {
-            let rate = self.rates.get_or_insert_with(key.clone(), || 0.0);
-            *rate += (*count / 1e3 / span - *rate) * weight;
-            *count = 0.0;
+            let rate = self.rates.get_or_insert_with(key.clone(), WorkSum::default);
+            let counted = std::mem::take(count);
+            *rate = rate.times(1.0 - weight);
+            rate.add(&counted.times(weight / span));
         }
     }
 
@@ -59,19 +60,21 @@
         (counted.as_secs_f64() / TRUSTED_AFTER.as_secs_f64()).min(1.0)
     }
 
-    /// Groups kept busy by `model`.
-    pub fn busy(&self, now: TimePoint, service: &ServiceName, model: &str) -> f64 {
+    /// What callers ask of `model` in a second.
+    pub fn of(&self, now: TimePoint, service: &ServiceName, model: &str) -> WorkSum {
         let age = now.since(self.began.unwrap_or(now));
-        let rate = self.rates.get(&(service.clone(), model.to_owned())).copied().unwrap_or(0.0);
+        let rate =
+            self.rates.get(&(service.clone(), model.to_owned())).copied().unwrap_or_default();
         // Smoothing began at nothing.
         let seen = 1.0 - (-age.as_secs_f64() / SMOOTHING.as_secs_f64()).exp();
-        if seen > 0.0 { rate / seen } else { 0.0 }
+        if seen > 0.0 { rate.times(1.0 / seen) } else { WorkSum::default() }
     }
 
     /// The smoothed rates in a few words.
     pub fn summary(&self) -> String {
-        let tell =
-            |((_, model), rate): (&(ServiceName, String), &f64)| format!("{model} {rate:.1}");
+        let tell = |((_, model), rate): (&(ServiceName, String), &WorkSum)| {
+            format!("{model} {:.1}", rate.work_ms / 1e3)
+        };
         self.rates.iter().map(tell).collect::<Vec<_>>().join(" ")
     }
 }
--- a/crates/fleet/src/director/plan/host.rs
+++ b/crates/fleet/src/director/plan/host.rs
@@ -53,7 +53,7 @@
     }
 
     /// Whether it can serve some model without a load.
-    pub(in crate::director) fn has_weights(&self) -> bool {
+    pub(super) fn has_weights(&self) -> bool {
         !self.staged.is_empty() || self.warm.is_some()
     }
 
--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -10,13 +10,16 @@
 
 mod form;
 mod host;
+mod lateness;
 mod rebalance;
 mod stage;
 
+use briartray_model::SortedTable;
 use briartray_model::names::{DomainName, GroupId, IncarnationId, ServiceName};
 
 pub use self::host::{PlacedGroup, PoolHost};
 use crate::deployment::{EngineModel, ModelSpec};
+use crate::message::WorkSum;
 use crate::state::GroupRecord;
 
 /// Part of its time that a group is busy at the least before further ones are of no use.
@@ -46,10 +49,8 @@
     pub closing: Vec<PoolHost>,
     /// Groups that serve or form, by model in the order of the engine's models.
     pub groups: Vec<Vec<PlacedGroup>>,
-    /// Hosts that are alive and, once callers ask, have weights.
-    pub hosts: usize,
-    /// Work that callers ask for by model, in groups kept busy.
-    pub demand: Vec<f64>,
+    /// What callers ask for in a second, by model.
+    pub demand: Vec<WorkSum>,
     /// How much of the demand is believed, 0 to 1; the declared shares count for the rest.
     pub trust: f64,
     /// Loads that are under way.
@@ -109,36 +110,65 @@
         let wanted = self.wanted();
         let tell = |(model, wanted): (&ModelSpec, &f64)| format!("{} {wanted:.1}", model.name);
         let wanted: Vec<String> = self.models().iter().zip(&wanted).map(tell).collect();
-        let (hosts, trust) = (self.view.hosts, self.view.trust);
-        format!("wanted {} of {hosts} hosts, trust {trust:.1}", wanted.join(" "))
+        let (hosts, trust) = (self.packed_hosts(), self.view.trust);
+        format!("wanted {} on {hosts} hosts, trust {trust:.1}", wanted.join(" "))
     }
 
-    /// Groups of each model that should serve: all hosts but some spares, split by the work that
-    /// callers ask for, so that all models are as well served as each other.
+    /// Groups of each model that should serve: all hosts but some spares, split so that the fewest
+    /// callers are late; by the declared shares as far as the demand is not believed yet.
     ///
     /// The split counts, not the sum: with as many groups as the sum asks for, two models that both
     /// lacked hosts took them from each other, and hosts were idle while a burst began.
     fn wanted(&self) -> Vec<f64> {
         let models = self.models();
-        let work: Vec<f64> =
-            models.iter().zip(&self.view.demand).map(|(m, busy)| busy * m.size as f64).collect();
+        let work: Vec<f64> = models
+            .iter()
+            .zip(&self.view.demand)
+            .map(|(model, asked)| asked.work_ms / 1e3 * model.size as f64)
+            .collect();
         let declared: Vec<f64> = models.iter().map(|model| model.share).collect();
         let all: f64 = work.iter().sum();
         let trust = if all > 0.0 { self.view.trust } else { 0.0 };
         let hosts = self.grouped_hosts(all, trust);
-        let parts = normalized(&work).into_iter().zip(normalized(&declared));
-        let parts = parts.map(|(asked, declared)| asked * trust + declared * (1.0 - trust));
-        parts.zip(models).map(|(part, model)| part * hosts / model.size as f64).collect()
+        let asked = match lateness::split(self.view.engine, &self.view.demand, hosts) {
+            Some(groups) => groups,
+            None => groups_of(&normalized(&work), models, hosts),
+        };
+        let declared = groups_of(&normalized(&declared), models, hosts);
+        let pairs = asked.into_iter().zip(declared);
+        pairs.map(|(asked, declared)| asked * trust + declared * (1.0 - trust)).collect()
     }
 
     /// Hosts that should serve when callers ask for `work` hosts kept busy.
     fn grouped_hosts(&self, work: f64, trust: f64) -> f64 {
-        let kept = domains_of(self.every_host()).len() * SPARES_KEPT;
-        let most = self.view.hosts.saturating_sub(kept) as f64;
+        let most = self.packed_hosts() as f64;
         let useful = work / LEAST_BUSY;
         if trust < 1.0 { most } else { most.min(useful) }
     }
 
+    /// Hosts that groups can hold beside the spares of their domains, in whole groups of the smallest
+    /// size; groups that hold more already count whole.
+    ///
+    /// What a domain has over makes no group. Counted in, more groups of every model were wanted than
+    /// there could be, and the model that lacked the larger part of them got none of the other's hosts.
+    fn packed_hosts(&self) -> usize {
+        let smallest = self.models().iter().map(|model| model.size).min().unwrap_or(1).max(1);
+        let able = |host: &&PoolHost| !host.slow && (!self.view.serving || host.has_weights());
+        let mut hosts = SortedTable::new();
+        for host in self.every_host().filter(able) {
+            *hosts.get_or_insert_with(&host.domain, || 0_usize) += 1;
+        }
+        let mut grouped = SortedTable::new();
+        for host in self.grouped() {
+            *grouped.get_or_insert_with(&host.domain, || 0_usize) += 1;
+        }
+        let held = |(domain, hosts): (&&DomainName, &usize)| {
+            let whole = hosts.saturating_sub(SPARES_KEPT) / smallest * smallest;
+            whole.max(grouped.get(domain).copied().unwrap_or(0))
+        };
+        hosts.iter().map(held).sum()
+    }
+
     /// Models by how much they lack, the one that lacks most first.
     fn by_lack(&self, wanted: &[f64]) -> Vec<usize> {
         let models = &self.view.engine.models;
@@ -203,6 +233,11 @@
     }
 }
 
+/// Groups of each model that its part of `hosts` makes.
+fn groups_of(parts: &[f64], models: &[ModelSpec], hosts: f64) -> Vec<f64> {
+    parts.iter().zip(models).map(|(part, model)| part * hosts / model.size as f64).collect()
+}
+
 /// `groups` as a part of what is `wanted`; no model is wanted less than one group.
 fn part_of(groups: usize, wanted: f64) -> f64 {
     groups as f64 / wanted.max(1.0)
--- a/crates/fleet/src/director/plan/rebalance.rs
+++ b/crates/fleet/src/director/plan/rebalance.rs
@@ -4,6 +4,11 @@
 //! callers would be refused while the groups of the other model have time to spare. Ending one of
 //! those costs its callers a few late answers; its hosts serve the other model as soon as what runs
 //! has ended, since they keep its weights.
+//!
+//! The same holds before callers ask. Hosts are heard one after the other, and where those of a domain
+//! that came first made small groups, the rest no longer makes a large one: 380 hosts held 16 large
+//! groups and 46 small ones where 20 and 40 were wanted. Nobody is served yet and loads are short, so
+//! that is put right at once.
 
 use briartray_model::names::DomainName;
 
@@ -18,7 +23,7 @@
     /// Ends a group of a model that has enough of them, where that completes a group of one that
     /// lacks some.
     pub(super) fn rebalance(&self, wanted: &[f64]) -> Option<PlanAction> {
-        if !self.view.serving {
+        if !self.view.serving && self.view.gathering.is_some() {
             return None;
         }
         let order = self.by_lack(wanted);
@@ -79,7 +84,9 @@
             groups.iter().filter(|group| group.domain == *domain).collect();
         let (cost, first) = self.cheapest(&local, model, missing)?;
         let left = groups.len().saturating_sub(cost);
-        let fair = part_of(left, wanted[giver]) >= self.filled(index, wanted) * MARGIN;
+        let (given, taken) = (part_of(left, wanted[giver]), self.filled(index, wanted));
+        // Before callers ask, a move costs nobody anything.
+        let fair = if self.view.serving { given >= taken * MARGIN } else { given > taken };
         (left > 0 && fair).then_some((cost, first))
     }
 
@@ -92,7 +99,7 @@
     ) -> Option<(usize, &'g PlacedGroup)> {
         let gives = |group: &PlacedGroup| {
             let quick = group.hosts.iter().filter(|host| !host.slow);
-            quick.filter(|host| host.can_join(&model.name)).count()
+            quick.filter(|host| self.may_join(host, model)).count()
         };
         let mut ranked: Vec<(usize, &PlacedGroup)> =
             groups.iter().map(|group| (gives(group), *group)).collect();
@@ -110,6 +117,11 @@
     pub(super) fn usable(&self, domain: &DomainName, model: &ModelSpec) -> usize {
         let hosts = self.view.free.iter().chain(self.coming());
         let usable = |host: &&PoolHost| host.domain == *domain && !host.slow;
-        hosts.filter(usable).filter(|host| host.can_join(&model.name)).count()
+        hosts.filter(usable).filter(|host| self.may_join(host, model)).count()
+    }
+
+    /// Whether the host joins a group of `model` soon: before callers ask, a load is short.
+    fn may_join(&self, host: &PoolHost, model: &ModelSpec) -> bool {
+        !self.view.serving || host.can_join(&model.name)
     }
 }
--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -153,8 +153,6 @@
             .filter(|(id, host)| usable(id, host))
             .map(|(id, host)| pool_host(now, &index, id, host))
             .collect();
-        let able = |host: &&PoolHost| !host.slow && (!self.serving || host.has_weights());
-        let hosts = pool.iter().filter(able).count();
         let models = &engine.models;
         let lasting = |model: &ModelSpec| self.lasting_groups(state, service, &model.name, &pool);
         let groups: Vec<Vec<PlacedGroup>> = models.iter().map(lasting).collect();
@@ -166,8 +164,8 @@
         let (leaving, rest): (Vec<_>, Vec<_>) = rest.partition(|host| self.is_stray(state, host));
         let serves = |host: &PoolHost| host.standby.is_none() && index.group_of(&host.id).is_some();
         let (closing, free) = rest.into_iter().partition(serves);
-        let busy = |model: &ModelSpec| self.demand.busy(now, service, &model.name);
-        let demand = models.iter().map(busy).collect();
+        let asked = |model: &ModelSpec| self.demand.of(now, service, &model.name);
+        let demand = models.iter().map(asked).collect();
         let trust = self.demand.trust(now);
         let loading = self.staging_now();
         let gathering = self.is_gathering(now).then(|| self.domains(service));
@@ -179,7 +177,6 @@
             leaving,
             closing,
             groups,
-            hosts,
             demand,
             trust,
             loading,
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -35,8 +35,27 @@
         pub service: ServiceName,
         /// The model.
         pub model: String,
-        /// Time of one group's work that was asked for, in milliseconds.
+        /// What was asked for.
+        pub sum: WorkSum,
+    }
+
+    /// Work of several requests, added up.
+    #[derive(Copy, Default)]
+    pub struct WorkSum {
+        /// Time of one group's work, in milliseconds.
         pub work_ms: f64,
+        /// Requests.
+        pub requests: f64,
+        /// Time to read their prompts, in milliseconds.
+        pub reading_ms: f64,
+        /// Squares of these times, in square milliseconds: they tell how much prompts differ.
+        pub reading_squares: f64,
+        /// Events of their answers, as far as can be told ahead.
+        pub events: f64,
+        /// Time to the first part that their callers expect, in milliseconds.
+        pub target_ms: f64,
+        /// Longest pause between events that their callers expect, in milliseconds.
+        pub gap_ms: f64,
     }
 
     /// An entry asks for the newest state, and tells what it sees.
@@ -143,6 +162,32 @@
     }
 }
 
+impl WorkSum {
+    /// Adds `other`.
+    pub fn add(&mut self, other: &Self) {
+        self.work_ms += other.work_ms;
+        self.requests += other.requests;
+        self.reading_ms += other.reading_ms;
+        self.events += other.events;
+        self.target_ms += other.target_ms;
+        self.reading_squares += other.reading_squares;
+        self.gap_ms += other.gap_ms;
+    }
+
+    /// Every part of it, `factor` times.
+    pub fn times(&self, factor: f64) -> Self {
+        Self {
+            work_ms: self.work_ms * factor,
+            requests: self.requests * factor,
+            reading_ms: self.reading_ms * factor,
+            events: self.events * factor,
+            target_ms: self.target_ms * factor,
+            reading_squares: self.reading_squares * factor,
+            gap_ms: self.gap_ms * factor,
+        }
+    }
+}
+
 impl FleetView {
     /// Open and other groups of each model, and endpoints, in a few words.
     pub fn summary(&self) -> String {
--- a/crates/fleet/tests/director/fleet.rs
+++ b/crates/fleet/tests/director/fleet.rs
@@ -7,7 +7,7 @@
     CallerLimits, DeploymentPlan, EngineModel, ModelSpec, ServiceSpec,
 };
 use briartray_fleet::director::{EndpointBeat, FleetDirector, MarkState, OrderCall, OrderOutcome};
-use briartray_fleet::message::{EntryReport, GroupPulse, ModelDemand, ViewVersion};
+use briartray_fleet::message::{EntryReport, GroupPulse, ModelDemand, ViewVersion, WorkSum};
 use briartray_fleet::state::{FleetCommand, FleetOutcome, FleetState};
 use briartray_model::TimePoint;
 use briartray_model::names::{
@@ -192,6 +192,18 @@
         self.hosts.len() - 1
     }
 
+    /// The hosts of a domain send their first beats one after the other, `gap` apart.
+    pub fn delay_domain(&mut self, domain: usize, gap: Duration) {
+        let name = format!("domain-{domain}");
+        let mut beat_at = self.now;
+        for host in &mut self.hosts {
+            if host.model.place.domain.as_str() == name {
+                beat_at = beat_at.after(gap);
+                host.beat_at = beat_at;
+            }
+        }
+    }
+
     /// The endpoint starts anew: another incarnation at the same address, with what its host keeps.
     pub fn restart_host(&mut self, host: usize) -> usize {
         self.hosts[host].alive = false;
@@ -478,7 +490,7 @@
         let ask = |model: &str, groups: f64| ModelDemand {
             service: ServiceName::new("desk"),
             model: model.to_owned(),
-            work_ms: groups * since.as_secs_f64() * 1e3,
+            sum: WorkSum { work_ms: groups * since.as_secs_f64() * 1e3, ..WorkSum::default() },
         };
         let report = EntryReport {
             node: NodeName::new("entry"),
--- a/crates/fleet/tests/director/large.rs
+++ b/crates/fleet/tests/director/large.rs
@@ -6,7 +6,7 @@
 use briartray_fleet::message::{EntryReport, GroupPulse, ViewVersion};
 use briartray_model::names::{GroupId, IncarnationId, NodeName, TermNumber};
 
-use crate::fleet::{TestFleet, two_models};
+use crate::fleet::{LARGE, SMALL, TestFleet, two_models};
 
 /// Fabric domains of the fleet.
 const DOMAINS: usize = 20;
@@ -99,3 +99,57 @@
     };
     fleet.director.report(fleet.now, &report, &fleet.state);
 }
+
+/// The hosts of some domains are heard over four seconds, as when their links or the leader are busy
+/// while everything starts. The first ones made small groups, the rest of each domain held no large
+/// one any more, and 16 of 20 large groups served all day. Callers come after 14 s.
+#[test]
+fn domains_that_are_heard_late_hold_their_large_group() {
+    let mut fleet = large_fleet(3);
+    for domain in 0..5 {
+        fleet.delay_domain(domain, Duration::from_millis(220));
+    }
+
+    fleet.run_for(Duration::from_secs(14));
+
+    assert!(fleet.open_of(LARGE) >= DOMAINS, "{} large groups", fleet.open_of(LARGE));
+    // Each domain has 19 hosts: one large group and two small ones, or two large ones.
+    let used = fleet.open_of(LARGE) * 8 + fleet.open_of(SMALL) * 4;
+    assert!(used >= DOMAINS * 16 - 8, "{used} of {} hosts serve", DOMAINS * DOMAIN_HOSTS);
+}
+
+/// The leader dies while 380 hosts serve. The next one knows the groups from the log, hears of all hosts
+/// again, and takes none of the groups apart.
+#[test]
+fn a_change_of_leader_keeps_the_groups_of_a_fleet() {
+    let mut fleet = large_fleet(4);
+    fleet.run_for(Duration::from_secs(14));
+    fleet.serving = true;
+    fleet.run_for(Duration::from_secs(6));
+    let groups = fleet.open_groups();
+
+    fleet.change_leader();
+    fleet.run_for(Duration::from_secs(3));
+
+    assert_eq!(fleet.open_groups(), groups);
+}
+
+/// A rack loses power: all 19 hosts of a domain are gone at once. The other domains serve on in the groups
+/// they have, and the log takes few commands for it.
+#[test]
+fn a_lost_domain_leaves_the_others_as_they_are() {
+    let mut fleet = large_fleet(5);
+    fleet.demand = (15.0, 34.0);
+    fleet.run_for(Duration::from_secs(14));
+    fleet.serving = true;
+    fleet.run_for(Duration::from_secs(12));
+    let (large, small, formed) = (fleet.open_of(LARGE), fleet.open_of(SMALL), fleet.formed);
+
+    let lost = |host: &&mut crate::fleet::TestHost| host.model.place.domain.as_str() == "domain-3";
+    fleet.hosts.iter_mut().filter(lost).for_each(|host| host.alive = false);
+    fleet.run_for(Duration::from_secs(3));
+
+    assert!(fleet.open_of(LARGE) + 2 >= large, "{} of {large} large", fleet.open_of(LARGE));
+    assert!(fleet.open_of(SMALL) + 4 >= small, "{} of {small} small", fleet.open_of(SMALL));
+    assert!(fleet.formed <= formed + 8, "{} groups were formed anew", fleet.formed - formed);
+}
--- a/crates/fleet/tests/director/planner.rs
+++ b/crates/fleet/tests/director/planner.rs
@@ -2,6 +2,7 @@
 
 use briartray_fleet::deployment::EngineModel;
 use briartray_fleet::director::{GroupPlanner, PlacedGroup, PlanAction, PlanView, PoolHost};
+use briartray_fleet::message::WorkSum;
 use briartray_model::names::{DomainName, GroupId, IncarnationId, ServiceName, ZoneName};
 
 use crate::fleet::{LARGE, SMALL, two_models};
@@ -64,16 +65,14 @@
         groups: [Vec<PlacedGroup>; 2],
         demand: [f64; 2],
     ) -> PlanView<'_> {
-        let grouped: usize = groups.iter().flatten().map(|group| group.hosts.len()).sum();
         PlanView {
             service: &self.service,
             engine: &self.engine,
-            hosts: free.len() + grouped,
             free,
             leaving: Vec::new(),
             closing: Vec::new(),
             groups: groups.to_vec(),
-            demand: demand.to_vec(),
+            demand: demand.iter().map(busy).collect(),
             trust: 1.0,
             loading: 0,
             gathering: None,
@@ -82,6 +81,27 @@
     }
 }
 
+/// What callers ask for, where only the groups that it keeps busy are known.
+fn busy(groups: &f64) -> WorkSum {
+    WorkSum { work_ms: groups * 1e3, ..WorkSum::default() }
+}
+
+/// `rate` requests a second of the model at `index`, each with `prompt` tokens in and `answer` out.
+fn asked(engine: &EngineModel, index: usize, rate: f64, prompt: u32, answer: u32) -> WorkSum {
+    let model = &engine.models[index];
+    let each = WorkSum {
+        work_ms: engine.work_ms(model, prompt, answer),
+        requests: 1.0,
+        reading_ms: engine.read_ms(prompt) * model.pace,
+        // Prompts differ as much as they are long.
+        reading_squares: 2.0 * (engine.read_ms(prompt) * model.pace).powi(2),
+        events: engine.events(answer),
+        target_ms: if index == LARGE_INDEX { 500.0 } else { 300.0 },
+        gap_ms: if index == LARGE_INDEX { 300.0 } else { 200.0 },
+    };
+    each.times(rate)
+}
+
 fn formed(action: Option<PlanAction>) -> Option<(String, usize)> {
     match action {
         Some(PlanAction::Form { group, .. }) => Some((group.model, group.members.len())),
@@ -128,7 +148,6 @@
     let large = vec![fixture.group("b", LARGE, &[SMALL])];
     let small: Vec<PlacedGroup> = (0..2).map(|_| fixture.group("b", SMALL, &[LARGE])).collect();
     let mut view = fixture.view(free, [large, small], [5.0, 1.0]);
-    view.hosts += leaving.len();
     view.leaving = leaving;
 
     let early = GroupPlanner::new(view.clone()).next();
@@ -155,6 +174,55 @@
     assert_eq!(formed(mostly_small), Some((SMALL.to_owned(), 2)));
 }
 
+/// Both models are kept equally busy by their callers, who ask the large one for long texts. Its groups
+/// read for half of their time and one caller in ten was late; the small one's callers wait for a
+/// third of what they would accept. The hosts that are left make a large group.
+#[test]
+fn hosts_go_where_callers_are_late_not_where_groups_are_busy() {
+    let mut fixture = PoolFixture::new();
+    let domains: Vec<String> = (0..12).map(|number| format!("d{number}")).collect();
+    let large: Vec<PlacedGroup> =
+        domains.iter().map(|domain| fixture.group(domain, LARGE, &[SMALL])).collect();
+    let small: Vec<PlacedGroup> = domains
+        .iter()
+        .flat_map(|domain| [domain, domain])
+        .map(|domain| fixture.group(domain, SMALL, &[LARGE]))
+        .collect();
+    let free: Vec<PoolHost> = (0..5).map(|_| fixture.host("d0", Some(LARGE), &[SMALL])).collect();
+    let engine = fixture.engine.clone();
+    let drafts = asked(&engine, LARGE_INDEX, 120.0, 1_650, 100);
+    let digests = asked(&engine, SMALL_INDEX, 410.0, 674, 150);
+    let busy = [drafts, digests].map(|asked| asked.work_ms / 1e3);
+    let equally = fixture.next(free.clone(), [large.clone(), small.clone()], busy);
+
+    let mut view = fixture.view(free, [large, small], busy);
+    view.demand = vec![drafts, digests];
+    let action = GroupPlanner::new(view).next();
+
+    assert!(busy[0] / 12.0 < busy[1] / 24.0 * 1.05, "no busier: {busy:?}");
+    assert_eq!(formed(equally), Some((SMALL.to_owned(), 2)));
+    assert_eq!(formed(action), Some((LARGE.to_owned(), 4)));
+}
+
+/// Hosts are heard one after the other while everything starts, and those of two domains that came first
+/// made small groups. No domain can hold a large one any more, and its callers would be refused all day.
+/// Nobody is served yet, so small groups end for it at once.
+#[test]
+fn before_callers_come_small_groups_give_way_to_a_large_one() {
+    let mut fixture = PoolFixture::new();
+    let free = ["a", "b"].map(|domain| fixture.host(domain, None, &[])).to_vec();
+    let small: Vec<PlacedGroup> = ["a", "a", "a", "a", "b", "b", "b", "b"]
+        .map(|domain| fixture.group(domain, SMALL, &[SMALL]))
+        .to_vec();
+    let mut view = fixture.view(free, [Vec::new(), small], [0.0, 0.0]);
+    view.trust = 0.0;
+    view.serving = false;
+
+    let action = GroupPlanner::new(view).next();
+
+    assert!(matches!(action, Some(PlanAction::End(_))), "{action:?}");
+}
+
 /// An empty host is added to a domain whose hosts can nearly all serve the small model, and few the
 /// large one. The next large group that breaks there finds a host only if this one loads its weights.
 #[test]
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -95,9 +95,7 @@
     let priority = team.as_ref().and_then(|(_, priority)| *priority).or(Some(rule.priority));
     let service = state.table.borrow_mut().pick_service(&rule).ok_or(RefusalKind::NoReplica)?;
     state.count_request(&service);
-    if let (Some(model), Some(tokens)) = (&head.model, head.tokens) {
-        state.count_demand(&book, &service, model, tokens.prompt, head.answer_guess);
-    }
+    state.count_demand(&book, &service, &head, &rule);
     let patience = deadline.min(rule.timeout);
     let idle_connections = idle_connections(state, &book, &service);
     Ok(ServedRequest {
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -5,13 +5,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briartray_fleet::deployment::RouteBook;
+use briartray_fleet::deployment::{RouteBook, RouteRule};
 use briartray_fleet::entry::{EntryLease, RetryBudget, StartupWait, TargetTable};
-use briartray_fleet::message::{EntryNotice, EntryReport, ModelDemand};
+use briartray_fleet::message::{EntryNotice, EntryReport, ModelDemand, WorkSum};
 use briartray_fleet::state::StoredPlan;
 use briartray_model::names::{NodeName, ServiceName};
 use briartray_model::{SortedTable, TimePoint};
 use briartray_node::ClockReader;
+use briartray_platform::CallerHead;
 use crossbeam::channel::Sender;
 use tokio::sync::Notify;
 
@@ -35,7 +36,7 @@
     news: Notify,
     startup_wait: StartupWait,
     reports: Sender<EntryReport>,
-    demand: RefCell<SortedTable<(ServiceName, String), f64>>,
+    demand: RefCell<SortedTable<(ServiceName, String), WorkSum>>,
     draining: Cell<bool>,
     serving: Cell<bool>,
     running: Cell<usize>,
@@ -210,30 +211,41 @@
         let _ = self.reports.try_send(report);
     }
 
-    /// Counts what a request for a model asks for.
+    /// Counts what a request under `rule` asks of a model.
     pub(super) fn count_demand(
         &self,
         book: &RouteBook,
         service: &ServiceName,
-        model: &str,
-        prompt: u32,
-        answer: Option<u32>,
+        head: &CallerHead,
+        rule: &RouteRule,
     ) {
+        let (Some(model), Some(tokens)) = (&head.model, head.tokens) else { return };
         let engine = book.service(service).and_then(|spec| spec.engine.as_ref());
         let Some(engine) = engine else { return };
         let Some(spec) = engine.model(model) else { return };
         // The most that a caller allows says little: it is three times the usual answer.
-        let work = engine.work_ms(spec, prompt, answer.unwrap_or(engine.usual_answer));
-        let key = (service.clone(), model.to_owned());
-        *self.demand.borrow_mut().get_or_insert_with(key, || 0.0) += work;
+        let answer = head.answer_guess.unwrap_or(engine.usual_answer);
+        let reading = engine.read_ms(tokens.prompt) * spec.pace;
+        let millis = |time: Duration| time.as_secs_f64() * 1e3;
+        let sum = WorkSum {
+            work_ms: engine.work_ms(spec, tokens.prompt, answer),
+            requests: 1.0,
+            reading_ms: reading,
+            reading_squares: reading * reading,
+            events: engine.events(answer),
+            target_ms: millis(rule.target_latency),
+            gap_ms: millis(rule.target_gap.unwrap_or(rule.target_latency)),
+        };
+        let key = (service.clone(), model.clone());
+        self.demand.borrow_mut().get_or_insert_with(key, WorkSum::default).add(&sum);
     }
 
     fn take_demand(&self) -> Vec<ModelDemand> {
         let counted = std::mem::take(&mut *self.demand.borrow_mut());
-        let tell = |((service, model), work): (&(ServiceName, String), &f64)| ModelDemand {
+        let tell = |((service, model), sum): (&(ServiceName, String), &WorkSum)| ModelDemand {
             service: service.clone(),
             model: model.clone(),
-            work_ms: *work,
+            sum: *sum,
         };
         counted.iter().map(tell).collect()
     }
