Tell entries what all others have on the groups

Cause: a group tells its load with its answers. 39 entries before 19 groups and 195 requests a second have an answer of a group every four seconds each, and take it for empty two seconds after one; they sent to full groups as often as to empty ones, and refused while others had room.

Change: entries report what they have on each group as before, the leader keeps the sums and tells each entry those of the others with its answer: 256 groups at a time, so that an entry stays below 10 KB a second at 2,800 groups. What a group told itself within 250 ms counts for more. Entries report only groups that they use or have used in the last second.

--- a/crates/fleet/src/director/mod.rs
+++ b/crates/fleet/src/director/mod.rs
@@ -26,4 +26,4 @@
 pub use order::{CloseMethod, EndpointOrder, OrderCall, OrderOutcome};
 pub use plan::{GroupPlanner, PlacedGroup, PlanAction, PlanView, PoolHost};
 pub use pulse::PulseBook;
-pub use step::{DirectorOutput, FleetDirector, ProbeCall};
+pub use step::{DirectorOutput, ENTRY_GONE, FleetDirector, ProbeCall};
--- a/crates/fleet/src/director/pulse.rs
+++ b/crates/fleet/src/director/pulse.rs
@@ -7,13 +7,17 @@
 //! Each entry's newest word counts, for a little longer than the time between two of its reports.
 //! Ages of bytes alone would not do: a byte that is 100 ms old when it is told looks as old as a
 //! stall by the time of the next report.
+//!
+//! The same reports tell how many requests each entry has on each group. Their sum is what an entry
+//! cannot know by itself: a group tells its load with its answers, and each of 39 entries before 19
+//! groups has an answer of a group every four seconds.
 
 use std::time::Duration;
 
 use briartray_model::names::{GroupId, NodeName};
 use briartray_model::{SortedTable, TimePoint};
 
-use crate::message::GroupPulse;
+use crate::message::{GroupLoad, GroupPulse};
 
 /// How long an entry's word counts. Entries report every 250 ms, and at once when they find a
 /// group silent.
@@ -22,11 +26,23 @@
 /// How long an entry's finding that a group is silent counts.
 const SUSPICION: Duration = Duration::from_millis(1_500);
 
+/// Groups whose load is told in one answer to a report: about 1 KB, four times a second, of the 10 KB
+/// a second that a host may spend on control. 2,800 groups are told within three seconds.
+const LOADS_TOLD: usize = 256;
+
 /// The newest word of each entry on each group.
 #[derive(Debug, Clone, Default)]
 pub struct PulseBook {
     /// By group first: each question is about one group, and a fleet has many.
-    seen: SortedTable<GroupId, SortedTable<NodeName, GroupSight>>,
+    seen: SortedTable<GroupId, GroupSights>,
+}
+
+/// The newest word of each entry on one group.
+#[derive(Debug, Clone, Default)]
+struct GroupSights {
+    by_entry: SortedTable<NodeName, GroupSight>,
+    /// Requests of all entries, kept as a sum: it is told in every answer to a report.
+    running: u32,
 }
 
 /// What one entry said of one group.
@@ -34,6 +50,7 @@
 struct GroupSight {
     told: TimePoint,
     quiet: Option<Duration>,
+    running: u32,
     suspect: bool,
 }
 
@@ -43,10 +60,13 @@
         let sight = GroupSight {
             told: now,
             quiet: pulse.quiet_ms.map(Duration::from_millis),
+            running: pulse.running,
             suspect: pulse.suspect,
         };
-        let sights = self.seen.get_or_insert_with(pulse.group, SortedTable::new);
-        sights.insert(entry.clone(), sight);
+        let sights = self.seen.get_or_insert_with(pulse.group, GroupSights::default);
+        let earlier = sights.by_entry.insert(entry.clone(), sight);
+        sights.running -= earlier.map_or(0, |sight| sight.running);
+        sights.running += pulse.running;
         pulse.suspect
     }
 
@@ -69,7 +89,27 @@
         self.seen.retain(|group, _| keep(*group));
     }
 
+    /// Forgets what `entry` said: it is gone, and its requests with it.
+    pub fn forget(&mut self, entry: &NodeName) {
+        for sights in self.seen.values_mut() {
+            let gone = sights.by_entry.remove(entry);
+            sights.running -= gone.map_or(0, |sight| sight.running);
+        }
+    }
+
+    /// What entries other than `entry` have on the groups that any of them told of: all groups, or
+    /// the next [`LOADS_TOLD`] of them with each `turn`.
+    pub fn loads_beside(&self, entry: &NodeName, turn: u64) -> Vec<GroupLoad> {
+        let load = |(group, sights): (&GroupId, &GroupSights)| {
+            let own = sights.by_entry.get(entry).map_or(0, |sight| sight.running);
+            GroupLoad { group: *group, others: sights.running - own }
+        };
+        let turns = self.seen.len().div_ceil(LOADS_TOLD).max(1);
+        let turn = usize::try_from(turn % turns as u64).unwrap_or(0);
+        self.seen.iter().skip(turn * LOADS_TOLD).take(LOADS_TOLD).map(load).collect()
+    }
+
     fn sights(&self, group: GroupId) -> impl Iterator<Item = &GroupSight> {
-        self.seen.get(&group).into_iter().flat_map(SortedTable::values)
+        self.seen.get(&group).into_iter().flat_map(|sights| sights.by_entry.values())
     }
 }
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -14,7 +14,7 @@
 use super::stray;
 use super::{EndpointBeat, EndpointOrder, EndpointReport, MarkState, OrderCall, OrderOutcome};
 use crate::deployment::DeploymentPlan;
-use crate::message::EntryReport;
+use crate::message::{EntryReport, GroupLoad};
 use crate::state::{FleetCommand, FleetState, GroupRecord, MemberIndex};
 
 /// Time a new leader asks the endpoints it inherits before it acts: two probes fit in.
@@ -36,6 +36,9 @@
 /// Factor on a load's time after which it counts as failed: loads slow each other down.
 pub(super) const LOAD_PATIENCE: u32 = 3;
 
+/// Time without a report after which an entry no longer counts: a dozen reports.
+pub const ENTRY_GONE: Duration = Duration::from_secs(3);
+
 /// Number that no group has.
 const NO_GROUP: GroupId = GroupId(0);
 
@@ -164,6 +167,23 @@
         }
     }
 
+    /// What entries other than the reporting one have on the groups, or on a part of many.
+    pub fn loads_beside(&self, report: &EntryReport) -> Vec<GroupLoad> {
+        self.pulses.loads_beside(&report.node, report.nonce)
+    }
+
+    /// Forgets entries that report no more.
+    fn forget_entries(&mut self, now: TimePoint) {
+        let pulses = &mut self.pulses;
+        self.entries.retain(|entry, heard| {
+            let stays = now.since(*heard) < ENTRY_GONE;
+            if !stays {
+                pulses.forget(entry);
+            }
+            stays
+        });
+    }
+
     /// Takes note that a command was applied, or lost.
     pub fn command_done(&mut self) {
         self.open_commands = self.open_commands.saturating_sub(1);
@@ -206,6 +226,7 @@
         self.keep_records(now, state, &mut output);
         self.runs.retain(|group, _| state.groups().contains_key(group));
         self.pulses.retain(|group| state.groups().contains_key(&group));
+        self.forget_entries(now);
         self.ask_reports(now, state, &mut output);
         if self.is_settled(now) {
             self.act(now, state, plan, &mut output);
--- a/crates/fleet/src/entry/load.rs
+++ b/crates/fleet/src/entry/load.rs
@@ -28,6 +28,13 @@
 /// Time after that in which it loses half its weight.
 const HALF_LIFE: Duration = Duration::from_millis(1_000);
 
+/// Age up to which what a target told itself counts for more than what the leader sums up, whose
+/// parts are this old on average: one wait for the next report of each entry.
+const TOLD_ITSELF: Duration = Duration::from_millis(250);
+
+/// Time for which a target that is no longer used is told of: four reports.
+const TOLD_AFTERWARDS: Duration = Duration::from_millis(1_000);
+
 /// Load that a target told with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadSample {
@@ -45,9 +52,14 @@
     /// Requests of this entry.
     pub own: u32,
     others: f64,
+    /// When `others` was learnt.
     sampled: Option<TimePoint>,
+    /// When the target told its load itself.
+    told_itself: Option<TimePoint>,
     /// Requests that were sent since its load was told, less those that ended.
     grown: i32,
+    /// When a request of this entry was sent there or ended, or a byte came.
+    touched: Option<TimePoint>,
     /// Last byte that came from it.
     pub moved: Option<TimePoint>,
     first: Option<(TimePoint, f64)>,
@@ -67,10 +79,12 @@
         }
         self.own += 1;
         self.grown += 1;
+        self.touched = Some(now);
     }
 
     /// A request ended.
-    pub fn end(&mut self) {
+    pub fn end(&mut self, now: TimePoint) {
+        self.touched = Some(now);
         self.own = self.own.saturating_sub(1);
         self.grown -= 1;
         if self.own == 0 {
@@ -81,6 +95,7 @@
     /// Bytes came.
     pub fn moved(&mut self, now: TimePoint) {
         self.moved = Some(now);
+        self.touched = Some(now);
         self.waiting_since = Some(now);
         self.suspect_until = None;
     }
@@ -100,7 +115,23 @@
     /// The target told its load.
     pub fn sample(&mut self, now: TimePoint, sample: LoadSample) {
         let total = f64::from(sample.running + sample.waiting);
-        self.others = (total - f64::from(self.own)).max(0.0);
+        self.told_itself = Some(now);
+        self.learn_others(now, (total - f64::from(self.own)).max(0.0));
+    }
+
+    /// The leader told what all other entries have there.
+    ///
+    /// Load pattern: 39 entries before 19 groups of one model, 195 requests a second. An entry has an
+    /// answer of each group every four seconds, and takes a group for empty two seconds after one. It
+    /// sent to full groups as often as to empty ones.
+    pub fn told_of_others(&mut self, now: TimePoint, others: u32) {
+        if self.told_itself.is_none_or(|at| now.since(at) >= TOLD_ITSELF) {
+            self.learn_others(now, f64::from(others));
+        }
+    }
+
+    fn learn_others(&mut self, now: TimePoint, others: f64) {
+        self.others = others;
         self.sampled = Some(now);
         self.grown = 0;
     }
@@ -125,6 +156,12 @@
         self.waiting_since.map(|since| now.since(since))
     }
 
+    /// Whether there is something to tell the leader of it: what it is used for, or that this ended.
+    pub fn is_news(&self, now: TimePoint) -> bool {
+        let lately = self.touched.is_some_and(|at| now.since(at) < TOLD_AFTERWARDS);
+        self.own > 0 || lately || self.is_suspect(now)
+    }
+
     /// Whether it is left alone for now.
     pub fn is_suspect(&self, now: TimePoint) -> bool {
         self.suspect_until.is_some_and(|until| now < until)
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -16,7 +16,7 @@
 use super::choice::{Candidate, UsableTarget, draw, least_loaded};
 use super::{LoadSample, TargetLoad};
 use crate::deployment::{RouteBook, RouteRule};
-use crate::message::{EndpointView, FleetView, GroupPulse, GroupView, ViewVersion};
+use crate::message::{EndpointView, FleetView, GroupLoad, GroupPulse, GroupView, ViewVersion};
 
 /// Silence of a group after which it is left alone, where its engine is not known.
 const SILENT_GROUP: Duration = Duration::from_millis(450);
@@ -116,6 +116,16 @@
         });
     }
 
+    /// Takes what the other entries have on the groups.
+    pub fn take_loads(&mut self, now: TimePoint, loads: &[GroupLoad]) {
+        let known = |group: GroupId| self.view.groups.iter().any(|known| known.group == group);
+        let loads: Vec<&GroupLoad> = loads.iter().filter(|load| known(load.group)).collect();
+        for load in loads {
+            let target = TargetId::Group(load.group);
+            self.load(&target).told_of_others(now, load.others);
+        }
+    }
+
     /// Takes endpoints that accept no new work; they never come back under the same id.
     pub fn mark_leaving(&mut self, leaving: Vec<IncarnationId>) {
         self.leaving = leaving;
@@ -186,8 +196,8 @@
     }
 
     /// A request ended at `target`.
-    pub fn end(&mut self, target: &TargetId) {
-        self.load(target).end();
+    pub fn end(&mut self, now: TimePoint, target: &TargetId) {
+        self.load(target).end(now);
     }
 
     /// Bytes came from `target`.
@@ -252,7 +262,7 @@
             }),
             TargetId::Endpoint(_) => None,
         };
-        self.loads.iter().filter_map(pulse).collect()
+        self.loads.iter().filter(|(_, load)| load.is_news(now)).filter_map(pulse).collect()
     }
 
     fn load(&mut self, target: &TargetId) -> &mut TargetLoad {
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -29,6 +29,14 @@
         pub suspect: bool,
     }
 
+    /// Requests on one group that are not the reader's own.
+    pub struct GroupLoad {
+        /// The group.
+        pub group: GroupId,
+        /// Requests that all other entries have there.
+        pub others: u32,
+    }
+
     /// How much of a model callers asked for since the last report.
     pub struct ModelDemand {
         /// The service.
@@ -131,6 +139,8 @@
         pub plan: Option<StoredPlan>,
         /// The view, when the entry holds another one and the leader knows the fleet.
         pub view: Option<FleetView>,
+        /// What the other entries have on the groups, by their last reports; in answers to reports only.
+        pub loads: Vec<GroupLoad>,
         /// Endpoints that take no new work, whatever the view says.
         pub leaving: Vec<IncarnationId>,
         /// Where control hosts can be found.
--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -9,7 +9,7 @@
     AttemptEnd, AttemptPlan, ChoiceRefusal, DrainSchedule, EntryLease, EventCutter, LoadSample,
     NextMove, RetryBudget, StartupWait, TargetId, TargetTable, TargetWish,
 };
-use briartray_fleet::message::{EndpointView, FleetView, GroupView};
+use briartray_fleet::message::{EndpointView, FleetView, GroupLoad, GroupView};
 use briartray_model::TimePoint;
 use briartray_model::names::{GroupId, IncarnationId, ServiceName, ZoneName};
 
@@ -150,6 +150,39 @@
     assert_eq!(choose(&mut table, at(20)), Err(ChoiceRefusal::Full));
 }
 
+/// Many entries stand before many groups, and each has an answer of a group every few seconds. Two
+/// seconds after one an entry took the group for empty, sent to those that the others had filled, and
+/// its callers waited there. The leader tells what the others have.
+#[test]
+fn groups_that_the_other_entries_fill_are_not_sent_to() {
+    let mut table = table(3);
+    let others = |group, others| GroupLoad { group: GroupId(group), others };
+
+    table.take_loads(at(0), &[others(1, SLOTS), others(2, SLOTS), others(3, 4)]);
+
+    for step in 0..20 {
+        assert_eq!(choose(&mut table, at(step)), Ok(TargetId::Group(GroupId(3))));
+    }
+}
+
+/// A group has just told an entry its load with an answer. What the leader sums up of the reports is
+/// older, and does not replace it.
+#[test]
+fn what_a_group_told_itself_is_newer_than_a_sum_of_reports() {
+    let mut table = table(1);
+    let target = TargetId::Group(GroupId(1));
+    let others = [GroupLoad { group: GroupId(1), others: SLOTS }];
+    table.sample(at(0), &target, LoadSample { running: 3, waiting: 0, slots: SLOTS });
+
+    table.take_loads(at(50), &others);
+    let early = choose(&mut table, at(50));
+    table.take_loads(at(400), &others);
+    let late = choose(&mut table, at(400));
+
+    assert_eq!(early, Ok(target));
+    assert_eq!(late, Err(ChoiceRefusal::Full));
+}
+
 /// A member of a group dies: its head goes on accepting, and nothing comes any more. The entry
 /// leaves the group alone after a few hundred milliseconds instead of six seconds.
 #[test]
--- a/crates/fleet/tests/pulses.rs
+++ b/crates/fleet/tests/pulses.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use briartray_fleet::director::PulseBook;
-use briartray_fleet::message::GroupPulse;
+use briartray_fleet::message::{GroupLoad, GroupPulse};
 use briartray_model::TimePoint;
 use briartray_model::names::{GroupId, NodeName};
 
@@ -61,3 +61,43 @@
     assert!(book.is_moving(at(300), GROUP, LIMIT));
     assert!(!book.is_moving(at(360), GROUP, LIMIT));
 }
+
+/// Each entry knows its own requests on a group and little of the others'. The leader sums up what all
+/// of them report, so that none sends to a group which the others have filled.
+#[test]
+fn the_requests_of_the_other_entries_are_summed_up() {
+    let mut book = PulseBook::default();
+    let running = |running| GroupPulse { group: GROUP, quiet_ms: None, running, suspect: false };
+    let [first, second, third] = ["first", "second", "third"].map(NodeName::new);
+
+    book.take(at(0), &first, &running(5));
+    book.take(at(0), &second, &running(7));
+    book.take(at(250), &first, &running(2));
+
+    assert_eq!(book.loads_beside(&first, 0), [GroupLoad { group: GROUP, others: 7 }]);
+    assert_eq!(book.loads_beside(&third, 0), [GroupLoad { group: GROUP, others: 9 }]);
+    book.forget(&second);
+    assert_eq!(book.loads_beside(&third, 0), [GroupLoad { group: GROUP, others: 2 }]);
+}
+
+/// At the design size 2,800 groups would not fit into each answer. They are told in turns, and none is
+/// left out.
+#[test]
+fn the_loads_of_many_groups_are_told_in_turns() {
+    let mut book = PulseBook::default();
+    let [teller, reader] = ["teller", "reader"].map(NodeName::new);
+    for group in 0..2_800 {
+        let pulse =
+            GroupPulse { group: GroupId(group), quiet_ms: None, running: 1, suspect: false };
+        book.take(at(0), &teller, &pulse);
+    }
+
+    // Four answers a second for three seconds.
+    let told: Vec<Vec<GroupLoad>> = (5..17).map(|turn| book.loads_beside(&reader, turn)).collect();
+
+    let mut groups: Vec<GroupId> = told.iter().flatten().map(|load| load.group).collect();
+    groups.sort();
+    groups.dedup();
+    assert_eq!(groups.len(), 2_800);
+    assert!(told.iter().all(|loads| loads.len() <= 300), "none of them is large");
+}
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -1,6 +1,6 @@
 //! What a leader does: directs the endpoints and keeps the entries informed.
 
-use briartray_fleet::director::FleetDirector;
+use briartray_fleet::director::{ENTRY_GONE, FleetDirector};
 use briartray_fleet::message::{EntryNotice, EntryReport, FleetView, ViewVersion};
 use briartray_link::LinkWriter;
 use briartray_model::names::{NodeName, TermNumber};
@@ -9,9 +9,6 @@
 use super::calls::EndpointCall;
 use super::core::{CommandOrigin, ControlCore, ReadOrigin};
 
-/// Time without a report after which an entry no longer counts.
-const ENTRY_GONE: std::time::Duration = std::time::Duration::from_secs(3);
-
 /// Shortest time between two views: changes that come together are told together.
 const INFORM_EVERY: std::time::Duration = std::time::Duration::from_millis(15);
 
@@ -191,6 +188,7 @@
             nonce: None,
             plan: None,
             view: self.leadership.as_ref().and_then(|lead| lead.view.clone()),
+            loads: Vec::new(),
             leaving: leaving[told..].to_vec(),
             control: self.hosts.names(),
             leader: None,
@@ -217,6 +215,8 @@
 
     pub(super) fn answer_report(&mut self, report: &EntryReport, writer: &LinkWriter) {
         let news = self.news();
+        let loads = self.leadership.as_ref().map(|lead| lead.director.loads_beside(report));
+        let loads = loads.unwrap_or_default();
         let newest = self.state.plan().map(|plan| plan.version);
         let session = self.leadership.as_mut().and_then(|lead| lead.entries.get_mut(&report.node));
         let mut session = session.filter(|session| session.writer.is_same(writer));
@@ -226,7 +226,7 @@
         let is_new = |view: &FleetView| view.version != report.view && shown != Some(view.version);
         let version = news.view.as_ref().map(|view| view.version);
         let view = news.view.clone().filter(is_new);
-        let notice = EntryNotice { nonce: Some(report.nonce), plan, view, ..news };
+        let notice = EntryNotice { nonce: Some(report.nonce), plan, view, loads, ..news };
         // An entry that is behind asks again; its lease runs out meanwhile.
         let sent = writer.try_send(&notice);
         if let (Ok(true), Some(session)) = (sent, session.as_mut()) {
@@ -241,6 +241,7 @@
             nonce: None,
             plan: None,
             view: None,
+            loads: Vec::new(),
             leaving: Vec::new(),
             control: self.hosts.names(),
             leader: self.leader(),
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -83,7 +83,8 @@
 
 impl Drop for TargetGuard {
     fn drop(&mut self) {
-        self.state.table.borrow_mut().end(&self.target);
+        let now = self.state.now();
+        self.state.table.borrow_mut().end(now, &self.target);
     }
 }
 
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -265,6 +265,7 @@
                 endpoints = view.endpoints.len(); "a view is adopted");
             table.adopt(view);
         }
+        table.take_loads(self.now(), &notice.loads);
         // The lease comes last: it confirms what was told with it.
         if let Some(nonce) = notice.nonce {
             let left = self.lease.borrow_mut().grant(nonce).since(self.now());
