Draw groups by the root of their free room

Cause: of 60 groups one opens every half a second, empty. Drawn by the square of its room it got a third of all prompts of its model: late answers that were sent once only had a pause of 374 ms at the median, where a pass full of reading takes 387 ms.

--- a/crates/fleet/src/entry/choice.rs
+++ b/crates/fleet/src/entry/choice.rs
@@ -5,9 +5,14 @@
 
 use super::TargetChoice;
 
-/// Power of a group's free room in its chance. The higher it is, the more entries agree on the emptiest
-/// group; the first power serves as well, within 0.01 of worth over 30 days.
-const FREE_POWER: i32 = 2;
+/// Power of a group's free room in its chance.
+///
+/// Load pattern: of 60 groups one opens every half a second, empty, while the others have a third of their
+/// room. Drawn by the square of its room it got a third of all prompts, read nothing but prompts for
+/// seconds, and held up the streams that it had already begun. The engine ends answers sooner where fewer
+/// run, so nearly equal chances even the groups out by themselves. Over two full days of 380 hosts
+/// the root earned 0.02 more worth than the square and 0.01 more than the first power.
+const FREE_POWER: f64 = 0.5;
 
 /// Power of a group's slowness in its chance: one that takes twice as long for a first part gets an
 /// eighth, since it ends its answers later as well and its load is told late. Chosen so, not measured
@@ -51,7 +56,7 @@
     /// How likely it is drawn, against others.
     fn weight(&self) -> f64 {
         let free = (self.candidate.slots - self.total).max(1.0);
-        free.powi(FREE_POWER) / self.slowness.powi(SLOW_POWER)
+        free.powf(FREE_POWER) / self.slowness.powi(SLOW_POWER)
     }
 }
 
