Wait for a model's first group after a start of everything

Cause: after a stop of everything the new leader's first news names plain endpoints, and no group before its first host has answered.

Change: within the wait that a start excuses, a request waits until something serves what it asks for. Test: a_model_is_served_once_one_of_its_groups_is_open.

--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -146,6 +146,15 @@
         self.view.endpoints.is_empty() && !self.view.groups.iter().any(|group| group.open)
     }
 
+    /// Whether anything serves `service`, and `model` where it serves models.
+    pub fn serves(&self, service: &ServiceName, model: Option<&str>) -> bool {
+        let group = |group: &GroupView| {
+            group.open && group.service == *service && Some(&*group.model) == model
+        };
+        let endpoint = |endpoint: &EndpointView| endpoint.service == *service;
+        self.view.groups.iter().any(group) || self.view.endpoints.iter().any(endpoint)
+    }
+
     /// The service a request under `rule` goes to, by the weights of the rule.
     pub fn pick_service(&mut self, rule: &RouteRule) -> Option<ServiceName> {
         let total: u32 = rule.targets.iter().map(|target| target.weight).sum();
--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -9,9 +9,9 @@
     AttemptEnd, AttemptPlan, ChoiceRefusal, DrainSchedule, EntryLease, EventCutter, LoadSample,
     NextMove, RetryBudget, StartupWait, TargetId, TargetTable, TargetWish,
 };
-use briartray_fleet::message::{EndpointView, FleetView, GroupLoad, GroupView};
+use briartray_fleet::message::{EndpointView, FleetView, GroupLoad, GroupView, ViewVersion};
 use briartray_model::TimePoint;
-use briartray_model::names::{GroupId, IncarnationId, ServiceName, ZoneName};
+use briartray_model::names::{GroupId, IncarnationId, ServiceName, TermNumber, ZoneName};
 
 const SLOTS: u32 = 34;
 
@@ -69,6 +69,13 @@
 
 /// A table with `groups` whose draws are those of `seed`.
 fn table_with(groups: u64, seed: u64) -> TargetTable {
+    let mut table = TargetTable::new(ZoneName::new("a"), seed);
+    table.adopt(view(groups));
+    table
+}
+
+/// A view of `groups` that are open, and of three plain endpoints.
+fn view(groups: u64) -> FleetView {
     let group = |number| GroupView {
         group: GroupId(number),
         service: ServiceName::new("desk"),
@@ -85,13 +92,11 @@
         zone: ZoneName::new("a"),
         slots: 6,
     };
-    let mut table = TargetTable::new(ZoneName::new("a"), seed);
-    table.adopt(FleetView {
+    FleetView {
         groups: (1..=groups).map(group).collect(),
         endpoints: (1..=3).map(endpoint).collect(),
         ..FleetView::default()
-    });
-    table
+    }
 }
 
 fn choose(table: &mut TargetTable, now: TimePoint) -> Result<TargetId, ChoiceRefusal> {
@@ -150,6 +155,24 @@
     assert_eq!(choose(&mut table, at(20)), Err(ChoiceRefusal::Full));
 }
 
+/// Everything was stopped at once. The first news of the new leader names the endpoints that serve alone,
+/// and groups whose first hosts have not answered it yet: callers of a model wait for those.
+#[test]
+fn a_model_is_served_once_one_of_its_groups_is_open() {
+    let desk = ServiceName::new("desk");
+    let mut table = table(1);
+    let opened = table.serves(&desk, Some("small"));
+
+    let mut view = FleetView { version: ViewVersion { term: TermNumber(2), number: 1 }, ..view(1) };
+    view.groups.iter_mut().for_each(|group| group.open = false);
+    table.adopt(view);
+
+    assert!(opened);
+    assert!(!table.serves(&desk, Some("small")));
+    assert!(!table.serves(&desk, None));
+    assert!(table.serves(&ServiceName::new("ledger"), None));
+}
+
 /// Many entries stand before many groups, and each has an answer of a group every few seconds. Two
 /// seconds after one an entry took the group for empty, sent to those that the others had filled, and
 /// its callers waited there. The leader tells what the others have.
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -96,6 +96,7 @@
     let service = state.table.borrow_mut().pick_service(&rule).ok_or(RefusalKind::NoReplica)?;
     state.count_request(&service);
     state.count_demand(&book, &service, &head, &rule);
+    state.replica_soon(&service, head.model.as_deref(), deadline).await;
     let patience = deadline.min(rule.timeout);
     let idle_connections = idle_connections(state, &book, &service);
     Ok(ServedRequest {
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -113,18 +113,36 @@
     /// As [`Self::book`]; a process that has just started waits a moment until it is in touch, as
     /// long as `patience` of the caller allows.
     pub(super) async fn book_soon(&self, patience: Duration) -> Option<Rc<RouteBook>> {
-        if self.is_in_touch() {
-            return self.book();
+        self.wait_for(patience, || self.is_in_touch()).await;
+        self.book()
+    }
+
+    /// A process that has just started waits a moment until something serves what is asked for.
+    ///
+    /// After a stop of everything the first news names plain endpoints, and no group before its first
+    /// host has answered the new leader. Requests for models were refused for half a second, by every
+    /// entry, while their groups worked.
+    pub(super) async fn replica_soon(
+        &self,
+        service: &ServiceName,
+        model: Option<&str>,
+        patience: Duration,
+    ) {
+        self.wait_for(patience, || self.table.borrow().serves(service, model)).await;
+    }
+
+    /// Waits for news until `met`, as long as a start excuses; whether it came is for the caller to see.
+    async fn wait_for(&self, patience: Duration, met: impl Fn() -> bool) {
+        if met() {
+            return;
         }
         let limit = self.startup_wait.patience(self.now(), patience);
-        let ready = async {
-            while !self.is_in_touch() {
+        let waited = async {
+            while !met() {
                 self.news.notified().await;
             }
         };
-        // Whether it came or not shows in the book.
-        let _ = tokio::time::timeout(limit, ready).await;
-        self.book()
+        let _ = tokio::time::timeout(limit, waited).await;
     }
 
     /// Whether callers should be sent here.
