--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -101,7 +101,8 @@
 impl<'a> GroupPlanner<'a> {
     /// A planner for what `view` shows.
     pub fn new(view: PlanView<'a>) -> Self {
-        let [free, leaving, closing] = [&view.free, &view.leaving, &view.closing].map(by_domain);
+        let [free, leaving, closing] =
+            [&view.free, &view.leaving, &view.closing].map(|hosts| by_domain(hosts));
         Self { view, free, leaving, closing }
     }
 
@@ -279,12 +280,14 @@
     domains.into_iter().cloned().collect()
 }
 
-fn by_domain(hosts: &Vec<PoolHost>) -> DomainPositions {
+fn by_domain(hosts: &[PoolHost]) -> DomainPositions {
     let mut positions = DomainPositions::new();
     for (position, host) in hosts.iter().enumerate() {
         match positions.get_mut(&host.domain) {
             Some(known) => known.push(position),
-            None => drop(positions.insert(host.domain.clone(), vec![position])),
+            None => {
+                positions.insert(host.domain.clone(), vec![position]);
+            }
         }
     }
     positions
