--- a/crates/fleet/src/director/pulse.rs
+++ b/crates/fleet/src/director/pulse.rs
@@ -98,7 +98,7 @@
     }
 
     /// What entries other than `entry` have on the groups that any of them told of: all groups, or
-    /// the next [`LOADS_TOLD`] of them with each `turn`.
+    /// the next part of many with each `turn`.
     pub fn loads_beside(&self, entry: &NodeName, turn: u64) -> Vec<GroupLoad> {
         let load = |(group, sights): (&GroupId, &GroupSights)| {
             let own = sights.by_entry.get(entry).map_or(0, |sight| sight.running);
