Keep 64 reports under way at the most

Cause: a new leader asks all endpoints that it inherits, 373 at once, and each has 150 ms to answer. Hosts that count as lost have to prove who they are before they are used, and their groups are taken for broken.

Change: the endpoints that have waited longest are asked first, 64 at one time. Test: a_new_leader_asks_a_fleet_in_turns (380 at once before; all within half a second after).

Conclusion: kept for what it prevents; the cause is inferred from the log and not traced further.

--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -41,6 +41,11 @@
 /// right after its answer is found this much later at the most.
 const SUSPECT_EVERY: Duration = Duration::from_millis(200);
 
+/// Reports under way at one time. A new leader asks all endpoints that it inherits. Where it asked 373 at
+/// once it did not get to read their answers in the time that each has, 727 of them counted as silent
+/// within a second, and hosts that were taken for lost had to prove who they are.
+const PROBES_AT_ONCE: usize = 64;
+
 /// Wait before an endpoint is asked again who it is.
 const PROOF_AGAIN: Duration = Duration::from_millis(500);
 
@@ -300,14 +305,15 @@
         }
     }
 
-    /// Endpoints to be probed now; `in_group` tells which are watched closely. Those that serve alone
+    /// Endpoints to be probed now, as many as may be under way; `in_group` tells which are watched closely. Those that serve alone
     /// have no report: asked for one they answer nothing that reads, and counted as silent.
     pub fn due_probes(
         &mut self,
         now: TimePoint,
         in_group: impl Fn(&IncarnationId) -> bool,
     ) -> Vec<(IncarnationId, String)> {
-        let mut due = Vec::new();
+        let under_way = self.records.values().filter(|record| record.probing).count();
+        let mut due: Vec<(TimePoint, &IncarnationId, &mut HostRecord)> = Vec::new();
         for (id, record) in self.records.iter_mut() {
             let silent = now.since(record.heard) >= SILENT_AFTER;
             // A slow host in no group is watched, so that it is used again once it is quick.
@@ -315,12 +321,18 @@
             let watched = silent || wanted || in_group(id);
             let asked = watched && record.serves_in_groups();
             if !record.probing && now >= record.probe_at && asked {
-                record.probing = true;
-                record.wanted = false;
-                due.push((id.clone(), record.beat.address.clone()));
+                due.push((record.probe_at, id, record));
             }
         }
-        due
+        // Those that have waited longest come first, or the last of many would never be asked.
+        due.sort_by_key(|(since, _, _)| *since);
+        due.truncate(PROBES_AT_ONCE.saturating_sub(under_way));
+        let ask = |(_, id, record): (TimePoint, &IncarnationId, &mut HostRecord)| {
+            record.probing = true;
+            record.wanted = false;
+            (id.clone(), record.beat.address.clone())
+        };
+        due.into_iter().map(ask).collect()
     }
 
     /// Forgets endpoints that gave no sign of life for long.
--- a/crates/fleet/tests/director/large.rs
+++ b/crates/fleet/tests/director/large.rs
@@ -153,3 +153,27 @@
     assert!(fleet.open_of(SMALL) + 4 >= small, "{} of {small} small", fleet.open_of(SMALL));
     assert!(fleet.formed <= formed + 8, "{} groups were formed anew", fleet.formed - formed);
 }
+
+/// All control hosts were stopped, and the next leader asks 380 endpoints for reports. It asked all of
+/// them at once, had no time to read the answers before they counted as missing, and took groups for lost
+/// that callers were served by.
+#[test]
+fn a_new_leader_asks_a_fleet_in_turns() {
+    let mut fleet = large_fleet(6);
+    fleet.run_for(Duration::from_secs(14));
+    fleet.change_leader();
+    fleet.probed.clear();
+
+    let mut asked = Vec::new();
+    for _ in 0..25 {
+        let before = fleet.probed.len();
+        fleet.step();
+        asked.push(fleet.probed.len() - before);
+    }
+
+    assert!(asked.iter().all(|probes| *probes <= 64), "{asked:?}");
+    let mut known = std::mem::take(&mut fleet.probed);
+    known.sort();
+    known.dedup();
+    assert_eq!(known.len(), DOMAINS * DOMAIN_HOSTS, "all within half a second");
+}
