Plan a fleet in one view, bound orders and loads, keep records in batches

Logs of a deployment of 300 machines before 3,150 endpoints showed: one command of the log for each endpoint that announces itself, seven seconds in which nothing is planned; a view of the whole pool built for each planned action; 31,344 joins that found no answer in time and 407 that did, since thousands were given at once; a new leader that took four loads for ordered whatever the rate, and loads that count from the first caller on ordered freely until the leader had heard of it.

Change: the planner keeps one view for a step and carries its actions out in it; the wanted mix is worked out once; it looks again without news only after 0.15 ms for each host. Endpoints are announced and forgotten 256 to a command. At most 128 orders are under way. Loads that are staged before callers come keep to what the store may begin in the second that it takes to hear of them, and a new leader counts hosts that load as loads begun. A question whose answer nobody had time to read, or that was lost with another host, says nothing about the endpoint. Entries share the reports that a leader can take; their words count as long as the time between two of them.

--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -11,7 +11,7 @@
 use briartray_model::names::{IncarnationId, ServiceName};
 use briartray_model::{SortedTable, TimePoint};
 
-use super::{EndpointBeat, EndpointOrder, EndpointReport};
+use super::{EndpointBeat, EndpointOrder, EndpointReport, ProbeCall};
 
 /// Time between two reports of a group's member. A report costs a hundredth of a small request;
 /// 24 members asked this often cost 0.1% of what a deployment of 30 hosts earns.
@@ -46,6 +46,10 @@
 /// the leader did not get to read the answers; hosts that count as lost have to prove who they are.
 const PROBES_AT_ONCE: usize = 64;
 
+/// Time after which a question counts as one that was never asked. An answer, or that none came, is known
+/// within half of it; a control host that was to ask may have died with what it knew.
+const QUESTION_LOST: Duration = Duration::from_millis(600);
+
 /// Wait before an endpoint is asked again who it is.
 const PROOF_AGAIN: Duration = Duration::from_millis(500);
 
@@ -63,12 +67,15 @@
     pub heard: TimePoint,
     /// Probes in a row without an answer.
     pub failures: u32,
-    probing: bool,
+    /// When it was asked for the report that is under way.
+    asked: Option<TimePoint>,
     probe_at: TimePoint,
     /// Last answer to a probe.
     answered: Option<TimePoint>,
     /// Its state is wanted, whether or not it is in a group.
     wanted: bool,
+    /// Its group is found silent.
+    suspect: bool,
     /// Known from an earlier leader, and not heard of yet.
     inherited: bool,
     /// Another incarnation may have its address: it counts as lost until an order is answered, which
@@ -97,10 +104,11 @@
             since: now,
             heard: now,
             failures: 0,
-            probing: false,
+            asked: None,
             probe_at,
             answered: None,
             wanted: false,
+            suspect: false,
             inherited: false,
             unproven: false,
             contested: false,
@@ -134,6 +142,14 @@
         }
     }
 
+    /// Whether it is to be asked for reports.
+    fn is_watched(&self, now: TimePoint, in_group: impl Fn() -> bool) -> bool {
+        let silent = now.since(self.heard) >= SILENT_AFTER;
+        // A slow host in no group is watched, so that it is used again once it is quick.
+        let wanted = self.inherited || self.wanted || self.is_slow();
+        self.serves_in_groups() && (silent || wanted || in_group())
+    }
+
     fn serves_in_groups(&self) -> bool {
         self.beat.report.domain.is_some()
     }
@@ -226,10 +242,13 @@
         }
     }
 
-    /// Endpoints that are to be asked who they are.
-    pub fn due_proofs(&mut self, now: TimePoint) -> Vec<(IncarnationId, String)> {
+    /// Endpoints that are to be asked who they are, `room` of them at the most.
+    pub fn due_proofs(&mut self, now: TimePoint, room: usize) -> Vec<(IncarnationId, String)> {
         let mut due = Vec::new();
         for (id, record) in self.records.iter_mut() {
+            if due.len() >= room {
+                break;
+            }
             if (record.unproven || record.proof_due) && now >= record.proof_at {
                 record.proof_due = false;
                 record.proof_at = now.after(PROOF_AGAIN);
@@ -266,7 +285,7 @@
     /// Takes the answer to a probe, or that none came.
     pub fn probed(&mut self, now: TimePoint, id: &IncarnationId, report: Option<EndpointReport>) {
         let Some(record) = self.records.get_mut(id) else { return };
-        record.probing = false;
+        let asked = record.asked.take();
         match report {
             Some(report) => {
                 record.heard(now);
@@ -277,6 +296,8 @@
                 let since = record.slow_since.unwrap_or(now);
                 record.slow_since = record.is_slow().then_some(since);
             }
+            // The silence of a question that was given up is known already, or was asked again.
+            None if asked.is_none() => {}
             None => {
                 record.failures += 1;
                 record.probe_at = if record.is_lost() { now.after(PROBE_LOST) } else { now };
@@ -284,6 +305,14 @@
         }
     }
 
+    /// Nobody had time to read the answer to a probe: it is asked again.
+    pub fn unread(&mut self, now: TimePoint, id: &IncarnationId) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.asked = None;
+            record.probe_at = now;
+        }
+    }
+
     /// Asks for a probe of `id` as soon as possible.
     ///
     /// This holds for hosts in no group as well: one that has left its group and whose beat was lost
@@ -302,25 +331,24 @@
             let soonest = record.answered.map_or(now, |at| at.after(SUSPECT_EVERY)).max(now);
             record.probe_at = record.probe_at.min(soonest);
             record.wanted = true;
+            record.suspect = true;
         }
     }
 
-    /// Endpoints to be probed now, as many as may be under way; `in_group` tells which are watched closely. Those that serve alone
-    /// have no report: asked for one they answer nothing that reads, and counted as silent.
+    /// Endpoints to be probed now, as many as may be under way; `in_group` tells which are watched closely.
+    /// Those that serve alone have no report: asked for one they answer nothing that reads, and counted as
+    /// silent.
     pub fn due_probes(
         &mut self,
         now: TimePoint,
         in_group: impl Fn(&IncarnationId) -> bool,
-    ) -> Vec<(IncarnationId, String)> {
-        let under_way = self.records.values().filter(|record| record.probing).count();
+    ) -> Vec<ProbeCall> {
+        let mut under_way = 0;
         let mut due: Vec<(TimePoint, &IncarnationId, &mut HostRecord)> = Vec::new();
         for (id, record) in self.records.iter_mut() {
-            let silent = now.since(record.heard) >= SILENT_AFTER;
-            // A slow host in no group is watched, so that it is used again once it is quick.
-            let wanted = record.inherited || record.wanted || record.is_slow();
-            let watched = silent || wanted || in_group(id);
-            let asked = watched && record.serves_in_groups();
-            if !record.probing && now >= record.probe_at && asked {
+            let waits = record.asked.is_some_and(|at| now.since(at) < QUESTION_LOST);
+            under_way += usize::from(waits);
+            if !waits && now >= record.probe_at && record.is_watched(now, || in_group(id)) {
                 due.push((record.probe_at, id, record));
             }
         }
@@ -328,9 +356,10 @@
         due.sort_by_key(|(since, _, _)| *since);
         due.truncate(PROBES_AT_ONCE.saturating_sub(under_way));
         let ask = |(_, id, record): (TimePoint, &IncarnationId, &mut HostRecord)| {
-            record.probing = true;
-            record.wanted = false;
-            (id.clone(), record.beat.address.clone())
+            let again = record.asked.replace(now).is_some();
+            let urgent = again || record.failures > 0 || record.suspect;
+            (record.wanted, record.suspect) = (false, false);
+            ProbeCall { id: id.clone(), address: record.beat.address.clone(), urgent }
         };
         due.into_iter().map(ask).collect()
     }
--- a/crates/fleet/src/director/order.rs
+++ b/crates/fleet/src/director/order.rs
@@ -1,4 +1,4 @@
-//! Orders to endpoints and what comes of them.
+//! Orders to endpoints and what comes of them, and questions.
 
 use briartray_model::names::{GroupId, IncarnationId};
 use briartray_model::{plain_choice, plain_value};
@@ -74,4 +74,15 @@
         /// The order.
         pub order: EndpointOrder,
     }
+
+    /// A report to be asked for.
+    pub struct ProbeCall {
+        /// The endpoint.
+        pub id: IncarnationId,
+        /// Where it listens.
+        pub address: String,
+        /// Whether something may be wrong with it: a question before was not answered, or its group is
+        /// found silent.
+        pub urgent: bool,
+    }
 }
--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -34,6 +34,9 @@
 /// any, days of high load earned 0.03 more and days with lost orders 0.05 less.
 const SPARES_KEPT: usize = 1;
 
+/// Number of a group that the log has not named yet.
+const UNNAMED: GroupId = GroupId(u64::MAX);
+
 /// What the planner looks at, for one service.
 #[derive(Debug, Clone)]
 pub struct PlanView<'a> {
@@ -86,6 +89,8 @@
 #[derive(Debug, Clone)]
 pub struct GroupPlanner<'a> {
     view: PlanView<'a>,
+    /// Groups of each model that should serve; the actions of one step hardly change it.
+    wanted: Vec<f64>,
     /// Positions of free hosts by domain. Each domain is asked for its own several times for an action;
     /// a look through all free hosts each time took half of a plan at 1,000 hosts.
     free: DomainPositions,
@@ -103,25 +108,76 @@
     pub fn new(view: PlanView<'a>) -> Self {
         let [free, leaving, closing] =
             [&view.free, &view.leaving, &view.closing].map(|hosts| by_domain(hosts));
-        Self { view, free, leaving, closing }
+        let mut planner = Self { view, wanted: Vec::new(), free, leaving, closing };
+        planner.wanted = planner.wanted_groups();
+        planner
     }
 
     /// The next action, the most urgent one; `None` when nothing is to be done.
     pub fn next(&self) -> Option<PlanAction> {
-        let wanted = self.wanted();
-        self.form_missing(&wanted)
+        let wanted = &self.wanted;
+        self.form_missing(wanted)
             .or_else(|| self.replace_slow())
-            .or_else(|| self.rebalance(&wanted))
-            .or_else(|| self.form_further(&wanted))
+            .or_else(|| self.rebalance(wanted))
+            .or_else(|| self.form_further(wanted))
             .or_else(|| self.warm_up())
-            .or_else(|| self.stage(&wanted))
+            .or_else(|| self.stage(wanted))
+    }
+
+    /// Brings the view up to date with an action that was begun, so that the next one builds on it.
+    pub fn carry_out(&mut self, action: PlanAction) {
+        match action {
+            PlanAction::Form { group, .. } => self.place(&group),
+            PlanAction::Stage { host, model } => {
+                self.view.loading += 1;
+                if let Some(host) = self.host_mut(&host) {
+                    host.staging = Some(model);
+                }
+            }
+            PlanAction::End(group) => self.vacate(group),
+        }
+    }
+
+    /// Takes the members of `group` out of the free hosts, unless it is a standby group.
+    fn place(&mut self, group: &GroupRecord) {
+        if group.standby {
+            for member in &group.members {
+                if let Some(host) = self.host_mut(&member.id) {
+                    host.standby = Some(group.model.clone());
+                }
+            }
+            return;
+        }
+        let is_member = |host: &PoolHost| group.members.iter().any(|member| member.id == host.id);
+        let taken = |host: &mut PoolHost| is_member(host);
+        let hosts = self.view.free.extract_if(.., taken).collect();
+        self.free = by_domain(&self.view.free);
+        let index = self.models().iter().position(|model| model.name == group.model);
+        if let Some(groups) = index.and_then(|index| self.view.groups.get_mut(index)) {
+            groups.push(PlacedGroup { group: UNNAMED, domain: group.domain.clone(), hosts });
+        }
+    }
+
+    /// Takes `group` out of those that serve; its hosts are free in a while.
+    fn vacate(&mut self, group: GroupId) {
+        for groups in &mut self.view.groups {
+            for ended in groups.extract_if(.., |placed| placed.group == group) {
+                self.view.closing.extend(ended.hosts);
+            }
+        }
+        self.closing = by_domain(&self.view.closing);
+    }
+
+    fn host_mut(&mut self, id: &IncarnationId) -> Option<&mut PoolHost> {
+        let groups = self.view.groups.iter_mut().flatten();
+        let grouped = groups.flat_map(|group| &mut group.hosts);
+        self.view.free.iter_mut().chain(grouped).find(|host| host.id == *id)
     }
 
     /// What decides, in a few words: groups wanted of each model, and how far demand is believed.
     pub fn summary(&self) -> String {
-        let wanted = self.wanted();
         let tell = |(model, wanted): (&ModelSpec, &f64)| format!("{} {wanted:.1}", model.name);
-        let wanted: Vec<String> = self.models().iter().zip(&wanted).map(tell).collect();
+        let wanted: Vec<String> = self.models().iter().zip(&self.wanted).map(tell).collect();
         let (hosts, trust) = (self.packed_hosts(), self.view.trust);
         format!("wanted {} on {hosts} hosts, trust {trust:.1}", wanted.join(" "))
     }
@@ -131,7 +187,7 @@
     ///
     /// The split counts, not the sum: with as many groups as the sum asks for, two models that both
     /// lacked hosts took them from each other, and hosts were idle while a burst began.
-    fn wanted(&self) -> Vec<f64> {
+    fn wanted_groups(&self) -> Vec<f64> {
         let models = self.models();
         let work: Vec<f64> = models
             .iter()
--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -1,11 +1,11 @@
 //! What the planner is shown, and carrying out what it wants.
 
-use std::borrow::Cow;
 use std::time::Duration;
 
 use briartray_model::TimePoint;
 use briartray_model::names::{DomainName, GroupId, IncarnationId, ServiceName};
 
+use super::loads::LoadLimiter;
 use super::plan::{GroupPlanner, PlacedGroup, PlanAction, PlanView, PoolHost};
 use super::step::{DirectorOutput, LOAD_PATIENCE};
 use super::stray;
@@ -24,13 +24,16 @@
 const FRESH: Duration = Duration::from_millis(2_500);
 
 /// Actions planned in one step at the most: commands of one step share a sync of the disks, and a
-/// plan of a fleet's first groups, one action for each answer of the log, took 2.2 s for 62 groups.
-const PLANS_PER_STEP: usize = 16;
+/// fleet's first groups and loads have to be ordered before callers come.
+const PLANS_PER_STEP: usize = 32;
 
 /// Hosts that the planner looks at in one step, over all its actions. An action costs the more the more
-/// hosts there are, and a step that takes long holds up heartbeats, of which a leader sends ten a second:
-/// the longest of sixteen actions at 3,000 hosts took 0.3 s of a whole core, bounded so 0.04 s.
-const HOSTS_PER_STEP: usize = 6_400;
+/// hosts there are, and a step that takes long holds up heartbeats, of which a leader sends ten a second.
+const HOSTS_PER_STEP: usize = 32_000;
+
+/// Wait for each host before the planner looks again although nothing was learnt: only time has passed,
+/// and a look at thousands of hosts takes a good part of the time between two steps.
+const LOOK_AGAIN: Duration = Duration::from_micros(150);
 
 impl FleetDirector {
     /// Plans some actions, each on what the ones before it leave.
@@ -42,38 +45,45 @@
         engine: &EngineModel,
         output: &mut DirectorOutput,
     ) {
-        let mut planned = Cow::Borrowed(state);
         let hosts = self.hosts.of_service(&service.name).count().max(1);
+        let mut planner = GroupPlanner::new(self.plan_view(now, state, &service.name, engine));
+        self.plan_note = planner.summary();
         for _ in 0..(HOSTS_PER_STEP / hosts).clamp(1, PLANS_PER_STEP) {
-            let view = self.plan_view(now, &planned, &service.name, engine);
-            let planner = GroupPlanner::new(view);
             let Some(action) = planner.next() else { return };
-            self.plan_note = planner.summary();
-            let known = output.commands.len();
-            if !self.begin_action(now, engine, action, output) {
+            if !self.begin_action(now, engine, &action, output) {
                 return;
             }
-            if let Some(command) = output.commands.get(known) {
-                planned.to_mut().apply(command);
-            }
+            self.news = true;
+            planner.carry_out(action);
         }
     }
 
+    /// Whether the planner is to look: something was learnt, or it has not looked for a while.
+    pub(super) fn is_plan_due(&mut self, now: TimePoint) -> bool {
+        let due = std::mem::take(&mut self.news) || now >= self.look_at;
+        if due {
+            let hosts = u32::try_from(self.hosts.iter().count()).unwrap_or(u32::MAX);
+            self.look_at = now.after(LOOK_AGAIN * hosts);
+        }
+        due
+    }
+
     /// Begins what the planner wants; `false` when it has to wait.
     fn begin_action(
         &mut self,
         now: TimePoint,
         engine: &EngineModel,
-        action: PlanAction,
+        action: &PlanAction,
         output: &mut DirectorOutput,
     ) -> bool {
         match action {
             PlanAction::Form { group, loads } => {
-                if !self.may_load(now, engine, loads) {
+                // The first groups are formed long before callers come.
+                if self.serving && !self.may_load(now, engine, *loads) {
                     return false;
                 }
-                self.loads.begin(now, if self.serving { loads } else { 0 });
-                output.commands.push(FleetCommand::FormGroup(group));
+                self.loads.begin(now, if self.serving { *loads } else { 0 });
+                output.commands.push(FleetCommand::FormGroup(group.clone()));
             }
             PlanAction::Stage { host, model } => {
                 // Hosts that are heard late would else find no partners for a group.
@@ -82,10 +92,10 @@
                     return false;
                 }
                 self.loads.begin(now, 1);
-                self.stage(now, engine, &host, model, output);
+                self.stage(now, engine, host, model.clone(), output);
             }
             PlanAction::End(group) => {
-                let Some(run) = self.runs.get_mut(&group) else { return false };
+                let Some(run) = self.runs.get_mut(group) else { return false };
                 run.ending = Some(now);
             }
         }
@@ -113,10 +123,17 @@
         !self.inherits && now.since(self.since) < GATHER
     }
 
-    /// Before callers ask for anything, loads are short and do not count against the rate.
     fn may_load(&self, now: TimePoint, engine: &EngineModel, loads: usize) -> bool {
-        let free = loads == 0 || !self.serving;
-        free || self.loads.may_begin(now, engine.loads_per_second, loads)
+        let may = || self.loads.may_begin(now, engine.loads_per_second, loads, self.serving);
+        loads == 0 || may()
+    }
+
+    /// Takes the loads that an earlier leader has ordered into account: a store of its own for each leader
+    /// began three times as many as it may where two leaders were lost while hosts loaded.
+    pub(super) fn inherit_loads(&mut self, now: TimePoint) {
+        let loads = |host: &HostRecord| staging_of(host).is_some() && !host.is_lost();
+        let count = self.hosts.iter().filter(|(_, host)| loads(host)).count();
+        self.loads = LoadLimiter::inherited(now, count);
     }
 
     fn stage(
--- a/crates/fleet/src/director/pulse.rs
+++ b/crates/fleet/src/director/pulse.rs
@@ -17,11 +17,11 @@
 use briartray_model::names::{GroupId, NodeName};
 use briartray_model::{SortedTable, TimePoint};
 
+use crate::entry::report_pause;
 use crate::message::{GroupLoad, GroupPulse};
 
-/// How long an entry's word counts. Entries report every 250 ms, and at once when they find a
-/// group silent.
-const WORD_LASTS: Duration = Duration::from_millis(350);
+/// How long an entry's word counts beyond the time between two of its reports.
+const WORD_SLACK: Duration = Duration::from_millis(100);
 
 /// How long an entry's finding that a group is silent counts.
 const SUSPICION: Duration = Duration::from_millis(1_500);
@@ -35,6 +35,8 @@
 pub struct PulseBook {
     /// By group first: each question is about one group, and a fleet has many.
     seen: SortedTable<GroupId, GroupSights>,
+    /// Entries that report.
+    entries: usize,
 }
 
 /// The newest word of each entry on one group.
@@ -55,6 +57,11 @@
 }
 
 impl PulseBook {
+    /// Takes note of how many entries report: the more there are, the less often each does.
+    pub fn expect(&mut self, entries: usize) {
+        self.entries = entries;
+    }
+
     /// Takes what `entry` saw; `true` when it finds the group silent.
     pub fn take(&mut self, now: TimePoint, entry: &NodeName, pulse: &GroupPulse) -> bool {
         let sight = GroupSight {
@@ -85,8 +92,9 @@
 
     /// Whether some entry had bytes of the group within `limit` of its newest word.
     pub fn is_moving(&self, now: TimePoint, group: GroupId, limit: Duration) -> bool {
+        let lasts = report_pause(self.entries) + WORD_SLACK;
         self.sights(group).any(|sight| {
-            let fresh = now.since(sight.told) < WORD_LASTS;
+            let fresh = now.since(sight.told) < lasts;
             fresh && !sight.suspect && sight.quiet.is_some_and(|quiet| quiet < limit)
         })
     }
--- a/crates/fleet/src/director/records.rs
+++ b/crates/fleet/src/director/records.rs
@@ -1,11 +1,16 @@
 //! The agreed list of endpoints, kept up to date with what is heard.
 
 use briartray_model::TimePoint;
+use briartray_model::names::IncarnationId;
 
 use super::step::DirectorOutput;
 use super::{EndpointBeat, EndpointReport, FleetDirector, HostRecord};
 use crate::state::{EndpointRecord, FleetCommand, FleetState};
 
+/// Endpoints that one command names at the most. Nothing is planned while commands are under way: with a
+/// command for each endpoint, thousands that start together would have no groups when callers come.
+const RECORDS_PER_STEP: usize = 256;
+
 impl FleetDirector {
     /// Brings the agreed list of endpoints up to date with what was heard.
     pub(super) fn keep_records(
@@ -15,16 +20,20 @@
         output: &mut DirectorOutput,
     ) {
         self.hosts.prune(now);
-        for (id, host) in self.hosts.iter() {
-            let known = state.endpoints().get(id);
-            if known.is_none() && !host.is_lost() && !self.announced.contains(id) {
-                self.announced.push(id.clone());
-                output.commands.push(FleetCommand::Announce(record_of(host)));
-            }
+        let fresh = |(id, host): &(&IncarnationId, &HostRecord)| {
+            state.endpoints().get(id).is_none() && !host.is_lost() && !self.announced.contains(id)
+        };
+        let fresh = self.hosts.iter().filter(fresh).take(RECORDS_PER_STEP);
+        let records: Vec<EndpointRecord> = fresh.map(|(_, host)| record_of(host)).collect();
+        if !records.is_empty() {
+            self.announced.extend(records.iter().map(|record| record.id.clone()));
+            output.commands.push(FleetCommand::Announce(records));
         }
-        for id in state.endpoints().keys().filter(|id| self.hosts.get(id).is_none()) {
-            self.announced.retain(|known| known != id);
-            output.commands.push(FleetCommand::Forget(id.clone()));
+        let gone = state.endpoints().keys().filter(|id| self.hosts.get(id).is_none());
+        let gone: Vec<IncarnationId> = gone.take(RECORDS_PER_STEP).cloned().collect();
+        if !gone.is_empty() {
+            self.announced.retain(|known| !gone.contains(known));
+            output.commands.push(FleetCommand::Forget(gone));
         }
     }
 }
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -9,10 +9,13 @@
 use super::group::{GroupRun, GroupScene, GroupStep, next_step};
 use super::hosts::{HostRecord, HostTable};
 use super::loads::LoadLimiter;
+use super::order_window::OrderWindow;
 use super::pulse::PulseBook;
 use super::records::inherited_beat;
 use super::stray;
-use super::{EndpointBeat, EndpointOrder, EndpointReport, MarkState, OrderCall, OrderOutcome};
+use super::{
+    EndpointBeat, EndpointOrder, EndpointReport, MarkState, OrderCall, OrderOutcome, ProbeCall,
+};
 use crate::deployment::DeploymentPlan;
 use crate::message::{EntryReport, GroupLoad};
 use crate::state::{FleetCommand, FleetState, GroupRecord, MemberIndex};
@@ -42,15 +45,6 @@
 /// Number that no group has.
 const NO_GROUP: GroupId = GroupId(0);
 
-/// A report to be asked for.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ProbeCall {
-    /// The endpoint.
-    pub id: IncarnationId,
-    /// Where it listens.
-    pub address: String,
-}
-
 /// What follows from a step.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct DirectorOutput {
@@ -68,6 +62,8 @@
     pub(super) since: TimePoint,
     /// Whether an earlier leader may have left groups whose hosts are yet to be heard.
     pub(super) inherits: bool,
+    /// Whether enough has been heard to act.
+    acts: bool,
     pub(super) hosts: HostTable,
     pub(super) pulses: PulseBook,
     pub(super) demand: DemandBook,
@@ -76,9 +72,15 @@
     newcomer_at: TimePoint,
     pub(super) runs: SortedTable<GroupId, GroupRun>,
     pub(super) loads: LoadLimiter,
+    /// Orders that are under way.
+    window: OrderWindow,
     /// What decided when something was planned last.
     pub(super) plan_note: String,
     pub(super) serving: bool,
+    /// Something was learnt since the planner looked last.
+    pub(super) news: bool,
+    /// When the planner looks again although nothing was learnt.
+    pub(super) look_at: TimePoint,
     /// Commands that are not applied yet; nothing is planned meanwhile.
     open_commands: usize,
     entries: SortedTable<NodeName, TimePoint>,
@@ -90,10 +92,8 @@
     /// A director of a leader that begins at `now` with what was agreed before.
     pub fn new(now: TimePoint, state: &FleetState) -> Self {
         let inherits = !state.endpoints().is_empty();
-        let loads = if inherits { LoadLimiter::used_up(now, 1.0) } else { LoadLimiter::default() };
         // Callers may be served already: loads count then, and take their full time.
-        let mut director =
-            Self { since: now, inherits, serving: inherits, loads, ..Self::default() };
+        let mut director = Self { since: now, inherits, serving: inherits, ..Self::default() };
         for record in state.endpoints().values() {
             director.hosts.inherit(now, inherited_beat(record));
         }
@@ -108,7 +108,9 @@
         if known.is_none() {
             self.newcomer_at = now;
         }
-        self.hosts.beat(now, beat) && known != self.hosts.get(&id).map(report)
+        let told = self.hosts.beat(now, beat) && known != self.hosts.get(&id).map(report);
+        self.news |= told;
+        told
     }
 
     /// Takes the answer to a probe, or that none came; tells whether it says something new.
@@ -120,12 +122,22 @@
     ) -> bool {
         let told = |hosts: &HostTable| hosts.get(id).map(|host| host.beat.report.clone());
         let known = told(&self.hosts);
+        let silent = report.is_none();
         self.hosts.probed(now, id, report);
-        known != told(&self.hosts)
+        let changed = known != told(&self.hosts);
+        self.news |= changed || silent;
+        changed
+    }
+
+    /// Takes note that nobody had time to read the answer to a probe.
+    pub fn unread(&mut self, now: TimePoint, id: &IncarnationId) {
+        self.hosts.unread(now, id);
     }
 
     /// Takes what came of an order.
     pub fn ordered(&mut self, now: TimePoint, call: &OrderCall, outcome: OrderOutcome) {
+        self.window.end();
+        self.news = true;
         if !matches!(outcome, OrderOutcome::Unknown | OrderOutcome::OtherEndpoint) {
             self.hosts.proven(now, &call.id);
         }
@@ -154,6 +166,7 @@
     /// Takes what an entry saw.
     pub fn report(&mut self, now: TimePoint, report: &EntryReport, state: &FleetState) {
         self.entries.insert(report.node.clone(), now);
+        self.pulses.expect(self.entries.len());
         self.serving |= report.serving;
         for demand in &report.demand {
             self.demand.add(now, demand);
@@ -188,6 +201,7 @@
     /// Takes note that a command was applied, or lost.
     pub fn command_done(&mut self) {
         self.open_commands = self.open_commands.saturating_sub(1);
+        self.news = true;
     }
 
     /// The start of an endpoint that is meant by `id`: the one that is known where `id` does not
@@ -201,6 +215,7 @@
 
     /// An endpoint is gone for good.
     pub fn gone(&mut self, id: &IncarnationId) {
+        self.news = true;
         self.hosts.remove(id);
     }
 
@@ -230,9 +245,13 @@
         self.forget_entries(now);
         self.ask_reports(now, state, &mut output);
         if self.is_settled(now) {
+            if self.inherits && !std::mem::replace(&mut self.acts, true) {
+                self.inherit_loads(now);
+            }
             self.act(now, state, plan, &mut output);
         }
         self.open_commands += output.commands.len();
+        self.window.give(now, output.orders.len());
         output
     }
 
@@ -247,11 +266,13 @@
         if now >= self.demand_at {
             self.demand.roll(now);
             self.demand_at = now.after(DEMAND_EVERY);
+            self.news = true;
         }
         self.note_warm(state);
-        output.orders.extend(stray::recall(now, &mut self.hosts, state));
+        let room = self.order_room(now, output);
+        output.orders.extend(stray::recall(now, &mut self.hosts, state, room));
         self.step_groups(now, state, plan, output);
-        if self.open_commands > 0 {
+        if self.open_commands > 0 || !self.is_plan_due(now) {
             return;
         }
         for service in &plan.services {
@@ -291,14 +312,20 @@
     fn ask_reports(&mut self, now: TimePoint, state: &FleetState, output: &mut DirectorOutput) {
         let index = MemberIndex::new(state);
         let due = self.hosts.due_probes(now, |id| index.group_of(id).is_some());
-        output.probes.extend(due.into_iter().map(|(id, address)| ProbeCall { id, address }));
+        output.probes.extend(due);
         // To leave a group that never was changes nothing.
         let order = EndpointOrder::Leave { group: NO_GROUP };
-        let proofs = self.hosts.due_proofs(now).into_iter();
+        let room = self.order_room(now, output);
+        let proofs = self.hosts.due_proofs(now, room).into_iter();
         let ask = |(id, address)| OrderCall { id, address, order: order.clone() };
         output.orders.extend(proofs.map(ask));
     }
 
+    /// Orders that may be given beside those of this step.
+    fn order_room(&mut self, now: TimePoint, output: &DirectorOutput) -> usize {
+        self.window.room(now).saturating_sub(output.orders.len())
+    }
+
     fn step_groups(
         &mut self,
         now: TimePoint,
@@ -307,7 +334,12 @@
         output: &mut DirectorOutput,
     ) {
         let mut runs = std::mem::take(&mut self.runs);
+        let room = self.order_room(now, output);
+        let full = output.orders.len() + room;
         for (group, record) in state.groups().iter() {
+            if output.orders.len() >= full {
+                break;
+            }
             let patience = load_time(plan, record) * LOAD_PATIENCE;
             let run = runs.get_or_insert_with(*group, || GroupRun::new(now, patience));
             match next_step(&self.scene(now, state, plan), *group, record, run) {
--- a/crates/fleet/src/director/stray.rs
+++ b/crates/fleet/src/director/stray.rs
@@ -22,10 +22,18 @@
     mark.is_some_and(|mark| !state.groups().contains_key(&mark.group))
 }
 
-/// Orders that get endpoints out of groups that have ended.
-pub(super) fn recall(now: TimePoint, hosts: &mut HostTable, state: &FleetState) -> Vec<OrderCall> {
+/// Orders that get endpoints out of groups that have ended, `room` of them at the most.
+pub(super) fn recall(
+    now: TimePoint,
+    hosts: &mut HostTable,
+    state: &FleetState,
+    room: usize,
+) -> Vec<OrderCall> {
     let mut calls = Vec::new();
     for (id, host) in hosts.iter_mut() {
+        if calls.len() >= room {
+            break;
+        }
         if host.is_lost() || !is_stray(host, state) {
             continue;
         }
--- a/crates/fleet/src/director/view.rs
+++ b/crates/fleet/src/director/view.rs
@@ -22,6 +22,7 @@
         for service in plan.services.iter().filter(|service| service.engine.is_none()) {
             view.endpoints.extend(self.endpoints_of(service, state));
         }
+        view.endpoints.sort_by(|a, b| a.id.cmp(&b.id));
         for (group, record) in state.groups().iter().filter(|(_, record)| !record.standby) {
             let Some(head) = record.members.first() else { continue };
             view.groups.push(GroupView {
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod events;
 mod lease;
 mod load;
+mod report_pace;
 mod startup;
 mod table;
 
@@ -17,5 +18,6 @@
 pub use events::{EventCutter, StreamEvent};
 pub use lease::EntryLease;
 pub use load::{LoadSample, TargetLoad};
+pub use report_pace::{ask_pause, report_pause};
 pub use startup::StartupWait;
 pub use table::{ChoiceRefusal, TargetChoice, TargetId, TargetTable, TargetWish};
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -16,7 +16,9 @@
 use super::choice::{Candidate, UsableTarget, draw, least_loaded};
 use super::{LoadSample, TargetLoad};
 use crate::deployment::{RouteBook, RouteRule};
-use crate::message::{EndpointView, FleetView, GroupLoad, GroupPulse, GroupView, ViewVersion};
+use crate::message::{
+    EndpointView, FleetView, GroupLoad, GroupPulse, GroupView, ViewUpdate, ViewVersion,
+};
 
 /// Silence of a group after which it is left alone, where its engine is not known.
 const SILENT_GROUP: Duration = Duration::from_millis(450);
@@ -80,6 +82,8 @@
 pub struct TargetTable {
     zone: ZoneName,
     view: FleetView,
+    /// An update of another view came.
+    misfits: bool,
     loads: SortedTable<TargetId, TargetLoad>,
     leaving: Vec<IncarnationId>,
     random: ChaCha8Rng,
@@ -91,12 +95,23 @@
         Self {
             zone,
             view: FleetView::default(),
+            misfits: false,
             loads: SortedTable::new(),
             leaving: Vec::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
 
+    /// Takes what has changed. Where that is told of another view than the one held here, the next report
+    /// asks for the whole one.
+    pub fn update(&mut self, update: ViewUpdate) {
+        let updated = self.view.updated(update);
+        self.misfits = updated.is_none();
+        if let Some(view) = updated {
+            self.adopt(view);
+        }
+    }
+
     /// Takes a newer view.
     ///
     /// One of a leader that has not heard of all endpoints yet is better than none, as after a
@@ -131,9 +146,9 @@
         self.leaving = leaving;
     }
 
-    /// Version of the view.
+    /// Version of the view; the first one of all where a whole view is wanted.
     pub fn version(&self) -> ViewVersion {
-        self.view.version
+        if self.misfits { ViewVersion::default() } else { self.view.version }
     }
 
     /// Entries that share limits with this one.
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -1,20 +1,15 @@
 //! What entries and control hosts tell each other.
 
-use briartray_model::names::{GroupId, IncarnationId, NodeName, ServiceName, TermNumber, ZoneName};
-use briartray_model::{plain_choice, plain_value};
+mod view;
+mod view_history;
 
-use crate::state::StoredPlan;
+use briartray_model::names::{GroupId, IncarnationId, NodeName, ServiceName, TermNumber};
+use briartray_model::plain_value;
 
-plain_choice! {
-    /// Which view an entry holds: the leader's term, and the number of the view in that term.
-    #[derive(Default)]
-    pub struct ViewVersion {
-        /// Term of the leader that made it.
-        pub term: TermNumber,
-        /// Its number in the term.
-        pub number: u64,
-    }
-}
+pub use self::view::{EndpointView, FleetView, GroupView, ViewUpdate, ViewVersion};
+pub use self::view_history::ViewHistory;
+
+use crate::state::StoredPlan;
 
 plain_value! {
     /// What an entry saw of one group since its last report.
@@ -84,53 +79,6 @@
         pub serving: bool,
     }
 
-    /// A single endpoint that serves alone.
-    pub struct EndpointView {
-        /// The endpoint.
-        pub id: IncarnationId,
-        /// Service it serves.
-        pub service: ServiceName,
-        /// Where it listens.
-        pub address: String,
-        /// Its availability zone.
-        pub zone: ZoneName,
-        /// Requests it runs at one time.
-        pub slots: usize,
-    }
-
-    /// A group that serves as one replica.
-    pub struct GroupView {
-        /// The group.
-        pub group: GroupId,
-        /// Service it serves.
-        pub service: ServiceName,
-        /// Model it serves.
-        pub model: String,
-        /// Its first host, which takes the requests.
-        pub head: IncarnationId,
-        /// Where the first host listens.
-        pub address: String,
-        /// Availability zone of the first host.
-        pub zone: ZoneName,
-        /// Whether it takes new work.
-        pub open: bool,
-    }
-
-    /// Everything that may be sent to, as the leader knows it.
-    #[derive(Default)]
-    pub struct FleetView {
-        /// Which view this is.
-        pub version: ViewVersion,
-        /// Endpoints of plain services.
-        pub endpoints: Vec<EndpointView>,
-        /// Groups.
-        pub groups: Vec<GroupView>,
-        /// Entries that hold a lease.
-        pub entries: usize,
-        /// Whether the leader has not heard of all endpoints yet.
-        pub partial: bool,
-    }
-
     /// A control host's answer to a report, or news that it sends unasked.
     pub struct EntryNotice {
         /// Nonce of the report that a majority has confirmed the leader after; `None` in news.
@@ -197,25 +145,3 @@
         }
     }
 }
-
-impl FleetView {
-    /// Open and other groups of each model, and endpoints, in a few words.
-    pub fn summary(&self) -> String {
-        let mut models: Vec<&str> = self.groups.iter().map(|group| &*group.model).collect();
-        models.sort_unstable();
-        models.dedup();
-        let count = |model: &str, open: bool| {
-            self.groups.iter().filter(|group| group.model == model && group.open == open).count()
-        };
-        let tell = |model: &&str| {
-            format!("{model} {} open {} not", count(model, true), count(model, false))
-        };
-        let groups: Vec<String> = models.iter().map(tell).collect();
-        format!(
-            "{}; {} endpoints, {} entries",
-            groups.join(", "),
-            self.endpoints.len(),
-            self.entries
-        )
-    }
-}
--- a/crates/fleet/src/state/mod.rs
+++ b/crates/fleet/src/state/mod.rs
@@ -73,10 +73,10 @@
         EndGroup(GroupId),
         /// An endpoint takes no new work.
         MarkLeaving(IncarnationId),
-        /// An endpoint has announced itself.
-        Announce(EndpointRecord),
-        /// An endpoint is gone.
-        Forget(IncarnationId),
+        /// Endpoints have announced themselves.
+        Announce(Vec<EndpointRecord>),
+        /// Endpoints are gone.
+        Forget(Vec<IncarnationId>),
     }
 
     /// Everything that the control hosts agree on.
@@ -116,9 +116,12 @@
                 FleetOutcome::Noted
             }
             FleetCommand::MarkLeaving(id) => self.mark_leaving(id),
-            FleetCommand::Announce(record) => self.announce(record),
-            FleetCommand::Forget(id) => {
-                self.endpoints.remove(id);
+            FleetCommand::Announce(records) => {
+                records.iter().for_each(|record| self.announce(record));
+                FleetOutcome::Noted
+            }
+            FleetCommand::Forget(ids) => {
+                self.endpoints.retain(|id, _| !ids.contains(id));
                 FleetOutcome::Noted
             }
         }
@@ -179,11 +182,10 @@
         FleetOutcome::GroupFormed(epoch)
     }
 
-    fn announce(&mut self, record: &EndpointRecord) -> FleetOutcome {
+    fn announce(&mut self, record: &EndpointRecord) {
         if self.endpoints.len() < MAX_ENDPOINTS {
             self.endpoints.insert(record.id.clone(), record.clone());
         }
-        FleetOutcome::Noted
     }
 
     fn mark_leaving(&mut self, id: &IncarnationId) -> FleetOutcome {
--- a/crates/fleet/tests/agreed_state.rs
+++ b/crates/fleet/tests/agreed_state.rs
@@ -94,14 +94,14 @@
     state.apply(&declaration(3, "first"));
     state.apply(&group(&["a", "b"], false));
     state.apply(&FleetCommand::MarkLeaving(IncarnationId::new("x")));
-    state.apply(&FleetCommand::Announce(EndpointRecord {
+    state.apply(&FleetCommand::Announce(vec![EndpointRecord {
         id: IncarnationId::new("a"),
         service: ServiceName::new("desk"),
         address: "10.0.0.1:80".to_owned(),
         zone: ZoneName::new("z"),
         domain: None,
         slots: 6,
-    }));
+    }]));
 
     let copy: FleetState =
         codec::decode(&codec::encode(&state).expect("the state encodes")).expect("it decodes");
--- a/crates/fleet/tests/director/fleet.rs
+++ b/crates/fleet/tests/director/fleet.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use briartray_fleet::deployment::DeploymentPlan;
-use briartray_fleet::director::{EndpointBeat, FleetDirector, MarkState, OrderCall, OrderOutcome};
+use briartray_fleet::director::{
+    EndpointBeat, EndpointOrder, FleetDirector, MarkState, OrderCall, OrderOutcome,
+};
 use briartray_fleet::message::{EntryReport, GroupPulse, ModelDemand, ViewVersion, WorkSum};
 use briartray_fleet::state::{FleetCommand, FleetOutcome, FleetState};
 use briartray_model::TimePoint;
@@ -61,6 +63,12 @@
     pub serving: bool,
     /// Groups that were formed so far.
     pub formed: u64,
+    /// Whether the answers to orders still wait to be read, however many that are.
+    pub no_answers: bool,
+    /// Orders that have no answer yet.
+    pub unanswered: usize,
+    /// When loads from the weight store began.
+    pub loads: Vec<TimePoint>,
     /// Endpoints that were asked for reports so far, one by one.
     pub probed: Vec<IncarnationId>,
     plan: DeploymentPlan,
@@ -92,6 +100,9 @@
             demand: (2.0, 4.0),
             serving: false,
             formed: 0,
+            no_answers: false,
+            unanswered: 0,
+            loads: Vec::new(),
             probed: Vec::new(),
             plan,
             term: 1,
@@ -336,6 +347,10 @@
     }
 
     fn order(&mut self, call: OrderCall) {
+        if self.no_answers {
+            self.unanswered += 1;
+            return;
+        }
         if self.random.random_range(0..100) < self.faults.late {
             let wait = Duration::from_millis(self.random.random_range(2_000..12_000));
             self.late.push((self.now.after(wait), call.clone(), self.term));
@@ -370,6 +385,9 @@
         let now = self.now;
         let outcome = self.hosts[position].model.order(now, &call.order, term, &engine);
         let after = self.hosts[position].model.member.clone();
+        if matches!(call.order, EndpointOrder::Stage { .. }) && outcome == OrderOutcome::Begun {
+            self.loads.push(now);
+        }
         if let (Some(before), Some(after)) = (before, after) {
             self.check_join(&call.id, before, after.group);
         }
--- a/crates/fleet/tests/director/large.rs
+++ b/crates/fleet/tests/director/large.rs
@@ -4,6 +4,7 @@
 
 use briartray_fleet::deployment::DeploymentPlan;
 use briartray_fleet::message::{EntryReport, GroupPulse, ViewVersion};
+use briartray_model::TimePoint;
 use briartray_model::names::{GroupId, IncarnationId, NodeName, TermNumber};
 
 use crate::fleet::TestFleet;
@@ -178,3 +179,87 @@
     known.dedup();
     assert_eq!(known.len(), DOMAINS * DOMAIN_HOSTS, "all within half a second");
 }
+
+/// A fleet of 380 hosts starts, and all are told at once which groups to join. The leader's thread had no time
+/// to read the answers of so many before they counted as missing, and gave all orders again.
+#[test]
+fn orders_under_way_are_bounded() {
+    let mut fleet = large_fleet(9);
+    fleet.no_answers = true;
+
+    fleet.run_for(Duration::from_millis(2_200));
+    let under_way = fleet.unanswered;
+    fleet.no_answers = false;
+    fleet.run_for(Duration::from_secs(8));
+
+    // Members of one group are told together.
+    assert!(under_way <= ORDERS_AT_ONCE + 8, "{under_way} orders");
+    assert!(fleet.open_of(LARGE) >= DOMAINS, "{} large groups", fleet.open_of(LARGE));
+}
+
+/// Orders whose answers a leader reads in the time that they have.
+const ORDERS_AT_ONCE: usize = 128;
+
+/// Loads that the weight store may begin in five seconds, at 5 a second and a tenth more.
+const STORE_LIMIT: usize = 30;
+
+/// The most loads that began within five seconds, of those from `since` on.
+fn most_loads(fleet: &TestFleet, since: TimePoint) -> usize {
+    let window = Duration::from_secs(5);
+    let begun: Vec<TimePoint> = fleet.loads.iter().copied().filter(|at| *at >= since).collect();
+    let ends = |first: TimePoint| begun.partition_point(|at| *at < first.after(window));
+    begun.iter().enumerate().map(|(index, first)| ends(*first) - index).max().unwrap_or(0)
+}
+
+/// A large fleet before a weight store that begins five loads a second, each of which takes `slowness`
+/// times as long as at a first start.
+fn slow_store_fleet(seed: u64, slowness: u32) -> TestFleet {
+    let mut plan = large_plan();
+    let engine = plan.services[0].engine.as_mut().expect("the fixture has an engine");
+    engine.loads_per_second = 5.0;
+    engine.loads_at_once = 200;
+    engine.models.iter_mut().for_each(|model| model.load_time *= slowness);
+    TestFleet::of(seed, plan, DOMAINS, DOMAIN_HOSTS)
+}
+
+/// Hosts of a large fleet still load their second models when the first caller comes. Loads cost nothing
+/// until then, but from that moment on they count: what is under way must fit in what the store begins,
+/// or it slows down for everybody.
+#[test]
+fn loads_under_way_when_callers_come_fit_in_the_rate_of_the_store() {
+    for begin in (3_400..4_400).step_by(200) {
+        let mut fleet = slow_store_fleet(7, 1);
+        fleet.run_for(Duration::from_millis(begin));
+
+        fleet.serving = true;
+        let since = fleet.now;
+        fleet.run_for(Duration::from_secs(8));
+
+        let most = most_loads(&fleet, since);
+        assert!(most <= STORE_LIMIT, "callers from {begin} ms: {most} loads in five seconds");
+    }
+}
+
+/// Sixty empty hosts are added, and the leader dies while they load, and the next one as well. Each new
+/// leader takes the loads under way into account: one that began with a store of its own had three times
+/// as many begun as the store may.
+#[test]
+fn a_change_of_leader_begins_no_more_loads_than_the_store_may() {
+    let mut fleet = slow_store_fleet(8, 10);
+    fleet.run_for(Duration::from_secs(60));
+    fleet.serving = true;
+    fleet.run_for(Duration::from_secs(6));
+    for host in 0..60 {
+        fleet.add_host(host % DOMAINS);
+    }
+    let since = fleet.now;
+
+    for _ in 0..4 {
+        fleet.run_for(Duration::from_millis(4_200));
+        fleet.change_leader();
+    }
+    fleet.run_for(Duration::from_secs(5));
+
+    let most = most_loads(&fleet, since);
+    assert!(most <= STORE_LIMIT, "{most} loads in five seconds");
+}
--- /dev/null
+++ b/crates/fleet/tests/views.rs
@@ -0,0 +1,139 @@
+//! Views of a fleet, and updates of them.
+
+use briartray_fleet::entry::TargetTable;
+use briartray_fleet::message::{
+    EndpointView, FleetView, GroupView, ViewHistory, ViewUpdate, ViewVersion,
+};
+use briartray_model::codec;
+use briartray_model::names::{GroupId, IncarnationId, ServiceName, TermNumber, ZoneName};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Groups of a large fleet.
+const GROUPS: u64 = 375;
+
+fn version(number: u64) -> ViewVersion {
+    ViewVersion { term: TermNumber(3), number }
+}
+
+fn group(number: u64, open: bool) -> GroupView {
+    GroupView {
+        group: GroupId(number),
+        service: ServiceName::new("desk"),
+        model: "large".to_owned(),
+        head: IncarnationId::new(&format!("i-{number:08}")),
+        address: format!("10.0.{}.{}:8080", number / 250, number % 250),
+        zone: ZoneName::new("zone-a"),
+        open,
+    }
+}
+
+fn endpoint(number: u64) -> EndpointView {
+    EndpointView {
+        id: IncarnationId::new(&format!("plain-{number}")),
+        service: ServiceName::new("ledger"),
+        address: format!("10.1.0.{number}:8080"),
+        zone: ZoneName::new("zone-a"),
+        slots: 6,
+    }
+}
+
+fn view(number: u64) -> FleetView {
+    FleetView {
+        version: version(number),
+        endpoints: (0..5).map(endpoint).collect(),
+        groups: (0..GROUPS).map(|number| group(number, true)).collect(),
+        entries: 100,
+        partial: false,
+    }
+}
+
+/// `view` with some groups gone, closed, or new, as the next one.
+fn changed(view: &FleetView, random: &mut ChaCha8Rng) -> FleetView {
+    let mut next = FleetView { version: version(view.version.number + 1), ..view.clone() };
+    next.groups.retain(|_| random.random_range(0..20) > 0);
+    for group in &mut next.groups {
+        group.open ^= random.random_range(0..20) == 0;
+    }
+    let newest = next.groups.last().map_or(0, |group| group.group.0);
+    next.groups.push(group(newest + 1, false));
+    next.endpoints.retain(|_| random.random_range(0..10) > 0);
+    next
+}
+
+/// A hundred entries before 375 groups are told each time that one of them opens or closes. Whole views
+/// filled the links of the leader: 50 KB to each of them, dozens of times a second.
+#[test]
+fn one_changed_group_takes_little_room() {
+    let mut history = ViewHistory::default();
+    history.push(view(1));
+    let mut next = view(2);
+    next.groups[7].open = false;
+    history.push(next);
+
+    let update = history.update_for(Some(version(1))).expect("there is something to tell");
+
+    let (one, all) = (encoded(&update), encoded(&history.newest().expect("pushed").whole()));
+    assert!(one * 100 < all, "{one} of {all} bytes");
+}
+
+fn encoded(update: &ViewUpdate) -> usize {
+    codec::encode(update).expect("an update encodes").len()
+}
+
+/// Entries are told of changes at different moments: some have missed one, some five, some all. Whatever
+/// an entry held, it ends with the newest view.
+#[test]
+fn seeded_updates_bring_every_holder_to_the_newest_view() {
+    for seed in 0..50 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut history = ViewHistory::default();
+        let mut held = vec![FleetView::default()];
+        let mut newest = view(1);
+        for _ in 0..12 {
+            history.push(newest.clone());
+            held.push(newest.clone());
+            newest = changed(&newest, &mut random);
+        }
+        let newest = history.newest().expect("pushed").clone();
+
+        for old in held {
+            let update = history.update_for(Some(old.version));
+            let reached = update.map_or(Some(old.clone()), |update| old.updated(update));
+            assert_eq!(reached.as_ref(), Some(&newest), "seed {seed}, from {:?}", old.version);
+        }
+    }
+}
+
+/// An entry lost its stream in the middle of a change, and the next one tells of a view that it never had.
+/// Taken for its own it would name groups that have ended; it asks for the whole view instead.
+#[test]
+fn an_update_of_another_view_is_not_taken() {
+    let mut table = TargetTable::new(ZoneName::new("zone-a"), 1);
+    table.adopt(view(1));
+    let mut history = ViewHistory::default();
+    history.push(view(2));
+    let mut next = view(3);
+    next.groups.truncate(10);
+    history.push(next);
+
+    table.update(history.update_for(Some(version(2))).expect("there is something to tell"));
+    let asks = table.version();
+    table.update(history.update_for(None).expect("there is something to tell"));
+
+    assert_eq!(asks, ViewVersion::default());
+    assert_eq!(table.version(), version(3));
+}
+
+/// A new leader has heard of a part of the groups only. An entry that knows more refuses its first view,
+/// so no later one is told as a change of that.
+#[test]
+fn nothing_is_told_as_a_change_of_a_partial_view() {
+    let mut history = ViewHistory::default();
+    history.push(FleetView { partial: true, ..view(1) });
+    history.push(view(2));
+
+    let update = history.update_for(Some(version(1))).expect("there is something to tell");
+
+    assert_eq!(update.base, None);
+}
--- a/crates/gateway/src/control/replication.rs
+++ b/crates/gateway/src/control/replication.rs
@@ -3,7 +3,7 @@
 use briartray_control::agreement::{
     CommittedEntry, EntryPayload, LogDelivery, LogSnapshot, MemberRole,
 };
-use briartray_fleet::state::{FleetCommand, FleetOutcome, StoredPlan};
+use briartray_fleet::state::{EndpointRecord, FleetCommand, FleetOutcome, StoredPlan};
 use briartray_model::codec;
 
 use super::core::{CommandOrigin, ControlCore, CoreFailure, ReadOrigin};
@@ -175,7 +175,13 @@
         }
         FleetCommand::EndGroup(group) => format!("end of group {group}"),
         FleetCommand::MarkLeaving(id) => format!("{id} is leaving"),
-        FleetCommand::Announce(record) => format!("{} at {}", record.id, record.address),
-        FleetCommand::Forget(id) => format!("{id} is gone"),
+        FleetCommand::Announce(records) => {
+            let place = |record: &EndpointRecord| format!("{} at {}", record.id, record.address);
+            records.iter().map(place).collect::<Vec<_>>().join(", ")
+        }
+        FleetCommand::Forget(ids) => {
+            let names: Vec<String> = ids.iter().map(ToString::to_string).collect();
+            format!("{} gone", names.join(" "))
+        }
     }
 }
