Let all control hosts take beats and ask for reports; tell entries what changed

Cause: one leader heard every beat over a connection of its own, asked every member of a group for a report 1.25 times a second, sent its whole view to every entry at every change, and copied that view for each report. All inputs shared one queue, so operators, votes and leases waited behind beats; an answer that the leader had no time to read counted as the endpoint's silence, which made more to ask.

Change: each control host takes beats and passes them on in batches of 10 ms, and asks a part of the endpoints for reports that the leader wants, from 128 endpoints on; it decides nothing, and what is lost with it is asked for again. Entries get updates against the view that they hold, encoded once for all that hold the same; one that gets an update of another view asks for the whole one. Inputs of endpoints have a queue of their own behind all others. Reports of entries mark the view as changed only where they find a group silent. Idle connections of endpoints are closed after 8 s, unused ones to them are pruned; a line about the view comes twice a second at the most.

--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -85,8 +85,8 @@
         pub nonce: Option<u64>,
         /// The declaration, when the entry holds an older one.
         pub plan: Option<StoredPlan>,
-        /// The view, when the entry holds another one and the leader knows the fleet.
-        pub view: Option<FleetView>,
+        /// What has changed of the view, when the entry holds another one and the leader knows the fleet.
+        pub view: Option<ViewUpdate>,
         /// What the other entries have on the groups, by their last reports; in answers to reports only.
         pub loads: Vec<GroupLoad>,
         /// Endpoints that take no new work, whatever the view says.
--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -8,7 +8,6 @@
 use briartray_platform::{ControlCall, beat_answer, read_beat, read_leave, read_plan, redirect_to};
 use briartray_web::spawn_worker;
 use bytes::Bytes;
-use crossbeam::channel::Sender;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -18,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::calls::{EndpointCall, EndpointCaller};
-use super::input::{ControlReply, CoreInput, ReplySender};
+use super::input::{ControlReply, CoreInput, InputSender, ReplySender};
 use crate::metrics_port;
 use crate::process::{ProcessError, SetupSnafu};
 use briartray_http::{AnswerBody, HttpServer, ServerLimits};
@@ -29,11 +28,15 @@
 /// Time for the control thread to answer. Callers give up after one second or more.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Connections of operators and endpoints that are open at one time.
-const MAX_CONNECTIONS: usize = 1_024;
+/// Connections of operators and endpoints that are open at one time: half of the descriptors of a host.
+const MAX_CONNECTIONS: usize = 2_048;
 
-/// Time a connection may be idle.
-const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// Time a connection may be idle: several beats. Endpoints that have moved to another control host leave
+/// theirs behind.
+const IDLE_LIMIT: Duration = Duration::from_secs(8);
+
+/// Time between two looks for connections to endpoints that are not used any more.
+const PRUNE_EVERY: Duration = Duration::from_secs(2);
 
 /// Stack of the HTTP thread, in bytes.
 const HTTP_STACK_BYTES: usize = 2 * 1024 * 1024;
@@ -44,7 +47,7 @@
 /// A `ProcessError` when the port or the thread cannot be had.
 pub(super) fn start(
     address: SocketAddr,
-    inputs: Sender<CoreInput>,
+    inputs: InputSender,
     metrics: Option<SocketAddr>,
     hub: MetricsHub,
 ) -> Result<mpsc::UnboundedSender<EndpointCall>, ProcessError> {
@@ -73,7 +76,7 @@
 async fn serve_all(
     listener: std::net::TcpListener,
     address: SocketAddr,
-    inputs: Sender<CoreInput>,
+    inputs: InputSender,
     mut calls: mpsc::UnboundedReceiver<EndpointCall>,
 ) {
     let listener = match TcpListener::from_std(listener) {
@@ -84,15 +87,22 @@
     let api = ControlApi { address, inputs: inputs.clone() };
     let _server = HttpServer::start(listener, limits, move |request| api.clone().handle(request));
     let caller = EndpointCaller::new(inputs);
-    while let Some(call) = calls.recv().await {
-        tokio::task::spawn_local(caller.clone().make(call));
+    let mut prune = tokio::time::interval(PRUNE_EVERY);
+    loop {
+        tokio::select! {
+            call = calls.recv() => match call {
+                Some(call) => drop(tokio::task::spawn_local(caller.clone().make(call))),
+                None => return,
+            },
+            _ = prune.tick() => caller.prune(),
+        }
     }
 }
 
 #[derive(Clone)]
 struct ControlApi {
     address: SocketAddr,
-    inputs: Sender<CoreInput>,
+    inputs: InputSender,
 }
 
 impl ControlApi {
@@ -151,7 +161,7 @@
     /// Asks the control thread.
     async fn ask(&self, wrap: impl FnOnce(ReplySender) -> CoreInput) -> ControlReply {
         let (reply, answer) = oneshot::channel();
-        if self.inputs.try_send(wrap(reply)).is_err() {
+        if !self.inputs.try_send(wrap(reply)) {
             return ControlReply::Unavailable;
         }
         match tokio::time::timeout(REPLY_TIMEOUT, answer).await {
--- a/crates/gateway/src/control/calls.rs
+++ b/crates/gateway/src/control/calls.rs
@@ -6,18 +6,23 @@
 use std::time::Duration;
 
 use briartray_fleet::director::{OrderCall, OrderOutcome, ProbeCall};
+use briartray_model::names::NodeName;
 use briartray_node::ClockReader;
 use briartray_platform::{AnswerHead, order_outcome, order_request, read_report, report_request};
 use bytes::Bytes;
-use crossbeam::channel::Sender;
 use http::{Request, StatusCode};
 
-use super::input::{CoreInput, ProbeResult};
+use super::input::{CoreInput, InputSender, ProbeAnswer, ProbeResult};
 use briartray_http::{ConnectionPool, SendFailure};
 
 /// Time for a report. A report needs no slot; hosts are a few milliseconds apart.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time after the end of a probe's time at which this thread must have noticed it. One that is later had no
+/// time to read answers: a leader that was short of processor time took hundreds of endpoints for dead,
+/// which made more to do.
+const THREAD_LATE: Duration = Duration::from_millis(50);
+
 /// Time for the answer to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -27,8 +32,8 @@
 /// A call to an endpoint.
 #[derive(Debug)]
 pub(super) enum EndpointCall {
-    /// Ask for a report.
-    Probe(ProbeCall),
+    /// Ask for a report, for another host that leads where `asker` names one.
+    Probe { call: ProbeCall, asker: Option<NodeName> },
     /// Give an order in the leader's term.
     Order { call: OrderCall, term: u64 },
 }
@@ -38,20 +43,25 @@
 pub(super) struct EndpointCaller {
     pool: Rc<RefCell<ConnectionPool>>,
     clock: ClockReader,
-    inputs: Sender<CoreInput>,
+    inputs: InputSender,
 }
 
 impl EndpointCaller {
-    pub(super) fn new(inputs: Sender<CoreInput>) -> Self {
+    pub(super) fn new(inputs: InputSender) -> Self {
         Self { pool: Rc::default(), clock: ClockReader::start(), inputs }
     }
 
+    /// Closes connections that are not used any more.
+    pub(super) fn prune(&self) {
+        self.pool.borrow_mut().prune(self.clock.now());
+    }
+
     /// Makes `call`.
     pub(super) async fn make(self, call: EndpointCall) {
         let input = match call {
-            EndpointCall::Probe(probe) => {
-                let result = self.probe(&probe).await;
-                CoreInput::Probed { id: probe.id, result }
+            EndpointCall::Probe { call, asker } => {
+                let result = self.probe(&call).await;
+                CoreInput::Probed { answer: ProbeAnswer { id: call.id, result }, asker }
             }
             EndpointCall::Order { call, term } => {
                 let outcome = self.order(&call, term).await;
@@ -60,15 +70,19 @@
                 CoreInput::Ordered { call, outcome }
             }
         };
-        if self.inputs.try_send(input).is_err() {
+        if !self.inputs.try_send(input) {
             log::warn!("the result of a call to an endpoint found no room and is dropped");
         }
     }
 
     async fn probe(&self, probe: &ProbeCall) -> ProbeResult {
         let request = report_request(&probe.id, &probe.address);
+        let began = self.clock.now();
         let asked = tokio::time::timeout(PROBE_TIMEOUT, self.ask(&probe.address, request)).await;
-        let Ok(Ok((status, told, body))) = asked else { return ProbeResult::Silent };
+        let Ok(Ok((status, told, body))) = asked else {
+            let late = self.clock.now().since(began) > PROBE_TIMEOUT + THREAD_LATE;
+            return if late { ProbeResult::Unread } else { ProbeResult::Silent };
+        };
         let other = told.endpoint.is_some_and(|endpoint| endpoint != probe.id.endpoint());
         if status == StatusCode::MISDIRECTED_REQUEST || other {
             return ProbeResult::OtherEndpoint;
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -1,7 +1,7 @@
 //! The control thread: steps the agreement and the director, answers operators, endpoints and
 //! entries.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use briartray_control::agreement::{
     AgreementCore, AgreementSettings, AgreementTimes, MembershipMode, ProposalToken, ReadToken,
@@ -9,21 +9,25 @@
 };
 use briartray_control::storage::OpenedFolder;
 use briartray_fleet::deployment::DeploymentPlan;
-use briartray_fleet::director::OrderOutcome;
+use briartray_fleet::director::{EndpointBeat, OrderOutcome};
 use briartray_fleet::message::EntryReport;
 use briartray_fleet::state::{FleetCommand, FleetState, StoredPlan};
 use briartray_link::LinkWriter;
 use briartray_model::names::{IncarnationId, NodeName};
 use briartray_model::{SortedTable, TimePoint, codec};
 use briartray_node::ClockReader;
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam::channel::{RecvTimeoutError, Sender};
 use tokio::sync::mpsc;
 
 use super::calls::EndpointCall;
-use super::input::{ControlReply, CoreInput, CoreMessage, ProbeResult, ReplySender};
+use super::input::{
+    ControlReply, CoreInput, CoreMessage, InputReceiver, InputSender, ProbeAnswer, ProbeResult,
+    ReplySender,
+};
 use super::leader::Leadership;
 use super::metrics::ControlMetrics;
 use super::peers::PeerLinks;
+use super::relay::RelayBuffer;
 use super::voters::HostBook;
 use super::{FileSource, FolderOpening, REOPEN_PAUSE, disk, open_folder, refuse_for};
 use crate::process::RoleFailure;
@@ -32,9 +36,6 @@
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Inputs that share one step of the agreement, and so one sync, at most.
-const MAX_INPUTS_PER_STEP: usize = 512;
-
 /// Times of the agreement. An election is a second without repairs of groups and renewals of
 /// leases; hosts are milliseconds apart, and a lost packet costs a fifth of a second.
 const AGREEMENT_TIMES: AgreementTimes =
@@ -46,7 +47,7 @@
     pub(super) role: ControlRole,
     pub(super) calls: mpsc::UnboundedSender<EndpointCall>,
     pub(super) peers: PeerLinks,
-    pub(super) inputs: Sender<CoreInput>,
+    pub(super) inputs: InputSender,
     pub(super) metrics: ControlMetrics,
     /// Told when the role cannot go on.
     pub(super) failure: Sender<RoleFailure>,
@@ -91,6 +92,7 @@
     pub(super) plan: Option<DeploymentPlan>,
     pub(super) hosts: HostBook,
     pub(super) leadership: Option<Leadership>,
+    pub(super) relay: RelayBuffer,
     pub(super) proposals: SortedTable<ProposalToken, CommandOrigin>,
     pub(super) reads: SortedTable<ReadToken, ReadOrigin>,
     /// Why it cannot go on as it is.
@@ -110,6 +112,7 @@
             plan: None,
             hosts,
             leadership: None,
+            relay: RelayBuffer::default(),
             proposals: SortedTable::new(),
             reads: SortedTable::new(),
             failed: None,
@@ -128,7 +131,7 @@
     /// A full disk takes no bytes for seconds. A process that ended each time would be started over
     /// and over, and none of its other work would be done. What is known of other control hosts is
     /// kept: without it this one could take the deployment for new and found a second log.
-    fn begin_again(self, queue: &Receiver<CoreInput>) -> Option<Self> {
+    fn begin_again(self, queue: &InputReceiver) -> Option<Self> {
         let Self { parts, clock, hosts, disk, .. } = self;
         // The storage thread has ended, and with it the folder's lock.
         drop(disk);
@@ -166,7 +169,7 @@
     }
 
     /// Runs until told to stop.
-    pub(super) fn run(mut self, queue: &Receiver<CoreInput>) {
+    pub(super) fn run(mut self, queue: &InputReceiver) {
         let mut next_tick = self.now();
         loop {
             let now = self.now();
@@ -191,16 +194,18 @@
                 None => {}
             }
             self.follow_up(now);
+            self.flush_relay(now);
             let deadline = self.agreement.as_ref().map_or(next_tick, AgreementCore::deadline);
             let follow_up = self.leadership.as_ref().and_then(Leadership::follow_up_at);
             let due = next_tick.min(deadline).min(follow_up.unwrap_or(next_tick));
-            let wait = due.since(self.now());
-            let first = match queue.recv_timeout(wait) {
+            let due = due.min(self.relay.flush_at().unwrap_or(due));
+            let wait = Instant::now() + due.since(self.now());
+            let first = match queue.recv_deadline(wait) {
                 Ok(input) => input,
                 Err(RecvTimeoutError::Timeout) => continue,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
-            for input in std::iter::once(first).chain(queue.try_iter().take(MAX_INPUTS_PER_STEP)) {
+            for input in std::iter::once(first).chain(queue.waiting()) {
                 if matches!(input, CoreInput::Stop) {
                     return;
                 }
@@ -294,6 +299,11 @@
                 }
             }
             CoreInput::Core(CoreMessage::Hello(hello)) => self.take_hello(now, hello),
+            CoreInput::Core(CoreMessage::Beats(beats)) => self.take_beats(now, beats),
+            CoreInput::Core(CoreMessage::Ask { asker, probes }) => self.ask_for(&asker, probes),
+            CoreInput::Core(CoreMessage::Told(answers)) => {
+                answers.into_iter().for_each(|answer| self.probed(now, answer));
+            }
             CoreInput::Stored { ticket } => {
                 if let Some(agreement) = &mut self.agreement {
                     agreement.stored(now, ticket);
@@ -305,7 +315,10 @@
             CoreInput::Get { reply } => self.confirm(ReadOrigin::Plan(reply)),
             CoreInput::Beat { beat, reply } => self.beat(now, beat, reply),
             CoreInput::Leave { id, reply } => self.leave(id, reply),
-            CoreInput::Probed { id, result } => self.probed(now, &id, result),
+            CoreInput::Probed { answer, asker: None } => self.probed(now, answer),
+            CoreInput::Probed { answer, asker: Some(asker) } => {
+                self.relay.hold_answer(now, asker, answer);
+            }
             CoreInput::Ordered { call, outcome } => {
                 self.parts.metrics.ordered(outcome_word(outcome));
                 if let Some(leadership) = &mut self.leadership {
@@ -335,21 +348,12 @@
         }
     }
 
-    fn beat(
-        &mut self,
-        now: TimePoint,
-        beat: briartray_fleet::director::EndpointBeat,
-        reply: ReplySender,
-    ) {
-        let Some(leadership) = self.leadership.as_mut().filter(|lead| lead.established) else {
-            return self.redirect(reply);
-        };
-        let (id, leaving) = (beat.id.clone(), beat.leaving);
-        log::trace!("beat {beat:?}");
-        if leadership.director.beat(now, beat) {
-            leadership.dirty = true;
-            leadership.step_due = true;
+    fn beat(&mut self, now: TimePoint, beat: EndpointBeat, reply: ReplySender) {
+        if !self.is_established() {
+            return self.relay_beat(now, beat, reply);
         }
+        let (id, leaving) = (beat.id.clone(), beat.leaving);
+        self.take_beats(now, vec![beat]);
         if leaving && !self.state.is_leaving(&id) {
             self.leave(id, reply);
         } else {
@@ -368,13 +372,30 @@
         self.submit(&FleetCommand::MarkLeaving(id), CommandOrigin::Caller(reply));
     }
 
-    fn probed(&mut self, now: TimePoint, id: &IncarnationId, result: ProbeResult) {
+    /// Takes beats that came here, or to another control host.
+    fn take_beats(&mut self, now: TimePoint, beats: Vec<EndpointBeat>) {
+        let Some(leadership) = self.leadership.as_mut().filter(|lead| lead.established) else {
+            return;
+        };
+        for beat in beats {
+            log::trace!("beat {beat:?}");
+            if leadership.director.beat(now, beat) {
+                leadership.dirty = true;
+                leadership.step_due = true;
+            }
+        }
+    }
+
+    fn probed(&mut self, now: TimePoint, answer: ProbeAnswer) {
+        let ProbeAnswer { id, result } = &answer;
         let Some(leadership) = &mut self.leadership else { return };
         match result {
             ProbeResult::Told(report) => {
-                leadership.step_due |= leadership.director.probed(now, id, Some(report));
+                let report = Some(report.clone());
+                leadership.step_due |= leadership.director.probed(now, id, report);
             }
             ProbeResult::OtherEndpoint => leadership.director.gone(id),
+            ProbeResult::Unread => return leadership.director.unread(now, id),
             ProbeResult::Silent => {
                 self.parts.metrics.silent_probes.inc();
                 log::info!(endpoint:% = id; "an endpoint does not answer a probe");
--- a/crates/gateway/src/control/disk.rs
+++ b/crates/gateway/src/control/disk.rs
@@ -5,7 +5,7 @@
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
 use crossbeam::channel::{Sender, unbounded};
 
-use super::input::CoreInput;
+use super::input::{CoreInput, InputSender};
 
 /// Starts the thread; it ends when the returned sender is dropped, or at the first failure.
 ///
@@ -13,7 +13,7 @@
 /// follower is sent a bounded number of bytes before it has answered.
 pub(super) fn start(
     folder: DataFolder,
-    inputs: Sender<CoreInput>,
+    inputs: InputSender,
 ) -> std::io::Result<Sender<WriteBatch>> {
     let (batches, queue) = unbounded();
     let run = move || {
@@ -25,7 +25,7 @@
                     CoreInput::DiskFailed
                 }
             };
-            inputs.send(input).is_ok()
+            inputs.send(input)
         });
     };
     spawn_worker("storage", 2 * WORKER_STACK_BYTES, run)?;
--- a/crates/gateway/src/control/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -1,14 +1,26 @@
 //! What reaches the control thread, and what its callers are answered.
 
+use std::time::Instant;
+
 use briartray_control::agreement::PeerMessage;
-use briartray_fleet::director::{EndpointBeat, EndpointReport, OrderCall, OrderOutcome};
+use briartray_fleet::director::{EndpointBeat, EndpointReport, OrderCall, OrderOutcome, ProbeCall};
 use briartray_fleet::message::{EntryReport, HostHello};
 use briartray_fleet::state::StoredPlan;
 use briartray_link::LinkWriter;
 use briartray_model::names::{IncarnationId, NodeName};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
+/// Inputs of each kind that may wait for the control thread.
+const INPUT_QUEUE: usize = 8_192;
+
+/// Inputs of endpoints that are taken after all others were: a step of the director follows them.
+const ENDPOINT_INPUTS: usize = 128;
+
+/// Other inputs that share one step of the agreement, and so one sync, at most.
+const URGENT_INPUTS: usize = 512;
+
 /// What control hosts send each other.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) enum CoreMessage {
@@ -16,6 +28,17 @@
     Agreement(PeerMessage),
     /// News of the sender.
     Hello(HostHello),
+    /// Beats that the sender took for the leader.
+    Beats(Vec<EndpointBeat>),
+    /// The leader wants reports that the sender's reader is to ask for.
+    Ask {
+        /// The leader.
+        asker: NodeName,
+        /// Endpoints to ask.
+        probes: Vec<ProbeCall>,
+    },
+    /// What came of them.
+    Told(Vec<ProbeAnswer>),
 }
 
 /// An answer to a call of an operator or endpoint.
@@ -36,8 +59,17 @@
 /// Where an answer goes.
 pub(super) type ReplySender = oneshot::Sender<ControlReply>;
 
+/// What came of asking one endpoint for a report.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct ProbeAnswer {
+    /// The endpoint.
+    pub(super) id: IncarnationId,
+    /// What came.
+    pub(super) result: ProbeResult,
+}
+
 /// A probe that has ended.
-#[derive(Debug)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) enum ProbeResult {
     /// The endpoint told its state.
     Told(EndpointReport),
@@ -45,6 +77,8 @@
     OtherEndpoint,
     /// Nothing came.
     Silent,
+    /// This process was too late to read what may have come: that says nothing about the endpoint.
+    Unread,
 }
 
 /// One input of the control thread.
@@ -66,10 +100,85 @@
     Beat { beat: EndpointBeat, reply: ReplySender },
     /// An endpoint takes no new work.
     Leave { id: IncarnationId, reply: ReplySender },
-    /// A probe has ended.
-    Probed { id: IncarnationId, result: ProbeResult },
+    /// A probe has ended; `asker` is the leader that wanted it, where that is another host.
+    Probed { answer: ProbeAnswer, asker: Option<NodeName> },
     /// An order was answered, or not.
     Ordered { call: OrderCall, outcome: OrderOutcome },
     /// End the thread.
     Stop,
 }
+
+impl CoreInput {
+    /// Whether it is one of the many that endpoints cause.
+    fn is_of_endpoint(&self) -> bool {
+        match self {
+            Self::Beat { .. } | Self::Probed { .. } | Self::Ordered { .. } => true,
+            Self::Core(message) => matches!(message, CoreMessage::Beats(_) | CoreMessage::Told(_)),
+            _ => false,
+        }
+    }
+}
+
+/// Feeds the control thread.
+///
+/// Endpoints are many, and what they cause grows with the fleet. In one queue with everything else a
+/// leader that was behind by two seconds answered operators, votes and leases two seconds late: its entries
+/// refused callers, and another leader was elected, which had the same to do. So they have a queue of
+/// their own, which is read when the other one is empty, and which drops what finds no room.
+#[derive(Debug, Clone)]
+pub(super) struct InputSender {
+    urgent: Sender<CoreInput>,
+    endpoints: Sender<CoreInput>,
+}
+
+/// What the control thread reads.
+#[derive(Debug)]
+pub(super) struct InputReceiver {
+    urgent: Receiver<CoreInput>,
+    endpoints: Receiver<CoreInput>,
+}
+
+/// The two ends of the control thread's inputs.
+pub(super) fn input_queue() -> (InputSender, InputReceiver) {
+    let (urgent, urgent_queue) = bounded(INPUT_QUEUE);
+    let (endpoints, endpoint_queue) = bounded(INPUT_QUEUE);
+    let receiver = InputReceiver { urgent: urgent_queue, endpoints: endpoint_queue };
+    (InputSender { urgent, endpoints }, receiver)
+}
+
+impl InputSender {
+    /// Hands `input` over and waits for room; `false` when the control thread is gone.
+    pub(super) fn send(&self, input: CoreInput) -> bool {
+        self.queue_of(&input).send(input).is_ok()
+    }
+
+    /// Hands `input` over where there is room; tells whether it was taken.
+    pub(super) fn try_send(&self, input: CoreInput) -> bool {
+        self.queue_of(&input).try_send(input).is_ok()
+    }
+
+    fn queue_of(&self, input: &CoreInput) -> &Sender<CoreInput> {
+        if input.is_of_endpoint() { &self.endpoints } else { &self.urgent }
+    }
+}
+
+impl InputReceiver {
+    /// The next input, an urgent one where there is one; waits until `deadline`.
+    pub(super) fn recv_deadline(&self, deadline: Instant) -> Result<CoreInput, RecvTimeoutError> {
+        if let Ok(input) = self.urgent.try_recv() {
+            return Ok(input);
+        }
+        let wait = crossbeam::channel::at(deadline);
+        crossbeam::channel::select_biased! {
+            recv(self.urgent) -> input => input.map_err(|_| RecvTimeoutError::Disconnected),
+            recv(self.endpoints) -> input => input.map_err(|_| RecvTimeoutError::Disconnected),
+            recv(wait) -> _ => Err(RecvTimeoutError::Timeout),
+        }
+    }
+
+    /// What waits, urgent inputs first, as much as is taken between two steps.
+    pub(super) fn waiting(&self) -> impl Iterator<Item = CoreInput> + '_ {
+        let urgent = self.urgent.try_iter().take(URGENT_INPUTS);
+        urgent.chain(self.endpoints.try_iter().take(ENDPOINT_INPUTS))
+    }
+}
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -1,8 +1,11 @@
 //! What a leader does: directs the endpoints and keeps the entries informed.
 
+use std::time::Duration;
+
 use briartray_fleet::director::{ENTRY_GONE, FleetDirector};
-use briartray_fleet::message::{EntryNotice, EntryReport, FleetView, ViewVersion};
-use briartray_link::LinkWriter;
+use briartray_fleet::message::{EntryNotice, EntryReport, ViewHistory, ViewUpdate, ViewVersion};
+use briartray_fleet::state::StoredPlan;
+use briartray_link::{EncodedMessage, LinkWriter};
 use briartray_model::names::{NodeName, TermNumber};
 use briartray_model::{SortedTable, TimePoint};
 
@@ -10,11 +13,21 @@
 use super::core::{CommandOrigin, ControlCore, ReadOrigin};
 
 /// Shortest time between two views: changes that come together are told together.
-const INFORM_EVERY: std::time::Duration = std::time::Duration::from_millis(15);
+const INFORM_EVERY: Duration = Duration::from_millis(15);
+
+/// Part of a leader's time that each entry takes when all are told of a change.
+const INFORM_SHARE: Duration = Duration::from_micros(500);
+
+/// Time between two lines about the view.
+const VIEW_LINE_EVERY: Duration = Duration::from_millis(500);
+
+/// Time between two whole views to one entry: a report that says it holds none may have been written before
+/// the one that was sent last had come.
+const WHOLE_EVERY: Duration = Duration::from_millis(200);
 
-/// Pause after a step of the director that an event asked for, in times of what the step took: one part
-/// in four of the thread's time goes to such steps. A step grows with the fleet, and so does the number of
-/// events, while heartbeats and leases have to be answered all the same.
+/// Pause after a step of the director that an event asked for, and after a new view, in times of what it
+/// took: one part in four of the thread's time goes to each. Both grow with the fleet, and so does the
+/// number of events, while heartbeats and leases have to be answered all the same.
 const STEP_PAUSE: u32 = 3;
 
 /// Leaving endpoints told with every notice: those of the last minutes.
@@ -26,8 +39,38 @@
     heard: TimePoint,
     /// Version of the declaration that it holds, or that is on its way to it on this stream.
     plan: Option<u64>,
-    /// View that was sent last on this stream.
+    /// View that the entry holds, or that is on its way to it on this stream.
     view: Option<ViewVersion>,
+    /// When it was sent a whole view.
+    whole_at: Option<TimePoint>,
+}
+
+impl EntrySession {
+    /// A session that begins with `report`.
+    fn new(now: TimePoint, report: &EntryReport, writer: LinkWriter) -> Self {
+        let (plan, view) = (report.plan, Some(report.view));
+        Self { writer, heard: now, plan, view, whole_at: None }
+    }
+
+    /// Notes what was sent on the stream.
+    fn sent(&mut self, now: TimePoint, plan: Option<u64>, view: Option<&ViewUpdate>) {
+        self.plan = self.plan.max(plan);
+        let Some(view) = view else { return };
+        self.view = Some(view.version);
+        if view.base.is_none() {
+            self.whole_at = Some(now);
+        }
+    }
+
+    /// Takes what a report says that the entry holds.
+    fn heard(&mut self, now: TimePoint, report: &EntryReport) {
+        self.heard = now;
+        self.plan = self.plan.max(report.plan);
+        let on_its_way = self.whole_at.is_some_and(|at| now.since(at) < WHOLE_EVERY);
+        if report.view == ViewVersion::default() && !on_its_way {
+            self.view = None;
+        }
+    }
 }
 
 /// What a leader keeps while it leads.
@@ -41,9 +84,12 @@
     /// The director has something to follow up.
     pub(super) step_due: bool,
     entries: SortedTable<NodeName, EntrySession>,
-    view: Option<FleetView>,
+    views: ViewHistory,
     number: u64,
-    informed_at: TimePoint,
+    /// When entries may be told of the next view.
+    inform_from: TimePoint,
+    /// When the next line about the view may be written.
+    view_line_at: TimePoint,
     /// When the director may be stepped for what was just learnt.
     step_from: TimePoint,
 }
@@ -58,9 +104,10 @@
             dirty: true,
             step_due: false,
             entries: SortedTable::new(),
-            view: None,
+            views: ViewHistory::default(),
             number: 0,
-            informed_at: now,
+            inform_from: now,
+            view_line_at: now,
             step_from: now,
         }
     }
@@ -88,6 +135,10 @@
         self.measure();
         self.manage_voters(now);
         self.direct(now);
+        // Silence grows without an event, and what entries said a while ago counts no more.
+        if let Some(leadership) = &mut self.leadership {
+            leadership.dirty = true;
+        }
         self.inform(now);
     }
 
@@ -112,8 +163,8 @@
         if leadership.follow_up_at().is_some_and(|from| now >= from) {
             self.direct(now);
         }
-        let due = |lead: &Leadership| now.since(lead.informed_at) >= INFORM_EVERY;
-        if self.leadership.as_ref().is_some_and(|lead| lead.dirty && due(lead)) {
+        let due = |lead: &Leadership| lead.dirty && now >= lead.inform_from;
+        if self.leadership.as_ref().is_some_and(due) {
             self.inform(now);
         }
     }
@@ -130,9 +181,7 @@
         let output = leadership.director.step(now, &self.state, plan);
         let ended = self.clock.now();
         leadership.step_from = ended.after(ended.since(began) * STEP_PAUSE);
-        for probe in output.probes {
-            let _ = self.parts.calls.send(EndpointCall::Probe(probe));
-        }
+        self.ask_reports(now, output.probes);
         for call in output.orders {
             let _ = self.parts.calls.send(EndpointCall::Order { call, term });
         }
@@ -143,25 +192,40 @@
 
     /// Tells the entries what has changed.
     fn inform(&mut self, now: TimePoint) {
-        let fresh = self.refresh_view(now);
-        if let Some(leadership) = &mut self.leadership {
-            leadership.informed_at = now;
-        }
-        if !fresh {
-            return;
+        let began = self.clock.now();
+        if self.refresh_view(now) {
+            self.tell_entries(now);
         }
-        let notice = self.news();
+        let ended = self.clock.now();
+        let Some(leadership) = &mut self.leadership else { return };
+        let entries = u32::try_from(leadership.entries.len()).unwrap_or(u32::MAX);
+        let pause = (ended.since(began) * STEP_PAUSE).max(INFORM_EVERY).max(INFORM_SHARE * entries);
+        leadership.inform_from = ended.after(pause);
+    }
+
+    /// Sends each entry what it lacks. One that is behind asks again with its next report.
+    fn tell_entries(&mut self, now: TimePoint) {
+        let news = self.news();
+        let plan = self.state.plan();
+        let newest = plan.map(|plan| plan.version);
         let Some(leadership) = &mut self.leadership else { return };
         leadership.entries.retain(|_, entry| now.since(entry.heard) < ENTRY_GONE);
-        let newest = self.state.plan().map(|plan| plan.version);
+        let mut encoded = SortedTable::new();
         for entry in leadership.entries.values_mut() {
-            let behind = entry.plan < newest;
-            let plan = self.state.plan().filter(|_| behind).cloned();
-            // One that is behind asks again with its next report.
-            let sent = entry.writer.try_send(&EntryNotice { plan, ..notice.clone() });
-            if matches!(sent, Ok(true)) {
-                entry.plan = newest;
-                entry.view = notice.view.as_ref().map(|view| view.version);
+            let lacks_plan = entry.plan < newest;
+            let lacks = (lacks_plan, leadership.views.base_of(entry.view));
+            let (view, message) = encoded.get_or_insert_with(lacks, || {
+                let plan = plan.filter(|_| lacks_plan).cloned();
+                let view = leadership.views.update_for(entry.view);
+                let notice = EntryNotice { plan, view: view.clone(), ..news.clone() };
+                (view, EncodedMessage::of(&notice))
+            });
+            match message {
+                Ok(message) if matches!(entry.writer.try_send_encoded(message), Ok(true)) => {
+                    entry.sent(now, newest, view.as_ref());
+                }
+                Ok(_) => {}
+                Err(error) => log::error!("entries cannot be told of a view: {error}"),
             }
         }
     }
@@ -179,31 +243,29 @@
         let version = ViewVersion { term: leadership.term, number: leadership.number + 1 };
         let mut view = leadership.director.view(now, &self.state, plan, version);
         view.entries = leadership.entries.len();
-        let same = leadership.view.as_ref().is_some_and(|known| {
-            known.endpoints == view.endpoints
-                && known.groups == view.groups
-                && known.entries == view.entries
-                && known.partial == view.partial
-        });
+        let same = leadership.views.newest().is_some_and(|known| known.tells_as(&view));
         let newest = self.state.plan().map(|plan| plan.version);
         let behind = leadership.entries.values().any(|entry| entry.plan < newest);
         if !same {
-            let spares = leadership.director.spare_summary(&self.state);
-            log::info!("view {}: {}; free {spares}", version.number, view.summary());
+            if now >= leadership.view_line_at {
+                leadership.view_line_at = now.after(VIEW_LINE_EVERY);
+                let spares = leadership.director.spare_summary(&self.state);
+                log::info!("view {}: {}; free {spares}", version.number, view.summary());
+            }
             leadership.number += 1;
-            leadership.view = Some(view);
+            leadership.views.push(view);
         }
         !same || behind
     }
 
-    /// A notice without a confirmation.
+    /// A notice without a confirmation, a declaration or a view.
     fn news(&self) -> EntryNotice {
         let leaving = self.state.leaving();
         let told = leaving.len().saturating_sub(LEAVING_TOLD);
         EntryNotice {
             nonce: None,
             plan: None,
-            view: self.leadership.as_ref().and_then(|lead| lead.view.clone()),
+            view: None,
             loads: Vec::new(),
             leaving: leaving[told..].to_vec(),
             control: self.hosts.names(),
@@ -217,37 +279,40 @@
             return self.name_leader(&writer);
         };
         leadership.director.report(now, &report, &self.state);
-        leadership.dirty = true;
+        // What else a report says of the groups shows in the view of the next tick.
+        let is_new = !leadership.entries.contains_key(&report.node);
+        leadership.dirty |= is_new || report.pulses.iter().any(|pulse| pulse.suspect);
         // What was sent on the same stream arrives before any later answer, so it is not sent again:
         // a report is often on its way while the declaration is, and each was sent twice.
-        let known = leadership.entries.get(&report.node);
+        let known = leadership.entries.remove(&report.node);
         let known = known.filter(|known| known.writer.is_same(&writer));
-        let plan = report.plan.max(known.and_then(|known| known.plan));
-        let view = known.and_then(|known| known.view);
-        let session = EntrySession { writer: writer.clone(), heard: now, plan, view };
+        let fresh = || EntrySession::new(now, &report, writer.clone());
+        let mut session = known.unwrap_or_else(fresh);
+        session.heard(now, &report);
         leadership.entries.insert(report.node.clone(), session);
         self.confirm(ReadOrigin::Entry(Box::new(report), writer));
     }
 
+    /// Answers a report with what its entry lacks; its lease begins with the answer.
     pub(super) fn answer_report(&mut self, report: &EntryReport, writer: &LinkWriter) {
+        let now = self.now();
         let news = self.news();
-        let loads = self.leadership.as_ref().map(|lead| lead.director.loads_beside(report));
-        let loads = loads.unwrap_or_default();
         let newest = self.state.plan().map(|plan| plan.version);
-        let session = self.leadership.as_mut().and_then(|lead| lead.entries.get_mut(&report.node));
+        let Some(leadership) = &mut self.leadership else { return self.name_leader(writer) };
+        let loads = leadership.director.loads_beside(report);
+        let session = leadership.entries.get_mut(&report.node);
         let mut session = session.filter(|session| session.writer.is_same(writer));
-        let held = report.plan.max(session.as_ref().and_then(|session| session.plan));
-        let plan = self.state.plan().filter(|_| held < newest).cloned();
-        let shown = session.as_ref().and_then(|session| session.view);
-        let is_new = |view: &FleetView| view.version != report.view && shown != Some(view.version);
-        let version = news.view.as_ref().map(|view| view.version);
-        let view = news.view.clone().filter(is_new);
-        let notice = EntryNotice { nonce: Some(report.nonce), plan, view, loads, ..news };
+        let held = session.as_ref().map_or((report.plan, Some(report.view)), |session| {
+            (session.plan.max(report.plan), session.view)
+        });
+        let plan: Option<StoredPlan> = self.state.plan().filter(|_| held.0 < newest).cloned();
+        let view: Option<ViewUpdate> = leadership.views.update_for(held.1);
+        let (nonce, told) = (Some(report.nonce), view.clone());
+        let notice = EntryNotice { nonce, plan, view: told, loads, ..news };
         // An entry that is behind asks again; its lease runs out meanwhile.
         let sent = writer.try_send(&notice);
         if let (Ok(true), Some(session)) = (sent, session.as_mut()) {
-            session.plan = held.max(newest);
-            session.view = version;
+            session.sent(now, newest, view.as_ref());
         }
     }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod leader;
 mod metrics;
 mod peers;
+mod relay;
 mod replication;
 mod streams;
 mod voters;
@@ -21,18 +22,15 @@
 use briartray_link::LinkServer;
 use briartray_node::metrics::MetricsHub;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam::channel::{Receiver, RecvTimeoutError, bounded};
 use snafu::ResultExt;
 
 use self::core::{ControlCore, CoreParts};
-use self::input::CoreInput;
+use self::input::{CoreInput, InputReceiver, InputSender, input_queue};
 use self::metrics::ControlMetrics;
 use crate::process::{ProcessError, RoleFailure, SetupSnafu};
 use crate::settings::{ControlRole, GatewaySettings};
 
-/// Inputs that may wait for the control thread.
-const INPUT_QUEUE: usize = 8_192;
-
 /// Stack of the control thread, in bytes.
 const CONTROL_STACK_BYTES: usize = 8 * WORKER_STACK_BYTES;
 
@@ -47,7 +45,7 @@
 #[derive(Debug)]
 pub struct ControlProcess {
     link: LinkServer,
-    inputs: Sender<CoreInput>,
+    inputs: InputSender,
     failures: Receiver<RoleFailure>,
 }
 
@@ -61,7 +59,7 @@
         role: &ControlRole,
         files: FileSource,
     ) -> Result<Self, ProcessError> {
-        let (inputs, queue) = bounded(INPUT_QUEUE);
+        let (inputs, queue) = input_queue();
         let (failure, failures) = bounded(1);
         let hub = MetricsHub::default();
         let metrics = hub.add(ControlMetrics::register);
@@ -99,7 +97,7 @@
 
     /// Stops the role.
     pub fn stop(&self) {
-        let _ = self.inputs.send(CoreInput::Stop);
+        self.inputs.send(CoreInput::Stop);
         self.link.stop();
     }
 }
@@ -118,7 +116,7 @@
 ///
 /// A folder whose contents do not read is begun anew: its host then takes part as one that has
 /// lost its disk, and does not vote before the others have brought it up to date.
-fn open_folder(parts: &CoreParts, queue: &Receiver<CoreInput>) -> FolderOpening {
+fn open_folder(parts: &CoreParts, queue: &InputReceiver) -> FolderOpening {
     let Some(path) = parts.role.data_folder.as_deref() else { return FolderOpening::NoFolder };
     let node = parts.settings.node_name();
     loop {
@@ -142,7 +140,7 @@
 ///
 /// Inputs that were left to wait would fill the queue, and the threads that feed it would stand
 /// still, the one that asks for a stop among them.
-fn refuse_for(pause: Duration, queue: &Receiver<CoreInput>) -> bool {
+fn refuse_for(pause: Duration, queue: &InputReceiver) -> bool {
     let ends = Instant::now() + pause;
     loop {
         match queue.recv_deadline(ends) {
--- a/crates/gateway/src/control/streams.rs
+++ b/crates/gateway/src/control/streams.rs
@@ -5,10 +5,9 @@
 use briartray_fleet::message::EntryReport;
 use briartray_link::{CallKind, LinkError, LinkStream, LinkWriter};
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
-use crossbeam::channel::Sender;
 use serde::de::DeserializeOwned;
 
-use super::input::{CoreInput, CoreMessage};
+use super::input::{CoreInput, CoreMessage, InputSender};
 
 /// How long a silent stream is waited on at a time.
 const READ_WAIT: Duration = Duration::from_secs(5);
@@ -18,7 +17,7 @@
 const MAX_SILENT_WAITS: u32 = 3;
 
 /// Serves one accepted stream on a thread of its own.
-pub(super) fn accept(stream: LinkStream, inputs: &Sender<CoreInput>) {
+pub(super) fn accept(stream: LinkStream, inputs: &InputSender) {
     let inputs = inputs.clone();
     let run = move || match stream.kind {
         CallKind::Core => {
@@ -38,7 +37,7 @@
 /// Passes each message on until the stream ends or stays silent.
 fn forward<T: DeserializeOwned>(
     stream: &LinkStream,
-    inputs: &Sender<CoreInput>,
+    inputs: &InputSender,
     wrap: impl Fn(T, LinkWriter) -> CoreInput,
 ) {
     let mut silent = 0;
@@ -46,7 +45,7 @@
         match stream.reader.receive(READ_WAIT) {
             Ok(message) => {
                 silent = 0;
-                if inputs.send(wrap(message, stream.writer.clone())).is_err() {
+                if !inputs.send(wrap(message, stream.writer.clone())) {
                     return;
                 }
             }
--- a/crates/gateway/src/control/voters.rs
+++ b/crates/gateway/src/control/voters.rs
@@ -133,6 +133,12 @@
             .collect()
     }
 
+    /// Other control hosts that were heard of within `limit`.
+    pub(super) fn live(&self, now: TimePoint, limit: Duration) -> Vec<NodeName> {
+        let heard = |host: &KnownHost| host.hello.is_some() && now.since(host.heard) < limit;
+        self.hosts.iter().filter(|(_, host)| heard(host)).map(|(node, _)| node.clone()).collect()
+    }
+
     fn is_silent(&self, now: TimePoint, node: &NodeName, limit: Duration) -> bool {
         self.hosts.get(node).is_none_or(|host| now.since(host.heard) >= limit)
     }
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use briartray_fleet::deployment::{RouteBook, RouteRule};
-use briartray_fleet::entry::{EntryLease, RetryBudget, StartupWait, TargetTable};
+use briartray_fleet::entry::{
+    EntryLease, RetryBudget, StartupWait, TargetTable, ask_pause, report_pause,
+};
 use briartray_fleet::message::{EntryNotice, EntryReport, ModelDemand, WorkSum};
 use briartray_fleet::state::StoredPlan;
 use briartray_model::names::{NodeName, ServiceName};
@@ -37,6 +39,8 @@
     startup_wait: StartupWait,
     reports: Sender<EntryReport>,
     demand: RefCell<SortedTable<(ServiceName, String), WorkSum>>,
+    /// Reports in a row without an answer.
+    unanswered: Cell<u32>,
     draining: Cell<bool>,
     serving: Cell<bool>,
     running: Cell<usize>,
@@ -71,6 +75,7 @@
             silence: Notify::new(),
             reports,
             demand: RefCell::default(),
+            unanswered: Cell::new(0),
             draining: Cell::new(false),
             serving: Cell::new(false),
             running: Cell::new(0),
@@ -215,6 +220,7 @@
     /// Tells the leader what was seen, and asks for a longer lease.
     pub(super) fn send_report(&self) {
         let now = self.now();
+        self.unanswered.set(self.unanswered.get().saturating_add(1));
         let table = self.table.borrow();
         let report = EntryReport {
             node: self.settings.node_name(),
@@ -277,15 +283,16 @@
         if !notice.leaving.is_empty() {
             table.mark_leaving(notice.leaving);
         }
-        if let Some(view) = notice.view {
-            log::debug!(term = view.version.term.0, number = view.version.number,
-                groups = view.groups.len(), open = view.groups.iter().filter(|g| g.open).count(),
-                endpoints = view.endpoints.len(); "a view is adopted");
-            table.adopt(view);
+        if let Some(update) = notice.view {
+            let (term, number) = (update.version.term.0, update.version.number);
+            let (whole, groups) = (update.base.is_none(), update.groups.len());
+            log::debug!(term, number, whole, groups; "an update of the view came");
+            table.update(update);
         }
         table.take_loads(self.now(), &notice.loads);
         // The lease comes last: it confirms what was told with it.
         if let Some(nonce) = notice.nonce {
+            self.unanswered.set(0);
             let left = self.lease.borrow_mut().grant(nonce).since(self.now());
             self.metrics.lease_left.set(i64::try_from(left.as_millis()).unwrap_or(i64::MAX));
         }
@@ -316,18 +323,13 @@
 
     /// Time between two reports to the leader.
     pub(super) fn report_pause(&self) -> Duration {
-        if self.is_in_touch() { REPORT_EVERY } else { REPORT_EVERY_OUT_OF_TOUCH }
+        match self.is_in_touch() {
+            true => report_pause(self.table.borrow().entries()),
+            false => ask_pause(self.unanswered.get()),
+        }
     }
 }
 
-/// Time between two reports to the leader: the lease lasts three seconds, and what entries see of
-/// groups must be fresher than the time after which a silent group is given up.
-const REPORT_EVERY: Duration = Duration::from_millis(250);
-
-/// As above while callers wait for news: a control host that does not lead names the new leader in
-/// its next answer.
-const REPORT_EVERY_OUT_OF_TOUCH: Duration = Duration::from_millis(80);
-
 /// Names of control hosts, without repetition.
 pub(super) fn merge_hosts(known: &mut Vec<NodeName>, more: Vec<NodeName>) {
     for host in more {
--- a/crates/gateway/src/entry/watch.rs
+++ b/crates/gateway/src/entry/watch.rs
@@ -24,8 +24,8 @@
 /// Time to connect to a control host, a few ways between far regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Time without a confirmed report after which another control host is tried. An election takes up
-/// to a second; a host that leads confirms within two ways and a sync.
+/// Time for which a report may wait for its answer before another control host is tried. An election takes
+/// up to a second; a host that leads confirms within two ways and a sync.
 const UNCONFIRMED: Duration = Duration::from_millis(700);
 
 /// Pause before the next control host is tried.
@@ -130,17 +130,18 @@
     }
 
     fn talk(&mut self, host: &NodeName, writer: &LinkWriter, reader: &LinkReader) -> TalkEnd {
-        let mut confirmed = Instant::now();
+        let mut waits_since = Some(Instant::now());
         loop {
             for report in self.queue.try_iter() {
                 if writer.try_send(&report).is_err() {
                     return TalkEnd::Next;
                 }
+                waits_since.get_or_insert_with(Instant::now);
             }
             match reader.receive::<EntryNotice>(POLL) {
                 Ok(notice) => {
                     if notice.nonce.is_some() {
-                        confirmed = Instant::now();
+                        waits_since = None;
                     }
                     if self.take(host, notice).is_none() {
                         return TalkEnd::Stopped;
@@ -155,7 +156,7 @@
                     return TalkEnd::Next;
                 }
             }
-            if confirmed.elapsed() >= UNCONFIRMED {
+            if waits_since.is_some_and(|since| since.elapsed() >= UNCONFIRMED) {
                 return TalkEnd::Next;
             }
         }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -18,7 +18,7 @@
 pub use error::LinkError;
 pub use frame::MAX_FRAME_BYTES;
 pub use server::{LinkServer, LinkStream};
-pub use stream::{LinkReader, LinkWriter};
+pub use stream::{EncodedMessage, LinkReader, LinkWriter};
 
 use std::fmt;
 
--- a/crates/link/src/stream.rs
+++ b/crates/link/src/stream.rs
@@ -23,6 +23,22 @@
     frames: mpsc::Sender<Bytes>,
 }
 
+/// A message as it goes onto streams: encoded once, however many readers there are.
+#[derive(Debug, Clone)]
+pub struct EncodedMessage {
+    frame: Bytes,
+}
+
+impl EncodedMessage {
+    /// Encodes `message`.
+    ///
+    /// # Errors
+    /// A codec error when the message does not encode, or is too large.
+    pub fn of<T: Serialize>(message: &T) -> Result<Self, LinkError> {
+        Ok(Self { frame: wrap(&codec::encode(message)?)? })
+    }
+}
+
 /// Receives messages from one stream.
 #[derive(Debug)]
 pub struct LinkReader {
@@ -50,8 +66,15 @@
     /// # Errors
     /// As [`LinkWriter::send`].
     pub fn try_send<T: Serialize>(&self, message: &T) -> Result<bool, LinkError> {
-        let frame = wrap(&codec::encode(message)?)?;
-        match self.frames.try_send(frame) {
+        self.try_send_encoded(&EncodedMessage::of(message)?)
+    }
+
+    /// As [`LinkWriter::try_send`], for what is sent on many streams.
+    ///
+    /// # Errors
+    /// `LinkError::Broken` when the stream is gone.
+    pub fn try_send_encoded(&self, message: &EncodedMessage) -> Result<bool, LinkError> {
+        match self.frames.try_send(message.frame.clone()) {
             Ok(()) => Ok(true),
             Err(mpsc::error::TrySendError::Full(_)) => Ok(false),
             Err(mpsc::error::TrySendError::Closed(_)) => {
