--- a/crates/fleet/src/director/demand.rs
+++ b/crates/fleet/src/director/demand.rs
@@ -17,8 +17,8 @@
 /// Time of counting before the figures are believed at all.
 const WARM_UP: Duration = Duration::from_secs(3);
 
-/// Time after that in which they come to be believed wholly. Prompts differ tenfold in length: after
-/// three seconds the figure for 30 requests a second was off by a half.
+/// Time after that in which they come to be believed wholly: prompts differ tenfold in length, and the
+/// figures of the first seconds may be off by a half.
 const TRUSTED_AFTER: Duration = Duration::from_secs(6);
 
 /// Demand by service and model, for each second.
--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -13,8 +13,7 @@
 
 use super::{EndpointBeat, EndpointOrder, EndpointReport, ProbeCall};
 
-/// Time between two reports of a group's member. A report costs a hundredth of a small request;
-/// 24 members asked this often cost 0.1% of what a deployment of 30 hosts earns.
+/// Time between two reports of a group's member: losses that no caller notices first are found by them.
 pub const PROBE_EVERY: Duration = Duration::from_millis(800);
 
 /// As above for one that is lost: its first beat tells of its return.
@@ -36,14 +35,13 @@
 /// Time between two reports of a member of a group that entries find silent.
 ///
 /// Each entry with a request there tells so with every report for two seconds, and a fleet has many
-/// entries. Where each of their words asked all members anew, 39 entries that were cut off from one
-/// group caused 156 probes a second of each of its members, which had all answered. One that dies
-/// right after its answer is found this much later at the most.
+/// entries. If each of their words asked all members anew, entries that are cut off from one group would
+/// keep the leader busy with members that have all answered. One that dies right after its answer is
+/// found this much later at the most.
 const SUSPECT_EVERY: Duration = Duration::from_millis(200);
 
-/// Reports under way at one time. A new leader asks all endpoints that it inherits, and each has 150 ms to
-/// answer. Where 373 were asked at once, 727 probes counted as silent within a second, most likely since
-/// the leader did not get to read the answers; hosts that count as lost have to prove who they are.
+/// Reports under way at one time. A new leader asks all endpoints that it inherits; of hundreds that answer
+/// at once it reads some too late, takes them for lost, and has to ask them who they are.
 const PROBES_AT_ONCE: usize = 64;
 
 /// Time after which a question counts as one that was never asked. An answer, or that none came, is known
--- a/crates/fleet/src/director/plan/lateness.rs
+++ b/crates/fleet/src/director/plan/lateness.rs
@@ -1,8 +1,8 @@
 //! Which split of the hosts serves the fewest callers late, by the published engine.
 //!
-//! Load pattern: two models share one pool of hosts, one of them with long prompts and groups of eight.
-//! Where both were kept equally busy, three in five of its callers were late and one in twenty of the
-//! other model's. Equally busy is not equally late. A group reads prompts between two events of all its
+//! Load pattern: two models share one pool of hosts, one of them with long prompts and large groups.
+//! Where both are kept equally busy, most of its callers are late and few of the other model's. Equally
+//! busy is not equally late. A group reads prompts between two events of all its
 //! streams, so a few long ones that come together hold up everybody; that happens more often the more
 //! prompts come in one pass, and a group of the other model reads four of them in the time of one.
 
@@ -14,11 +14,10 @@
 const FIRST_PASSES: f64 = 2.2;
 
 /// Time to the first part beside its passes, in milliseconds: connecting, and what the engine does before
-/// it reads. Measured: medians of 376 and 201 ms where a pass takes 120 and 47 ms.
+/// it reads, which it does not publish.
 const FIRST_FIXED_MS: f64 = 110.0;
 
-/// Spread of the time to the first part, as the standard deviation of its logarithm: 8 in 100 took
-/// more than 300 ms where the median was 200 ms.
+/// Spread of the time to the first part, as the standard deviation of its logarithm.
 const FIRST_SPREAD: f64 = 0.25;
 
 /// Part of the slots that write in a group that is as full as it may be on average: entries find room
--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -3,10 +3,10 @@
 //! Loading a model takes ten times as long as joining where its weights are. A host has weights in
 //! two places: those of its last group are warm in its accelerators, and it keeps others staged
 //! beside them. So hosts that serve one model are given the weights of another one to keep, and
-//! whichever model loses a host finds the next one among all hosts of the domain. Where a host kept
-//! its own model only, a large group that lost two hosts waited for 16 s with the rest of its hosts
-//! idle, half of a bad day. Hosts of one group share a fabric domain: across domains a group runs
-//! several times slower.
+//! whichever model loses a host finds the next one among all hosts of the domain. Where each host kept
+//! its own model only, a large group that lost two hosts would wait for a load with the rest of its
+//! hosts idle. Hosts of one group share a fabric domain: across domains a group runs several times
+//! slower.
 
 mod form;
 mod host;
@@ -26,12 +26,11 @@
 const LEAST_BUSY: f64 = 0.5;
 
 /// Part of a group that may be lacking for one more to be formed. Spares would be used up for halves
-/// of groups, and the next loss waits for a spare. Where a model lacked groups below 0.85 of those
-/// wanted instead, its hosts went to and fro, and the worst day earned 0.45 of worth, not 0.50.
+/// of groups, and the next loss would wait for a spare; hosts would go to and fro between models.
 const ROUND_UP: f64 = 0.2;
 
-/// Free hosts that each domain keeps to mend its groups, beyond groups that callers need. Without
-/// any, days of high load earned 0.03 more and days with lost orders 0.05 less.
+/// Free hosts that each domain keeps to mend its groups, beyond groups that callers need: a dead member is
+/// replaced at once, also where orders get lost.
 const SPARES_KEPT: usize = 1;
 
 /// Number of a group that the log has not named yet.
@@ -91,8 +90,7 @@
     view: PlanView<'a>,
     /// Groups of each model that should serve; the actions of one step hardly change it.
     wanted: Vec<f64>,
-    /// Positions of free hosts by domain. Each domain is asked for its own several times for an action;
-    /// a look through all free hosts each time took half of a plan at 1,000 hosts.
+    /// Positions of free hosts by domain: each domain is asked for its own several times for an action.
     free: DomainPositions,
     /// Positions of hosts that are being told to leave, by domain.
     leaving: DomainPositions,
--- a/crates/fleet/src/director/plan/rebalance.rs
+++ b/crates/fleet/src/director/plan/rebalance.rs
@@ -6,9 +6,8 @@
 //! has ended, since they keep its weights.
 //!
 //! The same holds before callers ask. Hosts are heard one after the other, and where those of a domain
-//! that came first made small groups, the rest no longer makes a large one: 380 hosts held 16 large
-//! groups and 46 small ones where 20 and 40 were wanted. Nobody is served yet and loads are short, so
-//! that is put right at once.
+//! that came first made small groups, the rest no longer makes a large one. Nobody is served yet and
+//! loads are short, so that is put right at once.
 
 use briartray_model::names::DomainName;
 
--- a/crates/fleet/src/director/plan/stage.rs
+++ b/crates/fleet/src/director/plan/stage.rs
@@ -109,8 +109,7 @@
 
     /// Hosts of each domain, free or not, that can serve each model or will.
     ///
-    /// Counted once for a plan: counted for each host, a plan of 380 hosts looked at every pair of
-    /// them.
+    /// Counted once for a plan: counted for each host, a plan would look at every pair of hosts.
     fn stocks(&self) -> DomainStocks<'_> {
         let mut stocks = DomainStocks::new();
         for host in self.every_host() {
--- a/crates/fleet/src/director/pulse.rs
+++ b/crates/fleet/src/director/pulse.rs
@@ -9,8 +9,8 @@
 //! stall by the time of the next report.
 //!
 //! The same reports tell how many requests each entry has on each group. Their sum is what an entry
-//! cannot know by itself: a group tells its load with its answers, and each of 39 entries before 19
-//! groups has an answer of a group every four seconds.
+//! cannot know by itself: a group tells its load with its answers, and each of many entries has an
+//! answer of a group every few seconds only.
 
 use std::time::Duration;
 
--- a/crates/fleet/src/entry/choice.rs
+++ b/crates/fleet/src/entry/choice.rs
@@ -7,16 +7,14 @@
 
 /// Power of a group's free room in its chance.
 ///
-/// Load pattern: of 60 groups one opens every half a second, empty, while the others have a third of their
-/// room. Drawn by the square of its room it got a third of all prompts, read nothing but prompts for
-/// seconds, and held up the streams that it had already begun. The engine ends answers sooner where fewer
-/// run, so nearly equal chances even the groups out by themselves. Over two full days of 380 hosts
-/// the root earned 0.02 more worth than the square and 0.01 more than the first power.
+/// Load pattern: groups open one after the other, empty, while the others have a third of their room. A
+/// larger power sends a new one so many prompts that it reads nothing else for seconds and holds up the
+/// streams that it has already begun. The engine ends answers sooner where fewer run, so nearly equal
+/// chances even the groups out by themselves.
 const FREE_POWER: f64 = 0.5;
 
 /// Power of a group's slowness in its chance: one that takes twice as long for a first part gets an
-/// eighth, since it ends its answers later as well and its load is told late. Chosen so, not measured
-/// by itself.
+/// eighth, since it ends its answers later as well and its load is told late.
 const SLOW_POWER: i32 = 3;
 
 /// Requests that a plain endpoint counts as having beyond those it runs, so that a slow one is avoided
@@ -63,9 +61,8 @@
 /// One of `targets`, drawn in proportion to its free room.
 ///
 /// Load pattern: a group is mended, or ends many answers at once. All entries know it as the least
-/// loaded one until its first answers tell otherwise, a third of a second later. Where each sent
-/// to the least loaded one, ten prompts met there and were read one after the other: their first
-/// parts took 593 ms at the median of those that were late, 400 being expected.
+/// loaded one until its first answers tell otherwise. Where each sends to the least loaded one, their
+/// prompts meet there and are read one after the other, and all their first parts are late.
 pub(super) fn draw(
     random: &mut ChaCha8Rng,
     mut targets: Vec<UsableTarget>,
--- a/crates/fleet/src/entry/lease.rs
+++ b/crates/fleet/src/entry/lease.rs
@@ -13,7 +13,7 @@
 ///
 /// A request counts by when its caller sent it, which is before it is checked here, so the rest only
 /// covers clocks that run at different speeds. The longer the lease, the longer entries serve on while
-/// they are cut off or no control host leads: 1.5 s longer than with 0.6 of 5 s.
+/// they are cut off or no control host leads.
 const LEASE_PART: f64 = 0.9;
 
 /// Reports that may wait for an answer.
--- a/crates/fleet/src/entry/load.rs
+++ b/crates/fleet/src/entry/load.rs
@@ -10,9 +10,8 @@
 use briartray_model::TimePoint;
 
 /// Part of a target's free room that one entry may fill before it is told its load again, in
-/// entries' equal parts. Where each took all of the room it saw, eight entries sent ten requests
-/// too many to a full group, and those waited there for 150 to 400 ms. With half as much again as the
-/// equal part 0.013 of worth less was earned over 30 days, with the same losses.
+/// entries' equal parts. With more than that the entries together send more than a group has room for,
+/// and the surplus waits there.
 const ROOM_SHARE: f64 = 1.0;
 
 /// Weight of a new time to the first part in the smoothed one.
@@ -121,9 +120,9 @@
 
     /// The leader told what all other entries have there.
     ///
-    /// Load pattern: 39 entries before 19 groups of one model, 195 requests a second. An entry has an
-    /// answer of each group every four seconds, and takes a group for empty two seconds after one. It
-    /// sent to full groups as often as to empty ones.
+    /// Load pattern: so many entries before the groups of a model that each has an answer of a group every
+    /// few seconds. What such an answer told is long out of date when the next request is sent, and full
+    /// groups get as many as empty ones.
     pub fn told_of_others(&mut self, now: TimePoint, others: u32) {
         if self.told_itself.is_none_or(|at| now.since(at) >= TOLD_ITSELF) {
             self.learn_others(now, f64::from(others));
--- a/crates/fleet/src/state/stored_plan.rs
+++ b/crates/fleet/src/state/stored_plan.rs
@@ -1,9 +1,9 @@
 //! A declaration as the operator sent it, kept small.
 //!
-//! A declaration of 1,730 routes has 570 KB. Each change of it goes to every voter and every entry:
-//! 16 MB for 28 entries, more than a second of a link of 100 Mbit/s. Heartbeats waited behind it,
-//! and leaders lost their majority seven times in one day. Routes are alike, so the text is
-//! compressed once, when it arrives, and unpacked where it is read.
+//! A declaration of two thousand routes has more than half a megabyte. Each change of it goes to every
+//! voter and every entry; heartbeats that wait behind it come too late, and the leader loses its
+//! majority. Routes are alike, so the text is compressed once, when it arrives, and unpacked where it is
+//! read.
 
 use std::io::{Read, Write};
 
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -17,7 +17,7 @@
 const PEER_QUEUE: usize = 64;
 
 /// Time to connect to another control host, a few ways between far regions. One that is being started
-/// does not answer at all; a wait of 400 ms for it swallowed the first votes after a power loss.
+/// does not answer at all, and a longer wait for it would swallow the first votes after a power loss.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Queues to the other control hosts.
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -178,8 +178,8 @@
 
 /// The next whole event of `stream`.
 ///
-/// It is woken when a target goes silent and does not look by itself: with a timer of 40 ms for each
-/// stream all processes of one day took 13.9 s of processor time, and 13.0 s without.
+/// It is woken when a target goes silent and does not look by itself: a timer for each stream costs an entry
+/// a good part of the processor time that it spends on streams.
 async fn next_step(request: &ServedRequest, stream: &mut LiveStream) -> StreamStep {
     loop {
         if let Some(event) = stream.cutter.next_event() {
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -46,9 +46,8 @@
     /// keeps it.
     ///
     /// An endpoint accepts a bounded number of connections from all processes together and resets
-    /// further ones. A request on a connection that is reset may have run: callers of what must
-    /// not run twice were told that the outcome is unknown, one in six on a deployment of 18
-    /// entries that kept 16 connections each before an endpoint which accepts 72.
+    /// further ones. A request on a connection that is reset may have run, so callers of what must not
+    /// run twice are told that the outcome is unknown.
     pub fn put(
         &mut self,
         now: TimePoint,
