Hand out declarations at a pace; ready a large fleet at once; hear others before counting their silence

Cause: on a deployment of 300 machines before 3,150 endpoints leaders changed every two to four seconds. The control thread ticked the agreement before it read what had come during a long step, and gave up a majority whose answers lay unread; a changed declaration went to 300 entries at once, half a second of the leader's link with heartbeats behind it; and with one action of the plan after the other, spares were warmed and second models staged at 60 to 100 a second, so that loads went on when callers came.

Change: urgent inputs are read before the agreement ticks. Before callers come, spares of up to 32 domains and up to 64 loads begin in one step once groups are formed; a step looks at half as many hosts. An entry stays with a leader that has any word for it.

--- a/crates/fleet/src/director/plan/form.rs
+++ b/crates/fleet/src/director/plan/form.rs
@@ -171,20 +171,32 @@
     /// Before callers ask, a spare without weights loads them by joining: it is warm as soon as
     /// it has them, and time is left to stage another model.
     pub(super) fn warm_up(&self) -> Option<PlanAction> {
-        let cold = |host: &&PoolHost| host.standby.is_none() && host.warm.is_none();
-        self.view.free.iter().filter(cold).find_map(|host| {
-            if self.view.serving && host.fresh {
-                return None;
-            }
-            let model = match self.models().iter().find(|model| host.can_join(&model.name)) {
-                Some(model) => model,
-                None if !self.view.serving && host.is_empty() => self.coldest(&host.domain)?,
-                None => return None,
-            };
-            let loads = usize::from(!host.can_join(&model.name));
-            let group = GroupRecord { standby: true, ..self.record(model, &[host]) };
-            Some(PlanAction::Form { group, loads })
-        })
+        self.view.free.iter().find_map(|host| self.spare_of(host))
+    }
+
+    /// As [`Self::warm_up`], for one spare of each of `most` domains: thousands of hosts have hundreds of
+    /// spares, which are to be warm when callers come.
+    pub fn early_spares(&self, most: usize) -> Vec<PlanAction> {
+        let domains = self.domains();
+        let first = |domain: &DomainName| {
+            self.free_in(domain).into_iter().find_map(|host| self.spare_of(host))
+        };
+        domains.iter().filter_map(first).take(most).collect()
+    }
+
+    /// A standby group of `host`, where it is cold.
+    fn spare_of(&self, host: &PoolHost) -> Option<PlanAction> {
+        if host.standby.is_some() || host.warm.is_some() || (self.view.serving && host.fresh) {
+            return None;
+        }
+        let model = match self.models().iter().find(|model| host.can_join(&model.name)) {
+            Some(model) => model,
+            None if !self.view.serving && host.is_empty() => self.coldest(&host.domain)?,
+            None => return None,
+        };
+        let loads = usize::from(!host.can_join(&model.name));
+        let group = GroupRecord { standby: true, ..self.record(model, &[host]) };
+        Some(PlanAction::Form { group, loads })
     }
 
     /// The model that the fewest spares of `domain` are warm in; the largest of several, since a
--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -84,6 +84,17 @@
     },
 }
 
+impl PlanAction {
+    /// Whether it only makes ready for later losses.
+    pub(super) fn only_prepares(&self) -> bool {
+        match self {
+            Self::Form { group, .. } => group.standby,
+            Self::Stage { .. } => true,
+            Self::End(_) => false,
+        }
+    }
+}
+
 /// Plans groups of one service.
 #[derive(Debug, Clone)]
 pub struct GroupPlanner<'a> {
--- a/crates/fleet/src/director/plan/stage.rs
+++ b/crates/fleet/src/director/plan/stage.rs
@@ -17,6 +17,9 @@
 /// Places of the weight store that are left to hosts without weights.
 const KEPT_LOADS: usize = 2;
 
+/// Loads that one domain gets in a step, before callers come.
+const EARLY_PER_DOMAIN: usize = 2;
+
 /// Hosts that can serve each model, in the order of the engine's models, by domain.
 type DomainStocks<'v> = SortedTable<&'v DomainName, Vec<usize>>;
 
@@ -35,6 +38,29 @@
         urgent.or_else(|| self.stage_further(wanted))
     }
 
+    /// Further models for hosts that serve already, `most` of them, while loads are short and nothing else is
+    /// left to plan: thousands of hosts have theirs before callers come only if many loads begin at once.
+    /// Each domain gets a few, since every load changes what its domain lacks.
+    pub fn early_loads(&self, most: usize) -> Vec<PlanAction> {
+        let stocks = self.stocks();
+        let mut given = SortedTable::new();
+        let mut loads: Vec<PlanAction> = Vec::new();
+        for host in self.view.free.iter().chain(self.grouped()) {
+            if loads.len() >= most || host.warm.is_none() || !host.has_room() {
+                continue;
+            }
+            let given = given.get_or_insert_with(&host.domain, || 0_usize);
+            if *given >= EARLY_PER_DOMAIN {
+                continue;
+            }
+            if let Some((_, model)) = self.scarcest(host, &self.wanted, &stocks) {
+                *given += 1;
+                loads.push(PlanAction::Stage { host: host.id.clone(), model: model.name.clone() });
+            }
+        }
+        loads
+    }
+
     /// Weights for the last members of a group that callers lack: a load or two put all hosts of the
     /// group to use that are free already.
     fn stage_last_member(&self, wanted: &[f64]) -> Option<PlanAction> {
--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -27,9 +27,15 @@
 /// fleet's first groups and loads have to be ordered before callers come.
 const PLANS_PER_STEP: usize = 32;
 
+/// Spares that are warmed up in one step at the most, before callers come.
+const SPARES_PER_STEP: usize = 32;
+
+/// Loads that begin in one step at the most, before callers come.
+const STAGES_PER_STEP: usize = 64;
+
 /// Hosts that the planner looks at in one step, over all its actions. An action costs the more the more
 /// hosts there are, and a step that takes long holds up heartbeats, of which a leader sends ten a second.
-const HOSTS_PER_STEP: usize = 32_000;
+const HOSTS_PER_STEP: usize = 16_000;
 
 /// Wait for each host before the planner looks again although nothing was learnt: only time has passed,
 /// and a look at thousands of hosts takes a good part of the time between two steps.
@@ -50,12 +56,50 @@
         self.plan_note = planner.summary();
         for _ in 0..(HOSTS_PER_STEP / hosts).clamp(1, PLANS_PER_STEP) {
             let Some(action) = planner.next() else { return };
-            if !self.begin_action(now, engine, &action, output) {
+            let prepares = action.only_prepares();
+            if !self.begin_planned(now, engine, action, &mut planner, output) {
+                return;
+            }
+            if prepares && !self.serving {
+                return self.prepare(now, engine, &mut planner, output);
+            }
+        }
+    }
+
+    /// Warms up spares and stages weights, many at once: nothing else is left to plan, and callers have not
+    /// come yet.
+    fn prepare(
+        &mut self,
+        now: TimePoint,
+        engine: &EngineModel,
+        planner: &mut GroupPlanner<'_>,
+        output: &mut DirectorOutput,
+    ) {
+        for action in planner.early_spares(SPARES_PER_STEP) {
+            self.begin_planned(now, engine, action, planner, output);
+        }
+        for action in planner.early_loads(STAGES_PER_STEP) {
+            if !self.begin_planned(now, engine, action, planner, output) {
                 return;
             }
+        }
+    }
+
+    /// Begins `action` and brings the planner's view up to date with it; `false` when it has to wait.
+    fn begin_planned(
+        &mut self,
+        now: TimePoint,
+        engine: &EngineModel,
+        action: PlanAction,
+        planner: &mut GroupPlanner<'_>,
+        output: &mut DirectorOutput,
+    ) -> bool {
+        let begun = self.begin_action(now, engine, &action, output);
+        if begun {
             self.news = true;
             planner.carry_out(action);
         }
+        begun
     }
 
     /// Whether the planner is to look: something was learnt, or it has not looked for a while.
--- a/crates/fleet/tests/director/fleet.rs
+++ b/crates/fleet/tests/director/fleet.rs
@@ -63,6 +63,9 @@
     pub serving: bool,
     /// Groups that were formed so far.
     pub formed: u64,
+    /// Steps of the fixture for one of the director.
+    pub steps_every: u64,
+    steps: u64,
     /// Whether the answers to orders still wait to be read, however many that are.
     pub no_answers: bool,
     /// Orders that have no answer yet.
@@ -100,6 +103,8 @@
             demand: (2.0, 4.0),
             serving: false,
             formed: 0,
+            steps_every: 1,
+            steps: 0,
             no_answers: false,
             unanswered: 0,
             loads: Vec::new(),
@@ -250,6 +255,10 @@
         self.carry_late();
         self.step_hosts();
         self.report();
+        self.steps += 1;
+        if !self.steps.is_multiple_of(self.steps_every) {
+            return;
+        }
         let output = self.director.step(self.now, &self.state, &self.plan);
         for probe in output.probes {
             self.probe(&probe.id);
--- a/crates/fleet/tests/director/large.rs
+++ b/crates/fleet/tests/director/large.rs
@@ -200,6 +200,26 @@
 /// Orders whose answers a leader reads in the time that they have.
 const ORDERS_AT_ONCE: usize = 128;
 
+/// Two thousand hosts start, and callers come fourteen seconds later. Each host is to keep the weights of a second
+/// model by then: a load that begins afterwards takes ten times as long, and slows down those of repairs.
+#[test]
+fn thousands_of_hosts_have_their_weights_when_callers_come() {
+    let mut plan = large_plan();
+    let engine = plan.services[0].engine.as_mut().expect("the fixture has an engine");
+    (engine.loads_per_second, engine.loads_at_once) = (160.0, 2_000);
+    let mut fleet = TestFleet::of(10, plan, 105, DOMAIN_HOSTS);
+    // A leader that is short of processor time steps a few times a second.
+    fleet.steps_every = 8;
+
+    fleet.run_for(Duration::from_secs(14));
+
+    let kept = |host: &&crate::fleet::TestHost| host.model.report().staged.len() == 1;
+    let warm = fleet.grouped().len();
+    let staged = fleet.hosts.iter().filter(kept).count();
+    assert!(warm >= 105 * 16, "{warm} hosts serve");
+    assert!(fleet.loads.len() >= 1_800, "{} loads, {staged} hosts keep weights", fleet.loads.len());
+}
+
 /// Loads that the weight store may begin in five seconds, at 5 a second and a tenth more.
 const STORE_LIMIT: usize = 30;
 
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -172,6 +172,14 @@
     pub(super) fn run(mut self, queue: &InputReceiver) {
         let mut next_tick = self.now();
         loop {
+            // What other hosts have said while this thread was busy counts before their silence does: a
+            // leader gave up its majority after a long step, with the answers of all others unread.
+            for input in queue.urgent() {
+                if matches!(input, CoreInput::Stop) {
+                    return;
+                }
+                self.handle(input);
+            }
             let now = self.now();
             if let Some(agreement) = &mut self.agreement {
                 agreement.tick(now);
--- a/crates/gateway/src/control/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -176,9 +176,13 @@
         }
     }
 
+    /// Urgent inputs that wait, as many as are taken between two steps.
+    pub(super) fn urgent(&self) -> impl Iterator<Item = CoreInput> + '_ {
+        self.urgent.try_iter().take(URGENT_INPUTS)
+    }
+
     /// What waits, urgent inputs first, as much as is taken between two steps.
     pub(super) fn waiting(&self) -> impl Iterator<Item = CoreInput> + '_ {
-        let urgent = self.urgent.try_iter().take(URGENT_INPUTS);
-        urgent.chain(self.endpoints.try_iter().take(ENDPOINT_INPUTS))
+        self.urgent().chain(self.endpoints.try_iter().take(ENDPOINT_INPUTS))
     }
 }
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -11,6 +11,7 @@
 
 use super::calls::EndpointCall;
 use super::core::{CommandOrigin, ControlCore, ReadOrigin};
+use super::pace::SendPace;
 
 /// Shortest time between two views: changes that come together are told together.
 const INFORM_EVERY: Duration = Duration::from_millis(15);
@@ -85,6 +86,8 @@
     pub(super) step_due: bool,
     entries: SortedTable<NodeName, EntrySession>,
     views: ViewHistory,
+    /// How fast declarations are handed out.
+    pace: SendPace,
     number: u64,
     /// When entries may be told of the next view.
     inform_from: TimePoint,
@@ -105,6 +108,7 @@
             step_due: false,
             entries: SortedTable::new(),
             views: ViewHistory::default(),
+            pace: SendPace::default(),
             number: 0,
             inform_from: now,
             view_line_at: now,
@@ -208,11 +212,12 @@
         let news = self.news();
         let plan = self.state.plan();
         let newest = plan.map(|plan| plan.version);
+        let plan_bytes = plan.map_or(0, StoredPlan::packed_len);
         let Some(leadership) = &mut self.leadership else { return };
         leadership.entries.retain(|_, entry| now.since(entry.heard) < ENTRY_GONE);
         let mut encoded = SortedTable::new();
         for entry in leadership.entries.values_mut() {
-            let lacks_plan = entry.plan < newest;
+            let lacks_plan = entry.plan < newest && leadership.pace.may_send(now, plan_bytes);
             let lacks = (lacks_plan, leadership.views.base_of(entry.view));
             let (view, message) = encoded.get_or_insert_with(lacks, || {
                 let plan = plan.filter(|_| lacks_plan).cloned();
@@ -222,7 +227,7 @@
             });
             match message {
                 Ok(message) if matches!(entry.writer.try_send_encoded(message), Ok(true)) => {
-                    entry.sent(now, newest, view.as_ref());
+                    entry.sent(now, newest.filter(|_| lacks_plan), view.as_ref());
                 }
                 Ok(_) => {}
                 Err(error) => log::error!("entries cannot be told of a view: {error}"),
@@ -305,14 +310,19 @@
         let held = session.as_ref().map_or((report.plan, Some(report.view)), |session| {
             (session.plan.max(report.plan), session.view)
         });
-        let plan: Option<StoredPlan> = self.state.plan().filter(|_| held.0 < newest).cloned();
+        let pace = &mut leadership.pace;
+        let lacking = self.state.plan().filter(|_| held.0 < newest);
+        let plan = lacking.filter(|plan| pace.may_send(now, plan.packed_len())).cloned();
+        let told = plan.as_ref().map(|plan| plan.version);
+        // A lease says that the entry knows what was accepted before it asked.
+        let knows = lacking.is_none() || plan.is_some();
         let view: Option<ViewUpdate> = leadership.views.update_for(held.1);
-        let (nonce, told) = (Some(report.nonce), view.clone());
-        let notice = EntryNotice { nonce, plan, view: told, loads, ..news };
+        let nonce = knows.then_some(report.nonce);
+        let notice = EntryNotice { nonce, plan, view: view.clone(), loads, ..news };
         // An entry that is behind asks again; its lease runs out meanwhile.
         let sent = writer.try_send(&notice);
         if let (Ok(true), Some(session)) = (sent, session.as_mut()) {
-            session.sent(now, newest, view.as_ref());
+            session.sent(now, told, view.as_ref());
         }
     }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod input;
 mod leader;
 mod metrics;
+mod pace;
 mod peers;
 mod relay;
 mod replication;
--- a/crates/gateway/src/entry/watch.rs
+++ b/crates/gateway/src/entry/watch.rs
@@ -24,8 +24,8 @@
 /// Time to connect to a control host, a few ways between far regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Time for which a report may wait for its answer before another control host is tried. An election takes
-/// up to a second; a host that leads confirms within two ways and a sync.
+/// Time for which a report may wait for any word before another control host is tried. An election takes up
+/// to a second; a host that leads confirms within two ways and a sync, and one that no longer does says so.
 const UNCONFIRMED: Duration = Duration::from_millis(700);
 
 /// Pause before the next control host is tried.
@@ -140,9 +140,7 @@
             }
             match reader.receive::<EntryNotice>(POLL) {
                 Ok(notice) => {
-                    if notice.nonce.is_some() {
-                        waits_since = None;
-                    }
+                    waits_since = None;
                     if self.take(host, notice).is_none() {
                         return TalkEnd::Stopped;
                     }
