Let a new leader keep the mix of models that stood

Cause: a leader knows no demand for nine seconds and went by the declared shares.

Change: until the demand is known, the shares of the groups that stood when a leader took over count; declared ones where there were none.

Test: a_new_leader_keeps_the_mix_that_stood.

--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -53,8 +53,10 @@
     pub groups: Vec<Vec<PlacedGroup>>,
     /// What callers ask for in a second, by model.
     pub demand: Vec<WorkSum>,
-    /// How much of the demand is believed, 0 to 1; the declared shares count for the rest.
+    /// How much of the demand is believed, 0 to 1; the shares below count for the rest.
     pub trust: f64,
+    /// Share of each model in the work as far as it is not known from the demand.
+    pub shares: Vec<f64>,
     /// Loads that are under way.
     pub loading: usize,
     /// Domains known so far, while hosts are still heard for the first time.
@@ -192,7 +194,7 @@
     }
 
     /// Groups of each model that should serve: all hosts but some spares, split so that the fewest
-    /// callers are late; by the declared shares as far as the demand is not believed yet.
+    /// callers are late; by the given shares as far as the demand is not believed yet.
     ///
     /// The split counts, not the sum: with as many groups as the sum asks for, two models that both
     /// lacked hosts took them from each other, and hosts were idle while a burst began.
@@ -203,7 +205,6 @@
             .zip(&self.view.demand)
             .map(|(model, asked)| asked.work_ms / 1e3 * model.size as f64)
             .collect();
-        let declared: Vec<f64> = models.iter().map(|model| model.share).collect();
         let all: f64 = work.iter().sum();
         let trust = if all > 0.0 { self.view.trust } else { 0.0 };
         let hosts = self.grouped_hosts(all, trust);
@@ -211,9 +212,9 @@
             Some(groups) => groups,
             None => groups_of(&normalized(&work), models, hosts),
         };
-        let declared = groups_of(&normalized(&declared), models, hosts);
-        let pairs = asked.into_iter().zip(declared);
-        pairs.map(|(asked, declared)| asked * trust + declared * (1.0 - trust)).collect()
+        let given = groups_of(&normalized(&self.view.shares), models, hosts);
+        let pairs = asked.into_iter().zip(given);
+        pairs.map(|(asked, given)| asked * trust + given * (1.0 - trust)).collect()
     }
 
     /// Hosts that should serve when callers ask for `work` hosts kept busy.
--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -245,12 +245,30 @@
             groups,
             demand,
             trust,
+            shares: self.shares(service, engine),
             loading,
             gathering,
             serving,
         }
     }
 
+    /// Shares of the models in the work before the demand is known: those of the groups that a leader
+    /// inherits, which followed the demand, or else the declared ones.
+    ///
+    /// A leader that went by the declared shares would end groups of one model for another, dozens of them in
+    /// a large fleet, and after a stop of everything at the moment when everybody comes back.
+    fn shares(&self, service: &ServiceName, engine: &EngineModel) -> Vec<f64> {
+        let held = |model: &ModelSpec| {
+            let key = (service.clone(), model.name.clone());
+            self.inherited_hosts.get(&key).map_or(0.0, |hosts| *hosts as f64)
+        };
+        let inherited: Vec<f64> = engine.models.iter().map(held).collect();
+        if inherited.iter().any(|hosts| *hosts > 0.0) {
+            return inherited;
+        }
+        engine.models.iter().map(|model| model.share).collect()
+    }
+
     /// Whether the host is still in a group that has ended.
     fn is_stray(&self, state: &FleetState, host: &PoolHost) -> bool {
         self.hosts.get(&host.id).is_some_and(|host| stray::is_stray(host, state))
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use briartray_model::names::{GroupId, IncarnationId, NodeName};
+use briartray_model::names::{GroupId, IncarnationId, NodeName, ServiceName};
 use briartray_model::{SortedTable, TimePoint};
 
 use super::demand::DemandBook;
@@ -62,6 +62,8 @@
     pub(super) since: TimePoint,
     /// Whether an earlier leader may have left groups whose hosts are yet to be heard.
     pub(super) inherits: bool,
+    /// Hosts of each model's groups when the leader took over.
+    pub(super) inherited_hosts: SortedTable<(ServiceName, String), usize>,
     /// Whether enough has been heard to act.
     acts: bool,
     pub(super) hosts: HostTable,
@@ -94,6 +96,10 @@
         let inherits = !state.endpoints().is_empty();
         // Callers may be served already: loads count then, and take their full time.
         let mut director = Self { since: now, inherits, serving: inherits, ..Self::default() };
+        for group in state.groups().values().filter(|group| !group.standby) {
+            let key = (group.service.clone(), group.model.clone());
+            *director.inherited_hosts.get_or_insert_with(key, || 0) += group.members.len();
+        }
         for record in state.endpoints().values() {
             director.hosts.inherit(now, inherited_beat(record));
         }
--- a/crates/fleet/tests/director/large.rs
+++ b/crates/fleet/tests/director/large.rs
@@ -136,6 +136,26 @@
     assert_eq!(fleet.open_groups(), groups);
 }
 
+/// Callers ask for little of the large model, and the groups follow that. All control hosts are stopped; the
+/// next leader knows no demand yet, and by the declared shares the large model lacks groups. It ended groups
+/// of the small one for them, at the moment when everybody who was cut off came back.
+#[test]
+fn a_new_leader_keeps_the_mix_that_stood() {
+    let mut fleet = large_fleet(6);
+    fleet.demand = (2.0, 40.0);
+    fleet.run_for(Duration::from_secs(14));
+    fleet.serving = true;
+    fleet.run_for(Duration::from_secs(60));
+    let groups = fleet.open_groups();
+    let large = fleet.open_of(LARGE);
+
+    fleet.change_leader();
+    fleet.run_for(Duration::from_secs(9));
+
+    assert!(large < DOMAINS * 3 / 4, "{large} large groups before");
+    assert_eq!(fleet.open_groups(), groups);
+}
+
 /// A rack loses power: all 19 hosts of a domain are gone at once. The other domains serve on in the groups
 /// they have, and the log takes few commands for it.
 #[test]
--- a/crates/fleet/tests/director/planner.rs
+++ b/crates/fleet/tests/director/planner.rs
@@ -74,6 +74,7 @@
             groups: groups.to_vec(),
             demand: demand.iter().map(busy).collect(),
             trust: 1.0,
+            shares: self.engine.models.iter().map(|model| model.share).collect(),
             loading: 0,
             gathering: None,
             serving: true,
