Count what control hosts pass on, and answers nobody had time to read

Operators see with it who hears endpoints and which control host is short of processor time (docs/guide/large-fleets.md).

--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -403,7 +403,10 @@
                 leadership.step_due |= leadership.director.probed(now, id, report);
             }
             ProbeResult::OtherEndpoint => leadership.director.gone(id),
-            ProbeResult::Unread => return leadership.director.unread(now, id),
+            ProbeResult::Unread => {
+                self.parts.metrics.unread_probes.inc();
+                return leadership.director.unread(now, id);
+            }
             ProbeResult::Silent => {
                 self.parts.metrics.silent_probes.inc();
                 log::info!(endpoint:% = id; "an endpoint does not answer a probe");
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -307,16 +307,18 @@
         let loads = leadership.director.loads_beside(report);
         let session = leadership.entries.get_mut(&report.node);
         let mut session = session.filter(|session| session.writer.is_same(writer));
-        let held = session.as_ref().map_or((report.plan, Some(report.view)), |session| {
-            (session.plan.max(report.plan), session.view)
-        });
+        // The session knows what is on its way beside what the report names.
+        let (held_plan, held_view) = match &session {
+            Some(session) => (session.plan.max(report.plan), session.view),
+            None => (report.plan, Some(report.view)),
+        };
         let pace = &mut leadership.pace;
-        let lacking = self.state.plan().filter(|_| held.0 < newest);
+        let lacking = self.state.plan().filter(|_| held_plan < newest);
         let plan = lacking.filter(|plan| pace.may_send(now, plan.packed_len())).cloned();
         let told = plan.as_ref().map(|plan| plan.version);
         // A lease says that the entry knows what was accepted before it asked.
         let knows = lacking.is_none() || plan.is_some();
-        let view: Option<ViewUpdate> = leadership.views.update_for(held.1);
+        let view = leadership.views.update_for(held_view);
         let nonce = knows.then_some(report.nonce);
         let notice = EntryNotice { nonce, plan, view: view.clone(), loads, ..news };
         // An entry that is behind asks again; its lease runs out meanwhile.
--- a/crates/gateway/src/control/metrics.rs
+++ b/crates/gateway/src/control/metrics.rs
@@ -24,6 +24,12 @@
     orders: Family<OutcomeLabel, Counter>,
     /// Probes without an answer.
     pub(super) silent_probes: Counter,
+    /// Probes whose answer this host had no time to read.
+    pub(super) unread_probes: Counter,
+    /// Beats that this host passed on to the leader.
+    pub(super) relayed_beats: Counter,
+    /// Answers to probes that this host passed on to the leader.
+    pub(super) relayed_answers: Counter,
 }
 
 impl ControlMetrics {
@@ -38,6 +44,9 @@
             endpoints: Gauge::default(),
             orders: Family::default(),
             silent_probes: Counter::default(),
+            unread_probes: Counter::default(),
+            relayed_beats: Counter::default(),
+            relayed_answers: Counter::default(),
         };
         let control = registry.sub_registry_with_prefix("control");
         control.register("leads", "Whether this host leads", metrics.leads.clone());
@@ -48,6 +57,12 @@
         control.register("orders", "Orders by what came of them", metrics.orders.clone());
         let help = "Probes without an answer";
         control.register("silent_probes", help, metrics.silent_probes.clone());
+        let help = "Probes whose answer this host had no time to read";
+        control.register("unread_probes", help, metrics.unread_probes.clone());
+        let help = "Beats passed on to the leader";
+        control.register("relayed_beats", help, metrics.relayed_beats.clone());
+        let help = "Answers to probes passed on to the leader";
+        control.register("relayed_answers", help, metrics.relayed_answers.clone());
         metrics
     }
 
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -105,11 +105,13 @@
         }
         let RelayBuffer { beats, answers, .. } = std::mem::take(&mut self.relay);
         if let Some(leader) = self.leader() {
+            self.parts.metrics.relayed_beats.inc_by(beats.len() as u64);
             for batch in beats.chunks(BATCH) {
                 self.parts.peers.send(&leader, CoreMessage::Beats(batch.to_vec()));
             }
         }
         for (asker, answers) in answers.iter() {
+            self.parts.metrics.relayed_answers.inc_by(answers.len() as u64);
             for batch in answers.chunks(BATCH) {
                 self.parts.peers.send(asker, CoreMessage::Told(batch.to_vec()));
             }
