--- a/crates/fleet/src/director/plan/form.rs
+++ b/crates/fleet/src/director/plan/form.rs
@@ -174,7 +174,7 @@
         self.view.free.iter().find_map(|host| self.spare_of(host))
     }
 
-    /// As [`Self::warm_up`], for one spare of each of `most` domains: thousands of hosts have hundreds of
+    /// Standby groups for one spare of each of `most` domains: thousands of hosts have hundreds of
     /// spares, which are to be warm when callers come.
     pub fn early_spares(&self, most: usize) -> Vec<PlanAction> {
         let domains = self.domains();
