Leave a control host that knows no leader, whatever it says

Cause: since declarations are handed out at a pace, an entry took any notice of a control host for an answer. One that is cut off from the others answers every report that it knows no leader, and the entry stayed there, under rules that had been replaced, until its lease ended.

Change: only what a leader says is an answer; a notice tells whether its sender leads. The wait is a decision of its own, apart from the thread that reads notices.

Tests: a_host_that_knows_no_leader_is_left, a_leader_that_has_any_word_is_kept.

--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! How an entry decides on a request: where it goes, whether it is taken at all, and what happens
 //! when an attempt fails. Nothing here reads a clock or opens a socket.
 
+mod answer_wait;
 mod attempt;
 mod budget;
 mod choice;
@@ -12,6 +13,7 @@
 mod startup;
 mod table;
 
+pub use answer_wait::AnswerWait;
 pub use attempt::{AttemptEnd, AttemptPlan, NextMove};
 pub use budget::RetryBudget;
 pub use drain::DrainSchedule;
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -95,6 +95,8 @@
         pub control: Vec<NodeName>,
         /// Who leads, when the sender does not.
         pub leader: Option<NodeName>,
+        /// Whether the sender leads.
+        pub leads: bool,
     }
 
     /// What one control host tells the others about itself.
--- a/crates/fleet/tests/views.rs
+++ b/crates/fleet/tests/views.rs
@@ -1,11 +1,11 @@
-//! Views of a fleet, and updates of them.
+//! What entries are told: views, updates of them, and who is worth listening to.
 
-use briartray_fleet::entry::TargetTable;
+use briartray_fleet::entry::{AnswerWait, TargetTable};
 use briartray_fleet::message::{
-    EndpointView, FleetView, GroupView, ViewHistory, ViewUpdate, ViewVersion,
+    EndpointView, EntryNotice, FleetView, GroupView, ViewHistory, ViewUpdate, ViewVersion,
 };
-use briartray_model::codec;
 use briartray_model::names::{GroupId, IncarnationId, ServiceName, TermNumber, ZoneName};
+use briartray_model::{TimePoint, codec};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -137,3 +137,52 @@
 
     assert_eq!(update.base, None);
 }
+
+/// A notice of a control host that does not lead and knows no leader, or of one that `leads`.
+fn notice(leads: bool, nonce: Option<u64>) -> EntryNotice {
+    EntryNotice {
+        nonce,
+        plan: None,
+        view: None,
+        loads: Vec::new(),
+        leaving: Vec::new(),
+        control: Vec::new(),
+        leader: None,
+        leads,
+    }
+}
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint(millis * 1_000)
+}
+
+/// A control host is cut off from the others, and an entry that reports to it still reaches it. It answers
+/// each report that it knows no leader. The entry stayed there for seconds, under rules that had been
+/// replaced, while another host led; callers were handled by what was no longer in force.
+#[test]
+fn a_host_that_knows_no_leader_is_left() {
+    let mut wait = AnswerWait::new(at(0));
+
+    for report in 1..10 {
+        wait.asked(at(report * 80));
+        wait.heard(&notice(false, None));
+    }
+
+    assert!(wait.is_over(at(720)));
+}
+
+/// A leader hands out a large declaration one entry after the other, and answers those that lack it without
+/// a lease meanwhile. They stay, since it leads; one that goes silent is left.
+#[test]
+fn a_leader_that_has_any_word_is_kept() {
+    let mut wait = AnswerWait::new(at(0));
+
+    wait.asked(at(10));
+    wait.heard(&notice(true, None));
+    let kept = !wait.is_over(at(2_000));
+    wait.asked(at(2_000));
+    let patient = !wait.is_over(at(2_600));
+
+    assert!(kept && patient);
+    assert!(wait.is_over(at(2_700)));
+}
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -275,6 +275,7 @@
             leaving: leaving[told..].to_vec(),
             control: self.hosts.names(),
             leader: None,
+            leads: self.is_established(),
         }
     }
 
@@ -338,6 +339,7 @@
             leaving: Vec::new(),
             control: self.hosts.names(),
             leader: self.leader(),
+            leads: false,
         };
         let _ = writer.try_send(&notice);
     }
--- a/crates/gateway/src/entry/watch.rs
+++ b/crates/gateway/src/entry/watch.rs
@@ -4,11 +4,13 @@
 //! the leader it knows; one that does not confirm a report in time is left for the next one.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use briartray_fleet::entry::AnswerWait;
 use briartray_fleet::message::{EntryNotice, EntryReport};
 use briartray_link::{CallKind, ClientSettings, LinkClient, LinkError, LinkReader, LinkWriter};
 use briartray_model::names::NodeName;
+use briartray_node::ClockReader;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
 use crossbeam::channel::{Receiver, Sender, bounded};
 use snafu::ResultExt;
@@ -24,10 +26,6 @@
 /// Time to connect to a control host, a few ways between far regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Time for which a report may wait for any word before another control host is tried. An election takes up
-/// to a second; a host that leads confirms within two ways and a sync, and one that no longer does says so.
-const UNCONFIRMED: Duration = Duration::from_millis(700);
-
 /// Pause before the next control host is tried.
 const NEXT_HOST: Duration = Duration::from_millis(60);
 
@@ -130,17 +128,18 @@
     }
 
     fn talk(&mut self, host: &NodeName, writer: &LinkWriter, reader: &LinkReader) -> TalkEnd {
-        let mut waits_since = Some(Instant::now());
+        let clock = ClockReader::start();
+        let mut wait = AnswerWait::new(clock.now());
         loop {
             for report in self.queue.try_iter() {
                 if writer.try_send(&report).is_err() {
                     return TalkEnd::Next;
                 }
-                waits_since.get_or_insert_with(Instant::now);
+                wait.asked(clock.now());
             }
             match reader.receive::<EntryNotice>(POLL) {
                 Ok(notice) => {
-                    waits_since = None;
+                    wait.heard(&notice);
                     if self.take(host, notice).is_none() {
                         return TalkEnd::Stopped;
                     }
@@ -154,7 +153,7 @@
                     return TalkEnd::Next;
                 }
             }
-            if waits_since.is_some_and(|since| since.elapsed() >= UNCONFIRMED) {
+            if wait.is_over(clock.now()) {
                 return TalkEnd::Next;
             }
         }
