Leave a control host that gives no word for the next one

Cause: entries know the addresses of three control hosts. After a stop of everything some of them have no power yet and answer nothing; an entry waited 200 ms to connect to each and 60 ms more before the next one.

Hypothesis: 0.1 s sooner when a host that gives no word at all is left after 60 ms, twice as long with each round for answers from far regions.

Tests that fail first: a_host_without_power_is_left_for_the_next_one, a_host_that_gives_a_word_is_waited_for.

Change: AnswerWait::searching; the pause between two hosts counts from when the first one was tried.

--- a/crates/fleet/tests/views.rs
+++ b/crates/fleet/tests/views.rs
@@ -186,3 +186,29 @@
     assert!(kept && patient);
     assert!(wait.is_over(at(2_700)));
 }
+
+/// All machines lose power and start again one after the other. A control host that has no power yet answers
+/// nothing at all; an entry that waited for it refused callers although a leader was up, which the next host
+/// could have named. The second time round the same host is waited for longer, as its answer may come from
+/// a far region.
+#[test]
+fn a_host_without_power_is_left_for_the_next_one() {
+    let first = AnswerWait::searching(at(0), 0);
+    let third = AnswerWait::searching(at(0), 2);
+
+    assert!(!first.is_over(at(50)) && first.is_over(at(60)));
+    assert!(!third.is_over(at(230)) && third.is_over(at(240)));
+}
+
+/// A host that was found in a search is up and knows no leader, since there is none yet. Left at once, it would
+/// be asked again only after all others; it names the leader as soon as one is elected.
+#[test]
+fn a_host_that_gives_a_word_is_waited_for() {
+    let mut wait = AnswerWait::searching(at(0), 0);
+
+    wait.asked(at(10));
+    wait.heard(&notice(false, None));
+
+    assert!(!wait.is_over(at(690)));
+    assert!(wait.is_over(at(700)));
+}
--- a/crates/gateway/src/entry/watch.rs
+++ b/crates/gateway/src/entry/watch.rs
@@ -9,6 +9,7 @@
 use briartray_fleet::entry::AnswerWait;
 use briartray_fleet::message::{EntryNotice, EntryReport};
 use briartray_link::{CallKind, ClientSettings, LinkClient, LinkError, LinkReader, LinkWriter};
+use briartray_model::TimePoint;
 use briartray_model::names::NodeName;
 use briartray_node::ClockReader;
 use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
@@ -26,7 +27,7 @@
 /// Time to connect to a control host, a few ways between far regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Pause before the next control host is tried.
+/// Time between two control hosts that are tried one after the other.
 const NEXT_HOST: Duration = Duration::from_millis(60);
 
 /// What the traffic thread is told.
@@ -54,6 +55,7 @@
         settings: settings.clone(),
         hosts: settings.seed_names(),
         next: 0,
+        rounds: 0,
         leader: None,
         queue,
         events,
@@ -86,7 +88,10 @@
     client: LinkClient,
     settings: GatewaySettings,
     hosts: Vec<NodeName>,
+    /// Position of the host that is tried next.
     next: usize,
+    /// Times that all hosts were tried without a word of a leader.
+    rounds: u32,
     leader: Option<NodeName>,
     queue: Receiver<EntryReport>,
     events: mpsc::UnboundedSender<WatchEvent>,
@@ -102,34 +107,45 @@
 
 impl ControlTalk {
     fn run(mut self) {
+        let clock = ClockReader::start();
         loop {
-            let Some(host) = self.next_host() else { return };
+            let began = clock.now();
+            let Some((host, wait)) = self.next_host(began) else { return };
             let Some(address) = self.settings.link_address(&host) else { continue };
             let (writer, reader) = self.client.open(address, CallKind::Routing);
             log::debug!("asking the control host at {address}");
             if self.events.send(WatchEvent::Opened).is_err() {
                 return;
             }
-            if matches!(self.talk(&host, &writer, &reader), TalkEnd::Stopped) {
+            if matches!(self.talk(&host, &writer, &reader, &clock, wait), TalkEnd::Stopped) {
                 return;
             }
-            std::thread::sleep(NEXT_HOST);
+            std::thread::sleep(NEXT_HOST.saturating_sub(clock.now().since(began)));
         }
     }
 
-    /// The leader that was named last, or the next of the known hosts.
-    fn next_host(&mut self) -> Option<NodeName> {
+    /// The leader that was named last, or the next of the known hosts, and how long it is waited for.
+    fn next_host(&mut self, now: TimePoint) -> Option<(NodeName, AnswerWait)> {
         if let Some(leader) = self.leader.take() {
-            return Some(leader);
+            return Some((leader, AnswerWait::new(now)));
+        }
+        if self.next >= self.hosts.len() {
+            self.next = 0;
+            self.rounds += 1;
         }
-        let host = self.hosts.get(self.next % self.hosts.len().max(1)).cloned();
+        let host = self.hosts.get(self.next)?.clone();
         self.next += 1;
-        host
+        Some((host, AnswerWait::searching(now, self.rounds)))
     }
 
-    fn talk(&mut self, host: &NodeName, writer: &LinkWriter, reader: &LinkReader) -> TalkEnd {
-        let clock = ClockReader::start();
-        let mut wait = AnswerWait::new(clock.now());
+    fn talk(
+        &mut self,
+        host: &NodeName,
+        writer: &LinkWriter,
+        reader: &LinkReader,
+        clock: &ClockReader,
+        mut wait: AnswerWait,
+    ) -> TalkEnd {
         loop {
             for report in self.queue.try_iter() {
                 if writer.try_send(&report).is_err() {
@@ -140,6 +156,9 @@
             match reader.receive::<EntryNotice>(POLL) {
                 Ok(notice) => {
                     wait.heard(&notice);
+                    if notice.leads {
+                        self.rounds = 0;
+                    }
                     if self.take(host, notice).is_none() {
                         return TalkEnd::Stopped;
                     }
