Part what the control thread knows from what it does

Cause: nine files of the control role imported each other: core.rs needed the types of leader.rs, relay.rs and voters.rs, and these the core; mod.rs opened the folder that core.rs opens again.

No behaviour changes.

--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -9,27 +9,23 @@
 };
 use briartray_control::storage::OpenedFolder;
 use briartray_fleet::deployment::DeploymentPlan;
-use briartray_fleet::director::{EndpointBeat, OrderOutcome};
-use briartray_fleet::message::EntryReport;
-use briartray_fleet::state::{FleetCommand, FleetState, StoredPlan};
-use briartray_link::LinkWriter;
-use briartray_model::names::{IncarnationId, NodeName};
+use briartray_fleet::state::{FleetCommand, FleetState};
+use briartray_model::names::NodeName;
 use briartray_model::{SortedTable, TimePoint, codec};
 use briartray_node::ClockReader;
 use crossbeam::channel::{RecvTimeoutError, Sender};
 use tokio::sync::mpsc;
 
 use super::calls::EndpointCall;
-use super::input::{
-    ControlReply, CoreInput, CoreMessage, InputReceiver, InputSender, ProbeAnswer, ProbeResult,
-    ReplySender,
-};
-use super::leader::Leadership;
+use super::disk;
+use super::folder::{FileSource, FolderOpening, REOPEN_PAUSE, open_folder, refuse_for};
+use super::host_book::HostBook;
+use super::input::{ControlReply, CoreInput, CoreMessage, InputReceiver, InputSender, ReplySender};
+use super::leadership::Leadership;
 use super::metrics::ControlMetrics;
+use super::origin::{CommandOrigin, CoreFailure, ReadOrigin};
 use super::peers::PeerLinks;
-use super::relay::RelayBuffer;
-use super::voters::HostBook;
-use super::{FileSource, FolderOpening, REOPEN_PAUSE, disk, open_folder, refuse_for};
+use super::relay_buffer::RelayBuffer;
 use crate::process::RoleFailure;
 use crate::settings::{ControlRole, GatewaySettings};
 
@@ -54,31 +50,12 @@
     pub(super) files: FileSource,
 }
 
-/// Why a control thread cannot go on as it is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum CoreFailure {
-    /// A write or sync failed, and what the disk holds is not known.
-    Disk,
-    /// What was agreed on does not read.
-    State,
-}
-
-/// Who waits for a command.
-pub(super) enum CommandOrigin {
-    /// An operator or endpoint.
-    Caller(ReplySender),
-    /// The director.
-    Director,
-}
-
-/// Who waits for a confirmation that this host leads.
-pub(super) enum ReadOrigin {
-    /// An operator who asks for the declaration in force.
-    Plan(ReplySender),
-    /// An operator whose declaration is in force or overtaken.
-    Overtaken(ReplySender),
-    /// An entry that asks for news and a lease.
-    Entry(Box<EntryReport>, LinkWriter),
+impl CoreParts {
+    /// Opens the data folder, where the host has one.
+    pub(super) fn open_folder(&self, queue: &InputReceiver) -> FolderOpening {
+        let path = self.role.data_folder.as_deref();
+        open_folder(path, &self.settings.node_name(), &self.files, queue)
+    }
 }
 
 /// State and knowledge of one control host.
@@ -138,7 +115,7 @@
         if !refuse_for(REOPEN_PAUSE, queue) {
             return None;
         }
-        let folder = match open_folder(&parts, queue) {
+        let folder = match parts.open_folder(queue) {
             FolderOpening::Opened(opened) => Some(opened),
             FolderOpening::NoFolder => None,
             FolderOpening::Stopped => return None,
@@ -327,108 +304,12 @@
             CoreInput::Probed { answer, asker: Some(asker) } => {
                 self.relay.hold_answer(now, asker, answer);
             }
-            CoreInput::Ordered { call, outcome } => {
-                self.parts.metrics.ordered(outcome_word(outcome));
-                if let Some(leadership) = &mut self.leadership {
-                    leadership.director.ordered(now, &call, outcome);
-                    leadership.dirty |= outcome != OrderOutcome::Unknown;
-                    leadership.step_due = true;
-                }
-            }
+            CoreInput::Ordered { call, outcome } => self.ordered(now, &call, outcome),
             CoreInput::Stop => {}
         }
     }
 
-    fn put(&mut self, now: TimePoint, plan: StoredPlan, reply: ReplySender) {
-        if !self.is_established() {
-            return self.redirect(reply);
-        }
-        // A single voter could lose what it acknowledged together with its disk.
-        if !self.has_voters(now) {
-            let _ = reply.send(ControlReply::Unavailable);
-            return;
-        }
-        let held = self.state.plan().is_some_and(|held| held.version >= plan.version);
-        if held {
-            self.confirm(ReadOrigin::Overtaken(reply));
-        } else {
-            self.submit(&FleetCommand::PutPlan(plan), CommandOrigin::Caller(reply));
-        }
-    }
-
-    fn beat(&mut self, now: TimePoint, beat: EndpointBeat, reply: ReplySender) {
-        if !self.is_established() {
-            return self.relay_beat(now, beat, reply);
-        }
-        let (id, leaving) = (beat.id.clone(), beat.leaving);
-        self.take_beats(now, vec![beat]);
-        if leaving && !self.state.is_leaving(&id) {
-            self.leave(id, reply);
-        } else {
-            let _ = reply.send(ControlReply::Done);
-        }
-    }
-
-    /// An endpoint's notice counts only when a majority holds it: a later leader must not send
-    /// work there again.
-    fn leave(&mut self, id: IncarnationId, reply: ReplySender) {
-        let Some(leadership) = self.leadership.as_ref().filter(|lead| lead.established) else {
-            return self.redirect(reply);
-        };
-        let id = leadership.director.leaving_start(id);
-        log::info!(endpoint:% = id; "an endpoint is leaving");
-        self.submit(&FleetCommand::MarkLeaving(id), CommandOrigin::Caller(reply));
-    }
-
-    /// Takes beats that came here, or to another control host.
-    fn take_beats(&mut self, now: TimePoint, beats: Vec<EndpointBeat>) {
-        let Some(leadership) = self.leadership.as_mut().filter(|lead| lead.established) else {
-            return;
-        };
-        for beat in beats {
-            log::trace!("beat {beat:?}");
-            if leadership.director.beat(now, beat) {
-                leadership.dirty = true;
-                leadership.step_due = true;
-            }
-        }
-    }
-
-    fn probed(&mut self, now: TimePoint, answer: ProbeAnswer) {
-        let ProbeAnswer { id, result } = &answer;
-        let Some(leadership) = &mut self.leadership else { return };
-        match result {
-            ProbeResult::Told(report) => {
-                let report = Some(report.clone());
-                leadership.step_due |= leadership.director.probed(now, id, report);
-            }
-            ProbeResult::OtherEndpoint => leadership.director.gone(id),
-            ProbeResult::Unread => {
-                self.parts.metrics.unread_probes.inc();
-                return leadership.director.unread(now, id);
-            }
-            ProbeResult::Silent => {
-                self.parts.metrics.silent_probes.inc();
-                log::info!(endpoint:% = id; "an endpoint does not answer a probe");
-                leadership.director.probed(now, id, None);
-                leadership.step_due = true;
-            }
-        }
-        leadership.dirty = true;
-    }
-
     pub(super) fn is_established(&self) -> bool {
         self.leadership.as_ref().is_some_and(|leadership| leadership.established)
     }
 }
-
-fn outcome_word(outcome: OrderOutcome) -> &'static str {
-    match outcome {
-        OrderOutcome::Begun => "begun",
-        OrderOutcome::Holds => "holds",
-        OrderOutcome::Misfit => "misfit",
-        OrderOutcome::Fenced => "fenced",
-        OrderOutcome::OtherEndpoint => "other_endpoint",
-        OrderOutcome::Unknown => "unknown",
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/control/entry_session.rs
@@ -0,0 +1,51 @@
+//! What a leader knows of an entry that reports to it.
+
+use std::time::Duration;
+
+use briartray_fleet::message::{EntryReport, ViewUpdate, ViewVersion};
+use briartray_link::LinkWriter;
+use briartray_model::TimePoint;
+
+/// Time between two whole views to one entry: a report that says it holds none may have been written before
+/// the one that was sent last had come.
+const WHOLE_EVERY: Duration = Duration::from_millis(200);
+
+/// An entry that reports to this leader.
+pub(super) struct EntrySession {
+    pub(super) writer: LinkWriter,
+    pub(super) heard: TimePoint,
+    /// Version of the declaration that it holds, or that is on its way to it on this stream.
+    pub(super) plan: Option<u64>,
+    /// View that the entry holds, or that is on its way to it on this stream.
+    pub(super) view: Option<ViewVersion>,
+    /// When it was sent a whole view.
+    pub(super) whole_at: Option<TimePoint>,
+}
+
+impl EntrySession {
+    /// A session that begins with `report`.
+    pub(super) fn new(now: TimePoint, report: &EntryReport, writer: LinkWriter) -> Self {
+        let (plan, view) = (report.plan, Some(report.view));
+        Self { writer, heard: now, plan, view, whole_at: None }
+    }
+
+    /// Notes what was sent on the stream.
+    pub(super) fn sent(&mut self, now: TimePoint, plan: Option<u64>, view: Option<&ViewUpdate>) {
+        self.plan = self.plan.max(plan);
+        let Some(view) = view else { return };
+        self.view = Some(view.version);
+        if view.base.is_none() {
+            self.whole_at = Some(now);
+        }
+    }
+
+    /// Takes what a report says that the entry holds.
+    pub(super) fn heard(&mut self, now: TimePoint, report: &EntryReport) {
+        self.heard = now;
+        self.plan = self.plan.max(report.plan);
+        let on_its_way = self.whole_at.is_some_and(|at| now.since(at) < WHOLE_EVERY);
+        if report.view == ViewVersion::default() && !on_its_way {
+            self.view = None;
+        }
+    }
+}
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -16,10 +16,8 @@
 
 use super::calls::EndpointCall;
 use super::core::ControlCore;
-use super::input::{ControlReply, CoreMessage, ProbeAnswer, ReplySender};
-
-/// Time for which messages are gathered before they are passed on.
-const GATHER: Duration = Duration::from_millis(10);
+use super::input::{ControlReply, CoreMessage, ReplySender};
+use super::relay_buffer::RelayBuffer;
 
 /// Beats or answers in one message.
 const BATCH: usize = 64;
@@ -30,32 +28,6 @@
 /// Time without a greeting after which a control host is asked for no reports: greetings come every 0.4 s.
 const RELAY_SILENT: Duration = Duration::from_millis(1_000);
 
-/// What is gathered for other control hosts.
-#[derive(Debug, Default)]
-pub(super) struct RelayBuffer {
-    beats: Vec<EndpointBeat>,
-    answers: SortedTable<NodeName, Vec<ProbeAnswer>>,
-    flush_at: Option<TimePoint>,
-}
-
-impl RelayBuffer {
-    /// When something is to be passed on.
-    pub(super) fn flush_at(&self) -> Option<TimePoint> {
-        self.flush_at
-    }
-
-    /// Keeps the answer to a probe that `asker` wanted.
-    pub(super) fn hold_answer(&mut self, now: TimePoint, asker: NodeName, answer: ProbeAnswer) {
-        self.answers.get_or_insert_with(asker, Vec::new).push(answer);
-        self.flush_at.get_or_insert(now.after(GATHER));
-    }
-
-    fn hold_beat(&mut self, now: TimePoint, beat: EndpointBeat) {
-        self.beats.push(beat);
-        self.flush_at.get_or_insert(now.after(GATHER));
-    }
-}
-
 impl ControlCore {
     /// Takes a beat for the leader. An endpoint that leaves is sent on: its notice counts only when a
     /// majority holds it.
--- a/crates/gateway/src/control/replication.rs
+++ b/crates/gateway/src/control/replication.rs
@@ -6,9 +6,10 @@
 use briartray_fleet::state::{EndpointRecord, FleetCommand, FleetOutcome, StoredPlan};
 use briartray_model::codec;
 
-use super::core::{CommandOrigin, ControlCore, CoreFailure, ReadOrigin};
+use super::core::ControlCore;
 use super::input::{ControlReply, CoreMessage};
-use super::leader::Leadership;
+use super::leadership::Leadership;
+use super::origin::{CommandOrigin, CoreFailure, ReadOrigin};
 use crate::stored::read_stored;
 
 impl ControlCore {
