Part hosts from their table, and the planner's view and wanted groups from the planner

Change: director/host_record.rs (one endpoint), plan/view.rs (what the planner is shown and may want), plan/wanted.rs (how many groups of each model should serve). Nothing but visibility changes.

--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -11,27 +11,15 @@
 use briartray_model::names::{IncarnationId, ServiceName};
 use briartray_model::{SortedTable, TimePoint};
 
+use super::host_record::{HostRecord, PROBE_EVERY};
 use super::{EndpointBeat, EndpointOrder, EndpointReport, ProbeCall};
 
-/// Time between two reports of a group's member: losses that no caller notices first are found by them.
-pub const PROBE_EVERY: Duration = Duration::from_millis(800);
-
 /// As above for one that is lost: its first beat tells of its return.
 const PROBE_LOST: Duration = Duration::from_millis(2_500);
 
-/// Silence after which a host in no group is probed: two beats of 1.2 s may come late.
-const SILENT_AFTER: Duration = Duration::from_millis(3_000);
-
 /// Silence after which an endpoint is forgotten unless it answers probes.
 const FORGET_AFTER: Duration = Duration::from_secs(12);
 
-/// Factor on its times from which a host is left out of groups: below it a group that is formed anew
-/// costs callers more than it saves them.
-const SLOW_PACE: f64 = 2.0;
-
-/// Probes without an answer, one after the other, that make an endpoint count as lost.
-const LOST_FAILURES: u32 = 2;
-
 /// Time between two reports of a member of a group that entries find silent.
 ///
 /// Each entry with a request there tells so with every report for two seconds, and a fleet has many
@@ -54,115 +42,6 @@
 /// Wait before an order to stage that was not answered, or refused, is followed by another one.
 const STAGE_AGAIN: Duration = Duration::from_millis(1_000);
 
-/// An endpoint as the leader knows it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct HostRecord {
-    /// Its last beat; the report in it is brought up to date by probes.
-    pub beat: EndpointBeat,
-    /// When it was heard for the first time.
-    pub since: TimePoint,
-    /// Last sign of life.
-    pub heard: TimePoint,
-    /// Probes in a row without an answer.
-    pub failures: u32,
-    /// When it was asked for the report that is under way.
-    asked: Option<TimePoint>,
-    probe_at: TimePoint,
-    /// Last answer to a probe.
-    answered: Option<TimePoint>,
-    /// Its state is wanted, whether or not it is in a group.
-    wanted: bool,
-    /// Its group is found silent.
-    suspect: bool,
-    /// Known from an earlier leader, and not heard of yet.
-    inherited: bool,
-    /// Another incarnation may have its address: it counts as lost until an order is answered, which
-    /// only the endpoint that is meant does. Reports do not tell who made them.
-    unproven: bool,
-    /// Another endpoint was known at its address when that was looked at last.
-    contested: bool,
-    /// It is to be asked who it is.
-    proof_due: bool,
-    proof_at: TimePoint,
-    /// Since when its reports say that it is slow.
-    pub slow_since: Option<TimePoint>,
-    /// Model of the last group it was ready in: it joins the next one with that model at once.
-    pub warm: Option<String>,
-    /// Last order to get out of a group that has ended, and when it was given.
-    pub stray_order: Option<(EndpointOrder, TimePoint)>,
-    /// Order to stage a model, and until when it is left to finish.
-    pub staging: Option<(String, TimePoint)>,
-}
-
-impl HostRecord {
-    fn new(now: TimePoint, beat: EndpointBeat) -> Self {
-        let probe_at = now.after(PROBE_EVERY);
-        Self {
-            beat,
-            since: now,
-            heard: now,
-            failures: 0,
-            asked: None,
-            probe_at,
-            answered: None,
-            wanted: false,
-            suspect: false,
-            inherited: false,
-            unproven: false,
-            contested: false,
-            proof_due: false,
-            proof_at: now,
-            slow_since: None,
-            warm: None,
-            stray_order: None,
-            staging: None,
-        }
-    }
-
-    /// Whether it no longer answers.
-    pub fn is_lost(&self) -> bool {
-        self.failures >= LOST_FAILURES || self.unproven
-    }
-
-    /// It gave a sign of life; one that was lost has to prove who it is.
-    ///
-    /// When a domain came back, its endpoints answered the probes meant for their earlier
-    /// incarnations before their own first beats came. Groups were formed of endpoints that no
-    /// longer existed, six times in half a second.
-    fn heard(&mut self, now: TimePoint) {
-        if self.failures >= LOST_FAILURES && self.serves_in_groups() {
-            self.unproven = true;
-        }
-        self.failures = 0;
-        self.inherited = false;
-        if !self.unproven {
-            self.heard = now;
-        }
-    }
-
-    /// Whether it is to be asked for reports.
-    fn is_watched(&self, now: TimePoint, in_group: impl Fn() -> bool) -> bool {
-        let silent = now.since(self.heard) >= SILENT_AFTER;
-        // A slow host in no group is watched, so that it is used again once it is quick.
-        let wanted = self.inherited || self.wanted || self.is_slow();
-        self.serves_in_groups() && (silent || wanted || in_group())
-    }
-
-    fn serves_in_groups(&self) -> bool {
-        self.beat.report.domain.is_some()
-    }
-
-    /// Whether a group would run much slower with it: a group runs at the pace of its slowest host.
-    pub fn is_slow(&self) -> bool {
-        self.beat.report.pace.is_some_and(|pace| pace >= SLOW_PACE)
-    }
-
-    /// Whether the weights of `model` are on the host.
-    pub fn has_staged(&self, model: &str) -> bool {
-        self.beat.report.staged.iter().any(|staged| staged == model)
-    }
-}
-
 /// All known endpoints.
 #[derive(Debug, Clone, Default)]
 pub struct HostTable {
--- a/crates/fleet/src/director/mod.rs
+++ b/crates/fleet/src/director/mod.rs
@@ -8,6 +8,7 @@
 mod beat;
 mod demand;
 mod group;
+mod host_record;
 mod hosts;
 mod loads;
 mod order;
@@ -22,7 +23,8 @@
 
 pub use beat::{EndpointBeat, EndpointReport, GroupMark, MarkState};
 pub use demand::DemandBook;
-pub use hosts::{HostRecord, HostTable};
+pub use host_record::HostRecord;
+pub use hosts::HostTable;
 pub use loads::LoadLimiter;
 pub use order::{CloseMethod, EndpointOrder, OrderCall, OrderOutcome, ProbeCall};
 pub use plan::{GroupPlanner, PlacedGroup, PlanAction, PlanView, PoolHost};
--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -13,18 +13,17 @@
 mod lateness;
 mod rebalance;
 mod stage;
+mod view;
+mod wanted;
 
 use briartray_model::SortedTable;
-use briartray_model::names::{DomainName, GroupId, IncarnationId, ServiceName};
+use briartray_model::names::{DomainName, GroupId, IncarnationId};
 
 pub use self::host::{PlacedGroup, PoolHost};
-use crate::deployment::{EngineModel, ModelSpec};
-use crate::message::WorkSum;
+pub use self::view::{PlanAction, PlanView};
+use crate::deployment::ModelSpec;
 use crate::state::GroupRecord;
 
-/// Part of its time that a group is busy at the least before further ones are of no use.
-const LEAST_BUSY: f64 = 0.5;
-
 /// Part of a group that may be lacking for one more to be formed. Spares would be used up for halves
 /// of groups, and the next loss would wait for a spare; hosts would go to and fro between models.
 const ROUND_UP: f64 = 0.2;
@@ -36,67 +35,6 @@
 /// Number of a group that the log has not named yet.
 const UNNAMED: GroupId = GroupId(u64::MAX);
 
-/// What the planner looks at, for one service.
-#[derive(Debug, Clone)]
-pub struct PlanView<'a> {
-    /// The service.
-    pub service: &'a ServiceName,
-    /// Its engine.
-    pub engine: &'a EngineModel,
-    /// Hosts in no group that serves.
-    pub free: Vec<PoolHost>,
-    /// Hosts that are being told to leave a group which has ended: free in a moment.
-    pub leaving: Vec<PoolHost>,
-    /// Hosts of groups that are about to end, when what runs there has ended.
-    pub closing: Vec<PoolHost>,
-    /// Groups that serve or form, by model in the order of the engine's models.
-    pub groups: Vec<Vec<PlacedGroup>>,
-    /// What callers ask for in a second, by model.
-    pub demand: Vec<WorkSum>,
-    /// How much of the demand is believed, 0 to 1; the shares below count for the rest.
-    pub trust: f64,
-    /// Share of each model in the work as far as it is not known from the demand.
-    pub shares: Vec<f64>,
-    /// Loads that are under way.
-    pub loading: usize,
-    /// Domains known so far, while hosts are still heard for the first time.
-    pub gathering: Option<usize>,
-    /// Whether callers have begun to ask: before that, loads cost a tenth of their time.
-    pub serving: bool,
-}
-
-/// What to do.
-#[derive(Debug, Clone, PartialEq)]
-pub enum PlanAction {
-    /// Form a group; `loads` of its members have to load the weights first.
-    Form {
-        /// The group.
-        group: GroupRecord,
-        /// Members without the weights.
-        loads: usize,
-    },
-    /// Let a group end in peace, so that its hosts can serve a model that lacks more.
-    End(GroupId),
-    /// Stage a model on a host.
-    Stage {
-        /// The host.
-        host: IncarnationId,
-        /// The model.
-        model: String,
-    },
-}
-
-impl PlanAction {
-    /// Whether it only makes ready for later losses.
-    pub(super) fn only_prepares(&self) -> bool {
-        match self {
-            Self::Form { group, .. } => group.standby,
-            Self::Stage { .. } => true,
-            Self::End(_) => false,
-        }
-    }
-}
-
 /// Plans groups of one service.
 #[derive(Debug, Clone)]
 pub struct GroupPlanner<'a> {
@@ -193,60 +131,6 @@
         format!("wanted {} on {hosts} hosts, trust {trust:.1}", wanted.join(" "))
     }
 
-    /// Groups of each model that should serve: all hosts but some spares, split so that the fewest
-    /// callers are late; by the given shares as far as the demand is not believed yet.
-    ///
-    /// The split counts, not the sum: with as many groups as the sum asks for, two models that both
-    /// lacked hosts took them from each other, and hosts were idle while a burst began.
-    fn wanted_groups(&self) -> Vec<f64> {
-        let models = self.models();
-        let work: Vec<f64> = models
-            .iter()
-            .zip(&self.view.demand)
-            .map(|(model, asked)| asked.work_ms / 1e3 * model.size as f64)
-            .collect();
-        let all: f64 = work.iter().sum();
-        let trust = if all > 0.0 { self.view.trust } else { 0.0 };
-        let hosts = self.grouped_hosts(all, trust);
-        let asked = match lateness::split(self.view.engine, &self.view.demand, hosts) {
-            Some(groups) => groups,
-            None => groups_of(&normalized(&work), models, hosts),
-        };
-        let given = groups_of(&normalized(&self.view.shares), models, hosts);
-        let pairs = asked.into_iter().zip(given);
-        pairs.map(|(asked, given)| asked * trust + given * (1.0 - trust)).collect()
-    }
-
-    /// Hosts that should serve when callers ask for `work` hosts kept busy.
-    fn grouped_hosts(&self, work: f64, trust: f64) -> f64 {
-        let most = self.packed_hosts() as f64;
-        let useful = work / LEAST_BUSY;
-        if trust < 1.0 { most } else { most.min(useful) }
-    }
-
-    /// Hosts that groups can hold beside the spares of their domains, in whole groups of the smallest
-    /// size; groups that hold more already count whole.
-    ///
-    /// What a domain has over makes no group. Counted in, more groups of every model were wanted than
-    /// there could be, and the model that lacked the larger part of them got none of the other's hosts.
-    fn packed_hosts(&self) -> usize {
-        let smallest = self.models().iter().map(|model| model.size).min().unwrap_or(1).max(1);
-        let able = |host: &&PoolHost| !host.slow && (!self.view.serving || host.has_weights());
-        let mut hosts = SortedTable::new();
-        for host in self.every_host().filter(able) {
-            *hosts.get_or_insert_with(&host.domain, || 0_usize) += 1;
-        }
-        let mut grouped = SortedTable::new();
-        for host in self.grouped() {
-            *grouped.get_or_insert_with(&host.domain, || 0_usize) += 1;
-        }
-        let held = |(domain, hosts): (&&DomainName, &usize)| {
-            let whole = hosts.saturating_sub(SPARES_KEPT) / smallest * smallest;
-            whole.max(grouped.get(domain).copied().unwrap_or(0))
-        };
-        hosts.iter().map(held).sum()
-    }
-
     /// Models by how much they lack, the one that lacks most first.
     fn by_lack(&self, wanted: &[f64]) -> Vec<usize> {
         let models = &self.view.engine.models;
@@ -317,11 +201,6 @@
     }
 }
 
-/// Groups of each model that its part of `hosts` makes.
-fn groups_of(parts: &[f64], models: &[ModelSpec], hosts: f64) -> Vec<f64> {
-    parts.iter().zip(models).map(|(part, model)| part * hosts / model.size as f64).collect()
-}
-
 /// `groups` as a part of what is `wanted`; no model is wanted less than one group.
 fn part_of(groups: usize, wanted: f64) -> f64 {
     groups as f64 / wanted.max(1.0)
@@ -332,13 +211,6 @@
     ((wanted + ROUND_UP).floor() as usize).max(1)
 }
 
-/// `parts` of a whole; equal ones when all are nothing.
-fn normalized(parts: &[f64]) -> Vec<f64> {
-    let sum: f64 = parts.iter().sum();
-    let equal = 1.0 / parts.len().max(1) as f64;
-    parts.iter().map(|part| if sum > 0.0 { part / sum } else { equal }).collect()
-}
-
 fn domains_of<'h>(hosts: impl Iterator<Item = &'h PoolHost>) -> Vec<DomainName> {
     let mut domains: Vec<&DomainName> = hosts.map(|host| &host.domain).collect();
     domains.sort_unstable();
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -7,7 +7,8 @@
 
 use super::demand::DemandBook;
 use super::group::{GroupRun, GroupScene, GroupStep, next_step};
-use super::hosts::{HostRecord, HostTable};
+use super::host_record::HostRecord;
+use super::hosts::HostTable;
 use super::loads::LoadLimiter;
 use super::order_window::OrderWindow;
 use super::pulse::PulseBook;
--- a/crates/fleet/src/director/stray.rs
+++ b/crates/fleet/src/director/stray.rs
@@ -9,7 +9,8 @@
 
 use briartray_model::TimePoint;
 
-use super::hosts::{HostRecord, HostTable};
+use super::host_record::HostRecord;
+use super::hosts::HostTable;
 use super::{CloseMethod, EndpointOrder, MarkState, OrderCall};
 use crate::state::FleetState;
 
