--- a/crates/gateway/src/control/entry_session.rs
+++ b/crates/gateway/src/control/entry_session.rs
@@ -12,7 +12,9 @@
 
 /// An entry that reports to this leader.
 pub(super) struct EntrySession {
+    /// The stream of its last report.
     pub(super) writer: LinkWriter,
+    /// When its last report came.
     pub(super) heard: TimePoint,
     /// Version of the declaration that it holds, or that is on its way to it on this stream.
     pub(super) plan: Option<u64>,
--- a/crates/gateway/src/control/host_book.rs
+++ b/crates/gateway/src/control/host_book.rs
@@ -25,7 +25,9 @@
 /// What is known of another control host.
 #[derive(Debug, Clone)]
 pub(super) struct KnownHost {
+    /// Its last greeting.
     pub(super) hello: Option<HostHello>,
+    /// When it was heard of last.
     pub(super) heard: TimePoint,
 }
 
@@ -35,12 +37,15 @@
     own: NodeName,
     seeds: Vec<NodeName>,
     first_start: bool,
+    /// Every other control host that was heard of.
     pub(super) hosts: SortedTable<NodeName, KnownHost>,
+    /// When the others are to be greeted again.
     pub(super) greet_at: TimePoint,
     leader: Option<(TermNumber, NodeName, TimePoint)>,
 }
 
 impl HostBook {
+    /// The hosts that the settings name.
     pub(super) fn new(settings: &GatewaySettings, role: &ControlRole) -> Self {
         let own = settings.node_name();
         let seeds: Vec<NodeName> =
@@ -77,6 +82,7 @@
         own.into_iter().chain(told).max_by_key(|(term, _)| *term).map(|(_, node)| node)
     }
 
+    /// Takes a greeting, and whom it names.
     pub(super) fn take(&mut self, now: TimePoint, hello: HostHello) {
         for node in hello.known.iter().filter(|node| **node != self.own) {
             let fresh = || KnownHost { hello: None, heard: now };
@@ -113,6 +119,7 @@
         self.hosts.iter().filter(|(_, host)| heard(host)).map(|(node, _)| node.clone()).collect()
     }
 
+    /// Whether `node` was not heard of within `limit`.
     pub(super) fn is_silent(&self, now: TimePoint, node: &NodeName, limit: Duration) -> bool {
         self.hosts.get(node).is_none_or(|host| now.since(host.heard) >= limit)
     }
--- a/crates/gateway/src/control/leadership.rs
+++ b/crates/gateway/src/control/leadership.rs
@@ -15,18 +15,23 @@
 
 /// What a leader keeps while it leads.
 pub(super) struct Leadership {
+    /// Term in which it leads.
     pub(super) term: TermNumber,
     /// Whether everything committed before is applied here.
     pub(super) established: bool,
+    /// What it knows of the endpoints and does about them.
     pub(super) director: FleetDirector,
     /// Something may have changed in the view.
     pub(super) dirty: bool,
     /// The director has something to follow up.
     pub(super) step_due: bool,
+    /// Entries that report to it.
     pub(super) entries: SortedTable<NodeName, EntrySession>,
+    /// The newest views, for updates of those that entries hold.
     pub(super) views: ViewHistory,
     /// How fast declarations are handed out.
     pub(super) pace: SendPace,
+    /// Number of the newest view.
     pub(super) number: u64,
     /// When entries may be told of the next view.
     pub(super) inform_from: TimePoint,
--- a/crates/gateway/src/control/relay_buffer.rs
+++ b/crates/gateway/src/control/relay_buffer.rs
@@ -14,8 +14,11 @@
 /// What is gathered for other control hosts.
 #[derive(Debug, Default)]
 pub(super) struct RelayBuffer {
+    /// Beats for the leader.
     pub(super) beats: Vec<EndpointBeat>,
+    /// Answers to probes, by the host that wanted them.
     pub(super) answers: SortedTable<NodeName, Vec<ProbeAnswer>>,
+    /// When they are passed on.
     pub(super) flush_at: Option<TimePoint>,
 }
 
@@ -31,6 +34,7 @@
         self.flush_at.get_or_insert(now.after(GATHER));
     }
 
+    /// Keeps a beat for the leader.
     pub(super) fn hold_beat(&mut self, now: TimePoint, beat: EndpointBeat) {
         self.beats.push(beat);
         self.flush_at.get_or_insert(now.after(GATHER));
