--- a/crates/fleet/src/entry/lease.rs
+++ b/crates/fleet/src/entry/lease.rs
@@ -55,6 +55,11 @@
         self.until
     }
 
+    /// Nonce of the newest report; zero before the first one.
+    pub fn last_nonce(&self) -> u64 {
+        self.next_nonce - 1
+    }
+
     /// When the lease ends.
     pub fn until(&self) -> TimePoint {
         self.until
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -146,6 +146,11 @@
         self.leaving = leaving;
     }
 
+    /// Whether the endpoint takes no new work.
+    pub fn is_leaving(&self, id: &IncarnationId) -> bool {
+        self.leaving.contains(id)
+    }
+
     /// Version of the view; the first one of all where a whole view is wanted.
     pub fn version(&self) -> ViewVersion {
         if self.misfits { ViewVersion::default() } else { self.view.version }
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -9,6 +9,7 @@
 pub use self::view::{EndpointView, FleetView, GroupView, ViewUpdate, ViewVersion};
 pub use self::view_history::ViewHistory;
 
+use crate::quarantine::{PrintView, RunEvent};
 use crate::state::StoredPlan;
 
 plain_value! {
@@ -77,6 +78,10 @@
         pub demand: Vec<ModelDemand>,
         /// Whether any caller asked for anything yet.
         pub serving: bool,
+        /// View of the quarantine that it holds.
+        pub prints: ViewVersion,
+        /// Runs that say something about their requests.
+        pub runs: Vec<RunEvent>,
     }
 
     /// A control host's answer to a report, or news that it sends unasked.
@@ -87,6 +92,8 @@
         pub plan: Option<StoredPlan>,
         /// What has changed of the view, when the entry holds another one and the leader knows the fleet.
         pub view: Option<ViewUpdate>,
+        /// The quarantine, when the entry holds another view of it.
+        pub prints: Option<PrintView>,
         /// What the other entries have on the groups, by their last reports; in answers to reports only.
         pub loads: Vec<GroupLoad>,
         /// Endpoints that take no new work, whatever the view says.
--- a/crates/fleet/src/state/mod.rs
+++ b/crates/fleet/src/state/mod.rs
@@ -1,11 +1,13 @@
 //! What control hosts agree on through the log: the declaration in force, the groups with their
-//! epochs, and the endpoints that are leaving.
+//! epochs, the endpoints that are leaving, and the requests in quarantine.
 //!
 //! A [`FleetCommand`] is applied in the order of the log on every control host, and the outcome
 //! follows from the state alone. An epoch is a number of the log, so that two leaders never give
 //! the same one and an order of an earlier leader is always lower than those of a later one.
 
-use briartray_model::names::{DomainName, GroupId, IncarnationId, ServiceName, ZoneName};
+use briartray_model::names::{
+    DomainName, GroupId, IncarnationId, RequestPrint, ServiceName, ZoneName,
+};
 use briartray_model::{SortedTable, plain_value};
 
 mod member_index;
@@ -14,6 +16,8 @@
 pub use member_index::MemberIndex;
 pub use stored_plan::{StoredPlan, UnpackProblem};
 
+use crate::quarantine::{QuarantineList, QuarantineRecord};
+
 /// Leaving endpoints that are remembered. An endpoint leaves within seconds; the bound is far
 /// above what a fleet of 22,000 hosts takes down in that time (370 a day).
 const MAX_LEAVING: usize = 1024;
@@ -77,6 +81,10 @@
         Announce(Vec<EndpointRecord>),
         /// Endpoints are gone.
         Forget(Vec<IncarnationId>),
+        /// A request is refused from now on.
+        Quarantine(QuarantineRecord),
+        /// A request is served again.
+        LiftQuarantine(RequestPrint),
     }
 
     /// Everything that the control hosts agree on.
@@ -87,6 +95,7 @@
         groups: SortedTable<GroupId, GroupRecord>,
         leaving: Vec<IncarnationId>,
         endpoints: SortedTable<IncarnationId, EndpointRecord>,
+        quarantine: QuarantineList,
     }
 }
 
@@ -124,6 +133,14 @@
                 self.endpoints.retain(|id, _| !ids.contains(id));
                 FleetOutcome::Noted
             }
+            FleetCommand::Quarantine(record) => {
+                self.quarantine.add(record);
+                FleetOutcome::Noted
+            }
+            FleetCommand::LiftQuarantine(print) => {
+                self.quarantine.lift(*print);
+                FleetOutcome::Noted
+            }
         }
     }
 
@@ -145,6 +162,11 @@
         &self.endpoints
     }
 
+    /// Requests that are refused since they crash endpoints.
+    pub fn quarantine(&self) -> &QuarantineList {
+        &self.quarantine
+    }
+
     /// Endpoints that take no new work, the longest known first.
     pub fn leaving(&self) -> &[IncarnationId] {
         &self.leaving
--- a/crates/fleet/tests/director/fleet.rs
+++ b/crates/fleet/tests/director/fleet.rs
@@ -474,6 +474,8 @@
             pulses: self.moved.iter().map(pulse).collect(),
             demand: vec![ask(LARGE, self.demand.0), ask(SMALL, self.demand.1)],
             serving: true,
+            prints: ViewVersion::default(),
+            runs: Vec::new(),
         };
         self.director.report(self.now, &report, &self.state);
     }
--- a/crates/fleet/tests/director/large.rs
+++ b/crates/fleet/tests/director/large.rs
@@ -98,6 +98,8 @@
         pulses: vec![pulse],
         demand: Vec::new(),
         serving: false,
+        prints: ViewVersion::default(),
+        runs: Vec::new(),
     };
     fleet.director.report(fleet.now, &report, &fleet.state);
 }
--- /dev/null
+++ b/crates/fleet/tests/quarantine.rs
@@ -0,0 +1,377 @@
+//! Requests that crash endpoints, told from those that only share an endpoint with them.
+
+use std::time::Duration;
+
+use briartray_fleet::message::ViewVersion;
+use briartray_fleet::quarantine::{
+    CrashBook, FATAL_CRASHES, PrintGuard, PrintKey, PrintParts, PrintStanding, PrintView,
+    QuarantineRecord, RunEnd, RunEvent, RunLog,
+};
+use briartray_fleet::state::{FleetCommand, FleetState};
+use briartray_model::names::{IncarnationId, RequestPrint, TeamName, TermNumber};
+use briartray_model::{TimePoint, codec};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const START: TimePoint = TimePoint(5_000_000);
+const FATAL: RequestPrint = RequestPrint(7);
+
+fn at(millis: u64) -> TimePoint {
+    START.after(Duration::from_millis(millis))
+}
+
+fn crashed(endpoint: &str) -> RunEnd {
+    let team = Some(TeamName::new("traders"));
+    RunEnd::Crashed { endpoint: IncarnationId::new(endpoint), rule: "draft".to_owned(), team }
+}
+
+fn event(print: RequestPrint, end: RunEnd) -> RunEvent {
+    RunEvent { print, age_ms: 0, end }
+}
+
+/// A book in which `print` was at all crashes, half a second apart, but the one that would make it fatal.
+fn nearly_fatal(print: RequestPrint) -> CrashBook {
+    let mut book = CrashBook::default();
+    for number in 1..FATAL_CRASHES {
+        let millis = 500 * u64::try_from(number).expect("a few crashes");
+        book.take(at(millis), &event(print, crashed(&format!("i-{number}"))));
+    }
+    book
+}
+
+fn fatal_prints(book: &mut CrashBook) -> Vec<RequestPrint> {
+    book.take_fatal().into_iter().map(|record| record.print).collect()
+}
+
+fn record(print: u128) -> QuarantineRecord {
+    let endpoints = vec![IncarnationId::new("i-1")];
+    QuarantineRecord { print: RequestPrint(print), rule: "draft".to_owned(), team: None, endpoints }
+}
+
+/// Guards against a request that crashes endpoint after endpoint.
+#[test]
+fn several_crashes_in_a_row_are_fatal() {
+    let mut book = nearly_fatal(FATAL);
+    let suspected = (fatal_prints(&mut book), book.suspects());
+
+    book.take(at(3_000), &event(FATAL, crashed("i-9")));
+    let fatal = book.take_fatal();
+
+    assert_eq!(suspected, (Vec::new(), vec![FATAL]));
+    assert_eq!(fatal.len(), 1);
+    assert_eq!((fatal[0].print, &*fatal[0].rule), (FATAL, "draft"));
+    assert_eq!(fatal[0].endpoints.len(), FATAL_CRASHES);
+    assert!(book.take_fatal().is_empty(), "it is proposed once");
+    book.lost(FATAL);
+    assert_eq!(fatal_prints(&mut book), [FATAL], "a proposal that was lost is made again");
+}
+
+/// Guards against a crash that counts once for each entry that saw it.
+#[test]
+fn a_crash_counts_once_however_many_entries_saw_it() {
+    let mut book = CrashBook::default();
+
+    for entry in 0..8 {
+        book.take(at(entry * 300), &event(FATAL, crashed("i-0")));
+    }
+
+    assert!(fatal_prints(&mut book).is_empty());
+    assert!(book.suspects().is_empty());
+}
+
+/// Guards against a popular request that is refused since it ran on many endpoints of a lost rack.
+#[test]
+fn endpoints_that_crash_together_count_as_one() {
+    let mut book = CrashBook::default();
+
+    for number in 0..10 {
+        book.take(at(number * 20), &event(FATAL, crashed(&format!("i-{number}"))));
+    }
+
+    assert!(fatal_prints(&mut book).is_empty());
+}
+
+/// Guards against a sound request that is refused after three unlucky crashes over the day.
+#[test]
+fn a_whole_run_clears_a_request() {
+    let mut book = nearly_fatal(FATAL);
+
+    book.take(at(2_800), &event(FATAL, RunEnd::Whole));
+    book.take(at(3_000), &event(FATAL, crashed("i-8")));
+    book.take(at(3_500), &event(FATAL, crashed("i-9")));
+
+    assert!(fatal_prints(&mut book).is_empty());
+    // An entry whose word comes late tells of a crash from before the whole run.
+    let late = RunEvent { age_ms: 1_500, ..event(FATAL, crashed("i-7")) };
+    assert!(!book.take(at(4_000), &late));
+}
+
+/// Guards against a leader that starts anew and takes all that is told of the past for one moment.
+#[test]
+fn a_new_leader_counts_what_happened_before_its_start() {
+    let mut log = RunLog::default();
+    for number in 0..FATAL_CRASHES {
+        let millis = 500 * u64::try_from(number).expect("a few crashes");
+        log.note(at(millis), FATAL, crashed(&format!("i-{number}")));
+    }
+    let now = at(20_000);
+    assert!(log.told(now).is_empty(), "old runs are told to a new leader only");
+
+    log.begin_leader(40);
+    let told = log.told(now);
+    let mut book = CrashBook::default();
+    for event in &told {
+        book.take(TimePoint(0), event);
+    }
+
+    assert_eq!(fatal_prints(&mut book), [FATAL]);
+    log.confirmed(40);
+    assert_eq!(
+        log.told(now).len(),
+        FATAL_CRASHES,
+        "a report from before says nothing of the new leader"
+    );
+    log.confirmed(41);
+    assert!(log.told(now).is_empty());
+}
+
+/// Guards against a lifted quarantine that comes back with the next leader.
+#[test]
+fn runs_of_a_request_that_was_let_out_are_forgotten() {
+    let mut log = RunLog::default();
+    log.note(at(0), FATAL, crashed("i-0"));
+    log.note(at(0), RequestPrint(8), crashed("i-0"));
+    let mut guard = PrintGuard::default();
+    let version = ViewVersion { term: TermNumber(1), number: 1 };
+    let held = PrintView { version, quarantined: vec![FATAL], suspects: Vec::new() };
+    guard.adopt(held.clone());
+    assert_eq!(guard.standing(FATAL), PrintStanding::Quarantined);
+
+    for print in guard.adopt(PrintView { quarantined: Vec::new(), ..held }) {
+        log.forget(print);
+    }
+
+    assert_eq!(guard.standing(FATAL), PrintStanding::Clear);
+    assert!(!guard.is_watching());
+    assert_eq!(log.told(at(0)).len(), 1);
+}
+
+/// Guards against memory that grows with every request which was at a crash.
+#[test]
+fn many_requests_at_crashes_take_bounded_memory_and_do_not_hide_a_fatal_one() {
+    let mut book = nearly_fatal(FATAL);
+    let mut log = RunLog::default();
+
+    for number in 0..20_000_u128 {
+        let print = RequestPrint(100 + number);
+        let now = at(2_000 + u64::try_from(number).expect("it is small"));
+        book.take(now, &event(print, crashed("i-x")));
+        log.note(now, print, crashed("i-x"));
+    }
+    book.take(at(30_000), &event(FATAL, crashed("i-9")));
+
+    assert!(book.len() <= 2_048, "{} requests are kept", book.len());
+    let told = codec::encode(&log.told(at(22_000))).expect("events encode").len();
+    assert!(told <= 10_000, "{told} bytes in one report");
+    assert_eq!(fatal_prints(&mut book), [FATAL]);
+}
+
+/// Guards against suspects that are never forgotten.
+#[test]
+fn crashes_count_for_ten_minutes() {
+    let mut book = nearly_fatal(FATAL);
+    let now = at(601_000 + 1_500);
+
+    assert!(book.prune(now));
+    book.take(now, &event(FATAL, crashed("i-9")));
+
+    assert!(fatal_prints(&mut book).is_empty());
+    assert!(book.suspects().is_empty());
+}
+
+/// Guards against a flood of fatal requests that fills the replicated state.
+#[test]
+fn the_quarantine_is_bounded_and_the_oldest_makes_room() {
+    let mut state = FleetState::default();
+
+    for print in 0..300 {
+        state.apply(&FleetCommand::Quarantine(record(print)));
+        state.apply(&FleetCommand::Quarantine(record(print)));
+    }
+
+    assert_eq!(state.quarantine().records().len(), 256);
+    assert!(!state.quarantine().holds(RequestPrint(0)));
+    assert!(state.quarantine().holds(RequestPrint(299)));
+    state.apply(&FleetCommand::LiftQuarantine(RequestPrint(299)));
+    assert!(!state.quarantine().holds(RequestPrint(299)));
+}
+
+/// Guards against a quarantine that is gone after a stop of everything: snapshots carry it.
+#[test]
+fn a_snapshot_carries_the_quarantine() {
+    let mut state = FleetState::default();
+    state.apply(&FleetCommand::Quarantine(record(7)));
+
+    let bytes = codec::encode(&state).expect("the state encodes");
+    let restored: FleetState = codec::decode(&bytes).expect("it decodes");
+
+    assert!(restored.quarantine().holds(FATAL));
+}
+
+/// Guards against requests that are mixed up: each part counts, and only under the same secret.
+#[test]
+fn prints_tell_requests_apart() {
+    let key = PrintKey::new("secret");
+    let parts = PrintParts { host: "a", path: "/draft/1", team: Some("t"), body: b"prompt" };
+    let others = [
+        PrintParts { host: "b", ..parts },
+        PrintParts { path: "/draft/1?x=1", ..parts },
+        PrintParts { team: None, ..parts },
+        PrintParts { team: Some(""), ..parts },
+        PrintParts { body: b"prompt ", ..parts },
+        PrintParts { path: "/draft/1prompt", body: b"", ..parts },
+    ];
+
+    let print = key.print(&parts);
+
+    assert_eq!(print, PrintKey::new("secret").print(&parts));
+    assert_ne!(print, PrintKey::new("other").print(&parts));
+    assert!(others.iter().all(|other| key.print(other) != print));
+}
+
+/// A request that runs.
+struct DayRequest {
+    print: RequestPrint,
+    group: usize,
+    /// Endpoints that ran this copy.
+    runs: u32,
+    /// Times that its caller will still come back.
+    returns: u32,
+}
+
+/// What a day of crashes brings, for the tests below. Entries send a copy to two endpoints at the most, and one
+/// that is suspected to one.
+struct CrashDay {
+    random: ChaCha8Rng,
+    book: CrashBook,
+    running: Vec<DayRequest>,
+    lives: Vec<u32>,
+    next_print: u128,
+}
+
+impl CrashDay {
+    const GROUPS: usize = 9;
+    const RUNNING: usize = 160;
+
+    fn new(seed: u64) -> Self {
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            book: CrashBook::default(),
+            running: Vec::new(),
+            lives: vec![0; Self::GROUPS],
+            next_print: 1_000,
+        }
+    }
+
+    fn any_group(&mut self) -> usize {
+        self.random.random_range(0..Self::GROUPS)
+    }
+
+    /// A request begins: one in five is for the popular body, others have a body of their own. Most callers come
+    /// back once, one in ten four times.
+    fn begin(&mut self) {
+        let popular = self.random.random_bool(0.2);
+        self.next_print += 1;
+        let print = if popular { RequestPrint(1) } else { RequestPrint(self.next_print) };
+        let returns = if self.random.random_bool(0.1) { 4 } else { 1 };
+        let group = self.any_group();
+        self.running.push(DayRequest { print, group, runs: 1, returns });
+    }
+
+    /// A tenth of a second: a tenth of the requests ends, and new ones begin.
+    fn tick(&mut self, now: TimePoint) {
+        for _ in 0..Self::RUNNING / 10 {
+            if self.running.is_empty() {
+                break;
+            }
+            let ended = self.random.random_range(0..self.running.len());
+            let print = self.running.swap_remove(ended).print;
+            if self.book.suspects().contains(&print) {
+                self.book.take(now, &event(print, RunEnd::Whole));
+            }
+        }
+        while self.running.len() < Self::RUNNING {
+            self.begin();
+        }
+    }
+
+    /// The first endpoint of a group crashes; what ran there goes on elsewhere as far as that is allowed.
+    fn crash(&mut self, now: TimePoint, group: usize) {
+        self.lives[group] += 1;
+        let endpoint = format!("i-{group}-{}", self.lives[group]);
+        let (hit, rest) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|request: &DayRequest| request.group == group);
+        self.running = rest;
+        for mut request in hit {
+            self.book.take(now, &event(request.print, crashed(&endpoint)));
+            if request.runs < 2 && !self.book.suspects().contains(&request.print) {
+                request.runs += 1;
+            } else if request.returns > 0 {
+                request.returns -= 1;
+                request.runs = 1;
+            } else {
+                continue;
+            }
+            request.group = self.any_group();
+            self.running.push(request);
+        }
+    }
+}
+
+/// Guards against sound requests in quarantine on days on which endpoints crash for other reasons: one crash a
+/// second on average for a minute, single ones and racks of three.
+#[test]
+fn plain_crashes_quarantine_no_sound_request() {
+    for seed in 0..40 {
+        let mut day = CrashDay::new(seed);
+        let mut fatal = Vec::new();
+        for tick in 0..600 {
+            let now = at(tick * 100);
+            day.tick(now);
+            if day.random.random_bool(0.07) {
+                let group = day.any_group();
+                day.crash(now, group);
+            }
+            if day.random.random_bool(0.01) {
+                (0..3).for_each(|group| day.crash(now, group));
+            }
+            fatal.extend(day.book.take_fatal());
+        }
+        assert!(fatal.is_empty(), "seed {seed}: {fatal:?}");
+    }
+}
+
+/// Guards against a fatal request that hides among the crashes of other requests.
+#[test]
+fn a_fatal_request_is_found_among_plain_crashes() {
+    for seed in 0..40 {
+        let mut day = CrashDay::new(seed);
+        let mut runs = 0;
+        let mut found = false;
+        for tick in 0..600 {
+            let now = at(tick * 100);
+            day.tick(now);
+            let group = day.any_group();
+            if tick % 4 == 0 && !found {
+                day.running.push(DayRequest { print: FATAL, group, runs: 2, returns: 0 });
+                runs += 1;
+                day.crash(now, group);
+            } else if day.random.random_bool(0.05) {
+                day.crash(now, group);
+            }
+            found |= fatal_prints(&mut day.book).contains(&FATAL);
+        }
+        assert_eq!((found, runs), (true, FATAL_CRASHES), "seed {seed}");
+    }
+}
--- a/crates/fleet/tests/views.rs
+++ b/crates/fleet/tests/views.rs
@@ -144,6 +144,7 @@
         nonce,
         plan: None,
         view: None,
+        prints: None,
         loads: Vec::new(),
         leaving: Vec::new(),
         control: Vec::new(),
--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -18,6 +18,7 @@
 
 use super::calls::{EndpointCall, EndpointCaller};
 use super::input::{ControlReply, CoreInput, InputSender, ReplySender};
+use super::quarantine_call::{QuarantineCall, quarantine_answer};
 use crate::metrics_port;
 use crate::process::{ProcessError, SetupSnafu};
 use briartray_http::{AnswerBody, HttpServer, ServerLimits};
@@ -107,12 +108,17 @@
 
 impl ControlApi {
     async fn handle(self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let quarantine = QuarantineCall::read(&request);
         let call = ControlCall::read(&request);
         let path = request.uri().path().to_owned();
         let Ok(body) = Limited::new(request.into_body(), MAX_BODY).collect().await else {
             return problem(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or incomplete");
         };
         let body = body.to_bytes();
+        if let Some(call) = quarantine {
+            let reply = self.ask(|reply| call.input(reply)).await;
+            return self.answer(&path, reply);
+        }
         match call {
             ControlCall::PutPlan => self.put(&path, body).await,
             ControlCall::GetPlan => {
@@ -179,6 +185,7 @@
                 answer.headers_mut().insert(header::CONTENT_TYPE, json);
                 answer
             }
+            ControlReply::Quarantine(records) => quarantine_answer(&records),
             ControlReply::NoPlan => problem(StatusCode::NOT_FOUND, "nothing was declared yet"),
             ControlReply::AskLeader(node) => {
                 let address = format!("{node}:{}", self.address.port());
@@ -196,7 +203,7 @@
         ControlReply::Done => "acknowledged",
         ControlReply::AskLeader(_) => "sent to the leader",
         ControlReply::Unavailable => "no majority",
-        ControlReply::Plan(_) | ControlReply::NoPlan => "answered",
+        ControlReply::Plan(_) | ControlReply::NoPlan | ControlReply::Quarantine(_) => "answered",
     }
 }
 
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -253,13 +253,20 @@
                     leadership.director.command_done();
                 }
             }
+            CommandOrigin::Quarantine(print) => {
+                if let Some(leadership) = &mut self.leadership {
+                    leadership.crashes.lost(print);
+                }
+            }
         }
     }
 
     /// A read that was not confirmed.
     pub(super) fn unconfirmed(&mut self, origin: ReadOrigin) {
         match origin {
-            ReadOrigin::Plan(reply) | ReadOrigin::Overtaken(reply) => self.redirect(reply),
+            ReadOrigin::Plan(reply)
+            | ReadOrigin::Overtaken(reply)
+            | ReadOrigin::Quarantine(reply) => self.redirect(reply),
             ReadOrigin::Entry(_, writer) => self.name_leader(&writer),
         }
     }
@@ -298,6 +305,8 @@
             CoreInput::Entry { report, writer } => self.take_report(now, report, writer),
             CoreInput::Put { plan, reply } => self.put(now, plan, reply),
             CoreInput::Get { reply } => self.confirm(ReadOrigin::Plan(reply)),
+            CoreInput::Quarantine { reply } => self.confirm(ReadOrigin::Quarantine(reply)),
+            CoreInput::Lift { print, reply } => self.lift_quarantine(print, reply),
             CoreInput::Beat { beat, reply } => self.beat(now, beat, reply),
             CoreInput::Leave { id, reply } => self.leave(id, reply),
             CoreInput::Probed { answer, asker: None } => self.probed(now, answer),
--- a/crates/gateway/src/control/entry_session.rs
+++ b/crates/gateway/src/control/entry_session.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use briartray_fleet::message::{EntryReport, ViewUpdate, ViewVersion};
+use briartray_fleet::message::{EntryNotice, EntryReport, ViewVersion};
 use briartray_link::LinkWriter;
 use briartray_model::TimePoint;
 
@@ -20,6 +20,8 @@
     pub(super) plan: Option<u64>,
     /// View that the entry holds, or that is on its way to it on this stream.
     pub(super) view: Option<ViewVersion>,
+    /// View of the quarantine that it holds, or that is on its way to it on this stream.
+    pub(super) prints: ViewVersion,
     /// When it was sent a whole view.
     pub(super) whole_at: Option<TimePoint>,
 }
@@ -28,13 +30,14 @@
     /// A session that begins with `report`.
     pub(super) fn new(now: TimePoint, report: &EntryReport, writer: LinkWriter) -> Self {
         let (plan, view) = (report.plan, Some(report.view));
-        Self { writer, heard: now, plan, view, whole_at: None }
+        Self { writer, heard: now, plan, view, prints: report.prints, whole_at: None }
     }
 
     /// Notes what was sent on the stream.
-    pub(super) fn sent(&mut self, now: TimePoint, plan: Option<u64>, view: Option<&ViewUpdate>) {
+    pub(super) fn sent(&mut self, now: TimePoint, plan: Option<u64>, notice: &EntryNotice) {
         self.plan = self.plan.max(plan);
-        let Some(view) = view else { return };
+        self.prints = notice.prints.as_ref().map_or(self.prints, |prints| prints.version);
+        let Some(view) = &notice.view else { return };
         self.view = Some(view.version);
         if view.base.is_none() {
             self.whole_at = Some(now);
--- a/crates/gateway/src/control/inform.rs
+++ b/crates/gateway/src/control/inform.rs
@@ -29,6 +29,7 @@
     /// Tells the entries what has changed.
     pub(super) fn inform(&mut self, now: TimePoint) {
         let began = self.clock.now();
+        self.refresh_prints();
         if self.refresh_view(now) {
             self.tell_entries(now);
         }
@@ -50,16 +51,19 @@
         let mut encoded = SortedTable::new();
         for entry in leadership.entries.values_mut() {
             let lacks_plan = entry.plan < newest && leadership.pace.may_send(now, plan_bytes);
-            let lacks = (lacks_plan, leadership.views.base_of(entry.view));
-            let (view, message) = encoded.get_or_insert_with(lacks, || {
+            let lacks_prints = entry.prints != leadership.prints.version;
+            let lacks = (lacks_plan, lacks_prints, leadership.views.base_of(entry.view));
+            let (notice, message) = encoded.get_or_insert_with(lacks, || {
                 let plan = plan.filter(|_| lacks_plan).cloned();
                 let view = leadership.views.update_for(entry.view);
-                let notice = EntryNotice { plan, view: view.clone(), ..news.clone() };
-                (view, EncodedMessage::of(&notice))
+                let prints = lacks_prints.then(|| leadership.prints.clone());
+                let notice = EntryNotice { plan, view, prints, ..news.clone() };
+                let message = EncodedMessage::of(&notice);
+                (notice, message)
             });
             match message {
                 Ok(message) if matches!(entry.writer.try_send_encoded(message), Ok(true)) => {
-                    entry.sent(now, newest.filter(|_| lacks_plan), view.as_ref());
+                    entry.sent(now, newest.filter(|_| lacks_plan), notice);
                 }
                 Ok(_) => {}
                 Err(error) => log::error!("entries cannot be told of a view: {error}"),
@@ -82,7 +86,9 @@
         view.entries = leadership.entries.len();
         let same = leadership.views.newest().is_some_and(|known| known.tells_as(&view));
         let newest = self.state.plan().map(|plan| plan.version);
-        let behind = leadership.entries.values().any(|entry| entry.plan < newest);
+        let prints = leadership.prints.version;
+        let lacks = |entry: &EntrySession| entry.plan < newest || entry.prints != prints;
+        let behind = leadership.entries.values().any(lacks);
         if !same {
             if now >= leadership.view_line_at {
                 leadership.view_line_at = now.after(VIEW_LINE_EVERY);
@@ -103,6 +109,7 @@
             nonce: None,
             plan: None,
             view: None,
+            prints: None,
             loads: Vec::new(),
             leaving: leaving[told..].to_vec(),
             control: self.hosts.names(),
@@ -117,6 +124,8 @@
             return self.name_leader(&writer);
         };
         leadership.director.report(now, &report, &self.state);
+        self.take_runs(now, &report);
+        let Some(leadership) = &mut self.leadership else { return };
         // What else a report says of the groups shows in the view of the next tick.
         let is_new = !leadership.entries.contains_key(&report.node);
         leadership.dirty |= is_new || report.pulses.iter().any(|pulse| pulse.suspect);
@@ -134,6 +143,7 @@
     /// Answers a report with what its entry lacks; its lease begins with the answer.
     pub(super) fn answer_report(&mut self, report: &EntryReport, writer: &LinkWriter) {
         let now = self.now();
+        self.refresh_prints();
         let news = self.news();
         let newest = self.state.plan().map(|plan| plan.version);
         let Some(leadership) = &mut self.leadership else { return self.name_leader(writer) };
@@ -141,9 +151,9 @@
         let session = leadership.entries.get_mut(&report.node);
         let mut session = session.filter(|session| session.writer.is_same(writer));
         // The session knows what is on its way beside what the report names.
-        let (held_plan, held_view) = match &session {
-            Some(session) => (session.plan.max(report.plan), session.view),
-            None => (report.plan, Some(report.view)),
+        let (held_plan, held_view, held_prints) = match &session {
+            Some(session) => (session.plan.max(report.plan), session.view, session.prints),
+            None => (report.plan, Some(report.view), report.prints),
         };
         let pace = &mut leadership.pace;
         let lacking = self.state.plan().filter(|_| held_plan < newest);
@@ -153,11 +163,13 @@
         let knows = lacking.is_none() || plan.is_some();
         let view = leadership.views.update_for(held_view);
         let nonce = knows.then_some(report.nonce);
-        let notice = EntryNotice { nonce, plan, view: view.clone(), loads, ..news };
+        let lacks_prints = held_prints != leadership.prints.version;
+        let prints = lacks_prints.then(|| leadership.prints.clone());
+        let notice = EntryNotice { nonce, plan, view, prints, loads, ..news };
         // An entry that is behind asks again; its lease runs out meanwhile.
         let sent = writer.try_send(&notice);
         if let (Ok(true), Some(session)) = (sent, session.as_mut()) {
-            session.sent(now, told, view.as_ref());
+            session.sent(now, told, &notice);
         }
     }
 
@@ -167,6 +179,7 @@
             nonce: None,
             plan: None,
             view: None,
+            prints: None,
             loads: Vec::new(),
             leaving: Vec::new(),
             control: self.hosts.names(),
--- a/crates/gateway/src/control/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -5,9 +5,10 @@
 use briartray_control::agreement::PeerMessage;
 use briartray_fleet::director::{EndpointBeat, EndpointReport, OrderCall, OrderOutcome, ProbeCall};
 use briartray_fleet::message::{EntryReport, HostHello};
+use briartray_fleet::quarantine::QuarantineRecord;
 use briartray_fleet::state::StoredPlan;
 use briartray_link::LinkWriter;
-use briartray_model::names::{IncarnationId, NodeName};
+use briartray_model::names::{IncarnationId, NodeName, RequestPrint};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -50,6 +51,8 @@
     Plan(Vec<u8>),
     /// Nothing was ever declared.
     NoPlan,
+    /// The requests in quarantine, the oldest first.
+    Quarantine(Vec<QuarantineRecord>),
     /// Ask this host.
     AskLeader(NodeName),
     /// It cannot be answered truthfully now.
@@ -96,6 +99,10 @@
     Put { plan: StoredPlan, reply: ReplySender },
     /// An operator asks for the declaration in force.
     Get { reply: ReplySender },
+    /// An operator asks for the requests in quarantine.
+    Quarantine { reply: ReplySender },
+    /// An operator lets a request out of quarantine.
+    Lift { print: RequestPrint, reply: ReplySender },
     /// An endpoint announces itself.
     Beat { beat: EndpointBeat, reply: ReplySender },
     /// An endpoint takes no new work.
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -24,6 +24,7 @@
         self.greet(now);
         self.measure();
         self.manage_voters(now);
+        self.keep_quarantine(now);
         self.direct(now);
         // Silence grows without an event, and what entries said a while ago counts no more.
         if let Some(leadership) = &mut self.leadership {
--- a/crates/gateway/src/control/leadership.rs
+++ b/crates/gateway/src/control/leadership.rs
@@ -2,7 +2,8 @@
 
 use briartray_fleet::director::FleetDirector;
 use briartray_fleet::message::ViewHistory;
-use briartray_model::names::{NodeName, TermNumber};
+use briartray_fleet::quarantine::{CrashBook, PrintView};
+use briartray_model::names::{NodeName, RequestPrint, TermNumber};
 use briartray_model::{SortedTable, TimePoint};
 
 use super::entry_session::EntrySession;
@@ -29,6 +30,14 @@
     pub(super) entries: SortedTable<NodeName, EntrySession>,
     /// The newest views, for updates of those that entries hold.
     pub(super) views: ViewHistory,
+    /// Crashes by request.
+    pub(super) crashes: CrashBook,
+    /// The newest view of the quarantine.
+    pub(super) prints: PrintView,
+    /// The view of the quarantine may have changed.
+    pub(super) prints_due: bool,
+    /// Since when requests are in quarantine, as far as this leader knows.
+    pub(super) quarantined_at: SortedTable<RequestPrint, TimePoint>,
     /// How fast declarations are handed out.
     pub(super) pace: SendPace,
     /// Number of the newest view.
@@ -52,6 +61,10 @@
             step_due: false,
             entries: SortedTable::new(),
             views: ViewHistory::default(),
+            crashes: CrashBook::default(),
+            prints: PrintView::default(),
+            prints_due: true,
+            quarantined_at: SortedTable::new(),
             pace: SendPace::default(),
             number: 0,
             inform_from: now,
--- a/crates/gateway/src/control/metrics.rs
+++ b/crates/gateway/src/control/metrics.rs
@@ -21,6 +21,10 @@
     pub(super) groups: Gauge,
     /// Endpoints that are agreed on.
     pub(super) endpoints: Gauge,
+    /// Requests in quarantine.
+    pub(super) quarantined: Gauge,
+    /// Requests that may have to be quarantined.
+    pub(super) suspects: Gauge,
     orders: Family<OutcomeLabel, Counter>,
     /// Probes without an answer.
     pub(super) silent_probes: Counter,
@@ -42,6 +46,8 @@
             plan: Gauge::default(),
             groups: Gauge::default(),
             endpoints: Gauge::default(),
+            quarantined: Gauge::default(),
+            suspects: Gauge::default(),
             orders: Family::default(),
             silent_probes: Counter::default(),
             unread_probes: Counter::default(),
@@ -54,6 +60,9 @@
         control.register("plan_version", "Declaration in force", metrics.plan.clone());
         control.register("groups", "Groups that are agreed on", metrics.groups.clone());
         control.register("endpoints", "Endpoints agreed on", metrics.endpoints.clone());
+        control.register("quarantined", "Requests in quarantine", metrics.quarantined.clone());
+        let help = "Requests that may have to be quarantined";
+        control.register("suspects", help, metrics.suspects.clone());
         control.register("orders", "Orders by what came of them", metrics.orders.clone());
         let help = "Probes without an answer";
         control.register("silent_probes", help, metrics.silent_probes.clone());
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -17,6 +17,8 @@
 mod origin;
 mod pace;
 mod peers;
+mod quarantine;
+mod quarantine_call;
 mod relay;
 mod relay_buffer;
 mod replication;
--- a/crates/gateway/src/control/origin.rs
+++ b/crates/gateway/src/control/origin.rs
@@ -2,6 +2,7 @@
 
 use briartray_fleet::message::EntryReport;
 use briartray_link::LinkWriter;
+use briartray_model::names::RequestPrint;
 
 use super::input::ReplySender;
 
@@ -20,6 +21,8 @@
     Caller(ReplySender),
     /// The director.
     Director,
+    /// The leader, about a request in quarantine.
+    Quarantine(RequestPrint),
 }
 
 /// Who waits for a confirmation that this host leads.
@@ -28,6 +31,8 @@
     Plan(ReplySender),
     /// An operator whose declaration is in force or overtaken.
     Overtaken(ReplySender),
+    /// An operator who asks for the requests in quarantine.
+    Quarantine(ReplySender),
     /// An entry that asks for news and a lease.
     Entry(Box<EntryReport>, LinkWriter),
 }
--- a/crates/gateway/src/control/replication.rs
+++ b/crates/gateway/src/control/replication.rs
@@ -96,6 +96,12 @@
         if let Some(leadership) = &mut self.leadership {
             leadership.dirty = true;
             leadership.step_due = true;
+            leadership.prints_due = true;
+            match &command {
+                FleetCommand::Quarantine(record) => leadership.crashes.forget(record.print),
+                FleetCommand::LiftQuarantine(print) => leadership.crashes.forget(*print),
+                _ => {}
+            }
         }
         match origin {
             Some(CommandOrigin::Caller(reply)) => {
@@ -106,7 +112,7 @@
                     leadership.director.command_done();
                 }
             }
-            None => {}
+            Some(CommandOrigin::Quarantine(_)) | None => {}
         }
     }
 
@@ -138,6 +144,10 @@
             ReadOrigin::Overtaken(reply) => {
                 let _ = reply.send(ControlReply::Done);
             }
+            ReadOrigin::Quarantine(reply) => {
+                let records = self.state.quarantine().records().to_vec();
+                let _ = reply.send(ControlReply::Quarantine(records));
+            }
             ReadOrigin::Entry(report, writer) => self.answer_report(&report, &writer),
         }
     }
@@ -184,5 +194,15 @@
             let names: Vec<String> = ids.iter().map(ToString::to_string).collect();
             format!("{} gone", names.join(" "))
         }
+        FleetCommand::Quarantine(record) => {
+            let endpoints: Vec<String> = record.endpoints.iter().map(ToString::to_string).collect();
+            let team = record.team.as_ref().map_or("", |team| team.as_str());
+            let crashed = endpoints.join(" ");
+            format!(
+                "quarantine of {} ({}, {team}), which crashed {crashed}",
+                record.print, record.rule
+            )
+        }
+        FleetCommand::LiftQuarantine(print) => format!("end of the quarantine of {print}"),
     }
 }
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -1,6 +1,6 @@
 //! One attempt: choosing a target, sending, and judging the head of the answer.
 
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,12 +9,14 @@
 use briartray_fleet::entry::{
     AttemptEnd, AttemptPlan, ChoiceRefusal, NextMove, TargetChoice, TargetId, TargetWish,
 };
+use briartray_fleet::quarantine::{PrintParts, PrintStanding, RunEnd};
 use briartray_model::TimePoint;
-use briartray_model::names::{ServiceName, TeamName};
+use briartray_model::names::{IncarnationId, RequestPrint, ServiceName, TeamName};
 use briartray_platform::{AnswerHead, CallerHead, DispatchTerms, dispatch_request};
 use bytes::Bytes;
 use http::request::Parts;
 
+use super::crash_check;
 use super::state::EntryState;
 use briartray_http::{Exchange, SendFailure};
 
@@ -42,6 +44,10 @@
     pub(super) chosen: Rc<RefCell<Option<TargetId>>>,
     /// Targets it was sent to.
     pub(super) tried: Vec<TargetId>,
+    /// Endpoint that it was sent to last.
+    pub(super) sent_to: Option<(IncarnationId, SocketAddr)>,
+    /// What identifies it, once that was wanted.
+    pub(super) print: OnceCell<RequestPrint>,
     /// Replicas that may have run it. One that said that it had not does not count towards the
     /// attempts that the rule allows.
     pub(super) runs: u32,
@@ -105,12 +111,46 @@
     Ended(AttemptEnd),
 }
 
+/// What identifies a request of `team`.
+pub(super) fn request_print(
+    state: &EntryState,
+    parts: &Parts,
+    head: &CallerHead,
+    team: Option<&TeamName>,
+    body: &[u8],
+) -> RequestPrint {
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let team = team.map(TeamName::as_str);
+    state.print(&PrintParts { host: &head.host, path, team, body })
+}
+
 impl ServedRequest {
     /// The caller's id, for the log.
     pub(super) fn id(&self) -> &str {
         self.head.request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("")
     }
 
+    /// What identifies it, whatever its id.
+    pub(super) fn print(&self) -> RequestPrint {
+        *self.print.get_or_init(|| {
+            request_print(&self.state, &self.parts, &self.head, self.team.as_ref(), &self.body)
+        })
+    }
+
+    /// How it stands with the quarantine.
+    fn standing(&self) -> PrintStanding {
+        self.state.standing(|| self.print())
+    }
+
+    /// It ran to its end. A request that was at crashes is cleared by that.
+    pub(super) fn ran_whole(&self) {
+        if self.standing() != PrintStanding::Clear {
+            let now = self.state.now();
+            self.state.runs.borrow_mut().note(now, self.print(), RunEnd::Whole);
+            self.state.send_report();
+        }
+    }
+
     /// Time that is left.
     pub(super) fn left(&self) -> Duration {
         self.until.since(self.state.now())
@@ -132,6 +172,10 @@
             may_try: may_send,
         };
         match plan.next(end) {
+            // A second endpoint would crash as well.
+            NextMove::SendAgain if self.standing() != PrintStanding::Clear => {
+                AttemptPlan { may_try: false, ..plan }.next(end)
+            }
             // The budget is asked only when everything else allows another attempt.
             NextMove::SendAgain if !self.may_try() => {
                 AttemptPlan { may_try: false, ..plan }.next(end)
@@ -174,12 +218,17 @@
         );
         *self.chosen.borrow_mut() = Some(choice.target.clone());
         self.tried.push(choice.target.clone());
+        self.sent_to = Some((choice.endpoint.clone(), address));
         let outcome = self.send(address, request, &choice.target).await;
         match outcome {
             Ok(exchange) => self.judge(exchange, address, guard),
             Err(failure) => {
-                if failure == SendFailure::NotConnected {
-                    self.state.table.borrow_mut().failed(self.state.now(), &choice.target);
+                match failure {
+                    SendFailure::NotConnected => {
+                        self.state.table.borrow_mut().failed(self.state.now(), &choice.target);
+                    }
+                    SendFailure::Broken => crash_check::check(self),
+                    SendFailure::NotSent => {}
                 }
                 let end = match failure {
                     SendFailure::NotConnected | SendFailure::NotSent => AttemptEnd::NotRun,
--- a/crates/gateway/src/entry/journal.rs
+++ b/crates/gateway/src/entry/journal.rs
@@ -61,6 +61,10 @@
     pub(super) resumed: Counter,
     /// Streams that were cut off.
     pub(super) cut: Counter,
+    /// Endpoints that crashed while requests of this entry ran there.
+    pub(super) crashes: Counter,
+    /// Requests in quarantine, as far as this entry knows.
+    pub(super) quarantined: Gauge,
     /// Time from a request's arrival to the first part of its answer.
     pub(super) first_part: Histogram,
     /// Version of the declaration in force here.
@@ -81,6 +85,8 @@
             late: Family::default(),
             resumed: Counter::default(),
             cut: Counter::default(),
+            crashes: Counter::default(),
+            quarantined: Gauge::default(),
             first_part: Histogram::new(buckets),
             plan: Gauge::default(),
             lease_left: Gauge::default(),
@@ -93,6 +99,10 @@
         let help = "Streams that went on at another replica";
         entry.register("streams_resumed", help, metrics.resumed.clone());
         entry.register("streams_cut", "Streams that were cut off", metrics.cut.clone());
+        let help = "Endpoints that crashed while requests of this entry ran there";
+        entry.register("endpoint_crashes", help, metrics.crashes.clone());
+        let help = "Requests in quarantine, as far as this entry knows";
+        entry.register("quarantined", help, metrics.quarantined.clone());
         let help = "Time to the first part of an answer";
         entry.register("first_part_seconds", help, metrics.first_part.clone());
         entry.register("plan_version", "Declaration in force", metrics.plan.clone());
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry role: one thread serves callers, another one talks to the leading control host.
 
+mod crash_check;
 mod dispatch;
 mod journal;
 mod plain;
--- a/crates/gateway/src/entry/plain.rs
+++ b/crates/gateway/src/entry/plain.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use http::response::Parts;
 
+use super::crash_check;
 use super::dispatch::{AttemptFailure, ServedRequest};
 use super::refusal::{RefusalKind, refuse};
 use briartray_http::AnswerBody;
@@ -75,6 +76,7 @@
     let (told, address) = (answer.told, answer.address);
     match answer.exchange.whole().await {
         Ok((head, body, connection)) => {
+            request.ran_whole();
             if !told.closes {
                 let state = &request.state;
                 let now = state.now();
@@ -83,7 +85,10 @@
             }
             Ok(WholeAnswer { head, body })
         }
-        Err(_) => Err(request.ended(AttemptEnd::MayHaveRun)),
+        Err(_) => {
+            crash_check::check(request);
+            Err(request.ended(AttemptEnd::MayHaveRun))
+        }
     }
 }
 
--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -29,6 +29,8 @@
     Full,
     /// The replicas that were asked have not run it.
     NotRun,
+    /// Copies of it crashed the endpoints that ran them.
+    Quarantined,
     /// It may have run; no answer came in time.
     LateUnknown,
     /// It may have run; its answer was lost.
@@ -43,7 +45,7 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
-            Self::NotInTouch | Self::NoReplica | Self::Full | Self::NotRun => {
+            Self::NotInTouch | Self::NoReplica | Self::Full | Self::NotRun | Self::Quarantined => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::LateUnknown => StatusCode::GATEWAY_TIMEOUT,
@@ -63,6 +65,7 @@
             Self::NoReplica => "no_replica",
             Self::Full => "full",
             Self::NotRun => "not_run",
+            Self::Quarantined => "quarantined",
             Self::LateUnknown => "late_unknown",
             Self::Unknown => "unknown",
         }
@@ -79,6 +82,9 @@
             Self::NoReplica => "replicas are being set up; come back in a moment",
             Self::Full => "all replicas are busy; come back in a moment",
             Self::NotRun => "the replicas that were asked did not take it; come back in a moment",
+            Self::Quarantined => {
+                "it crashed the replicas that ran it; change it, or ask the operators to lift its quarantine"
+            }
             Self::LateUnknown => "it may have run; look before you send it again",
             Self::Unknown => {
                 "it may have run and its answer is lost; look before you send it again"
@@ -97,6 +103,8 @@
             // pauses, so that those who were refused together do not come back together.
             Self::Full => (700, 1_900),
             Self::NotRun => (300, 800),
+            // Only an operator or a new version of the engine helps.
+            Self::Quarantined => (60_000, 120_000),
             _ => return None,
         };
         Some(Duration::from_millis(rand::rng().random_range(least..most)))
--- a/crates/gateway/src/entry/relay.rs
+++ b/crates/gateway/src/entry/relay.rs
@@ -13,6 +13,7 @@
 use http::response::Parts;
 use tokio::time::Sleep;
 
+use super::crash_check;
 use super::dispatch::{AttemptFailure, LiveAnswer, ServedRequest};
 use super::plain::no_target;
 use super::refusal::{RefusalKind, refuse};
@@ -204,7 +205,11 @@
                 }
             }
             Ok(None) if !cutter.has_rest() => return StreamStep::End,
-            Ok(None) | Err(_) => return StreamStep::Broken,
+            Ok(None) => return StreamStep::Broken,
+            Err(_) => {
+                crash_check::check(request);
+                return StreamStep::Broken;
+            }
         }
     }
 }
@@ -235,6 +240,7 @@
     };
     position.clock.note(&request);
     if whole {
+        request.ran_whole();
         stream.answer.release(&request);
     } else {
         state.metrics.cut.inc();
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -1,9 +1,11 @@
 //! A caller's request from its head to its answer.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use briartray_fleet::deployment::{RouteBook, RouteRule};
+use briartray_fleet::quarantine::PrintStanding;
 use briartray_model::TimePoint;
 use briartray_model::names::{ServiceName, TeamName};
 use briartray_platform::CallerHead;
@@ -13,7 +15,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use super::dispatch::ServedRequest;
+use super::dispatch::{ServedRequest, request_print};
 use super::refusal::{RefusalKind, refuse};
 use super::state::EntryState;
 use super::{plain, relay};
@@ -93,6 +95,14 @@
     let team = check_key(&book, &rule, &head)?;
     let body = read_body(body, limits.max_body_bytes).await?;
     let priority = team.as_ref().and_then(|(_, priority)| *priority).or(Some(rule.priority));
+    let team = team.map(|(team, _)| team);
+    let print = OnceCell::new();
+    let standing = state.standing(|| {
+        *print.get_or_init(|| request_print(state, &parts, &head, team.as_ref(), &body))
+    });
+    if standing == PrintStanding::Quarantined {
+        return Err(RefusalKind::Quarantined);
+    }
     let service = state.table.borrow_mut().pick_service(&rule).ok_or(RefusalKind::NoReplica)?;
     state.count_request(&service);
     state.count_demand(&book, &service, &head, &rule);
@@ -107,13 +117,15 @@
         book,
         rule,
         service,
-        team: team.map(|(team, _)| team),
+        team,
         priority,
         parts,
         head,
         body,
         chosen: Rc::default(),
         tried: Vec::new(),
+        sent_to: None,
+        print,
         runs: 0,
     })
 }
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -10,14 +10,18 @@
     EntryLease, RetryBudget, StartupWait, TargetTable, ask_pause, report_pause,
 };
 use briartray_fleet::message::{EntryNotice, EntryReport, ModelDemand, WorkSum};
+use briartray_fleet::quarantine::{
+    PrintGuard, PrintKey, PrintParts, PrintStanding, PrintView, RunLog,
+};
 use briartray_fleet::state::StoredPlan;
-use briartray_model::names::{NodeName, ServiceName};
+use briartray_model::names::{IncarnationId, NodeName, RequestPrint, ServiceName};
 use briartray_model::{SortedTable, TimePoint};
 use briartray_node::ClockReader;
 use briartray_platform::CallerHead;
 use crossbeam::channel::Sender;
 use tokio::sync::Notify;
 
+use super::crash_check::BrokenRun;
 use super::journal::{EntryMetrics, LineBudget};
 use crate::settings::GatewaySettings;
 use crate::stored::read_stored;
@@ -32,6 +36,12 @@
     lease: RefCell<EntryLease>,
     budget: RefCell<RetryBudget>,
     pub(super) pool: RefCell<ConnectionPool>,
+    print_key: PrintKey,
+    prints: RefCell<PrintGuard>,
+    /// Runs that tell something about their requests.
+    pub(super) runs: RefCell<RunLog>,
+    /// Requests whose connections broke, by endpoint, while it is found out whether that crashed.
+    pub(super) broken: RefCell<SortedTable<IncarnationId, Vec<BrokenRun>>>,
     /// Told at every look while something of this entry waits on a target that does not answer.
     pub(super) silence: Notify,
     /// Told whenever news of the leader came.
@@ -72,6 +82,10 @@
             lease: RefCell::new(EntryLease::new(limits.revocation())),
             budget: RefCell::new(budget),
             pool: RefCell::new(ConnectionPool::default()),
+            print_key: PrintKey::new(&settings.link_token),
+            prints: RefCell::default(),
+            runs: RefCell::default(),
+            broken: RefCell::default(),
             silence: Notify::new(),
             reports,
             demand: RefCell::default(),
@@ -222,6 +236,7 @@
         let now = self.now();
         self.unanswered.set(self.unanswered.get().saturating_add(1));
         let table = self.table.borrow();
+        let runs = self.runs.borrow().told(now);
         let report = EntryReport {
             node: self.settings.node_name(),
             nonce: self.lease.borrow_mut().ask(now),
@@ -230,6 +245,8 @@
             pulses: table.pulses(now),
             demand: self.take_demand(),
             serving: self.serving.get(),
+            prints: self.prints.borrow().version(),
+            runs,
         };
         // A report that finds no room is made up for by the next one.
         let _ = self.reports.try_send(report);
@@ -290,9 +307,13 @@
             table.update(update);
         }
         table.take_loads(self.now(), &notice.loads);
+        if let Some(prints) = notice.prints {
+            self.adopt_prints(prints);
+        }
         // The lease comes last: it confirms what was told with it.
         if let Some(nonce) = notice.nonce {
             self.unanswered.set(0);
+            self.runs.borrow_mut().confirmed(nonce);
             let left = self.lease.borrow_mut().grant(nonce).since(self.now());
             self.metrics.lease_left.set(i64::try_from(left.as_millis()).unwrap_or(i64::MAX));
         }
@@ -300,6 +321,33 @@
         self.news.notify_waiters();
     }
 
+    fn adopt_prints(&self, view: PrintView) {
+        let (quarantined, suspects) = (view.quarantined.len(), view.suspects.len());
+        log::info!(quarantined, suspects; "the quarantine has changed");
+        self.metrics.quarantined.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
+        for print in self.prints.borrow_mut().adopt(view) {
+            self.runs.borrow_mut().forget(print);
+        }
+    }
+
+    /// Another leader may answer from now on: it has to be told of all runs that are kept.
+    pub(super) fn begin_leader(&self) {
+        let nonce = self.lease.borrow().last_nonce();
+        self.runs.borrow_mut().begin_leader(nonce);
+    }
+
+    /// What `parts` identify.
+    pub(super) fn print(&self, parts: &PrintParts<'_>) -> RequestPrint {
+        self.print_key.print(parts)
+    }
+
+    /// How the request that `print` makes the print of stands.
+    pub(super) fn standing(&self, print: impl FnOnce() -> RequestPrint) -> PrintStanding {
+        let prints = self.prints.borrow();
+        // Prints cost a pass over the body, and are wanted only in times of crashes.
+        if prints.is_watching() { prints.standing(print()) } else { PrintStanding::Clear }
+    }
+
     fn adopt_plan(&self, stored: &StoredPlan) {
         let version = stored.version;
         // A leader that is behind must not bring back what was replaced.
--- a/crates/gateway/src/entry/watch.rs
+++ b/crates/gateway/src/entry/watch.rs
@@ -73,7 +73,10 @@
         tokio::select! {
             event = events.recv() => match event {
                 Some(WatchEvent::Notice(notice)) => state.adopt(notice),
-                Some(WatchEvent::Opened) => state.send_report(),
+                Some(WatchEvent::Opened) => {
+                    state.begin_leader();
+                    state.send_report();
+                }
                 None => return,
             },
             () = tokio::time::sleep_until(reported + pause) => {
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to an endpoint, and one request on it.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -98,6 +99,12 @@
     }
 }
 
+/// Whether a connection to `address` is refused: its host answers, and nothing listens there any more.
+pub async fn is_refused(address: SocketAddr) -> bool {
+    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    matches!(connect.await, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// An answer that has begun.
 #[derive(Debug)]
 pub struct Exchange {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,6 @@
 mod server;
 
 pub use body::{AnswerBody, BodySender, StreamCut};
-pub use connection::{EndpointConnection, Exchange, SendFailure};
+pub use connection::{EndpointConnection, Exchange, SendFailure, is_refused};
 pub use pool::{ConnectionPool, connect};
 pub use server::{HttpServer, ServerLimits};
--- a/crates/model/src/names/mod.rs
+++ b/crates/model/src/names/mod.rs
@@ -47,4 +47,6 @@
     RequestId;
     /// One change sent by an operator; a resend carries the same id.
     ChangeId;
+    /// What a caller asks for, whatever id a copy of the request has.
+    RequestPrint;
 }
