--- a/crates/standin/src/group_host/server.rs
+++ b/crates/standin/src/group_host/server.rs
@@ -16,7 +16,7 @@
 use briartray_model::TimePoint;
 use briartray_model::names::{DomainName, IncarnationId, ServiceName, ZoneName};
 use briartray_platform::stand_in::{
-    ServedHead, beat_request, outcome_status, read_order, report_body, served_head,
+    ServedHead, beat_request, outcome_status, read_order, report_body, served_head, with_limit,
 };
 use briartray_platform::{ORDER_PATH, REPORT_PATH};
 use bytes::Bytes;
@@ -68,7 +68,26 @@
 pub struct HostServer {
     address: SocketAddr,
     stop: Option<tokio::sync::oneshot::Sender<()>>,
+    record: HostRecord,
+}
+
+/// What a stand-in endpoint shares with the test that started it.
+#[derive(Debug, Clone, Default)]
+struct HostRecord {
+    /// Ids of the requests that it ran.
     runs: Arc<Mutex<Vec<String>>>,
+    /// The limit that its answers name.
+    limit: Arc<Mutex<Option<String>>>,
+}
+
+impl HostRecord {
+    fn note_run(&self, id: &str) {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).push(id.to_owned());
+    }
+
+    fn limit(&self) -> Option<String> {
+        self.limit.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
 }
 
 impl HostServer {
@@ -80,12 +99,12 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let (stop, stopped) = tokio::sync::oneshot::channel();
-        let runs = Arc::new(Mutex::new(Vec::new()));
-        let log = Arc::clone(&runs);
+        let record = HostRecord::default();
+        let shared = record.clone();
         std::thread::Builder::new()
             .name("stand-in-host".to_owned())
-            .spawn(move || live(listener, &settings, &log, stopped))?;
-        Ok(Self { address, stop: Some(stop), runs })
+            .spawn(move || live(listener, &settings, &shared, stopped))?;
+        Ok(Self { address, stop: Some(stop), record })
     }
 
     /// Where it listens.
@@ -95,7 +114,13 @@
 
     /// Ids of the requests that it ran.
     pub fn runs(&self) -> Vec<String> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.record.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Names `limit` in its answers from now on; none without one.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        let mut named = self.record.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        *named = limit.map(str::to_owned);
     }
 
     /// Ends it at once, in the middle of whatever it does.
@@ -116,14 +141,14 @@
 fn live(
     mut listener: std::net::TcpListener,
     settings: &HostSettings,
-    runs: &Arc<Mutex<Vec<String>>>,
+    record: &HostRecord,
     mut stopped: tokio::sync::oneshot::Receiver<()>,
 ) {
     let Ok(address) = listener.local_addr() else { return };
     for life in 1.. {
         let id = if life == 1 { settings.id.clone() } else { format!("{}-{life}", settings.id) };
         let settings = HostSettings { id, ..settings.clone() };
-        match serve_life(listener, settings, Arc::clone(runs), &mut stopped) {
+        match serve_life(listener, settings, record.clone(), &mut stopped) {
             Ok(LifeEnd::Crashed) => std::thread::sleep(RESTART_AFTER),
             Ok(LifeEnd::Stopped) | Err(_) => return,
         }
@@ -138,7 +163,7 @@
 fn serve_life(
     listener: std::net::TcpListener,
     settings: HostSettings,
-    runs: Arc<Mutex<Vec<String>>>,
+    record: HostRecord,
     stopped: &mut tokio::sync::oneshot::Receiver<()>,
 ) -> std::io::Result<LifeEnd> {
     listener.set_nonblocking(true)?;
@@ -148,7 +173,7 @@
     let crash = Rc::new(Notify::new());
     let end = local.block_on(&runtime, async {
         tokio::select! {
-            () = serve(listener, address, settings, runs, Rc::clone(&crash)) => LifeEnd::Stopped,
+            () = serve(listener, address, settings, record, Rc::clone(&crash)) => LifeEnd::Stopped,
             () = crash.notified() => LifeEnd::Crashed,
             _ = stopped => LifeEnd::Stopped,
         }
@@ -160,7 +185,7 @@
     model: RefCell<HostModel>,
     settings: HostSettings,
     started: Instant,
-    runs: Arc<Mutex<Vec<String>>>,
+    record: HostRecord,
     crash: Rc<Notify>,
 }
 
@@ -174,7 +199,7 @@
     listener: std::net::TcpListener,
     address: SocketAddr,
     settings: HostSettings,
-    runs: Arc<Mutex<Vec<String>>>,
+    record: HostRecord,
     crash: Rc<Notify>,
 ) {
     let Ok(listener) = TcpListener::from_std(listener) else { return };
@@ -189,7 +214,7 @@
         model: RefCell::new(HostModel::new(place)),
         settings,
         started: Instant::now(),
-        runs,
+        record,
         crash,
     });
     let limits = ServerLimits { connections: 256, idle: Duration::from_secs(20) };
@@ -273,10 +298,10 @@
 fn run(state: &Rc<HostState>, head: &ServedHead, body: &[u8]) -> Response<AnswerBody> {
     let fatal = state.settings.fatal_body.as_ref().is_some_and(|fatal| fatal.as_bytes() == body);
     if state.settings.engine.is_none() {
-        note_run(state, head);
+        state.record.note_run(&head.request_id);
         let team = head.team.as_deref().unwrap_or("nobody");
         let body = AnswerBody::whole(format!("{} {} {team}", state.settings.id, head.request_id));
-        return served(head).body(body).unwrap_or_else(|_| status(StatusCode::BAD_GATEWAY));
+        return served(state, head).body(body).unwrap_or_else(|_| status(StatusCode::BAD_GATEWAY));
     }
     let member = state.model.borrow().member.clone();
     let heads = member.as_ref().is_some_and(|member| {
@@ -286,7 +311,7 @@
     if !heads {
         return not_run(head, StatusCode::MISDIRECTED_REQUEST);
     }
-    note_run(state, head);
+    state.record.note_run(&head.request_id);
     if fatal {
         let crash = Rc::clone(&state.crash);
         tokio::task::spawn_local(async move {
@@ -307,16 +332,16 @@
             }
         }
     });
-    let answer = served(head).header(header::CONTENT_TYPE, "text/event-stream").body(body);
+    let answer = served(state, head).header(header::CONTENT_TYPE, "text/event-stream").body(body);
     answer.unwrap_or_else(|_| status(StatusCode::BAD_GATEWAY))
 }
 
-fn note_run(state: &HostState, head: &ServedHead) {
-    state.runs.lock().unwrap_or_else(PoisonError::into_inner).push(head.request_id.clone());
-}
-
-fn served(head: &ServedHead) -> http::response::Builder {
-    served_head(StatusCode::OK, &head.request_id, true, (1, 0, 6))
+fn served(state: &HostState, head: &ServedHead) -> http::response::Builder {
+    let answer = served_head(StatusCode::OK, &head.request_id, true, (1, 0, 6));
+    match state.record.limit() {
+        Some(limit) => with_limit(answer, &limit),
+        None => answer,
+    }
 }
 
 fn not_run(head: &ServedHead, code: StatusCode) -> Response<AnswerBody> {
