Share out the limits that endpoints name among all entries

An endpoint in need names the requests a second that it takes, and got as many as before.

Cause: nothing read the limit. Each entry alone could not keep to it either: seven to forty entries add up to as many times the limit. Class of fault: a bound on what all processes do together that no process knows, or that each keeps by itself.

Change: entries hear the limit in every answer, by incarnation, and tell the leader at once when one begins or ends. The leader leases shares by demand (LimitBook, as for the limits of teams), for two seconds each, to one entry and one more for each request a second, since each may save up two requests. An entry without a share sends nothing there. What fits nowhere is refused at once as endpoint_limit, with a Retry-After from the rates. A limit of next to nothing is asked every four seconds whether it still holds.

Ruled out: few fixed senders (their callers may leave), and shares without a lease (two leaders would give the same one).

--- a/crates/fleet/src/entry/choice.rs
+++ b/crates/fleet/src/entry/choice.rs
@@ -48,6 +48,8 @@
     pub(super) slowness: f64,
     /// Whether it is left alone.
     pub(super) suspect: bool,
+    /// Whether it names a limit, and what it takes is about to be lost.
+    pub(super) spare: bool,
 }
 
 impl UsableTarget {
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -16,6 +16,7 @@
 use super::choice::{Candidate, UsableTarget, draw, least_loaded};
 use super::{LoadSample, TargetLoad};
 use crate::deployment::{RouteBook, RouteRule};
+use crate::limit::{EntryLimits, SendRoom};
 use crate::message::{
     EndpointView, FleetView, GroupLoad, GroupPulse, GroupView, ViewUpdate, ViewVersion,
 };
@@ -75,6 +76,11 @@
     NoReplica,
     /// All are as full as they may be.
     Full,
+    /// Those with room name limits under which nothing fits now.
+    Limited {
+        /// Time until something fits, as far as is known here.
+        wait: Duration,
+    },
 }
 
 /// All targets with what this entry knows of them.
@@ -86,6 +92,7 @@
     misfits: bool,
     loads: SortedTable<TargetId, TargetLoad>,
     leaving: Vec<IncarnationId>,
+    limits: EntryLimits,
     random: ChaCha8Rng,
 }
 
@@ -98,6 +105,7 @@
             misfits: false,
             loads: SortedTable::new(),
             leaving: Vec::new(),
+            limits: EntryLimits::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -224,6 +232,11 @@
         self.load(target).begin(now);
     }
 
+    /// The limits that endpoints name.
+    pub fn limits(&mut self) -> &mut EntryLimits {
+        &mut self.limits
+    }
+
     /// A request ended at `target`.
     pub fn end(&mut self, now: TimePoint, target: &TargetId) {
         self.load(target).end(now);
@@ -345,6 +358,7 @@
         let slowness = self.slowness(now, &candidates);
         let mut usable = Vec::new();
         let mut full = false;
+        let mut limited: Option<Duration> = None;
         for (candidate, slowness) in candidates.into_iter().zip(slowness) {
             if tried.contains(&candidate.choice.target) {
                 continue;
@@ -361,7 +375,20 @@
                 full = true;
                 continue;
             }
-            usable.push(UsableTarget { candidate, total, slowness, suspect });
+            let endpoint = &candidate.choice.endpoint;
+            self.limits.want(endpoint);
+            let spare = match self.limits.room(now, endpoint) {
+                SendRoom::None { wait } => {
+                    limited = Some(limited.map_or(wait, |known| known.min(wait)));
+                    continue;
+                }
+                room => room == SendRoom::Spare,
+            };
+            usable.push(UsableTarget { candidate, total, slowness, suspect, spare });
+        }
+        // What an endpoint takes is used up, or it would stand idle among others that are drawn more often.
+        if usable.iter().any(|target| target.spare && !target.suspect) {
+            usable.retain(|target| target.spare);
         }
         let chosen = if usable.iter().any(|target| target.candidate.shared) {
             // A silent group holds what it is sent for seconds.
@@ -370,7 +397,11 @@
         } else {
             least_loaded(&mut self.random, usable)
         };
-        let refusal = if full { ChoiceRefusal::Full } else { ChoiceRefusal::NoReplica };
+        let refusal = match limited {
+            _ if full => ChoiceRefusal::Full,
+            Some(wait) => ChoiceRefusal::Limited { wait },
+            None => ChoiceRefusal::NoReplica,
+        };
         chosen.map(|target| target.candidate.choice).ok_or(refusal)
     }
 
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -9,6 +9,7 @@
 pub use self::view::{EndpointView, FleetView, GroupView, ViewUpdate, ViewVersion};
 pub use self::view_history::ViewHistory;
 
+use crate::limit::{LimitGrant, LimitReport};
 use crate::quarantine::{PrintView, RunEvent};
 use crate::state::StoredPlan;
 
@@ -82,6 +83,8 @@
         pub prints: ViewVersion,
         /// Runs that say something about their requests.
         pub runs: Vec<RunEvent>,
+        /// Endpoints that name a limit.
+        pub limits: Vec<LimitReport>,
     }
 
     /// A control host's answer to a report, or news that it sends unasked.
@@ -94,6 +97,8 @@
         pub view: Option<ViewUpdate>,
         /// The quarantine, when the entry holds another view of it.
         pub prints: Option<PrintView>,
+        /// Endpoints that name a limit, with this entry's shares; in answers to reports only.
+        pub limits: Vec<LimitGrant>,
         /// What the other entries have on the groups, by their last reports; in answers to reports only.
         pub loads: Vec<GroupLoad>,
         /// Endpoints that take no new work, whatever the view says.
--- a/crates/fleet/tests/director/fleet.rs
+++ b/crates/fleet/tests/director/fleet.rs
@@ -476,6 +476,7 @@
             serving: true,
             prints: ViewVersion::default(),
             runs: Vec::new(),
+            limits: Vec::new(),
         };
         self.director.report(self.now, &report, &self.state);
     }
--- a/crates/fleet/tests/director/large.rs
+++ b/crates/fleet/tests/director/large.rs
@@ -100,6 +100,7 @@
         serving: false,
         prints: ViewVersion::default(),
         runs: Vec::new(),
+        limits: Vec::new(),
     };
     fleet.director.report(fleet.now, &report, &fleet.state);
 }
--- /dev/null
+++ b/crates/fleet/tests/limits.rs
@@ -0,0 +1,386 @@
+//! Endpoints that name the requests a second which they take: what they get from all entries together.
+
+use assert_matches::assert_matches;
+use briartray_fleet::limit::{
+    EndpointRate, EntryLimits, LimitBoard, LimitGrant, LimitReport, LimitWord, NamedLimit, SendRoom,
+};
+use briartray_model::TimePoint;
+use briartray_model::names::{IncarnationId, NodeName};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Time between two reports of an entry.
+const REPORT: u64 = 250;
+
+/// Time from a report to its answer.
+const ANSWER: u64 = 20;
+
+/// Time over which requests are counted.
+const WINDOW: u64 = 4_000;
+
+/// Time after which an entry that was told of a limit has to keep to it.
+const TOLD: u64 = 500;
+
+/// Step of the simulation.
+const STEP: u64 = 10;
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint(1_000_000 + millis * 1_000)
+}
+
+fn endpoint() -> IncarnationId {
+    IncarnationId::new("i-1")
+}
+
+fn rate(per_second: f64) -> EndpointRate {
+    EndpointRate::per_second(per_second)
+}
+
+fn named(per_second: f64) -> LimitWord {
+    LimitWord::Named(NamedLimit::Rate(rate(per_second)))
+}
+
+/// One entry of the simulation.
+struct TestEntry {
+    name: NodeName,
+    limits: EntryLimits,
+    /// Requests a second that callers ask of it and that could go to the endpoint.
+    demand: f64,
+    nonce: u64,
+    report_at: u64,
+    answer: Option<(u64, u64, Vec<LimitGrant>)>,
+    /// Whether it reaches the leader.
+    cut: bool,
+    /// When it passed on an answer that named the limit.
+    told: Option<u64>,
+    sent: Vec<u64>,
+}
+
+/// Entries, a leader and one endpoint among others that take what it does not.
+struct TestSystem {
+    now: u64,
+    random: ChaCha8Rng,
+    entries: Vec<TestEntry>,
+    board: LimitBoard,
+    leads: bool,
+    limit: Option<f64>,
+    wanted: usize,
+}
+
+impl TestSystem {
+    fn new(seed: u64, demands: &[f64]) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let entry = |(number, demand): (usize, &f64)| TestEntry {
+            name: NodeName::new(&format!("entry-{number}")),
+            limits: EntryLimits::default(),
+            demand: *demand,
+            nonce: 0,
+            report_at: random.random_range(0..REPORT),
+            answer: None,
+            cut: false,
+            told: None,
+            sent: Vec::new(),
+        };
+        let entries = demands.iter().enumerate().map(entry).collect();
+        let board = LimitBoard::new(at(0));
+        Self { now: 0, random, entries, board, leads: true, limit: None, wanted: 0 }
+    }
+
+    fn run(&mut self, millis: u64) {
+        let until = self.now + millis;
+        while self.now < until {
+            self.now += STEP;
+            for entry in 0..self.entries.len() {
+                self.report(entry);
+                self.ask(entry);
+            }
+        }
+    }
+
+    fn report(&mut self, number: usize) {
+        let (now, leads) = (self.now, self.leads);
+        let entry = &mut self.entries[number];
+        if let Some((_, nonce, grants)) = entry.answer.take_if(|(due, _, _)| *due <= now) {
+            entry.limits.grant(at(now), nonce, &grants);
+        }
+        if now < entry.report_at {
+            return;
+        }
+        entry.report_at = now + REPORT;
+        entry.nonce += 1;
+        let reports = entry.limits.report(at(now), entry.nonce);
+        if leads && !entry.cut {
+            let grants = self.board.renew(at(now), &entry.name, entry.nonce, &reports);
+            entry.answer = Some((now + ANSWER, entry.nonce, grants));
+        }
+    }
+
+    /// Callers ask an entry, which chooses between the endpoint and three others.
+    fn ask(&mut self, number: usize) {
+        let chance = self.entries[number].demand * STEP as f64 / 1e3;
+        if !self.random.random_bool(chance.min(1.0)) {
+            return;
+        }
+        self.wanted += 1;
+        let now = self.now;
+        let entry = &mut self.entries[number];
+        entry.limits.want(&endpoint());
+        let goes = match entry.limits.room(at(now), &endpoint()) {
+            SendRoom::Unlimited | SendRoom::Fits => self.random.random_bool(0.25),
+            SendRoom::Spare => true,
+            SendRoom::None { .. } => false,
+        };
+        if !goes {
+            return;
+        }
+        entry.limits.send(at(now), &endpoint());
+        entry.sent.push(now);
+        let word = self.limit.map_or(LimitWord::Named(NamedLimit::Open), named);
+        if self.limit.is_some() {
+            entry.told.get_or_insert(now);
+        }
+        if entry.limits.hear(at(now), &endpoint(), word) {
+            entry.report_at = now;
+        }
+    }
+
+    /// The most requests in some window that lies within `from..until`, of entries that were told.
+    fn most(&self, from: u64, until: u64) -> usize {
+        let counts = |entry: &TestEntry| {
+            let told = entry.told.map_or(u64::MAX, |told| told + TOLD);
+            let counted: Vec<u64> =
+                entry.sent.iter().copied().filter(|sent| *sent >= told.max(from)).collect();
+            counted
+        };
+        let mut sent: Vec<u64> = self.entries.iter().flat_map(counts).collect();
+        sent.retain(|sent| *sent < until);
+        sent.sort_unstable();
+        let window = |(index, first): (usize, &u64)| {
+            sent[index..].iter().take_while(|sent| **sent < first + WINDOW).count()
+        };
+        sent.iter().enumerate().map(window).max().unwrap_or(0)
+    }
+
+    fn sent_in(&self, from: u64, until: u64) -> usize {
+        let within = |sent: &&u64| (from..until).contains(*sent);
+        self.entries.iter().map(|entry| entry.sent.iter().filter(within).count()).sum()
+    }
+}
+
+/// Requests in some window that break no promise.
+fn allowed(limit: f64) -> usize {
+    // The cast drops the fraction, as a count does.
+    (1.5 * limit * WINDOW as f64 / 1e3 + 5.0) as usize
+}
+
+fn even(entries: usize) -> Vec<f64> {
+    vec![12.0; entries]
+}
+
+/// Half of the callers at one entry, the rest evenly at the others, and none at every third.
+fn uneven(entries: usize) -> Vec<f64> {
+    let demand = |number: usize| match number {
+        0 => 60.0,
+        number if number % 3 == 0 => 0.0,
+        _ => 4.0,
+    };
+    (0..entries).map(demand).collect()
+}
+
+/// Guards against entries that keep to a limit each by itself: together they send more than it allows.
+#[test]
+fn entries_together_keep_to_a_limit_and_use_it() {
+    for entries in [2, 10, 40] {
+        for limit in [0.0, 0.3, 1.6, 3.0, 12.0] {
+            for (seed, demands) in [even(entries), uneven(entries)].iter().enumerate() {
+                let mut system = TestSystem::new(seed as u64, demands);
+                system.run(5_000);
+                system.limit = Some(limit);
+                system.run(60_000);
+
+                let most = system.most(5_000, system.now);
+                assert!(most <= allowed(limit), "{entries} entries, {limit}/s: {most} in 4 s");
+                let used = system.sent_in(15_000, 65_000) as f64 / 50.0;
+                // An endpoint that takes nothing is asked now and then whether that still holds.
+                assert!(
+                    used >= 0.8 * limit && used > 0.0,
+                    "{entries} entries, {limit}/s: {used:.2} a second used"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against a share that is given twice while the leader changes, and against entries that stop for good.
+#[test]
+fn a_limit_holds_across_a_change_of_leader() {
+    for seed in 0..20 {
+        let limit = 1.6;
+        let mut system = TestSystem::new(seed, &even(10));
+        system.limit = Some(limit);
+        system.run(15_000);
+        system.leads = false;
+        system.run(300 * (seed % 10));
+        system.board = LimitBoard::new(at(system.now));
+        system.leads = true;
+        let changed = system.now;
+        system.run(20_000);
+
+        let most = system.most(0, system.now);
+        assert!(most <= allowed(limit), "seed {seed}: {most} in 4 s");
+        let used = system.sent_in(changed + 5_000, changed + 20_000) as f64 / 15.0;
+        assert!(used >= limit * 0.7, "seed {seed}: {used:.2} a second used");
+    }
+}
+
+/// Guards against an entry that is cut off from the leader and goes on with a share that others have by then.
+#[test]
+fn an_entry_that_is_cut_off_sends_nothing_to_an_endpoint_with_a_limit() {
+    let mut system = TestSystem::new(3, &even(4));
+    system.limit = Some(3.0);
+    system.run(15_000);
+
+    let cut = system.now;
+    system.entries[0].cut = true;
+    system.entries[1].cut = true;
+    system.run(20_000);
+
+    let late = |sent: &&u64| **sent > cut + 2_500;
+    let sent: usize =
+        system.entries[..2].iter().map(|entry| entry.sent.iter().filter(late).count()).sum();
+    assert_eq!(sent, 0);
+    assert!(system.most(0, system.now) <= allowed(3.0));
+    let used = system.sent_in(cut + 10_000, cut + 20_000) as f64 / 10.0;
+    assert!(used >= 2.0, "the others use what is left: {used:.2} a second");
+}
+
+/// Guards against a limit that outlives the need: the next answer without one ends it everywhere.
+#[test]
+fn an_endpoint_that_names_no_limit_any_more_gets_its_usual_share() {
+    let mut system = TestSystem::new(4, &even(10));
+    system.run(10_000);
+    let usual = system.sent_in(5_000, 10_000);
+    system.limit = Some(2.0);
+    system.run(20_000);
+
+    system.limit = None;
+    system.run(10_000);
+
+    let after = system.sent_in(35_000, 40_000);
+    assert!(after * 10 >= usual * 8, "{usual} before, {after} after");
+    assert!(system.entries.iter().all(|entry| entry.limits.limited() == 0));
+}
+
+/// Guards against a limit that is kept at its first value: it falls and rises while the endpoint is in need.
+#[test]
+fn a_limit_that_changes_is_followed() {
+    let mut system = TestSystem::new(5, &even(10));
+    system.limit = Some(12.0);
+    system.run(15_000);
+
+    system.limit = Some(1.6);
+    let fell = system.now;
+    system.run(20_000);
+    let least = system.most(fell + 3_000, system.now);
+    system.limit = Some(8.0);
+    system.run(20_000);
+
+    assert!(least <= allowed(1.6), "{least} in 4 s");
+    let used = system.sent_in(system.now - 10_000, system.now) as f64 / 10.0;
+    assert!(used >= 8.0 * 0.8, "{used:.2} a second used");
+    assert!(system.most(fell + 25_000, system.now) <= allowed(8.0));
+}
+
+/// Guards against a limit that no entry can use since the one that holds it has no callers left.
+#[test]
+fn shares_follow_the_callers() {
+    let mut system = TestSystem::new(6, &[20.0, 0.0, 0.0, 0.0]);
+    system.limit = Some(0.8);
+    system.run(20_000);
+
+    system.entries[0].demand = 0.0;
+    system.entries[3].demand = 20.0;
+    let moved = system.now;
+    system.run(40_000);
+
+    let used = system.sent_in(moved + 15_000, moved + 40_000) as f64 / 25.0;
+    assert!(used >= 0.8 * 0.8, "{used:.2} a second used");
+    assert!(system.most(0, system.now) <= allowed(0.8));
+}
+
+/// Guards against words that are no number: they neither name a limit nor end one.
+#[test]
+fn words_that_are_no_number_change_nothing() {
+    let unreadable = ["", "fast", "-1", "1e3", "NaN", "inf", "1,5", "1.2.3", "0x10", "."];
+    for word in unreadable {
+        assert_eq!(LimitWord::read(word), LimitWord::Unreadable, "{word}");
+    }
+    assert_eq!(LimitWord::read("0"), named(0.0));
+    assert_eq!(LimitWord::read(" 1.6 "), named(1.6));
+    assert_eq!(LimitWord::read(&"9".repeat(40)), named(1e300));
+
+    let mut limits = EntryLimits::default();
+    assert!(!limits.hear(at(0), &endpoint(), LimitWord::Unreadable));
+    assert_eq!(limits.room(at(0), &endpoint()), SendRoom::Unlimited);
+    assert!(limits.hear(at(0), &endpoint(), named(2.0)));
+    assert!(!limits.hear(at(10), &endpoint(), LimitWord::Unreadable));
+    assert_matches!(limits.room(at(10), &endpoint()), SendRoom::None { .. });
+}
+
+/// Guards against an answer to an earlier report: the leader reckons that its share is not used.
+#[test]
+fn only_the_answer_to_the_newest_report_brings_a_share() {
+    let grant = LimitGrant { endpoint: endpoint(), limit: rate(100.0), share: rate(100.0) };
+    let mut limits = EntryLimits::default();
+    limits.hear(at(0), &endpoint(), named(100.0));
+    limits.report(at(0), 1);
+    limits.report(at(100), 2);
+
+    limits.grant(at(110), 1, std::slice::from_ref(&grant));
+    let early = limits.room(at(300), &endpoint());
+    limits.grant(at(310), 2, &[grant]);
+
+    assert_matches!(early, SendRoom::None { .. });
+    assert_eq!(limits.room(at(400), &endpoint()), SendRoom::Spare);
+    // The share ends two seconds after its report.
+    assert_matches!(limits.room(at(2_200), &endpoint()), SendRoom::None { .. });
+}
+
+/// Guards against a fleet in need that fills memory and notices.
+#[test]
+fn many_endpoints_with_limits_are_bounded_and_none_is_taken_for_unlimited() {
+    let mut limits = EntryLimits::default();
+    let ids: Vec<IncarnationId> =
+        (0..1_000).map(|number| IncarnationId::new(&format!("i-{number:04}"))).collect();
+    for id in &ids {
+        limits.hear(at(0), id, named(1.0));
+    }
+    let mut board = LimitBoard::new(at(0));
+
+    let reports = limits.report(at(100), 1);
+    let grants = board.renew(at(100), &NodeName::new("entry"), 1, &reports);
+    limits.grant(at(120), 1, &grants);
+
+    assert!(reports.len() <= 64 && grants.len() <= 256);
+    let open = |id: &&IncarnationId| limits.room(at(130), id) == SendRoom::Unlimited;
+    assert_eq!(ids.iter().filter(open).count(), 0);
+}
+
+/// Guards against a leader that believes an older answer because it was reported later.
+#[test]
+fn the_newest_answer_of_an_endpoint_counts() {
+    let report = |heard, age| LimitReport {
+        endpoint: endpoint(),
+        heard: Some((heard, age)),
+        demand: rate(1.0),
+        held: rate(0.0),
+    };
+    let mut board = LimitBoard::new(at(0));
+    let entry = |number: u8| NodeName::new(&format!("entry-{number}"));
+    board.renew(at(5_000), &entry(0), 1, &[report(NamedLimit::Rate(rate(2.0)), 100)]);
+    board.renew(at(5_050), &entry(1), 1, &[report(NamedLimit::Open, 0)]);
+
+    board.renew(at(5_100), &entry(2), 1, &[report(NamedLimit::Rate(rate(2.0)), 400)]);
+
+    assert_eq!(board.limited(), 0);
+}
--- a/crates/fleet/tests/views.rs
+++ b/crates/fleet/tests/views.rs
@@ -145,6 +145,7 @@
         plan: None,
         view: None,
         prints: None,
+        limits: Vec::new(),
         loads: Vec::new(),
         leaving: Vec::new(),
         control: Vec::new(),
--- a/crates/gateway/src/control/inform.rs
+++ b/crates/gateway/src/control/inform.rs
@@ -110,6 +110,7 @@
             plan: None,
             view: None,
             prints: None,
+            limits: Vec::new(),
             loads: Vec::new(),
             leaving: leaving[told..].to_vec(),
             control: self.hosts.names(),
@@ -165,7 +166,10 @@
         let nonce = knows.then_some(report.nonce);
         let lacks_prints = held_prints != leadership.prints.version;
         let prints = lacks_prints.then(|| leadership.prints.clone());
-        let notice = EntryNotice { nonce, plan, view, prints, loads, ..news };
+        let limits = leadership.limits.renew(now, &report.node, report.nonce, &report.limits);
+        let limited = leadership.limits.limited();
+        self.parts.metrics.limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
+        let notice = EntryNotice { nonce, plan, view, prints, limits, loads, ..news };
         // An entry that is behind asks again; its lease runs out meanwhile.
         let sent = writer.try_send(&notice);
         if let (Ok(true), Some(session)) = (sent, session.as_mut()) {
@@ -180,6 +184,7 @@
             plan: None,
             view: None,
             prints: None,
+            limits: Vec::new(),
             loads: Vec::new(),
             leaving: Vec::new(),
             control: self.hosts.names(),
--- a/crates/gateway/src/control/leadership.rs
+++ b/crates/gateway/src/control/leadership.rs
@@ -1,6 +1,7 @@
 //! What a control host keeps while it leads.
 
 use briartray_fleet::director::FleetDirector;
+use briartray_fleet::limit::LimitBoard;
 use briartray_fleet::message::ViewHistory;
 use briartray_fleet::quarantine::{CrashBook, PrintView};
 use briartray_model::names::{NodeName, RequestPrint, TermNumber};
@@ -38,6 +39,8 @@
     pub(super) prints_due: bool,
     /// Since when requests are in quarantine, as far as this leader knows.
     pub(super) quarantined_at: SortedTable<RequestPrint, TimePoint>,
+    /// What endpoints with a limit get.
+    pub(super) limits: LimitBoard,
     /// How fast declarations are handed out.
     pub(super) pace: SendPace,
     /// Number of the newest view.
@@ -65,6 +68,7 @@
             prints: PrintView::default(),
             prints_due: true,
             quarantined_at: SortedTable::new(),
+            limits: LimitBoard::new(now),
             pace: SendPace::default(),
             number: 0,
             inform_from: now,
--- a/crates/gateway/src/control/metrics.rs
+++ b/crates/gateway/src/control/metrics.rs
@@ -21,6 +21,8 @@
     pub(super) groups: Gauge,
     /// Endpoints that are agreed on.
     pub(super) endpoints: Gauge,
+    /// Endpoints that name a limit.
+    pub(super) limited: Gauge,
     /// Requests in quarantine.
     pub(super) quarantined: Gauge,
     /// Requests that may have to be quarantined.
@@ -46,6 +48,7 @@
             plan: Gauge::default(),
             groups: Gauge::default(),
             endpoints: Gauge::default(),
+            limited: Gauge::default(),
             quarantined: Gauge::default(),
             suspects: Gauge::default(),
             orders: Family::default(),
@@ -60,6 +63,8 @@
         control.register("plan_version", "Declaration in force", metrics.plan.clone());
         control.register("groups", "Groups that are agreed on", metrics.groups.clone());
         control.register("endpoints", "Endpoints agreed on", metrics.endpoints.clone());
+        let help = "Endpoints that name a limit";
+        control.register("limited_endpoints", help, metrics.limited.clone());
         control.register("quarantined", "Requests in quarantine", metrics.quarantined.clone());
         let help = "Requests that may have to be quarantined";
         control.register("suspects", help, metrics.suspects.clone());
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -64,9 +64,12 @@
 }
 
 impl TargetGuard {
-    fn new(state: &Rc<EntryState>, target: TargetId) -> Self {
-        state.table.borrow_mut().begin(state.now(), &target);
-        Self { state: Rc::clone(state), began: state.now(), target }
+    fn new(state: &Rc<EntryState>, choice: &TargetChoice) -> Self {
+        let mut table = state.table.borrow_mut();
+        table.limits().send(state.now(), &choice.endpoint);
+        table.begin(state.now(), &choice.target);
+        drop(table);
+        Self { state: Rc::clone(state), began: state.now(), target: choice.target.clone() }
     }
 
     /// Bytes came from the target.
@@ -204,7 +207,7 @@
         let Some(address) = EntryState::parse_address(&choice.address) else {
             return Err(AttemptFailure::NoTarget(ChoiceRefusal::NoReplica));
         };
-        let guard = TargetGuard::new(&self.state, choice.target.clone());
+        let guard = TargetGuard::new(&self.state, &choice);
         let request = dispatch_request(
             &self.parts,
             &DispatchTerms {
@@ -279,7 +282,9 @@
         if let Some(load) = told.load {
             self.state.table.borrow_mut().sample(now, &guard.target, load);
         }
-        if told.other_endpoint {
+        if !told.other_endpoint {
+            self.state.hear_limit(self.sent_to.as_ref().map(|(endpoint, _)| endpoint), told.limit);
+        } else {
             self.state.table.borrow_mut().failed(now, &guard.target);
         }
         if told.not_run {
--- a/crates/gateway/src/entry/journal.rs
+++ b/crates/gateway/src/entry/journal.rs
@@ -63,6 +63,8 @@
     pub(super) cut: Counter,
     /// Endpoints that crashed while requests of this entry ran there.
     pub(super) crashes: Counter,
+    /// Endpoints that name a limit, as far as this entry knows.
+    pub(super) limited: Gauge,
     /// Requests in quarantine, as far as this entry knows.
     pub(super) quarantined: Gauge,
     /// Time from a request's arrival to the first part of its answer.
@@ -86,6 +88,7 @@
             resumed: Counter::default(),
             cut: Counter::default(),
             crashes: Counter::default(),
+            limited: Gauge::default(),
             quarantined: Gauge::default(),
             first_part: Histogram::new(buckets),
             plan: Gauge::default(),
@@ -101,6 +104,8 @@
         entry.register("streams_cut", "Streams that were cut off", metrics.cut.clone());
         let help = "Endpoints that crashed while requests of this entry ran there";
         entry.register("endpoint_crashes", help, metrics.crashes.clone());
+        let help = "Endpoints that name a limit, as far as this entry knows";
+        entry.register("limited_endpoints", help, metrics.limited.clone());
         let help = "Requests in quarantine, as far as this entry knows";
         entry.register("quarantined", help, metrics.quarantined.clone());
         let help = "Time to the first part of an answer";
--- a/crates/gateway/src/entry/plain.rs
+++ b/crates/gateway/src/entry/plain.rs
@@ -97,6 +97,7 @@
     match refusal {
         _ if request.runs > 0 => RefusalKind::Unknown,
         ChoiceRefusal::Full => RefusalKind::Full,
+        ChoiceRefusal::Limited { wait } => RefusalKind::EndpointLimit { wait },
         ChoiceRefusal::NoReplica => RefusalKind::NoReplica,
     }
 }
--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -8,6 +8,12 @@
 
 use briartray_http::AnswerBody;
 
+/// Longest time that callers are asked to wait for a replica with a limit.
+const LONGEST_LIMIT_WAIT: Duration = Duration::from_secs(5);
+
+/// Shortest such time: callers who were refused together come back spread over as much again.
+const SHORTEST_LIMIT_WAIT: Duration = Duration::from_millis(250);
+
 /// Why a request gets no answer of a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RefusalKind {
@@ -27,6 +33,11 @@
     NoReplica,
     /// All replicas are full.
     Full,
+    /// Replicas with room name limits under which it does not fit.
+    EndpointLimit {
+        /// Time until one of them takes a request.
+        wait: Duration,
+    },
     /// The replicas that were asked have not run it.
     NotRun,
     /// Copies of it crashed the endpoints that ran them.
@@ -45,9 +56,12 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
-            Self::NotInTouch | Self::NoReplica | Self::Full | Self::NotRun | Self::Quarantined => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotInTouch
+            | Self::NoReplica
+            | Self::Full
+            | Self::EndpointLimit { .. }
+            | Self::NotRun
+            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::LateUnknown => StatusCode::GATEWAY_TIMEOUT,
             Self::Unknown => StatusCode::BAD_GATEWAY,
         }
@@ -64,6 +78,7 @@
             Self::BadBody => "bad_body",
             Self::NoReplica => "no_replica",
             Self::Full => "full",
+            Self::EndpointLimit { .. } => "endpoint_limit",
             Self::NotRun => "not_run",
             Self::Quarantined => "quarantined",
             Self::LateUnknown => "late_unknown",
@@ -81,6 +96,9 @@
             Self::BadBody => "send the whole body",
             Self::NoReplica => "replicas are being set up; come back in a moment",
             Self::Full => "all replicas are busy; come back in a moment",
+            Self::EndpointLimit { .. } => {
+                "the replicas that are left take only so many requests a second; come back in a moment"
+            }
             Self::NotRun => "the replicas that were asked did not take it; come back in a moment",
             Self::Quarantined => {
                 "it crashed the replicas that ran it; change it, or ask the operators to lift its quarantine"
@@ -103,6 +121,11 @@
             // pauses, so that those who were refused together do not come back together.
             Self::Full => (700, 1_900),
             Self::NotRun => (300, 800),
+            Self::EndpointLimit { wait } => {
+                let wait = wait.clamp(SHORTEST_LIMIT_WAIT, LONGEST_LIMIT_WAIT).as_millis();
+                let wait = u64::try_from(wait).unwrap_or(u64::MAX);
+                (wait, 2 * wait)
+            }
             // Only an operator or a new version of the engine helps.
             Self::Quarantined => (60_000, 120_000),
             _ => return None,
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -9,6 +9,7 @@
 use briartray_fleet::entry::{
     EntryLease, RetryBudget, StartupWait, TargetTable, ask_pause, report_pause,
 };
+use briartray_fleet::limit::LimitWord;
 use briartray_fleet::message::{EntryNotice, EntryReport, ModelDemand, WorkSum};
 use briartray_fleet::quarantine::{
     PrintGuard, PrintKey, PrintParts, PrintStanding, PrintView, RunLog,
@@ -235,11 +236,13 @@
     pub(super) fn send_report(&self) {
         let now = self.now();
         self.unanswered.set(self.unanswered.get().saturating_add(1));
-        let table = self.table.borrow();
+        let mut table = self.table.borrow_mut();
         let runs = self.runs.borrow().told(now);
+        let nonce = self.lease.borrow_mut().ask(now);
+        let limits = table.limits().report(now, nonce);
         let report = EntryReport {
             node: self.settings.node_name(),
-            nonce: self.lease.borrow_mut().ask(now),
+            nonce,
             plan: self.book.borrow().as_ref().map(|book| book.version()),
             view: table.version(),
             pulses: table.pulses(now),
@@ -247,6 +250,7 @@
             serving: self.serving.get(),
             prints: self.prints.borrow().version(),
             runs,
+            limits,
         };
         // A report that finds no room is made up for by the next one.
         let _ = self.reports.try_send(report);
@@ -312,6 +316,9 @@
         }
         // The lease comes last: it confirms what was told with it.
         if let Some(nonce) = notice.nonce {
+            table.limits().grant(self.now(), nonce, &notice.limits);
+            let limited = table.limits().limited();
+            self.metrics.limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
             self.unanswered.set(0);
             self.runs.borrow_mut().confirmed(nonce);
             let left = self.lease.borrow_mut().grant(nonce).since(self.now());
@@ -330,6 +337,16 @@
         }
     }
 
+    /// Takes what an answer of `endpoint` says of its limit.
+    pub(super) fn hear_limit(&self, endpoint: Option<&IncarnationId>, word: LimitWord) {
+        let Some(endpoint) = endpoint else { return };
+        let changed = self.table.borrow_mut().limits().hear(self.now(), endpoint, word);
+        if changed {
+            log::info!(endpoint:% = endpoint; "an endpoint names another limit: {word:?}");
+            self.send_report();
+        }
+    }
+
     /// Another leader may answer from now on: it has to be told of all runs that are kept.
     pub(super) fn begin_leader(&self) {
         let nonce = self.lease.borrow().last_nonce();
