Tell a new leader of the limits that entries know

After a change of leader entries sent to an endpoint with a limit as though it had none, until an answer named it again.

Cause: reports told a limit only for two seconds after it was heard. A new leader did not know it, granted nothing for it, and entries take an endpoint that is not granted for one without a limit. Change: a report names the limit that its entry knows of; a leader that knows nothing newer takes it. Ruled out: shares of the earlier leader; they end with their lease.

--- a/crates/fleet/src/limit/entry_limits.rs
+++ b/crates/fleet/src/limit/entry_limits.rs
@@ -121,6 +121,7 @@
             LimitReport {
                 endpoint: endpoint.clone(),
                 heard: known.told(now),
+                known: known.limit,
                 demand: EndpointRate::per_second(known.demand),
                 held: known.told_share,
             }
--- a/crates/fleet/src/limit/limit_board.rs
+++ b/crates/fleet/src/limit/limit_board.rs
@@ -82,11 +82,12 @@
 
     fn take(&mut self, now: TimePoint, report: &LimitReport) {
         let known = self.endpoints.contains_key(&report.endpoint);
-        if !known && (self.endpoints.len() >= MAX_LIMITED || report.heard.is_none()) {
+        let tells = report.heard.is_some() || report.known.is_some();
+        if !known && (self.endpoints.len() >= MAX_LIMITED || !tells) {
             return;
         }
         let since = self.since;
-        let fresh = || BoardEndpoint::new(now, since);
+        let fresh = || BoardEndpoint::new(now, since, report.known);
         let known = self.endpoints.get_or_insert_with(report.endpoint.clone(), fresh);
         known.heard = now;
         if let Some((named, age)) = report.heard {
@@ -96,15 +97,16 @@
 }
 
 impl BoardEndpoint {
-    fn new(now: TimePoint, leader_since: TimePoint) -> Self {
+    /// An endpoint that the leader hears of for the first time, with the limit that an entry knows of.
+    fn new(now: TimePoint, leader_since: TimePoint, limit: Option<EndpointRate>) -> Self {
         let lease = SHARE_LEASE + LEASE_MARGIN;
         // Shares of an earlier leader may still be held at first; later nobody has any.
         let opened = if now.since(leader_since) < lease { now } else { TimePoint::default() };
         Self {
-            limit: None,
+            limit,
             said: TimePoint::default(),
             heard: now,
-            book: LimitBook::open(opened, 0, lease),
+            book: LimitBook::open(opened, limit.unwrap_or_default().shared().0, lease),
             senders: Vec::new(),
         }
     }
--- a/crates/fleet/src/limit/terms.rs
+++ b/crates/fleet/src/limit/terms.rs
@@ -45,6 +45,8 @@
         pub endpoint: IncarnationId,
         /// What it named in an answer to this entry, and how long ago in milliseconds.
         pub heard: Option<(NamedLimit, u64)>,
+        /// The limit that this entry knows of: a new leader knows none, and would take the endpoint for unlimited.
+        pub known: Option<EndpointRate>,
         /// What this entry would send there.
         pub demand: EndpointRate,
         /// The share that this entry holds.
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -21,6 +21,9 @@
 /// Time after which an entry that was told of a limit has to keep to it.
 const TOLD: u64 = 500;
 
+/// Time from a request to the head of its answer.
+const HEAD: u64 = 300;
+
 /// Step of the simulation.
 const STEP: u64 = 10;
 
@@ -92,6 +95,7 @@
             self.now += STEP;
             for entry in 0..self.entries.len() {
                 self.report(entry);
+                self.hear(entry);
                 self.ask(entry);
             }
         }
@@ -135,12 +139,22 @@
         }
         entry.limits.send(at(now), &endpoint());
         entry.sent.push(now);
+    }
+
+    /// Answers come, with what the endpoint says when it makes them.
+    fn hear(&mut self, number: usize) {
+        let now = self.now;
         let word = self.limit.map_or(LimitWord::Named(NamedLimit::Open), named);
-        if self.limit.is_some() {
-            entry.told.get_or_insert(now);
-        }
-        if entry.limits.hear(at(now), &endpoint(), word) {
-            entry.report_at = now;
+        let entry = &mut self.entries[number];
+        let sent = entry.sent.iter().rev().take_while(|sent| **sent + HEAD >= now);
+        let answers = sent.filter(|sent| **sent + HEAD == now).count();
+        for _ in 0..answers {
+            if self.limit.is_some() {
+                entry.told.get_or_insert(now);
+            }
+            if entry.limits.hear(at(now), &endpoint(), word) {
+                entry.report_at = now;
+            }
         }
     }
 
@@ -216,7 +230,7 @@
 fn a_limit_holds_across_a_change_of_leader() {
     for seed in 0..20 {
         let limit = 1.6;
-        let mut system = TestSystem::new(seed, &even(10));
+        let mut system = TestSystem::new(seed, &even(40));
         system.limit = Some(limit);
         system.run(15_000);
         system.leads = false;
@@ -372,6 +386,7 @@
     let report = |heard, age| LimitReport {
         endpoint: endpoint(),
         heard: Some((heard, age)),
+        known: None,
         demand: rate(1.0),
         held: rate(0.0),
     };
