Take no failed run for a sound one

A request that crashed one of two endpoints of a plain service and failed at the other was never quarantined, and the first endpoint crashed with every copy.

Cause: any whole answer cleared a request, also a failure of an endpoint that fails whatever it gets. Change: answers that tell of a server error clear nothing. Stand-in services crash under a fatal body as engines do, and may fail every request. Ruled out: streams; their failures were passed on without clearing anything.

--- a/crates/gateway/src/entry/plain.rs
+++ b/crates/gateway/src/entry/plain.rs
@@ -76,7 +76,10 @@
     let (told, address) = (answer.told, answer.address);
     match answer.exchange.whole().await {
         Ok((head, body, connection)) => {
-            request.ran_whole();
+            // An endpoint that fails whatever it gets says nothing about the request.
+            if !head.status.is_server_error() {
+                request.ran_whole();
+            }
             if !told.closes {
                 let state = &request.state;
                 let now = state.now();
--- a/crates/standin/src/group_host/server.rs
+++ b/crates/standin/src/group_host/server.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -78,6 +79,8 @@
     runs: Arc<Mutex<Vec<String>>>,
     /// The limit that its answers name.
     limit: Arc<Mutex<Option<String>>>,
+    /// Whether it answers requests with a failure of its own.
+    fails: Arc<AtomicBool>,
 }
 
 impl HostRecord {
@@ -85,6 +88,10 @@
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).push(id.to_owned());
     }
 
+    fn fails(&self) -> bool {
+        self.fails.load(Ordering::SeqCst)
+    }
+
     fn limit(&self) -> Option<String> {
         self.limit.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
@@ -117,6 +124,11 @@
         self.record.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Fails every request from now on, as a plain service whose store is gone.
+    pub fn fail(&self) {
+        self.record.fails.store(true, Ordering::SeqCst);
+    }
+
     /// Names `limit` in its answers from now on; none without one.
     pub fn name_limit(&self, limit: Option<&str>) {
         let mut named = self.record.limit.lock().unwrap_or_else(PoisonError::into_inner);
@@ -297,12 +309,43 @@
 
 fn run(state: &Rc<HostState>, head: &ServedHead, body: &[u8]) -> Response<AnswerBody> {
     let fatal = state.settings.fatal_body.as_ref().is_some_and(|fatal| fatal.as_bytes() == body);
-    if state.settings.engine.is_none() {
-        state.record.note_run(&head.request_id);
-        let team = head.team.as_deref().unwrap_or("nobody");
-        let body = AnswerBody::whole(format!("{} {} {team}", state.settings.id, head.request_id));
-        return served(state, head).body(body).unwrap_or_else(|_| status(StatusCode::BAD_GATEWAY));
+    match state.settings.engine {
+        Some(_) => run_engine(state, head, fatal),
+        None => run_service(state, head, fatal),
     }
+}
+
+/// Ends this life in a moment.
+fn crash_soon(state: &HostState) {
+    let crash = Rc::clone(&state.crash);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(CRASH_AFTER).await;
+        crash.notify_one();
+    });
+}
+
+fn run_service(state: &HostState, head: &ServedHead, fatal: bool) -> Response<AnswerBody> {
+    state.record.note_run(&head.request_id);
+    if state.record.fails() {
+        let code = StatusCode::INTERNAL_SERVER_ERROR;
+        let answer = served_head(code, &head.request_id, true, (1, 0, 6));
+        let body = AnswerBody::whole(Vec::new());
+        return answer.body(body).unwrap_or_else(|_| status(code));
+    }
+    let body = if fatal {
+        crash_soon(state);
+        let (sender, body) = AnswerBody::parts();
+        // The answer stays open until the crash.
+        tokio::task::spawn_local(async move { sender.closed().await });
+        body
+    } else {
+        let team = head.team.as_deref().unwrap_or("nobody");
+        AnswerBody::whole(format!("{} {} {team}", state.settings.id, head.request_id))
+    };
+    served(state, head).body(body).unwrap_or_else(|_| status(StatusCode::BAD_GATEWAY))
+}
+
+fn run_engine(state: &HostState, head: &ServedHead, fatal: bool) -> Response<AnswerBody> {
     let member = state.model.borrow().member.clone();
     let heads = member.as_ref().is_some_and(|member| {
         member.state == MarkState::Open
@@ -313,11 +356,7 @@
     }
     state.record.note_run(&head.request_id);
     if fatal {
-        let crash = Rc::clone(&state.crash);
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(CRASH_AFTER).await;
-            crash.notify_one();
-        });
+        crash_soon(state);
     }
     let (sender, body) = AnswerBody::parts();
     let first = head.last_event.map_or(1, |last| last + 1);
