Give the quarantine a package of its own

The product's own interface needs the same evidence, count and list, and must not have them a second time.

Change: messages about runs move to the model package, decisions and list to the package quarantine; no behaviour changes. Ruled out: the routing package, which the control package does not depend on.

--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -3,14 +3,16 @@
 mod view;
 mod view_history;
 
+use briartray_model::message::{PrintView, RunEvent};
 use briartray_model::names::{GroupId, IncarnationId, NodeName, ServiceName, TermNumber};
 use briartray_model::plain_value;
 
-pub use self::view::{EndpointView, FleetView, GroupView, ViewUpdate, ViewVersion};
+pub use briartray_model::message::ViewVersion;
+
+pub use self::view::{EndpointView, FleetView, GroupView, ViewUpdate};
 pub use self::view_history::ViewHistory;
 
 use crate::limit::{LimitGrant, LimitReport};
-use crate::quarantine::{PrintView, RunEvent};
 use crate::state::StoredPlan;
 
 plain_value! {
--- a/crates/fleet/src/message/view.rs
+++ b/crates/fleet/src/message/view.rs
@@ -4,19 +4,9 @@
 //! are told: whole views at every change grow with the third power of the fleet. An update holds
 //! what has changed since the view that its reader holds.
 
-use briartray_model::names::{GroupId, IncarnationId, ServiceName, TermNumber, ZoneName};
-use briartray_model::{plain_choice, plain_value};
-
-plain_choice! {
-    /// Which view an entry holds: the leader's term, and the number of the view in that term.
-    #[derive(Default)]
-    pub struct ViewVersion {
-        /// Term of the leader that made it.
-        pub term: TermNumber,
-        /// Its number in the term.
-        pub number: u64,
-    }
-}
+use briartray_model::message::ViewVersion;
+use briartray_model::names::{GroupId, IncarnationId, ServiceName, ZoneName};
+use briartray_model::plain_value;
 
 plain_value! {
     /// A single endpoint that serves alone.
--- a/crates/fleet/src/state/mod.rs
+++ b/crates/fleet/src/state/mod.rs
@@ -16,7 +16,7 @@
 pub use member_index::MemberIndex;
 pub use stored_plan::{StoredPlan, UnpackProblem};
 
-use crate::quarantine::{QuarantineList, QuarantineRecord};
+use briartray_quarantine::{QuarantineList, QuarantineRecord};
 
 /// Leaving endpoints that are remembered. An endpoint leaves within seconds; the bound is far
 /// above what a fleet of 22,000 hosts takes down in that time (370 a day).
--- a/crates/fleet/tests/agreed_state.rs
+++ b/crates/fleet/tests/agreed_state.rs
@@ -6,7 +6,10 @@
     UnpackProblem,
 };
 use briartray_model::codec;
-use briartray_model::names::{DomainName, GroupId, IncarnationId, ServiceName, ZoneName};
+use briartray_model::names::{
+    DomainName, GroupId, IncarnationId, RequestPrint, ServiceName, ZoneName,
+};
+use briartray_quarantine::QuarantineRecord;
 use rand::{RngExt, SeedableRng};
 
 fn declaration(version: u64, text: &str) -> FleetCommand {
@@ -146,3 +149,23 @@
 
     assert_matches!(damaged.text(), Err(UnpackProblem::Damaged { .. }));
 }
+
+/// Guards against a quarantine that is gone after a stop of everything: snapshots carry it.
+#[test]
+fn a_snapshot_carries_the_quarantine() {
+    let record = QuarantineRecord {
+        print: RequestPrint(7),
+        rule: "draft".to_owned(),
+        team: None,
+        endpoints: vec![IncarnationId::new("i-1")],
+    };
+    let mut state = FleetState::default();
+    state.apply(&FleetCommand::Quarantine(record));
+
+    let bytes = codec::encode(&state).expect("the state encodes");
+    let mut restored: FleetState = codec::decode(&bytes).expect("it decodes");
+
+    assert!(restored.quarantine().holds(RequestPrint(7)));
+    restored.apply(&FleetCommand::LiftQuarantine(RequestPrint(7)));
+    assert!(!restored.quarantine().holds(RequestPrint(7)));
+}
--- a/crates/gateway/src/control/leadership.rs
+++ b/crates/gateway/src/control/leadership.rs
@@ -3,9 +3,10 @@
 use briartray_fleet::director::FleetDirector;
 use briartray_fleet::limit::LimitBoard;
 use briartray_fleet::message::ViewHistory;
-use briartray_fleet::quarantine::{CrashBook, PrintView};
+use briartray_model::message::PrintView;
 use briartray_model::names::{NodeName, RequestPrint, TermNumber};
 use briartray_model::{SortedTable, TimePoint};
+use briartray_quarantine::CrashBook;
 
 use super::entry_session::EntrySession;
 use super::pace::SendPace;
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use briartray_fleet::message::{EntryReport, ViewVersion};
-use briartray_fleet::quarantine::{PrintView, RunEnd};
 use briartray_fleet::state::{FleetCommand, FleetState};
 use briartray_model::TimePoint;
+use briartray_model::message::{PrintView, RunEnd};
 use briartray_model::names::RequestPrint;
 
 use super::core::ControlCore;
--- a/crates/gateway/src/control/quarantine_call.rs
+++ b/crates/gateway/src/control/quarantine_call.rs
@@ -1,8 +1,8 @@
 //! How operators see the quarantine and let requests out of it.
 
-use briartray_fleet::quarantine::QuarantineRecord;
 use briartray_http::AnswerBody;
 use briartray_model::names::{IncarnationId, RequestPrint, TeamName};
+use briartray_quarantine::QuarantineRecord;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, Request, Response};
 use serde_json::{Value, json};
--- a/crates/gateway/src/entry/crash_check.rs
+++ b/crates/gateway/src/entry/crash_check.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briartray_fleet::quarantine::RunEnd;
+use briartray_model::message::RunEnd;
 use briartray_model::names::{IncarnationId, RequestPrint, TeamName};
 
 use super::dispatch::ServedRequest;
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -9,10 +9,11 @@
 use briartray_fleet::entry::{
     AttemptEnd, AttemptPlan, ChoiceRefusal, NextMove, TargetChoice, TargetId, TargetWish,
 };
-use briartray_fleet::quarantine::{PrintParts, PrintStanding, RunEnd};
 use briartray_model::TimePoint;
+use briartray_model::message::RunEnd;
 use briartray_model::names::{IncarnationId, RequestPrint, ServiceName, TeamName};
 use briartray_platform::{AnswerHead, CallerHead, DispatchTerms, dispatch_request};
+use briartray_quarantine::{PrintParts, PrintStanding};
 use bytes::Bytes;
 use http::request::Parts;
 
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use briartray_fleet::deployment::{RouteBook, RouteRule};
-use briartray_fleet::quarantine::PrintStanding;
 use briartray_model::TimePoint;
 use briartray_model::names::{ServiceName, TeamName};
 use briartray_platform::CallerHead;
+use briartray_quarantine::PrintStanding;
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Request, Response, header};
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -11,14 +11,13 @@
 };
 use briartray_fleet::limit::LimitWord;
 use briartray_fleet::message::{EntryNotice, EntryReport, ModelDemand, WorkSum};
-use briartray_fleet::quarantine::{
-    PrintGuard, PrintKey, PrintParts, PrintStanding, PrintView, RunLog,
-};
 use briartray_fleet::state::StoredPlan;
+use briartray_model::message::PrintView;
 use briartray_model::names::{IncarnationId, NodeName, RequestPrint, ServiceName};
 use briartray_model::{SortedTable, TimePoint};
 use briartray_node::ClockReader;
 use briartray_platform::CallerHead;
+use briartray_quarantine::{PrintGuard, PrintKey, PrintParts, PrintStanding, RunLog};
 use crossbeam::channel::Sender;
 use tokio::sync::Notify;
 
--- a/crates/model/src/message/mod.rs
+++ b/crates/model/src/message/mod.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod fleet;
 mod ledger;
+mod quarantine;
 mod update;
 mod watch;
 
@@ -21,6 +22,7 @@
     ClaimKey, KeptAnswer, KeptBody, LedgerAnswer, LedgerCall, LedgerReply, LedgerRequest,
     MAX_KEPT_ANSWER_BYTES, MAX_KEY_BYTES, call_digest,
 };
+pub use quarantine::{PrintView, RunEnd, RunEvent, ViewVersion};
 pub use update::{RuleText, SnapshotChange, SnapshotUpdate};
 pub use watch::{
     GroupRecord, LeavingMark, LimitDemand, LimitGrant, RoutingSnapshot, WatchReply, WatchRequest,
--- a/crates/fleet/src/quarantine/run_event.rs
+++ b/crates/model/src/message/quarantine.rs
@@ -1,9 +1,17 @@
-//! What entries and the leader tell each other of runs and of the quarantine.
+//! Runs that say something about their requests, and the requests that are refused for it.
 
-use briartray_model::names::{IncarnationId, RequestPrint, TeamName};
-use briartray_model::plain_value;
+use crate::names::{IncarnationId, RequestPrint, TeamName, TermNumber};
 
-use crate::message::ViewVersion;
+plain_choice! {
+    /// Which view of a leader somebody holds: the leader's term, and the number of the view in that term.
+    #[derive(Default)]
+    pub struct ViewVersion {
+        /// Term of the leader that made it.
+        pub term: TermNumber,
+        /// Its number in the term.
+        pub number: u64,
+    }
+}
 
 plain_value! {
     /// How a run ended, as far as it says something about the request.
--- a/crates/fleet/src/quarantine/crash_book.rs
+++ b/crates/quarantine/src/crash_book.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use briartray_model::message::{RunEnd, RunEvent};
 use briartray_model::names::{IncarnationId, RequestPrint, TeamName};
 use briartray_model::{SortedTable, TimePoint};
 
-use super::{FATAL_CRASHES, QuarantineRecord, RunEnd, RunEvent, SUSPECT_CRASHES};
+use super::{FATAL_CRASHES, QuarantineRecord, SUSPECT_CRASHES};
 
 /// Time for which a crash counts.
 pub(super) const EVIDENCE_LASTS: Duration = Duration::from_secs(600);
--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/quarantine/src/lib.rs
@@ -14,14 +14,12 @@
 mod print_guard;
 mod print_key;
 mod quarantine_list;
-mod run_event;
 mod run_log;
 
 pub use crash_book::CrashBook;
 pub use print_guard::{PrintGuard, PrintStanding};
 pub use print_key::{PrintKey, PrintParts};
 pub use quarantine_list::{QuarantineList, QuarantineRecord};
-pub use run_event::{PrintView, RunEnd, RunEvent};
 pub use run_log::RunLog;
 
 /// Crashes in a row after which a request is quarantined.
--- a/crates/fleet/src/quarantine/print_guard.rs
+++ b/crates/quarantine/src/print_guard.rs
@@ -1,10 +1,8 @@
 //! What an entry knows of the quarantine.
 
+use briartray_model::message::{PrintView, ViewVersion};
 use briartray_model::names::RequestPrint;
 
-use super::PrintView;
-use crate::message::ViewVersion;
-
 /// How a request stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PrintStanding {
--- a/crates/fleet/src/quarantine/run_log.rs
+++ b/crates/quarantine/src/run_log.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use briartray_model::TimePoint;
+use briartray_model::message::{RunEnd, RunEvent};
 use briartray_model::names::RequestPrint;
 
 use super::crash_book::EVIDENCE_LASTS;
-use super::{RunEnd, RunEvent};
 
 /// Events that are kept: about 10 KB in a report to a new leader.
 const MAX_EVENTS: usize = 128;
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/quarantine/tests/decisions.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use briartray_fleet::message::ViewVersion;
-use briartray_fleet::quarantine::{
-    CrashBook, FATAL_CRASHES, PrintGuard, PrintKey, PrintParts, PrintStanding, PrintView,
-    QuarantineRecord, RunEnd, RunEvent, RunLog,
-};
-use briartray_fleet::state::{FleetCommand, FleetState};
+use briartray_model::message::{PrintView, RunEnd, RunEvent, ViewVersion};
 use briartray_model::names::{IncarnationId, RequestPrint, TeamName, TermNumber};
 use briartray_model::{TimePoint, codec};
+use briartray_quarantine::{
+    CrashBook, FATAL_CRASHES, PrintGuard, PrintKey, PrintParts, PrintStanding, QuarantineList,
+    QuarantineRecord, RunLog,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -192,30 +191,18 @@
 /// Guards against a flood of fatal requests that fills the replicated state.
 #[test]
 fn the_quarantine_is_bounded_and_the_oldest_makes_room() {
-    let mut state = FleetState::default();
+    let mut list = QuarantineList::default();
 
     for print in 0..300 {
-        state.apply(&FleetCommand::Quarantine(record(print)));
-        state.apply(&FleetCommand::Quarantine(record(print)));
+        list.add(&record(print));
+        list.add(&record(print));
     }
 
-    assert_eq!(state.quarantine().records().len(), 256);
-    assert!(!state.quarantine().holds(RequestPrint(0)));
-    assert!(state.quarantine().holds(RequestPrint(299)));
-    state.apply(&FleetCommand::LiftQuarantine(RequestPrint(299)));
-    assert!(!state.quarantine().holds(RequestPrint(299)));
-}
-
-/// Guards against a quarantine that is gone after a stop of everything: snapshots carry it.
-#[test]
-fn a_snapshot_carries_the_quarantine() {
-    let mut state = FleetState::default();
-    state.apply(&FleetCommand::Quarantine(record(7)));
-
-    let bytes = codec::encode(&state).expect("the state encodes");
-    let restored: FleetState = codec::decode(&bytes).expect("it decodes");
-
-    assert!(restored.quarantine().holds(FATAL));
+    assert_eq!(list.records().len(), 256);
+    assert!(!list.holds(RequestPrint(0)));
+    assert!(list.holds(RequestPrint(299)));
+    list.lift(RequestPrint(299));
+    assert!(!list.holds(RequestPrint(299)));
 }
 
 /// Guards against requests that are mixed up: each part counts, and only under the same secret.
