Put what a leader does about the quarantine into a struct that is stepped

Two kinds of control hosts need it; as methods of one of them it could not be shared, and the release after an hour had no test.

Change: QuarantineDesk holds the crashes, the view for entries and the time of each quarantine; the control core of the registered endpoints uses it. Measured: tests of quarantine and whole path pass; the hour and the view's version have tests now. Ruled out: a trait over both control cores; they share values, not behaviour.

--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -255,7 +255,7 @@
             }
             CommandOrigin::Quarantine(print) => {
                 if let Some(leadership) = &mut self.leadership {
-                    leadership.crashes.lost(print);
+                    leadership.quarantine.lost(print);
                 }
             }
         }
--- a/crates/gateway/src/control/inform.rs
+++ b/crates/gateway/src/control/inform.rs
@@ -51,12 +51,12 @@
         let mut encoded = SortedTable::new();
         for entry in leadership.entries.values_mut() {
             let lacks_plan = entry.plan < newest && leadership.pace.may_send(now, plan_bytes);
-            let lacks_prints = entry.prints != leadership.prints.version;
+            let lacks_prints = entry.prints != leadership.quarantine.view().version;
             let lacks = (lacks_plan, lacks_prints, leadership.views.base_of(entry.view));
             let (notice, message) = encoded.get_or_insert_with(lacks, || {
                 let plan = plan.filter(|_| lacks_plan).cloned();
                 let view = leadership.views.update_for(entry.view);
-                let prints = lacks_prints.then(|| leadership.prints.clone());
+                let prints = lacks_prints.then(|| leadership.quarantine.view().clone());
                 let notice = EntryNotice { plan, view, prints, ..news.clone() };
                 let message = EncodedMessage::of(&notice);
                 (notice, message)
@@ -86,7 +86,7 @@
         view.entries = leadership.entries.len();
         let same = leadership.views.newest().is_some_and(|known| known.tells_as(&view));
         let newest = self.state.plan().map(|plan| plan.version);
-        let prints = leadership.prints.version;
+        let prints = leadership.quarantine.view().version;
         let lacks = |entry: &EntrySession| entry.plan < newest || entry.prints != prints;
         let behind = leadership.entries.values().any(lacks);
         if !same {
@@ -164,8 +164,8 @@
         let knows = lacking.is_none() || plan.is_some();
         let view = leadership.views.update_for(held_view);
         let nonce = knows.then_some(report.nonce);
-        let lacks_prints = held_prints != leadership.prints.version;
-        let prints = lacks_prints.then(|| leadership.prints.clone());
+        let lacks_prints = held_prints != leadership.quarantine.view().version;
+        let prints = lacks_prints.then(|| leadership.quarantine.view().clone());
         let limits = leadership.limits.renew(now, &report.node, report.nonce, &report.limits);
         let limited = leadership.limits.limited();
         self.parts.metrics.limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
--- a/crates/gateway/src/control/leadership.rs
+++ b/crates/gateway/src/control/leadership.rs
@@ -3,10 +3,9 @@
 use briartray_fleet::director::FleetDirector;
 use briartray_fleet::limit::LimitBoard;
 use briartray_fleet::message::ViewHistory;
-use briartray_model::message::PrintView;
-use briartray_model::names::{NodeName, RequestPrint, TermNumber};
+use briartray_model::names::{NodeName, TermNumber};
 use briartray_model::{SortedTable, TimePoint};
-use briartray_quarantine::CrashBook;
+use briartray_quarantine::QuarantineDesk;
 
 use super::entry_session::EntrySession;
 use super::pace::SendPace;
@@ -32,14 +31,8 @@
     pub(super) entries: SortedTable<NodeName, EntrySession>,
     /// The newest views, for updates of those that entries hold.
     pub(super) views: ViewHistory,
-    /// Crashes by request.
-    pub(super) crashes: CrashBook,
-    /// The newest view of the quarantine.
-    pub(super) prints: PrintView,
-    /// The view of the quarantine may have changed.
-    pub(super) prints_due: bool,
-    /// Since when requests are in quarantine, as far as this leader knows.
-    pub(super) quarantined_at: SortedTable<RequestPrint, TimePoint>,
+    /// Requests that crash endpoints.
+    pub(super) quarantine: QuarantineDesk,
     /// What endpoints with a limit get.
     pub(super) limits: LimitBoard,
     /// How fast declarations are handed out.
@@ -65,10 +58,7 @@
             step_due: false,
             entries: SortedTable::new(),
             views: ViewHistory::default(),
-            crashes: CrashBook::default(),
-            prints: PrintView::default(),
-            prints_due: true,
-            quarantined_at: SortedTable::new(),
+            quarantine: QuarantineDesk::default(),
             limits: LimitBoard::new(now),
             pace: SendPace::default(),
             number: 0,
--- a/crates/gateway/src/control/replication.rs
+++ b/crates/gateway/src/control/replication.rs
@@ -96,10 +96,9 @@
         if let Some(leadership) = &mut self.leadership {
             leadership.dirty = true;
             leadership.step_due = true;
-            leadership.prints_due = true;
             match &command {
-                FleetCommand::Quarantine(record) => leadership.crashes.forget(record.print),
-                FleetCommand::LiftQuarantine(print) => leadership.crashes.forget(*print),
+                FleetCommand::Quarantine(record) => leadership.quarantine.changed(record.print),
+                FleetCommand::LiftQuarantine(print) => leadership.quarantine.changed(*print),
                 _ => {}
             }
         }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -13,12 +13,14 @@
 mod crash_book;
 mod print_guard;
 mod print_key;
+mod quarantine_desk;
 mod quarantine_list;
 mod run_log;
 
 pub use crash_book::CrashBook;
 pub use print_guard::{PrintGuard, PrintStanding};
 pub use print_key::{PrintKey, PrintParts};
+pub use quarantine_desk::QuarantineDesk;
 pub use quarantine_list::{QuarantineList, QuarantineRecord};
 pub use run_log::RunLog;
 
--- a/crates/quarantine/tests/decisions.rs
+++ b/crates/quarantine/tests/decisions.rs
@@ -6,8 +6,8 @@
 use briartray_model::names::{IncarnationId, RequestPrint, TeamName, TermNumber};
 use briartray_model::{TimePoint, codec};
 use briartray_quarantine::{
-    CrashBook, FATAL_CRASHES, PrintGuard, PrintKey, PrintParts, PrintStanding, QuarantineList,
-    QuarantineRecord, RunLog,
+    CrashBook, FATAL_CRASHES, PrintGuard, PrintKey, PrintParts, PrintStanding, QuarantineDesk,
+    QuarantineList, QuarantineRecord, RunLog,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -205,6 +205,40 @@
     assert!(!list.holds(RequestPrint(299)));
 }
 
+/// Guards against a request that is refused for ever although what ran it was replaced.
+#[test]
+fn a_request_is_let_out_after_an_hour() {
+    let mut list = QuarantineList::default();
+    list.add(&record(7));
+    let mut desk = QuarantineDesk::default();
+
+    let first = desk.keep(at(0), &list);
+    let before = desk.keep(at(3_599_000), &list);
+    let after = desk.keep(at(3_600_000), &list);
+
+    assert_eq!((first, before, after), (Vec::new(), Vec::new(), vec![FATAL]));
+    assert!(desk.keep(at(3_600_100), &list).is_empty(), "once");
+}
+
+/// Guards against an entry that takes the view of an earlier leader for the newest one.
+#[test]
+fn a_leader_tells_a_view_of_its_own_term() {
+    let mut list = QuarantineList::default();
+    let mut desk = QuarantineDesk::default();
+
+    let empty = desk.refresh(TermNumber(3), &list).clone();
+    list.add(&record(7));
+    desk.changed(FATAL);
+    let held = desk.refresh(TermNumber(3), &list).clone();
+
+    assert_eq!(empty.version, ViewVersion { term: TermNumber(3), number: 1 });
+    assert_eq!(held.version, ViewVersion { term: TermNumber(3), number: 2 });
+    assert_eq!(held.quarantined, [FATAL]);
+    assert_eq!(desk.refresh(TermNumber(3), &list), &held, "nothing has changed");
+    desk.take(at(0), &event(FATAL, crashed("i-1")), &list);
+    assert!(!desk.is_due(), "what is in quarantine is not counted again");
+}
+
 /// Guards against requests that are mixed up: each part counts, and only under the same secret.
 #[test]
 fn prints_tell_requests_apart() {
