Show that the product's own interface sends a fatal prompt on without end

Change: the stand-in engine ends its process under a fatal prompt; a test with two entries, three engines and real processes asks for a refusal within nine crashes. Ruled out: that a broken group holds it up; the engine is back within a second.

--- a/crates/cli/src/cmd/stand_in.rs
+++ b/crates/cli/src/cmd/stand_in.rs
@@ -62,6 +62,8 @@
     weights: Option<SocketAddr>,
     #[options(no_short, help = "KIND:SHARE[:MS]; may be given again", meta = "FAULT")]
     fault: Vec<FaultRule>,
+    #[options(no_short, help = "prompt that ends the process which runs it", meta = "TEXT")]
+    fatal_prompt: Option<String>,
     #[options(no_short, help = "seed of what is drawn by chance", meta = "N", default = "1")]
     seed: u64,
 }
@@ -116,6 +118,7 @@
         .cache_events(delay, options.event_loss)
         .load_lag(Duration::from_millis(options.load_lag_ms))
         .checks_fencing(options.checks_fencing)
+        .fatal_prompt(options.fatal_prompt.clone())
         .loading(Duration::from_millis(options.load_ms), options.weights)
         .faults(FaultPlan { seed: options.seed, faults: options.fault.clone() })
         .seed(options.seed);
--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -64,6 +64,7 @@
     unconfirmed: UnconfirmedPolicy,
     hosts_per_group: usize,
     checks_fencing: bool,
+    fatal_prompt: Option<String>,
 }
 
 impl TrialPlan {
@@ -84,9 +85,17 @@
             unconfirmed: UnconfirmedPolicy::Refuse,
             hosts_per_group: 1,
             checks_fencing: false,
+            fatal_prompt: None,
         }
     }
 
+    /// Sets a prompt that crashes the engine which runs it.
+    #[must_use]
+    pub fn fatal_prompt(mut self, prompt: &str) -> Self {
+        self.fatal_prompt = Some(prompt.to_owned());
+        self
+    }
+
     /// Sets what entries do when their rules cannot be confirmed.
     #[must_use]
     pub fn hold(mut self, hold: HoldPolicy) -> Self {
@@ -366,6 +375,9 @@
                 if self.plan.checks_fencing {
                     arguments.push("--checks-fencing");
                 }
+                if let Some(prompt) = &self.plan.fatal_prompt {
+                    arguments.extend(["--fatal-prompt", prompt]);
+                }
                 &self.plan.engine_faults
             }
             EndpointKind::Plain => {
@@ -409,6 +421,28 @@
         Ok(())
     }
 
+    /// Starts endpoints that have ended again; how many there were.
+    ///
+    /// # Errors
+    /// A `TrialError` when one cannot be started.
+    pub fn revive_endpoints(&mut self) -> Result<usize, TrialError> {
+        let mut revived = 0;
+        for number in 0..self.agents.len() {
+            if self.agents[number].endpoint.wait(Duration::ZERO).is_none() {
+                continue;
+            }
+            let kind = match number < self.plan.engines {
+                true => EndpointKind::Engine,
+                false => EndpointKind::Plain,
+            };
+            let (host, address) =
+                (self.agents[number].host.clone(), self.agents[number].endpoint_address);
+            self.agents[number].endpoint = self.start_endpoint(&host, kind, address)?;
+            revived += 1;
+        }
+        Ok(revived)
+    }
+
     /// Groups that are whole now.
     pub fn whole_groups(&self) -> usize {
         self.operators.iter().map(|operator| whole_groups(*operator)).max().unwrap_or(0)
--- /dev/null
+++ b/crates/cli/tests/crashing_requests.rs
@@ -0,0 +1,78 @@
+//! Requests that crash the engines which run them, on real processes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use briartray::trial::{ProcessFleet, TrialPlan};
+use serde_json::{Value, json};
+
+/// Prompt that ends the engine which runs it.
+const FATAL_PROMPT: &str = "a fatal prompt";
+
+/// Crashes within which a fatal request has to be recognised: four, and what is under way while the entries are
+/// told of them.
+const RECOGNISED_WITHIN: usize = 9;
+
+/// How long a condition may take; generous, because a busy machine is no failure.
+const LIMIT: Duration = Duration::from_secs(60);
+
+fn fleet() -> ProcessFleet {
+    let programs = Path::new(env!("CARGO_BIN_EXE_briartray")).parent().expect("a folder");
+    let plan = TrialPlan::new(programs).entries(2).endpoints(3, 0).fatal_prompt(FATAL_PROMPT);
+    ProcessFleet::start(&plan).expect("the fleet starts; build the workspace")
+}
+
+fn complete(entry: SocketAddr, prompt: &str) -> (u16, Value) {
+    let body = json!({ "model": "desk", "prompt": prompt, "max_tokens": 20, "stream": true });
+    let sent =
+        attohttpc::post(format!("http://{entry}/v1/completions")).text(body.to_string()).send();
+    let Ok(answer) = sent else { return (0, Value::Null) };
+    let status = answer.status().as_u16();
+    let text = answer.text().unwrap_or_default();
+    (status, serde_json::from_str(&text).unwrap_or_default())
+}
+
+fn is_quarantined(entry: SocketAddr) -> bool {
+    let (status, body) = complete(entry, FATAL_PROMPT);
+    status == 503 && body["code"] == "quarantined"
+}
+
+/// Sends copies until each entry refuses them; how many engines crashed.
+fn quarantine(fleet: &mut ProcessFleet) -> usize {
+    let mut crashes = 0;
+    let started = Instant::now();
+    for entry in fleet.entry_addresses().to_vec() {
+        while !is_quarantined(entry) && crashes <= RECOGNISED_WITHIN {
+            assert!(started.elapsed() < LIMIT, "{crashes} crashes, and no refusal");
+            crashes += fleet.revive_endpoints().expect("engines start again");
+        }
+    }
+    crashes + fleet.revive_endpoints().expect("engines start again")
+}
+
+fn wait_for_answer(entry: SocketAddr) {
+    let started = Instant::now();
+    while complete(entry, "a sound prompt").0 != 200 {
+        assert!(started.elapsed() < LIMIT, "a sound request is not served");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Guards against a request that crashes one engine after the other through the product's own interface, and
+/// against a quarantine that is forgotten with the control host.
+#[test]
+fn a_prompt_that_crashes_engines_is_refused_by_every_entry() {
+    let mut fleet = fleet();
+    let entries = fleet.entry_addresses().to_vec();
+
+    let crashes = quarantine(&mut fleet);
+    assert!(crashes <= RECOGNISED_WITHIN, "{crashes} engines crashed");
+    assert!(entries.iter().cycle().take(10).all(|entry| is_quarantined(*entry)));
+    wait_for_answer(entries[0]);
+
+    fleet.restart_control(0).expect("the control host starts");
+    wait_for_answer(entries[1]);
+    assert!(entries.iter().all(|entry| is_quarantined(*entry)));
+    assert_eq!(fleet.revive_endpoints().expect("none has ended"), 0);
+}
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -1,6 +1,10 @@
 //! The engine's HTTP calls: which path goes where, and completions.
 
-use briartray_web::{JsonReply, header_value, read_body, reply_json};
+use std::time::Duration;
+
+use briartray_web::{
+    JsonReply, WORKER_STACK_BYTES, header_value, read_body, reply_json, spawn_worker,
+};
 use serde::Deserialize;
 use serde_json::json;
 use tiny_http::{Method, Request};
@@ -21,6 +25,12 @@
 /// Priority of requests that name none.
 const DEFAULT_PRIORITY: u8 = 100;
 
+/// Time from the beginning of a fatal request to the end of the process.
+const CRASH_AFTER: Duration = Duration::from_millis(30);
+
+/// Exit status of a process that a fatal request ended.
+const CRASH_STATUS: i32 = 134;
+
 #[derive(Debug, Deserialize)]
 struct GenerateCall {
     #[serde(default)]
@@ -82,6 +92,17 @@
     reply_json(request, &JsonReply::new(status, json!({ "error": { "message": message } })));
 }
 
+/// Ends the whole process in a moment, as a defect of an engine does.
+fn end_process() {
+    let end = || {
+        std::thread::sleep(CRASH_AFTER);
+        std::process::exit(CRASH_STATUS);
+    };
+    if let Err(error) = spawn_worker("crash", WORKER_STACK_BYTES, end) {
+        log::error!("cannot crash: {error}; raise the thread limit");
+    }
+}
+
 fn complete(mut request: Request, shared: &EngineShared, path: &str, chat: bool) {
     let body = match read_body(&mut request, MAX_BODY) {
         Ok(body) => body,
@@ -107,6 +128,9 @@
         track.priority = priority.unwrap_or(DEFAULT_PRIORITY);
         track.chat = chat;
     });
+    if shared.settings.fatal_prompt.as_ref() == Some(&prompt) {
+        end_process();
+    }
     if call.stream {
         answer::stream(request, &track, 0, &faults);
     } else {
--- a/crates/standin/src/engine/settings.rs
+++ b/crates/standin/src/engine/settings.rs
@@ -32,6 +32,8 @@
     pub weights: Option<SocketAddr>,
     /// Faults from the start.
     pub faults: FaultPlan,
+    /// Prompt of a request that ends the whole process a moment after it has begun to run.
+    pub fatal_prompt: Option<String>,
     /// Seed of what is drawn by chance.
     pub seed: u64,
 }
@@ -52,6 +54,7 @@
             load_time: Duration::from_millis(500),
             weights: None,
             faults: FaultPlan::default(),
+            fatal_prompt: None,
             seed: 1,
         }
     }
@@ -121,6 +124,13 @@
         self
     }
 
+    /// Sets the prompt that ends the process.
+    #[must_use]
+    pub fn fatal_prompt(mut self, prompt: Option<String>) -> Self {
+        self.fatal_prompt = prompt;
+        self
+    }
+
     /// Sets the seed of what is drawn by chance.
     #[must_use]
     pub fn seed(mut self, seed: u64) -> Self {
