Count crashes of runs that follow each other one by one

A request that is sent on within milliseconds crashed three engines before it counted once.

Cause: crashes less than 250 ms apart counted as one event, so that a lost rack does not put a popular request into quarantine. A request that is sent on at once crashes the next endpoint within that time. Change: a run event tells how long the request was there. A crash counts when its run began after the crash that was counted before, however close they are. Ruled out: a shorter time alone; reports of one lost rack reach a busy leader 100 ms apart.

--- a/crates/gateway/src/entry/crash_check.rs
+++ b/crates/gateway/src/entry/crash_check.rs
@@ -8,10 +8,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use briartray_model::TimePoint;
 use briartray_model::message::RunEnd;
 use briartray_model::names::{IncarnationId, RequestPrint, TeamName};
 
-use super::dispatch::ServedRequest;
+use super::dispatch::{SentTo, ServedRequest};
 use super::state::EntryState;
 
 /// Time between the two looks at an endpoint: it may close its connections before it stops listening.
@@ -23,12 +24,16 @@
     print: RequestPrint,
     rule: String,
     team: Option<TeamName>,
+    /// When it was sent to the endpoint.
+    began: TimePoint,
+    /// When its connection broke.
+    broke: TimePoint,
 }
 
 /// Finds out whether the endpoint that `request` was sent to last has crashed, and reports that. Requests whose
 /// connections break meanwhile share the answer.
 pub(super) fn check(request: &ServedRequest) {
-    let Some((endpoint, address)) = request.sent_to.clone() else { return };
+    let Some(SentTo { endpoint, address, at }) = request.sent_to.clone() else { return };
     let state = &request.state;
     if state.table.borrow().is_leaving(&endpoint) {
         return;
@@ -37,6 +42,8 @@
         print: request.print(),
         rule: request.rule.name.clone(),
         team: request.team.clone(),
+        began: at,
+        broke: state.now(),
     };
     let mut broken = state.broken.borrow_mut();
     if let Some(runs) = broken.get_mut(&endpoint) {
@@ -59,13 +66,13 @@
     }
     state.metrics.crashes.inc();
     log::warn!(endpoint:% = endpoint, requests = runs.len(); "an endpoint crashed");
-    let now = state.now();
-    for BrokenRun { print, rule, team } in runs {
-        if state.lines.allows(now) {
+    for BrokenRun { print, rule, team, began, broke } in runs {
+        if state.lines.allows(state.now()) {
             log::info!(print:%, endpoint:% = endpoint, rule; "a request ran on an endpoint that crashed");
         }
-        let end = RunEnd::Crashed { endpoint: endpoint.clone(), rule, team };
-        state.runs.borrow_mut().note(now, print, end);
+        let ran_ms = u64::try_from(broke.since(began).as_millis()).unwrap_or(u64::MAX);
+        let end = RunEnd::Crashed { endpoint: endpoint.clone(), ran_ms, rule, team };
+        state.runs.borrow_mut().note(broke, print, end);
     }
     state.send_report();
 }
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -46,7 +46,7 @@
     /// Targets it was sent to.
     pub(super) tried: Vec<TargetId>,
     /// Endpoint that it was sent to last.
-    pub(super) sent_to: Option<(IncarnationId, SocketAddr)>,
+    pub(super) sent_to: Option<SentTo>,
     /// What identifies it, once that was wanted.
     pub(super) print: OnceCell<RequestPrint>,
     /// Replicas that may have run it. One that said that it had not does not count towards the
@@ -54,6 +54,14 @@
     pub(super) runs: u32,
 }
 
+/// Where and when a request was sent.
+#[derive(Debug, Clone)]
+pub(super) struct SentTo {
+    pub(super) endpoint: IncarnationId,
+    pub(super) address: SocketAddr,
+    pub(super) at: TimePoint,
+}
+
 /// Sends beyond the attempts that a rule allows, when replicas did not take the request.
 const EXTRA_SENDS: u32 = 1;
 
@@ -222,7 +230,8 @@
         );
         *self.chosen.borrow_mut() = Some(choice.target.clone());
         self.tried.push(choice.target.clone());
-        self.sent_to = Some((choice.endpoint.clone(), address));
+        let endpoint = choice.endpoint.clone();
+        self.sent_to = Some(SentTo { endpoint, address, at: self.state.now() });
         let outcome = self.send(address, request, &choice.target).await;
         match outcome {
             Ok(exchange) => self.judge(exchange, address, guard),
@@ -284,7 +293,7 @@
             self.state.table.borrow_mut().sample(now, &guard.target, load);
         }
         if !told.other_endpoint {
-            self.state.hear_limit(self.sent_to.as_ref().map(|(endpoint, _)| endpoint), told.limit);
+            self.state.hear_limit(self.sent_to.as_ref().map(|sent| &sent.endpoint), told.limit);
         } else {
             self.state.table.borrow_mut().failed(now, &guard.target);
         }
--- a/crates/model/src/message/quarantine.rs
+++ b/crates/model/src/message/quarantine.rs
@@ -20,6 +20,8 @@
         Crashed {
             /// The endpoint.
             endpoint: IncarnationId,
+            /// Time for which the request was there, in milliseconds.
+            ran_ms: u64,
             /// Rule that the request came under, for operators.
             rule: String,
             /// Team of its caller, for operators.
--- a/crates/quarantine/src/crash_book.rs
+++ b/crates/quarantine/src/crash_book.rs
@@ -11,10 +11,13 @@
 /// Time for which a crash counts.
 pub(super) const EVIDENCE_LASTS: Duration = Duration::from_secs(600);
 
-/// Time between two crashes that count as two. A rack that loses power takes many endpoints at once, and a
-/// popular request runs on several of them.
+/// Time between two crashes that count as two whenever their runs began. A rack that loses power takes many
+/// endpoints at once, and a popular request runs on several of them.
 const CRASHES_APART: Duration = Duration::from_millis(250);
 
+/// How much later than it began a run may seem to have begun: ages are told in whole milliseconds.
+const BEGIN_SLACK: Duration = Duration::from_millis(3);
+
 /// Requests that are kept. One crash brings up to a batch of them, most of which never come again.
 const MAX_PRINTS: usize = 2_048;
 
@@ -27,6 +30,8 @@
 #[derive(Debug, Clone)]
 struct CrashSight {
     at: TimePoint,
+    /// When the run began that met the crash.
+    began: TimePoint,
     endpoint: IncarnationId,
 }
 
@@ -57,9 +62,11 @@
         let at = age_point(now, age);
         match &event.end {
             RunEnd::Whole => self.ran_whole(event.print, at),
-            RunEnd::Crashed { endpoint, rule, team } => {
+            RunEnd::Crashed { endpoint, ran_ms, rule, team } => {
                 let record = self.record(event.print);
-                let fresh = record.crashed(at, endpoint);
+                let began = age_point(now, age + Duration::from_millis(*ran_ms));
+                let sight = CrashSight { at, began, endpoint: endpoint.clone() };
+                let fresh = record.crashed(sight);
                 if fresh {
                     record.rule.clone_from(rule);
                     record.team.clone_from(team);
@@ -169,26 +176,29 @@
 
 impl PrintRecord {
     /// Takes a crash; `false` where it is known, or older than a whole run.
-    fn crashed(&mut self, at: TimePoint, endpoint: &IncarnationId) -> bool {
-        let cleared = self.whole_at.is_some_and(|whole| at <= whole);
-        let known = self.crashes.iter().any(|crash| crash.endpoint == *endpoint);
+    fn crashed(&mut self, sight: CrashSight) -> bool {
+        let cleared = self.whole_at.is_some_and(|whole| sight.at <= whole);
+        let known = self.crashes.iter().any(|crash| crash.endpoint == sight.endpoint);
         if cleared || known {
             return false;
         }
-        let position = self.crashes.partition_point(|crash| crash.at <= at);
-        self.crashes.insert(position, CrashSight { at, endpoint: endpoint.clone() });
+        let position = self.crashes.partition_point(|crash| crash.at <= sight.at);
+        self.crashes.insert(position, sight);
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
         }
         true
     }
 
-    /// Crashes that are far enough apart to be events of their own.
+    /// Crashes that are events of their own: far apart, or of a run that began after the one before.
     fn strikes(&self) -> usize {
         let mut counted: Option<TimePoint> = None;
         let mut strikes = 0;
         for crash in &self.crashes {
-            if counted.is_none_or(|last| crash.at.since(last) >= CRASHES_APART) {
+            let apart = |last| {
+                crash.at.since(last) >= CRASHES_APART || crash.began.after(BEGIN_SLACK) >= last
+            };
+            if counted.is_none_or(apart) {
                 counted = Some(crash.at);
                 strikes += 1;
             }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -29,4 +29,4 @@
 
 /// Crashes in a row from which a whole run of a request is worth telling, and a crash is not answered by
 /// sending it to another endpoint.
-const SUSPECT_CRASHES: usize = 2;
+pub const SUSPECT_CRASHES: usize = 2;
--- a/crates/quarantine/tests/decisions.rs
+++ b/crates/quarantine/tests/decisions.rs
@@ -21,7 +21,8 @@
 
 fn crashed(endpoint: &str) -> RunEnd {
     let team = Some(TeamName::new("traders"));
-    RunEnd::Crashed { endpoint: IncarnationId::new(endpoint), rule: "draft".to_owned(), team }
+    let (endpoint, rule) = (IncarnationId::new(endpoint), "draft".to_owned());
+    RunEnd::Crashed { endpoint, ran_ms: 1_000, rule, team }
 }
 
 fn event(print: RequestPrint, end: RunEnd) -> RunEvent {
@@ -90,6 +91,25 @@
     assert!(fatal_prints(&mut book).is_empty());
 }
 
+/// Guards against crashes that count as one because a request is sent on faster than a lost rack is noticed.
+#[test]
+fn crashes_of_runs_that_follow_each_other_count_one_by_one() {
+    let mut book = CrashBook::default();
+    let quick = |endpoint: &str| match crashed(endpoint) {
+        RunEnd::Crashed { endpoint, rule, team, .. } => {
+            RunEnd::Crashed { endpoint, ran_ms: 30, rule, team }
+        }
+        RunEnd::Whole => unreachable!("it crashed"),
+    };
+
+    for number in 0..FATAL_CRASHES {
+        let millis = 35 * u64::try_from(number).expect("a few crashes");
+        book.take(at(millis), &event(FATAL, quick(&format!("i-{number}"))));
+    }
+
+    assert_eq!(fatal_prints(&mut book), [FATAL]);
+}
+
 /// Guards against a sound request that is refused after three unlucky crashes over the day.
 #[test]
 fn a_whole_run_clears_a_request() {
