Quarantine fatal requests on the product's own interface as well

A prompt that crashes engines was sent on without end there too: each call was tried on up to four engines, and the next call began anew.

Change: the agent beside an engine tells whether that has crashed when a call breaks off, and all calls that broke in one crash name it alike. Entries report it with their next renewal, which they make at once; the control state keeps the quarantine, entries hold it with their lease. Ruled out: a second copy of the decisions; both interfaces use the quarantine package.

--- a/crates/cli/src/cmd/measure/capacity/peers.rs
+++ b/crates/cli/src/cmd/measure/capacity/peers.rs
@@ -10,7 +10,7 @@
 };
 use briartray_model::message::{
     AgentReport, ControlDirective, GroupAssignment, GroupMember, HostAnnouncement, MemberReply,
-    MemberRequest, SnapshotUpdate, WatchReply, WatchRequest,
+    MemberRequest, SnapshotUpdate, ViewVersion, WatchReply, WatchRequest,
 };
 use briartray_model::names::{
     FencingNumber, GroupId, HostName, LeaseNonce, NodeName, RevisionNumber,
@@ -173,6 +173,8 @@
             leaving: false,
             incarnation: 1,
             demands: Vec::new(),
+            prints: ViewVersion::default(),
+            runs: Vec::new(),
         })?;
         let reply: WatchReply = reader.receive(ANSWER_WAIT)?;
         if let Some(update) = reply.snapshot {
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -13,6 +13,7 @@
 mod help;
 mod load;
 mod measure;
+mod quarantine;
 mod replay;
 mod rules;
 mod stand_in;
@@ -47,6 +48,8 @@
     Groups(groups::GroupsOptions),
     #[options(help = "list entries and their rules, or strike off one that is gone")]
     Entries(entries::EntriesOptions),
+    #[options(help = "list requests that crash endpoints, or let one run again")]
+    Quarantine(quarantine::QuarantineOptions),
     #[options(help = "replay host events through the planner")]
     Replay(replay::ReplayOptions),
     #[options(help = "run a stand-in engine, service or weight store")]
@@ -132,6 +135,7 @@
         Subcommand::Status(options) => status::run(options),
         Subcommand::Groups(options) => groups::run(options),
         Subcommand::Entries(options) => entries::run(options),
+        Subcommand::Quarantine(options) => quarantine::run(options),
         Subcommand::Replay(options) => replay::run(options),
         Subcommand::StandIn(options) => stand_in::run(options),
         Subcommand::Stop(options) => stop::run(options),
--- a/crates/cli/tests/crashing_requests.rs
+++ b/crates/cli/tests/crashing_requests.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use briartray::trial::{ProcessFleet, TrialPlan};
@@ -76,3 +77,39 @@
     assert!(entries.iter().all(|entry| is_quarantined(*entry)));
     assert_eq!(fleet.revive_endpoints().expect("none has ended"), 0);
 }
+
+/// Guards against a quarantine that operators can neither see nor end.
+#[test]
+fn operators_list_the_quarantine_and_lift_it() {
+    let mut fleet = fleet();
+    quarantine(&mut fleet);
+    let operator = fleet.operator_address().to_string();
+    let briartray = |arguments: &[&str]| {
+        let command = Command::new(env!("CARGO_BIN_EXE_briartray"))
+            .arg("quarantine")
+            .args(arguments)
+            .args(["--operator", &operator, "--output", "json"])
+            .output();
+        let output = command.expect("the command runs");
+        (
+            output.status.success(),
+            serde_json::from_slice::<Value>(&output.stdout).unwrap_or_default(),
+        )
+    };
+
+    let (_, listed) = briartray(&["list"]);
+    let print = listed[0]["print"].as_str().expect("a print").to_owned();
+    let crashed = listed[0]["crashed"].as_array().map_or(0, Vec::len);
+    let wrong = briartray(&["lift", "no-print"]);
+    let lifted = briartray(&["lift", &print]);
+
+    assert_eq!((&listed[0]["rule"], &listed[0]["team"]), (&json!("everyone"), &json!("default")));
+    assert!(crashed >= 4, "{listed}");
+    assert!(!wrong.0 && lifted.0, "{wrong:?} {lifted:?}");
+    assert_eq!(briartray(&["list"]).1, json!([]));
+    let entry = fleet.entry_addresses()[0];
+    let started = Instant::now();
+    while is_quarantined(entry) {
+        assert!(started.elapsed() < LIMIT, "it is still refused");
+    }
+}
--- a/crates/control/src/lease/holder.rs
+++ b/crates/control/src/lease/holder.rs
@@ -46,6 +46,11 @@
         self.last_nonce
     }
 
+    /// Nonce of the newest renewal.
+    pub fn last_nonce(&self) -> LeaseNonce {
+        self.last_nonce
+    }
+
     /// Takes a grant; `false` when it answers no request that is under way.
     ///
     /// The lease counts from the moment of asking, by this process's own clock: however long the
--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -3,10 +3,11 @@
 use briartray_model::lease::LeaseTerms;
 use briartray_model::message::{GroupMember, LedgerReply, LedgerRequest};
 use briartray_model::names::{
-    ChangeId, DomainName, FencingNumber, GroupId, HostName, NodeName, ProviderName, RevisionNumber,
-    ServiceName, StopId, ZoneName,
+    ChangeId, DomainName, FencingNumber, GroupId, HostName, NodeName, ProviderName, RequestPrint,
+    RevisionNumber, ServiceName, StopId, ZoneName,
 };
 use briartray_model::plain_value;
+use briartray_quarantine::QuarantineRecord;
 
 use super::StopPlan;
 
@@ -73,6 +74,13 @@
             /// The stop.
             stop: StopId,
         },
+        /// Refuse a request from now on.
+        Quarantine(QuarantineRecord),
+        /// Serve a request again.
+        LiftQuarantine {
+            /// The request.
+            print: RequestPrint,
+        },
     }
 
     /// A group to be formed.
@@ -194,5 +202,15 @@
             /// The stop.
             stop: StopId,
         },
+        /// The request is refused from now on.
+        Quarantined {
+            /// The request.
+            print: RequestPrint,
+        },
+        /// The request is served again.
+        QuarantineLifted {
+            /// The request.
+            print: RequestPrint,
+        },
     }
 }
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -1,4 +1,4 @@
-//! The replicated state: four aggregates, changed only by applying commands in log order.
+//! The replicated state: six aggregates, changed only by applying commands in log order.
 //!
 //! Applying is deterministic: no clocks, no randomness, no input or output.
 
@@ -19,6 +19,7 @@
 pub use stops::{HostPlace, MAX_STOPS, StopBook, StopPlan, StopTarget};
 
 use briartray_model::codec::{self, CodecError};
+use briartray_quarantine::QuarantineList;
 use serde::{Deserialize, Serialize};
 
 /// Everything that control hosts agree on.
@@ -34,6 +35,8 @@
     pub stops: StopBook,
     /// Calls that may not be repeated.
     pub ledger: ClaimLedger,
+    /// Requests that are refused since they crash endpoints.
+    pub quarantine: QuarantineList,
 }
 
 impl ControlState {
@@ -78,6 +81,14 @@
                 self.stops.begin(*group, |known| groups.group(known).is_some())
             }
             ControlCommand::CancelStop { stop } => self.stops.cancel(*stop),
+            ControlCommand::Quarantine(record) => {
+                self.quarantine.add(record);
+                CommandOutcome::Quarantined { print: record.print }
+            }
+            ControlCommand::LiftQuarantine { print } => {
+                self.quarantine.lift(*print);
+                CommandOutcome::QuarantineLifted { print: *print }
+            }
         }
     }
 }
--- a/crates/model/src/message/dispatch.rs
+++ b/crates/model/src/message/dispatch.rs
@@ -1,7 +1,8 @@
 //! Entry to agent: one request handed to the first host of a group, and its answer.
 
 use crate::names::{
-    AttemptId, FencingNumber, GroupId, RequestId, RevisionNumber, ServiceName, TeamName,
+    AttemptId, FencingNumber, GroupId, IncarnationId, RequestId, RevisionNumber, ServiceName,
+    TeamName,
 };
 
 plain_value! {
@@ -145,6 +146,8 @@
             outcome: CallOutcome,
             /// What went wrong, for people.
             detail: String,
+            /// The start of the endpoint that crashed while it ran the attempt, where it did.
+            crashed: Option<IncarnationId>,
         },
         /// Answer to a tombstone.
         Tombstone {
--- a/crates/model/src/message/watch.rs
+++ b/crates/model/src/message/watch.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::quarantine::{PrintView, RunEvent, ViewVersion};
 use super::update::SnapshotUpdate;
 use crate::lease::LeaseTerms;
 use crate::names::{
@@ -26,6 +27,10 @@
         pub incarnation: u64,
         /// Limits that the watcher applies.
         pub demands: Vec<LimitDemand>,
+        /// View of the quarantine that the watcher holds.
+        pub prints: ViewVersion,
+        /// Runs that say something about their requests.
+        pub runs: Vec<RunEvent>,
     }
 
     /// What an entry could use of one team's limit and what it holds; rates in thousandths of a
@@ -69,6 +74,8 @@
         pub snapshot: Option<SnapshotUpdate>,
         /// Shares of the limits that were asked for.
         pub shares: Vec<LimitGrant>,
+        /// The quarantine, when the watcher holds another view of it.
+        pub prints: Option<PrintView>,
     }
 
     /// Everything an entry needs to decide.
--- a/crates/model/tests/decoders.rs
+++ b/crates/model/tests/decoders.rs
@@ -10,11 +10,13 @@
 use briartray_model::message::{
     AgentReply, AgentReport, CallTarget, ClaimKey, ControlDirective, DispatchOrder, EntryRequest,
     GroupAssignment, GroupMember, GroupRecord, HeaderField, LedgerAnswer, LedgerReply,
-    LedgerRequest, LimitDemand, LimitGrant, LoadReport, MemberReply, MemberRequest, RefusalReason,
-    RoutingSnapshot, SnapshotUpdate, TraceContext, WatchReply, WatchRequest,
+    LedgerRequest, LimitDemand, LimitGrant, LoadReport, MemberReply, MemberRequest, PrintView,
+    RefusalReason, RoutingSnapshot, RunEnd, RunEvent, SnapshotUpdate, TraceContext, ViewVersion,
+    WatchReply, WatchRequest,
 };
 use briartray_model::names::{
-    AttemptId, FencingNumber, GroupId, LeaseNonce, RequestId, RevisionNumber,
+    AttemptId, FencingNumber, GroupId, IncarnationId, LeaseNonce, RequestId, RequestPrint,
+    RevisionNumber,
 };
 use briartray_model::rules::RuleDocument;
 use briartray_model::settings;
@@ -155,6 +157,17 @@
             rate_demand: 6,
             rate_held: 7,
         }],
+        prints: ViewVersion::default(),
+        runs: vec![RunEvent {
+            print: RequestPrint(7),
+            age_ms: 5,
+            end: RunEnd::Crashed {
+                endpoint: IncarnationId::new("host-1"),
+                ran_ms: 30,
+                rule: "office".to_owned(),
+                team: Some("office".into()),
+            },
+        }],
     });
     feed(&WatchReply {
         nonce: LeaseNonce(1),
@@ -166,6 +179,7 @@
             running: Some(4),
             rate: None,
         }],
+        prints: Some(PrintView { quarantined: vec![RequestPrint(7)], ..PrintView::default() }),
     });
     feed(&LedgerRequest::Claim { key, digest: [7; 32], attempt: AttemptId(7) });
     feed(&LedgerReply::Pending { attempt: AttemptId(7) });
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -4,6 +4,7 @@
 //! gate's state as a snapshot that is swapped as a whole.
 
 mod core;
+mod crash_watch;
 mod endpoint;
 mod member;
 mod orders;
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use briartray_link::{LinkError, LinkStream, LinkWriter};
+use briartray_model::TimePoint;
 use briartray_model::message::{
     AgentReply, CallOutcome, DispatchOrder, EntryRequest, RefusalReason, TombstoneState,
 };
@@ -81,7 +82,8 @@
         BeginDecision::Duplicate => {
             let detail = "the attempt came before".to_owned();
             let outcome = CallOutcome::Unknown;
-            return stream.writer.send(&AgentReply::Failed { attempt, outcome, detail });
+            let crashed = None;
+            return stream.writer.send(&AgentReply::Failed { attempt, outcome, detail, crashed });
         }
         BeginDecision::Tombstoned => RefusalReason::Tombstoned,
         BeginDecision::TooOld => RefusalReason::TooOld,
@@ -227,7 +229,9 @@
     match end {
         AnswerEnd::Whole => AgentReply::End { attempt, count, load },
         AnswerEnd::Refused(reason) => AgentReply::Refused { attempt, reason, load },
-        AnswerEnd::Failed { outcome, detail } => AgentReply::Failed { attempt, outcome, detail },
+        AnswerEnd::Failed { outcome, detail, crashed } => {
+            AgentReply::Failed { attempt, outcome, detail, crashed }
+        }
     }
 }
 
@@ -245,12 +249,16 @@
     if !shared.still_whole(&running.order) {
         return AnswerEnd::Refused(RefusalReason::GroupNotWhole);
     }
+    let began = shared.clock.now();
     let mut answer = match endpoint::call(&shared.settings.endpoint, &running.order) {
         Ok(answer) => answer,
         Err(EndpointError::Unreachable { detail }) => {
             log::warn!("endpoint unreachable: {detail}");
             return AnswerEnd::Refused(RefusalReason::EndpointUnreachable);
         }
+        Err(error @ EndpointError::Broken { .. }) => {
+            return broken(shared, began, &error.to_string());
+        }
         Err(error) => return failed(&error.to_string()),
     };
     let (status, content_type) = (answer.status, answer.content_type.clone());
@@ -258,7 +266,7 @@
     match fill(&mut answer, shared, running) {
         Ok(()) if shared.still_whole(&running.order) => AnswerEnd::Whole,
         Ok(()) => failed("the group lost a member"),
-        Err(detail) => failed(&detail),
+        Err(detail) => broken(shared, began, &detail),
     }
 }
 
@@ -287,5 +295,12 @@
 }
 
 fn failed(detail: &str) -> AnswerEnd {
-    AnswerEnd::Failed { outcome: CallOutcome::Unknown, detail: detail.to_owned() }
+    let detail = detail.to_owned();
+    AnswerEnd::Failed { outcome: CallOutcome::Unknown, detail, crashed: None }
+}
+
+/// The end of a call that broke off, and whether the endpoint crashed under it.
+fn broken(shared: &AgentShared, began: TimePoint, detail: &str) -> AnswerEnd {
+    let (outcome, detail) = (CallOutcome::Unknown, detail.to_owned());
+    AnswerEnd::Failed { outcome, detail, crashed: shared.endpoint_crash(began) }
 }
--- a/crates/node/src/agent/shared.rs
+++ b/crates/node/src/agent/shared.rs
@@ -8,10 +8,11 @@
 use briartray_model::SortedTable;
 use briartray_model::TimePoint;
 use briartray_model::message::{DispatchOrder, LoadReport, RefusalReason};
-use briartray_model::names::{AttemptId, FencingNumber, GroupId};
+use briartray_model::names::{AttemptId, FencingNumber, GroupId, IncarnationId};
 use briartray_model::settings::{AgentSettings, EndpointKind};
 use briartray_routing::attempt::{AttemptBook, BookLimits};
 
+use super::crash_watch::CrashWatch;
 use super::pace;
 use super::running::RunningAttempt;
 use crate::trace::TraceHub;
@@ -68,6 +69,7 @@
     pace: AtomicU32,
     attempts: Mutex<AttemptBook>,
     held: Mutex<SortedTable<AttemptId, Arc<RunningAttempt>>>,
+    crashes: CrashWatch,
 }
 
 impl AgentShared {
@@ -87,9 +89,18 @@
             pace: AtomicU32::new(0),
             attempts: Mutex::new(AttemptBook::new(BookLimits::default())),
             held: Mutex::new(SortedTable::new()),
+            crashes: CrashWatch::default(),
         }
     }
 
+    /// Which start of the endpoint crashed under a call that began at `began` and has broken off.
+    pub(super) fn endpoint_crash(&self, began: TimePoint) -> Option<IncarnationId> {
+        // Agents count from one at each start, and two of their starts must not name the same crash.
+        let life = format!("{}/{:x}", self.settings.host, self.incarnation);
+        let address = self.settings.endpoint.address;
+        self.crashes.crashed(address, &life, began, || self.clock.now())
+    }
+
     /// Publishes the gate's state.
     pub(super) fn publish(&self, view: GateView) {
         self.gate.store(Arc::new(view));
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -18,6 +18,7 @@
 use briartray_model::rules::RuleBook;
 use briartray_model::{SortedTable, TimePoint, codec};
 use briartray_placement::planner::FleetView;
+use briartray_quarantine::QuarantineDesk;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use serde_json::{Value, json};
 
@@ -85,6 +86,7 @@
     pub(super) snapshots: SnapshotLog,
     pub(super) version: SnapshotVersion,
     limits: LimitRegistry,
+    pub(super) quarantine: QuarantineDesk,
     pub(super) leadership: Option<Leadership>,
     pub(super) proposals: SortedTable<ProposalToken, ProposalOrigin>,
     pub(super) reads: SortedTable<ReadToken, ReadOrigin>,
@@ -106,6 +108,7 @@
             snapshots: SnapshotLog::default(),
             version: SnapshotVersion::default(),
             limits: LimitRegistry::default(),
+            quarantine: QuarantineDesk::default(),
             leadership: None,
             proposals: SortedTable::new(),
             reads: SortedTable::new(),
@@ -154,7 +157,7 @@
             Ok(encoded) => encoded,
             Err(error) => {
                 log::error!("a command has no encoding: {error}");
-                return origin.unknown();
+                return self.lose(origin);
             }
         };
         match self.parts.agreement.propose(now, token, encoded) {
@@ -164,7 +167,18 @@
                 }
                 self.proposals.insert(token, origin);
             }
-            Err(refusal) => origin.refused(refusal),
+            Err(refusal) => match origin {
+                ProposalOrigin::Operator(_) => origin.refused(refusal),
+                other => self.lose(other),
+            },
+        }
+    }
+
+    /// A command that may or may not be applied later.
+    pub(super) fn lose(&mut self, origin: ProposalOrigin) {
+        match origin {
+            ProposalOrigin::Quarantine(print) => self.quarantine.lost(print),
+            other => other.unknown(),
         }
     }
 
@@ -190,6 +204,9 @@
     pub(super) fn follow_up(&mut self, outcome: &CommandOutcome) {
         match outcome {
             CommandOutcome::RulesAccepted { .. } => self.adopt_rules(),
+            CommandOutcome::Quarantined { print } | CommandOutcome::QuarantineLifted { print } => {
+                self.quarantine.changed(*print);
+            }
             CommandOutcome::GroupFormed { .. } | CommandOutcome::GroupDissolved { .. } => {
                 self.version.bump();
                 if self.is_established() {
@@ -260,6 +277,7 @@
         }
         let now = self.now();
         self.leases.settle(now);
+        self.keep_quarantine(now);
         // A confirmation that was refused for want of room is asked for again.
         for session in self.roster.waiting() {
             self.confirm(ReadOrigin::Fleet(session));
@@ -336,11 +354,13 @@
             let snapshot = self.snapshot();
             self.snapshots.push(snapshot);
         }
+        let prints = self.take_runs(self.now(), request);
         let reply = WatchReply {
             nonce: request.nonce,
             terms,
             snapshot: self.snapshots.update(request.adopted),
             shares: self.share_limits(request),
+            prints,
         };
         // A watcher that is behind asks again; its lease runs out meanwhile.
         let _ = writer.try_send(&reply);
@@ -391,6 +411,7 @@
             }
             InspectKind::Groups => json!(self.roster.records(&self.state.groups)),
             InspectKind::Account => self.counter.show(&self.book),
+            InspectKind::Quarantine => self.show_quarantine(),
             InspectKind::Entries => self.leases.show(self.now()),
             InspectKind::Rules => json!({ "revision": rules.revision.0, "text": rules.text }),
         }
--- a/crates/node/src/control/input.rs
+++ b/crates/node/src/control/input.rs
@@ -68,4 +68,6 @@
     Stops,
     /// Every entry that may hold a rules lease.
     Entries,
+    /// Requests that are refused since they crash endpoints.
+    Quarantine,
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod origin;
 mod peers;
 mod planning;
+mod quarantine;
 mod replication;
 mod shared;
 mod stops;
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -6,7 +6,8 @@
 use briartray_control::agreement::ProposalRefusal;
 use briartray_control::state::{CommandOutcome, ControlCommand, StopPlan, StopTarget};
 use briartray_model::names::{
-    ChangeId, GroupId, HostName, NodeName, ProviderName, RevisionNumber, StopId, ZoneName,
+    ChangeId, GroupId, HostName, NodeName, ProviderName, RequestPrint, RevisionNumber, StopId,
+    ZoneName,
 };
 use briartray_model::settings::ControlSettings;
 use briartray_web::{
@@ -78,6 +79,20 @@
     keep: u64,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LiftCall {
+    print: String,
+}
+
+impl LiftCall {
+    fn into_command(self) -> Result<ControlCommand, String> {
+        let print = RequestPrint::parse(&self.print);
+        let remedy = "send a print as the list of the quarantine shows it";
+        Ok(ControlCommand::LiftQuarantine { print: print.ok_or(remedy)? })
+    }
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct EntryCall {
@@ -135,6 +150,11 @@
             }
             Err(detail) => problem(400, "bad_request", &detail),
         },
+        (Method::Get, "/v1/quarantine") => inspect(inputs, InspectKind::Quarantine),
+        (Method::Post, "/v1/quarantine/lift") => match read_call::<LiftCall>(request) {
+            Ok(call) => propose(inputs, call.into_command()),
+            Err(detail) => problem(400, "bad_request", &detail),
+        },
         (Method::Get, "/v1/stops") => inspect(inputs, InspectKind::Stops),
         (Method::Post, "/v1/stops") => match read_call::<StopCall>(request) {
             Ok(call) => propose(inputs, call.into_command()),
@@ -227,6 +247,9 @@
         CommandOutcome::EntryUnknown { .. } => {
             problem(404, "entry_unknown", "there is no such entry; list the entries")
         }
+        CommandOutcome::QuarantineLifted { print } => {
+            JsonReply::new(200, json!({ "outcome": "lifted", "print": print.to_string() }))
+        }
         CommandOutcome::StopPlanned { stop } => {
             JsonReply::new(200, json!({ "outcome": "planned", "stop": stop.0 }))
         }
--- a/crates/node/src/control/origin.rs
+++ b/crates/node/src/control/origin.rs
@@ -4,7 +4,7 @@
 use briartray_control::state::CommandOutcome;
 use briartray_link::LinkWriter;
 use briartray_model::message::{LedgerReply, WatchRequest};
-use briartray_model::names::{NodeName, RevisionNumber};
+use briartray_model::names::{NodeName, RequestPrint, RevisionNumber};
 use crossbeam::channel::Sender;
 use serde_json::Value;
 
@@ -23,6 +23,8 @@
     Ledger(LedgerPort),
     /// An entry that is registered before its renewal is answered.
     Entry(WatchRequest, LinkWriter),
+    /// The leader, about a request in quarantine.
+    Quarantine(RequestPrint),
     /// Nobody; the command follows from what an entry said.
     Nobody,
 }
@@ -68,6 +70,7 @@
             Self::FirstRules => log::info!("first rules: {outcome:?}"),
             // The core answers the renewal itself; see `apply_command`.
             Self::Entry(..) | Self::Nobody => {}
+            Self::Quarantine(_) => log::info!("quarantine: {outcome:?}"),
             Self::Operator(reply) => {
                 let _ = reply.send(ProposalAnswer::Done(outcome));
             }
@@ -94,7 +97,11 @@
     /// Tells that leadership ended before the command was committed.
     pub(super) fn unknown(self) {
         match self {
-            Self::Planner | Self::FirstRules | Self::Entry(..) | Self::Nobody => {}
+            Self::Planner
+            | Self::FirstRules
+            | Self::Entry(..)
+            | Self::Quarantine(_)
+            | Self::Nobody => {}
             Self::Operator(reply) => {
                 let _ = reply.send(ProposalAnswer::Unknown);
             }
--- a/crates/node/src/control/replication.rs
+++ b/crates/node/src/control/replication.rs
@@ -6,6 +6,7 @@
 use briartray_control::state::{CommandOutcome, ControlCommand, ControlState};
 use briartray_model::codec;
 use briartray_model::names::RevisionNumber;
+use briartray_quarantine::QuarantineDesk;
 
 use super::core::{ControlCore, Leadership};
 use super::fleet::FleetRoster;
@@ -30,7 +31,7 @@
         }
         for token in output.lost {
             if let Some(origin) = self.proposals.remove(&token) {
-                origin.unknown();
+                self.lose(origin);
             }
         }
         self.note_role();
@@ -71,6 +72,7 @@
         self.roster = FleetRoster::default();
         self.planner = PlanDriver::default();
         self.stops = StopDriver::default();
+        self.quarantine = QuarantineDesk::default();
         self.leases.end();
         self.snapshots.clear();
         self.leadership = None;
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -5,6 +5,7 @@
 use briartray_model::message::{CallTarget, HeaderField, TraceContext};
 use briartray_model::names::{RequestId, RuleName, TeamName};
 use briartray_model::rules::ServiceKind;
+use briartray_quarantine::PrintStanding;
 use briartray_routing::choice::PrefixDigest;
 use briartray_web::{BodyError, JsonReply, header_value, read_body, reply_json, reply_text};
 use serde::Deserialize;
@@ -163,6 +164,9 @@
             (declared.name.clone(), Some(head.model), head.stream, prefix, path.to_owned())
         }
     };
+    if shared.crashes.standing(&target_path, &team, &body) == PrintStanding::Quarantined {
+        return Err(CallRefusal::quarantined());
+    }
     let facts = CallFacts {
         team: team.clone(),
         service: service.clone(),
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -8,7 +8,7 @@
     AgentReply, CallOutcome, DispatchOrder, EntryRequest, GroupRecord, LoadReport, RefusalReason,
     TraceContext,
 };
-use briartray_model::names::AttemptId;
+use briartray_model::names::{AttemptId, IncarnationId};
 use briartray_routing::attempt::{AttemptTracker, TrackerAction, TrackerPlan};
 
 use super::call::CallPlan;
@@ -25,14 +25,24 @@
 /// that the streams of one dead connection share its successor.
 const FRESH_CONNECTION: Duration = Duration::from_millis(500);
 
+/// Least status of an answer that tells of a failure of the endpoint.
+const SERVER_ERROR: u16 = 500;
+
 /// How one attempt ended.
 pub(super) enum AttemptEnd {
     /// The caller has its whole answer, or went away.
     Answered(Option<LoadReport>),
+    /// The caller has the endpoint's whole answer, which tells of a failure there.
+    AnsweredFailure(LoadReport),
     /// Not run; another replica may be asked.
     Refused(RefusalReason, Option<LoadReport>),
     /// Ended without a whole answer.
-    Failed(CallRefusal),
+    Failed {
+        /// What the caller is told.
+        refusal: CallRefusal,
+        /// The start of the endpoint that crashed meanwhile, where it did.
+        crashed: Option<IncarnationId>,
+    },
 }
 
 /// An answer that is not a stream, collected before the caller sees any of it.
@@ -81,7 +91,7 @@
     let run =
         AttemptRun { shared, record, attempt, tracker, stream, answer: WholeAnswer::default() };
     let (end, back) = run.follow(output);
-    if let AttemptEnd::Failed(refusal) = &end {
+    if let AttemptEnd::Failed { refusal, .. } = &end {
         span.fail(&refusal.message);
     } else if let AttemptEnd::Refused(reason, _) = &end {
         span.set("refused", format!("{reason:?}"));
@@ -134,17 +144,24 @@
                 TrackerAction::Finish(load) => {
                     let _ =
                         self.stream.writer.send(&EntryRequest::Received { attempt: self.attempt });
-                    std::mem::take(&mut self.answer).deliver(output);
-                    return (AttemptEnd::Answered(Some(load)), None);
+                    let answer = std::mem::take(&mut self.answer);
+                    let failed = answer.status >= SERVER_ERROR;
+                    answer.deliver(output);
+                    let end = match failed {
+                        true => AttemptEnd::AnsweredFailure(load),
+                        false => AttemptEnd::Answered(Some(load)),
+                    };
+                    return (end, None);
                 }
                 TrackerAction::Reconnect { request, wait } => self.reconnect(&request, wait),
                 TrackerAction::Refused(reason, load) => {
                     return (AttemptEnd::Refused(reason, load), Some(output));
                 }
-                TrackerAction::Lost { outcome, detail } => {
+                TrackerAction::Lost { outcome, detail, crashed } => {
                     self.cancel();
                     output.mark_may_have_run();
-                    return (AttemptEnd::Failed(lost(outcome, &detail)), Some(output));
+                    let refusal = lost(outcome, &detail);
+                    return (AttemptEnd::Failed { refusal, crashed }, Some(output));
                 }
                 TrackerAction::Late => {
                     // The caller's time is up: it gets its answer now, the agent is told after.
@@ -153,7 +170,7 @@
                     let refusal = CallRefusal::unknown(RefusalCode::DeadlinePassed, message);
                     self.cancel();
                     output.mark_may_have_run();
-                    return (AttemptEnd::Failed(refusal), Some(output));
+                    return (AttemptEnd::Failed { refusal, crashed: None }, Some(output));
                 }
             }
         }
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -9,6 +9,7 @@
 };
 use briartray_model::names::{GroupId, RequestId, RevisionNumber, RuleName, ServiceName, TeamName};
 use briartray_model::rules::{AdmitAction, RetryAction, RouteAction};
+use briartray_quarantine::{PrintStanding, SUSPECT_CRASHES};
 use briartray_routing::admission::{AdmissionRefusal, AdmissionRequest, LimitKey, RefusalCause};
 use briartray_routing::choice::{AttemptResult, ChoiceOutcome, ChoiceRequest, PrefixDigest};
 use briartray_routing::retry::{
@@ -96,6 +97,7 @@
         route: plan.route.clone(),
         request,
         deadline,
+        crashes: 0,
     };
     run.run(permit, output);
 }
@@ -111,6 +113,8 @@
     route: RouteAction,
     request: AdmissionRequest<'a>,
     deadline: TimePoint,
+    /// Endpoints that crashed under this request.
+    crashes: usize,
 }
 
 impl<'a> CallRun<'a> {
@@ -142,9 +146,10 @@
                     continue;
                 }
             };
+            let began = self.shared.clock.now();
             let (end, back) =
                 run_attempt(self.shared, &self.view, self.plan, &record, self.deadline, output);
-            let (effect, refusal) = match self.settle(&record, end) {
+            let (effect, refusal) = match self.settle(&record, began, end) {
                 None => {
                     permit.finish(true);
                     self.shared.metrics.ended("answered");
@@ -222,21 +227,37 @@
     }
 
     /// Counts an attempt off its replica; `None` when the caller has its answer.
-    fn settle(&self, record: &GroupRecord, end: AttemptEnd) -> Option<(AttemptEffect, CallEnd)> {
+    fn settle(
+        &mut self,
+        record: &GroupRecord,
+        began: TimePoint,
+        end: AttemptEnd,
+    ) -> Option<(AttemptEffect, CallEnd)> {
         let (name, result, report, rest) = match end {
             AttemptEnd::Answered(load) => {
                 // Without a report the caller went away, which says nothing about the replica.
                 let whole = load.is_some();
+                if whole {
+                    self.shared.crashes.ran_whole(self.shared.clock.now(), self.plan);
+                }
                 let result = if whole { AttemptResult::Answered } else { AttemptResult::Ended };
                 ("answered", result, load, None)
             }
+            AttemptEnd::AnsweredFailure(load) => {
+                ("answered", AttemptResult::Answered, Some(load), None)
+            }
             AttemptEnd::Refused(reason, load) => {
                 log::debug!(group = record.group.0; "attempt refused: {reason:?}");
                 let (effect, end) = describe_refusal(reason, load.as_ref());
                 let name = if effect == AttemptEffect::Bounced { "bounced" } else { "not_run" };
                 (name, AttemptResult::Refused(reason), load, Some((effect, end)))
             }
-            AttemptEnd::Failed(refusal) => {
+            AttemptEnd::Failed { refusal, crashed } => {
+                if let Some(endpoint) = crashed {
+                    self.crashes += 1;
+                    let now = self.shared.clock.now();
+                    self.shared.crashes.crashed(now, began, self.plan, endpoint);
+                }
                 let not_run = refusal.outcome == CallOutcome::NotRun;
                 let (name, effect) = if not_run {
                     ("not_run", AttemptEffect::NotRun)
@@ -254,11 +275,13 @@
     }
 
     fn decide(&self, effect: AttemptEffect, history: &AttemptHistory) -> RetryDecision {
-        let now = self.shared.clock.now();
-        let retry = &self.retry;
-        let decision = self.shared.with_budget(&self.plan.service, |budget| {
-            decide_retry(now, self.deadline, effect, history, retry, budget, &mut rand::rng())
-        });
+        let suspect = effect == AttemptEffect::Unknown
+            && (self.crashes >= SUSPECT_CRASHES
+                || self.shared.crashes.standing_of(self.plan) != PrintStanding::Clear);
+        let decision = match suspect {
+            true => RetryDecision::Stop(StopReason::Suspect),
+            false => self.decide_within_budget(effect, history),
+        };
         self.shared.load_metrics.followed(match decision {
             RetryDecision::Retry(_) => "retried",
             RetryDecision::Requeue => "requeued",
@@ -266,10 +289,22 @@
             RetryDecision::Stop(StopReason::Attempts) => "attempts",
             RetryDecision::Stop(StopReason::Budget) => "budget",
             RetryDecision::Stop(StopReason::Deadline) => "deadline",
+            RetryDecision::Stop(StopReason::Suspect) => "suspect",
         });
         decision
     }
 
+    fn decide_within_budget(
+        &self,
+        effect: AttemptEffect,
+        history: &AttemptHistory,
+    ) -> RetryDecision {
+        let (now, retry) = (self.shared.clock.now(), &self.retry);
+        self.shared.with_budget(&self.plan.service, |budget| {
+            decide_retry(now, self.deadline, effect, history, retry, budget, &mut rand::rng())
+        })
+    }
+
     /// Gives the slot back, then tells the caller.
     fn end(&self, permit: SlotPermit<'a>, output: CallerOutput, end: CallEnd) {
         permit.finish(false);
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod call;
 mod claims;
+mod crashes;
 mod decide;
 mod gate;
 mod once;
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -54,6 +54,8 @@
     Overloaded,
     /// The request would not be done before its deadline.
     TooLate,
+    /// Copies of the request crashed the replicas that ran them.
+    Quarantined,
 }
 
 impl RefusalCode {
@@ -82,6 +84,7 @@
             Self::TeamQueueFull => "team_queue_full",
             Self::Overloaded => "overloaded",
             Self::TooLate => "too_late",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -95,6 +98,7 @@
                 | Self::Forbidden
                 | Self::RulesUnconfirmed
                 | Self::Stopping
+                | Self::Quarantined
         )
     }
 
@@ -114,7 +118,7 @@
             | Self::LedgerUnavailable
             | Self::LedgerFull => 503,
             Self::TeamQueueFull => 429,
-            Self::Overloaded | Self::TooLate => 503,
+            Self::Overloaded | Self::TooLate | Self::Quarantined => 503,
             Self::ReplicaFailed => 502,
             Self::DeadlinePassed => 504,
         }
@@ -144,6 +148,13 @@
         Self::not_run(RefusalCode::RulesUnconfirmed, message)
     }
 
+    /// A refusal because the request crashes replicas.
+    pub fn quarantined() -> Self {
+        let message = "it crashed the replicas that ran it; change it, or ask the operators to lift \
+                       its quarantine";
+        Self::not_run(RefusalCode::Quarantined, message)
+    }
+
     /// A failure whose effect is not known.
     pub fn unknown(code: RefusalCode, message: &str) -> Self {
         Self { code, message: message.to_owned(), outcome: CallOutcome::Unknown }
@@ -173,7 +184,10 @@
     pub fn reply(&self, request: RequestId) -> JsonReply {
         let reply = JsonReply::new(self.code.status(), self.body(request))
             .with_header("X-Request-Id", request.to_string());
-        if self.code.status() == 503 || self.code == RefusalCode::InProgress {
+        if self.code == RefusalCode::Quarantined {
+            // Only an operator or a new version of the engine helps.
+            reply.with_header("Retry-After", "60".to_owned())
+        } else if self.code.status() == 503 || self.code == RefusalCode::InProgress {
             reply.with_header("Retry-After", "1".to_owned())
         } else {
             reply
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -16,6 +16,7 @@
 use briartray_routing::retry::RetryBudget;
 
 use super::claims::ClaimClient;
+use super::crashes::CrashDesk;
 use super::gate::AdmissionGate;
 use crate::metrics::{AdmissionMetrics, MetricsHub, ProcessMetrics, RequestMetrics};
 use crate::trace::TraceHub;
@@ -52,6 +53,8 @@
     replicas: Mutex<ReplicaTable>,
     pub(super) gate: Arc<AdmissionGate>,
     pub(super) load_metrics: AdmissionMetrics,
+    /// Requests that crash endpoints.
+    pub(super) crashes: CrashDesk,
     budgets: Mutex<SortedTable<ServiceName, RetryBudget>>,
     /// Whether the balancer is told to send nothing more.
     stop_announced: AtomicBool,
@@ -88,6 +91,7 @@
             replicas: Mutex::new(ReplicaTable::new(&settings.zone)),
             gate,
             load_metrics,
+            crashes: CrashDesk::new(&settings.cluster.token),
             budgets: Mutex::new(SortedTable::new()),
             stop_announced: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -52,6 +52,7 @@
     holder: &mut RulesHolder,
 ) -> Result<(), LinkError> {
     let (writer, reader) = stream;
+    shared.crashes.begin_leader(holder.last_nonce().0);
     while !shared.is_finished() {
         let sent = shared.clock.now();
         let nonce = holder.ask(sent);
@@ -60,9 +61,10 @@
         if !holder.granted(reply.nonce, reply.terms) {
             continue;
         }
+        shared.crashes.answered(reply.nonce.0, reply.prints.clone());
         shared.gate.grant(&reply.shares, sent.after(reply.terms.confirmed()));
         adopt(shared, &reply, holder);
-        std::thread::sleep(RENEW_INTERVAL);
+        shared.crashes.wait(RENEW_INTERVAL);
     }
     let nonce = holder.ask(shared.clock.now());
     writer.send(&renewal(shared, nonce, true))
@@ -70,6 +72,7 @@
 
 fn renewal(shared: &EntryShared, nonce: LeaseNonce, leaving: bool) -> WatchRequest {
     let view = shared.view();
+    let (runs, prints) = shared.crashes.told(shared.clock.now());
     WatchRequest {
         node: shared.node.clone(),
         nonce,
@@ -78,6 +81,8 @@
         leaving,
         incarnation: shared.incarnation,
         demands: shared.gate.demands(),
+        prints,
+        runs,
     }
 }
 
--- a/crates/routing/src/attempt/buffer.rs
+++ b/crates/routing/src/attempt/buffer.rs
@@ -9,6 +9,7 @@
 
 use briartray_model::TimePoint;
 use briartray_model::message::{CallOutcome, RefusalReason};
+use briartray_model::names::IncarnationId;
 
 /// Status and content type of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -32,6 +33,8 @@
         outcome: CallOutcome,
         /// What went wrong.
         detail: String,
+        /// The start of the endpoint that crashed meanwhile, where it did.
+        crashed: Option<IncarnationId>,
     },
 }
 
--- a/crates/routing/src/attempt/tracker.rs
+++ b/crates/routing/src/attempt/tracker.rs
@@ -11,7 +11,7 @@
 use briartray_model::message::{
     AgentReply, CallOutcome, EntryRequest, LoadReport, RefusalReason, TombstoneState,
 };
-use briartray_model::names::AttemptId;
+use briartray_model::names::{AttemptId, IncarnationId};
 
 /// Time without any frame after which the path is taken for dead; agents send progress marks far
 /// more often, so a slow engine never trips it.
@@ -72,6 +72,8 @@
         outcome: CallOutcome,
         /// What went wrong.
         detail: String,
+        /// The start of the endpoint that crashed meanwhile, where it did.
+        crashed: Option<IncarnationId>,
     },
     /// The deadline passed.
     Late,
@@ -153,7 +155,9 @@
                 TrackerAction::Refused(reason, Some(load))
             }
             AgentReply::Refused { .. } => self.lost("the agent refused what it had begun"),
-            AgentReply::Failed { outcome, detail, .. } => self.lost_as(outcome, &detail),
+            AgentReply::Failed { outcome, detail, crashed, .. } => {
+                self.lost_as(outcome, &detail, crashed)
+            }
             AgentReply::NotHeld { .. } if self.shown => {
                 self.lost("the agent no longer holds the rest of the answer")
             }
@@ -250,15 +254,20 @@
     }
 
     fn lost(&self, detail: &str) -> TrackerAction {
-        self.lost_as(CallOutcome::Unknown, detail)
+        self.lost_as(CallOutcome::Unknown, detail, None)
     }
 
-    fn lost_as(&self, outcome: CallOutcome, detail: &str) -> TrackerAction {
+    fn lost_as(
+        &self,
+        outcome: CallOutcome,
+        detail: &str,
+        crashed: Option<IncarnationId>,
+    ) -> TrackerAction {
         // Only a refusal proves that nothing ran; whatever else an agent says is not taken for it.
         let outcome = match outcome {
             CallOutcome::Ran => CallOutcome::Ran,
             CallOutcome::NotRun | CallOutcome::Unknown => CallOutcome::Unknown,
         };
-        TrackerAction::Lost { outcome, detail: detail.to_owned() }
+        TrackerAction::Lost { outcome, detail: detail.to_owned(), crashed }
     }
 }
--- a/crates/routing/src/retry/policy.rs
+++ b/crates/routing/src/retry/policy.rs
@@ -49,6 +49,8 @@
     Budget,
     /// No time is left.
     Deadline,
+    /// It was at several crashes: another replica would most likely crash as well.
+    Suspect,
 }
 
 /// Whether there is a further attempt.
