Let operators use the same calls for the quarantine on both interfaces

Operators had to know two forms of one list and two ways to lift.

Change: control hosts of registered endpoints take POST /v1/quarantine/lift and answer the list as the product's own do; a body that does not read is refused with what is wrong. Measured: the whole-path test lists and lifts through a control host that does not lead. Not run: the briartray command against a control host of registered endpoints.

--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -108,16 +108,20 @@
 
 impl ControlApi {
     async fn handle(self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let quarantine = QuarantineCall::read(&request);
         let call = ControlCall::read(&request);
         let path = request.uri().path().to_owned();
-        let Ok(body) = Limited::new(request.into_body(), MAX_BODY).collect().await else {
+        let (head, body) = request.into_parts();
+        let Ok(body) = Limited::new(body, MAX_BODY).collect().await else {
             return problem(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or incomplete");
         };
         let body = body.to_bytes();
-        if let Some(call) = quarantine {
-            let reply = self.ask(|reply| call.input(reply)).await;
-            return self.answer(&path, reply);
+        match QuarantineCall::read(&head, &body) {
+            Some(Ok(call)) => {
+                let reply = self.ask(|reply| call.input(reply)).await;
+                return self.answer(&path, reply);
+            }
+            Some(Err(detail)) => return problem(StatusCode::BAD_REQUEST, &detail),
+            None => {}
         }
         match call {
             ControlCall::PutPlan => self.put(&path, body).await,
--- a/crates/gateway/src/control/quarantine_call.rs
+++ b/crates/gateway/src/control/quarantine_call.rs
@@ -4,13 +4,24 @@
 use briartray_model::names::{IncarnationId, RequestPrint, TeamName};
 use briartray_quarantine::QuarantineRecord;
 use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Method, Request, Response};
+use http::request::Parts;
+use http::{HeaderValue, Method, Response};
+use serde::Deserialize;
 use serde_json::{Value, json};
 
 use super::input::{CoreInput, ReplySender};
 
-/// Where the requests in quarantine are listed; one of them has its print behind it.
-const QUARANTINE_PATH: &str = "/v1/quarantine";
+/// Where the requests in quarantine are listed.
+const LIST_PATH: &str = "/v1/quarantine";
+
+/// Where a request is let out.
+const LIFT_PATH: &str = "/v1/quarantine/lift";
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LiftCall {
+    print: String,
+}
 
 /// A call of an operator about the quarantine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,12 +33,14 @@
 }
 
 impl QuarantineCall {
-    /// Reads the head of a call; `None` when it is about something else.
-    pub(super) fn read<B>(request: &Request<B>) -> Option<Self> {
-        let rest = request.uri().path().strip_prefix(QUARANTINE_PATH)?;
-        match (request.method(), rest.strip_prefix('/')) {
-            (&Method::GET, None) if rest.is_empty() => Some(Self::List),
-            (&Method::DELETE, Some(print)) => RequestPrint::parse(print).map(Self::Lift),
+    /// Reads a call; `None` when it is about something else.
+    ///
+    /// # Errors
+    /// What is wrong with the body.
+    pub(super) fn read(head: &Parts, body: &[u8]) -> Option<Result<Self, String>> {
+        match (&head.method, head.uri.path()) {
+            (&Method::GET, LIST_PATH) => Some(Ok(Self::List)),
+            (&Method::POST, LIFT_PATH) => Some(read_lift(body)),
             _ => None,
         }
     }
@@ -41,6 +54,12 @@
     }
 }
 
+fn read_lift(body: &[u8]) -> Result<QuarantineCall, String> {
+    let call: LiftCall = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    let print = RequestPrint::parse(&call.print).map(QuarantineCall::Lift);
+    print.ok_or_else(|| "send a print as the list of the quarantine shows it".to_owned())
+}
+
 /// The answer that lists `records`.
 pub(super) fn quarantine_answer(records: &[QuarantineRecord]) -> Response<AnswerBody> {
     let record = |record: &QuarantineRecord| {
@@ -52,8 +71,7 @@
         })
     };
     let records: Vec<Value> = records.iter().map(record).collect();
-    let mut answer =
-        Response::new(AnswerBody::whole(json!({ "quarantined": records }).to_string()));
+    let mut answer = Response::new(AnswerBody::whole(json!(records).to_string()));
     let json = HeaderValue::from_static("application/json");
     answer.headers_mut().insert(CONTENT_TYPE, json);
     answer
