Name what entries keep of runs and what leaders grant by words of their own

Two types were called RunLog, and two LimitGrant; a newcomer had to look which was meant.

Change: EvidenceLog for what an entry keeps of runs, EndpointGrant for a share of an endpoint's limit, HostShared in the stand-in; notices are built from an empty one. Measured: tests of the packages and of the whole path pass; no behaviour changes.

--- a/crates/fleet/src/limit/entry_limits.rs
+++ b/crates/fleet/src/limit/entry_limits.rs
@@ -6,7 +6,7 @@
 use briartray_model::{SortedTable, TimePoint};
 
 use super::{
-    EndpointRate, LimitGrant, LimitReport, LimitWord, NamedLimit, SAVED_REQUESTS, SHARE_LEASE,
+    EndpointGrant, EndpointRate, LimitReport, LimitWord, NamedLimit, SAVED_REQUESTS, SHARE_LEASE,
     SPARE_FROM, TOLD_FOR,
 };
 
@@ -131,7 +131,7 @@
 
     /// Takes the answer to the report with `nonce`. Only the newest report counts: the leader reckons that no
     /// earlier answer is used any more.
-    pub fn grant(&mut self, now: TimePoint, nonce: u64, grants: &[LimitGrant]) {
+    pub fn grant(&mut self, now: TimePoint, nonce: u64, grants: &[EndpointGrant]) {
         let Some(asked) = self.asked.filter(|asked| asked.nonce == nonce) else { return };
         // Endpoints that the leader does not name have no limit, unless one was named here a moment ago.
         let granted = |id: &IncarnationId| grants.iter().any(|grant| grant.endpoint == *id);
--- a/crates/fleet/src/limit/limit_board.rs
+++ b/crates/fleet/src/limit/limit_board.rs
@@ -7,7 +7,7 @@
 use briartray_model::{SortedTable, TimePoint};
 use briartray_routing::admission::{HolderId, LimitBook, ShareAsk};
 
-use super::{EndpointRate, LEASE_MARGIN, LimitGrant, LimitReport, NamedLimit, SHARE_LEASE};
+use super::{EndpointGrant, EndpointRate, LEASE_MARGIN, LimitReport, NamedLimit, SHARE_LEASE};
 
 /// Endpoints with a limit that are told of in one notice, and kept.
 const MAX_LIMITED: usize = 256;
@@ -59,7 +59,7 @@
         entry: &NodeName,
         nonce: u64,
         reports: &[LimitReport],
-    ) -> Vec<LimitGrant> {
+    ) -> Vec<EndpointGrant> {
         self.endpoints.retain(|_, known| now.since(known.heard) < FORGET_AFTER);
         let holder = holder_of(entry);
         for report in reports {
@@ -70,7 +70,7 @@
             let limit = known.limit?;
             let report = report_of(endpoint);
             let share = report.map_or(0, |report| known.share(now, holder, nonce, report));
-            Some(LimitGrant { endpoint: endpoint.clone(), limit, share: EndpointRate(share) })
+            Some(EndpointGrant { endpoint: endpoint.clone(), limit, share: EndpointRate(share) })
         };
         self.endpoints.iter_mut().filter_map(grant).collect()
     }
--- a/crates/fleet/src/limit/mod.rs
+++ b/crates/fleet/src/limit/mod.rs
@@ -14,7 +14,7 @@
 
 pub use entry_limits::{EntryLimits, SendRoom};
 pub use limit_board::LimitBoard;
-pub use terms::{EndpointRate, LimitGrant, LimitReport, LimitWord, NamedLimit};
+pub use terms::{EndpointGrant, EndpointRate, LimitReport, LimitWord, NamedLimit};
 
 /// Time from its report for which an entry may use a share. Longer than an election, so that a change of leader
 /// stops nobody.
--- a/crates/fleet/src/limit/terms.rs
+++ b/crates/fleet/src/limit/terms.rs
@@ -54,7 +54,7 @@
     }
 
     /// What the leader tells an entry of one endpoint that names a limit.
-    pub struct LimitGrant {
+    pub struct EndpointGrant {
         /// The endpoint.
         pub endpoint: IncarnationId,
         /// What it takes from all entries together.
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -12,7 +12,7 @@
 pub use self::view::{EndpointView, FleetView, GroupView, ViewUpdate};
 pub use self::view_history::ViewHistory;
 
-use crate::limit::{LimitGrant, LimitReport};
+use crate::limit::{EndpointGrant, LimitReport};
 use crate::state::StoredPlan;
 
 plain_value! {
@@ -90,6 +90,7 @@
     }
 
     /// A control host's answer to a report, or news that it sends unasked.
+    #[derive(Default)]
     pub struct EntryNotice {
         /// Nonce of the report that a majority has confirmed the leader after; `None` in news.
         pub nonce: Option<u64>,
@@ -100,7 +101,7 @@
         /// The quarantine, when the entry holds another view of it.
         pub prints: Option<PrintView>,
         /// Endpoints that name a limit, with this entry's shares; in answers to reports only.
-        pub limits: Vec<LimitGrant>,
+        pub limits: Vec<EndpointGrant>,
         /// What the other entries have on the groups, by their last reports; in answers to reports only.
         pub loads: Vec<GroupLoad>,
         /// Endpoints that take no new work, whatever the view says.
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -2,7 +2,8 @@
 
 use assert_matches::assert_matches;
 use briartray_fleet::limit::{
-    EndpointRate, EntryLimits, LimitBoard, LimitGrant, LimitReport, LimitWord, NamedLimit, SendRoom,
+    EndpointGrant, EndpointRate, EntryLimits, LimitBoard, LimitReport, LimitWord, NamedLimit,
+    SendRoom,
 };
 use briartray_model::TimePoint;
 use briartray_model::names::{IncarnationId, NodeName};
@@ -51,7 +52,7 @@
     demand: f64,
     nonce: u64,
     report_at: u64,
-    answer: Option<(u64, u64, Vec<LimitGrant>)>,
+    answer: Option<(u64, u64, Vec<EndpointGrant>)>,
     /// Whether it reaches the leader.
     cut: bool,
     /// When it passed on an answer that named the limit.
@@ -344,7 +345,7 @@
 /// Guards against an answer to an earlier report: the leader reckons that its share is not used.
 #[test]
 fn only_the_answer_to_the_newest_report_brings_a_share() {
-    let grant = LimitGrant { endpoint: endpoint(), limit: rate(100.0), share: rate(100.0) };
+    let grant = EndpointGrant { endpoint: endpoint(), limit: rate(100.0), share: rate(100.0) };
     let mut limits = EntryLimits::default();
     limits.hear(at(0), &endpoint(), named(100.0));
     limits.report(at(0), 1);
--- a/crates/fleet/tests/views.rs
+++ b/crates/fleet/tests/views.rs
@@ -140,18 +140,7 @@
 
 /// A notice of a control host that does not lead and knows no leader, or of one that `leads`.
 fn notice(leads: bool, nonce: Option<u64>) -> EntryNotice {
-    EntryNotice {
-        nonce,
-        plan: None,
-        view: None,
-        prints: None,
-        limits: Vec::new(),
-        loads: Vec::new(),
-        leaving: Vec::new(),
-        control: Vec::new(),
-        leader: None,
-        leads,
-    }
+    EntryNotice { nonce, leads, ..EntryNotice::default() }
 }
 
 fn at(millis: u64) -> TimePoint {
--- a/crates/gateway/src/control/inform.rs
+++ b/crates/gateway/src/control/inform.rs
@@ -106,16 +106,10 @@
         let leaving = self.state.leaving();
         let told = leaving.len().saturating_sub(LEAVING_TOLD);
         EntryNotice {
-            nonce: None,
-            plan: None,
-            view: None,
-            prints: None,
-            limits: Vec::new(),
-            loads: Vec::new(),
             leaving: leaving[told..].to_vec(),
             control: self.hosts.names(),
-            leader: None,
             leads: self.is_established(),
+            ..EntryNotice::default()
         }
     }
 
@@ -180,16 +174,9 @@
     /// Tells an entry who leads.
     pub(super) fn name_leader(&self, writer: &LinkWriter) {
         let notice = EntryNotice {
-            nonce: None,
-            plan: None,
-            view: None,
-            prints: None,
-            limits: Vec::new(),
-            loads: Vec::new(),
-            leaving: Vec::new(),
             control: self.hosts.names(),
             leader: self.leader(),
-            leads: false,
+            ..EntryNotice::default()
         };
         let _ = writer.try_send(&notice);
     }
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -17,7 +17,7 @@
 use briartray_model::{SortedTable, TimePoint};
 use briartray_node::ClockReader;
 use briartray_platform::CallerHead;
-use briartray_quarantine::{PrintGuard, PrintKey, PrintParts, PrintStanding, RunLog};
+use briartray_quarantine::{EvidenceLog, PrintGuard, PrintKey, PrintParts, PrintStanding};
 use crossbeam::channel::Sender;
 use tokio::sync::Notify;
 
@@ -39,7 +39,7 @@
     print_key: PrintKey,
     prints: RefCell<PrintGuard>,
     /// Runs that tell something about their requests.
-    pub(super) runs: RefCell<RunLog>,
+    pub(super) runs: RefCell<EvidenceLog>,
     /// Requests whose connections broke, by endpoint, while it is found out whether that crashed.
     pub(super) broken: RefCell<SortedTable<IncarnationId, Vec<BrokenRun>>>,
     /// Told at every look while something of this entry waits on a target that does not answer.
--- a/crates/node/src/entry/crashes.rs
+++ b/crates/node/src/entry/crashes.rs
@@ -6,7 +6,7 @@
 use briartray_model::TimePoint;
 use briartray_model::message::{PrintView, RunEnd, RunEvent, ViewVersion};
 use briartray_model::names::{IncarnationId, RequestPrint, RuleName, TeamName};
-use briartray_quarantine::{PrintGuard, PrintKey, PrintParts, PrintStanding, RunLog};
+use briartray_quarantine::{EvidenceLog, PrintGuard, PrintKey, PrintParts, PrintStanding};
 use crossbeam::channel::{Receiver, Sender, bounded};
 
 use super::call::CallPlan;
@@ -23,7 +23,7 @@
 #[derive(Debug, Default)]
 struct DeskState {
     guard: PrintGuard,
-    runs: RunLog,
+    runs: EvidenceLog,
 }
 
 impl CrashDesk {
--- a/crates/quarantine/src/run_log.rs
+++ b/crates/quarantine/src/evidence_log.rs
@@ -24,13 +24,13 @@
 
 /// Runs of the last minutes that say something about their requests, the oldest first.
 #[derive(Debug, Clone, Default)]
-pub struct RunLog {
+pub struct EvidenceLog {
     runs: Vec<KeptRun>,
     /// Nonce of the first report to the present leader; `None` once that leader has all of them.
     since_nonce: Option<u64>,
 }
 
-impl RunLog {
+impl EvidenceLog {
     /// Keeps a run that ended at `now`.
     pub fn note(&mut self, now: TimePoint, print: RequestPrint, end: RunEnd) {
         self.runs.retain(|run| now.since(run.ended) < EVIDENCE_LASTS);
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -11,18 +11,18 @@
 //! nobody.
 
 mod crash_book;
+mod evidence_log;
 mod print_guard;
 mod print_key;
 mod quarantine_desk;
 mod quarantine_list;
-mod run_log;
 
 pub use crash_book::CrashBook;
+pub use evidence_log::EvidenceLog;
 pub use print_guard::{PrintGuard, PrintStanding};
 pub use print_key::{PrintKey, PrintParts};
 pub use quarantine_desk::QuarantineDesk;
 pub use quarantine_list::{QuarantineList, QuarantineRecord};
-pub use run_log::RunLog;
 
 /// Crashes in a row after which a request is quarantined.
 pub const FATAL_CRASHES: usize = 4;
--- a/crates/quarantine/tests/decisions.rs
+++ b/crates/quarantine/tests/decisions.rs
@@ -6,8 +6,8 @@
 use briartray_model::names::{IncarnationId, RequestPrint, TeamName, TermNumber};
 use briartray_model::{TimePoint, codec};
 use briartray_quarantine::{
-    CrashBook, FATAL_CRASHES, PrintGuard, PrintKey, PrintParts, PrintStanding, QuarantineDesk,
-    QuarantineList, QuarantineRecord, RunLog,
+    CrashBook, EvidenceLog, FATAL_CRASHES, PrintGuard, PrintKey, PrintParts, PrintStanding,
+    QuarantineDesk, QuarantineList, QuarantineRecord,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -128,7 +128,7 @@
 /// Guards against a leader that starts anew and takes all that is told of the past for one moment.
 #[test]
 fn a_new_leader_counts_what_happened_before_its_start() {
-    let mut log = RunLog::default();
+    let mut log = EvidenceLog::default();
     for number in 0..FATAL_CRASHES {
         let millis = 500 * u64::try_from(number).expect("a few crashes");
         log.note(at(millis), FATAL, crashed(&format!("i-{number}")));
@@ -157,7 +157,7 @@
 /// Guards against a lifted quarantine that comes back with the next leader.
 #[test]
 fn runs_of_a_request_that_was_let_out_are_forgotten() {
-    let mut log = RunLog::default();
+    let mut log = EvidenceLog::default();
     log.note(at(0), FATAL, crashed("i-0"));
     log.note(at(0), RequestPrint(8), crashed("i-0"));
     let mut guard = PrintGuard::default();
@@ -179,7 +179,7 @@
 #[test]
 fn many_requests_at_crashes_take_bounded_memory_and_do_not_hide_a_fatal_one() {
     let mut book = nearly_fatal(FATAL);
-    let mut log = RunLog::default();
+    let mut log = EvidenceLog::default();
 
     for number in 0..20_000_u128 {
         let print = RequestPrint(100 + number);
--- a/crates/standin/src/group_host/server.rs
+++ b/crates/standin/src/group_host/server.rs
@@ -69,12 +69,12 @@
 pub struct HostServer {
     address: SocketAddr,
     stop: Option<tokio::sync::oneshot::Sender<()>>,
-    record: HostRecord,
+    record: HostShared,
 }
 
 /// What a stand-in endpoint shares with the test that started it.
 #[derive(Debug, Clone, Default)]
-struct HostRecord {
+struct HostShared {
     /// Ids of the requests that it ran.
     runs: Arc<Mutex<Vec<String>>>,
     /// The limit that its answers name.
@@ -83,7 +83,7 @@
     fails: Arc<AtomicBool>,
 }
 
-impl HostRecord {
+impl HostShared {
     fn note_run(&self, id: &str) {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).push(id.to_owned());
     }
@@ -106,7 +106,7 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let (stop, stopped) = tokio::sync::oneshot::channel();
-        let record = HostRecord::default();
+        let record = HostShared::default();
         let shared = record.clone();
         std::thread::Builder::new()
             .name("stand-in-host".to_owned())
@@ -153,7 +153,7 @@
 fn live(
     mut listener: std::net::TcpListener,
     settings: &HostSettings,
-    record: &HostRecord,
+    record: &HostShared,
     mut stopped: tokio::sync::oneshot::Receiver<()>,
 ) {
     let Ok(address) = listener.local_addr() else { return };
@@ -175,7 +175,7 @@
 fn serve_life(
     listener: std::net::TcpListener,
     settings: HostSettings,
-    record: HostRecord,
+    record: HostShared,
     stopped: &mut tokio::sync::oneshot::Receiver<()>,
 ) -> std::io::Result<LifeEnd> {
     listener.set_nonblocking(true)?;
@@ -197,7 +197,7 @@
     model: RefCell<HostModel>,
     settings: HostSettings,
     started: Instant,
-    record: HostRecord,
+    record: HostShared,
     crash: Rc<Notify>,
 }
 
@@ -211,7 +211,7 @@
     listener: std::net::TcpListener,
     address: SocketAddr,
     settings: HostSettings,
-    record: HostRecord,
+    record: HostShared,
     crash: Rc<Notify>,
 ) {
     let Ok(listener) = TcpListener::from_std(listener) else { return };
