Bound what an entry is told of limits, and show the quarantine in one form

Notices grew with all endpoints that name a limit: 256 of them are some 10 KB four times a second for each entry, which is the whole of what a node may spend on control.

Change: an entry is told of those that it reports and of 64 more; the record of a request in quarantine is shown by one type on both interfaces. Measured: the test of many endpoints asks for 64 at the most; whole path and crashing requests pass. Ruled out: telling changes only; a limit is told again in any case with its share.

--- a/crates/fleet/src/limit/limit_board.rs
+++ b/crates/fleet/src/limit/limit_board.rs
@@ -9,9 +9,12 @@
 
 use super::{EndpointGrant, EndpointRate, LEASE_MARGIN, LimitReport, NamedLimit, SHARE_LEASE};
 
-/// Endpoints with a limit that are told of in one notice, and kept.
+/// Endpoints with a limit that are kept.
 const MAX_LIMITED: usize = 256;
 
+/// Endpoints with a limit that an entry is told of beyond those that it reports: about 2 KB in a notice.
+const MAX_TOLD: usize = 64;
+
 /// Time without a word of any entry after which an endpoint is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -52,7 +55,7 @@
         Self { since: now, endpoints: SortedTable::new() }
     }
 
-    /// Takes what an entry reports and answers with all limits, and its shares.
+    /// Takes what an entry reports and answers with its shares, and with limits that it does not know of.
     pub fn renew(
         &mut self,
         now: TimePoint,
@@ -65,14 +68,22 @@
         for report in reports {
             self.take(now, report);
         }
-        let report_of = |id: &IncarnationId| reports.iter().find(|report| report.endpoint == *id);
-        let grant = |(endpoint, known): (&IncarnationId, &mut BoardEndpoint)| {
-            let limit = known.limit?;
-            let report = report_of(endpoint);
-            let share = report.map_or(0, |report| known.share(now, holder, nonce, report));
-            Some(EndpointGrant { endpoint: endpoint.clone(), limit, share: EndpointRate(share) })
-        };
-        self.endpoints.iter_mut().filter_map(grant).collect()
+        let mut grants = Vec::new();
+        let mut untold = MAX_TOLD;
+        for (endpoint, known) in self.endpoints.iter_mut() {
+            let Some(limit) = known.limit else { continue };
+            let share = match reports.iter().find(|report| report.endpoint == *endpoint) {
+                Some(report) => known.share(now, holder, nonce, report),
+                None if untold == 0 => continue,
+                None => {
+                    untold -= 1;
+                    0
+                }
+            };
+            let share = EndpointRate(share);
+            grants.push(EndpointGrant { endpoint: endpoint.clone(), limit, share });
+        }
+        grants
     }
 
     /// Endpoints that name a limit.
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -376,7 +376,8 @@
     let grants = board.renew(at(100), &NodeName::new("entry"), 1, &reports);
     limits.grant(at(120), 1, &grants);
 
-    assert!(reports.len() <= 64 && grants.len() <= 256);
+    let others = board.renew(at(110), &NodeName::new("other"), 1, &[]);
+    assert!(reports.len() <= 64 && grants.len() <= 64 && others.len() <= 64);
     let open = |id: &&IncarnationId| limits.room(at(130), id) == SendRoom::Unlimited;
     assert_eq!(ids.iter().filter(open).count(), 0);
 }
--- a/crates/gateway/src/control/quarantine_call.rs
+++ b/crates/gateway/src/control/quarantine_call.rs
@@ -1,13 +1,13 @@
 //! How operators see the quarantine and let requests out of it.
 
 use briartray_http::AnswerBody;
-use briartray_model::names::{IncarnationId, RequestPrint, TeamName};
+use briartray_model::names::RequestPrint;
 use briartray_quarantine::QuarantineRecord;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
 use http::{HeaderValue, Method, Response};
 use serde::Deserialize;
-use serde_json::{Value, json};
+use serde_json::json;
 
 use super::input::{CoreInput, ReplySender};
 
@@ -62,15 +62,7 @@
 
 /// The answer that lists `records`.
 pub(super) fn quarantine_answer(records: &[QuarantineRecord]) -> Response<AnswerBody> {
-    let record = |record: &QuarantineRecord| {
-        json!({
-            "print": record.print.to_string(),
-            "rule": record.rule,
-            "team": record.team.as_ref().map(TeamName::as_str),
-            "crashed": record.endpoints.iter().map(IncarnationId::to_string).collect::<Vec<_>>(),
-        })
-    };
-    let records: Vec<Value> = records.iter().map(record).collect();
+    let records: Vec<_> = records.iter().map(QuarantineRecord::shown).collect();
     let mut answer = Response::new(AnswerBody::whole(json!(records).to_string()));
     let json = HeaderValue::from_static("application/json");
     answer.headers_mut().insert(CONTENT_TYPE, json);
--- a/crates/node/src/control/quarantine.rs
+++ b/crates/node/src/control/quarantine.rs
@@ -3,7 +3,6 @@
 use briartray_control::state::ControlCommand;
 use briartray_model::TimePoint;
 use briartray_model::message::{PrintView, WatchRequest};
-use briartray_model::names::{IncarnationId, TeamName};
 use briartray_quarantine::QuarantineRecord;
 use serde_json::{Value, json};
 
@@ -40,15 +39,7 @@
 
     /// The requests in quarantine, the oldest first.
     pub(super) fn show_quarantine(&self) -> Value {
-        let show = |record: &QuarantineRecord| {
-            json!({
-                "print": record.print.to_string(),
-                "rule": record.rule,
-                "team": record.team.as_ref().map(TeamName::as_str),
-                "crashed":
-                    record.endpoints.iter().map(IncarnationId::to_string).collect::<Vec<_>>(),
-            })
-        };
-        json!(self.state.quarantine.records().iter().map(show).collect::<Vec<_>>())
+        let records = self.state.quarantine.records();
+        json!(records.iter().map(QuarantineRecord::shown).collect::<Vec<_>>())
     }
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -22,7 +22,7 @@
 pub use print_guard::{PrintGuard, PrintStanding};
 pub use print_key::{PrintKey, PrintParts};
 pub use quarantine_desk::QuarantineDesk;
-pub use quarantine_list::{QuarantineList, QuarantineRecord};
+pub use quarantine_list::{QuarantineList, QuarantineRecord, ShownRecord};
 
 /// Crashes in a row after which a request is quarantined.
 pub const FATAL_CRASHES: usize = 4;
--- a/crates/quarantine/src/quarantine_list.rs
+++ b/crates/quarantine/src/quarantine_list.rs
@@ -19,6 +19,18 @@
         pub endpoints: Vec<IncarnationId>,
     }
 
+    /// A request in quarantine as operators see it.
+    pub struct ShownRecord {
+        /// The request.
+        pub print: String,
+        /// Rule that it came under.
+        pub rule: String,
+        /// Team of its caller, where it is known.
+        pub team: Option<TeamName>,
+        /// Endpoints that crashed under it.
+        pub crashed: Vec<String>,
+    }
+
     /// Requests in quarantine, the oldest first.
     #[derive(Default)]
     pub struct QuarantineList {
@@ -26,6 +38,18 @@
     }
 }
 
+impl QuarantineRecord {
+    /// The record as operators see it.
+    pub fn shown(&self) -> ShownRecord {
+        ShownRecord {
+            print: self.print.to_string(),
+            rule: self.rule.clone(),
+            team: self.team.clone(),
+            crashed: self.endpoints.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
 impl QuarantineList {
     /// The requests, the oldest first.
     pub fn records(&self) -> &[QuarantineRecord] {
