Count no crash from before a lift

A request that an operator lets out went back into quarantine when an entry that had not heard of the lift told of the old crashes again.

Cause: the leader forgot the request with its crashes, and reports repeat them for 1.5 s. Change: a lift counts as a whole run at that moment; older crashes are not counted. Measured: crashes_from_before_a_lift_do_not_count fails with the old way and passes. Ruled out: a wait before the lift; a report may be on its way for longer.

--- a/crates/gateway/src/control/replication.rs
+++ b/crates/gateway/src/control/replication.rs
@@ -93,12 +93,13 @@
         if outcome == FleetOutcome::PlanInForce {
             self.adopt_plan();
         }
+        let now = self.now();
         if let Some(leadership) = &mut self.leadership {
             leadership.dirty = true;
             leadership.step_due = true;
             match &command {
-                FleetCommand::Quarantine(record) => leadership.quarantine.changed(record.print),
-                FleetCommand::LiftQuarantine(print) => leadership.quarantine.changed(*print),
+                FleetCommand::Quarantine(record) => leadership.quarantine.added(record.print),
+                FleetCommand::LiftQuarantine(print) => leadership.quarantine.lifted(now, *print),
                 _ => {}
             }
         }
--- a/crates/node/src/control/core.rs
+++ b/crates/node/src/control/core.rs
@@ -204,8 +204,9 @@
     pub(super) fn follow_up(&mut self, outcome: &CommandOutcome) {
         match outcome {
             CommandOutcome::RulesAccepted { .. } => self.adopt_rules(),
-            CommandOutcome::Quarantined { print } | CommandOutcome::QuarantineLifted { print } => {
-                self.quarantine.changed(*print);
+            CommandOutcome::Quarantined { print } => self.quarantine.added(*print),
+            CommandOutcome::QuarantineLifted { print } => {
+                self.quarantine.lifted(self.parts.clock.now(), *print);
             }
             CommandOutcome::GroupFormed { .. } | CommandOutcome::GroupDissolved { .. } => {
                 self.version.bump();
--- a/crates/quarantine/src/crash_book.rs
+++ b/crates/quarantine/src/crash_book.rs
@@ -101,7 +101,15 @@
         }
     }
 
-    /// Forgets a request: it is in quarantine, or was let out.
+    /// Counts no crash of `print` from before `now`, also where entries still tell of it.
+    pub fn clear(&mut self, now: TimePoint, print: RequestPrint) {
+        self.ran_whole(print, age_point(now, Duration::ZERO));
+        if let Some(record) = self.records.get_mut(&print) {
+            record.proposed = false;
+        }
+    }
+
+    /// Forgets a request: it is in quarantine.
     pub fn forget(&mut self, print: RequestPrint) {
         self.records.remove(&print);
     }
--- a/crates/quarantine/src/quarantine_desk.rs
+++ b/crates/quarantine/src/quarantine_desk.rs
@@ -52,12 +52,18 @@
         self.crashes.lost(print);
     }
 
-    /// The list has changed by `print`.
-    pub fn changed(&mut self, print: RequestPrint) {
+    /// `print` is in quarantine now.
+    pub fn added(&mut self, print: RequestPrint) {
         self.crashes.forget(print);
         self.due = true;
     }
 
+    /// `print` was let out.
+    pub fn lifted(&mut self, now: TimePoint, print: RequestPrint) {
+        self.crashes.clear(now, print);
+        self.due = true;
+    }
+
     /// Forgets crashes that count no more; names requests that have been in quarantine for long.
     pub fn keep(&mut self, now: TimePoint, list: &QuarantineList) -> Vec<RequestPrint> {
         self.due |= self.crashes.prune(now);
--- a/crates/quarantine/tests/decisions.rs
+++ b/crates/quarantine/tests/decisions.rs
@@ -240,6 +240,29 @@
     assert!(desk.keep(at(3_600_100), &list).is_empty(), "once");
 }
 
+/// Guards against a lift that is undone by an entry which has not heard of it yet and tells of the old crashes.
+#[test]
+fn crashes_from_before_a_lift_do_not_count() {
+    let mut list = QuarantineList::default();
+    let mut desk = QuarantineDesk::default();
+    let old = |desk: &mut QuarantineDesk, list: &QuarantineList, now: u64| {
+        for number in 0..4_u64 {
+            let late = event(FATAL, crashed(&format!("i-{number}")));
+            let age_ms = now - number * 500;
+            desk.take(at(now), &RunEvent { age_ms, ..late }, list);
+        }
+        desk.take_fatal().len()
+    };
+    assert_eq!(old(&mut desk, &list, 2_000), 1);
+    list.add(&record(7));
+    desk.added(FATAL);
+
+    list.lift(FATAL);
+    desk.lifted(at(2_500), FATAL);
+
+    assert_eq!(old(&mut desk, &list, 2_600), 0);
+}
+
 /// Guards against an entry that takes the view of an earlier leader for the newest one.
 #[test]
 fn a_leader_tells_a_view_of_its_own_term() {
@@ -248,7 +271,7 @@
 
     let empty = desk.refresh(TermNumber(3), &list).clone();
     list.add(&record(7));
-    desk.changed(FATAL);
+    desk.added(FATAL);
     let held = desk.refresh(TermNumber(3), &list).clone();
 
     assert_eq!(empty.version, ViewVersion { term: TermNumber(3), number: 1 });
