Tell entries of a leader's survey in changes

Cause: until a new leader has heard of its endpoints each view that it makes was told whole to every entry, and an entry that holds the view of an earlier leader refuses all of them. That is entries times groups times views: 12 whole views of 30 KB to 248 entries at 304 groups, on a link of 300 Mbit/s, while heartbeats and leases wait behind them.

Change: partial views are told as changes like all others (an update names the view that it changes, and a reader that holds another one asks for the whole). Reports tell whether the entry's view is settled; one that is settled is told nothing before the leader is.

nothing_is_told_as_a_change_of_a_partial_view is replaced: it guarded an entry that knows more than the new leader by sending it whole views that it refused. a_holder_of_a_settled_view_is_told_no_partial_one guards the same entry, and demands that the first settled view is whole for it.

Test failed before: a_new_leader_tells_each_entry_one_whole_view counted 11.7 MB where 0.97 MB are one whole view each (129 entries, 152 groups); 2.5 times that are allowed, and it holds at twice the size as well.

--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -128,7 +128,7 @@
     /// One of a leader that has not heard of all endpoints yet is better than none, as after a
     /// restart of everything, and worse than what the leader before it knew.
     pub fn adopt(&mut self, now: TimePoint, view: FleetView) {
-        if view.partial && !self.view.partial && !self.is_empty() {
+        if view.partial && self.is_settled() {
             return;
         }
         let new_leader = view.version.term != self.view.version.term;
@@ -169,6 +169,11 @@
         if self.misfits { ViewVersion::default() } else { self.view.version }
     }
 
+    /// Whether the view is of a leader that had heard of all endpoints.
+    pub fn is_settled(&self) -> bool {
+        !self.view.partial && !self.is_empty()
+    }
+
     /// Entries that share limits with this one.
     pub fn entries(&self) -> usize {
         self.view.entries
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -75,6 +75,8 @@
         pub plan: Option<u64>,
         /// View it holds.
         pub view: ViewVersion,
+        /// Whether that is a view of a leader which had heard of all endpoints.
+        pub settled: bool,
         /// What it saw of the groups.
         pub pulses: Vec<GroupPulse>,
         /// What callers asked for.
--- a/crates/fleet/src/message/view.rs
+++ b/crates/fleet/src/message/view.rs
@@ -140,12 +140,8 @@
         }
     }
 
-    /// What makes this view of `base`. A reader may refuse a partial view, so nothing is told as a
-    /// change of one.
+    /// What makes this view of `base`.
     pub fn since(&self, base: &Self) -> ViewUpdate {
-        if base.partial || self.partial {
-            return self.whole();
-        }
         let endpoint = |view: &EndpointView| view.id.clone();
         let (endpoints, gone_endpoints) = changes(&base.endpoints, &self.endpoints, endpoint);
         let (groups, gone_groups) = changes(&base.groups, &self.groups, |view| view.group);
--- a/crates/fleet/src/message/view_history.rs
+++ b/crates/fleet/src/message/view_history.rs
@@ -31,9 +31,11 @@
         held.filter(|held| self.views.iter().any(|view| view.version == *held))
     }
 
-    /// What a holder of `held` has to be told; `None` where that is the newest view, or there is none.
-    pub fn update_for(&self, held: Option<ViewVersion>) -> Option<ViewUpdate> {
-        let newest = self.newest().filter(|view| held != Some(view.version))?;
+    /// What a holder of `held` has to be told; `None` where that is the newest view, or there is none. One whose
+    /// view is `settled`, as of a leader that had heard of all endpoints, keeps it until this leader has.
+    pub fn update_for(&self, held: Option<ViewVersion>, settled: bool) -> Option<ViewUpdate> {
+        let wanted = |view: &&FleetView| held != Some(view.version) && !(settled && view.partial);
+        let newest = self.newest().filter(wanted)?;
         let base = self.views.iter().find(|view| held == Some(view.version));
         Some(base.map_or_else(|| newest.whole(), |base| newest.since(base)))
     }
--- a/crates/fleet/tests/director/fleet.rs
+++ b/crates/fleet/tests/director/fleet.rs
@@ -486,6 +486,7 @@
             nonce: 0,
             plan: Some(1),
             view: ViewVersion { term: TermNumber(self.term), number: 0 },
+            settled: true,
             pulses: self.moved.iter().map(pulse).collect(),
             demand: vec![ask(LARGE, self.demand.0), ask(SMALL, self.demand.1)],
             serving: true,
--- a/crates/fleet/tests/director/large.rs
+++ b/crates/fleet/tests/director/large.rs
@@ -95,6 +95,7 @@
         nonce: 0,
         plan: Some(1),
         view: ViewVersion { term: TermNumber(1), number: 0 },
+        settled: true,
         pulses: vec![pulse],
         demand: Vec::new(),
         serving: false,
@@ -314,8 +315,8 @@
     (engine.loads_per_second, engine.loads_at_once) = (160.0, 2_000);
     let mut fleet = TestFleet::of(seed, plan, 0, DOMAIN_HOSTS);
     // Names tell nothing of the domain: hosts of one group are asked one after the other, far apart.
-    for _ in 0..DOMAIN_HOSTS {
-        (0..81).for_each(|domain| drop(fleet.add_host(domain)));
+    for number in 0..DOMAIN_HOSTS * 81 {
+        fleet.add_host(number % 81);
     }
     fleet.run_for(Duration::from_secs(14));
     fleet.steps_every = 10;
--- a/crates/fleet/tests/views.rs
+++ b/crates/fleet/tests/views.rs
@@ -73,7 +73,7 @@
     next.groups[7].open = false;
     history.push(next);
 
-    let update = history.update_for(Some(version(1))).expect("there is something to tell");
+    let update = history.update_for(Some(version(1)), false).expect("there is something to tell");
 
     let (one, all) = (encoded(&update), encoded(&history.newest().expect("pushed").whole()));
     assert!(one * 100 < all, "{one} of {all} bytes");
@@ -100,7 +100,7 @@
         let newest = history.newest().expect("pushed").clone();
 
         for old in held {
-            let update = history.update_for(Some(old.version));
+            let update = history.update_for(Some(old.version), false);
             let reached = update.map_or(Some(old.clone()), |update| old.updated(update));
             assert_eq!(reached.as_ref(), Some(&newest), "seed {seed}, from {:?}", old.version);
         }
@@ -121,28 +121,67 @@
 
     table.update(
         TimePoint(0),
-        history.update_for(Some(version(2))).expect("there is something to tell"),
+        history.update_for(Some(version(2)), false).expect("there is something to tell"),
     );
     let asks = table.version();
-    table.update(TimePoint(0), history.update_for(None).expect("there is something to tell"));
+    table
+        .update(TimePoint(0), history.update_for(None, false).expect("there is something to tell"));
 
     assert_eq!(asks, ViewVersion::default());
     assert_eq!(table.version(), version(3));
 }
 
-/// A new leader has heard of a part of the groups only. An entry that knows more refuses its first view,
-/// so no later one is told as a change of that.
+/// Guards against an entry that loses what it knows to a new leader which has heard of a part of the groups only: it
+/// is told nothing until that leader has heard of all, and then everything.
 #[test]
-fn nothing_is_told_as_a_change_of_a_partial_view() {
+fn a_holder_of_a_settled_view_is_told_no_partial_one() {
     let mut history = ViewHistory::default();
+    let held = ViewVersion { term: TermNumber(0), number: 9 };
     history.push(FleetView { partial: true, ..view(1) });
+    let early = history.update_for(Some(held), true);
     history.push(view(2));
 
-    let update = history.update_for(Some(version(1))).expect("there is something to tell");
+    let update = history.update_for(Some(held), true).expect("there is something to tell");
 
+    assert_eq!(early, None);
     assert_eq!(update.base, None);
 }
 
+/// Entries before the fleet, and groups of it.
+const SIZES: [(usize, u64); 2] = [(129, 152), (258, 304)];
+
+/// Guards against a new leader that tells every entry the whole of each view while it hears of its endpoints: that
+/// grows with entries, groups and views, and its heartbeats wait behind it.
+#[test]
+fn a_new_leader_tells_each_entry_one_whole_view() {
+    for (entries, groups) in SIZES {
+        let mut history = ViewHistory::default();
+        // After a stop of everything entries hold nothing.
+        let mut held: Vec<Option<ViewVersion>> = vec![None; entries];
+        let mut told = 0;
+        for number in 1..=12 {
+            let heard = groups * number / 12;
+            let opened = |id| group(id, id <= heard);
+            let groups = (1..=groups).map(opened).collect();
+            let partial = number < 12;
+            history.push(FleetView { version: version(number), groups, partial, ..view(number) });
+            for entry in &mut held {
+                let update = history.update_for(*entry, false).expect("each view is new");
+                *entry = Some(update.version);
+                told += encoded(&update);
+            }
+        }
+
+        let whole = encoded(&history.newest().expect("pushed").whole());
+        // Each group changes once beside the whole view.
+        assert!(
+            told <= entries * whole * 5 / 2,
+            "{told} bytes, {} for one whole each",
+            entries * whole
+        );
+    }
+}
+
 /// A notice of a control host that does not lead and knows no leader, or of one that `leads`.
 fn notice(leads: bool, nonce: Option<u64>) -> EntryNotice {
     EntryNotice { nonce, leads, ..EntryNotice::default() }
--- a/crates/gateway/src/control/entry_session.rs
+++ b/crates/gateway/src/control/entry_session.rs
@@ -20,6 +20,8 @@
     pub(super) plan: Option<u64>,
     /// View that the entry holds, or that is on its way to it on this stream.
     pub(super) view: Option<ViewVersion>,
+    /// Whether it keeps its view until this leader has heard of all endpoints.
+    pub(super) settled: bool,
     /// View of the quarantine that it holds, or that is on its way to it on this stream.
     pub(super) prints: ViewVersion,
     /// When it was sent a whole view.
@@ -30,7 +32,8 @@
     /// A session that begins with `report`.
     pub(super) fn new(now: TimePoint, report: &EntryReport, writer: LinkWriter) -> Self {
         let (plan, view) = (report.plan, Some(report.view));
-        Self { writer, heard: now, plan, view, prints: report.prints, whole_at: None }
+        let (settled, prints) = (report.settled, report.prints);
+        Self { writer, heard: now, plan, view, settled, prints, whole_at: None }
     }
 
     /// Notes what was sent on the stream.
@@ -47,6 +50,7 @@
     /// Takes what a report says that the entry holds.
     pub(super) fn heard(&mut self, now: TimePoint, report: &EntryReport) {
         self.heard = now;
+        self.settled = report.settled;
         self.plan = self.plan.max(report.plan);
         let on_its_way = self.whole_at.is_some_and(|at| now.since(at) < WHOLE_EVERY);
         if report.view == ViewVersion::default() && !on_its_way {
--- a/crates/gateway/src/control/inform.rs
+++ b/crates/gateway/src/control/inform.rs
@@ -52,10 +52,11 @@
         for entry in leadership.entries.values_mut() {
             let lacks_plan = entry.plan < newest && leadership.pace.may_send(now, plan_bytes);
             let lacks_prints = entry.prints != leadership.quarantine.view().version;
-            let lacks = (lacks_plan, lacks_prints, leadership.views.base_of(entry.view));
+            let base = leadership.views.base_of(entry.view);
+            let lacks = (lacks_plan, lacks_prints, base, entry.settled);
             let (notice, message) = encoded.get_or_insert_with(lacks, || {
                 let plan = plan.filter(|_| lacks_plan).cloned();
-                let view = leadership.views.update_for(entry.view);
+                let view = leadership.views.update_for(entry.view, entry.settled);
                 let prints = lacks_prints.then(|| leadership.quarantine.view().clone());
                 let notice = EntryNotice { plan, view, prints, ..news.clone() };
                 let message = EncodedMessage::of(&notice);
@@ -157,7 +158,7 @@
         let told = plan.as_ref().map(|plan| plan.version);
         // A lease says that the entry knows what was accepted before it asked.
         let knows = lacking.is_none() || plan.is_some();
-        let view = leadership.views.update_for(held_view);
+        let view = leadership.views.update_for(held_view, report.settled);
         let nonce = knows.then_some(report.nonce);
         let lacks_prints = held_prints != leadership.quarantine.view().version;
         let prints = lacks_prints.then(|| leadership.quarantine.view().clone());
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -244,6 +244,7 @@
             nonce,
             plan: self.book.borrow().as_ref().map(|book| book.version()),
             view: table.version(),
+            settled: table.is_settled(),
             pulses: table.pulses(now),
             demand: self.take_demand(),
             serving: self.serving.get(),
