Look up each entry and each host once in a step of the leader

An entry was found by its name in every group that it reports, hosts of a group were looked up six times each in a step, and each of them was compared with all leaving endpoints. Reports and groups both grow with the fleet, so the work of a second grows with its square.

Change: the book of what entries see knows them by number and takes a report as a whole; a step looks up each host of a group once (GroupSight), and leaving endpoints by binary search.

Ruled out: entries that report less often (what they see of a group must be fresher than its silence limit).

--- a/crates/fleet/src/director/group.rs
+++ b/crates/fleet/src/director/group.rs
@@ -12,7 +12,7 @@
 
 use super::hosts::HostTable;
 use super::pulse::PulseBook;
-use super::{CloseMethod, EndpointOrder, MarkState, OrderCall};
+use super::{CloseMethod, EndpointOrder, HostRecord, MarkState, OrderCall};
 use crate::deployment::DeploymentPlan;
 use crate::state::{FleetState, GroupHost, GroupRecord};
 
@@ -87,69 +87,123 @@
     End,
 }
 
-/// Everything that a decision about a group looks at.
+/// Everything that decisions about groups look at.
 pub(super) struct GroupScene<'a> {
     pub(super) now: TimePoint,
     pub(super) hosts: &'a HostTable,
     pub(super) pulses: &'a PulseBook,
-    pub(super) state: &'a FleetState,
     pub(super) plan: &'a DeploymentPlan,
+    /// Endpoints that take no new work, sorted.
+    leaving: Vec<&'a IncarnationId>,
 }
 
-impl GroupScene<'_> {
-    fn is_lost(&self, id: &IncarnationId) -> bool {
-        self.hosts.get(id).is_none_or(super::HostRecord::is_lost)
+/// A host of a group as the leader knows it.
+struct MemberView<'a> {
+    id: &'a IncarnationId,
+    /// Unknown where the endpoint is gone.
+    host: Option<&'a HostRecord>,
+    /// Whether it takes no new work.
+    leaving: bool,
+    /// How far it is in the group; `None` when it is not in it.
+    mark: Option<MarkState>,
+}
+
+impl MemberView<'_> {
+    fn is_lost(&self) -> bool {
+        self.host.is_none_or(HostRecord::is_lost)
     }
 
-    fn is_leaving(&self, id: &IncarnationId) -> bool {
-        self.state.is_leaving(id) || self.hosts.get(id).is_some_and(|host| host.beat.leaving)
+    /// Whether this leader has yet to hear of it: what an earlier leader knew proves nothing.
+    fn is_unheard(&self) -> bool {
+        self.host.is_some_and(|host| host.inherited)
     }
 
-    /// How far `id` is in `group`; `None` when it is not in it.
-    fn mark(&self, id: &IncarnationId, group: GroupId) -> Option<MarkState> {
-        let mark = self.hosts.get(id)?.beat.report.mark.as_ref()?;
-        (mark.group == group).then_some(mark.state)
+    /// Whether it is lost: two probes went unanswered, or one while an entry finds its group silent. The second
+    /// witness saves the time of a probe.
+    fn is_missing(&self, suspect: impl Fn() -> bool) -> bool {
+        self.is_lost() || (self.host.is_some_and(|host| host.failures > 0) && suspect())
     }
+}
 
-    /// Whether the group serves: its first host says so, and it lacks nobody.
-    pub(super) fn is_open(&self, group: GroupId, record: &GroupRecord) -> bool {
-        let head = record.members.first();
-        let open = head.is_some_and(|head| self.mark(&head.id, group) == Some(MarkState::Open));
-        open && !self.is_impaired(group, record)
+/// A group with what is known of its hosts, each of which is looked up once.
+pub(super) struct GroupSight<'a> {
+    scene: &'a GroupScene<'a>,
+    group: GroupId,
+    record: &'a GroupRecord,
+    members: Vec<MemberView<'a>>,
+}
+
+impl<'a> GroupScene<'a> {
+    /// What `hosts` and `pulses` tell of the groups of `state` under `plan`.
+    pub(super) fn new(
+        now: TimePoint,
+        hosts: &'a HostTable,
+        pulses: &'a PulseBook,
+        state: &'a FleetState,
+        plan: &'a DeploymentPlan,
+    ) -> Self {
+        Self { now, hosts, pulses, plan, leaving: state.leaving_by_name() }
+    }
+
+    /// Looks up the hosts of a group.
+    pub(super) fn sight(&'a self, group: GroupId, record: &'a GroupRecord) -> GroupSight<'a> {
+        let view = |member: &'a GroupHost| {
+            let host = self.hosts.get(&member.id);
+            let mark = host.and_then(|host| host.beat.report.mark.as_ref());
+            MemberView {
+                id: &member.id,
+                host,
+                leaving: host.is_some_and(|host| host.beat.leaving)
+                    || self.leaving.binary_search(&&member.id).is_ok(),
+                mark: mark.filter(|mark| mark.group == group).map(|mark| mark.state),
+            }
+        };
+        GroupSight {
+            scene: self,
+            group,
+            record,
+            members: record.members.iter().map(view).collect(),
+        }
+    }
+}
+
+impl GroupSight<'_> {
+    fn head(&self) -> Option<&MemberView<'_>> {
+        self.members.first()
     }
 
-    /// Whether this leader has yet to hear of a member: what an earlier leader knew of it proves nothing.
-    fn is_unheard(&self, record: &GroupRecord) -> bool {
-        let unheard =
-            |host: &GroupHost| self.hosts.get(&host.id).is_some_and(|host| host.inherited);
-        record.members.iter().any(unheard)
+    /// Whether the group serves: its first host says so, and it lacks nobody.
+    pub(super) fn is_open(&self) -> bool {
+        self.head().is_some_and(|head| head.mark == Some(MarkState::Open)) && !self.is_impaired()
     }
 
     /// Whether a member is lost, and no entry proves the opposite, or one is leaving.
-    fn is_impaired(&self, group: GroupId, record: &GroupRecord) -> bool {
-        let lost = record.members.iter().any(|host| self.is_missing(group, record, &host.id));
-        let leaving = record.members.iter().any(|host| self.is_leaving(&host.id));
-        leaving || (lost && !self.is_moving(group, record))
+    fn is_impaired(&self) -> bool {
+        self.members.iter().any(|member| member.leaving)
+            || (self.lacks_member() && !self.is_moving())
+    }
+
+    fn lacks_member(&self) -> bool {
+        self.members.iter().any(|member| self.is_missing(member))
     }
 
-    /// Whether a member is lost: two probes went unanswered, or one while an entry finds the
-    /// group silent. The second witness saves the time of a probe.
-    fn is_missing(&self, group: GroupId, record: &GroupRecord, id: &IncarnationId) -> bool {
-        let failed = self.hosts.get(id).is_some_and(|host| host.failures > 0);
-        let limit = self.silence_limit(record);
-        self.is_lost(id) || (failed && self.pulses.is_suspect(self.now, group, limit))
+    fn is_missing(&self, member: &MemberView<'_>) -> bool {
+        let suspect =
+            || self.scene.pulses.is_suspect(self.scene.now, self.group, self.silence_limit());
+        member.is_missing(suspect)
     }
 
     /// Whether entries prove that the whole group works.
-    fn is_moving(&self, group: GroupId, record: &GroupRecord) -> bool {
-        self.pulses.is_moving(self.now, group, self.silence_limit(record))
+    fn is_moving(&self) -> bool {
+        self.scene.pulses.is_moving(self.scene.now, self.group, self.silence_limit())
     }
 
     /// Silence after which the group most likely stands still.
-    fn silence_limit(&self, record: &GroupRecord) -> Duration {
-        let engine = self.plan.service(&record.service).and_then(|service| service.engine.as_ref());
+    fn silence_limit(&self) -> Duration {
+        let service = self.scene.plan.service(&self.record.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
         engine
-            .and_then(|engine| Some(engine.silence_limit(engine.model(&record.model)?)))
+            .and_then(|engine| Some(engine.silence_limit(engine.model(&self.record.model)?)))
             .unwrap_or(PROOF_AGE)
     }
 }
@@ -157,80 +211,68 @@
 /// Age up to which bytes of a group prove that it works, where its engine is not known.
 const PROOF_AGE: Duration = Duration::from_millis(700);
 
-/// The next step of `group`.
-pub(super) fn next_step(
-    scene: &GroupScene<'_>,
-    group: GroupId,
-    record: &GroupRecord,
-    run: &mut GroupRun,
-) -> GroupStep {
-    for host in &record.members {
-        let here = matches!(
-            scene.mark(&host.id, group),
-            Some(MarkState::Ready | MarkState::Open | MarkState::Closing)
-        );
-        if here && !run.ready.contains(&host.id) {
-            run.ready.push(host.id.clone());
+/// The next step of the group in `sight`.
+pub(super) fn next_step(sight: &GroupSight<'_>, run: &mut GroupRun) -> GroupStep {
+    for member in &sight.members {
+        let here =
+            matches!(member.mark, Some(MarkState::Ready | MarkState::Open | MarkState::Closing));
+        if here && !run.ready.contains(member.id) {
+            run.ready.push(member.id.clone());
         }
     }
-    if run.ending.is_none() && scene.is_unheard(record) && !scene.is_impaired(group, record) {
+    let unheard = || sight.members.iter().any(MemberView::is_unheard);
+    if run.ending.is_none() && unheard() && !sight.is_impaired() {
         return GroupStep::Nothing;
     }
-    if run.ending.is_none() && must_end(scene, group, record, run) {
-        run.ending = Some(scene.now);
+    if run.ending.is_none() && must_end(sight, run) {
+        run.ending = Some(sight.scene.now);
     }
     match run.ending {
-        Some(since) => end_step(scene, group, record, run, since),
-        None => form_step(scene, group, record, run),
+        Some(since) => end_step(sight, run, since),
+        None => form_step(sight, run),
     }
 }
 
-fn must_end(scene: &GroupScene<'_>, group: GroupId, record: &GroupRecord, run: &GroupRun) -> bool {
-    if scene.is_impaired(group, record) {
+fn must_end(sight: &GroupSight<'_>, run: &GroupRun) -> bool {
+    if sight.is_impaired() {
         return true;
     }
-    let Some(head) = record.members.first() else { return true };
+    let Some(head) = sight.head() else { return true };
     if run.opened {
-        let state = scene.mark(&head.id, group);
         // A member that fell out stops the group as one that died does.
-        let fell_out = !matches!(state, Some(MarkState::Open | MarkState::Ready))
-            || record.members.iter().any(|host| scene.mark(&host.id, group).is_none());
-        return fell_out && !scene.is_moving(group, record);
+        let fell_out = !matches!(head.mark, Some(MarkState::Open | MarkState::Ready))
+            || sight.members.iter().any(|member| member.mark.is_none());
+        return fell_out && !sight.is_moving();
     }
-    if record.standby && run.ready.contains(&head.id) {
-        return scene.mark(&head.id, group).is_none();
+    if sight.record.standby && run.ready.contains(head.id) {
+        return head.mark.is_none();
     }
-    scene.now.since(run.since) > run.patience + FORM_SLACK
+    sight.scene.now.since(run.since) > run.patience + FORM_SLACK
 }
 
 /// Brings a group to serve: every member joins, then the first host opens.
-fn form_step(
-    scene: &GroupScene<'_>,
-    group: GroupId,
-    record: &GroupRecord,
-    run: &mut GroupRun,
-) -> GroupStep {
-    let Some(head) = record.members.first() else { return GroupStep::End };
-    let head_state = scene.mark(&head.id, group);
-    if head_state == Some(MarkState::Open) {
+fn form_step(sight: &GroupSight<'_>, run: &mut GroupRun) -> GroupStep {
+    let Some(head) = sight.head() else { return GroupStep::End };
+    if head.mark == Some(MarkState::Open) {
         run.opened = true;
         return GroupStep::Nothing;
     }
-    let all_ready = record.members.iter().all(|host| run.ready.contains(&host.id));
+    let (group, record) = (sight.group, sight.record);
+    let all_ready = sight.members.iter().all(|member| run.ready.contains(member.id));
     if all_ready && record.standby {
         return GroupStep::Nothing;
     }
-    if all_ready && head_state == Some(MarkState::Ready) {
-        return order(scene, run, &head.id, EndpointOrder::Open { group });
+    if all_ready && head.mark == Some(MarkState::Ready) {
+        return order(sight, run, head, EndpointOrder::Open { group });
     }
     let members: Vec<IncarnationId> = record.members.iter().map(|host| host.id.clone()).collect();
     let mut calls = Vec::new();
-    for host in &record.members {
-        let missing = scene.mark(&host.id, group).is_none() && !run.ready.contains(&host.id);
+    for member in &sight.members {
+        let missing = member.mark.is_none() && !run.ready.contains(member.id);
         let (model, members) = (record.model.clone(), members.clone());
         let join = EndpointOrder::Join { group, model, members };
-        if missing && run.may_ask(scene.now, &host.id, &join) {
-            calls.push(call(scene, &host.id, join));
+        if missing && run.may_ask(sight.scene.now, member.id, &join) {
+            calls.push(call(member, join));
         }
     }
     GroupStep::Order(calls.into_iter().flatten().collect())
@@ -238,43 +280,37 @@
 
 /// Takes a group apart. Its hosts are free only when its first host serves no more: a member
 /// that joined elsewhere earlier would be in two groups at once.
-fn end_step(
-    scene: &GroupScene<'_>,
-    group: GroupId,
-    record: &GroupRecord,
-    run: &mut GroupRun,
-    since: TimePoint,
-) -> GroupStep {
-    let Some(head) = record.members.first() else { return GroupStep::End };
-    if scene.is_missing(group, record, &head.id) {
+fn end_step(sight: &GroupSight<'_>, run: &mut GroupRun, since: TimePoint) -> GroupStep {
+    let Some(head) = sight.head() else { return GroupStep::End };
+    if sight.is_missing(head) {
         return GroupStep::End;
     }
-    match scene.mark(&head.id, group) {
+    match head.mark {
         // The members are told to leave once the group has ended.
         None | Some(MarkState::Broken | MarkState::Joining | MarkState::Ready) => GroupStep::End,
         Some(MarkState::Open | MarkState::Closing) => {
-            let lost = record.members.iter().any(|host| scene.is_missing(group, record, &host.id));
-            let late = scene.now.since(since) > CLOSE_PATIENCE;
+            let late = sight.scene.now.since(since) > CLOSE_PATIENCE;
             // Without all members nothing moves, and waiting would only hold the hosts.
-            let method = if lost || late { CloseMethod::Truncate } else { CloseMethod::Wait };
-            order(scene, run, &head.id, EndpointOrder::Close { group, method })
+            let cut = sight.lacks_member() || late;
+            let method = if cut { CloseMethod::Truncate } else { CloseMethod::Wait };
+            order(sight, run, head, EndpointOrder::Close { group: sight.group, method })
         }
     }
 }
 
 fn order(
-    scene: &GroupScene<'_>,
+    sight: &GroupSight<'_>,
     run: &mut GroupRun,
-    id: &IncarnationId,
+    member: &MemberView<'_>,
     order: EndpointOrder,
 ) -> GroupStep {
-    if !run.may_ask(scene.now, id, &order) {
+    if !run.may_ask(sight.scene.now, member.id, &order) {
         return GroupStep::Nothing;
     }
-    GroupStep::Order(call(scene, id, order).into_iter().collect())
+    GroupStep::Order(call(member, order).into_iter().collect())
 }
 
-fn call(scene: &GroupScene<'_>, id: &IncarnationId, order: EndpointOrder) -> Option<OrderCall> {
-    let address = scene.hosts.get(id)?.beat.address.clone();
-    Some(OrderCall { id: id.clone(), address, order })
+fn call(member: &MemberView<'_>, order: EndpointOrder) -> Option<OrderCall> {
+    let address = member.host?.beat.address.clone();
+    Some(OrderCall { id: member.id.clone(), address, order })
 }
--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -205,6 +205,7 @@
     ) -> PlanView<'a> {
         self.settle_staging(now);
         let index = MemberIndex::new(state);
+        let leaving = state.leaving_by_name();
         let usable = |id: &IncarnationId, host: &HostRecord| {
             // One that tells no domain is no host of this service, whoever announced it; one that has
             // just missed a probe is most likely the reason for its group's end; what one keeps that was
@@ -213,7 +214,7 @@
                 && host.failures == 0
                 && !host.inherited
                 && !host.beat.leaving
-                && !state.is_leaving(id)
+                && leaving.binary_search(&id).is_err()
                 && !state.is_evacuated(&host.beat.zone)
                 && !index.group_of(id).is_some_and(|group| is_evacuated(&self.hosts, state, group))
         };
--- a/crates/fleet/src/director/pulse.rs
+++ b/crates/fleet/src/director/pulse.rs
@@ -30,11 +30,19 @@
 /// a second that a host may spend on control. 2,800 groups are told within three seconds.
 const LOADS_TOLD: usize = 256;
 
+/// Stands for an entry in the book: an entry is looked up in every group that it names, some hundred times a
+/// report, and names are slow to compare.
+type EntryNumber = u32;
+
 /// The newest word of each entry on each group.
 #[derive(Debug, Clone, Default)]
 pub struct PulseBook {
     /// By group first: each question is about one group, and a fleet has many.
     seen: SortedTable<GroupId, GroupSights>,
+    /// Entries that were heard, with the numbers that they have here.
+    numbers: SortedTable<NodeName, EntryNumber>,
+    /// Number of the next entry that is heard for the first time.
+    next_number: EntryNumber,
     /// Entries that report.
     entries: usize,
 }
@@ -42,7 +50,7 @@
 /// The newest word of each entry on one group.
 #[derive(Debug, Clone, Default)]
 struct GroupSights {
-    by_entry: SortedTable<NodeName, GroupSight>,
+    by_entry: SortedTable<EntryNumber, GroupSight>,
     /// Requests of all entries, kept as a sum: it is told in every answer to a report.
     running: u32,
 }
@@ -62,8 +70,33 @@
         self.entries = entries;
     }
 
-    /// Takes what `entry` saw; `true` when it finds the group silent.
-    pub fn take(&mut self, now: TimePoint, entry: &NodeName, pulse: &GroupPulse) -> bool {
+    /// Takes all that `entry` saw, and tells which groups it finds silent.
+    ///
+    /// An entry names what it uses, and has nothing on the groups that its newest report does not name. One
+    /// whose reports were lost for a second or two had its last word counted until it used the group again,
+    /// and the others took that group for fuller than it was.
+    pub fn take(
+        &mut self,
+        now: TimePoint,
+        entry: &NodeName,
+        pulses: &[GroupPulse],
+    ) -> Vec<GroupId> {
+        let number = self.number_of(entry);
+        let mut named: Vec<GroupId> = pulses.iter().map(|pulse| pulse.group).collect();
+        named.sort_unstable();
+        for (group, sights) in self.seen.iter_mut() {
+            let Some(sight) = sights.by_entry.get_mut(&number) else { continue };
+            if sight.running > 0 && named.binary_search(group).is_err() {
+                sights.running -= std::mem::take(&mut sight.running);
+            }
+        }
+        for pulse in pulses {
+            self.see(now, number, pulse);
+        }
+        pulses.iter().filter(|pulse| pulse.suspect).map(|pulse| pulse.group).collect()
+    }
+
+    fn see(&mut self, now: TimePoint, entry: EntryNumber, pulse: &GroupPulse) {
         let sight = GroupSight {
             told: now,
             quiet: pulse.quiet_ms.map(Duration::from_millis),
@@ -71,23 +104,16 @@
             suspect: pulse.suspect,
         };
         let sights = self.seen.get_or_insert_with(pulse.group, GroupSights::default);
-        let earlier = sights.by_entry.insert(entry.clone(), sight);
+        let earlier = sights.by_entry.insert(entry, sight);
         sights.running -= earlier.map_or(0, |sight| sight.running);
         sights.running += pulse.running;
-        pulse.suspect
     }
 
-    /// Takes note that `entry` has nothing on the groups that its newest report does not name.
-    ///
-    /// An entry names what it uses. One whose reports were lost for a second or two had its last word
-    /// counted until it used the group again, and the others took that group for fuller than it was.
-    pub fn end_unnamed(&mut self, entry: &NodeName, named: &[GroupPulse]) {
-        for (group, sights) in self.seen.iter_mut() {
-            let Some(sight) = sights.by_entry.get_mut(entry) else { continue };
-            if sight.running > 0 && !named.iter().any(|pulse| pulse.group == *group) {
-                sights.running -= std::mem::take(&mut sight.running);
-            }
-        }
+    fn number_of(&mut self, entry: &NodeName) -> EntryNumber {
+        let next = self.next_number;
+        let number = *self.numbers.get_or_insert_with(entry.clone(), || next);
+        self.next_number += u32::from(number == next);
+        number
     }
 
     /// Whether some entry had bytes of the group within `limit` of its newest word.
@@ -112,8 +138,9 @@
 
     /// Forgets what `entry` said: it is gone, and its requests with it.
     pub fn forget(&mut self, entry: &NodeName) {
+        let Some(number) = self.numbers.remove(entry) else { return };
         for sights in self.seen.values_mut() {
-            let gone = sights.by_entry.remove(entry);
+            let gone = sights.by_entry.remove(&number);
             sights.running -= gone.map_or(0, |sight| sight.running);
         }
     }
@@ -121,8 +148,10 @@
     /// What entries other than `entry` have on the groups that any of them told of: all groups, or
     /// the next part of many with each `turn`.
     pub fn loads_beside(&self, entry: &NodeName, turn: u64) -> Vec<GroupLoad> {
+        let number = self.numbers.get(entry);
         let load = |(group, sights): (&GroupId, &GroupSights)| {
-            let own = sights.by_entry.get(entry).map_or(0, |sight| sight.running);
+            let own = number.and_then(|number| sights.by_entry.get(number));
+            let own = own.map_or(0, |sight| sight.running);
             GroupLoad { group: *group, others: sights.running - own }
         };
         let turns = self.seen.len().div_ceil(LOADS_TOLD).max(1);
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -178,10 +178,8 @@
         for demand in &report.demand {
             self.demand.add(now, demand);
         }
-        self.pulses.end_unnamed(&report.node, &report.pulses);
-        for pulse in &report.pulses {
-            let silent = self.pulses.take(now, &report.node, pulse);
-            let Some(group) = state.groups().get(&pulse.group).filter(|_| silent) else { continue };
+        for silent in self.pulses.take(now, &report.node, &report.pulses) {
+            let Some(group) = state.groups().get(&silent) else { continue };
             for host in &group.members {
                 self.hosts.probe_suspect(now, &host.id);
             }
@@ -316,7 +314,7 @@
         state: &'a FleetState,
         plan: &'a DeploymentPlan,
     ) -> GroupScene<'a> {
-        GroupScene { now, hosts: &self.hosts, pulses: &self.pulses, state, plan }
+        GroupScene::new(now, &self.hosts, &self.pulses, state, plan)
     }
 
     /// Notes which model each host can join a group of at once.
@@ -359,18 +357,20 @@
         let mut runs = std::mem::take(&mut self.runs);
         let room = self.order_room(now, output);
         let full = output.orders.len() + room;
+        let scene = self.scene(now, state, plan);
         for (group, record) in state.groups().iter() {
             if output.orders.len() >= full {
                 break;
             }
             let patience = load_time(plan, record) * LOAD_PATIENCE;
             let run = runs.get_or_insert_with(*group, || GroupRun::new(now, patience));
-            match next_step(&self.scene(now, state, plan), *group, record, run) {
+            match next_step(&scene.sight(*group, record), run) {
                 GroupStep::Nothing => {}
                 GroupStep::Order(calls) => output.orders.extend(calls),
                 GroupStep::End => output.commands.push(FleetCommand::EndGroup(*group)),
             }
         }
+        drop(scene);
         self.runs = runs;
     }
 }
--- a/crates/fleet/src/director/view.rs
+++ b/crates/fleet/src/director/view.rs
@@ -34,7 +34,8 @@
                 head: head.id.clone(),
                 address: head.address.clone(),
                 zone: record.zone.clone(),
-                open: scene.is_open(*group, record) && !is_evacuated(&self.hosts, state, record),
+                open: scene.sight(*group, record).is_open()
+                    && !is_evacuated(&self.hosts, state, record),
                 cold: self.head_cold(now, record, plan),
             });
         }
--- a/crates/fleet/src/state/mod.rs
+++ b/crates/fleet/src/state/mod.rs
@@ -200,6 +200,13 @@
         &self.leaving
     }
 
+    /// Endpoints that take no new work, sorted, for many lookups.
+    pub fn leaving_by_name(&self) -> Vec<&IncarnationId> {
+        let mut leaving: Vec<&IncarnationId> = self.leaving.iter().collect();
+        leaving.sort_unstable();
+        leaving
+    }
+
     /// Whether the endpoint takes no new work.
     pub fn is_leaving(&self, id: &IncarnationId) -> bool {
         self.leaving.contains(id)
--- a/crates/fleet/tests/pulses.rs
+++ b/crates/fleet/tests/pulses.rs
@@ -18,7 +18,7 @@
 
 fn tell(book: &mut PulseBook, now: TimePoint, entry: &str, quiet_ms: u64, suspect: bool) {
     let pulse = GroupPulse { group: GROUP, quiet_ms: Some(quiet_ms), running: 1, suspect };
-    book.take(now, &NodeName::new(entry), &pulse);
+    book.take(now, &NodeName::new(entry), &[pulse]);
 }
 
 /// Endpoints are cut off from the control hosts and from the entries beside them, and serve the
@@ -70,9 +70,9 @@
     let running = |running| GroupPulse { group: GROUP, quiet_ms: None, running, suspect: false };
     let [first, second, third] = ["first", "second", "third"].map(NodeName::new);
 
-    book.take(at(0), &first, &running(5));
-    book.take(at(0), &second, &running(7));
-    book.take(at(250), &first, &running(2));
+    book.take(at(0), &first, &[running(5)]);
+    book.take(at(0), &second, &[running(7)]);
+    book.take(at(250), &first, &[running(2)]);
 
     assert_eq!(book.loads_beside(&first, 0), [GroupLoad { group: GROUP, others: 7 }]);
     assert_eq!(book.loads_beside(&third, 0), [GroupLoad { group: GROUP, others: 9 }]);
@@ -86,11 +86,10 @@
 fn the_loads_of_many_groups_are_told_in_turns() {
     let mut book = PulseBook::default();
     let [teller, reader] = ["teller", "reader"].map(NodeName::new);
-    for group in 0..2_800 {
-        let pulse =
-            GroupPulse { group: GroupId(group), quiet_ms: None, running: 1, suspect: false };
-        book.take(at(0), &teller, &pulse);
-    }
+    let pulse =
+        |group| GroupPulse { group: GroupId(group), quiet_ms: None, running: 1, suspect: false };
+    let pulses: Vec<GroupPulse> = (0..2_800).map(pulse).collect();
+    book.take(at(0), &teller, &pulses);
 
     // Four answers a second for three seconds.
     let told: Vec<Vec<GroupLoad>> = (5..17).map(|turn| book.loads_beside(&reader, turn)).collect();
@@ -108,13 +107,27 @@
 fn a_group_that_an_entry_no_longer_names_has_none_of_its_requests() {
     let mut book = PulseBook::default();
     let [gone, reader] = ["gone", "reader"].map(NodeName::new);
-    book.take(
-        at(0),
-        &gone,
-        &GroupPulse { group: GROUP, quiet_ms: None, running: 28, suspect: false },
-    );
+    let pulse = GroupPulse { group: GROUP, quiet_ms: None, running: 28, suspect: false };
+    book.take(at(0), &gone, &[pulse]);
 
-    book.end_unnamed(&gone, &[]);
+    book.take(at(2_250), &gone, &[]);
 
     assert_eq!(book.loads_beside(&reader, 0), [GroupLoad { group: GROUP, others: 0 }]);
 }
+
+/// Guards against an entry that comes back after it was forgotten and is counted as another one, or twice.
+#[test]
+fn an_entry_that_comes_back_is_counted_once() {
+    let mut book = PulseBook::default();
+    let running = |running| GroupPulse { group: GROUP, quiet_ms: None, running, suspect: false };
+    let [first, second, reader] = ["first", "second", "reader"].map(NodeName::new);
+    book.take(at(0), &first, &[running(5)]);
+    book.take(at(0), &second, &[running(7)]);
+
+    book.forget(&first);
+    book.take(at(3_000), &first, &[running(3)]);
+    book.take(at(3_250), &first, &[running(4)]);
+
+    assert_eq!(book.loads_beside(&reader, 0), [GroupLoad { group: GROUP, others: 11 }]);
+    assert_eq!(book.loads_beside(&second, 0), [GroupLoad { group: GROUP, others: 4 }]);
+}
