Measure what a leader's decisions cost, by entries and by endpoints

Entries no longer write that the quarantine has changed when there is nothing in it and was nothing: each start wrote that line.

--- /dev/null
+++ b/crates/cli/src/cmd/measure/leader.rs
@@ -0,0 +1,305 @@
+//! What the decisions of a leader cost before registered endpoints, by entries and by endpoints: one report of an
+//! entry, its answer, one view and one step of the director.
+
+use std::time::{Duration, Instant};
+
+use briartray_fleet::deployment::{
+    CallerLimits, DeploymentPlan, EngineModel, ModelSpec, ServiceSpec,
+};
+use briartray_fleet::director::{
+    DirectorOutput, EndpointBeat, EndpointReport, FleetDirector, GroupMark, MarkState, OrderOutcome,
+};
+use briartray_fleet::message::{EntryReport, GroupPulse, ViewVersion};
+use briartray_fleet::state::{FleetCommand, FleetState, GroupHost, GroupRecord};
+use briartray_model::names::{DomainName, GroupId, IncarnationId, NodeName, ServiceName, ZoneName};
+use briartray_model::{TimePoint, codec};
+use gumdrop::Options;
+use serde_json::json;
+
+use super::super::{CommandError, OutputFormat};
+
+/// Entries and endpoints of each size: each of the two grows alone, and both together.
+const SIZES: [(usize, usize); 5] =
+    [(129, 760), (258, 760), (129, 1_520), (258, 1_520), (516, 3_040)];
+
+/// Endpoints of one fabric domain, and the groups that they make: one large one and two small ones.
+const DOMAIN: usize = 19;
+const GROUPS: [(&str, usize); 3] = [("large", 8), ("small", 4), ("small", 4)];
+
+/// Times that each is done.
+const ROUNDS: u32 = 200;
+
+/// Steps in which the director hears of the endpoints and acts, before anything is timed.
+const WARM_UP: usize = 40;
+
+/// Time between two steps.
+const STEP: Duration = Duration::from_millis(20);
+
+#[derive(Debug, Options)]
+pub(super) struct LeaderOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "text or json", meta = "FORMAT")]
+    output: OutputFormat,
+}
+
+/// Mean times of one size.
+struct LeaderCost {
+    entries: usize,
+    endpoints: usize,
+    report: Duration,
+    loads: Duration,
+    view: Duration,
+    step: Duration,
+    /// Bytes of the whole view.
+    view_bytes: usize,
+}
+
+pub(super) fn run(options: &LeaderOptions) -> Result<(), CommandError> {
+    let costs: Vec<LeaderCost> = SIZES
+        .iter()
+        .map(|(entries, endpoints)| LeaderTrial::new(*entries, *endpoints).run())
+        .collect();
+    if options.output == OutputFormat::Json {
+        let rows: Vec<_> = costs.iter().map(LeaderCost::json).collect();
+        println!("{}", json!(rows));
+        return Ok(());
+    }
+    println!("entries  endpoints  report us  loads us   view us   step us  view bytes");
+    for cost in &costs {
+        let [report, loads, view, step] = cost.micros();
+        println!(
+            "{:>7}  {:>9}  {report:>9.1}  {loads:>8.1}  {view:>8.1}  {step:>8.1}  {:>10}",
+            cost.entries, cost.endpoints, cost.view_bytes
+        );
+    }
+    Ok(())
+}
+
+impl LeaderCost {
+    fn micros(&self) -> [f64; 4] {
+        [self.report, self.loads, self.view, self.step].map(|time| time.as_secs_f64() * 1e6)
+    }
+
+    fn json(&self) -> serde_json::Value {
+        let [report, loads, view, step] = self.micros();
+        json!({
+            "entries": self.entries, "endpoints": self.endpoints, "report_us": report,
+            "loads_us": loads, "view_us": view, "step_us": step, "view_bytes": self.view_bytes,
+        })
+    }
+}
+
+/// A director with what it knows of a fleet.
+struct LeaderTrial {
+    entries: usize,
+    endpoints: usize,
+    now: TimePoint,
+    plan: DeploymentPlan,
+    state: FleetState,
+    director: FleetDirector,
+}
+
+impl LeaderTrial {
+    fn new(entries: usize, endpoints: usize) -> Self {
+        let now = TimePoint(1_000_000);
+        let mut state = FleetState::default();
+        (0..endpoints / DOMAIN).for_each(|domain| form_groups(&mut state, domain));
+        let mut director = FleetDirector::new(now, &FleetState::default());
+        for beat in beats(&state, endpoints) {
+            director.beat(now, beat);
+        }
+        let mut trial = Self { entries, endpoints, now, plan: plan(), state, director };
+        for _ in 0..WARM_UP {
+            trial.step(Duration::from_millis(100));
+        }
+        (0..entries).for_each(|entry| trial.report(entry));
+        trial
+    }
+
+    fn run(mut self) -> LeaderCost {
+        let mut turn = 0;
+        let report = timed(|| {
+            turn += 1;
+            self.report(turn % self.entries);
+        });
+        let asker = self.report_of(0);
+        let loads = timed(|| drop(std::hint::black_box(self.director.loads_beside(&asker))));
+        let version = ViewVersion::default();
+        let make =
+            |trial: &Self| trial.director.view(trial.now, &trial.state, &trial.plan, version);
+        let view = timed(|| drop(std::hint::black_box(make(&self))));
+        let view_bytes = codec::encode(&make(&self).whole()).map_or(0, |bytes| bytes.len());
+        let step = timed(|| self.step(STEP));
+        let (entries, endpoints) = (self.entries, self.endpoints);
+        LeaderCost { entries, endpoints, report, loads, view, step, view_bytes }
+    }
+
+    fn report(&mut self, entry: usize) {
+        let report = self.report_of(entry);
+        self.director.report(self.now, &report, &self.state);
+    }
+
+    /// What an entry tells that has requests on every other group.
+    fn report_of(&self, entry: usize) -> EntryReport {
+        let used =
+            self.state.groups().keys().enumerate().filter(|(at, _)| (at + entry).is_multiple_of(2));
+        let pulse = |(_, group): (usize, &GroupId)| GroupPulse {
+            group: *group,
+            quiet_ms: Some(20),
+            running: 1,
+            suspect: false,
+        };
+        EntryReport {
+            node: NodeName::new(&format!("10.{}.0.{}", entry % 5, entry / 5)),
+            nonce: 1,
+            plan: Some(1),
+            view: ViewVersion::default(),
+            settled: true,
+            pulses: used.map(pulse).collect(),
+            demand: Vec::new(),
+            serving: true,
+            prints: ViewVersion::default(),
+            runs: Vec::new(),
+            limits: Vec::new(),
+        }
+    }
+
+    /// One step, all of whose probes and orders are answered at once.
+    fn step(&mut self, time: Duration) {
+        self.now = self.now.after(time);
+        let output = self.director.step(self.now, &self.state, &self.plan);
+        let DirectorOutput { orders, probes, commands } = output;
+        for command in commands {
+            self.state.apply(&command);
+            self.director.command_done();
+        }
+        for probe in probes {
+            let known = self.director.hosts().get(&probe.id);
+            let report = known.map(|host| host.beat.report.clone());
+            self.director.probed(self.now, &probe.id, report);
+        }
+        for order in orders {
+            self.director.ordered(self.now, &order, OrderOutcome::Holds);
+        }
+    }
+}
+
+/// Mean time of `work`.
+fn timed(mut work: impl FnMut()) -> Duration {
+    let began = Instant::now();
+    (0..ROUNDS).for_each(|_| work());
+    began.elapsed() / ROUNDS
+}
+
+fn endpoint_id(number: usize) -> IncarnationId {
+    // Spread over the range of names, as random ones are.
+    let name = (number as u64).wrapping_mul(2_654_435_761) % 0xff_ffff_ffff;
+    IncarnationId::started(&format!("i-{name:010x}"), Some(1))
+}
+
+fn address_of(number: usize) -> String {
+    format!("10.{}.{}.{}:8000", number / DOMAIN % 5, number / DOMAIN, number % DOMAIN)
+}
+
+fn domain_name(domain: usize) -> DomainName {
+    DomainName::new(&format!("domain-{domain}"))
+}
+
+fn form_groups(state: &mut FleetState, domain: usize) {
+    let mut next = domain * DOMAIN;
+    for (model, size) in GROUPS {
+        let host = |number| GroupHost { id: endpoint_id(number), address: address_of(number) };
+        let members = (next..next + size).map(host).collect();
+        next += size;
+        state.apply(&FleetCommand::FormGroup(GroupRecord {
+            service: ServiceName::new("desk"),
+            model: model.to_owned(),
+            domain: domain_name(domain),
+            zone: ZoneName::new("zone"),
+            members,
+            standby: false,
+        }));
+    }
+}
+
+/// First beats of all endpoints, each with its part in the groups of `state`.
+fn beats(state: &FleetState, endpoints: usize) -> Vec<EndpointBeat> {
+    let mut marks: Vec<(IncarnationId, GroupMark)> = Vec::new();
+    for (group, record) in state.groups().iter() {
+        for (position, member) in record.members.iter().enumerate() {
+            let state = if position == 0 { MarkState::Open } else { MarkState::Ready };
+            marks.push((member.id.clone(), GroupMark { group: *group, state }));
+        }
+    }
+    marks.sort_by(|(a, _), (b, _)| a.cmp(b));
+    let beat = |number: usize| {
+        let id = endpoint_id(number);
+        let found = marks.binary_search_by(|(known, _)| known.cmp(&id)).ok();
+        EndpointBeat {
+            service: ServiceName::new("desk"),
+            address: address_of(number),
+            zone: ZoneName::new("zone"),
+            slots: 28,
+            leaving: false,
+            cold_ms: 0,
+            sequence: 1,
+            report: EndpointReport {
+                domain: Some(domain_name(number / DOMAIN)),
+                staged: vec!["large".to_owned()],
+                mark: found.map(|at| marks[at].1.clone()),
+                pace: Some(1.0),
+                busy: Some(false),
+            },
+            id,
+        }
+    };
+    (0..endpoints).map(beat).collect()
+}
+
+fn plan() -> DeploymentPlan {
+    let model = |name: &str, size, pace| ModelSpec {
+        name: name.to_owned(),
+        size,
+        share: 0.5,
+        pace,
+        load_time: Duration::from_secs(14),
+        warmup: Duration::from_millis(1_400),
+    };
+    let engine = EngineModel {
+        slots: 28,
+        kv_tokens: 1_860_000,
+        stride: 7,
+        step: Duration::from_micros(7_800),
+        per_writer_ms: 0.09,
+        per_context_ms: 0.01,
+        read_rate: 45_900.0,
+        pairs_ms: 0.43,
+        chunk: 2_048,
+        loads_per_second: 64.0,
+        loads_at_once: 94,
+        formation: Duration::from_millis(300),
+        usual_answer: 135,
+        models: vec![model("large", 8, 1.0), model("small", 4, 0.6)],
+    };
+    let limits = CallerLimits {
+        max_head_bytes: 16_384,
+        max_body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let service = ServiceSpec {
+        name: ServiceName::new("desk"),
+        health_path: "/health".to_owned(),
+        max_connections: 400,
+        cold: None,
+        engine: Some(engine),
+    };
+    DeploymentPlan {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service],
+        limits,
+        teams: Vec::new(),
+    }
+}
--- a/crates/cli/src/cmd/measure/mod.rs
+++ b/crates/cli/src/cmd/measure/mod.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod claims;
 mod idle;
+mod leader;
 mod leases;
 mod outcomes;
 mod overhead;
@@ -47,6 +48,8 @@
     Planner(planner::PlannerOptions),
     #[options(help = "what the terms of a rules lease cost when something is lost")]
     Leases(leases::LeasesOptions),
+    #[options(help = "what a leader's decisions cost, by entries and endpoints")]
+    Leader(leader::LeaderOptions),
     #[options(help = "what one more of something costs each role, and the capacity page")]
     Capacity(capacity::CapacityOptions),
 }
@@ -63,6 +66,7 @@
         Some(MeasureCommand::Claims(options)) => claims::run(options),
         Some(MeasureCommand::Planner(options)) => planner::run(options),
         Some(MeasureCommand::Leases(options)) => leases::run(options),
+        Some(MeasureCommand::Leader(options)) => leader::run(options),
         Some(MeasureCommand::Capacity(options)) => capacity::run(options),
         None => Err(CommandError::unusable("name a measurement; see briartray measure --help")),
     }
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -330,7 +330,9 @@
 
     fn adopt_prints(&self, view: PrintView) {
         let (quarantined, suspects) = (view.quarantined.len(), view.suspects.len());
-        log::info!(quarantined, suspects; "the quarantine has changed");
+        if quarantined + suspects > 0 || self.prints.borrow().is_watching() {
+            log::info!(quarantined, suspects; "the quarantine has changed");
+        }
         self.metrics.quarantined.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
         for print in self.prints.borrow_mut().adopt(view) {
             self.runs.borrow_mut().forget(print);
