Log and count rejections that ask for a time without requests

The logs of the incident cannot tell an endpoint that asks for time from one that is full or cannot be reached: the line of an attempt has neither endpoint nor status, and nothing reads Retry-After or Server-Leaving.

No decision depends on it yet.

--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -15,6 +15,7 @@
 use briartray_platform::{CallerHead, DispatchHeaders, ResponseHead, dispatch_request};
 use briartray_quarantine::{FingerprintParts, QuarantineStatus};
 use bytes::Bytes;
+use http::StatusCode;
 use http::request::Parts;
 
 use super::crash_check;
@@ -307,6 +308,7 @@
             return Err(self.end_attempt(AttemptEnd::MayHaveRun));
         }
         let now = self.state.now();
+        self.record_answer_state(status, &head);
         if let Some(load) = head.load {
             self.state.table.borrow_mut().sample(now, &guard.target, load);
         }
@@ -316,8 +318,7 @@
             self.state.table.borrow_mut().failed(now, &guard.target);
         }
         if head.not_run {
-            log::debug!(status = status.as_u16(); "replica did not accept the request");
-            return Err(self.end_attempt(AttemptEnd::NotRun));
+            return Err(self.end_attempt_with(AttemptEnd::NotRun, Some(status)));
         }
         if !head.stamped {
             log::warn!(status = status.as_u16(); "response lacks the replica's stamp; dropping it");
@@ -326,8 +327,28 @@
         Ok(LiveAnswer { exchange, head, address, guard })
     }
 
-    /// Records and logs the end of an attempt.
+    /// Records whether the endpoint accepts no requests for a time, or is leaving.
+    fn record_answer_state(&self, status: StatusCode, head: &ResponseHead) {
+        let Some(SentTo { endpoint, .. }) = &self.sent_to else { return };
+        let is_other = head.endpoint.as_deref().is_some_and(|name| name != endpoint.endpoint());
+        if head.other_endpoint || is_other {
+            return;
+        }
+        if let Some(wait) = head.backoff {
+            self.state.record_backoff(endpoint, wait, status, self.request_id());
+        }
+        if head.leaving {
+            self.state.record_leaving(endpoint);
+        }
+    }
+
+    /// Records and logs the end of an attempt whose response had no valid head.
     pub(super) fn end_attempt(&mut self, end: AttemptEnd) -> AttemptFailure {
+        self.end_attempt_with(end, None)
+    }
+
+    /// Records and logs the end of an attempt; `status` is that of a rejection.
+    fn end_attempt_with(&mut self, end: AttemptEnd, status: Option<StatusCode>) -> AttemptFailure {
         self.runs += u32::from(end != AttemptEnd::NotRun);
         let outcome = match end {
             AttemptEnd::NotRun => "not_run",
@@ -338,6 +359,8 @@
         if self.state.log_budget.allows(self.state.now()) {
             log::info!(
                 request = self.request_id(), service = self.service.as_str(), outcome,
+                endpoint = self.sent_to.as_ref().map(|sent| sent.endpoint.endpoint()),
+                status = status.map(|status| status.as_u16()),
                 sends = self.tried.len(), runs = self.runs,
                 left_ms = u64::try_from(self.time_left().as_millis()).unwrap_or(u64::MAX);
                 "attempt failed at target {:?}", self.tried.last()
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -21,6 +21,7 @@
     EvidenceLog, FingerprintKey, FingerprintParts, QuarantineGuard, QuarantineStatus,
 };
 use crossbeam::channel::Sender;
+use http::StatusCode;
 use tokio::sync::Notify;
 
 use super::crash_check::BrokenRun;
@@ -355,6 +356,30 @@
         }
     }
 
+    /// Records that `endpoint` rejected `request` and accepts no requests from this entry for `wait`.
+    pub(super) fn record_backoff(
+        &self,
+        endpoint: &IncarnationId,
+        wait: Duration,
+        status: StatusCode,
+        request: &str,
+    ) {
+        self.metrics.backoffs.inc();
+        if self.log_budget.allows(self.now()) {
+            let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            log::info!(endpoint:% = endpoint, wait_ms, status = status.as_u16(), request;
+                "endpoint asked for a time without requests");
+        }
+    }
+
+    /// Records that `endpoint` stated in a response that it is leaving.
+    pub(super) fn record_leaving(&self, endpoint: &IncarnationId) {
+        self.metrics.leaving_answers.inc();
+        if !self.table.borrow().is_leaving(endpoint) && self.log_budget.allows(self.now()) {
+            log::info!(endpoint:% = endpoint; "endpoint answers that it is leaving");
+        }
+    }
+
     /// The next response may come from a new leader, so all kept runs have to be reported again.
     pub(super) fn begin_leader(&self) {
         let nonce = self.lease.borrow().last_nonce();
--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -66,6 +66,10 @@
     pub(super) crashes: Counter,
     /// Endpoints with a rate limit, as known to this entry.
     pub(super) limited: Gauge,
+    /// Rejections with which endpoints asked this entry for a time without requests.
+    pub(super) backoffs: Counter,
+    /// Responses whose endpoints stated that they are leaving.
+    pub(super) leaving_answers: Counter,
     /// Quarantined requests, as known to this entry.
     pub(super) quarantined: Gauge,
     /// Time from a request's arrival to the first part of its response, in seconds.
@@ -90,6 +94,8 @@
             cut: Counter::default(),
             crashes: Counter::default(),
             limited: Gauge::default(),
+            backoffs: Counter::default(),
+            leaving_answers: Counter::default(),
             quarantined: Gauge::default(),
             first_part: Histogram::new(buckets),
             plan: Gauge::default(),
@@ -107,6 +113,10 @@
         entry.register("endpoint_crashes", help, metrics.crashes.clone());
         let help = "Endpoints that name a limit, as far as this entry knows";
         entry.register("limited_endpoints", help, metrics.limited.clone());
+        let help = "Rejections with which endpoints asked for a time without requests";
+        entry.register("endpoint_backoffs", help, metrics.backoffs.clone());
+        let help = "Answers of endpoints that are leaving";
+        entry.register("leaving_answers", help, metrics.leaving_answers.clone());
         let help = "Requests in quarantine, as far as this entry knows";
         entry.register("quarantined", help, metrics.quarantined.clone());
         let help = "Time to the first part of an answer";
