--- a/crates/standin/src/group_host/server.rs
+++ b/crates/standin/src/group_host/server.rs
@@ -18,7 +18,7 @@
 use briartray_model::names::{DomainName, IncarnationId, ServiceName, ZoneName};
 use briartray_platform::stand_in::{
     ReceivedHead, heartbeat_request, outcome_status, read_order, report_body, start_response,
-    with_advertised_limit,
+    with_advertised_limit, with_backoff, with_leaving,
 };
 use briartray_platform::{ORDER_PATH, REPORT_PATH};
 use bytes::Bytes;
@@ -86,6 +86,12 @@
     limit: Arc<Mutex<Option<String>>>,
     /// Whether it answers every request with an internal server error.
     fails: Arc<AtomicBool>,
+    /// Ids of the requests that it rejected because it asked for a time without requests.
+    rejected: Arc<Mutex<Vec<String>>>,
+    /// Time without requests that it asks for, in seconds; `None` while it accepts requests.
+    backoff: Arc<Mutex<Option<String>>>,
+    /// Whether its answers state that it is leaving.
+    answers_leaving: Arc<AtomicBool>,
 }
 
 impl HostShared {
@@ -100,6 +106,18 @@
     fn limit(&self) -> Option<String> {
         self.limit.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
+
+    fn record_rejection(&self, id: &str) {
+        self.rejected.lock().unwrap_or_else(PoisonError::into_inner).push(id.to_owned());
+    }
+
+    fn backoff(&self) -> Option<String> {
+        self.backoff.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn answers_leaving(&self) -> bool {
+        self.answers_leaving.load(Ordering::SeqCst)
+    }
 }
 
 impl HostServer {
@@ -140,6 +158,22 @@
         *advertised = limit.map(str::to_owned);
     }
 
+    /// Makes it reject later requests and ask for `seconds` without any; `None` accepts them again.
+    pub fn ask_backoff(&self, seconds: Option<&str>) {
+        let mut backoff = self.shared.backoff.lock().unwrap_or_else(PoisonError::into_inner);
+        *backoff = seconds.map(str::to_owned);
+    }
+
+    /// Returns the ids of the requests that it rejected while it asked for a time without requests.
+    pub fn rejected(&self) -> Vec<String> {
+        self.shared.rejected.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Makes its later answers state that it is leaving; its heartbeats do not.
+    pub fn answer_leaving(&self) {
+        self.shared.answers_leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Stops it immediately, without completing open requests.
     pub fn kill(&mut self) {
         if let Some(stop) = self.stop.take() {
@@ -323,6 +357,9 @@
 }
 
 fn run(state: &Rc<HostState>, head: &ReceivedHead, body: &[u8]) -> Response<ResponseBody> {
+    if let Some(seconds) = state.shared.backoff() {
+        return reject(state, head, &seconds);
+    }
     let fatal = state.settings.fatal_body.as_ref().is_some_and(|fatal| fatal.as_bytes() == body);
     match state.settings.engine {
         Some(_) => run_engine(state, head, fatal),
@@ -391,11 +428,23 @@
 }
 
 fn served(state: &HostState, head: &ReceivedHead) -> http::response::Builder {
-    let answer = start_response(StatusCode::OK, &head.request_id, true, (1, 0, 6));
-    match state.shared.limit() {
-        Some(limit) => with_advertised_limit(answer, &limit),
-        None => answer,
+    let mut answer = start_response(StatusCode::OK, &head.request_id, true, (1, 0, 6));
+    if let Some(limit) = state.shared.limit() {
+        answer = with_advertised_limit(answer, &limit);
     }
+    if state.shared.answers_leaving() {
+        answer = with_leaving(answer);
+    }
+    answer
+}
+
+/// Rejects a request and asks for `seconds` without any.
+fn reject(state: &HostState, head: &ReceivedHead, seconds: &str) -> Response<ResponseBody> {
+    state.shared.record_rejection(&head.request_id);
+    let code = StatusCode::SERVICE_UNAVAILABLE;
+    with_backoff(start_response(code, &head.request_id, false, (0, 0, 6)), seconds)
+        .body(ResponseBody::whole(Vec::new()))
+        .unwrap_or_else(|_| status(code))
 }
 
 fn not_run(head: &ReceivedHead, code: StatusCode) -> Response<ResponseBody> {
