Observe the time without requests that an endpoint asks for

Callers of one model were refused (up to 32 a second) and late while some of its groups rejected requests: entries kept sending to endpoints that had asked for three seconds without requests, and got 10 and 16 rejections from one in that time.

Cause: nothing read Retry-After of an endpoint's 503. An entry remembered a rejection for the one request that was rejected, so the next request went to the same endpoint, which looked idle and got two to three times its usual share.

Change: a HoldBook keeps, per incarnation, until when an endpoint accepts no requests from this entry. It is asked where the target is chosen, for first attempts, retries and resumed streams alike, and once more before the bytes are written. The control hosts' list of leaving endpoints moves into it. After a backoff the endpoint's share grows for a second, unless no other target is left. When all targets that are left are in a backoff, callers get 503 endpoint_backoff at once, with the time until the first one ends, spread over the second in which shares grow.

--- /dev/null
+++ b/crates/fleet/src/entry/hold.rs
@@ -0,0 +1,125 @@
+//! Endpoints that accept no requests from this entry.
+//!
+//! An endpoint that rejects a request may ask for a time without requests, its backoff, and one that
+//! is leaving by the word of the control hosts accepts no new work at all. Every send respects both: first attempts, retries, and
+//! streams that resume. A hold belongs to an incarnation, so the next one at the same address is
+//! used at once.
+//!
+//! Requests return to an endpoint gradually after its backoff. Otherwise all entries would send it
+//! everything they have at the same moment, and it would reject them again.
+
+use std::time::Duration;
+
+use briartray_model::names::IncarnationId;
+use briartray_model::{SortedTable, TimePoint};
+
+/// Time after a backoff in which the endpoint's share of the requests grows from none to its usual
+/// one.
+pub const SLOW_START: Duration = Duration::from_millis(1_000);
+
+/// Time for which a hold is kept after its last renewal when no view lists the endpoint. A view of
+/// an earlier leader may list it again.
+const UNLISTED_RETENTION: Duration = Duration::from_secs(600);
+
+/// Reason why an endpoint gets no requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendHold {
+    /// It is leaving.
+    Leaving,
+    /// It asked for a time without requests.
+    Backoff {
+        /// Time left.
+        left: Duration,
+    },
+}
+
+/// Number of endpoints with a hold, by reason.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct HoldCount {
+    /// Endpoints that asked for a time without requests.
+    pub backoff: usize,
+}
+
+/// What one endpoint stated in its answers.
+#[derive(Debug, Clone, Copy)]
+struct HoldRecord {
+    backoff_until: Option<TimePoint>,
+    renewed_at: TimePoint,
+}
+
+/// All endpoints that accept no requests from this entry.
+#[derive(Debug, Clone, Default)]
+pub struct HoldBook {
+    records: SortedTable<IncarnationId, HoldRecord>,
+    /// Endpoints that are leaving by the word of the control hosts.
+    announced: Vec<IncarnationId>,
+}
+
+impl HoldBook {
+    /// Records that `endpoint` accepts no requests for `wait`. A shorter time does not end an earlier
+    /// backoff. Returns whether it was not in one before.
+    pub fn record_backoff(
+        &mut self,
+        now: TimePoint,
+        endpoint: &IncarnationId,
+        wait: Duration,
+    ) -> bool {
+        let record = self.renew(now, endpoint);
+        let known = record.backoff_until.filter(|until| now < *until);
+        record.backoff_until = record.backoff_until.max(Some(now.after(wait)));
+        known.is_none()
+    }
+
+    /// Sets the endpoints that are leaving by the word of the control hosts.
+    pub fn set_announced(&mut self, leaving: Vec<IncarnationId>) {
+        self.announced = leaving;
+    }
+
+    /// Whether `endpoint` is leaving, by the word of the control hosts.
+    pub fn is_leaving(&self, endpoint: &IncarnationId) -> bool {
+        self.announced.contains(endpoint)
+    }
+
+    /// Reason why `endpoint` gets no requests now.
+    pub fn hold(&self, now: TimePoint, endpoint: &IncarnationId) -> Option<SendHold> {
+        if self.is_leaving(endpoint) {
+            return Some(SendHold::Leaving);
+        }
+        let until = self.records.get(endpoint)?.backoff_until?;
+        (now < until).then(|| SendHold::Backoff { left: until.since(now) })
+    }
+
+    /// Part of its usual requests that `endpoint` gets now: below 1 during the slow start after a
+    /// backoff.
+    pub fn usual_part(&self, now: TimePoint, endpoint: &IncarnationId) -> f64 {
+        let ended = self.records.get(endpoint).and_then(|record| record.backoff_until);
+        let passed = ended.map_or(SLOW_START, |ended| now.since(ended));
+        (passed.as_secs_f64() / SLOW_START.as_secs_f64()).min(1.0)
+    }
+
+    /// Removes holds that are over, and old ones of endpoints that are not `listed`.
+    pub fn prune(&mut self, now: TimePoint, listed: impl Fn(&IncarnationId) -> bool) {
+        self.records.retain(|endpoint, record| {
+            let in_use = record.backoff_until.is_some_and(|until| now < until.after(SLOW_START));
+            let recent = now.since(record.renewed_at) < UNLISTED_RETENTION;
+            in_use && (recent || listed(endpoint))
+        });
+    }
+
+    /// Number of endpoints with a hold because of their answers.
+    pub fn count(&self, now: TimePoint) -> HoldCount {
+        let mut count = HoldCount::default();
+        for record in self.records.values() {
+            let in_backoff = record.backoff_until.is_some_and(|until| now < until);
+            count.backoff += usize::from(in_backoff);
+        }
+        count
+    }
+
+    fn renew(&mut self, now: TimePoint, endpoint: &IncarnationId) -> &mut HoldRecord {
+        let fresh = || HoldRecord { backoff_until: None, renewed_at: now };
+        let record = self.records.get_or_insert_with(endpoint.clone(), fresh);
+        record.renewed_at = now;
+        record
+    }
+}
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -14,7 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::selection::{TargetCandidate, UsableTarget, select_by_weight, select_least_loaded};
-use super::{LoadSample, TargetLoad};
+use super::{HoldBook, LoadSample, SendHold, TargetLoad};
 use crate::deployment::{RouteBook, RouteRule};
 use crate::limit::{EntryLimits, SendPermit};
 use crate::message::{
@@ -81,6 +81,38 @@
         /// Estimated time until a limit allows one.
         wait: Duration,
     },
+    /// The targets that are left asked for a time without requests.
+    Backoff {
+        /// Time until the first of them accepts requests again.
+        wait: Duration,
+    },
+}
+
+/// Times until the targets that are excluded for a time may be used, the shortest of each reason.
+#[derive(Debug, Clone, Copy, Default)]
+struct ExclusionWait {
+    full: bool,
+    limited: Option<Duration>,
+    backoff: Option<Duration>,
+}
+
+impl ExclusionWait {
+    /// The refusal when no target is left. A target that is full may have room at any moment, so it
+    /// precedes those with a known time.
+    fn refusal(self) -> ChoiceRefusal {
+        match (self.limited, self.backoff) {
+            _ if self.full => ChoiceRefusal::Full,
+            (Some(wait), None) => ChoiceRefusal::Limited { wait },
+            (Some(wait), Some(backoff)) if wait <= backoff => ChoiceRefusal::Limited { wait },
+            (_, Some(wait)) => ChoiceRefusal::Backoff { wait },
+            (None, None) => ChoiceRefusal::NoReplica,
+        }
+    }
+}
+
+/// The shorter of `known` and `wait`.
+fn shorter_wait(known: Option<Duration>, wait: Duration) -> Option<Duration> {
+    Some(known.map_or(wait, |known| known.min(wait)))
 }
 
 /// All targets of an entry, with its knowledge of their load and limits.
@@ -91,7 +123,7 @@
     /// Whether an update for a different view was received.
     needs_whole_view: bool,
     loads: SortedTable<TargetId, TargetLoad>,
-    leaving: Vec<IncarnationId>,
+    holds: HoldBook,
     limits: EntryLimits,
     /// Whether a request needs a share of a cold endpoint's rate that the leader does not know of
     /// yet.
@@ -107,7 +139,7 @@
             view: FleetView::default(),
             needs_whole_view: false,
             loads: SortedTable::new(),
-            leaving: Vec::new(),
+            holds: HoldBook::default(),
             limits: EntryLimits::default(),
             share_requested: false,
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -156,14 +188,23 @@
         }
     }
 
-    /// Sets the endpoints that accept no new work; their identifiers are never reused.
-    pub fn mark_leaving(&mut self, leaving: Vec<IncarnationId>) {
-        self.leaving = leaving;
+    /// Endpoints that accept no requests from this entry.
+    pub fn holds(&self) -> &HoldBook {
+        &self.holds
     }
 
-    /// Whether the endpoint accepts no new work.
-    pub fn is_leaving(&self, id: &IncarnationId) -> bool {
-        self.leaving.contains(id)
+    /// Endpoints that accept no requests from this entry, for changes.
+    pub fn holds_mut(&mut self) -> &mut HoldBook {
+        &mut self.holds
+    }
+
+    /// Removes holds that are over.
+    pub fn prune_holds(&mut self, now: TimePoint) {
+        let view = &self.view;
+        self.holds.prune(now, |id| {
+            view.groups.iter().any(|group| group.head == *id)
+                || view.endpoints.iter().any(|endpoint| endpoint.id == *id)
+        });
     }
 
     /// Version of the view, for the next report; the default version if a whole view is needed.
@@ -337,12 +378,8 @@
         model: &str,
         slots: f64,
     ) -> Vec<TargetCandidate> {
-        let fits = |group: &&GroupView| {
-            group.open
-                && group.service == *service
-                && group.model == model
-                && !self.leaving.contains(&group.head)
-        };
+        let fits =
+            |group: &&GroupView| group.open && group.service == *service && group.model == model;
         let candidate = |group: &GroupView| TargetCandidate {
             choice: TargetChoice {
                 target: TargetId::Group(group.group),
@@ -357,9 +394,7 @@
     }
 
     fn endpoint_candidates(&self, service: &ServiceName) -> Vec<TargetCandidate> {
-        let fits = |endpoint: &&EndpointView| {
-            endpoint.service == *service && !self.leaving.contains(&endpoint.id)
-        };
+        let fits = |endpoint: &&EndpointView| endpoint.service == *service;
         let candidate = |endpoint: &EndpointView| TargetCandidate {
             choice: TargetChoice {
                 target: TargetId::Endpoint(endpoint.id.clone()),
@@ -382,9 +417,17 @@
     ) -> Result<TargetChoice, ChoiceRefusal> {
         let slowness = self.slowness(now, &candidates);
         let mut usable = Vec::new();
-        let mut full = false;
-        let mut limited: Option<Duration> = None;
+        let mut excluded = ExclusionWait::default();
         for (candidate, slowness) in candidates.into_iter().zip(slowness) {
+            let endpoint = &candidate.choice.endpoint;
+            match self.holds.hold(now, endpoint) {
+                None => {}
+                Some(SendHold::Leaving) => continue,
+                Some(SendHold::Backoff { left }) => {
+                    excluded.backoff = shorter_wait(excluded.backoff, left);
+                    continue;
+                }
+            }
             if tried.contains(&candidate.choice.target) {
                 continue;
             }
@@ -400,19 +443,24 @@
                 _ => candidate.slots - total,
             };
             if free < 1.0 && free <= self.random.random_range(0.0..1.0) {
-                full = true;
+                excluded.full = true;
                 continue;
             }
-            let endpoint = &candidate.choice.endpoint;
             self.share_requested |= self.limits.record_demand(endpoint);
             let surplus = match self.limits.permit(now, endpoint) {
                 SendPermit::Denied { wait } => {
-                    limited = Some(limited.map_or(wait, |known| known.min(wait)));
+                    excluded.limited = shorter_wait(excluded.limited, wait);
                     continue;
                 }
                 permit => permit == SendPermit::Surplus,
             };
-            usable.push(UsableTarget { candidate, total, slowness, suspect, surplus });
+            let usual_part = self.holds.usual_part(now, endpoint);
+            let slow_start = usual_part < 1.0 && self.random.random_range(0.0..1.0) >= usual_part;
+            let target = UsableTarget { candidate, total, slowness, suspect, slow_start, surplus };
+            usable.push(target);
+        }
+        if usable.iter().any(|target| !target.slow_start && !target.suspect) {
+            usable.retain(|target| !target.slow_start);
         }
         // Prefer endpoints with a nearly full token bucket, which would otherwise idle beside
         // others that are selected more often.
@@ -426,12 +474,7 @@
         } else {
             select_least_loaded(&mut self.random, usable)
         };
-        let refusal = match limited {
-            _ if full => ChoiceRefusal::Full,
-            Some(wait) => ChoiceRefusal::Limited { wait },
-            None => ChoiceRefusal::NoReplica,
-        };
-        chosen.map(|target| target.candidate.choice).ok_or(refusal)
+        chosen.map(|target| target.candidate.choice).ok_or(excluded.refusal())
     }
 
     /// Returns the factor by which each candidate is slower than the fastest one, by time to the
--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -269,7 +269,7 @@
 fn leaving_endpoints_are_not_chosen() {
     let mut table = table(1);
 
-    table.mark_leaving(vec![IncarnationId::new("head-1")]);
+    table.holds_mut().set_announced(vec![IncarnationId::new("head-1")]);
 
     assert_eq!(choose(&mut table, at(0)), Err(ChoiceRefusal::NoReplica));
 }
--- a/crates/gateway/src/entry/crash_check.rs
+++ b/crates/gateway/src/entry/crash_check.rs
@@ -37,7 +37,7 @@
 pub(super) fn check(request: &ServedRequest) {
     let Some(SentTo { endpoint, address, at }) = request.sent_to.clone() else { return };
     let state = &request.state;
-    if state.table.borrow().is_leaving(&endpoint) {
+    if state.table.borrow().holds().is_leaving(&endpoint) {
         return;
     }
     let run = BrokenRun {
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -248,7 +248,7 @@
         self.tried.push(choice.target.clone());
         let endpoint = choice.endpoint.clone();
         self.sent_to = Some(SentTo { endpoint, address, at: self.state.now() });
-        let outcome = self.send(address, request, &choice.target).await;
+        let outcome = self.send(address, request, &choice).await;
         match outcome {
             Ok(exchange) => self.check_head(exchange, address, guard),
             Err(failure) => {
@@ -272,8 +272,9 @@
         &mut self,
         address: SocketAddr,
         request: http::Request<Bytes>,
-        target: &TargetId,
+        choice: &TargetChoice,
     ) -> Result<Exchange, SendFailure> {
+        let target = &choice.target;
         // A request that must not run twice uses a new connection: the endpoint may close a pooled
         // connection while the request is in flight, which would leave the outcome unknown.
         let once = self.rule.kind == RepeatKind::Once;
@@ -281,18 +282,30 @@
         let idle = if once { None } else { self.state.pool.borrow_mut().take(now, address) };
         let pooled = idle.is_some();
         let connection = briartray_http::connect(idle, address).await?;
+        self.check_hold(&choice.endpoint)?;
         let sent = connection.send(request.clone()).await;
         match sent {
             Err(SendFailure::NotSent) if pooled => {
                 log::debug!(
                     "pooled connection to {address} ({target:?}) was closed; opening a new one"
                 );
-                briartray_http::connect(None, address).await?.send(request).await
+                let connection = briartray_http::connect(None, address).await?;
+                self.check_hold(&choice.endpoint)?;
+                connection.send(request).await
             }
             sent => sent,
         }
     }
 
+    /// Fails if the endpoint has stopped accepting requests since it was chosen.
+    fn check_hold(&self, endpoint: &IncarnationId) -> Result<(), SendFailure> {
+        if self.state.is_held(endpoint) {
+            self.state.metrics.withheld.inc();
+            return Err(SendFailure::NotSent);
+        }
+        Ok(())
+    }
+
     /// Checks that the response belongs to this request, and records the load and limit in its
     /// head.
     fn check_head(
--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 use serde_json::json;
 
+use briartray_fleet::entry::SLOW_START;
 use briartray_http::ResponseBody;
 
 /// Upper bound for the retry delay when endpoints have rate limits.
@@ -15,6 +16,9 @@
 /// callers refused together do not return together.
 const MIN_LIMIT_DELAY: Duration = Duration::from_millis(250);
 
+/// Upper bound for the wait that callers are told when endpoints asked for a time without requests.
+const MAX_BACKOFF_WAIT: Duration = Duration::from_secs(60);
+
 /// Reason why a request gets no response from a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RefusalKind {
@@ -39,6 +43,11 @@
         /// Time until one of them accepts another request.
         wait: Duration,
     },
+    /// The replicas that are left asked for a time without requests.
+    EndpointBackoff {
+        /// Time until the first of them accepts requests again.
+        wait: Duration,
+    },
     /// The replicas that were tried did not run the request.
     NotRun,
     /// The request is quarantined: identical requests crashed the endpoints that ran them.
@@ -61,6 +70,7 @@
             | Self::NoReplica
             | Self::ReplicasFull
             | Self::EndpointLimit { .. }
+            | Self::EndpointBackoff { .. }
             | Self::NotRun
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -80,6 +90,7 @@
             Self::NoReplica => "no_replica",
             Self::ReplicasFull => "full",
             Self::EndpointLimit { .. } => "endpoint_limit",
+            Self::EndpointBackoff { .. } => "endpoint_backoff",
             Self::NotRun => "not_run",
             Self::Quarantined => "quarantined",
             Self::TimedOut => "late_unknown",
@@ -102,6 +113,9 @@
             Self::EndpointLimit { .. } => {
                 "the replicas that are left take only so many requests a second; come back in a moment"
             }
+            Self::EndpointBackoff { .. } => {
+                "the replicas that are left asked for a time without requests; come back after it"
+            }
             Self::NotRun => "the replicas that were asked did not take it; come back in a moment",
             Self::Quarantined => {
                 "it crashed the replicas that ran it; change it, or ask the operators to lift its quarantine"
@@ -129,6 +143,12 @@
                 let wait = u64::try_from(wait).unwrap_or(u64::MAX);
                 (wait, 2 * wait)
             }
+            // Returns are spread over the slow start, in which the endpoints get fewer requests.
+            Self::EndpointBackoff { wait } => {
+                let wait = wait.min(MAX_BACKOFF_WAIT);
+                let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+                (millis(wait), millis(wait + SLOW_START))
+            }
             // Only an operator or a new engine version can resolve this.
             Self::Quarantined => (60_000, 120_000),
             _ => return None,
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -235,6 +235,20 @@
             self.silence_notify.notify_waiters();
         }
         self.pool.borrow_mut().prune(now);
+        self.update_holds(now);
+    }
+
+    fn update_holds(&self, now: TimePoint) {
+        let mut table = self.table.borrow_mut();
+        table.prune_holds(now);
+        let count = table.holds().count(now);
+        let gauge = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+        self.metrics.held_backoff.set(gauge(count.backoff));
+    }
+
+    /// Whether `endpoint` accepts no requests from this entry now.
+    pub(super) fn is_held(&self, endpoint: &IncarnationId) -> bool {
+        self.table.borrow().holds().hold(self.now(), endpoint).is_some()
     }
 
     /// Sends a report to the leader, which also requests a lease renewal.
@@ -308,7 +322,7 @@
         }
         let mut table = self.table.borrow_mut();
         if !notice.leaving.is_empty() {
-            table.mark_leaving(notice.leaving);
+            table.holds_mut().set_announced(notice.leaving);
         }
         if let Some(update) = notice.view {
             let (term, number) = (update.version.term.0, update.version.number);
@@ -365,17 +379,19 @@
         request: &str,
     ) {
         self.metrics.backoffs.inc();
-        if self.log_budget.allows(self.now()) {
+        let now = self.now();
+        let begins = self.table.borrow_mut().holds_mut().record_backoff(now, endpoint, wait);
+        if begins {
             let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
             log::info!(endpoint:% = endpoint, wait_ms, status = status.as_u16(), request;
-                "endpoint asked for a time without requests");
+                "endpoint asked for a time without requests; sending it none");
         }
     }
 
     /// Records that `endpoint` stated in a response that it is leaving.
     pub(super) fn record_leaving(&self, endpoint: &IncarnationId) {
         self.metrics.leaving_answers.inc();
-        if !self.table.borrow().is_leaving(endpoint) && self.log_budget.allows(self.now()) {
+        if !self.table.borrow().holds().is_leaving(endpoint) && self.log_budget.allows(self.now()) {
             log::info!(endpoint:% = endpoint; "endpoint answers that it is leaving");
         }
     }
--- a/crates/gateway/src/entry/stream_relay.rs
+++ b/crates/gateway/src/entry/stream_relay.rs
@@ -18,7 +18,7 @@
 use super::dispatch::{AttemptFailure, LiveAnswer, ServedRequest};
 use super::refusal::{RefusalKind, refuse};
 use super::stream_clock::StreamClock;
-use super::whole_answer::refusal_without_target;
+use super::whole_answer::{refusal_of_rejected, refusal_without_target};
 use briartray_http::{BodySender, ResponseBody, TruncatedStream};
 
 /// A stream in progress.
@@ -128,7 +128,7 @@
         };
         match request.next_move(end) {
             NextStep::RetryElsewhere => {}
-            NextStep::Refuse => return Err(OpenFailure::Refused(RefusalKind::NotRun)),
+            NextStep::Refuse => return Err(OpenFailure::Refused(refusal_of_rejected(request))),
             NextStep::Unknown | NextStep::ForwardFailure => {
                 let late = request.time_left().is_zero();
                 let kind = if late { RefusalKind::TimedOut } else { RefusalKind::Unknown };
--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -70,6 +70,11 @@
     pub(super) backoffs: Counter,
     /// Responses whose endpoints stated that they are leaving.
     pub(super) leaving_answers: Counter,
+    /// Endpoints that get no requests because they asked for a time without any.
+    pub(super) held_backoff: Gauge,
+    /// Requests that were not sent because the endpoint stopped accepting them while the connection
+    /// was made.
+    pub(super) withheld: Counter,
     /// Quarantined requests, as known to this entry.
     pub(super) quarantined: Gauge,
     /// Time from a request's arrival to the first part of its response, in seconds.
@@ -96,6 +101,8 @@
             limited: Gauge::default(),
             backoffs: Counter::default(),
             leaving_answers: Counter::default(),
+            held_backoff: Gauge::default(),
+            withheld: Counter::default(),
             quarantined: Gauge::default(),
             first_part: Histogram::new(buckets),
             plan: Gauge::default(),
@@ -117,6 +124,10 @@
         entry.register("endpoint_backoffs", help, metrics.backoffs.clone());
         let help = "Answers of endpoints that are leaving";
         entry.register("leaving_answers", help, metrics.leaving_answers.clone());
+        let help = "Endpoints that get no requests because they asked for a time without any";
+        entry.register("backoff_endpoints", help, metrics.held_backoff.clone());
+        let help = "Requests withheld from endpoints that had just stopped accepting them";
+        entry.register("sends_withheld", help, metrics.withheld.clone());
         let help = "Requests in quarantine, as far as this entry knows";
         entry.register("quarantined", help, metrics.quarantined.clone());
         let help = "Time to the first part of an answer";
--- a/crates/gateway/src/entry/whole_answer.rs
+++ b/crates/gateway/src/entry/whole_answer.rs
@@ -45,7 +45,7 @@
         match (request.next_move(end), failed_answer.take()) {
             (NextStep::RetryElsewhere, answer) => failed_answer = answer,
             (_, Some(answer)) => return forward_answer(answer),
-            (NextStep::Refuse, None) => return refuse(RefusalKind::NotRun),
+            (NextStep::Refuse, None) => return refuse(refusal_of_rejected(&request)),
             (_, None) if request.time_left() < LATE_MARGIN => return refuse(RefusalKind::TimedOut),
             (_, None) => return refuse(RefusalKind::Unknown),
         }
@@ -113,10 +113,20 @@
         _ if request.runs > 0 => RefusalKind::Unknown,
         ChoiceRefusal::Full => RefusalKind::ReplicasFull,
         ChoiceRefusal::Limited { wait } => RefusalKind::EndpointLimit { wait },
+        ChoiceRefusal::Backoff { wait } => RefusalKind::EndpointBackoff { wait },
         ChoiceRefusal::NoReplica => RefusalKind::NoReplica,
     }
 }
 
+/// The refusal for a request that the endpoints rejected and that is not sent again. It names the
+/// end of their backoff if no other target is left for the caller's next attempt.
+pub(super) fn refusal_of_rejected(request: &ServedRequest) -> RefusalKind {
+    match request.choose_target() {
+        Err(ChoiceRefusal::Backoff { wait }) => RefusalKind::EndpointBackoff { wait },
+        _ => RefusalKind::NotRun,
+    }
+}
+
 fn forward_answer(answer: WholeAnswer) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::whole(answer.body));
     *response.status_mut() = answer.head.status;
