Send nothing more to an endpoint that answers that it is leaving

An endpoint that leaves says so in each of its answers. Entries knew only the list of the control hosts, and went on sending while those had not heard of it: callers' requests reached an endpoint that was about to exit.

Cause: nothing read Server-Leaving, as with Retry-After; found while looking for the same cause elsewhere.

Change: the HoldBook records the incarnation as leaving with the first such answer, whatever its status. No view and no list of the control hosts ends it; it is dropped ten minutes after the last such answer once no view lists the endpoint.

--- a/crates/fleet/src/entry/hold.rs
+++ b/crates/fleet/src/entry/hold.rs
@@ -1,7 +1,7 @@
 //! Endpoints that accept no requests from this entry.
 //!
 //! An endpoint that rejects a request may ask for a time without requests, its backoff, and one that
-//! is leaving by the word of the control hosts accepts no new work at all. Every send respects both: first attempts, retries, and
+//! is leaving accepts no new work at all. Every send respects both: first attempts, retries, and
 //! streams that resume. A hold belongs to an incarnation, so the next one at the same address is
 //! used at once.
 //!
@@ -38,12 +38,15 @@
 pub struct HoldCount {
     /// Endpoints that asked for a time without requests.
     pub backoff: usize,
+    /// Endpoints that are leaving.
+    pub leaving: usize,
 }
 
 /// What one endpoint stated in its answers.
 #[derive(Debug, Clone, Copy)]
 struct HoldRecord {
     backoff_until: Option<TimePoint>,
+    leaving: bool,
     renewed_at: TimePoint,
 }
 
@@ -70,14 +73,22 @@
         known.is_none()
     }
 
+    /// Records that `endpoint` answered that it is leaving. Returns whether that was not known.
+    pub fn record_leaving(&mut self, now: TimePoint, endpoint: &IncarnationId) -> bool {
+        let announced = self.announced.contains(endpoint);
+        let record = self.renew(now, endpoint);
+        !std::mem::replace(&mut record.leaving, true) && !announced
+    }
+
     /// Sets the endpoints that are leaving by the word of the control hosts.
     pub fn set_announced(&mut self, leaving: Vec<IncarnationId>) {
         self.announced = leaving;
     }
 
-    /// Whether `endpoint` is leaving, by the word of the control hosts.
+    /// Whether `endpoint` is leaving, by its answers or the word of the control hosts.
     pub fn is_leaving(&self, endpoint: &IncarnationId) -> bool {
         self.announced.contains(endpoint)
+            || self.records.get(endpoint).is_some_and(|record| record.leaving)
     }
 
     /// Reason why `endpoint` gets no requests now.
@@ -100,7 +111,8 @@
     /// Removes holds that are over, and old ones of endpoints that are not `listed`.
     pub fn prune(&mut self, now: TimePoint, listed: impl Fn(&IncarnationId) -> bool) {
         self.records.retain(|endpoint, record| {
-            let in_use = record.backoff_until.is_some_and(|until| now < until.after(SLOW_START));
+            let in_use = record.leaving
+                || record.backoff_until.is_some_and(|until| now < until.after(SLOW_START));
             let recent = now.since(record.renewed_at) < UNLISTED_RETENTION;
             in_use && (recent || listed(endpoint))
         });
@@ -110,14 +122,15 @@
     pub fn count(&self, now: TimePoint) -> HoldCount {
         let mut count = HoldCount::default();
         for record in self.records.values() {
+            count.leaving += usize::from(record.leaving);
             let in_backoff = record.backoff_until.is_some_and(|until| now < until);
-            count.backoff += usize::from(in_backoff);
+            count.backoff += usize::from(in_backoff && !record.leaving);
         }
         count
     }
 
     fn renew(&mut self, now: TimePoint, endpoint: &IncarnationId) -> &mut HoldRecord {
-        let fresh = || HoldRecord { backoff_until: None, renewed_at: now };
+        let fresh = || HoldRecord { backoff_until: None, leaving: false, renewed_at: now };
         let record = self.records.get_or_insert_with(endpoint.clone(), fresh);
         record.renewed_at = now;
         record
--- a/crates/fleet/tests/holds.rs
+++ b/crates/fleet/tests/holds.rs
@@ -6,9 +6,9 @@
 use briartray_fleet::entry::{
     ChoiceRefusal, HoldBook, LoadSample, SLOW_START, SendHold, TargetId, TargetQuery, TargetTable,
 };
-use briartray_fleet::message::{EndpointView, FleetView};
+use briartray_fleet::message::{EndpointView, FleetView, ViewVersion};
 use briartray_model::TimePoint;
-use briartray_model::names::{IncarnationId, ServiceName, ZoneName};
+use briartray_model::names::{IncarnationId, ServiceName, TermNumber, ZoneName};
 
 /// Number of endpoints in a simulated deployment.
 const ENDPOINTS: u64 = 5;
@@ -159,19 +159,39 @@
     assert_eq!(choose(&mut table, at(10), &[]), Err(ChoiceRefusal::Full));
 }
 
+/// Guards against an endpoint that is chosen again because a later view still lists it.
+#[test]
+fn an_endpoint_that_answered_that_it_is_leaving_is_not_chosen_again() {
+    let mut table = table(1, 1);
+    let newer = ViewVersion { term: TermNumber(2), number: 1 };
+
+    let first = table.holds_mut().record_leaving(at(0), &endpoint(1));
+    let again = table.holds_mut().record_leaving(at(10), &endpoint(1));
+    table.holds_mut().set_announced(vec![endpoint(2)]);
+    table.adopt(at(20), FleetView { version: newer, ..view(2) });
+    let long_after = at(3_600_000);
+    table.prune_holds(long_after);
+
+    assert!(first && !again);
+    assert!(table.holds().is_leaving(&endpoint(1)));
+    assert_eq!(choose(&mut table, long_after, &[]), Err(ChoiceRefusal::NoReplica));
+}
+
 /// Guards against holds that pile up for endpoints that are gone.
 #[test]
 fn holds_of_endpoints_that_are_gone_are_removed() {
     let mut book = HoldBook::default();
     book.record_backoff(at(0), &endpoint(1), Duration::MAX);
+    book.record_leaving(at(0), &endpoint(2));
     book.record_backoff(at(0), &endpoint(3), millis(100));
 
     book.prune(at(5_000), |_| false);
     let kept = book.count(at(5_000));
     book.prune(at(3_600_000), |_| false);
 
-    assert_eq!(kept.backoff, 1);
+    assert_eq!((kept.backoff, kept.leaving), (1, 1));
     assert!(book.hold(at(3_600_000), &endpoint(1)).is_none());
+    assert!(!book.is_leaving(&endpoint(2)));
 }
 
 /// Requests that reached one endpoint, each with its time in milliseconds and its entry.
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -244,6 +244,7 @@
         let count = table.holds().count(now);
         let gauge = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
         self.metrics.held_backoff.set(gauge(count.backoff));
+        self.metrics.held_leaving.set(gauge(count.leaving));
     }
 
     /// Whether `endpoint` accepts no requests from this entry now.
@@ -391,8 +392,10 @@
     /// Records that `endpoint` stated in a response that it is leaving.
     pub(super) fn record_leaving(&self, endpoint: &IncarnationId) {
         self.metrics.leaving_answers.inc();
-        if !self.table.borrow().holds().is_leaving(endpoint) && self.log_budget.allows(self.now()) {
-            log::info!(endpoint:% = endpoint; "endpoint answers that it is leaving");
+        let now = self.now();
+        if self.table.borrow_mut().holds_mut().record_leaving(now, endpoint) {
+            log::info!(endpoint:% = endpoint;
+                "endpoint answers that it is leaving; sending it no more requests");
         }
     }
 
--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -72,6 +72,8 @@
     pub(super) leaving_answers: Counter,
     /// Endpoints that get no requests because they asked for a time without any.
     pub(super) held_backoff: Gauge,
+    /// Endpoints that get no requests because they answered that they are leaving.
+    pub(super) held_leaving: Gauge,
     /// Requests that were not sent because the endpoint stopped accepting them while the connection
     /// was made.
     pub(super) withheld: Counter,
@@ -102,6 +104,7 @@
             backoffs: Counter::default(),
             leaving_answers: Counter::default(),
             held_backoff: Gauge::default(),
+            held_leaving: Gauge::default(),
             withheld: Counter::default(),
             quarantined: Gauge::default(),
             first_part: Histogram::new(buckets),
@@ -126,6 +129,8 @@
         entry.register("leaving_answers", help, metrics.leaving_answers.clone());
         let help = "Endpoints that get no requests because they asked for a time without any";
         entry.register("backoff_endpoints", help, metrics.held_backoff.clone());
+        let help = "Endpoints that get no requests because they answered that they leave";
+        entry.register("leaving_endpoints", help, metrics.held_leaving.clone());
         let help = "Requests withheld from endpoints that had just stopped accepting them";
         entry.register("sends_withheld", help, metrics.withheld.clone());
         let help = "Requests in quarantine, as far as this entry knows";
