Observe the time without requests that an engine asks its agent for

On the product's own interface an engine that rejected a call with 503 and Retry-After got every further call: the agent read neither status nor header, and callers were handed the rejection of an engine that others could have replaced.

The agent now keeps the time that its endpoint asked for, up to a minute, since it does not notice a restart of the endpoint. It refuses orders until then with EndpointBackoff and the time left, which costs no attempt and no budget. Entries leave the replica out for that time, and callers get 503 no_replica with the shortest of these times when no other replica is left. Cancelled calls still reach the engine.

Reading of Retry-After moves to the model, one copy for both interfaces. Stand-ins have a fault 'backoff'.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,10 +8,12 @@
 pub mod lease;
 pub mod message;
 pub mod names;
+mod retry_after;
 pub mod rules;
 pub mod settings;
 mod table;
 mod time;
 
+pub use retry_after::read_retry_after;
 pub use table::SortedTable;
 pub use time::TimePoint;
--- a/crates/model/src/message/dispatch.rs
+++ b/crates/model/src/message/dispatch.rs
@@ -201,6 +201,11 @@
         EndpointUnreachable,
         /// The order was in transit for longer than the agent keeps tombstones.
         TooOld,
+        /// The endpoint asked for a time without requests.
+        EndpointBackoff {
+            /// Time left, in milliseconds.
+            left_ms: u32,
+        },
     }
 
     /// Whether a request ran, as reported to its caller.
--- a/crates/node/src/agent/endpoint.rs
+++ b/crates/node/src/agent/endpoint.rs
@@ -5,9 +5,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use attohttpc::{Method, RequestBuilder, ResponseReader};
+use attohttpc::{Method, RequestBuilder, ResponseReader, StatusCode};
 use briartray_model::message::DispatchOrder;
 use briartray_model::names::AttemptId;
+use briartray_model::read_retry_after;
 use briartray_model::settings::{EndpointKind, EndpointSettings};
 use serde::Deserialize;
 use snafu::Snafu;
@@ -73,6 +74,8 @@
 pub(super) struct EndpointAnswer {
     pub(super) status: u16,
     pub(super) content_type: String,
+    /// Time for which the endpoint, which has rejected the call, accepts none.
+    pub(super) backoff: Option<Duration>,
     address: SocketAddr,
     attempt: AttemptId,
     deadline: Instant,
@@ -157,6 +160,9 @@
         once: order.once,
         status: status.as_u16(),
         content_type: header_text("content-type").unwrap_or("application/octet-stream").to_owned(),
+        backoff: header_text("retry-after")
+            .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
+            .and_then(read_retry_after),
         length: header_text("content-length").and_then(|length| length.parse().ok()),
         framed: header_text("content-length").is_some()
             || header_text("transfer-encoding").is_some()
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -252,6 +252,9 @@
     if !shared.is_still_whole(&running.order) {
         return AnswerEnd::Refused(RefusalReason::GroupNotWhole);
     }
+    if let Some(reason) = shared.backoff_reason() {
+        return AnswerEnd::Refused(reason);
+    }
     let began = shared.clock.now();
     let mut answer = match endpoint::call(&shared.settings.endpoint, &running.order) {
         Ok(answer) => answer,
@@ -264,6 +267,9 @@
         }
         Err(error) => return failed_end(&error.to_string()),
     };
+    if let Some(wait) = answer.backoff {
+        shared.record_backoff(wait);
+    }
     let (status, content_type) = (answer.status, answer.content_type.clone());
     running.update(|buffer| buffer.push_head(AnswerHead { status, content_type }));
     match fill_buffer(&mut answer, shared, running) {
--- a/crates/node/src/agent/shared.rs
+++ b/crates/node/src/agent/shared.rs
@@ -34,6 +34,10 @@
 /// Longest time that an order waits for a slot.
 const MAX_SLOT_WAIT: Duration = Duration::from_millis(250);
 
+/// Longest time for which the endpoint gets no requests after it asked for that. The agent does not
+/// notice a restart of the endpoint, which ends the wait.
+const MAX_BACKOFF: Duration = Duration::from_secs(60);
+
 /// Slots per queued order; the queue's capacity is the slot count divided by this.
 const SLOTS_PER_QUEUED_ORDER: u32 = 16;
 
@@ -68,6 +72,8 @@
     /// Recent duration of an engine's step or a plain service's call, in microseconds; 0 while
     /// unknown.
     step_time: AtomicU32,
+    /// Until when the endpoint accepts no requests.
+    backoff_until: AtomicU64,
     attempts: Mutex<AttemptBook>,
     held_attempts: Mutex<SortedTable<AttemptId, Arc<RunningAttempt>>>,
     crash_detector: CrashDetector,
@@ -88,6 +94,7 @@
             slots: Mutex::new(SlotCount::default()),
             slot_freed: Condvar::new(),
             step_time: AtomicU32::new(0),
+            backoff_until: AtomicU64::new(0),
             attempts: Mutex::new(AttemptBook::new(BookLimits::default())),
             held_attempts: Mutex::new(SortedTable::new()),
             crash_detector: CrashDetector::default(),
@@ -178,7 +185,29 @@
         if self.is_leaving(gate.fencing) {
             return Some(RefusalReason::Leaving);
         }
-        (!self.is_whole(&gate)).then_some(RefusalReason::GroupNotWhole)
+        if !self.is_whole(&gate) {
+            return Some(RefusalReason::GroupNotWhole);
+        }
+        self.backoff_reason()
+    }
+
+    /// Records that the endpoint rejected a call and accepts none for `wait`.
+    pub(super) fn record_backoff(&self, wait: Duration) {
+        let wait = wait.min(MAX_BACKOFF);
+        let now = self.clock.now();
+        let until = now.after(wait);
+        let earlier = TimePoint(self.backoff_until.fetch_max(until.0, Ordering::SeqCst));
+        if earlier <= now {
+            let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            log::warn!(wait_ms; "endpoint asked for a time without requests; sending it none");
+        }
+    }
+
+    /// The reason why the endpoint gets no requests now, if it asked for that.
+    pub(super) fn backoff_reason(&self) -> Option<RefusalReason> {
+        let left = TimePoint(self.backoff_until.load(Ordering::SeqCst)).since(self.clock.now());
+        let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        (!left.is_zero()).then_some(RefusalReason::EndpointBackoff { left_ms })
     }
 
     /// Takes a slot for `order`, after a short wait if all slots are taken. The slot is released
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -344,6 +344,10 @@
             let refusal = CallRefusal::not_run(RefusalCode::DeadlinePassed, message);
             (AttemptEffect::NotRun, CallFailure::Other(refusal))
         }
+        RefusalReason::EndpointBackoff { left_ms } => {
+            let wait = Duration::from_millis(u64::from(left_ms));
+            (AttemptEffect::ReplicaFull, no_replica(wait))
+        }
         // The agent answered, so the attempt cost only a round trip.
         _ if load.is_some() && reason != RefusalReason::EndpointUnreachable => {
             (AttemptEffect::ReplicaFull, no_replica(DEFAULT_RETRY_AFTER))
--- a/crates/routing/src/choice/state.rs
+++ b/crates/routing/src/choice/state.rs
@@ -158,6 +158,12 @@
         self.backoffs = self.backoffs.saturating_add(1);
     }
 
+    /// Makes the replica unavailable for `wait`, as its endpoint asked.
+    pub(super) fn back_off_for(&mut self, now: TimePoint, wait: Duration) {
+        self.backoff_until = self.backoff_until.max(now.after(wait));
+        self.down = true;
+    }
+
     /// Ejects a replica that is not ejected yet and whose step time exceeds `slow_step_micros`.
     pub(super) fn eject_if_slow(&mut self, now: TimePoint, slow_step_micros: f32) {
         if !self.ejected && slow_step_micros > 0.0 && self.mean_step_micros > slow_step_micros {
--- a/crates/routing/src/choice/table.rs
+++ b/crates/routing/src/choice/table.rs
@@ -43,7 +43,7 @@
     Chosen(Arc<GroupRecord>),
     /// Replicas are available, but all of them are full at the moment.
     Full,
-    /// All replicas are unreachable or not whole. Holds the time until the first backoff ends.
+    /// All replicas are unreachable or not whole, or accept no requests for a time. Holds the time until the first backoff ends.
     Down(Duration),
     /// No candidate is left.
     Absent,
@@ -214,6 +214,9 @@
             }
             // The request caused the refusal, not the replica.
             AttemptResult::Refused(RefusalReason::DeadlinePassed | RefusalReason::Tombstoned) => {}
+            AttemptResult::Refused(RefusalReason::EndpointBackoff { left_ms }) => {
+                state.back_off_for(now, Duration::from_millis(u64::from(left_ms)));
+            }
             AttemptResult::Refused(_) => state.back_off(now, BackoffCause::Down, random.random()),
             AttemptResult::Broken => state.record_failure(),
             AttemptResult::Ended => return,
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -237,6 +237,25 @@
     assert_matches!(outcome, ChoiceOutcome::Down(wait) if wait <= Duration::from_millis(100));
 }
 
+/// Guards against requests to replicas whose endpoints asked for a time without any, and against callers
+/// that are told another time.
+#[test]
+fn a_replica_gets_no_requests_for_the_time_that_its_endpoint_asked_for() {
+    let route = RouteAction::default();
+    let mut random = random();
+    let mut table = table(&alike(2));
+    for (group, left_ms) in [(0, 3_000), (1, 2_000)] {
+        let refused = AttemptResult::Refused(RefusalReason::EndpointBackoff { left_ms });
+        table.release(at(0), GroupId(group), refused, Some(&report(0, 0)), &mut random);
+    }
+
+    let during = table.choose(at(500), &request(&route), &mut random);
+    let after = table.choose(at(2_000), &request(&route), &mut random);
+
+    assert_eq!(during, ChoiceOutcome::Down(Duration::from_millis(1_500)));
+    assert_matches!(after, ChoiceOutcome::Chosen(record) if record.group == GroupId(1));
+}
+
 #[test]
 fn full_replicas_get_no_requests_until_their_reports_expire() {
     // A replica was full at its last report and has received no request since. It must not look
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -115,8 +115,8 @@
         Err(error) => return refuse(request, 400, &error.to_string()),
     };
     let faults = shared.faults.draw();
-    if faults.has(FaultKind::Refuse) {
-        return refuse(request, 503, "refused by a fault");
+    if let Some(refusal) = faults.refusal() {
+        return reply_json(request, &refusal);
     }
     std::thread::sleep(faults.duration(FaultKind::Late));
     let id = header_value(&request, "x-request-id").unwrap_or("none").to_owned();
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -5,8 +5,13 @@
 use std::time::Duration;
 
 use briartray_model::{plain_choice, plain_value};
+use briartray_web::JsonReply;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+
+/// Error message of a request that a fault refuses.
+pub const FAULT_REFUSAL_MESSAGE: &str = "refused by a fault";
 
 /// Duration of a fault whose rule sets none, in milliseconds.
 const DEFAULT_FAULT_MS: u64 = 200;
@@ -28,6 +33,8 @@
         Slow,
         /// The request is refused and does not run.
         Refuse,
+        /// The request is refused, and the refusal asks for a time without requests.
+        Backoff,
     }
 }
 
@@ -68,7 +75,7 @@
         let mut parts = text.split(':');
         let kind = parts.next().ok_or(USAGE)?;
         let kind = serde_json::from_value(kind.into()).map_err(
-            |_| "unknown kind of fault; use late, crossed, doubled, cut, silent, slow or refuse",
+            |_| "unknown kind of fault; use late, crossed, doubled, cut, silent, slow, refuse or backoff",
         )?;
         let share: f64 = parts.next().and_then(|share| share.parse().ok()).ok_or(USAGE)?;
         let ms = match parts.next() {
@@ -94,6 +101,17 @@
         self.rules.iter().any(|rule| rule.kind == kind)
     }
 
+    /// Returns the refusal of the request, if one was drawn.
+    pub fn refusal(&self) -> Option<JsonReply> {
+        let body = json!({ "error": { "message": FAULT_REFUSAL_MESSAGE } });
+        let reply = JsonReply::new(503, body);
+        if self.has(FaultKind::Backoff) {
+            let seconds = self.duration(FaultKind::Backoff).as_secs_f64().to_string();
+            return Some(reply.with_header("Retry-After", seconds));
+        }
+        self.has(FaultKind::Refuse).then_some(reply)
+    }
+
     /// Returns the duration of `kind`, zero if it was not drawn.
     pub fn duration(&self, kind: FaultKind) -> Duration {
         let rule = self.rules.iter().find(|rule| rule.kind == kind);
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -115,9 +115,8 @@
 
 fn run(request: Request, shared: &ServiceShared, path: &str, body: &str) {
     let faults = shared.faults.draw();
-    if faults.has(FaultKind::Refuse) {
-        let body = json!({ "error": { "message": "refused by a fault" } });
-        return reply_json(request, &JsonReply::new(503, body));
+    if let Some(refusal) = faults.refusal() {
+        return reply_json(request, &refusal);
     }
     std::thread::sleep(faults.duration(FaultKind::Late));
     let id = header_value(&request, "x-request-id").unwrap_or("none").to_owned();
