Count an endpoint that rejects probes as working

Callers were refused after busy hosts rejected the leader's calls for a report: a 503 has no report in it, so it counted as no answer, two of them made the host lost, and its group was dissolved while the host served. A group in a backoff is hit first: entries send it nothing, so none vouches for it.

Change: a 503 proves that the endpoint works; its heartbeats tell its state. Probes wait for the time that it names, unless its heartbeats stop. Orders are still sent.

--- a/crates/fleet/src/director/host_record.rs
+++ b/crates/fleet/src/director/host_record.rs
@@ -35,6 +35,8 @@
     /// When the probe that is in flight was sent.
     pub(super) probe_sent_at: Option<TimePoint>,
     pub(super) next_probe_at: TimePoint,
+    /// Until when it accepts no probes.
+    pub(super) probes_held_until: TimePoint,
     /// Last answer to a probe.
     pub(super) last_answer_at: Option<TimePoint>,
     /// A probe is requested even if the endpoint is in no group.
@@ -81,6 +83,7 @@
             failures: 0,
             probe_sent_at: None,
             next_probe_at,
+            probes_held_until: now,
             last_answer_at: None,
             probe_requested: false,
             suspect: false,
@@ -127,10 +130,19 @@
 
     /// Whether the endpoint is to be probed.
     pub(super) fn needs_probe(&self, now: TimePoint, in_group: impl Fn() -> bool) -> bool {
-        let silent = now.since(self.last_contact) >= SILENCE_TIMEOUT;
         // A slow host in no group is probed too, so that it is used again once it is fast.
         let needed = self.inherited || self.probe_requested || self.is_slow();
-        self.serves_in_groups() && (silent || needed || in_group())
+        self.serves_in_groups() && (self.is_silent(now) || needed || in_group())
+    }
+
+    /// Whether probes are held back because it rejected one. Once its heartbeats stop, only a probe
+    /// can tell whether it still works.
+    pub(super) fn holds_probes(&self, now: TimePoint) -> bool {
+        now < self.probes_held_until && !self.is_silent(now)
+    }
+
+    fn is_silent(&self, now: TimePoint) -> bool {
+        now.since(self.last_contact) >= SILENCE_TIMEOUT
     }
 
     /// Whether it serves as a member of groups rather than on its own.
--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -202,6 +202,17 @@
         }
     }
 
+    /// Records that the endpoint rejected a probe and accepts none for `wait`. It works, since it
+    /// answered; only its heartbeats tell its state meanwhile.
+    pub fn probe_rejected(&mut self, now: TimePoint, id: &IncarnationId, wait: Duration) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.probe_sent_at = None;
+            record.record_contact(now);
+            record.next_probe_at = now.after(PROBE_INTERVAL);
+            record.probes_held_until = now.after(wait);
+        }
+    }
+
     /// Records that requests go to the endpoints of `zone` again.
     pub fn readmit(&mut self, now: TimePoint, zone: &ZoneName) {
         for record in self.records.values_mut().filter(|record| record.heartbeat.zone == *zone) {
@@ -248,6 +259,7 @@
             in_flight += usize::from(is_pending);
             if !is_pending
                 && now >= record.next_probe_at
+                && !record.holds_probes(now)
                 && record.needs_probe(now, || in_group(id))
             {
                 due.push((record.next_probe_at, id, record));
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -142,6 +142,11 @@
         changed
     }
 
+    /// Records that an endpoint rejected a probe and accepts none for `wait`.
+    pub fn probe_rejected(&mut self, now: TimePoint, id: &IncarnationId, wait: Duration) {
+        self.hosts.probe_rejected(now, id, wait);
+    }
+
     /// Records that there was no time to read the answer to a probe.
     pub fn probe_unread(&mut self, now: TimePoint, id: &IncarnationId) {
         self.hosts.probe_unread(now, id);
--- a/crates/fleet/tests/probes.rs
+++ b/crates/fleet/tests/probes.rs
@@ -50,6 +50,25 @@
     assert_eq!(table.get(&host()).map(|host| host.failures), Some(0));
 }
 
+/// Guards against a busy endpoint that counts as lost because it rejects probes, and that gets probes
+/// in the time for which it accepts none, even if an entry finds its group silent.
+#[test]
+fn a_rejected_probe_is_no_failure_and_holds_probes_back() {
+    let (mut table, now) = probed_host();
+    let wait = Duration::from_secs(3);
+
+    for _ in 0..5 {
+        due_probes(&mut table, now);
+        table.probe_rejected(now, &host(), wait);
+    }
+    table.probe_suspect(now.after(wait / 2), &host());
+    let held = due_probes(&mut table, now.after(wait / 2));
+    let after = due_probes(&mut table, now.after(wait));
+
+    assert!(table.get(&host()).is_some_and(|host| !host.is_lost() && host.failures == 0));
+    assert_eq!((held.len(), after.len()), (0, 1));
+}
+
 /// A control host that is short of processor time reads probe answers too late. That says nothing
 /// about the endpoints; if they counted as lost, their groups would be dissolved.
 #[test]
--- a/crates/gateway/src/control/endpoint_client.rs
+++ b/crates/gateway/src/control/endpoint_client.rs
@@ -89,6 +89,9 @@
         if status == StatusCode::MISDIRECTED_REQUEST || is_other {
             return ProbeResult::OtherEndpoint;
         }
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            return ProbeResult::Rejected { wait: head.backoff.unwrap_or_default() };
+        }
         match read_report(&body) {
             // The endpoint has restarted under its previous name and belongs to no group.
             Ok(report) if report.started.is_some() && report.started != probe.id.started_at() => {
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -91,6 +91,10 @@
                 self.parts.metrics.unread_probes.inc();
                 return leadership.director.probe_unread(now, id);
             }
+            ProbeResult::Rejected { wait } => {
+                log::info!(endpoint:% = id; "endpoint rejected a probe; it counts as working");
+                leadership.director.probe_rejected(now, id, *wait);
+            }
             ProbeResult::Silent => {
                 self.parts.metrics.silent_probes.inc();
                 log::info!(endpoint:% = id; "endpoint did not answer a probe");
--- a/crates/gateway/src/control/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -1,6 +1,6 @@
 //! Inputs of the control thread and its replies.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use briartray_control::agreement::PeerMessage;
 use briartray_fleet::director::{
@@ -91,6 +91,11 @@
     Silent,
     /// This process was too slow to read a response, which proves nothing about the endpoint.
     Unread,
+    /// The endpoint rejected the call for a report, which proves that it works.
+    Rejected {
+        /// Time for which it accepts no further call; zero if it named none.
+        wait: Duration,
+    },
 }
 
 /// An input of the control thread.
--- a/crates/standin/src/group_host/server.rs
+++ b/crates/standin/src/group_host/server.rs
@@ -7,7 +7,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -92,6 +92,10 @@
     backoff: Arc<Mutex<Option<String>>>,
     /// Whether its answers state that it is leaving.
     answers_leaving: Arc<AtomicBool>,
+    /// Whether it rejects calls for a report.
+    rejects_reports: Arc<AtomicBool>,
+    /// Number of rejected calls for a report.
+    rejected_reports: Arc<AtomicUsize>,
 }
 
 impl HostShared {
@@ -169,6 +173,16 @@
         self.shared.rejected.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Makes it reject calls for a report, or answer them again.
+    pub fn reject_reports(&self, rejects: bool) {
+        self.shared.rejects_reports.store(rejects, Ordering::SeqCst);
+    }
+
+    /// Returns the number of calls for a report that it rejected.
+    pub fn rejected_reports(&self) -> usize {
+        self.shared.rejected_reports.load(Ordering::SeqCst)
+    }
+
     /// Makes its later answers state that it is leaving; its heartbeats do not.
     pub fn answer_leaving(&self) {
         self.shared.answers_leaving.store(true, Ordering::SeqCst);
@@ -339,6 +353,10 @@
         return not_run(&head, StatusCode::MISDIRECTED_REQUEST);
     }
     match parts.uri.path() {
+        REPORT_PATH if state.shared.rejects_reports.load(Ordering::SeqCst) => {
+            state.shared.rejected_reports.fetch_add(1, Ordering::SeqCst);
+            status(StatusCode::SERVICE_UNAVAILABLE)
+        }
         REPORT_PATH => {
             let report = report_body(&state.model.borrow().report());
             Response::new(ResponseBody::whole(report.to_string()))
