Pass over endpoints that reject requests while others have room

While some endpoints of a service reject requests at once, callers were refused although others had room: a rejecting endpoint answers within milliseconds and reports that it runs nothing, so the choice by load and by time to the first part preferred it. In the incident such endpoints got two to three times their usual share, and a request went to three of them in a row.

Change: a rejection that names no time, or a 429 with one, passes its endpoint over for half a second or that time (5 s at most), then its share grows as after a backoff. It is still used when no other endpoint has room.

Evidence: a_rejecting_endpoint_gets_no_more_than_its_share shows the attraction without the record of rejections, and less than a tenth of the share with it.

--- a/crates/fleet/src/entry/hold.rs
+++ b/crates/fleet/src/entry/hold.rs
@@ -5,7 +5,11 @@
 //! streams that resume. A hold belongs to an incarnation, so the next one at the same address is
 //! used at once.
 //!
-//! Requests return to an endpoint gradually after its backoff. Otherwise all entries would send it
+//! An endpoint that rejects a request without naming a time may accept the next one, so it is only
+//! passed over for a moment while others have room. Without that, it attracts requests: it answers
+//! at once and reports that it runs none.
+//!
+//! Requests return to an endpoint gradually after both. Otherwise all entries would send it
 //! everything they have at the same moment, and it would reject them again.
 
 use std::time::Duration;
@@ -13,6 +17,12 @@
 use briartray_model::names::IncarnationId;
 use briartray_model::{SortedTable, TimePoint};
 
+/// Time for which an endpoint is passed over after it rejected a request without naming a time.
+const PASS_OVER_TIME: Duration = Duration::from_millis(500);
+
+/// Longest time for which an endpoint is passed over.
+const MAX_PASS_OVER_TIME: Duration = Duration::from_secs(5);
+
 /// Time after a backoff in which the endpoint's share of the requests grows from none to its usual
 /// one.
 pub const SLOW_START: Duration = Duration::from_millis(1_000);
@@ -46,6 +56,8 @@
 #[derive(Debug, Clone, Copy)]
 struct HoldRecord {
     backoff_until: Option<TimePoint>,
+    /// Until when it is passed over while other endpoints have room.
+    pass_over_until: Option<TimePoint>,
     leaving: bool,
     renewed_at: TimePoint,
 }
@@ -58,6 +70,13 @@
     announced: Vec<IncarnationId>,
 }
 
+impl HoldRecord {
+    /// When the slow start begins.
+    fn ends_at(&self) -> Option<TimePoint> {
+        self.backoff_until.max(self.pass_over_until)
+    }
+}
+
 impl HoldBook {
     /// Records that `endpoint` accepts no requests for `wait`. A shorter time does not end an earlier
     /// backoff. Returns whether it was not in one before.
@@ -73,6 +92,19 @@
         known.is_none()
     }
 
+    /// Records that `endpoint` rejected a request and may accept others; `wait` is the time after
+    /// which it expects them, if it named one.
+    pub fn record_rejection(
+        &mut self,
+        now: TimePoint,
+        endpoint: &IncarnationId,
+        wait: Option<Duration>,
+    ) {
+        let wait = wait.unwrap_or(PASS_OVER_TIME).min(MAX_PASS_OVER_TIME);
+        let record = self.renew(now, endpoint);
+        record.pass_over_until = record.pass_over_until.max(Some(now.after(wait)));
+    }
+
     /// Records that `endpoint` answered that it is leaving. Returns whether that was not known.
     pub fn record_leaving(&mut self, now: TimePoint, endpoint: &IncarnationId) -> bool {
         let announced = self.announced.contains(endpoint);
@@ -100,10 +132,10 @@
         (now < until).then(|| SendHold::Backoff { left: until.since(now) })
     }
 
-    /// Part of its usual requests that `endpoint` gets now: below 1 during the slow start after a
-    /// backoff.
+    /// Part of its usual requests that `endpoint` gets now while others have room: none while it is
+    /// passed over, and below 1 during the slow start.
     pub fn usual_part(&self, now: TimePoint, endpoint: &IncarnationId) -> f64 {
-        let ended = self.records.get(endpoint).and_then(|record| record.backoff_until);
+        let ended = self.records.get(endpoint).and_then(HoldRecord::ends_at);
         let passed = ended.map_or(SLOW_START, |ended| now.since(ended));
         (passed.as_secs_f64() / SLOW_START.as_secs_f64()).min(1.0)
     }
@@ -111,8 +143,8 @@
     /// Removes holds that are over, and old ones of endpoints that are not `listed`.
     pub fn prune(&mut self, now: TimePoint, listed: impl Fn(&IncarnationId) -> bool) {
         self.records.retain(|endpoint, record| {
-            let in_use = record.leaving
-                || record.backoff_until.is_some_and(|until| now < until.after(SLOW_START));
+            let in_use =
+                record.leaving || record.ends_at().is_some_and(|end| now < end.after(SLOW_START));
             let recent = now.since(record.renewed_at) < UNLISTED_RETENTION;
             in_use && (recent || listed(endpoint))
         });
@@ -130,7 +162,12 @@
     }
 
     fn renew(&mut self, now: TimePoint, endpoint: &IncarnationId) -> &mut HoldRecord {
-        let fresh = || HoldRecord { backoff_until: None, leaving: false, renewed_at: now };
+        let fresh = || HoldRecord {
+            backoff_until: None,
+            pass_over_until: None,
+            leaving: false,
+            renewed_at: now,
+        };
         let record = self.records.get_or_insert_with(endpoint.clone(), fresh);
         record.renewed_at = now;
         record
--- a/crates/fleet/tests/holds.rs
+++ b/crates/fleet/tests/holds.rs
@@ -267,3 +267,54 @@
         assert!(later as u64 >= least, "{entries} entries: {later} later, {least} expected");
     }
 }
+
+/// Sends requests for a second while the first endpoint rejects each at once; returns how many reach it.
+/// `learns` tells whether the entry records the rejections.
+fn requests_to_a_rejecting_endpoint(learns: bool) -> u64 {
+    let mut table = table(ENDPOINTS, 1);
+    let mut running: Vec<(u64, IncarnationId)> = Vec::new();
+    let mut rejected = 0;
+    for now in 0..1_000 {
+        running.retain(|(end, id)| {
+            if *end <= now {
+                table.end(at(now), &TargetId::Endpoint(id.clone()));
+            }
+            *end > now
+        });
+        for _ in 0..REQUESTS_PER_MS {
+            let id = choose(&mut table, at(now), &[]).expect("an endpoint has room");
+            if id == endpoint(1) {
+                rejected += 1;
+                if learns {
+                    table.holds_mut().record_rejection(at(now), &id, None);
+                }
+                continue;
+            }
+            table.begin(at(now), &TargetId::Endpoint(id.clone()));
+            running.push((now + ANSWER_MS, id));
+        }
+    }
+    rejected
+}
+
+/// Guards against an endpoint that attracts requests because it rejects them at once and so looks idle.
+#[test]
+fn a_rejecting_endpoint_gets_no_more_than_its_share() {
+    let usual = REQUESTS_PER_MS * 1_000 / ENDPOINTS;
+
+    let attracted = requests_to_a_rejecting_endpoint(false);
+    let passed_over = requests_to_a_rejecting_endpoint(true);
+
+    assert!(attracted > usual, "{attracted} requests show no attraction");
+    assert!(passed_over <= usual / 10, "{passed_over} requests, {usual} is its share");
+}
+
+/// Guards against callers that are refused although the only endpoint left accepts some requests.
+#[test]
+fn a_rejecting_endpoint_is_used_when_no_other_has_room() {
+    let mut table = table(1, 1);
+
+    table.holds_mut().record_rejection(at(0), &endpoint(1), Some(millis(3_000)));
+
+    assert_eq!(choose(&mut table, at(10), &[]), Ok(endpoint(1)));
+}
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -349,6 +349,8 @@
         }
         if let Some(wait) = head.backoff {
             self.state.record_backoff(endpoint, wait, status, self.request_id());
+        } else if head.not_run {
+            self.state.record_rejection(endpoint, head.retry_after);
         }
         if head.leaving {
             self.state.record_leaving(endpoint);
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -389,6 +389,12 @@
         }
     }
 
+    /// Records that `endpoint` rejected a request, and after which time it expects others.
+    pub(super) fn record_rejection(&self, endpoint: &IncarnationId, wait: Option<Duration>) {
+        let now = self.now();
+        self.table.borrow_mut().holds_mut().record_rejection(now, endpoint, wait);
+    }
+
     /// Records that `endpoint` stated in a response that it is leaving.
     pub(super) fn record_leaving(&self, endpoint: &IncarnationId) {
         self.metrics.leaving_answers.inc();
