Split the choice of a target, and count endpoints that are passed over

A 400 that was not run no longer passes its endpoint over: it is due to the request, not to the endpoint's load. Found by reading; the tests of the choice, of holds and of limits pass.

--- a/crates/fleet/src/entry/hold.rs
+++ b/crates/fleet/src/entry/hold.rs
@@ -1,4 +1,4 @@
-//! Endpoints that accept no requests from this entry.
+//! Endpoints that accept no requests from this entry, or fewer than usual.
 //!
 //! An endpoint that rejects a request may ask for a time without requests, its backoff, and one that
 //! is leaving accepts no new work at all. Every send respects both: first attempts, retries, and
@@ -48,6 +48,8 @@
 pub struct HoldCount {
     /// Endpoints that asked for a time without requests.
     pub backoff: usize,
+    /// Endpoints that are passed over while others have room.
+    pub passed_over: usize,
     /// Endpoints that are leaving.
     pub leaving: usize,
 }
@@ -62,11 +64,11 @@
     renewed_at: TimePoint,
 }
 
-/// All endpoints that accept no requests from this entry.
+/// All endpoints that accept no requests from this entry, or fewer than usual.
 #[derive(Debug, Clone, Default)]
 pub struct HoldBook {
     records: SortedTable<IncarnationId, HoldRecord>,
-    /// Endpoints that are leaving by the word of the control hosts.
+    /// Endpoints that are leaving according to the control hosts.
     announced: Vec<IncarnationId>,
 }
 
@@ -112,12 +114,12 @@
         !std::mem::replace(&mut record.leaving, true) && !announced
     }
 
-    /// Sets the endpoints that are leaving by the word of the control hosts.
+    /// Sets the endpoints that are leaving according to the control hosts.
     pub fn set_announced(&mut self, leaving: Vec<IncarnationId>) {
         self.announced = leaving;
     }
 
-    /// Whether `endpoint` is leaving, by its answers or the word of the control hosts.
+    /// Whether `endpoint` is leaving, according to its answers or the control hosts.
     pub fn is_leaving(&self, endpoint: &IncarnationId) -> bool {
         self.announced.contains(endpoint)
             || self.records.get(endpoint).is_some_and(|record| record.leaving)
@@ -154,9 +156,14 @@
     pub fn count(&self, now: TimePoint) -> HoldCount {
         let mut count = HoldCount::default();
         for record in self.records.values() {
-            count.leaving += usize::from(record.leaving);
-            let in_backoff = record.backoff_until.is_some_and(|until| now < until);
-            count.backoff += usize::from(in_backoff && !record.leaving);
+            let lasts = |until: Option<TimePoint>| until.is_some_and(|until| now < until);
+            if record.leaving {
+                count.leaving += 1;
+            } else if lasts(record.backoff_until) {
+                count.backoff += 1;
+            } else if lasts(record.pass_over_until) {
+                count.passed_over += 1;
+            }
         }
         count
     }
--- a/crates/fleet/src/entry/selection.rs
+++ b/crates/fleet/src/entry/selection.rs
@@ -49,8 +49,8 @@
     pub(super) slowness: f64,
     /// Whether it recently failed or went silent.
     pub(super) suspect: bool,
-    /// Whether its slow start after a backoff leaves this request to others.
-    pub(super) slow_start: bool,
+    /// Whether it leaves this request to others because it rejected one recently.
+    pub(super) deferred: bool,
     /// Whether it has a limit and its token bucket is nearly full.
     pub(super) surplus: bool,
 }
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -415,6 +415,32 @@
         candidates: Vec<TargetCandidate>,
         tried: &[TargetId],
     ) -> Result<TargetChoice, ChoiceRefusal> {
+        let (mut usable, excluded) = self.usable_targets(now, candidates, tried);
+        if usable.iter().any(|target| !target.deferred && !target.suspect) {
+            usable.retain(|target| !target.deferred);
+        }
+        // Prefer endpoints with a nearly full token bucket, which would otherwise idle beside
+        // others that are selected more often.
+        if usable.iter().any(|target| target.surplus && !target.suspect) {
+            usable.retain(|target| target.surplus);
+        }
+        let chosen = if usable.iter().any(|target| target.candidate.capacity_shared) {
+            // A request sent to a silent group would be stuck there for seconds.
+            usable.retain(|target| !target.suspect);
+            select_by_weight(&mut self.random, usable)
+        } else {
+            select_least_loaded(&mut self.random, usable)
+        };
+        chosen.map(|target| target.candidate.choice).ok_or(excluded.refusal())
+    }
+
+    /// Returns the candidates that may get a request now, and how long the others may not.
+    fn usable_targets(
+        &mut self,
+        now: TimePoint,
+        candidates: Vec<TargetCandidate>,
+        tried: &[TargetId],
+    ) -> (Vec<UsableTarget>, ExclusionWait) {
         let slowness = self.slowness(now, &candidates);
         let mut usable = Vec::new();
         let mut excluded = ExclusionWait::default();
@@ -455,26 +481,11 @@
                 permit => permit == SendPermit::Surplus,
             };
             let usual_part = self.holds.usual_part(now, endpoint);
-            let slow_start = usual_part < 1.0 && self.random.random_range(0.0..1.0) >= usual_part;
-            let target = UsableTarget { candidate, total, slowness, suspect, slow_start, surplus };
+            let deferred = usual_part < 1.0 && self.random.random_range(0.0..1.0) >= usual_part;
+            let target = UsableTarget { candidate, total, slowness, suspect, deferred, surplus };
             usable.push(target);
         }
-        if usable.iter().any(|target| !target.slow_start && !target.suspect) {
-            usable.retain(|target| !target.slow_start);
-        }
-        // Prefer endpoints with a nearly full token bucket, which would otherwise idle beside
-        // others that are selected more often.
-        if usable.iter().any(|target| target.surplus && !target.suspect) {
-            usable.retain(|target| target.surplus);
-        }
-        let chosen = if usable.iter().any(|target| target.candidate.capacity_shared) {
-            // A request sent to a silent group would be stuck there for seconds.
-            usable.retain(|target| !target.suspect);
-            select_by_weight(&mut self.random, usable)
-        } else {
-            select_least_loaded(&mut self.random, usable)
-        };
-        chosen.map(|target| target.candidate.choice).ok_or(excluded.refusal())
+        (usable, excluded)
     }
 
     /// Returns the factor by which each candidate is slower than the fastest one, by time to the
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -138,6 +138,11 @@
     state.fingerprint(&FingerprintParts { host: &head.host, path, team, body })
 }
 
+/// Whether a rejection with `status` is due to the endpoint's load rather than to the request.
+fn is_overload(status: StatusCode) -> bool {
+    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+}
+
 impl ServedRequest {
     /// The caller's request ID for log lines; empty if there is none.
     pub(super) fn request_id(&self) -> &str {
@@ -349,7 +354,7 @@
         }
         if let Some(wait) = head.backoff {
             self.state.record_backoff(endpoint, wait, status, self.request_id());
-        } else if head.not_run {
+        } else if head.not_run && is_overload(status) {
             self.state.record_rejection(endpoint, head.retry_after);
         }
         if head.leaving {
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -244,6 +244,7 @@
         let count = table.holds().count(now);
         let gauge = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
         self.metrics.held_backoff.set(gauge(count.backoff));
+        self.metrics.passed_over.set(gauge(count.passed_over));
         self.metrics.held_leaving.set(gauge(count.leaving));
     }
 
--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -72,6 +72,8 @@
     pub(super) leaving_answers: Counter,
     /// Endpoints that get no requests because they asked for a time without any.
     pub(super) held_backoff: Gauge,
+    /// Endpoints that are passed over because they rejected a request recently.
+    pub(super) passed_over: Gauge,
     /// Endpoints that get no requests because they answered that they are leaving.
     pub(super) held_leaving: Gauge,
     /// Requests that were not sent because the endpoint stopped accepting them while the connection
@@ -104,6 +106,7 @@
             backoffs: Counter::default(),
             leaving_answers: Counter::default(),
             held_backoff: Gauge::default(),
+            passed_over: Gauge::default(),
             held_leaving: Gauge::default(),
             withheld: Counter::default(),
             quarantined: Gauge::default(),
@@ -129,6 +132,8 @@
         entry.register("leaving_answers", help, metrics.leaving_answers.clone());
         let help = "Endpoints that get no requests because they asked for a time without any";
         entry.register("backoff_endpoints", help, metrics.held_backoff.clone());
+        let help = "Endpoints passed over because they rejected a request recently";
+        entry.register("passed_over_endpoints", help, metrics.passed_over.clone());
         let help = "Endpoints that get no requests because they answered that they leave";
         entry.register("leaving_endpoints", help, metrics.held_leaving.clone());
         let help = "Requests withheld from endpoints that had just stopped accepting them";
--- a/crates/routing/src/choice/table.rs
+++ b/crates/routing/src/choice/table.rs
@@ -43,7 +43,8 @@
     Chosen(Arc<GroupRecord>),
     /// Replicas are available, but all of them are full at the moment.
     Full,
-    /// All replicas are unreachable or not whole, or accept no requests for a time. Holds the time until the first backoff ends.
+    /// All replicas are unreachable, not whole, or accept no requests for a time. Holds the time
+    /// until the first backoff ends.
     Down(Duration),
     /// No candidate is left.
     Absent,
