--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 /// Error message of a request that a fault refuses.
-pub const FAULT_REFUSAL_MESSAGE: &str = "refused by a fault";
+const REFUSAL_MESSAGE: &str = "refused by a fault";
 
 /// Duration of a fault whose rule sets none, in milliseconds.
 const DEFAULT_FAULT_MS: u64 = 200;
@@ -74,9 +74,10 @@
         const USAGE: &str = "expected KIND:SHARE or KIND:SHARE:MS, for example late:0.1:200";
         let mut parts = text.split(':');
         let kind = parts.next().ok_or(USAGE)?;
-        let kind = serde_json::from_value(kind.into()).map_err(
-            |_| "unknown kind of fault; use late, crossed, doubled, cut, silent, slow, refuse or backoff",
-        )?;
+        let kind = serde_json::from_value(kind.into()).map_err(|_| {
+            "unknown kind of fault; use late, crossed, doubled, cut, silent, slow, refuse or \
+                 backoff"
+        })?;
         let share: f64 = parts.next().and_then(|share| share.parse().ok()).ok_or(USAGE)?;
         let ms = match parts.next() {
             Some(ms) => ms.parse().map_err(|_| USAGE)?,
@@ -103,7 +104,7 @@
 
     /// Returns the refusal of the request, if one was drawn.
     pub fn refusal(&self) -> Option<JsonReply> {
-        let body = json!({ "error": { "message": FAULT_REFUSAL_MESSAGE } });
+        let body = json!({ "error": { "message": REFUSAL_MESSAGE } });
         let reply = JsonReply::new(503, body);
         if self.has(FaultKind::Backoff) {
             let seconds = self.duration(FaultKind::Backoff).as_secs_f64().to_string();
