--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -13,8 +13,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::exclusion::{ExclusionWait, shorter_wait};
 use super::selection::{TargetCandidate, UsableTarget, select_by_weight, select_least_loaded};
-use super::{HoldBook, LoadSample, SendHold, TargetLoad};
+use super::{ChoiceRefusal, HoldBook, LoadSample, SendHold, TargetLoad};
 use crate::deployment::{RouteBook, RouteRule};
 use crate::limit::{EntryLimits, SendPermit};
 use crate::message::{
@@ -69,52 +70,6 @@
     pub tried: &'a [TargetId],
 }
 
-/// Reason why no target was selected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ChoiceRefusal {
-    /// No target serves the service and model.
-    NoReplica,
-    /// All targets are at capacity.
-    Full,
-    /// The targets with free capacity have rate limits that allow no request now.
-    Limited {
-        /// Estimated time until a limit allows one.
-        wait: Duration,
-    },
-    /// The targets that are left asked for a time without requests.
-    Backoff {
-        /// Time until the first of them accepts requests again.
-        wait: Duration,
-    },
-}
-
-/// Times until the targets that are excluded for a time may be used, the shortest of each reason.
-#[derive(Debug, Clone, Copy, Default)]
-struct ExclusionWait {
-    full: bool,
-    limited: Option<Duration>,
-    backoff: Option<Duration>,
-}
-
-impl ExclusionWait {
-    /// The refusal when no target is left. A target that is full may have room at any moment, so it
-    /// precedes those with a known time.
-    fn refusal(self) -> ChoiceRefusal {
-        match (self.limited, self.backoff) {
-            _ if self.full => ChoiceRefusal::Full,
-            (Some(wait), None) => ChoiceRefusal::Limited { wait },
-            (Some(wait), Some(backoff)) if wait <= backoff => ChoiceRefusal::Limited { wait },
-            (_, Some(wait)) => ChoiceRefusal::Backoff { wait },
-            (None, None) => ChoiceRefusal::NoReplica,
-        }
-    }
-}
-
-/// The shorter of `known` and `wait`.
-fn shorter_wait(known: Option<Duration>, wait: Duration) -> Option<Duration> {
-    Some(known.map_or(wait, |known| known.min(wait)))
-}
-
 /// All targets of an entry, with its knowledge of their load and limits.
 #[derive(Debug)]
 pub struct TargetTable {
