--- a/crates/cli/src/cmd/measure/leader.rs
+++ b/crates/cli/src/cmd/measure/leader.rs
@@ -159,6 +159,7 @@
             quiet_ms: Some(20),
             running: 1,
             suspect: false,
+            unread_ms: 0,
         };
         EntryReport {
             node: NodeName::new(&format!("10.{}.0.{}", entry % 5, entry / 5)),
@@ -294,6 +295,7 @@
         loads_per_second: 64.0,
         loads_at_once: 94,
         formation: Duration::from_millis(300),
+        usual_prompt: 900,
         usual_answer: 135,
         models: vec![model("large", 8, 1.0), model("small", 4, 0.6)],
     };
--- a/crates/fleet/src/deployment/book.rs
+++ b/crates/fleet/src/deployment/book.rs
@@ -5,11 +5,12 @@
 //! of them is looked up by binary search, so hundreds of routes cost no more than ten.
 
 use std::cmp::Ordering;
+use std::time::Duration;
 
 use briartray_model::SortedTable;
 use briartray_model::names::{ServiceName, TeamName};
 
-use super::{DeploymentPlan, RouteRule, ServiceSpec};
+use super::{DeploymentPlan, EngineModel, RouteRule, ServiceSpec};
 
 /// Team and priority that a key gives access to.
 #[derive(Debug, Clone, PartialEq)]
@@ -25,6 +26,11 @@
 pub struct RouteBook {
     plan: DeploymentPlan,
     keys: SortedTable<String, TeamAccess>,
+    /// For each service with an engine, the largest fraction of late first events of any route when
+    /// its groups are full.
+    late_when_full: SortedTable<ServiceName, f64>,
+    /// For each service, the smallest target of any route for the gap between two events.
+    smallest_gaps: SortedTable<ServiceName, Duration>,
 }
 
 impl RouteBook {
@@ -38,7 +44,21 @@
                 keys.insert(key.clone(), access);
             }
         }
-        Self { plan, keys }
+        let late_when_full = late_fractions(&plan);
+        let smallest_gaps = smallest_gaps(&plan);
+        Self { plan, keys, late_when_full, smallest_gaps }
+    }
+
+    /// Smallest target of any route to `service` for the gap between two events.
+    pub fn smallest_gap(&self, service: &ServiceName) -> Option<Duration> {
+        self.smallest_gaps.get(service).copied()
+    }
+
+    /// Whether groups of `service` with all slots in use miss the target of some route for more than
+    /// `late_percent` in a hundred first events. Admission by slots alone is not enough then.
+    pub fn is_latency_bound(&self, service: &ServiceName, late_percent: f64) -> bool {
+        let late = self.late_when_full.get(service).copied().unwrap_or(0.0);
+        late * 100.0 > late_percent
     }
 
     /// Version of the deployment plan.
@@ -80,6 +100,43 @@
     }
 }
 
+/// Largest fraction of late first events of any route to each service, on the model that answers that
+/// route soonest.
+fn late_fractions(plan: &DeploymentPlan) -> SortedTable<ServiceName, f64> {
+    let mut late_fractions = SortedTable::new();
+    let streams = plan.routes.iter().filter(|route| route.kind.is_stream());
+    for (route, target) in streams.flat_map(|r| r.targets.iter().map(move |target| (r, target))) {
+        let engine = plan.service(&target.service).and_then(|service| service.engine.as_ref());
+        let Some(late) = engine.and_then(|engine| lowest_late_fraction(engine, route)) else {
+            continue;
+        };
+        let known = late_fractions.get_or_insert_with(target.service.clone(), || 0.0);
+        *known = late.max(*known);
+    }
+    late_fractions
+}
+
+fn smallest_gaps(plan: &DeploymentPlan) -> SortedTable<ServiceName, Duration> {
+    let mut smallest_gaps = SortedTable::new();
+    for route in &plan.routes {
+        let Some(gap) = route.target_gap else { continue };
+        for target in &route.targets {
+            let known = smallest_gaps.get_or_insert_with(target.service.clone(), || gap);
+            *known = gap.min(*known);
+        }
+    }
+    smallest_gaps
+}
+
+fn lowest_late_fraction(engine: &EngineModel, route: &RouteRule) -> Option<f64> {
+    // A route without a target has no late answers.
+    if route.target_latency.is_zero() {
+        return None;
+    }
+    let late = |model| engine.late_fraction_when_full(model, route.target_latency);
+    engine.models.iter().map(late).min_by(f64::total_cmp)
+}
+
 /// Sort key of a route: host name, then prefix length (longest first), then prefix.
 fn route_key(rule: &RouteRule) -> (&str, std::cmp::Reverse<usize>, &str) {
     (&rule.host, std::cmp::Reverse(rule.prefix.len()), &rule.prefix)
--- a/crates/fleet/src/deployment/engine.rs
+++ b/crates/fleet/src/deployment/engine.rs
@@ -61,6 +61,8 @@
         pub loads_at_once: usize,
         /// Time from the order to open a group until it serves.
         pub formation: Duration,
+        /// Average length of a prompt, in tokens.
+        pub usual_prompt: u32,
         /// Average length of an answer, in tokens.
         pub usual_answer: u32,
         /// Models that the service offers.
--- a/crates/fleet/src/deployment/mod.rs
+++ b/crates/fleet/src/deployment/mod.rs
@@ -4,6 +4,7 @@
 mod book;
 mod engine;
 mod plan;
+mod work;
 
 pub use book::{RouteBook, TeamAccess};
 pub use engine::{EngineModel, ModelSpec};
@@ -11,3 +12,6 @@
     CallerLimits, ColdTerms, DeploymentPlan, PlanError, RepeatKind, RouteRule, ServiceSpec,
     TeamKeys, WeightedTarget,
 };
+pub use work::{
+    FIRST_TOKEN_FIXED_MS, FIRST_TOKEN_PASSES, RequestWork, first_token_late, first_token_ms,
+};
--- a/crates/fleet/src/director/group_activity.rs
+++ b/crates/fleet/src/director/group_activity.rs
@@ -161,7 +161,7 @@
         let load = |(group, observations): (&GroupId, &GroupObservations)| {
             let own = number.and_then(|number| observations.by_entry.get(number));
             let own = own.map_or(0, |observation| observation.running);
-            GroupLoad { group: *group, others: observations.running - own }
+            GroupLoad { group: *group, others: observations.running - own, unread_ms: 0 }
         };
         let page_count = self.groups.len().div_ceil(LOADS_PER_ANSWER).max(1);
         let page = usize::try_from(page % page_count as u64).unwrap_or(0);
--- a/crates/fleet/src/director/plan/lateness.rs
+++ b/crates/fleet/src/director/plan/lateness.rs
@@ -7,20 +7,9 @@
 //! together delay all streams. That is more frequent the more prompts arrive during one pass, and a
 //! group of the other model reads four prompts in the time of one.
 
-use crate::deployment::{EngineModel, ModelSpec};
+use crate::deployment::{EngineModel, ModelSpec, first_token_late};
 use crate::message::WorkSum;
 
-/// Passes until the first token of an answer: the rest of the current one, the one that reads the
-/// prompt and writes the first event, and the prompts of other requests in both.
-const FIRST_TOKEN_PASSES: f64 = 2.2;
-
-/// Time to the first token besides its passes, in milliseconds: connecting, and engine work before
-/// reading, which the engine does not publish.
-const FIRST_TOKEN_FIXED_MS: f64 = 110.0;
-
-/// Spread of the time to the first token, as the standard deviation of its logarithm.
-const FIRST_TOKEN_SPREAD: f64 = 0.25;
-
 /// Fraction of the slots that write in a group at its average capacity: up to there entries find
 /// room among many groups, beyond it they refuse requests.
 const MAX_SLOT_USE: f64 = 0.9;
@@ -101,17 +90,11 @@
     let idle = 1.0 - rate * (each.reading_ms + each.events * slope);
     let pass = base / idle.max(f64::EPSILON);
     let writing = base + slope * pass * rate * each.events;
-    let first = first_token_late(&each, pass);
+    let first = first_token_late(each.target_ms, pass);
     let gap = gap_late(&each, writing, pass * rate * each.reading_ms);
     1.0 - (1.0 - first) * (1.0 - gap)
 }
 
-/// Probability that the first token comes after its target when a pass takes `pass` milliseconds.
-fn first_token_late(each: &WorkSum, pass: f64) -> f64 {
-    let median = FIRST_TOKEN_FIXED_MS + FIRST_TOKEN_PASSES * pass;
-    normal_tail((each.target_ms / median).ln() / FIRST_TOKEN_SPREAD)
-}
-
 /// Probability that one of the passes of an answer takes longer than the longest allowed gap. A
 /// pass writes for `writing` milliseconds and reads new prompts for `reading` on average.
 ///
@@ -126,9 +109,3 @@
     let exceeding = frequency * (-(each.gap_ms - writing).max(0.0) / scale).exp();
     1.0 - (1.0 - exceeding).powf(each.events)
 }
-
-/// Probability that a standard normal value exceeds `z`, by a logistic curve: within 0.01 of it.
-fn normal_tail(z: f64) -> f64 {
-    const STEEPNESS: f64 = 1.702;
-    1.0 / (1.0 + (STEEPNESS * z).exp())
-}
--- a/crates/fleet/src/entry/lease.rs
+++ b/crates/fleet/src/entry/lease.rs
@@ -48,6 +48,11 @@
         nonce
     }
 
+    /// When the report with `nonce` was sent; `None` if it was answered or is too old.
+    pub fn sent_at(&self, nonce: u64) -> Option<TimePoint> {
+        self.sent.get(&nonce).copied()
+    }
+
     /// Processes the answer to the report with `nonce` and returns the end of the lease. The lease
     /// runs from when that report was sent.
     pub fn grant(&mut self, nonce: u64) -> TimePoint {
--- a/crates/fleet/src/entry/load.rs
+++ b/crates/fleet/src/entry/load.rs
@@ -144,11 +144,11 @@
         f64::from(self.own_requests) + self.current_other_requests(now)
     }
 
-    /// Number of requests that this entry may send now to a target with `slots` slots that
-    /// `entries` entries share: its part of the free capacity, minus what it sent since it learned
-    /// the load. A fraction is the probability of one more request.
-    pub fn free_share(&self, now: TimePoint, slots: f64, entries: usize) -> f64 {
-        let share = FREE_CAPACITY_PART / entries.max(1) as f64;
+    /// Number of requests that this entry may send now to a target with `slots` slots: its part
+    /// `fraction` of the free capacity, minus what it sent since it learned the load. A fraction is
+    /// the probability of one more request.
+    pub fn free_share(&self, now: TimePoint, slots: f64, fraction: f64) -> f64 {
+        let share = FREE_CAPACITY_PART * fraction;
         let sent_since_update = f64::from(self.sent_since_update);
         let known_total = self.total(now) - sent_since_update;
         (slots - known_total) * share - sent_since_update
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -11,7 +11,9 @@
 mod lease;
 mod load;
 mod report_interval;
+mod returns;
 mod selection;
+mod share;
 mod startup;
 mod table;
 
@@ -25,5 +27,7 @@
 pub use lease::EntryLease;
 pub use load::{LoadSample, TargetLoad};
 pub use report_interval::{report_interval, retry_interval};
+pub use returns::{MIN_RETURN_DELAY, caller_age, has_returned};
+pub use share::ShareBook;
 pub use startup::StartupWait;
-pub use table::{TargetChoice, TargetId, TargetQuery, TargetTable};
+pub use table::{LatencyTerms, TargetChoice, TargetId, TargetQuery, TargetTable};
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -15,8 +15,8 @@
 
 use super::exclusion::{ExclusionWait, shorter_wait};
 use super::selection::{TargetCandidate, UsableTarget, select_by_weight, select_least_loaded};
-use super::{ChoiceRefusal, HoldBook, LoadSample, SendHold, TargetLoad};
-use crate::deployment::{RouteBook, RouteRule};
+use super::{ChoiceRefusal, HoldBook, LoadSample, SendHold, ShareBook, TargetLoad};
+use crate::deployment::{RequestWork, RouteBook, RouteRule};
 use crate::limit::{EntryLimits, SendPermit};
 use crate::message::{
     EndpointView, FleetView, GroupActivity, GroupLoad, GroupView, ViewUpdate, ViewVersion,
@@ -68,6 +68,20 @@
     pub model: Option<&'a str>,
     /// Targets that the request was already sent to.
     pub tried: &'a [TargetId],
+    /// Terms of admission by latency; `None` admits by slots alone.
+    pub latency: Option<LatencyTerms>,
+}
+
+/// Terms on which a group may be chosen so that neither the request nor those that run there are
+/// late.
+#[derive(Debug, Clone, Copy)]
+pub struct LatencyTerms {
+    /// Work of the request.
+    pub work: RequestWork,
+    /// Time in which its first event has to arrive; `None` for a stream that is resumed.
+    pub budget: Option<Duration>,
+    /// Longest gap between events that streams of the service may have.
+    pub gap: Option<Duration>,
 }
 
 /// All targets of an entry, with its knowledge of their load and limits.
@@ -80,6 +94,7 @@
     loads: SortedTable<TargetId, TargetLoad>,
     holds: HoldBook,
     limits: EntryLimits,
+    shares: ShareBook,
     /// Whether a request needs a share of a cold endpoint's rate that the leader does not know of
     /// yet.
     share_requested: bool,
@@ -96,6 +111,7 @@
             loads: SortedTable::new(),
             holds: HoldBook::default(),
             limits: EntryLimits::default(),
+            shares: ShareBook::default(),
             share_requested: false,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -218,7 +234,7 @@
         book: &RouteBook,
         query: &TargetQuery<'_>,
     ) -> Result<TargetChoice, ChoiceRefusal> {
-        let TargetQuery { service, model, tried } = *query;
+        let TargetQuery { service, model, tried, latency: _ } = *query;
         let engine = book.service(service).and_then(|spec| spec.engine.as_ref());
         let slots = engine.map(|engine| engine.slots as f64);
         let candidates = match (slots, model) {
@@ -226,7 +242,8 @@
             (None, _) => self.endpoint_candidates(service),
             (Some(_), None) => Vec::new(),
         };
-        let choice = self.select(now, candidates, tried)?;
+        let fraction = self.shares.fraction(now, service, model.unwrap_or(""), self.entries());
+        let choice = self.select(now, candidates, tried, fraction)?;
         if let Some((engine, spec)) = engine
             .zip(model)
             .and_then(|(engine, model)| engine.model(model).map(|spec| (engine, spec)))
@@ -246,6 +263,11 @@
         &mut self.limits
     }
 
+    /// Shares of this entry by demand.
+    pub fn shares_mut(&mut self) -> &mut ShareBook {
+        &mut self.shares
+    }
+
     /// Returns and clears whether the leader should be notified that a share of a cold endpoint's
     /// rate is needed.
     pub fn take_share_request(&mut self) -> bool {
@@ -317,6 +339,7 @@
                     .map(|at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)),
                 running: load.own_requests,
                 suspect: load.is_suspect(now),
+                unread_ms: 0,
             }),
             TargetId::Endpoint(_) => None,
         };
@@ -363,14 +386,16 @@
         self.view.endpoints.iter().filter(fits).map(candidate).collect()
     }
 
-    /// Selects among `candidates` without those already tried and, for groups, suspect ones.
+    /// Selects among `candidates` without those already tried and, for groups, suspect ones. Of a
+    /// group's free capacity this entry may fill `fraction`.
     fn select(
         &mut self,
         now: TimePoint,
         candidates: Vec<TargetCandidate>,
         tried: &[TargetId],
+        fraction: f64,
     ) -> Result<TargetChoice, ChoiceRefusal> {
-        let (mut usable, excluded) = self.usable_targets(now, candidates, tried);
+        let (mut usable, excluded) = self.usable_targets(now, candidates, tried, fraction);
         if usable.iter().any(|target| !target.deferred && !target.suspect) {
             usable.retain(|target| !target.deferred);
         }
@@ -395,6 +420,7 @@
         now: TimePoint,
         candidates: Vec<TargetCandidate>,
         tried: &[TargetId],
+        fraction: f64,
     ) -> (Vec<UsableTarget>, ExclusionWait) {
         let slowness = self.slowness(now, &candidates);
         let mut usable = Vec::new();
@@ -419,7 +445,7 @@
             // late.
             let free = match load {
                 Some(load) if candidate.capacity_shared => {
-                    load.free_share(now, candidate.slots, self.entries())
+                    load.free_share(now, candidate.slots, fraction)
                 }
                 _ => candidate.slots - total,
             };
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -27,6 +27,8 @@
         pub running: u32,
         /// Whether this entry has stopped sending to the group because the group does not respond.
         pub suspect: bool,
+        /// Time to prefill this entry's prompts there that have no first event yet, in milliseconds.
+        pub unread_ms: u32,
     }
 
     /// Requests on one group, without those of the entry that receives this message.
@@ -35,6 +37,19 @@
         pub group: GroupId,
         /// Requests that all other entries have on the group.
         pub others: u32,
+        /// Time to prefill the prompts of all other entries there that have no first event yet, in
+        /// milliseconds.
+        pub unread_ms: u32,
+    }
+
+    /// Part of the free capacity of a model's groups that one entry may fill.
+    pub struct DemandShare {
+        /// The service.
+        pub service: ServiceName,
+        /// The model.
+        pub model: String,
+        /// The part, in thousandths.
+        pub permille: u16,
     }
 
     /// Work that callers requested of one model since the previous report.
@@ -113,6 +128,9 @@
         /// Requests of the other entries on each group, from their latest reports; only in answers
         /// to reports.
         pub loads: Vec<GroupLoad>,
+        /// Shares of this entry by demand; only in answers to reports, and only for services whose
+        /// groups are admitted to by latency. An entry without a share uses an equal one.
+        pub shares: Vec<DemandShare>,
         /// Endpoints that accept no new work, even if the fleet view lists them.
         pub leaving: Vec<IncarnationId>,
         /// Known control hosts.
--- a/crates/fleet/tests/director/fleet.rs
+++ b/crates/fleet/tests/director/fleet.rs
@@ -476,6 +476,7 @@
             quiet_ms: u64::try_from(self.now.since(*last_active).as_millis()).ok(),
             running: 1,
             suspect: self.now.since(*last_active) > SILENCE_LIMIT,
+            unread_ms: 0,
         };
         let demand_for = |model: &str, groups: f64| ModelDemand {
             service: ServiceName::new("desk"),
--- a/crates/fleet/tests/director/large.rs
+++ b/crates/fleet/tests/director/large.rs
@@ -88,7 +88,8 @@
 
 /// Sends a report of an entry that waits for bytes of `group`.
 fn report_silent(fleet: &mut TestFleet, entry: usize, group: GroupId) {
-    let activity = GroupActivity { group, quiet_ms: Some(900), running: 1, suspect: true };
+    let activity =
+        GroupActivity { group, quiet_ms: Some(900), running: 1, suspect: true, unread_ms: 0 };
     let report = EntryReport {
         node: NodeName::new(&format!("entry-{entry}")),
         nonce: 0,
--- a/crates/fleet/tests/director/models.rs
+++ b/crates/fleet/tests/director/models.rs
@@ -36,6 +36,7 @@
         loads_per_second: 3.0,
         loads_at_once: 6,
         formation: Duration::from_millis(300),
+        usual_prompt: 900,
         usual_answer: 135,
         models: vec![model(LARGE, 4, 1.0, 16, 1_600), model(SMALL, 2, 0.6, 12, 1_100)],
     };
--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -33,6 +33,7 @@
         loads_per_second: 3.0,
         loads_at_once: 6,
         formation: Duration::from_millis(300),
+        usual_prompt: 900,
         usual_answer: 135,
         models: vec![ModelSpec {
             name: "small".to_owned(),
@@ -104,7 +105,7 @@
 
 fn choose(table: &mut TargetTable, now: TimePoint) -> Result<TargetId, ChoiceRefusal> {
     let desk = ServiceName::new("desk");
-    let query = TargetQuery { service: &desk, model: Some("small"), tried: &[] };
+    let query = TargetQuery { service: &desk, model: Some("small"), tried: &[], latency: None };
     table.choose(now, &book(), &query).map(|choice| choice.target)
 }
 
@@ -184,7 +185,7 @@
 #[test]
 fn groups_that_other_entries_fill_get_no_requests() {
     let mut table = table(3);
-    let others = |group, others| GroupLoad { group: GroupId(group), others };
+    let others = |group, others| GroupLoad { group: GroupId(group), others, unread_ms: 0 };
 
     table.record_other_loads(at(0), &[others(1, SLOTS), others(2, SLOTS), others(3, 4)]);
 
@@ -199,7 +200,7 @@
 fn a_load_reported_by_the_group_precedes_the_total_of_the_leader() {
     let mut table = table(1);
     let target = TargetId::Group(GroupId(1));
-    let others = [GroupLoad { group: GroupId(1), others: SLOTS }];
+    let others = [GroupLoad { group: GroupId(1), others: SLOTS, unread_ms: 0 }];
     table.sample(at(0), &target, LoadSample { running: 3, waiting: 0, slots: SLOTS });
 
     table.record_other_loads(at(50), &others);
--- a/crates/fleet/tests/group_activity.rs
+++ b/crates/fleet/tests/group_activity.rs
@@ -23,7 +23,8 @@
     quiet_ms: u64,
     suspect: bool,
 ) {
-    let activity = GroupActivity { group: GROUP, quiet_ms: Some(quiet_ms), running: 1, suspect };
+    let activity =
+        GroupActivity { group: GROUP, quiet_ms: Some(quiet_ms), running: 1, suspect, unread_ms: 0 };
     tracker.take(now, &NodeName::new(entry), &[activity]);
 }
 
@@ -73,17 +74,32 @@
 #[test]
 fn the_requests_of_the_other_entries_are_added_up() {
     let mut tracker = ActivityTracker::default();
-    let running = |running| GroupActivity { group: GROUP, quiet_ms: None, running, suspect: false };
+    let running = |running| GroupActivity {
+        group: GROUP,
+        quiet_ms: None,
+        running,
+        suspect: false,
+        unread_ms: 0,
+    };
     let [first, second, third] = ["first", "second", "third"].map(NodeName::new);
 
     tracker.take(at(0), &first, &[running(5)]);
     tracker.take(at(0), &second, &[running(7)]);
     tracker.take(at(250), &first, &[running(2)]);
 
-    assert_eq!(tracker.loads_of_others(&first, 0), [GroupLoad { group: GROUP, others: 7 }]);
-    assert_eq!(tracker.loads_of_others(&third, 0), [GroupLoad { group: GROUP, others: 9 }]);
+    assert_eq!(
+        tracker.loads_of_others(&first, 0),
+        [GroupLoad { group: GROUP, others: 7, unread_ms: 0 }]
+    );
+    assert_eq!(
+        tracker.loads_of_others(&third, 0),
+        [GroupLoad { group: GROUP, others: 9, unread_ms: 0 }]
+    );
     tracker.forget(&second);
-    assert_eq!(tracker.loads_of_others(&third, 0), [GroupLoad { group: GROUP, others: 2 }]);
+    assert_eq!(
+        tracker.loads_of_others(&third, 0),
+        [GroupLoad { group: GROUP, others: 2, unread_ms: 0 }]
+    );
 }
 
 /// The loads of 2,800 groups, the design size, do not fit into each answer. They must be sent in
@@ -92,8 +108,13 @@
 fn the_loads_of_many_groups_are_sent_in_turns() {
     let mut tracker = ActivityTracker::default();
     let [sender, reader] = ["sender", "reader"].map(NodeName::new);
-    let activity =
-        |group| GroupActivity { group: GroupId(group), quiet_ms: None, running: 1, suspect: false };
+    let activity = |group| GroupActivity {
+        group: GroupId(group),
+        quiet_ms: None,
+        running: 1,
+        suspect: false,
+        unread_ms: 0,
+    };
     let activities: Vec<GroupActivity> = (0..2_800).map(activity).collect();
     tracker.take(at(0), &sender, &activities);
 
@@ -115,12 +136,16 @@
 fn a_group_that_an_entry_no_longer_reports_has_none_of_its_requests() {
     let mut tracker = ActivityTracker::default();
     let [removed, reader] = ["gone", "reader"].map(NodeName::new);
-    let activity = GroupActivity { group: GROUP, quiet_ms: None, running: 28, suspect: false };
+    let activity =
+        GroupActivity { group: GROUP, quiet_ms: None, running: 28, suspect: false, unread_ms: 0 };
     tracker.take(at(0), &removed, &[activity]);
 
     tracker.take(at(2_250), &removed, &[]);
 
-    assert_eq!(tracker.loads_of_others(&reader, 0), [GroupLoad { group: GROUP, others: 0 }]);
+    assert_eq!(
+        tracker.loads_of_others(&reader, 0),
+        [GroupLoad { group: GROUP, others: 0, unread_ms: 0 }]
+    );
 }
 
 /// Guards against an entry that returns after it was forgotten and is counted as another one, or
@@ -128,7 +153,13 @@
 #[test]
 fn an_entry_that_returns_is_counted_once() {
     let mut tracker = ActivityTracker::default();
-    let running = |running| GroupActivity { group: GROUP, quiet_ms: None, running, suspect: false };
+    let running = |running| GroupActivity {
+        group: GROUP,
+        quiet_ms: None,
+        running,
+        suspect: false,
+        unread_ms: 0,
+    };
     let [first, second, reader] = ["first", "second", "reader"].map(NodeName::new);
     tracker.take(at(0), &first, &[running(5)]);
     tracker.take(at(0), &second, &[running(7)]);
@@ -137,6 +168,12 @@
     tracker.take(at(3_000), &first, &[running(3)]);
     tracker.take(at(3_250), &first, &[running(4)]);
 
-    assert_eq!(tracker.loads_of_others(&reader, 0), [GroupLoad { group: GROUP, others: 11 }]);
-    assert_eq!(tracker.loads_of_others(&second, 0), [GroupLoad { group: GROUP, others: 4 }]);
+    assert_eq!(
+        tracker.loads_of_others(&reader, 0),
+        [GroupLoad { group: GROUP, others: 11, unread_ms: 0 }]
+    );
+    assert_eq!(
+        tracker.loads_of_others(&second, 0),
+        [GroupLoad { group: GROUP, others: 4, unread_ms: 0 }]
+    );
 }
--- a/crates/fleet/tests/holds.rs
+++ b/crates/fleet/tests/holds.rs
@@ -88,7 +88,7 @@
     tried: &[TargetId],
 ) -> Result<IncarnationId, ChoiceRefusal> {
     let ledger = ServiceName::new("ledger");
-    let query = TargetQuery { service: &ledger, model: None, tried };
+    let query = TargetQuery { service: &ledger, model: None, tried, latency: None };
     table.choose(now, &book(), &query).map(|choice| choice.endpoint)
 }
 
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briartray_fleet::deployment::{RepeatKind, RouteBook, RouteRule};
+use briartray_fleet::deployment::{RepeatKind, RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
-    AttemptEnd, ChoiceRefusal, NextStep, RetryState, TargetChoice, TargetId, TargetQuery,
+    AttemptEnd, ChoiceRefusal, LatencyTerms, NextStep, RetryState, TargetChoice, TargetId,
+    TargetQuery, has_returned,
 };
 use briartray_model::TimePoint;
 use briartray_model::message::RunEnd;
@@ -25,6 +26,10 @@
 /// Time reserved for returning the response to the caller before the deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 
+/// Part of the target latency in which the first event of a new caller's request has to be expected.
+/// The rest is kept for callers that return after a refusal and for errors of the forecast.
+const NEW_CALLER_BUDGET: f64 = 0.85;
+
 /// An admitted request.
 pub(super) struct ServedRequest {
     pub(super) state: Rc<EntryState>,
@@ -50,6 +55,12 @@
     pub(super) sent_to: Option<SentTo>,
     /// Fingerprint of the request, computed on first use.
     pub(super) fingerprint: OnceCell<RequestFingerprint>,
+    /// Work that the request asks of a group; `None` for services without engines.
+    pub(super) work: Option<RequestWork>,
+    /// Time since the caller's first attempt.
+    pub(super) caller_age: Duration,
+    /// Whether admission by latency applies to the service.
+    pub(super) latency_bound: bool,
     /// Number of replicas that may have run the request. A replica that reported that it did not
     /// run it does not count towards the rule's maximum number of attempts.
     pub(super) runs: u32,
@@ -210,12 +221,28 @@
         }
     }
 
+    /// Terms of admission by latency; `None` where slots alone decide.
+    fn latency_terms(&self) -> Option<LatencyTerms> {
+        let work = self.work.filter(|_| self.latency_bound)?;
+        let target = self.rule.target_latency;
+        let budget = if has_returned(self.caller_age) {
+            target
+        } else {
+            target.mul_f64(NEW_CALLER_BUDGET).saturating_sub(self.state.now().since(self.arrived))
+        };
+        // A stream that has begun goes on even if its next event is late.
+        let has_begun = self.runs > 0;
+        let gap = self.book.smallest_gap(&self.service);
+        Some(LatencyTerms { work, budget: (!has_begun).then_some(budget), gap })
+    }
+
     /// Chooses the target for the next attempt.
     pub(super) fn choose_target(&self) -> Result<TargetChoice, ChoiceRefusal> {
         let query = TargetQuery {
             service: &self.service,
             model: self.head.model.as_deref(),
             tried: &self.tried,
+            latency: self.latency_terms(),
         };
         let mut table = self.state.table.borrow_mut();
         let choice = table.choose(self.state.now(), &self.book, &query);
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use briartray_fleet::deployment::{RouteBook, RouteRule};
+use briartray_fleet::entry::caller_age;
 use briartray_model::TimePoint;
 use briartray_model::names::{ServiceName, TeamName};
 use briartray_platform::CallerHead;
@@ -105,7 +106,9 @@
     }
     let service = state.table.borrow_mut().pick_service(&rule).ok_or(RefusalKind::NoReplica)?;
     state.count_request(&service);
-    state.count_demand(&book, &service, &head, &rule);
+    let work = state.count_demand(&book, &service, &head, &rule);
+    let latency_bound = work.is_some() && state.overload(&book, &service).is_some();
+    let caller_age = caller_age(rule.timeout, head.deadline);
     state.wait_for_replica(&service, head.model.as_deref(), deadline).await;
     let max_wait = deadline.min(rule.timeout);
     let idle_connections = idle_connections(state, &book, &service);
@@ -126,6 +129,9 @@
         tried: Vec::new(),
         sent_to: None,
         fingerprint,
+        work,
+        caller_age,
+        latency_bound,
         runs: 0,
     })
 }
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briartray_fleet::deployment::{RouteBook, RouteRule};
+use briartray_fleet::deployment::{RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
     EntryLease, RetryBudget, StartupWait, TargetTable, report_interval, retry_interval,
 };
@@ -26,7 +26,7 @@
 
 use super::crash_check::BrokenRun;
 use super::telemetry::{EntryMetrics, LogBudget};
-use crate::settings::GatewaySettings;
+use crate::settings::{EntryOverload, GatewaySettings};
 use crate::stored_plan::read_stored_plan;
 use briartray_http::ConnectionPool;
 
@@ -278,33 +278,45 @@
         let _ = self.report_sender.try_send(report);
     }
 
-    /// Adds the work that a request under `rule` asks of a model to the reported demand.
+    /// Adds the work that a request under `rule` asks of a model to the reported demand, and returns
+    /// it; `None` if the service has no such model.
     pub(super) fn count_demand(
         &self,
         book: &RouteBook,
         service: &ServiceName,
         head: &CallerHead,
         rule: &RouteRule,
-    ) {
-        let (Some(model), Some(tokens)) = (&head.model, head.tokens) else { return };
-        let engine = book.service(service).and_then(|spec| spec.engine.as_ref());
-        let Some(engine) = engine else { return };
-        let Some(spec) = engine.model(model) else { return };
+    ) -> Option<RequestWork> {
+        let model = head.model.as_ref()?;
+        let engine = book.service(service).and_then(|spec| spec.engine.as_ref())?;
+        let spec = engine.model(model)?;
+        let Some(tokens) = head.tokens else { return Some(engine.usual_work(spec)) };
         // The caller's token limit is a poor estimate: it is three times the usual response length.
         let answer = head.output_estimate.unwrap_or(engine.usual_answer);
-        let reading = engine.prefill_ms(tokens.prompt) * spec.pace;
+        let work = engine.request_work(spec, tokens.prompt, answer);
         let millis = |time: Duration| time.as_secs_f64() * 1e3;
         let sum = WorkSum {
-            work_ms: engine.work_ms(spec, tokens.prompt, answer),
+            work_ms: work.group_ms,
             requests: 1.0,
-            reading_ms: reading,
-            reading_squares: reading * reading,
-            events: engine.events(answer),
+            reading_ms: work.reading_ms,
+            reading_squares: work.reading_ms * work.reading_ms,
+            events: work.events,
             target_ms: millis(rule.target_latency),
             gap_ms: millis(rule.target_gap.unwrap_or(rule.target_latency)),
         };
         let key = (service.clone(), model.clone());
         self.demand.borrow_mut().get_or_insert_with(key, WorkSum::default).add(&sum);
+        Some(work)
+    }
+
+    /// Overload settings if they apply to `service`: its full groups miss the targets of its routes.
+    pub(super) fn overload(
+        &self,
+        book: &RouteBook,
+        service: &ServiceName,
+    ) -> Option<&EntryOverload> {
+        let overload = self.settings.entry.as_ref()?.overload.as_ref()?;
+        book.is_latency_bound(service, overload.late_percent).then_some(overload)
     }
 
     fn take_demand(&self) -> Vec<ModelDemand> {
@@ -343,6 +355,9 @@
             self.metrics.limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
             self.unconfirmed_reports.set(0);
             self.evidence_log.borrow_mut().confirmed(nonce);
+            if let Some(asked_at) = self.lease.borrow().sent_at(nonce) {
+                table.shares_mut().grant(asked_at, &notice.shares);
+            }
             let left = self.lease.borrow_mut().grant(nonce).since(self.now());
             self.metrics.lease_left.set(i64::try_from(left.as_millis()).unwrap_or(i64::MAX));
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -64,8 +64,55 @@
     pub callers: SocketAddr,
     /// Listen address for the load balancer's readiness check.
     pub ready: SocketAddr,
+    /// Admission by latency; `None` admits by slots alone.
+    #[serde(default)]
+    pub overload: Option<EntryOverload>,
+}
+
+/// Admission by latency and waiting at an entry. It applies to services whose full groups miss the
+/// targets of their routes.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EntryOverload {
+    /// Late first events of a full group, in a hundred, above which the section applies to a service.
+    pub late_percent: f64,
+    /// Part of the remaining target latency, in a hundred, for which a request may wait for capacity.
+    pub wait_percent: f64,
+    /// Maximum number of requests that wait at this entry.
+    pub max_waiting: usize,
+    /// Maximum size of the bodies of waiting requests, in KiB.
+    pub max_waiting_kb: usize,
 }
 
+impl Default for EntryOverload {
+    fn default() -> Self {
+        Self {
+            late_percent: DEFAULT_LATE_PERCENT,
+            wait_percent: 30.0,
+            max_waiting: 64,
+            max_waiting_kb: 4_096,
+        }
+    }
+}
+
+/// Shares of capacity by demand, for services whose full groups miss the targets of their routes.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ControlOverload {
+    /// Late first events of a full group, in a hundred, above which the section applies to a service.
+    pub late_percent: f64,
+}
+
+impl Default for ControlOverload {
+    fn default() -> Self {
+        Self { late_percent: DEFAULT_LATE_PERCENT }
+    }
+}
+
+/// Default of `late_percent`: below a quarter of late first events, refusing requests earlier would
+/// cost callers more than the late answers do.
+const DEFAULT_LATE_PERCENT: f64 = 25.0;
+
 /// Settings of the control role.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -81,6 +128,9 @@
     /// Zones that may be evacuated; if empty, the zones that endpoints have announced.
     #[serde(default)]
     pub zones: Vec<ZoneName>,
+    /// Shares of capacity by demand; `None` leaves equal shares.
+    #[serde(default)]
+    pub overload: Option<ControlOverload>,
 }
 
 /// Limits of the deployment; durations are in milliseconds.
