Choose groups by a forecast of the first event

Cause: under a burst, groups are filled to their slots until all answers on them start late, and a prompt of 5,800 tokens counts the same as one of 40.

Change: with terms of latency an entry forecasts the first event on each group from its own unread prompts, those that the leader reports of other entries, and the passes that its streams measure. It leaves out groups on which the request or the streams that run there would be late (ChoiceRefusal::Late, refused as full), and weights the others by the forecast. Reports carry the entry's unread prompts. A random margin, bounded by what others recently had unread, keeps the entries from sending to a group all at once. Without terms nothing changes.

--- a/crates/fleet/src/entry/load.rs
+++ b/crates/fleet/src/entry/load.rs
@@ -10,6 +10,8 @@
 
 use briartray_model::TimePoint;
 
+use super::forecast::{PassMeter, UnreadPrompts};
+
 /// Part of a target's free capacity, divided equally among the entries, that an entry may fill
 /// until it learns the load again. With a larger part the entries together send more than a group
 /// has capacity for, and the surplus waits there.
@@ -70,6 +72,10 @@
     pub silence_limit: Option<Duration>,
     /// End of the time in which it is not chosen because it did not respond.
     pub suspect_until: Option<TimePoint>,
+    /// Prompts there without a first event.
+    pub unread: UnreadPrompts,
+    /// Time of its passes, as measured by this entry's streams.
+    pub pass: PassMeter,
 }
 
 impl TargetLoad {
@@ -154,6 +160,11 @@
         (slots - known_total) * share - sent_since_update
     }
 
+    /// Time since the load of the other entries became known; `None` if it never was.
+    pub fn known_age(&self, now: TimePoint) -> Option<Duration> {
+        self.others_updated_at.map(|at| now.since(at))
+    }
+
     /// Time that a request of this entry has waited without a byte; `None` if none waits.
     pub fn silence(&self, now: TimePoint) -> Option<Duration> {
         self.waiting_since.map(|since| now.since(since))
--- a/crates/fleet/src/entry/selection.rs
+++ b/crates/fleet/src/entry/selection.rs
@@ -1,9 +1,12 @@
 //! Selection of a target among those with free capacity.
 
+use briartray_model::names::{ServiceName, ZoneName};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use super::TargetChoice;
+use super::forecast::{GroupForecast, level_unmeasured};
+use super::{TargetChoice, TargetId};
+use crate::message::{EndpointView, FleetView, GroupView};
 
 /// Exponent of a group's free capacity in its selection weight.
 ///
@@ -29,6 +32,9 @@
 /// must not all choose the same target.
 const MAX_JITTER_REQUESTS: f64 = 1.5;
 
+/// Requests per slot that may be queued at a plain endpoint; one request takes 30 ms.
+const PLAIN_QUEUE_PER_SLOT: f64 = 3.0;
+
 /// A target that serves the requested service and model.
 pub(super) struct TargetCandidate {
     pub(super) choice: TargetChoice,
@@ -53,16 +59,63 @@
     pub(super) deferred: bool,
     /// Whether it has a limit and its token bucket is nearly full.
     pub(super) surplus: bool,
+    /// Forecast of the request's first event; `None` if slots alone decide.
+    pub(super) forecast: Option<GroupForecast>,
 }
 
 impl UsableTarget {
     /// Selection weight, relative to other targets.
     fn weight(&self) -> f64 {
+        if let Some(forecast) = &self.forecast {
+            return forecast.weight();
+        }
         let free = (self.candidate.slots - self.total).max(1.0);
         free.powf(FREE_CAPACITY_EXPONENT) / self.slowness.powi(SLOWNESS_EXPONENT)
     }
 }
 
+/// Returns the open groups that serve `model` of `service`, with `slots` slots each, to an entry in
+/// `zone`.
+pub(super) fn group_candidates(
+    view: &FleetView,
+    zone: &ZoneName,
+    (service, model): (&ServiceName, &str),
+    slots: f64,
+) -> Vec<TargetCandidate> {
+    let fits = |group: &&GroupView| group.open && group.service == *service && group.model == model;
+    let candidate = |group: &GroupView| TargetCandidate {
+        choice: TargetChoice {
+            target: TargetId::Group(group.group),
+            endpoint: group.head.clone(),
+            address: group.address.clone(),
+        },
+        same_zone: group.zone == *zone,
+        slots,
+        capacity_shared: true,
+    };
+    view.groups.iter().filter(fits).map(candidate).collect()
+}
+
+/// Returns the plain endpoints that serve `service`, to an entry in `zone`.
+pub(super) fn endpoint_candidates(
+    view: &FleetView,
+    zone: &ZoneName,
+    service: &ServiceName,
+) -> Vec<TargetCandidate> {
+    let fits = |endpoint: &&EndpointView| endpoint.service == *service;
+    let candidate = |endpoint: &EndpointView| TargetCandidate {
+        choice: TargetChoice {
+            target: TargetId::Endpoint(endpoint.id.clone()),
+            endpoint: endpoint.id.clone(),
+            address: endpoint.address.clone(),
+        },
+        same_zone: endpoint.zone == *zone,
+        slots: endpoint.slots as f64 * PLAIN_QUEUE_PER_SLOT,
+        capacity_shared: false,
+    };
+    view.endpoints.iter().filter(fits).map(candidate).collect()
+}
+
 /// Selects one of `targets` at random, in proportion to their weights.
 ///
 /// All entries see a group that was just repaired, or that finished many answers at once, as the
@@ -72,6 +125,9 @@
     random: &mut ChaCha8Rng,
     mut targets: Vec<UsableTarget>,
 ) -> Option<UsableTarget> {
+    let mut forecasts: Vec<&mut GroupForecast> =
+        targets.iter_mut().filter_map(|target| target.forecast.as_mut()).collect();
+    level_unmeasured(&mut forecasts);
     let sum: f64 = targets.iter().map(UsableTarget::weight).sum();
     let mut drawn = random.random_range(0.0..sum.max(f64::MIN_POSITIVE));
     let position = targets.iter().position(|target| {
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -13,8 +13,12 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::exclusion::{ExclusionWait, shorter_wait};
-use super::selection::{TargetCandidate, UsableTarget, select_by_weight, select_least_loaded};
+use super::exclusion::{ExclusionWait, RefusalDetail, shorter_wait};
+use super::forecast::ForecastTerms;
+use super::selection::{
+    TargetCandidate, UsableTarget, endpoint_candidates, group_candidates, select_by_weight,
+    select_least_loaded,
+};
 use super::{ChoiceRefusal, HoldBook, LoadSample, SendHold, ShareBook, TargetLoad};
 use crate::deployment::{RequestWork, RouteBook, RouteRule};
 use crate::limit::{EntryLimits, SendPermit};
@@ -32,9 +36,6 @@
 /// Time for which a failed target is suspect, until one request tries it again.
 const SUSPECT_PERIOD: Duration = Duration::from_millis(2_000);
 
-/// Requests per slot that may be queued at a plain endpoint; one request takes 30 ms.
-const PLAIN_QUEUE_PER_SLOT: f64 = 3.0;
-
 /// Upper bound of the factor by which a target counts as slower than the fastest one. A group runs
 /// at the speed of its slowest host, which may be a tenth of the usual speed for seconds.
 const MAX_SLOWNESS: f64 = 6.0;
@@ -98,6 +99,8 @@
     /// Whether a request needs a share of a cold endpoint's rate that the leader does not know of
     /// yet.
     share_requested: bool,
+    /// What was known at the latest refusal.
+    refusal_detail: RefusalDetail,
     random: ChaCha8Rng,
 }
 
@@ -113,6 +116,7 @@
             limits: EntryLimits::default(),
             shares: ShareBook::default(),
             share_requested: false,
+            refusal_detail: RefusalDetail::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -149,13 +153,14 @@
         });
     }
 
-    /// Records the requests that the other entries have on the groups.
+    /// Records the requests and unread prompts that the other entries have on the groups.
     pub fn record_other_loads(&mut self, now: TimePoint, loads: &[GroupLoad]) {
         let known = |group: GroupId| self.view.groups.iter().any(|known| known.group == group);
         let loads: Vec<&GroupLoad> = loads.iter().filter(|load| known(load.group)).collect();
         for load in loads {
             let target = TargetId::Group(load.group);
             self.load(&target).record_others(now, load.others);
+            self.load(&target).unread.record_others(now, load.unread_ms);
         }
     }
 
@@ -234,20 +239,28 @@
         book: &RouteBook,
         query: &TargetQuery<'_>,
     ) -> Result<TargetChoice, ChoiceRefusal> {
-        let TargetQuery { service, model, tried, latency: _ } = *query;
+        let TargetQuery { service, model, tried, latency } = *query;
         let engine = book.service(service).and_then(|spec| spec.engine.as_ref());
         let slots = engine.map(|engine| engine.slots as f64);
         let candidates = match (slots, model) {
-            (Some(slots), Some(model)) => self.group_candidates(service, model, slots),
-            (None, _) => self.endpoint_candidates(service),
+            (Some(slots), Some(model)) => {
+                group_candidates(&self.view, &self.zone, (service, model), slots)
+            }
+            (None, _) => endpoint_candidates(&self.view, &self.zone, service),
             (Some(_), None) => Vec::new(),
         };
         let fraction = self.shares.fraction(now, service, model.unwrap_or(""), self.entries());
-        let choice = self.select(now, candidates, tried, fraction)?;
-        if let Some((engine, spec)) = engine
+        let engine_model = engine
             .zip(model)
-            .and_then(|(engine, model)| engine.model(model).map(|spec| (engine, spec)))
-        {
+            .and_then(|(engine, model)| engine.model(model).map(|spec| (engine, spec)));
+        let terms = engine_model.zip(latency).map(|((engine, model), latency)| ForecastTerms {
+            engine,
+            model,
+            latency,
+            fraction,
+        });
+        let choice = self.select(now, candidates, tried, fraction, terms)?;
+        if let Some((engine, spec)) = engine_model {
             self.load(&choice.target).silence_limit = Some(engine.silence_limit(spec));
         }
         Ok(choice)
@@ -274,6 +287,11 @@
         std::mem::take(&mut self.share_requested)
     }
 
+    /// What was known when a request was last refused.
+    pub fn refusal_detail(&self) -> RefusalDetail {
+        self.refusal_detail
+    }
+
     /// Records that a request to `target` ended.
     pub fn end(&mut self, now: TimePoint, target: &TargetId) {
         self.load(target).end(now);
@@ -339,53 +357,18 @@
                     .map(|at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)),
                 running: load.own_requests,
                 suspect: load.is_suspect(now),
-                unread_ms: 0,
+                unread_ms: load.unread.own_ms(),
             }),
             TargetId::Endpoint(_) => None,
         };
         self.loads.iter().filter(|(_, load)| load.needs_report(now)).filter_map(activity).collect()
     }
 
-    fn load(&mut self, target: &TargetId) -> &mut TargetLoad {
+    /// Estimated load of `target`, for changes.
+    pub fn load(&mut self, target: &TargetId) -> &mut TargetLoad {
         self.loads.get_or_insert_with(target.clone(), TargetLoad::default)
     }
 
-    fn group_candidates(
-        &self,
-        service: &ServiceName,
-        model: &str,
-        slots: f64,
-    ) -> Vec<TargetCandidate> {
-        let fits =
-            |group: &&GroupView| group.open && group.service == *service && group.model == model;
-        let candidate = |group: &GroupView| TargetCandidate {
-            choice: TargetChoice {
-                target: TargetId::Group(group.group),
-                endpoint: group.head.clone(),
-                address: group.address.clone(),
-            },
-            same_zone: group.zone == self.zone,
-            slots,
-            capacity_shared: true,
-        };
-        self.view.groups.iter().filter(fits).map(candidate).collect()
-    }
-
-    fn endpoint_candidates(&self, service: &ServiceName) -> Vec<TargetCandidate> {
-        let fits = |endpoint: &&EndpointView| endpoint.service == *service;
-        let candidate = |endpoint: &EndpointView| TargetCandidate {
-            choice: TargetChoice {
-                target: TargetId::Endpoint(endpoint.id.clone()),
-                endpoint: endpoint.id.clone(),
-                address: endpoint.address.clone(),
-            },
-            same_zone: endpoint.zone == self.zone,
-            slots: endpoint.slots as f64 * PLAIN_QUEUE_PER_SLOT,
-            capacity_shared: false,
-        };
-        self.view.endpoints.iter().filter(fits).map(candidate).collect()
-    }
-
     /// Selects among `candidates` without those already tried and, for groups, suspect ones. Of a
     /// group's free capacity this entry may fill `fraction`.
     fn select(
@@ -394,8 +377,9 @@
         candidates: Vec<TargetCandidate>,
         tried: &[TargetId],
         fraction: f64,
+        terms: Option<ForecastTerms<'_>>,
     ) -> Result<TargetChoice, ChoiceRefusal> {
-        let (mut usable, excluded) = self.usable_targets(now, candidates, tried, fraction);
+        let (mut usable, excluded) = self.usable_targets(now, candidates, tried, fraction, terms);
         if usable.iter().any(|target| !target.deferred && !target.suspect) {
             usable.retain(|target| !target.deferred);
         }
@@ -411,7 +395,10 @@
         } else {
             select_least_loaded(&mut self.random, usable)
         };
-        chosen.map(|target| target.candidate.choice).ok_or(excluded.refusal())
+        chosen.map(|target| target.candidate.choice).ok_or_else(|| {
+            self.refusal_detail = excluded.detail();
+            excluded.refusal()
+        })
     }
 
     /// Returns the candidates that may get a request now, and how long the others may not.
@@ -421,6 +408,7 @@
         candidates: Vec<TargetCandidate>,
         tried: &[TargetId],
         fraction: f64,
+        terms: Option<ForecastTerms<'_>>,
     ) -> (Vec<UsableTarget>, ExclusionWait) {
         let slowness = self.slowness(now, &candidates);
         let mut usable = Vec::new();
@@ -438,9 +426,21 @@
             if tried.contains(&candidate.choice.target) {
                 continue;
             }
+            let forecast = terms.map(|terms| {
+                let target = candidate.choice.target.clone();
+                let load = self.loads.get_or_insert_with(target, TargetLoad::default);
+                terms.forecast(now, load, &mut self.random)
+            });
             let load = self.loads.get(&candidate.choice.target);
             let total = load.map_or(0.0, |load| load.total(now));
             let suspect = load.is_some_and(|load| load.is_suspect(now));
+            if let Some(age) = load.and_then(|load| load.known_age(now)) {
+                excluded.known = shorter_wait(excluded.known, age);
+            }
+            // A silent group is left out later, whatever its forecast.
+            if let Some(forecast) = forecast.filter(|_| !suspect) {
+                excluded.note_forecast(forecast.first_ms);
+            }
             // A plain endpoint works off its queue quickly; a queue at a group makes every answer
             // late.
             let free = match load {
@@ -453,6 +453,11 @@
                 excluded.full = true;
                 continue;
             }
+            let admits = terms.zip(forecast).is_none_or(|(terms, known)| terms.admits(&known));
+            if !admits && !suspect {
+                excluded.late = true;
+                continue;
+            }
             self.share_requested |= self.limits.record_demand(endpoint);
             let surplus = match self.limits.permit(now, endpoint) {
                 SendPermit::Denied { wait } => {
@@ -463,8 +468,16 @@
             };
             let usual_part = self.holds.usual_part(now, endpoint);
             let deferred = usual_part < 1.0 && self.random.random_range(0.0..1.0) >= usual_part;
-            let target = UsableTarget { candidate, total, slowness, suspect, deferred, surplus };
-            usable.push(target);
+            let deferred = deferred || forecast.is_some_and(|forecast| forecast.is_deferred);
+            usable.push(UsableTarget {
+                candidate,
+                total,
+                slowness,
+                suspect,
+                deferred,
+                surplus,
+                forecast,
+            });
         }
         (usable, excluded)
     }
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -1,14 +1,14 @@
 //! A single attempt: choosing a target, sending the request, and validating the response head.
 
-use std::cell::{OnceCell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use briartray_fleet::deployment::{RepeatKind, RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
-    AttemptEnd, ChoiceRefusal, LatencyTerms, NextStep, RetryState, TargetChoice, TargetId,
-    TargetQuery, has_returned,
+    AttemptEnd, ChoiceRefusal, LatencyTerms, NextStep, RetryState, SentPrompt, TargetChoice,
+    TargetId, TargetQuery, has_returned,
 };
 use briartray_model::TimePoint;
 use briartray_model::message::RunEnd;
@@ -83,15 +83,19 @@
     state: Rc<EntryState>,
     began: TimePoint,
     pub(super) target: TargetId,
+    prompt: Cell<SentPrompt>,
 }
 
 impl TargetGuard {
-    fn new(state: &Rc<EntryState>, choice: &TargetChoice) -> Self {
+    /// Counts a request whose prefill takes `reading_ms` milliseconds on the target of `choice`.
+    fn new(state: &Rc<EntryState>, choice: &TargetChoice, reading_ms: f64) -> Self {
         let mut table = state.table.borrow_mut();
         table.limits().send(state.now(), &choice.endpoint);
         table.begin(state.now(), &choice.target);
+        let prompt = Cell::new(SentPrompt::send(table.load(&choice.target), reading_ms));
         drop(table);
-        Self { state: Rc::clone(state), began: state.now(), target: choice.target.clone() }
+        let (began, target) = (state.now(), choice.target.clone());
+        Self { state: Rc::clone(state), began, target, prompt }
     }
 
     /// Records that bytes arrived from the target.
@@ -103,7 +107,25 @@
     pub(super) fn note_first_part(&self) {
         let now = self.state.now();
         let took = now.since(self.began);
-        self.state.table.borrow_mut().first_part(now, &self.target, took);
+        let mut table = self.state.table.borrow_mut();
+        table.first_part(now, &self.target, took);
+        let mut prompt = self.prompt.get();
+        prompt.begin(table.load(&self.target));
+        self.prompt.set(prompt);
+    }
+
+    /// Records that an event of a stream arrived.
+    pub(super) fn note_event(&self, now: TimePoint) {
+        let mut prompt = self.prompt.get();
+        prompt.event(now, self.state.table.borrow_mut().load(&self.target));
+        self.prompt.set(prompt);
+    }
+
+    /// Records that the caller took `held` to accept an event.
+    pub(super) fn note_caller(&self, held: Duration) {
+        let mut prompt = self.prompt.get();
+        prompt.skip_gap(held);
+        self.prompt.set(prompt);
     }
 
     /// Whether the target has been silent for so long that no response is expected.
@@ -115,7 +137,9 @@
 impl Drop for TargetGuard {
     fn drop(&mut self) {
         let now = self.state.now();
-        self.state.table.borrow_mut().end(now, &self.target);
+        let mut table = self.state.table.borrow_mut();
+        self.prompt.get().end(table.load(&self.target));
+        table.end(now, &self.target);
     }
 }
 
@@ -230,10 +254,12 @@
         } else {
             target.mul_f64(NEW_CALLER_BUDGET).saturating_sub(self.state.now().since(self.arrived))
         };
-        // A stream that has begun goes on even if its next event is late.
-        let has_begun = self.runs > 0;
+        // A stream that has begun goes on even if its next event is late, also when its caller
+        // resumes it at this entry. A route without a target has no late answers.
+        let has_begun = self.runs > 0 || self.head.last_event.is_some();
+        let is_bound = !has_begun && !target.is_zero();
         let gap = self.book.smallest_gap(&self.service);
-        Some(LatencyTerms { work, budget: (!has_begun).then_some(budget), gap })
+        Some(LatencyTerms { work, budget: is_bound.then_some(budget), gap })
     }
 
     /// Chooses the target for the next attempt.
@@ -264,7 +290,8 @@
         let Some(address) = EntryState::parse_address(&choice.address) else {
             return Err(AttemptFailure::NoTarget(ChoiceRefusal::NoReplica));
         };
-        let guard = TargetGuard::new(&self.state, &choice);
+        let reading_ms = self.work.map_or(0.0, |work| work.reading_ms);
+        let guard = TargetGuard::new(&self.state, &choice, reading_ms);
         let request = dispatch_request(
             &self.parts,
             &DispatchHeaders {
--- a/crates/gateway/src/entry/stream_relay.rs
+++ b/crates/gateway/src/entry/stream_relay.rs
@@ -277,10 +277,13 @@
         match step {
             StreamStep::Event(event) => {
                 position.last = event.id.or(position.last);
-                position.clock.record_event(request.state.now());
+                let now = request.state.now();
+                position.clock.record_event(now);
+                stream.answer.guard.note_event(now);
                 if sender.send(Ok(Bytes::from(event.bytes))).await.is_err() {
                     return false;
                 }
+                stream.answer.guard.note_caller(request.state.now().since(now));
             }
             StreamStep::End => return true,
             StreamStep::Broken => {
--- a/crates/gateway/src/entry/whole_answer.rs
+++ b/crates/gateway/src/entry/whole_answer.rs
@@ -111,7 +111,7 @@
 ) -> RefusalKind {
     match refusal {
         _ if request.runs > 0 => RefusalKind::Unknown,
-        ChoiceRefusal::Full => RefusalKind::ReplicasFull,
+        ChoiceRefusal::Full | ChoiceRefusal::Late { .. } => RefusalKind::ReplicasFull,
         ChoiceRefusal::Limited { wait } => RefusalKind::EndpointLimit { wait },
         ChoiceRefusal::Backoff { wait } => RefusalKind::EndpointBackoff { wait },
         ChoiceRefusal::NoReplica => RefusalKind::NoReplica,
