--- a/crates/gateway/src/entry/stream_relay.rs
+++ b/crates/gateway/src/entry/stream_relay.rs
@@ -224,7 +224,7 @@
     let sent = u32::try_from(request.tried.len()).unwrap_or(u32::MAX);
     request.rule.kind.may_repeat()
         && sent < request.rule.max_attempts
-        && request.choose_target().is_ok()
+        && request.has_target_to_resume()
 }
 
 /// Forwards events until the stream is complete, cannot be resumed, or the caller disconnects.
@@ -277,10 +277,13 @@
         match step {
             StreamStep::Event(event) => {
                 position.last = event.id.or(position.last);
-                position.clock.record_event(request.state.now());
+                let now = request.state.now();
+                position.clock.record_event(now);
+                stream.answer.guard.note_event(now);
                 if sender.send(Ok(Bytes::from(event.bytes))).await.is_err() {
                     return false;
                 }
+                stream.answer.guard.note_caller(request.state.now().since(now));
             }
             StreamStep::End => return true,
             StreamStep::Broken => {
