Schedule the returns of refused callers over free slots

Cause: refused callers are told to return after 0.7 to 1.9 s, drawn at random. Right after the first refusals slots stay empty, later ones are overfilled, and callers that waited as told are refused again.

Change: ReturnSchedule keeps the retry times given per service and model in buckets of 100 ms and tells the first bucket with room, for half of the slots that become free. Unused parts are carried over, since an entry frees less than one slot per bucket. Without a rate it draws from the previous range. No caller uses it yet.

--- a/crates/fleet/src/entry/returns.rs
+++ b/crates/fleet/src/entry/returns/mod.rs
@@ -1,7 +1,12 @@
-//! Callers that come back after a refusal.
+//! Callers that come back after a refusal: how they are recognized, and when they are told to return.
+
+mod promises;
+mod schedule;
 
 use std::time::Duration;
 
+pub use schedule::{ReturnQuery, ReturnSchedule};
+
 /// Shortest time that callers are told to wait. A caller that repeats its request sooner did not wait
 /// as told.
 pub const MIN_RETURN_DELAY: Duration = Duration::from_millis(200);
