Tell refused callers scheduled times, and log why they were refused

Cause: Retry-After did not depend on load, and the log line of a refusal said full without model, team, age or cause.

A slot counts as freed when a request that a replica accepted ends. For services with engines the log line gains model, team, priority, age_ms, cause, best_ms, known_ms and retry_ms, and two metrics count refusals by model and cause and returns by outcome. best_ms and known_ms are null until the choice of a target fills RefusalDetail.

Measured: cargo test -p briartray-fleet -p briartray-gateway passed, 138 tests, none failed; the gateway has no tests of its own. Clippy over the workspace, the formatter and the docs of both crates are clean. Not run: the tests of the other crates, a deployment.

--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -1,6 +1,6 @@
 //! A single attempt: choosing a target, sending the request, and validating the response head.
 
-use std::cell::{OnceCell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +20,7 @@
 use http::request::Parts;
 
 use super::crash_check;
+use super::returns::RefusalDetail;
 use super::state::EntryState;
 use briartray_http::{Exchange, SendFailure};
 
@@ -61,6 +62,8 @@
     pub(super) caller_age: Duration,
     /// Whether admission by latency applies to the service.
     pub(super) latency_bound: bool,
+    /// What a refusal of the request is to tell the log.
+    pub(super) refusal: Cell<RefusalDetail>,
     /// Number of replicas that may have run the request. A replica that reported that it did not
     /// run it does not count towards the rule's maximum number of attempts.
     pub(super) runs: u32,
@@ -83,6 +86,9 @@
     state: Rc<EntryState>,
     began: TimePoint,
     pub(super) target: TargetId,
+    /// Service and model of the slot that becomes free at the end; `None` until a replica has
+    /// accepted the request.
+    slot: Option<(ServiceName, String)>,
 }
 
 impl TargetGuard {
@@ -91,7 +97,12 @@
         table.limits().send(state.now(), &choice.endpoint);
         table.begin(state.now(), &choice.target);
         drop(table);
-        Self { state: Rc::clone(state), began: state.now(), target: choice.target.clone() }
+        Self {
+            state: Rc::clone(state),
+            began: state.now(),
+            target: choice.target.clone(),
+            slot: None,
+        }
     }
 
     /// Records that bytes arrived from the target.
@@ -116,6 +127,9 @@
     fn drop(&mut self) {
         let now = self.state.now();
         self.state.table.borrow_mut().end(now, &self.target);
+        if let Some((service, model)) = &self.slot {
+            self.state.record_freed_slot(service, model);
+        }
     }
 }
 
@@ -344,7 +358,7 @@
         &mut self,
         exchange: Exchange,
         address: SocketAddr,
-        guard: TargetGuard,
+        mut guard: TargetGuard,
     ) -> Result<LiveAnswer, AttemptFailure> {
         let status = exchange.head.status;
         let head = ResponseHead::read(status, &exchange.head.headers);
@@ -369,6 +383,7 @@
             log::warn!(status = status.as_u16(); "response lacks the replica's stamp; dropping it");
             return Err(self.end_attempt(AttemptEnd::MayHaveRun));
         }
+        guard.slot = self.bounded_slot();
         Ok(LiveAnswer { exchange, head, address, guard })
     }
 
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod crash_check;
 mod dispatch;
 mod refusal;
+mod returns;
 mod serve;
 mod state;
 mod stream_clock;
--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -128,7 +128,7 @@
     }
 
     /// Randomized retry delay, for requests that did not run.
-    fn retry_after(self) -> Option<Duration> {
+    pub(super) fn retry_after(self) -> Option<Duration> {
         let (min_ms, max_ms) = match self {
             // A lease is renewed four times a second; an election takes up to two seconds.
             Self::RulesUnconfirmed => (500, 1_000),
@@ -159,6 +159,11 @@
 
 /// The response for `kind`.
 pub(super) fn refuse(kind: RefusalKind) -> Response<ResponseBody> {
+    refuse_with(kind, kind.retry_after())
+}
+
+/// The response for `kind`, which tells the caller to retry after `retry`.
+pub(super) fn refuse_with(kind: RefusalKind, retry: Option<Duration>) -> Response<ResponseBody> {
     let outcome = match kind {
         RefusalKind::TimedOut | RefusalKind::Unknown => "unknown",
         _ => "not_run",
@@ -170,7 +175,7 @@
     answer.extensions_mut().insert(kind);
     let headers = answer.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(wait) = kind.retry_after() {
+    if let Some(wait) = retry {
         let seconds = format!("{:.2}", wait.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             headers.insert(header::RETRY_AFTER, value);
--- /dev/null
+++ b/crates/gateway/src/entry/returns.rs
@@ -0,0 +1,101 @@
+//! What a refusal tells its caller and the log: when to return, and why there was no capacity.
+
+use std::time::Duration;
+
+use briartray_fleet::entry::{ReturnQuery, has_returned};
+use briartray_model::names::{ServiceName, TeamName};
+use http::Response;
+
+use super::dispatch::ServedRequest;
+use super::refusal::{RefusalKind, refuse_with};
+use super::state::EntryState;
+use briartray_http::ResponseBody;
+
+/// Cause of a refusal: no group of the model has a free slot.
+const CAUSE_SLOTS: &str = "slots";
+
+/// Reason why a request found no capacity; `None` for what is not known.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct RefusalDetail {
+    /// Stable code of the cause for logs and metrics.
+    pub(super) cause: Option<&'static str>,
+    /// Forecast time to the first event on the best group.
+    pub(super) best: Option<Duration>,
+    /// Age of the newest known load of a group of the model.
+    pub(super) known: Option<Duration>,
+    /// Time after which the caller is told to return.
+    pub(super) retry: Option<Duration>,
+}
+
+/// What the log and the metrics tell about the caller of a request to a service with engines.
+#[derive(Debug, Clone)]
+pub(super) struct CallerFacts {
+    pub(super) model: String,
+    pub(super) team: Option<TeamName>,
+    pub(super) priority: Option<u8>,
+    /// Time since the caller's first attempt.
+    pub(super) age: Duration,
+}
+
+impl EntryState {
+    /// Records that a request of this entry for `model` ended and its slot became free.
+    pub(super) fn record_freed_slot(&self, service: &ServiceName, model: &str) {
+        self.completions.borrow_mut().record(self.now(), service, model);
+    }
+
+    /// Time after which a caller that was refused for lack of capacity is told to return. `left` is
+    /// the time until its deadline, `has_returned` whether it was refused before.
+    fn retry_after(
+        &self,
+        service: &ServiceName,
+        model: &str,
+        left: Duration,
+        has_returned: bool,
+    ) -> Duration {
+        let now = self.now();
+        let per_second = self.completions.borrow().per_second(now, service, model);
+        let query = ReturnQuery { service, model, per_second, left, has_returned };
+        self.returns.borrow_mut().retry_after(now, &query)
+    }
+}
+
+impl ServedRequest {
+    /// Facts about the caller; `None` for services without engines.
+    pub(super) fn caller_facts(&self) -> Option<CallerFacts> {
+        self.work?;
+        Some(CallerFacts {
+            model: self.head.model.clone()?,
+            team: self.team.clone(),
+            priority: self.priority,
+            age: self.caller_age,
+        })
+    }
+
+    /// The response for `kind`. If there is no capacity, it tells when the caller should return.
+    pub(super) fn refuse(&self, kind: RefusalKind) -> Response<ResponseBody> {
+        if kind != RefusalKind::ReplicasFull || self.work.is_none() {
+            return refuse_with(kind, kind.retry_after());
+        }
+        let retry = self.scheduled_return().or_else(|| kind.retry_after());
+        let detail = self.refusal.get();
+        let cause = detail.cause.or(Some(CAUSE_SLOTS));
+        let mut answer = refuse_with(kind, retry);
+        answer.extensions_mut().insert(RefusalDetail { cause, retry, ..detail });
+        answer
+    }
+
+    /// Time after which the schedule tells the caller to return; `None` unless the service is
+    /// latency-bound.
+    fn scheduled_return(&self) -> Option<Duration> {
+        let model = self.head.model.as_deref().filter(|_| self.latency_bound)?;
+        let returned = has_returned(self.caller_age);
+        Some(self.state.retry_after(&self.service, model, self.time_left(), returned))
+    }
+
+    /// Service and model whose slot the request occupies; `None` unless the service is
+    /// latency-bound.
+    pub(super) fn bounded_slot(&self) -> Option<(ServiceName, String)> {
+        let model = self.head.model.clone().filter(|_| self.latency_bound)?;
+        Some((self.service.clone(), model))
+    }
+}
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -1,11 +1,11 @@
 //! Handling of a caller's request, from its head to the response.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use briartray_fleet::deployment::{RouteBook, RouteRule};
-use briartray_fleet::entry::caller_age;
+use briartray_fleet::entry::{caller_age, has_returned};
 use briartray_model::TimePoint;
 use briartray_model::names::{ServiceName, TeamName};
 use briartray_platform::CallerHead;
@@ -18,6 +18,7 @@
 
 use super::dispatch::{ServedRequest, request_fingerprint};
 use super::refusal::{RefusalKind, refuse};
+use super::returns::{CallerFacts, RefusalDetail};
 use super::state::EntryState;
 use super::{stream_relay, whole_answer};
 use briartray_http::ResponseBody;
@@ -37,12 +38,14 @@
     let arrived = state.now();
     let (parts, body) = request.into_parts();
     let id = CallerHead::read(&parts).request_id;
-    let mut answer = match admit(&state, parts, body).await {
+    let admitted = admit(&state, parts, body).await;
+    let facts = admitted.as_ref().ok().and_then(ServedRequest::caller_facts);
+    let mut answer = match admitted {
         Ok(request) if request.rule.kind.is_stream() => stream_relay::serve(request).await,
         Ok(request) => whole_answer::serve(request).await,
         Err(kind) => refuse(kind),
     };
-    record_answer(&state, id.as_ref(), arrived, &answer);
+    record_answer(&state, id.as_ref(), arrived, facts.as_ref(), &answer);
     if state.is_draining() {
         // The caller's next request should go to an entry that is not draining.
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -55,12 +58,23 @@
     state: &EntryState,
     id: Option<&HeaderValue>,
     arrived: TimePoint,
+    facts: Option<&CallerFacts>,
     answer: &Response<ResponseBody>,
 ) {
     let refused = answer.extensions().get::<RefusalKind>().map(|kind| kind.code());
     let outcome =
         refused.unwrap_or(if answer.status().is_success() { "answered" } else { "failed" });
     state.metrics.count_request(outcome);
+    let detail = answer.extensions().get::<RefusalDetail>().copied().unwrap_or_default();
+    if let Some(facts) = facts {
+        if has_returned(facts.age) && (refused.is_some() || answer.status().is_success()) {
+            let outcome = if refused.is_some() { "refused" } else { "answered" };
+            state.metrics.count_return(outcome);
+        }
+        if let Some(cause) = detail.cause {
+            state.metrics.count_refusal(&facts.model, cause);
+        }
+    }
     let took = state.now().since(arrived);
     if answer.status().is_success() {
         return state.metrics.first_part.observe(took.as_secs_f64());
@@ -70,7 +84,13 @@
         log::info!(
             request = id.and_then(|id| id.to_str().ok()).unwrap_or(""),
             status = answer.status().as_u16(), outcome,
-            ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+            ms = millis(took),
+            model = facts.map(|facts| facts.model.as_str()),
+            team = facts.and_then(|facts| facts.team.as_ref()).map(TeamName::as_str),
+            priority = facts.and_then(|facts| facts.priority),
+            age_ms = facts.map(|facts| millis(facts.age)),
+            cause = detail.cause, best_ms = detail.best.map(millis),
+            known_ms = detail.known.map(millis), retry_ms = detail.retry.map(millis),
             plan = state.held_plan(), lease_left_ms = state.lease_left_ms(),
             view_term = view.term.0, view = view.number;
             "request refused or failed"
@@ -78,6 +98,11 @@
     }
 }
 
+/// Whole milliseconds of `time`.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Admits a request: checks the rule, API key, body and quarantine, and picks a service.
 async fn admit(
     state: &Rc<EntryState>,
@@ -132,6 +157,7 @@
         work,
         caller_age,
         latency_bound,
+        refusal: Cell::default(),
         runs: 0,
     })
 }
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -7,7 +7,8 @@
 
 use briartray_fleet::deployment::{RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
-    EntryLease, RetryBudget, StartupWait, TargetTable, report_interval, retry_interval,
+    CompletionRate, EntryLease, RetryBudget, ReturnSchedule, StartupWait, TargetTable,
+    report_interval, retry_interval,
 };
 use briartray_fleet::limit::LimitHeader;
 use briartray_fleet::message::{EntryNotice, EntryReport, ModelDemand, WorkSum};
@@ -38,6 +39,8 @@
     pub(super) table: RefCell<TargetTable>,
     lease: RefCell<EntryLease>,
     budget: RefCell<RetryBudget>,
+    pub(super) completions: RefCell<CompletionRate>,
+    pub(super) returns: RefCell<ReturnSchedule>,
     pub(super) pool: RefCell<ConnectionPool>,
     fingerprint_key: FingerprintKey,
     quarantine_guard: RefCell<QuarantineGuard>,
@@ -85,6 +88,8 @@
             table: RefCell::new(TargetTable::new(settings.zone.clone(), rand::random())),
             lease: RefCell::new(EntryLease::new(limits.lease_bound())),
             budget: RefCell::new(budget),
+            completions: RefCell::default(),
+            returns: RefCell::new(ReturnSchedule::new(rand::random())),
             pool: RefCell::new(ConnectionPool::default()),
             fingerprint_key: FingerprintKey::new(&settings.link_token),
             quarantine_guard: RefCell::default(),
--- a/crates/gateway/src/entry/stream_relay.rs
+++ b/crates/gateway/src/entry/stream_relay.rs
@@ -60,7 +60,7 @@
             *response.headers_mut() = head.1;
             response
         }
-        Err(OpenFailure::Refused(kind)) => refuse(kind),
+        Err(OpenFailure::Refused(kind)) => request.refuse(kind),
         Err(OpenFailure::Other(answer)) => forward_other_answer(&request, *answer).await,
     }
 }
--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -9,6 +9,7 @@
 
 use briartray_model::TimePoint;
 use briartray_node::metrics::OutcomeLabel;
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -52,12 +53,23 @@
     }
 }
 
+/// Labels of a refusal for lack of capacity.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabels {
+    /// Model of the request, which its service declares.
+    model: String,
+    /// Why there was no capacity.
+    cause: &'static str,
+}
+
 /// Metrics of one entry.
 #[derive(Debug, Clone)]
 pub(super) struct EntryMetrics {
     requests: Family<OutcomeLabel, Counter>,
     attempts: Family<OutcomeLabel, Counter>,
     late: Family<OutcomeLabel, Counter>,
+    refused: Family<RefusalLabels, Counter>,
+    returned: Family<OutcomeLabel, Counter>,
     /// Streams that were resumed at another replica.
     pub(super) resumed: Counter,
     /// Streams that were cut off.
@@ -99,6 +111,8 @@
             requests: Family::default(),
             attempts: Family::default(),
             late: Family::default(),
+            refused: Family::default(),
+            returned: Family::default(),
             resumed: Counter::default(),
             cut: Counter::default(),
             crashes: Counter::default(),
@@ -119,6 +133,10 @@
         entry.register("requests", "Requests by how they ended", metrics.requests.clone());
         entry.register("attempts", "Attempts by how they ended", metrics.attempts.clone());
         entry.register("streams_late", "Late streams by cause", metrics.late.clone());
+        let help = "Requests refused for lack of capacity by model and cause";
+        entry.register("refused_requests", help, metrics.refused.clone());
+        let help = "Requests of callers that came back after a refusal by how they ended";
+        entry.register("returned_requests", help, metrics.returned.clone());
         let help = "Streams that went on at another replica";
         entry.register("streams_resumed", help, metrics.resumed.clone());
         entry.register("streams_cut", "Streams that were cut off", metrics.cut.clone());
@@ -159,6 +177,16 @@
         self.attempts.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a request for `model` that was refused for lack of capacity.
+    pub(super) fn count_refusal(&self, model: &str, cause: &'static str) {
+        self.refused.get_or_create(&RefusalLabels { model: model.to_owned(), cause }).inc();
+    }
+
+    /// Counts a request of a caller that came back after a refusal, and ended with `outcome`.
+    pub(super) fn count_return(&self, outcome: &'static str) {
+        self.returned.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts a stream that was late because of `cause`.
     pub(super) fn count_late_stream(&self, cause: &'static str) {
         self.late.get_or_create(&OutcomeLabel { outcome: cause }).inc();
--- a/crates/gateway/src/entry/whole_answer.rs
+++ b/crates/gateway/src/entry/whole_answer.rs
@@ -38,7 +38,7 @@
             Err(AttemptFailure::NoTarget(refusal)) => {
                 return match failed_answer {
                     Some(answer) => forward_answer(answer),
-                    None => refuse(refusal_without_target(&request, refusal)),
+                    None => request.refuse(refusal_without_target(&request, refusal)),
                 };
             }
         };
