--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -86,22 +86,26 @@
     state: Rc<EntryState>,
     began: TimePoint,
     pub(super) target: TargetId,
-    /// Service and model of the slot that becomes free at the end; `None` until a replica has
-    /// accepted the request.
-    slot: Option<(ServiceName, String)>,
+    /// Service and model, where admission by latency applies.
+    model: Option<(ServiceName, String)>,
+    /// Whether the target accepted the request, so that its end frees a slot.
+    accepted: bool,
 }
 
 impl TargetGuard {
-    fn new(state: &Rc<EntryState>, choice: &TargetChoice) -> Self {
+    fn new(request: &ServedRequest, choice: &TargetChoice) -> Self {
+        let state = &request.state;
         let mut table = state.table.borrow_mut();
         table.limits().send(state.now(), &choice.endpoint);
         table.begin(state.now(), &choice.target);
         drop(table);
+        let model = request.head.model.clone().filter(|_| request.latency_bound);
         Self {
             state: Rc::clone(state),
             began: state.now(),
             target: choice.target.clone(),
-            slot: None,
+            model: model.map(|model| (request.service.clone(), model)),
+            accepted: false,
         }
     }
 
@@ -127,8 +131,8 @@
     fn drop(&mut self) {
         let now = self.state.now();
         self.state.table.borrow_mut().end(now, &self.target);
-        if let Some((service, model)) = &self.slot {
-            self.state.record_freed_slot(service, model);
+        if let Some((service, model)) = self.model.as_ref().filter(|_| self.accepted) {
+            self.state.completions.borrow_mut().record(now, service, model);
         }
     }
 }
@@ -278,7 +282,7 @@
         let Some(address) = EntryState::parse_address(&choice.address) else {
             return Err(AttemptFailure::NoTarget(ChoiceRefusal::NoReplica));
         };
-        let guard = TargetGuard::new(&self.state, &choice);
+        let guard = TargetGuard::new(self, &choice);
         let request = dispatch_request(
             &self.parts,
             &DispatchHeaders {
@@ -383,7 +387,7 @@
             log::warn!(status = status.as_u16(); "response lacks the replica's stamp; dropping it");
             return Err(self.end_attempt(AttemptEnd::MayHaveRun));
         }
-        guard.slot = self.bounded_slot();
+        guard.accepted = true;
         Ok(LiveAnswer { exchange, head, address, guard })
     }
 
--- a/crates/gateway/src/entry/returns.rs
+++ b/crates/gateway/src/entry/returns.rs
@@ -38,11 +38,6 @@
 }
 
 impl EntryState {
-    /// Records that a request of this entry for `model` ended and its slot became free.
-    pub(super) fn record_freed_slot(&self, service: &ServiceName, model: &str) {
-        self.completions.borrow_mut().record(self.now(), service, model);
-    }
-
     /// Time after which a caller that was refused for lack of capacity is told to return. `left` is
     /// the time until its deadline, `has_returned` whether it was refused before.
     fn retry_after(
@@ -91,11 +86,4 @@
         let returned = has_returned(self.caller_age);
         Some(self.state.retry_after(&self.service, model, self.time_left(), returned))
     }
-
-    /// Service and model whose slot the request occupies; `None` unless the service is
-    /// latency-bound.
-    pub(super) fn bounded_slot(&self) -> Option<(ServiceName, String)> {
-        let model = self.head.model.clone().filter(|_| self.latency_bound)?;
-        Some((self.service.clone(), model))
-    }
 }
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -39,7 +39,9 @@
     pub(super) table: RefCell<TargetTable>,
     lease: RefCell<EntryLease>,
     budget: RefCell<RetryBudget>,
+    /// Ends of own requests, for services to which admission by latency applies.
     pub(super) completions: RefCell<CompletionRate>,
+    /// Times at which refused callers were told to return, for the same services.
     pub(super) returns: RefCell<ReturnSchedule>,
     pub(super) pool: RefCell<ConnectionPool>,
     fingerprint_key: FingerprintKey,
