--- a/crates/fleet/src/deployment/book.rs
+++ b/crates/fleet/src/deployment/book.rs
@@ -5,7 +5,6 @@
 //! of them is looked up by binary search, so hundreds of routes cost no more than ten.
 
 use std::cmp::Ordering;
-use std::time::Duration;
 
 use briartray_model::SortedTable;
 use briartray_model::names::{ServiceName, TeamName};
@@ -29,8 +28,6 @@
     /// For each service with an engine, the largest fraction of late first events of any route when
     /// its groups are full.
     late_when_full: SortedTable<ServiceName, f64>,
-    /// For each service, the smallest target of any route for the gap between two events.
-    smallest_gaps: SortedTable<ServiceName, Duration>,
 }
 
 impl RouteBook {
@@ -45,13 +42,7 @@
             }
         }
         let late_when_full = late_fractions(&plan);
-        let smallest_gaps = smallest_gaps(&plan);
-        Self { plan, keys, late_when_full, smallest_gaps }
-    }
-
-    /// Smallest target of any route to `service` for the gap between two events.
-    pub fn smallest_gap(&self, service: &ServiceName) -> Option<Duration> {
-        self.smallest_gaps.get(service).copied()
+        Self { plan, keys, late_when_full }
     }
 
     /// Whether groups of `service` with all slots in use miss the target of some route for more than
@@ -116,18 +107,6 @@
     late_fractions
 }
 
-fn smallest_gaps(plan: &DeploymentPlan) -> SortedTable<ServiceName, Duration> {
-    let mut smallest_gaps = SortedTable::new();
-    for route in &plan.routes {
-        let Some(gap) = route.target_gap else { continue };
-        for target in &route.targets {
-            let known = smallest_gaps.get_or_insert_with(target.service.clone(), || gap);
-            *known = gap.min(*known);
-        }
-    }
-    smallest_gaps
-}
-
 fn lowest_late_fraction(engine: &EngineModel, route: &RouteRule) -> Option<f64> {
     // A route without a target has no late answers.
     if route.target_latency.is_zero() {
--- a/crates/fleet/src/entry/exclusion.rs
+++ b/crates/fleet/src/entry/exclusion.rs
@@ -28,7 +28,7 @@
 
 /// What the entry knew when it refused a request, for the log.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct RefusalDetail {
+pub struct ChoiceDetail {
     /// Smallest forecast of the first event on a group that responds, in milliseconds; `None`
     /// without terms of latency.
     pub best_ms: Option<u32>,
@@ -70,8 +70,8 @@
     }
 
     /// What was known of the targets.
-    pub(super) fn detail(&self) -> RefusalDetail {
-        RefusalDetail {
+    pub(super) fn detail(&self) -> ChoiceDetail {
+        ChoiceDetail {
             best_ms: self.best_ms.map(|best_ms| best_ms.ceil() as u32),
             known_ms: self.known.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
         }
--- a/crates/fleet/src/entry/forecast/group_forecast.rs
+++ b/crates/fleet/src/entry/forecast/group_forecast.rs
@@ -10,6 +10,11 @@
 /// quarter of the requests.
 const FORECAST_EXPONENT: i32 = 2;
 
+/// Part of the difference between the measured pass and that of the declared engine that is expected
+/// of the next passes. A measured pass contains the prompts that were read in it, which the forecast
+/// counts as unread besides; only a slow host stretches all passes alike.
+const MEASURED_PART: f64 = 0.4;
+
 /// Terms of one request, with the timing of the engine and the model that it asks for.
 #[derive(Debug, Clone, Copy)]
 pub(in crate::entry) struct ForecastTerms<'a> {
@@ -25,6 +30,9 @@
 pub(in crate::entry) struct GroupForecast {
     /// Time to the first event of the request, in milliseconds.
     pub(in crate::entry) first_ms: f64,
+    /// As `first_ms`, for a prompt of at most the usual length; decides whether the group may be
+    /// chosen.
+    admitted_ms: f64,
     /// Margin for prompts that are not known yet, in milliseconds: a random part of the most that
     /// the other entries recently had unread.
     ///
@@ -56,15 +64,19 @@
         // event does.
         let silence = load.silence(now).filter(|_| load.unread.has_streams());
         let silence_ms = silence.map_or(0.0, |silence| silence.as_secs_f64() * 1e3);
-        let pass_ms = load.pass.expected_ms(now, model_ms).max(silence_ms);
+        let measured_ms = load.pass.expected_ms(now, model_ms).max(silence_ms);
+        let pass_ms = model_ms + (measured_ms - model_ms).max(0.0) * MEASURED_PART;
         let unread_ms = load.unread.total_ms(now, pass_ms);
-        let stretch_ms = (unread_ms + reading_ms).min(self.most_reading_ms());
+        // Callers with long prompts are not refused more often than others.
+        let admitted_ms = reading_ms.min(self.engine.usual_work(self.model).reading_ms);
+        let stretch_ms = (unread_ms + admitted_ms).min(self.most_reading_ms());
         let part = load.unread.drawn_part(now, random);
         let is_measured = load.pass.is_valid(now);
         let own_ms = load.unread.own_exact_ms();
         let room_ms = self.budget_ms() - first_token_ms(pass_ms) - (unread_ms - own_ms);
         GroupForecast {
             first_ms: first_token_ms(pass_ms) + unread_ms + reading_ms,
+            admitted_ms: first_token_ms(pass_ms) + unread_ms + admitted_ms,
             margin_ms: load.unread.peak_ms(now) * part,
             is_deferred: !is_measured && own_ms + part * reading_ms > self.fraction * room_ms,
             gap_ms: if streams > 0.0 { pass_ms + stretch_ms } else { 0.0 },
@@ -79,7 +91,7 @@
             return true;
         }
         let gap_ms = self.latency.gap.map_or(f64::INFINITY, |gap| gap.as_secs_f64() * 1e3);
-        let first_ms = forecast.first_ms + forecast.margin_ms;
+        let first_ms = forecast.admitted_ms + forecast.margin_ms;
         first_ms <= self.budget_ms() && forecast.gap_ms <= gap_ms
     }
 
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::exclusion::{ExclusionWait, RefusalDetail, shorter_wait};
+use super::exclusion::{ChoiceDetail, ExclusionWait, shorter_wait};
 use super::forecast::ForecastTerms;
 use super::selection::{
     TargetCandidate, UsableTarget, endpoint_candidates, group_candidates, select_by_weight,
@@ -100,7 +100,7 @@
     /// yet.
     share_requested: bool,
     /// What was known at the latest refusal.
-    refusal_detail: RefusalDetail,
+    choice_detail: ChoiceDetail,
     random: ChaCha8Rng,
 }
 
@@ -116,7 +116,7 @@
             limits: EntryLimits::default(),
             shares: ShareBook::default(),
             share_requested: false,
-            refusal_detail: RefusalDetail::default(),
+            choice_detail: ChoiceDetail::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -288,8 +288,8 @@
     }
 
     /// What was known when a request was last refused.
-    pub fn refusal_detail(&self) -> RefusalDetail {
-        self.refusal_detail
+    pub fn choice_detail(&self) -> ChoiceDetail {
+        self.choice_detail
     }
 
     /// Records that a request to `target` ended.
@@ -396,7 +396,7 @@
             select_least_loaded(&mut self.random, usable)
         };
         chosen.map(|target| target.candidate.choice).ok_or_else(|| {
-            self.refusal_detail = excluded.detail();
+            self.choice_detail = excluded.detail();
             excluded.refusal()
         })
     }
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -8,7 +8,7 @@
 use briartray_fleet::deployment::{RepeatKind, RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
     AttemptEnd, ChoiceRefusal, LatencyTerms, NextStep, RetryState, SentPrompt, TargetChoice,
-    TargetId, TargetQuery, has_returned,
+    TargetId, TargetQuery,
 };
 use briartray_model::TimePoint;
 use briartray_model::message::RunEnd;
@@ -20,16 +20,13 @@
 use http::request::Parts;
 
 use super::crash_check;
+use super::returns::RefusalDetail;
 use super::state::EntryState;
 use briartray_http::{Exchange, SendFailure};
 
 /// Time reserved for returning the response to the caller before the deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 
-/// Part of the target latency in which the first event of a new caller's request has to be expected.
-/// The rest is kept for callers that return after a refusal and for errors of the forecast.
-const NEW_CALLER_BUDGET: f64 = 0.85;
-
 /// An admitted request.
 pub(super) struct ServedRequest {
     pub(super) state: Rc<EntryState>,
@@ -61,6 +58,8 @@
     pub(super) caller_age: Duration,
     /// Whether admission by latency applies to the service.
     pub(super) latency_bound: bool,
+    /// What a refusal of the request is to tell the log.
+    pub(super) refusal: Cell<RefusalDetail>,
     /// Number of replicas that may have run the request. A replica that reported that it did not
     /// run it does not count towards the rule's maximum number of attempts.
     pub(super) runs: u32,
@@ -83,19 +82,32 @@
     state: Rc<EntryState>,
     began: TimePoint,
     pub(super) target: TargetId,
+    /// Service and model, where admission by latency applies.
+    model: Option<(ServiceName, String)>,
+    /// Whether the target accepted the request, so that its end frees a slot.
+    accepted: bool,
     prompt: Cell<SentPrompt>,
 }
 
 impl TargetGuard {
-    /// Counts a request whose prefill takes `reading_ms` milliseconds on the target of `choice`.
-    fn new(state: &Rc<EntryState>, choice: &TargetChoice, reading_ms: f64) -> Self {
+    /// Counts `request` on the target of `choice`.
+    fn new(request: &ServedRequest, choice: &TargetChoice) -> Self {
+        let state = &request.state;
+        let reading_ms = request.work.map_or(0.0, |work| work.reading_ms);
         let mut table = state.table.borrow_mut();
         table.limits().send(state.now(), &choice.endpoint);
         table.begin(state.now(), &choice.target);
         let prompt = Cell::new(SentPrompt::send(table.load(&choice.target), reading_ms));
         drop(table);
-        let (began, target) = (state.now(), choice.target.clone());
-        Self { state: Rc::clone(state), began, target, prompt }
+        let model = request.head.model.clone().filter(|_| request.latency_bound);
+        Self {
+            state: Rc::clone(state),
+            began: state.now(),
+            target: choice.target.clone(),
+            model: model.map(|model| (request.service.clone(), model)),
+            accepted: false,
+            prompt,
+        }
     }
 
     /// Records that bytes arrived from the target.
@@ -140,6 +152,10 @@
         let mut table = self.state.table.borrow_mut();
         self.prompt.get().end(table.load(&self.target));
         table.end(now, &self.target);
+        drop(table);
+        if let Some((service, model)) = self.model.as_ref().filter(|_| self.accepted) {
+            self.state.completions.borrow_mut().record(now, service, model);
+        }
     }
 }
 
@@ -249,15 +265,12 @@
     fn latency_terms(&self, has_begun: bool) -> Option<LatencyTerms> {
         let work = self.work.filter(|_| self.latency_bound)?;
         let target = self.rule.target_latency;
-        let budget = if has_returned(self.caller_age) {
-            target
-        } else {
-            target.mul_f64(NEW_CALLER_BUDGET).saturating_sub(self.state.now().since(self.arrived))
-        };
+        // A caller that returns is late by its own clock; its time counts from its return.
+        let budget = target.saturating_sub(self.state.now().since(self.arrived));
         // A stream that has begun goes on even if its next event is late. A route without a target
         // has no late answers.
         let is_bound = !has_begun && !target.is_zero();
-        let gap = self.book.smallest_gap(&self.service);
+        let gap = self.rule.target_gap;
         Some(LatencyTerms { work, budget: is_bound.then_some(budget), gap })
     }
 
@@ -298,8 +311,7 @@
         let Some(address) = EntryState::parse_address(&choice.address) else {
             return Err(AttemptFailure::NoTarget(ChoiceRefusal::NoReplica));
         };
-        let reading_ms = self.work.map_or(0.0, |work| work.reading_ms);
-        let guard = TargetGuard::new(&self.state, &choice, reading_ms);
+        let guard = TargetGuard::new(self, &choice);
         let request = dispatch_request(
             &self.parts,
             &DispatchHeaders {
@@ -379,7 +391,7 @@
         &mut self,
         exchange: Exchange,
         address: SocketAddr,
-        guard: TargetGuard,
+        mut guard: TargetGuard,
     ) -> Result<LiveAnswer, AttemptFailure> {
         let status = exchange.head.status;
         let head = ResponseHead::read(status, &exchange.head.headers);
@@ -404,6 +416,7 @@
             log::warn!(status = status.as_u16(); "response lacks the replica's stamp; dropping it");
             return Err(self.end_attempt(AttemptEnd::MayHaveRun));
         }
+        guard.accepted = true;
         Ok(LiveAnswer { exchange, head, address, guard })
     }
 
