Count the ends of an entry's own requests by model

Cause: an entry that lets requests wait, or tells callers when to come back, needs to know how soon its own requests free slots.

Change: CompletionRate keeps the times of the ends of the last second by service and model. The admission queue and the retry times are to share it. No decision uses it yet.

--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod answer_timeout;
 mod attempt;
 mod budget;
+mod completion_rate;
 mod drain;
 mod events;
 mod exclusion;
@@ -20,6 +21,7 @@
 pub use answer_timeout::AnswerTimeout;
 pub use attempt::{AttemptEnd, NextStep, RetryState};
 pub use budget::RetryBudget;
+pub use completion_rate::CompletionRate;
 pub use drain::DrainSchedule;
 pub use events::{EventSplitter, StreamEvent};
 pub use exclusion::ChoiceRefusal;
