Let requests without capacity wait at their entry for a short time

Cause: a request that finds no capacity is refused at once, even if a slot frees up within 20 ms, and which request is refused does not depend on priority, team, or whether its caller was refused before.

Change: WaitQueue (crates/fleet/src/entry/waiting) orders waiting requests by priority, returned callers, start-time fair queueing of the teams, and age, and refuses those that the rate of own ends does not reach within their limit. The gateway offers the first choice of a request to it when there is no capacity, checks it when an own request ends, when a notice arrives and every 10 ms, and counts waiting, waits and wait_seconds. Without the section overload, and for services that are not latency-bound, the first choice is made as before.

The gateway crate has no tests; the end-to-end tests have not run for this commit.

--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod share;
 mod startup;
 mod table;
+mod waiting;
 
 pub use answer_timeout::AnswerTimeout;
 pub use attempt::{AttemptEnd, NextStep, RetryState};
@@ -33,3 +34,7 @@
 pub use share::ShareBook;
 pub use startup::StartupWait;
 pub use table::{LatencyTerms, TargetChoice, TargetId, TargetQuery, TargetTable};
+pub use waiting::{
+    CheckCause, RefusedWait, TurnOutcome, WaitBounds, WaitQueue, WaitRefusal, WaitRequest,
+    WaitTicket,
+};
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -7,8 +7,8 @@
 
 use briartray_fleet::deployment::{RepeatKind, RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
-    AttemptEnd, ChoiceRefusal, LatencyTerms, NextStep, RetryState, TargetChoice, TargetId,
-    TargetQuery, has_returned,
+    AttemptEnd, CheckCause, ChoiceRefusal, LatencyTerms, NextStep, RetryState, TargetChoice,
+    TargetId, TargetQuery, WaitRefusal, has_returned,
 };
 use briartray_model::TimePoint;
 use briartray_model::message::RunEnd;
@@ -51,6 +51,10 @@
     pub(super) chosen: Rc<RefCell<Option<TargetId>>>,
     /// Targets that the request was sent to.
     pub(super) tried: Vec<TargetId>,
+    /// Target of the first attempt, if it was chosen before the attempt began.
+    pub(super) reserved: Option<ReservedTarget>,
+    /// Why the request did not get a turn in the admission queue.
+    pub(super) wait_refusal: Option<WaitRefusal>,
     /// Endpoint that the request was last sent to.
     pub(super) sent_to: Option<SentTo>,
     /// Fingerprint of the request, computed on first use.
@@ -83,15 +87,33 @@
     state: Rc<EntryState>,
     began: TimePoint,
     pub(super) target: TargetId,
+    /// Service and model, where admission by latency applies.
+    model: Option<(ServiceName, String)>,
+    /// Whether the target accepted the request, so that its end frees a slot.
+    accepted: bool,
+}
+
+/// A target that was chosen for a request and counts it already.
+pub(super) struct ReservedTarget {
+    pub(super) choice: TargetChoice,
+    pub(super) guard: TargetGuard,
 }
 
 impl TargetGuard {
-    fn new(state: &Rc<EntryState>, choice: &TargetChoice) -> Self {
+    pub(super) fn new(request: &ServedRequest, choice: &TargetChoice) -> Self {
+        let state = &request.state;
         let mut table = state.table.borrow_mut();
         table.limits().send(state.now(), &choice.endpoint);
         table.begin(state.now(), &choice.target);
         drop(table);
-        Self { state: Rc::clone(state), began: state.now(), target: choice.target.clone() }
+        let model = request.head.model.clone().filter(|_| request.latency_bound);
+        Self {
+            state: Rc::clone(state),
+            began: state.now(),
+            target: choice.target.clone(),
+            model: model.map(|model| (request.service.clone(), model)),
+            accepted: false,
+        }
     }
 
     /// Records that bytes arrived from the target.
@@ -116,6 +138,12 @@
     fn drop(&mut self) {
         let now = self.state.now();
         self.state.table.borrow_mut().end(now, &self.target);
+        if let Some((service, model)) = &self.model {
+            if self.accepted {
+                self.state.completions.borrow_mut().record(now, service, model);
+            }
+            self.state.check_waiting(CheckCause::Capacity);
+        }
     }
 }
 
@@ -260,11 +288,14 @@
         &mut self,
         last_event: Option<u64>,
     ) -> Result<LiveAnswer, AttemptFailure> {
-        let choice = self.choose_target().map_err(AttemptFailure::NoTarget)?;
+        let (choice, reserved) = match self.reserved.take() {
+            Some(ReservedTarget { choice, guard }) => (choice, Some(guard)),
+            None => (self.choose_target().map_err(AttemptFailure::NoTarget)?, None),
+        };
         let Some(address) = EntryState::parse_address(&choice.address) else {
             return Err(AttemptFailure::NoTarget(ChoiceRefusal::NoReplica));
         };
-        let guard = TargetGuard::new(&self.state, &choice);
+        let guard = reserved.unwrap_or_else(|| TargetGuard::new(self, &choice));
         let request = dispatch_request(
             &self.parts,
             &DispatchHeaders {
@@ -344,7 +375,7 @@
         &mut self,
         exchange: Exchange,
         address: SocketAddr,
-        guard: TargetGuard,
+        mut guard: TargetGuard,
     ) -> Result<LiveAnswer, AttemptFailure> {
         let status = exchange.head.status;
         let head = ResponseHead::read(status, &exchange.head.headers);
@@ -369,6 +400,7 @@
             log::warn!(status = status.as_u16(); "response lacks the replica's stamp; dropping it");
             return Err(self.end_attempt(AttemptEnd::MayHaveRun));
         }
+        guard.accepted = true;
         Ok(LiveAnswer { exchange, head, address, guard })
     }
 
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod stream_clock;
 mod stream_relay;
 mod telemetry;
+mod waiting;
 mod whole_answer;
 
 use std::net::SocketAddr;
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -127,6 +127,8 @@
         body,
         chosen: Rc::default(),
         tried: Vec::new(),
+        reserved: None,
+        wait_refusal: None,
         sent_to: None,
         fingerprint,
         work,
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -7,7 +7,8 @@
 
 use briartray_fleet::deployment::{RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
-    EntryLease, RetryBudget, StartupWait, TargetTable, report_interval, retry_interval,
+    CheckCause, CompletionRate, EntryLease, RetryBudget, StartupWait, TargetTable, report_interval,
+    retry_interval,
 };
 use briartray_fleet::limit::LimitHeader;
 use briartray_fleet::message::{EntryNotice, EntryReport, ModelDemand, WorkSum};
@@ -26,6 +27,7 @@
 
 use super::crash_check::BrokenRun;
 use super::telemetry::{EntryMetrics, LogBudget};
+use super::waiting::WaitingRequests;
 use crate::settings::{EntryOverload, GatewaySettings};
 use crate::stored_plan::read_stored_plan;
 use briartray_http::ConnectionPool;
@@ -53,6 +55,10 @@
     startup_wait: StartupWait,
     report_sender: Sender<EntryReport>,
     demand: RefCell<SortedTable<(ServiceName, String), WorkSum>>,
+    /// Ends of own requests, for services to which admission by latency applies.
+    pub(super) completions: RefCell<CompletionRate>,
+    /// Requests that wait for capacity.
+    pub(super) waiting: WaitingRequests,
     /// Consecutive reports without a confirmation.
     unconfirmed_reports: Cell<u32>,
     draining: Cell<bool>,
@@ -93,6 +99,8 @@
             silence_notify: Notify::new(),
             report_sender,
             demand: RefCell::default(),
+            completions: RefCell::default(),
+            waiting: WaitingRequests::new(&settings),
             unconfirmed_reports: Cell::new(0),
             draining: Cell::new(false),
             serving: Cell::new(false),
@@ -362,6 +370,8 @@
             self.metrics.lease_left.set(i64::try_from(left.as_millis()).unwrap_or(i64::MAX));
         }
         drop(table);
+        self.refuse_unserved();
+        self.check_waiting(CheckCause::Capacity);
         self.notice_notify.notify_waiters();
     }
 
--- a/crates/gateway/src/entry/stream_relay.rs
+++ b/crates/gateway/src/entry/stream_relay.rs
@@ -151,6 +151,8 @@
     request: &mut ServedRequest,
     last: Option<u64>,
 ) -> Result<LiveAnswer, AttemptFailure> {
+    // A request that waits has not been sent, so its wait is not part of the attempt.
+    request.reserve_target().await.map_err(AttemptFailure::NoTarget)?;
     let left = request.time_left();
     let sending = tokio::time::timeout(left, attempt_until_given_up(request, last)).await;
     sending.unwrap_or_else(|_| Err(request.end_attempt(AttemptEnd::MayHaveRun)))
--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -89,12 +89,17 @@
     pub(super) lease_left: Gauge,
     /// Requests in progress.
     pub(super) running: Gauge,
+    waits: Family<OutcomeLabel, Counter>,
+    /// Requests that wait for capacity.
+    pub(super) waiting: Gauge,
+    /// Time that requests waited for capacity, however their wait ended, in seconds.
+    pub(super) wait: Histogram,
 }
 
 impl EntryMetrics {
     /// Creates the metrics and adds them to `registry`.
     pub(super) fn register(registry: &mut Registry) -> Self {
-        let buckets = exponential_buckets(FIRST_BUCKET_SECONDS, 1.5, TIME_BUCKET_COUNT);
+        let buckets = || exponential_buckets(FIRST_BUCKET_SECONDS, 1.5, TIME_BUCKET_COUNT);
         let metrics = Self {
             requests: Family::default(),
             attempts: Family::default(),
@@ -110,10 +115,13 @@
             held_leaving: Gauge::default(),
             withheld: Counter::default(),
             quarantined: Gauge::default(),
-            first_part: Histogram::new(buckets),
+            first_part: Histogram::new(buckets()),
             plan: Gauge::default(),
             lease_left: Gauge::default(),
             running: Gauge::default(),
+            waits: Family::default(),
+            waiting: Gauge::default(),
+            wait: Histogram::new(buckets()),
         };
         let entry = registry.sub_registry_with_prefix("entry");
         entry.register("requests", "Requests by how they ended", metrics.requests.clone());
@@ -146,6 +154,10 @@
         let help = "Time left of the lease when it was last renewed";
         entry.register("lease_left_ms", help, metrics.lease_left.clone());
         entry.register("running", "Requests in progress", metrics.running.clone());
+        entry.register("waiting", "Requests that wait for capacity", metrics.waiting.clone());
+        let help = "Waits for capacity by how they ended";
+        entry.register("waits", help, metrics.waits.clone());
+        entry.register("wait_seconds", "Time waited for capacity", metrics.wait.clone());
         metrics
     }
 
@@ -163,4 +175,8 @@
     pub(super) fn count_late_stream(&self, cause: &'static str) {
         self.late.get_or_create(&OutcomeLabel { outcome: cause }).inc();
     }
+    /// Counts a wait for capacity that ended with `outcome`.
+    pub(super) fn count_wait(&self, outcome: &'static str) {
+        self.waits.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
 }
--- a/crates/gateway/src/entry/whole_answer.rs
+++ b/crates/gateway/src/entry/whole_answer.rs
@@ -56,6 +56,8 @@
 const LATE_MARGIN: Duration = Duration::from_millis(60);
 
 async fn attempt(request: &mut ServedRequest) -> Result<WholeAnswer, AttemptFailure> {
+    // A request that waits has not been sent, so its wait is not part of the attempt.
+    request.reserve_target().await.map_err(AttemptFailure::NoTarget)?;
     let left = request.time_left();
     let first = request.tried.is_empty() && request.rule.max_attempts > 1;
     let attempt_timeout = request.rule.target_latency * ATTEMPT_TIMEOUT_FACTOR;
