--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,5 +13,5 @@
 pub use entry::EntryProcess;
 pub use process::{ProcessError, RoleFailure, run};
 pub use settings::{
-    ControlRole, DeploymentLimits, EntryRole, GatewaySettings, SettingsError, load,
+    ControlRole, DeploymentLimits, EntryOverload, EntryRole, GatewaySettings, SettingsError, load,
 };
