Give turns again only to the model whose request ended

Cause: an own request that ended allowed a further choice for every model. Among nearly full groups the choice is by lot, so ends on one model let requests of another draw again without any change of its groups.

Change: CheckCause::Ended names the model; a notice still concerns all models. Assertions on refusals compare whole values.

--- a/crates/fleet/src/entry/waiting/model_queue.rs
+++ b/crates/fleet/src/entry/waiting/model_queue.rs
@@ -4,7 +4,7 @@
 use briartray_model::names::TeamName;
 
 use super::fairness::TeamCharges;
-use super::request::{CheckCause, TurnOutcome, WaitRank, WaitTicket, WaitingRequest};
+use super::request::{TurnOutcome, WaitRank, WaitTicket, WaitingRequest};
 
 /// Maximum number of turns of one model between two checks. An entry has a fifth of a core, and a
 /// choice looks at every group.
@@ -44,7 +44,7 @@
     pub(super) fn push(&mut self, request: WaitingRequest, tried: Option<TurnOutcome>) {
         if self.requests.is_empty() {
             // An empty queue is not checked, so what it knew of the capacity is outdated.
-            self.begin_check(CheckCause::Capacity);
+            self.begin_check(true);
         }
         match tried {
             Some(TurnOutcome::NoSlot) => self.is_full = true,
@@ -69,13 +69,14 @@
         Some(removed)
     }
 
-    /// Allows new turns after a check for `cause`.
-    pub(super) fn begin_check(&mut self, cause: CheckCause) {
+    /// Allows new turns at a check. If all targets were at capacity, that requires `has_changed`: a
+    /// sign that their load has changed.
+    pub(super) fn begin_check(&mut self, has_changed: bool) {
         self.turns = 0;
         self.passed.clear();
         // A choice among nearly full targets is by lot, so repeating it without a change of capacity
         // would take more than this entry's share.
-        self.is_full &= cause == CheckCause::Tick;
+        self.is_full &= !has_changed;
     }
 
     /// Gives the next request its turn and returns its ticket; `None` if one is choosing, or none
--- a/crates/fleet/src/entry/waiting/queue.rs
+++ b/crates/fleet/src/entry/waiting/queue.rs
@@ -106,9 +106,15 @@
     }
 
     /// Begins a check of the queue: requests may take turns again, as far as `cause` allows.
-    pub fn begin_check(&mut self, cause: CheckCause) {
-        for queue in self.models.values_mut() {
-            queue.begin_check(cause);
+    pub fn begin_check(&mut self, cause: CheckCause<'_>) {
+        for ((service, model), queue) in self.models.iter_mut() {
+            queue.begin_check(match cause {
+                CheckCause::Ended { service: ended, model: name } => {
+                    (service, &**model) == (ended, name)
+                }
+                CheckCause::Loads => true,
+                CheckCause::Tick => false,
+            });
         }
     }
 
--- a/crates/fleet/src/entry/waiting/request.rs
+++ b/crates/fleet/src/entry/waiting/request.rs
@@ -91,9 +91,16 @@
 
 /// Why the queue is checked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CheckCause {
-    /// An own request ended, or the leader reported loads: there may be capacity.
-    Capacity,
+pub enum CheckCause<'a> {
+    /// An own request for `model` of `service` ended, so there may be capacity for another.
+    Ended {
+        /// Service of the request.
+        service: &'a ServiceName,
+        /// Model of the request.
+        model: &'a str,
+    },
+    /// The leader reported loads: there may be capacity for any model.
+    Loads,
     /// Time has passed, which only changes forecasts.
     Tick,
 }
--- a/crates/fleet/tests/waiting.rs
+++ b/crates/fleet/tests/waiting.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use briartray_fleet::entry::{
-    CheckCause, CompletionRate, TurnOutcome, WaitBounds, WaitQueue, WaitRefusal, WaitRequest,
-    WaitTicket,
+    CheckCause, CompletionRate, RefusedWait, TurnOutcome, WaitBounds, WaitQueue, WaitRefusal,
+    WaitRequest, WaitTicket,
 };
 use briartray_model::TimePoint;
 use briartray_model::names::{ServiceName, TeamName};
@@ -90,7 +90,7 @@
 fn drain_order(queue: &mut WaitQueue) -> Vec<WaitTicket> {
     let mut order = Vec::new();
     while !queue.is_empty() {
-        queue.begin_check(CheckCause::Capacity);
+        queue.begin_check(CheckCause::Loads);
         while let Some(ticket) = queue.next_turn() {
             queue.settle(ticket, TurnOutcome::Sent);
             order.push(ticket);
@@ -112,10 +112,9 @@
     let mut offers = Vec::new();
     for at in 0..until {
         if random.random_range(0.0..1.0) < load(at) * CAPACITY_PER_SECOND / 1_000.0 {
-            let is_heavy = random.random_range(0.0..1.0) < heavy;
-            let team = if is_heavy { 0 } else { random.random_range(1..24) };
-            let is_large = random.random_range(0..20) == 0;
-            let group_ms = if is_large { LARGE_MS } else { USUAL_MS };
+            let of_others = random.random_range(1..24);
+            let team = if random.random_range(0.0..1.0) < heavy { 0 } else { of_others };
+            let group_ms = if random.random_range(0..20) == 0 { LARGE_MS } else { USUAL_MS };
             offers.push(Offer { at, team, group_ms, ..OFFER });
         }
     }
@@ -152,7 +151,7 @@
         if ends.len() < before || now % 10 == 0 {
             queue.expire(at_ms(now), &rate);
             let freed = ends.len() < before;
-            queue.begin_check(if freed { CheckCause::Capacity } else { CheckCause::Tick });
+            queue.begin_check(if freed { CheckCause::Loads } else { CheckCause::Tick });
         }
         while let Some(offer) = offers.get(arrived).filter(|offer| offer.at == now) {
             let joins = queue.must_join(&service(), MODEL, offer.priority, offer.returned);
@@ -251,9 +250,7 @@
 fn every_eighth_dispatch_ignores_priority() {
     let high = Offer { priority: 0, ..OFFER };
     let low = Offer { priority: 2, team: 1, ..OFFER };
-    let mut offers = vec![high; 20];
-    offers.extend([low; 2]);
-    let (mut queue, tickets) = queue_with(&offers);
+    let (mut queue, tickets) = queue_with(&[vec![high; 20], vec![low; 2]].concat());
     let order = drain_order(&mut queue);
     let place = |ticket| order.iter().position(|other| *other == ticket);
     assert_eq!(place(tickets[20]), Some(7));
@@ -292,10 +289,9 @@
     let lowest = offer_to(&mut queue, &rate, &low, None).unwrap();
     assert_eq!(offer_to(&mut queue, &rate, &low, None), Err(WaitRefusal::QueueFull));
     assert!(offer_to(&mut queue, &rate, &Offer { team: 1, ..OFFER }, None).is_ok());
-    let refused = queue.take_refused();
-    assert_eq!((refused.len(), refused[0].ticket), (1, lowest));
-    assert_eq!(refused[0].refusal, WaitRefusal::Displaced);
-    assert_eq!(refused[0].refusal.code(), "queue_full");
+    let displaced = RefusedWait { ticket: lowest, refusal: WaitRefusal::Displaced };
+    assert_eq!(queue.take_refused(), [displaced]);
+    assert_eq!(displaced.refusal.code(), "queue_full");
     assert!(!queue.cancel(lowest));
 }
 
@@ -335,10 +331,9 @@
     queue.refuse_unserved(|_, _| true);
     assert!(queue.take_refused().is_empty());
     queue.refuse_unserved(|_, model| model != MODEL);
-    let refused = queue.take_refused();
-    let told: Vec<WaitTicket> = refused.iter().map(|refused| refused.ticket).collect();
-    assert_eq!(told, tickets);
-    assert!(refused.iter().all(|refused| refused.refusal == WaitRefusal::NoReplica));
+    let lost =
+        |ticket: &WaitTicket| RefusedWait { ticket: *ticket, refusal: WaitRefusal::NoReplica };
+    assert_eq!(queue.take_refused(), tickets.iter().map(lost).collect::<Vec<_>>());
     assert!(queue.is_empty() && queue.take_refused().is_empty());
 }
 
@@ -382,7 +377,10 @@
     assert_eq!(queue.next_turn(), None);
     queue.begin_check(CheckCause::Tick);
     assert_eq!(queue.next_turn(), None);
-    queue.begin_check(CheckCause::Capacity);
+    let service = ServiceName::new("chat");
+    queue.begin_check(CheckCause::Ended { service: &service, model: "small" });
+    assert_eq!(queue.next_turn(), None);
+    queue.begin_check(CheckCause::Ended { service: &service, model: MODEL });
     assert_eq!(queue.next_turn(), Some(tickets[0]));
     let (mut long, _) = queue_with(&[OFFER; 40]);
     let mut turns = 0;
@@ -427,12 +425,14 @@
                 6 if random.random_range(0..40) == 0 => queue.refuse_unserved(|_, _| false),
                 _ => {
                     rate.record(at_ms(at), &service(), MODEL);
-                    queue.begin_check(CheckCause::Capacity);
+                    queue.begin_check(CheckCause::Loads);
                     if let Some(ticket) = queue.next_turn() {
-                        let sent = random.random_range(0..3) > 0;
-                        let outcome = if sent { TurnOutcome::Sent } else { TurnOutcome::NoSlot };
-                        queue.settle(ticket, outcome);
-                        done.extend(sent.then_some(ticket));
+                        if random.random_range(0..3) > 0 {
+                            queue.settle(ticket, TurnOutcome::Sent);
+                            done.push(ticket);
+                        } else {
+                            queue.settle(ticket, TurnOutcome::NoSlot);
+                        }
                     }
                 }
             }
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -142,7 +142,7 @@
             if self.accepted {
                 self.state.completions.borrow_mut().record(now, service, model);
             }
-            self.state.check_waiting(CheckCause::Capacity);
+            self.state.check_waiting(CheckCause::Ended { service, model });
         }
     }
 }
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -371,7 +371,7 @@
         }
         drop(table);
         self.refuse_unserved();
-        self.check_waiting(CheckCause::Capacity);
+        self.check_waiting(CheckCause::Loads);
         self.notice_notify.notify_waiters();
     }
 
--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -80,7 +80,7 @@
 
 impl EntryState {
     /// Refuses waiting requests that are out of time, and gives others their turns.
-    pub(super) fn check_waiting(&self, cause: CheckCause) {
+    pub(super) fn check_waiting(&self, cause: CheckCause<'_>) {
         if self.waiting.is_empty() {
             return;
         }
