Wake requests that are refused with the last group of their model

Cause: a notice that takes the last group of the only model with waiting requests emptied the queue, and an empty queue was not checked, so nobody was woken. Their callers got no answer until they disconnected.

Change: refuse_unserved wakes those whom it refuses.

--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -93,11 +93,14 @@
 
     /// Refuses waiting requests for models that have lost their last group.
     pub(super) fn refuse_unserved(&self) {
-        if !self.waiting.is_empty() {
-            let table = self.table.borrow();
-            let serves = |service: &_, model: &str| table.serves(service, Some(model));
-            self.waiting.queue.borrow_mut().refuse_unserved(serves);
+        if self.waiting.is_empty() {
+            return;
         }
+        let table = self.table.borrow();
+        let serves = |service: &_, model: &str| table.serves(service, Some(model));
+        self.waiting.queue.borrow_mut().refuse_unserved(serves);
+        // An empty queue is not checked any more, so those who were refused are woken here.
+        self.wake_waiting();
     }
 
     /// Wakes the requests that were refused, and those whose turn it is.
