--- a/crates/fleet/src/entry/forecast/group_forecast.rs
+++ b/crates/fleet/src/entry/forecast/group_forecast.rs
@@ -39,8 +39,9 @@
     /// All entries learn at about the same time that a group has read its prompts. Without a margin
     /// they all send to it until the next reports, exclude it together, and repeat this.
     margin_ms: f64,
-    /// Whether the request is left to other groups, since this one is not measured and the entry
-    /// has sent it its part of what it can read.
+    /// Whether the request is left to other groups: its prompt would stretch a gap of the streams
+    /// that run there too far, or the group is not measured and the entry has sent it its part of
+    /// what it can read.
     pub(in crate::entry) is_deferred: bool,
     /// Longest gap of the streams that run there while its prompt is read, in milliseconds; zero
     /// if none runs.
@@ -69,16 +70,19 @@
         let unread_ms = load.unread.total_ms(now, pass_ms);
         // Callers with long prompts are not refused more often than others.
         let admitted_ms = reading_ms.min(self.engine.usual_work(self.model).reading_ms);
+        let full_stretch_ms = (unread_ms + reading_ms).min(self.most_reading_ms());
         let stretch_ms = (unread_ms + admitted_ms).min(self.most_reading_ms());
         let part = load.unread.drawn_part(now, random);
         let is_measured = load.pass.is_valid(now);
         let own_ms = load.unread.own_exact_ms();
         let room_ms = self.budget_ms() - first_token_ms(pass_ms) - (unread_ms - own_ms);
+        let is_overfilled = !is_measured && own_ms + part * reading_ms > self.fraction * room_ms;
         GroupForecast {
             first_ms: first_token_ms(pass_ms) + unread_ms + reading_ms,
             admitted_ms: first_token_ms(pass_ms) + unread_ms + admitted_ms,
             margin_ms: load.unread.peak_ms(now) * part,
-            is_deferred: !is_measured && own_ms + part * reading_ms > self.fraction * room_ms,
+            is_deferred: is_overfilled
+                || streams > 0.0 && pass_ms + full_stretch_ms > self.gap_ms(),
             gap_ms: if streams > 0.0 { pass_ms + stretch_ms } else { 0.0 },
             is_measured,
         }
@@ -90,15 +94,19 @@
         if self.latency.budget.is_none() {
             return true;
         }
-        let gap_ms = self.latency.gap.map_or(f64::INFINITY, |gap| gap.as_secs_f64() * 1e3);
         let first_ms = forecast.admitted_ms + forecast.margin_ms;
-        first_ms <= self.budget_ms() && forecast.gap_ms <= gap_ms
+        first_ms <= self.budget_ms() && forecast.gap_ms <= self.gap_ms()
     }
 
     fn budget_ms(&self) -> f64 {
         self.latency.budget.map_or(f64::INFINITY, |budget| budget.as_secs_f64() * 1e3)
     }
 
+    /// Longest gap that streams there may have, in milliseconds.
+    fn gap_ms(&self) -> f64 {
+        self.latency.gap.map_or(f64::INFINITY, |gap| gap.as_secs_f64() * 1e3)
+    }
+
     /// Prefill that fits between two events, in milliseconds: a step prefills at most one chunk,
     /// and the remainder of a longer prompt is read after the next event.
     fn most_reading_ms(&self) -> f64 {
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -7,8 +7,8 @@
 
 use briartray_fleet::deployment::{RepeatKind, RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
-    AttemptEnd, ChoiceRefusal, LatencyTerms, NextStep, RetryState, SentPrompt, TargetChoice,
-    TargetId, TargetQuery,
+    AttemptEnd, CheckCause, ChoiceRefusal, LatencyTerms, NextStep, RetryState, SentPrompt,
+    TargetChoice, TargetId, TargetQuery, WaitRefusal,
 };
 use briartray_model::TimePoint;
 use briartray_model::message::RunEnd;
@@ -48,6 +48,10 @@
     pub(super) chosen: Rc<RefCell<Option<TargetId>>>,
     /// Targets that the request was sent to.
     pub(super) tried: Vec<TargetId>,
+    /// Target of the first attempt, if it was chosen before the attempt began.
+    pub(super) reserved: Option<ReservedTarget>,
+    /// Why the request did not get a turn in the admission queue.
+    pub(super) wait_refusal: Option<WaitRefusal>,
     /// Endpoint that the request was last sent to.
     pub(super) sent_to: Option<SentTo>,
     /// Fingerprint of the request, computed on first use.
@@ -89,9 +93,15 @@
     prompt: Cell<SentPrompt>,
 }
 
+/// A target that was chosen for a request and counts it already.
+pub(super) struct ReservedTarget {
+    pub(super) choice: TargetChoice,
+    pub(super) guard: TargetGuard,
+}
+
 impl TargetGuard {
     /// Counts `request` on the target of `choice`.
-    fn new(request: &ServedRequest, choice: &TargetChoice) -> Self {
+    pub(super) fn new(request: &ServedRequest, choice: &TargetChoice) -> Self {
         let state = &request.state;
         let reading_ms = request.work.map_or(0.0, |work| work.reading_ms);
         let mut table = state.table.borrow_mut();
@@ -153,8 +163,11 @@
         self.prompt.get().end(table.load(&self.target));
         table.end(now, &self.target);
         drop(table);
-        if let Some((service, model)) = self.model.as_ref().filter(|_| self.accepted) {
-            self.state.completions.borrow_mut().record(now, service, model);
+        if let Some((service, model)) = &self.model {
+            if self.accepted {
+                self.state.completions.borrow_mut().record(now, service, model);
+            }
+            self.state.check_waiting(CheckCause::Ended { service, model });
         }
     }
 }
@@ -294,7 +307,11 @@
         let mut table = self.state.table.borrow_mut();
         let choice = table.choose(self.state.now(), &self.book, &query);
         let share_requested = table.take_share_request();
+        let known = table.choice_detail();
         drop(table);
+        if let Err(refusal) = choice {
+            self.refusal.set(RefusalDetail::of_choice(refusal, known));
+        }
         if share_requested {
             self.state.send_report();
         }
@@ -307,11 +324,14 @@
         &mut self,
         last_event: Option<u64>,
     ) -> Result<LiveAnswer, AttemptFailure> {
-        let choice = self.choose_target().map_err(AttemptFailure::NoTarget)?;
+        let (choice, reserved) = match self.reserved.take() {
+            Some(ReservedTarget { choice, guard }) => (choice, Some(guard)),
+            None => (self.choose_target().map_err(AttemptFailure::NoTarget)?, None),
+        };
         let Some(address) = EntryState::parse_address(&choice.address) else {
             return Err(AttemptFailure::NoTarget(ChoiceRefusal::NoReplica));
         };
-        let guard = TargetGuard::new(self, &choice);
+        let guard = reserved.unwrap_or_else(|| TargetGuard::new(self, &choice));
         let request = dispatch_request(
             &self.parts,
             &DispatchHeaders {
--- a/crates/gateway/src/entry/returns.rs
+++ b/crates/gateway/src/entry/returns.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use briartray_fleet::entry::{ReturnQuery, has_returned};
+use briartray_fleet::entry::{ChoiceDetail, ChoiceRefusal, ReturnQuery, WaitRefusal, has_returned};
 use briartray_model::names::{ServiceName, TeamName};
 use http::Response;
 
@@ -14,6 +14,9 @@
 /// Cause of a refusal: no group of the model has a free slot.
 const CAUSE_SLOTS: &str = "slots";
 
+/// Cause of a refusal: the request, or streams that run, would be late on the groups with free slots.
+const CAUSE_LATE: &str = "late";
+
 /// Reason why a request found no capacity; `None` for what is not known.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct RefusalDetail {
@@ -54,6 +57,20 @@
     }
 }
 
+impl RefusalDetail {
+    /// What a choice that ended with `refusal` knew.
+    pub(super) fn of_choice(refusal: ChoiceRefusal, known: ChoiceDetail) -> Self {
+        let millis = |time: u32| Duration::from_millis(u64::from(time));
+        let late = matches!(refusal, ChoiceRefusal::Late { .. });
+        Self {
+            cause: Some(if late { CAUSE_LATE } else { CAUSE_SLOTS }),
+            best: known.best_ms.map(millis),
+            known: known.known_ms.map(millis),
+            retry: None,
+        }
+    }
+}
+
 impl ServedRequest {
     /// Facts about the caller; `None` for services without engines.
     pub(super) fn caller_facts(&self) -> Option<CallerFacts> {
@@ -73,7 +90,7 @@
         }
         let retry = self.scheduled_return().or_else(|| kind.retry_after());
         let detail = self.refusal.get();
-        let cause = detail.cause.or(Some(CAUSE_SLOTS));
+        let cause = self.wait_refusal.map(WaitRefusal::code).or(detail.cause);
         let mut answer = refuse_with(kind, retry);
         answer.extensions_mut().insert(RefusalDetail { cause, retry, ..detail });
         answer
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -7,7 +7,7 @@
 
 use briartray_fleet::deployment::{RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
-    CompletionRate, EntryLease, RetryBudget, ReturnSchedule, StartupWait, TargetTable,
+    CheckCause, CompletionRate, EntryLease, RetryBudget, ReturnSchedule, StartupWait, TargetTable,
     report_interval, retry_interval,
 };
 use briartray_fleet::limit::LimitHeader;
@@ -27,6 +27,7 @@
 
 use super::crash_check::BrokenRun;
 use super::telemetry::{EntryMetrics, LogBudget};
+use super::waiting::WaitingRequests;
 use crate::settings::{EntryOverload, GatewaySettings};
 use crate::stored_plan::read_stored_plan;
 use briartray_http::ConnectionPool;
@@ -58,6 +59,8 @@
     startup_wait: StartupWait,
     report_sender: Sender<EntryReport>,
     demand: RefCell<SortedTable<(ServiceName, String), WorkSum>>,
+    /// Requests that wait for capacity.
+    pub(super) waiting: WaitingRequests,
     /// Consecutive reports without a confirmation.
     unconfirmed_reports: Cell<u32>,
     draining: Cell<bool>,
@@ -100,6 +103,7 @@
             silence_notify: Notify::new(),
             report_sender,
             demand: RefCell::default(),
+            waiting: WaitingRequests::new(&settings),
             unconfirmed_reports: Cell::new(0),
             draining: Cell::new(false),
             serving: Cell::new(false),
@@ -369,6 +373,8 @@
             self.metrics.lease_left.set(i64::try_from(left.as_millis()).unwrap_or(i64::MAX));
         }
         drop(table);
+        self.refuse_unserved();
+        self.check_waiting(CheckCause::Loads);
         self.notice_notify.notify_waiters();
     }
 
