Share capacity by demand, and sum the unread prompts of other entries

Cause: the free slots of a model were split evenly over entries, whatever each of them was asked for, and no entry knew of prompts that others had sent to a group.

Change: the leader smooths the group time that each entry was asked for over 2 s and answers reports with shares, for services that are latency-bound under control.overload. Entries that are silent for 1.5 s, or three report intervals, drop out; a pause of the leader does not count. An entry ignores answers to earlier reports than the last, and ends its shares at the first notice of a leader on a new stream. Unread prefill is summed by group and expires after two report intervals. Without the section, no shares are sent and nothing changes.

--- a/crates/fleet/src/director/group_activity.rs
+++ b/crates/fleet/src/director/group_activity.rs
@@ -10,7 +10,9 @@
 //!
 //! The same reports give the number of running requests of each entry on each group. An entry
 //! cannot know their sum by itself: a group tells its load with its answers, and each of many
-//! entries gets an answer of a group only every few seconds.
+//! entries gets an answer of a group only every few seconds. The time to prefill the prompts without
+//! a first event is summed in the same way; it ends within a second, so it counts only while the
+//! reports of its entry are current.
 
 use std::time::Duration;
 
@@ -26,8 +28,12 @@
 /// Time that a report of a silent group counts.
 const SUSPICION_LIFETIME: Duration = Duration::from_millis(1_500);
 
-/// Groups whose load is sent in one answer to a report: about 1 KB, four times a second, of the 10
-/// KB a second that a host may spend on control. 2,800 groups are covered within three seconds.
+/// Intervals between two reports of an entry for which its unread prompts count: one report may be
+/// late or lost.
+const UNREAD_LIFETIME_INTERVALS: u32 = 2;
+
+/// Groups whose load is sent in one answer to a report: 1 to 2 KB, four times a second, of the 10 KB
+/// a second that a host may spend on control. 2,800 groups are covered within three seconds.
 const LOADS_PER_ANSWER: usize = 256;
 
 /// Short key for an entry: a report looks its entry up in some hundred groups, and names are slow
@@ -53,6 +59,8 @@
     by_entry: SortedTable<EntryNumber, EntryObservation>,
     /// Running requests of all entries, kept as a sum since every answer to a report contains it.
     running: u32,
+    /// Time to prefill the unread prompts of all entries, in milliseconds, kept as a sum likewise.
+    unread_ms: u64,
 }
 
 /// Observation of one group by one entry.
@@ -61,9 +69,36 @@
     reported_at: TimePoint,
     quiet_for: Option<Duration>,
     running: u32,
+    /// Time to prefill the prompts without a first event, in milliseconds.
+    unread_ms: u32,
     suspect: bool,
 }
 
+impl GroupObservations {
+    /// Replaces the observation of `entry`, or removes it, and adjusts the sums.
+    fn replace(&mut self, entry: EntryNumber, observation: Option<EntryObservation>) {
+        if let Some(observation) = &observation {
+            self.running += observation.running;
+            self.unread_ms += u64::from(observation.unread_ms);
+        }
+        let earlier = match observation {
+            Some(observation) => self.by_entry.insert(entry, observation),
+            None => self.by_entry.remove(&entry),
+        };
+        if let Some(earlier) = earlier {
+            self.running -= earlier.running;
+            self.unread_ms -= u64::from(earlier.unread_ms);
+        }
+    }
+
+    /// Removes the requests of `entry` from the sums, but keeps its observation.
+    fn clear_requests(&mut self, entry: EntryNumber) {
+        let Some(observation) = self.by_entry.get_mut(&entry) else { return };
+        self.running -= std::mem::take(&mut observation.running);
+        self.unread_ms -= u64::from(std::mem::take(&mut observation.unread_ms));
+    }
+}
+
 impl ActivityTracker {
     /// Sets the number of entries that report; each reports less often the more there are.
     pub fn set_entry_count(&mut self, entry_count: usize) {
@@ -85,9 +120,8 @@
         let mut named: Vec<GroupId> = activities.iter().map(|activity| activity.group).collect();
         named.sort_unstable();
         for (group, observations) in self.groups.iter_mut() {
-            let Some(observation) = observations.by_entry.get_mut(&number) else { continue };
-            if observation.running > 0 && named.binary_search(group).is_err() {
-                observations.running -= std::mem::take(&mut observation.running);
+            if named.binary_search(group).is_err() {
+                observations.clear_requests(number);
             }
         }
         for activity in activities {
@@ -105,13 +139,12 @@
             reported_at: now,
             quiet_for: activity.quiet_ms.map(Duration::from_millis),
             running: activity.running,
+            unread_ms: activity.unread_ms,
             suspect: activity.suspect,
         };
         let observations =
             self.groups.get_or_insert_with(activity.group, GroupObservations::default);
-        let earlier = observations.by_entry.insert(entry, observation);
-        observations.running -= earlier.map_or(0, |observation| observation.running);
-        observations.running += activity.running;
+        observations.replace(entry, Some(observation));
     }
 
     fn number_of(&mut self, entry: &NodeName) -> EntryNumber {
@@ -149,19 +182,37 @@
     pub fn forget(&mut self, entry: &NodeName) {
         let Some(number) = self.entry_numbers.remove(entry) else { return };
         for observations in self.groups.values_mut() {
-            let removed = observations.by_entry.remove(&number);
-            observations.running -= removed.map_or(0, |observation| observation.running);
+            observations.replace(number, None);
         }
     }
 
-    /// Running requests of entries other than `entry`, for all observed groups; when these are
-    /// many, for one `page` of them.
+    /// Removes unread prompts from the sums that their entries have not confirmed lately. An entry
+    /// that is cut off has its prompts read within a second, but is forgotten only after several.
+    pub fn expire_unread(&mut self, now: TimePoint) {
+        let lifetime = report_interval(self.entry_count) * UNREAD_LIFETIME_INTERVALS;
+        for observations in self.groups.values_mut().filter(|known| known.unread_ms > 0) {
+            for observation in observations.by_entry.values_mut() {
+                if now.since(observation.reported_at) >= lifetime {
+                    let unread_ms = std::mem::take(&mut observation.unread_ms);
+                    observations.unread_ms -= u64::from(unread_ms);
+                }
+            }
+        }
+    }
+
+    /// Running requests and unread prompts of entries other than `entry`, for all observed groups;
+    /// when these are many, for one `page` of them.
     pub fn loads_of_others(&self, entry: &NodeName, page: u64) -> Vec<GroupLoad> {
         let number = self.entry_numbers.get(entry);
         let load = |(group, observations): (&GroupId, &GroupObservations)| {
             let own = number.and_then(|number| observations.by_entry.get(number));
-            let own = own.map_or(0, |observation| observation.running);
-            GroupLoad { group: *group, others: observations.running - own, unread_ms: 0 }
+            let (running, unread_ms) =
+                own.map_or((0, 0), |own| (own.running, u64::from(own.unread_ms)));
+            GroupLoad {
+                group: *group,
+                others: observations.running - running,
+                unread_ms: u32::try_from(observations.unread_ms - unread_ms).unwrap_or(u32::MAX),
+            }
         };
         let page_count = self.groups.len().div_ceil(LOADS_PER_ANSWER).max(1);
         let page = usize::try_from(page % page_count as u64).unwrap_or(0);
--- a/crates/fleet/src/director/mod.rs
+++ b/crates/fleet/src/director/mod.rs
@@ -6,6 +6,7 @@
 //! within one heartbeat interval.
 
 mod demand;
+mod demand_share;
 mod evacuation;
 mod group;
 mod group_activity;
@@ -23,6 +24,7 @@
 mod view;
 
 pub use demand::DemandBook;
+pub use demand_share::ShareTracker;
 pub use group_activity::ActivityTracker;
 pub use heartbeat::{EndpointHeartbeat, EndpointReport, GroupMembership, MemberState};
 pub use host_record::HostRecord;
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -6,6 +6,7 @@
 use briartray_model::{SortedTable, TimePoint};
 
 use super::demand::DemandBook;
+use super::demand_share::ShareTracker;
 use super::group::{GroupContext, GroupStep, GroupTracker, next_step};
 use super::group_activity::ActivityTracker;
 use super::host_record::HostRecord;
@@ -73,6 +74,7 @@
     pub(super) hosts: HostTable,
     pub(super) activity: ActivityTracker,
     pub(super) demand: DemandBook,
+    pub(super) shares: ShareTracker,
     next_demand_update: TimePoint,
     /// When the last new endpoint appeared.
     last_new_endpoint: TimePoint,
@@ -189,6 +191,7 @@
         for demand in &report.demand {
             self.demand.add(now, demand);
         }
+        self.shares.take(now, &report.node, &report.demand);
         for silent in self.activity.take(now, &report.node, &report.pulses) {
             let Some(group) = state.groups().get(&silent) else { continue };
             for host in &group.members {
@@ -204,11 +207,12 @@
 
     /// Removes entries that no longer report.
     fn expire_entries(&mut self, now: TimePoint) {
-        let activity = &mut self.activity;
+        let (activity, shares) = (&mut self.activity, &mut self.shares);
         self.entries.retain(|entry, last_report| {
             let is_current = now.since(*last_report) < ENTRY_TIMEOUT;
             if !is_current {
                 activity.forget(entry);
+                shares.forget(entry);
             }
             is_current
         });
@@ -296,6 +300,7 @@
     ) {
         if now >= self.next_demand_update {
             self.demand.update_rates(now);
+            self.activity.expire_unread(now);
             self.next_demand_update = now.after(DEMAND_UPDATE_INTERVAL);
             self.replan_needed = true;
         }
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -28,6 +28,6 @@
 pub use load::{LoadSample, TargetLoad};
 pub use report_interval::{report_interval, retry_interval};
 pub use returns::{MIN_RETURN_DELAY, caller_age, has_returned};
-pub use share::ShareBook;
+pub use share::{SHARE_LIFETIME, ShareBook};
 pub use startup::StartupWait;
 pub use table::{LatencyTerms, TargetChoice, TargetId, TargetQuery, TargetTable};
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -10,7 +10,7 @@
 use briartray_control::storage::OpenedFolder;
 use briartray_fleet::deployment::DeploymentPlan;
 use briartray_fleet::state::{FleetCommand, FleetState};
-use briartray_model::names::NodeName;
+use briartray_model::names::{NodeName, ServiceName};
 use briartray_model::{SortedTable, TimePoint, codec};
 use briartray_node::ClockReader;
 use crossbeam::channel::{RecvTimeoutError, Sender};
@@ -67,6 +67,8 @@
     pub(super) disk: Option<Sender<WriteBatch>>,
     pub(super) state: FleetState,
     pub(super) plan: Option<DeploymentPlan>,
+    /// Services whose capacity is shared by demand under the plan.
+    pub(super) shared_services: Vec<ServiceName>,
     pub(super) host_book: HostBook,
     pub(super) leadership: Option<Leadership>,
     pub(super) relay_buffer: RelayBuffer,
@@ -87,6 +89,7 @@
             disk: None,
             state: FleetState::default(),
             plan: None,
+            shared_services: Vec::new(),
             host_book,
             leadership: None,
             relay_buffer: RelayBuffer::default(),
--- a/crates/gateway/src/control/entry_updates.rs
+++ b/crates/gateway/src/control/entry_updates.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use briartray_fleet::director::ENTRY_TIMEOUT;
-use briartray_fleet::message::{EntryNotice, EntryReport, ViewVersion};
+use briartray_fleet::message::{DemandShare, EntryNotice, EntryReport, ViewVersion};
 use briartray_fleet::state::StoredPlan;
 use briartray_link::{EncodedMessage, LinkWriter};
 use briartray_model::{SortedTable, TimePoint};
 
 use super::core::ControlCore;
 use super::entry_session::EntrySession;
-use super::leadership::STEP_PAUSE_FACTOR;
+use super::leadership::{Leadership, STEP_PAUSE_FACTOR};
 use super::origin::ReadOrigin;
 
 /// Minimum interval between two updates, so that simultaneous changes are sent together.
@@ -23,6 +23,9 @@
 /// Minimum interval between log lines about the view.
 const VIEW_LOG_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Minimum interval between log lines about shares by demand.
+const SHARE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Maximum number of leaving endpoints listed in a notice: those of the last few minutes.
 const MAX_LEAVING_LISTED: usize = 128;
 
@@ -162,6 +165,8 @@
         let newest = self.state.plan().map(|plan| plan.version);
         let Some(leadership) = &mut self.leadership else { return self.send_leader_hint(writer) };
         let loads = leadership.director.loads_of_others(report);
+        let shares = leadership.director.demand_shares(&report.node);
+        log_shares(now, leadership, &shares);
         let session = leadership.entries.get_mut(&report.node);
         let mut session = session.filter(|session| session.writer.is_same_stream(writer));
         // The session also knows what was sent but is not in the report yet.
@@ -184,7 +189,8 @@
         let limits = leadership.limits.renew(now, &report.node, report.nonce, &report.limits);
         let limited = leadership.limits.limited();
         self.parts.metrics.limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
-        let notice = EntryNotice { nonce, plan, view, prints, limits, loads, ..base_notice };
+        let notice =
+            EntryNotice { nonce, plan, view, prints, limits, loads, shares, ..base_notice };
         // An entry that misses the reply reports again; until then its lease keeps running out.
         let sent = writer.try_send(&notice);
         if let (Ok(true), Some(session)) = (sent, session.as_mut()) {
@@ -202,3 +208,12 @@
         let _ = writer.try_send(&notice);
     }
 }
+
+/// Logs the shares by demand of all entries from time to time, while any are granted.
+fn log_shares(now: TimePoint, leadership: &mut Leadership, shares: &[DemandShare]) {
+    let wanted = !shares.is_empty() && log::log_enabled!(log::Level::Debug);
+    if wanted && now >= leadership.next_share_log_at {
+        leadership.next_share_log_at = now.after(SHARE_LOG_INTERVAL);
+        log::debug!("shares by demand: {}", leadership.director.share_summary());
+    }
+}
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -15,6 +15,7 @@
         let Some(leadership) = &mut self.leadership else { return };
         leadership.established = true;
         leadership.director = FleetDirector::new(now, &self.state);
+        leadership.director.set_shared_services(self.shared_services.clone());
         log::info!(term = leadership.term.0, endpoints = self.state.endpoints().len();
             "established as leader");
     }
--- a/crates/gateway/src/control/leadership.rs
+++ b/crates/gateway/src/control/leadership.rs
@@ -43,6 +43,8 @@
     pub(super) next_update_at: TimePoint,
     /// Earliest time of the next log line about the view.
     pub(super) next_view_log_at: TimePoint,
+    /// Earliest time of the next log line about shares by demand.
+    pub(super) next_share_log_at: TimePoint,
     /// Earliest time of the next event-driven director step.
     pub(super) next_step_at: TimePoint,
 }
@@ -64,6 +66,7 @@
             view_number: 0,
             next_update_at: now,
             next_view_log_at: now,
+            next_share_log_at: now,
             next_step_at: now,
         }
     }
--- a/crates/gateway/src/control/replication.rs
+++ b/crates/gateway/src/control/replication.rs
@@ -4,15 +4,18 @@
 use briartray_control::agreement::{
     CommittedEntry, EntryPayload, LogDelivery, LogSnapshot, MemberRole,
 };
+use briartray_fleet::deployment::{DeploymentPlan, RouteBook};
 use briartray_fleet::state::{
     EndpointRecord, FleetCommand, FleetOutcome, StoredPlan, decode_state, encode_state,
 };
 use briartray_model::codec;
+use briartray_model::names::ServiceName;
 
 use super::core::ControlCore;
 use super::input::{ControlReply, CoreMessage};
 use super::leadership::Leadership;
 use super::origin::{CommandOrigin, CoreFailure, ReadOrigin};
+use crate::settings::ControlOverload;
 use crate::stored_plan::read_stored_plan;
 
 impl ControlCore {
@@ -125,7 +128,15 @@
     fn adopt_plan(&mut self) {
         let Some(stored_plan) = self.state.plan() else { return };
         match read_stored_plan(stored_plan) {
-            Ok(plan) => self.plan = Some(plan),
+            Ok(plan) => {
+                let overload = self.parts.role.overload.as_ref();
+                self.shared_services =
+                    overload.map_or_else(Vec::new, |overload| latency_bound(&plan, overload));
+                if let Some(leadership) = &mut self.leadership {
+                    leadership.director.set_shared_services(self.shared_services.clone());
+                }
+                self.plan = Some(plan);
+            }
             Err(error) => log::error!(
                 "cannot decode accepted deployment plan; keeping the previous one: {error}"
             ),
@@ -176,6 +187,13 @@
     }
 }
 
+/// Services of `plan` whose full groups miss the targets of their routes.
+fn latency_bound(plan: &DeploymentPlan, overload: &ControlOverload) -> Vec<ServiceName> {
+    let book = RouteBook::compile(plan.clone());
+    let names = plan.services.iter().map(|service| service.name.clone());
+    names.filter(|name| book.is_latency_bound(name, overload.late_percent)).collect()
+}
+
 /// The text of `plan`, as a reply to an operator.
 fn plan_reply(plan: &StoredPlan) -> ControlReply {
     match plan.text() {
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -246,6 +246,7 @@
         self.metrics.held_backoff.set(gauge(count.backoff));
         self.metrics.passed_over.set(gauge(count.passed_over));
         self.metrics.held_leaving.set(gauge(count.leaving));
+        self.metrics.show_shares(table.shares_mut().in_force(now));
     }
 
     /// Whether `endpoint` accepts no requests from this entry now.
@@ -348,6 +349,9 @@
         if let Some(fingerprints) = notice.prints {
             self.adopt_quarantine(fingerprints);
         }
+        if notice.leads {
+            table.shares_mut().hear_leader();
+        }
         // The lease is renewed last: it confirms the state sent with it.
         if let Some(nonce) = notice.nonce {
             table.limits().grant(self.now(), nonce, &notice.limits);
@@ -425,6 +429,7 @@
     pub(super) fn begin_leader(&self) {
         let nonce = self.lease.borrow().last_nonce();
         self.evidence_log.borrow_mut().begin_leader(nonce);
+        self.table.borrow_mut().shares_mut().begin_leader();
     }
 
     /// Computes the fingerprint of a request from `parts`.
--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -9,6 +9,7 @@
 
 use briartray_model::TimePoint;
 use briartray_node::metrics::OutcomeLabel;
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -52,12 +53,20 @@
     }
 }
 
+/// Label of a model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ModelLabel {
+    /// Name of the model.
+    model: String,
+}
+
 /// Metrics of one entry.
 #[derive(Debug, Clone)]
 pub(super) struct EntryMetrics {
     requests: Family<OutcomeLabel, Counter>,
     attempts: Family<OutcomeLabel, Counter>,
     late: Family<OutcomeLabel, Counter>,
+    shares: Family<ModelLabel, Gauge>,
     /// Streams that were resumed at another replica.
     pub(super) resumed: Counter,
     /// Streams that were cut off.
@@ -99,6 +108,7 @@
             requests: Family::default(),
             attempts: Family::default(),
             late: Family::default(),
+            shares: Family::default(),
             resumed: Counter::default(),
             cut: Counter::default(),
             crashes: Counter::default(),
@@ -146,6 +156,8 @@
         let help = "Time left of the lease when it was last renewed";
         entry.register("lease_left_ms", help, metrics.lease_left.clone());
         entry.register("running", "Requests in progress", metrics.running.clone());
+        let help = "Part of a model's free capacity by demand; none while equal shares apply";
+        entry.register("demand_share_permille", help, metrics.shares.clone());
         metrics
     }
 
@@ -159,6 +171,15 @@
         self.attempts.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Sets the shares by demand, in thousandths, and removes those of other models.
+    pub(super) fn show_shares<'a>(&self, shares: impl Iterator<Item = (&'a str, u16)>) {
+        self.shares.clear();
+        for (model, permille) in shares {
+            let label = ModelLabel { model: model.to_owned() };
+            self.shares.get_or_create(&label).set(i64::from(permille));
+        }
+    }
+
     /// Counts a stream that was late because of `cause`.
     pub(super) fn count_late_stream(&self, cause: &'static str) {
         self.late.get_or_create(&OutcomeLabel { outcome: cause }).inc();
