Compute shares in less time and show them without gaps

Cause: the shares in one answer took 84 us at 460 entries and four models, since the correction for the start was computed for each entry and model. The metric was cleared and set again 20 times a second, and a scrape in between saw nothing. A share above the whole, from a defective answer, was taken as it was.

Change: the correction is computed once per report. Only models whose share has ended are removed from demand_share_permille. A share counts as the whole at most. A report looks up a group among those it names only if its entry had requests there, as before unread prompts were summed.

--- a/crates/fleet/src/director/demand_share.rs
+++ b/crates/fleet/src/director/demand_share.rs
@@ -64,8 +64,11 @@
     last_report_at: TimePoint,
     /// Value of `listened` at the last report.
     heard_at: Duration,
-    /// Smoothed demand for each model, in milliseconds of group time per second.
+    /// Smoothed demand for each model, in milliseconds of group time per second, from a start of
+    /// zero.
     rates: Vec<f64>,
+    /// Factor that removes the bias of that start; `None` while too little was counted.
+    correction: Option<f64>,
 }
 
 /// Terms by which the capacity of one model is divided.
@@ -190,7 +193,13 @@
 
 impl EntryDemand {
     fn new(now: TimePoint, listened: Duration) -> Self {
-        Self { first_report_at: now, last_report_at: now, heard_at: listened, rates: Vec::new() }
+        Self {
+            first_report_at: now,
+            last_report_at: now,
+            heard_at: listened,
+            rates: Vec::new(),
+            correction: None,
+        }
     }
 
     /// Decays the rates up to `now` and returns the rate that one unit of demand since the previous
@@ -201,6 +210,9 @@
         self.heard_at = listened;
         let smoothing = SMOOTHING_TIME.as_secs_f64();
         let decay = (-span / smoothing).exp();
+        let counted = now.since(self.first_report_at);
+        self.correction = (counted >= MIN_COUNTING_TIME)
+            .then(|| 1.0 / (1.0 - (-counted.as_secs_f64() / smoothing).exp()));
         self.rates.iter_mut().for_each(|rate| *rate *= decay);
         // The limit for a span of zero: two reports of one moment.
         if span > 0.0 { (1.0 - decay) / span } else { 1.0 / smoothing }
@@ -219,13 +231,8 @@
 
     /// Demand for the model at `position`; `None` while too little was counted.
     fn rate(&self, position: usize) -> Option<f64> {
-        let counted = self.last_report_at.since(self.first_report_at);
-        if counted < MIN_COUNTING_TIME {
-            return None;
-        }
-        // The smoothed rate starts at zero; dividing by the covered weight removes that bias.
-        let covered = 1.0 - (-counted.as_secs_f64() / SMOOTHING_TIME.as_secs_f64()).exp();
-        Some(self.rates.get(position).copied().unwrap_or(0.0) / covered)
+        let rate = self.rates.get(position).copied().unwrap_or(0.0);
+        self.correction.map(|correction| rate * correction)
     }
 }
 
--- a/crates/fleet/src/director/group_activity.rs
+++ b/crates/fleet/src/director/group_activity.rs
@@ -120,7 +120,9 @@
         let mut named: Vec<GroupId> = activities.iter().map(|activity| activity.group).collect();
         named.sort_unstable();
         for (group, observations) in self.groups.iter_mut() {
-            if named.binary_search(group).is_err() {
+            let known = observations.by_entry.get(&number);
+            let has_requests = known.is_some_and(|known| known.running > 0 || known.unread_ms > 0);
+            if has_requests && named.binary_search(group).is_err() {
                 observations.clear_requests(number);
             }
         }
--- a/crates/fleet/src/entry/share.rs
+++ b/crates/fleet/src/entry/share.rs
@@ -15,6 +15,9 @@
 /// entries within seconds, so an older share is worse than an equal one.
 pub const SHARE_LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// The whole capacity, in thousandths.
+const WHOLE_PERMILLE: u16 = 1_000;
+
 /// Shares of one entry.
 #[derive(Debug, Clone, Default)]
 pub struct ShareBook {
@@ -35,8 +38,9 @@
         }
         self.asked_at = asked_at;
         self.valid_until = asked_at.after(SHARE_LIFETIME);
-        let entry =
-            |share: &DemandShare| ((share.service.clone(), share.model.clone()), share.permille);
+        let entry = |share: &DemandShare| {
+            ((share.service.clone(), share.model.clone()), share.permille.min(WHOLE_PERMILLE))
+        };
         self.shares = shares.iter().map(entry).collect();
     }
 
--- a/crates/fleet/tests/demand_shares.rs
+++ b/crates/fleet/tests/demand_shares.rs
@@ -267,7 +267,7 @@
 }
 
 /// Guards against demand that is not a number, or negative, from a defective entry: it must not
-/// take the shares of the others.
+/// take the shares of the others. A share above the whole must not count as more than the whole.
 #[test]
 fn defective_demand_is_left_out() {
     let mut tracker = tracker();
@@ -276,7 +276,10 @@
     });
 
     let shares = all_shares(&tracker, 4);
+    let mut book = ShareBook::default();
+    book.grant(at(0), &[share(60_000)]);
 
+    assert!((fraction(&book, at(10)) - 1.0).abs() < 1e-9);
     assert_eq!(shares[..3], [63; 3]);
     assert!((811..=813).contains(&shares[3]), "{shares:?}");
 }
--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -5,7 +5,7 @@
 //! lines, so the number of lines per second is limited. Dropped lines are counted, and their number
 //! is logged.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 
 use briartray_model::TimePoint;
 use briartray_node::metrics::OutcomeLabel;
@@ -67,6 +67,8 @@
     attempts: Family<OutcomeLabel, Counter>,
     late: Family<OutcomeLabel, Counter>,
     shares: Family<ModelLabel, Gauge>,
+    /// Models whose share is shown.
+    shown_shares: RefCell<Vec<ModelLabel>>,
     /// Streams that were resumed at another replica.
     pub(super) resumed: Counter,
     /// Streams that were cut off.
@@ -109,6 +111,7 @@
             attempts: Family::default(),
             late: Family::default(),
             shares: Family::default(),
+            shown_shares: RefCell::default(),
             resumed: Counter::default(),
             cut: Counter::default(),
             crashes: Counter::default(),
@@ -173,10 +176,16 @@
 
     /// Sets the shares by demand, in thousandths, and removes those of other models.
     pub(super) fn show_shares<'a>(&self, shares: impl Iterator<Item = (&'a str, u16)>) {
-        self.shares.clear();
+        let mut shown = Vec::new();
         for (model, permille) in shares {
             let label = ModelLabel { model: model.to_owned() };
             self.shares.get_or_create(&label).set(i64::from(permille));
+            shown.push(label);
+        }
+        let earlier = self.shown_shares.replace(shown);
+        let shown = self.shown_shares.borrow();
+        for ended in earlier.iter().filter(|label| !shown.contains(label)) {
+            self.shares.remove(ended);
         }
     }
 
