Leave queued reports of a returning entry out of its demand

Cause: an entry that reaches no control host keeps up to 16 reports in its queue and sends them together when it finds one. Only the first was left out, and the others counted as demand within no time: with four entries of equal demand, the one that returned was granted 524 thousandths.

Change: reports within 100 ms of an entry's first one restart its counting, and their demand is left out as that of the first.

--- a/crates/fleet/src/director/demand_share.rs
+++ b/crates/fleet/src/director/demand_share.rs
@@ -27,6 +27,10 @@
 /// with the mean of the others.
 const MIN_COUNTING_TIME: Duration = Duration::from_secs(1);
 
+/// Time after the first report of an entry in which others are taken to have waited with it in the
+/// entry's queue, which holds up to 16 reports while no control host can be reached.
+const QUEUED_REPORT_TIME: Duration = Duration::from_millis(100);
+
 /// Intervals between two reports of an entry without any after which it drops out.
 const MAX_MISSED_REPORTS: u32 = 3;
 
@@ -100,9 +104,12 @@
         let gap = now.since(self.last_report_at.replace(now).unwrap_or(now));
         self.listened += gap.min(MAX_LISTENING_GAP);
         let (listened, lifetime) = (self.listened, self.lifetime());
-        let known = self.entries.get_mut(entry).filter(|known| known.is_live(listened, lifetime));
-        let Some(record) = known else {
-            // The time that the first report covers is not known, so its demand is left out.
+        let is_counted = |known: &&mut EntryDemand| {
+            known.is_live(listened, lifetime)
+                && now.since(known.first_report_at) >= QUEUED_REPORT_TIME
+        };
+        let Some(record) = self.entries.get_mut(entry).filter(is_counted) else {
+            // The time that the first reports cover is not known, so their demand is left out.
             self.entries.insert(entry.clone(), EntryDemand::new(now, listened));
             return;
         };
--- a/crates/fleet/tests/demand_shares.rs
+++ b/crates/fleet/tests/demand_shares.rs
@@ -253,6 +253,21 @@
     assert_eq!(returned, [250; 4]);
 }
 
+/// Guards against an entry that returns with 16 reports in its queue, which arrive at once: it was
+/// taken to have that demand within no time, and got the shares of the others.
+#[test]
+fn queued_reports_of_an_entry_that_returns_do_not_raise_its_share() {
+    let mut tracker = tracker();
+    report_all(&mut tracker, 4, 0..8_000, |_| Some(100.0));
+    report_all(&mut tracker, 4, 8_000..12_000, |number| (number != 2).then_some(100.0));
+
+    (0..16).for_each(|_| tracker.take(at(12_000), &entry(2), &[demand(100.0)]));
+    report_all(&mut tracker, 4, 12_000..13_251, |_| Some(100.0));
+
+    let returned = all_shares(&tracker, 4);
+    assert!(returned.iter().all(|share| (240..=260).contains(share)), "{returned:?}");
+}
+
 /// Guards against a leader that paused for 4 s, with the reports of all entries waiting, and grants
 /// the whole capacity to the first entry whose report it reads.
 #[test]
