--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -5,7 +5,7 @@
 //! lines, so the number of lines per second is limited. Dropped lines are counted, and their number
 //! is logged.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 
 use briartray_model::TimePoint;
 use briartray_node::metrics::OutcomeLabel;
@@ -62,6 +62,13 @@
     cause: &'static str,
 }
 
+/// Label of a model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ModelLabel {
+    /// Name of the model.
+    model: String,
+}
+
 /// Metrics of one entry.
 #[derive(Debug, Clone)]
 pub(super) struct EntryMetrics {
@@ -70,6 +77,9 @@
     late: Family<OutcomeLabel, Counter>,
     refused: Family<RefusalLabels, Counter>,
     returned: Family<OutcomeLabel, Counter>,
+    shares: Family<ModelLabel, Gauge>,
+    /// Models whose share is shown.
+    shown_shares: RefCell<Vec<ModelLabel>>,
     /// Streams that were resumed at another replica.
     pub(super) resumed: Counter,
     /// Streams that were cut off.
@@ -118,6 +128,8 @@
             late: Family::default(),
             refused: Family::default(),
             returned: Family::default(),
+            shares: Family::default(),
+            shown_shares: RefCell::default(),
             resumed: Counter::default(),
             cut: Counter::default(),
             crashes: Counter::default(),
@@ -176,6 +188,8 @@
         let help = "Waits for capacity by how they ended";
         entry.register("waits", help, metrics.waits.clone());
         entry.register("wait_seconds", "Time waited for capacity", metrics.wait.clone());
+        let help = "Part of a model's free capacity by demand; none while equal shares apply";
+        entry.register("demand_share_permille", help, metrics.shares.clone());
         metrics
     }
 
@@ -199,6 +213,21 @@
         self.returned.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Sets the shares by demand, in thousandths, and removes those of other models.
+    pub(super) fn show_shares<'a>(&self, shares: impl Iterator<Item = (&'a str, u16)>) {
+        let mut shown = Vec::new();
+        for (model, permille) in shares {
+            let label = ModelLabel { model: model.to_owned() };
+            self.shares.get_or_create(&label).set(i64::from(permille));
+            shown.push(label);
+        }
+        let earlier = self.shown_shares.replace(shown);
+        let shown = self.shown_shares.borrow();
+        for ended in earlier.iter().filter(|label| !shown.contains(label)) {
+            self.shares.remove(ended);
+        }
+    }
+
     /// Counts a stream that was late because of `cause`.
     pub(super) fn count_late_stream(&self, cause: &'static str) {
         self.late.get_or_create(&OutcomeLabel { outcome: cause }).inc();
