Tell the planner which services are latency-bound

Cause: the planner treats all services alike. Idle hosts are to serve other models only where control.overload is set and full groups miss their targets.

Change: OverloadScope (crates/gateway/src/control/overload.rs) computes these services once per deployment plan. The leader passes them to the director, which sets the flag `overload` of the planner's view. Nothing reads it yet.

--- a/crates/fleet/src/director/plan/view.rs
+++ b/crates/fleet/src/director/plan/view.rs
@@ -36,6 +36,8 @@
     pub first_start_domains: Option<usize>,
     /// Whether callers send requests: before that, loads take a tenth of their time.
     pub serving: bool,
+    /// Whether idle hosts are to serve models that are short of groups, see `idle`.
+    pub overload: bool,
 }
 
 /// An action of the planner.
--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -256,6 +256,7 @@
             loading,
             first_start_domains,
             serving,
+            overload: self.is_overload_set(service),
         }
     }
 
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -90,6 +90,8 @@
     /// Commands that are not applied yet; nothing is planned meanwhile.
     pending_commands: usize,
     entries: SortedTable<NodeName, TimePoint>,
+    /// Services whose idle hosts are to serve models that are short of groups, sorted.
+    overload: Vec<ServiceName>,
     /// Endpoints whose record is in a pending command or in the log.
     pub(super) announced: Vec<IncarnationId>,
 }
@@ -214,6 +216,20 @@
         });
     }
 
+    /// Sets the services, sorted, whose idle hosts are to serve models that are short of groups:
+    /// those with full groups that miss the targets of callers.
+    pub fn set_overload(&mut self, services: &[ServiceName]) {
+        if self.overload != services {
+            self.overload = services.to_vec();
+            self.replan_needed = true;
+        }
+    }
+
+    /// Whether idle hosts of `service` are to serve models that are short of groups.
+    pub(super) fn is_overload_set(&self, service: &ServiceName) -> bool {
+        self.overload.binary_search(service).is_ok()
+    }
+
     /// Records that requests go to the endpoints of `zone` again.
     pub fn readmit(&mut self, now: TimePoint, zone: &ZoneName) {
         self.hosts.readmit(now, zone);
--- a/crates/fleet/tests/director/planner.rs
+++ b/crates/fleet/tests/director/planner.rs
@@ -78,6 +78,7 @@
             loading: 0,
             first_start_domains: None,
             serving: true,
+            overload: false,
         }
     }
 }
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -24,6 +24,7 @@
 use super::leadership::Leadership;
 use super::metrics::ControlMetrics;
 use super::origin::{CommandOrigin, CoreFailure, ReadOrigin};
+use super::overload::OverloadScope;
 use super::peers::PeerLinks;
 use super::relay_buffer::RelayBuffer;
 use crate::process::RoleFailure;
@@ -67,6 +68,8 @@
     pub(super) disk: Option<Sender<WriteBatch>>,
     pub(super) state: FleetState,
     pub(super) plan: Option<DeploymentPlan>,
+    /// Services to which the section `overload` of the settings applies.
+    pub(super) overload_scope: OverloadScope,
     pub(super) host_book: HostBook,
     pub(super) leadership: Option<Leadership>,
     pub(super) relay_buffer: RelayBuffer,
@@ -87,6 +90,7 @@
             disk: None,
             state: FleetState::default(),
             plan: None,
+            overload_scope: OverloadScope::new(&parts.role),
             host_book,
             leadership: None,
             relay_buffer: RelayBuffer::default(),
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -70,6 +70,7 @@
         let Some(plan) = &self.plan else { return };
         let began = self.clock.now();
         let term = leadership.term.0;
+        leadership.director.set_overload(self.overload_scope.services());
         let output = leadership.director.step(now, &self.state, plan);
         let ended = self.clock.now();
         leadership.next_step_at = ended.after(ended.since(began) * STEP_PAUSE_FACTOR);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod leadership;
 mod metrics;
 mod origin;
+mod overload;
 mod peers;
 mod quarantine;
 mod quarantine_call;
--- a/crates/gateway/src/control/replication.rs
+++ b/crates/gateway/src/control/replication.rs
@@ -125,7 +125,10 @@
     fn adopt_plan(&mut self) {
         let Some(stored_plan) = self.state.plan() else { return };
         match read_stored_plan(stored_plan) {
-            Ok(plan) => self.plan = Some(plan),
+            Ok(plan) => {
+                self.overload_scope.set_plan(&plan);
+                self.plan = Some(plan);
+            }
             Err(error) => log::error!(
                 "cannot decode accepted deployment plan; keeping the previous one: {error}"
             ),
