Stage a model that is short on idle hosts and on new ones beside them

Cause: free hosts that cannot make a group of the model in which they are warm idled while callers of both models were refused. No load was planned for them, no model counted as short (the wanted numbers fall with the hosts), new hosts loaded the scarcest model also where one load of the other one would complete a group, and a domain stayed reserved for a model that could not form there.

Change: with the flag `overload`, plan/idle.rs stages a model that lacks groups by the demand of 4 s and of 16 s on idle hosts, lets an empty host load what completes a group, and drops reservations that cannot be met within a load. The leader's view line ends with the number of idle hosts.

--- a/crates/fleet/src/director/demand.rs
+++ b/crates/fleet/src/director/demand.rs
@@ -14,6 +14,10 @@
 /// Time constant of the exponential smoothing.
 const SMOOTHING_TIME: Duration = Duration::from_secs(4);
 
+/// Time constant of the smoothing that decides on loads for idle hosts: that of a load. A wave of
+/// the demand with a period of 17 s is reduced to a sixth.
+const STEADY_TIME: Duration = Duration::from_secs(16);
+
 /// Time of counting before the rates are trusted at all.
 const MIN_COUNTING_TIME: Duration = Duration::from_secs(3);
 
@@ -26,6 +30,8 @@
 pub struct DemandBook {
     counts: SortedTable<(ServiceName, String), WorkSum>,
     rates: SortedTable<(ServiceName, String), WorkSum>,
+    /// Rates smoothed over [`STEADY_TIME`].
+    steady_rates: SortedTable<(ServiceName, String), WorkSum>,
     started_at: Option<TimePoint>,
     last_update: Option<TimePoint>,
 }
@@ -45,12 +51,16 @@
         if span <= 0.0 {
             return;
         }
-        let weight = 1.0 - (-span / SMOOTHING_TIME.as_secs_f64()).exp();
         for (key, count) in self.counts.iter_mut() {
-            let rate = self.rates.get_or_insert_with(key.clone(), WorkSum::default);
             let counted = std::mem::take(count);
-            *rate = rate.times(1.0 - weight);
-            rate.add(&counted.times(weight / span));
+            let smoothed =
+                [(&mut self.rates, SMOOTHING_TIME), (&mut self.steady_rates, STEADY_TIME)];
+            for (rates, time) in smoothed {
+                let weight = covered_weight(span, time);
+                let rate = rates.get_or_insert_with(key.clone(), WorkSum::default);
+                *rate = rate.times(1.0 - weight);
+                rate.add(&counted.times(weight / span));
+            }
         }
     }
 
@@ -62,12 +72,25 @@
 
     /// Demand for `model` per second.
     pub fn rate(&self, now: TimePoint, service: &ServiceName, model: &str) -> WorkSum {
+        let rate = self.rates.get(&(service.clone(), model.to_owned()));
+        self.unbiased(now, rate, SMOOTHING_TIME)
+    }
+
+    /// Demand for `model` per second, averaged over the time of a load.
+    pub fn steady_rate(&self, now: TimePoint, service: &ServiceName, model: &str) -> WorkSum {
+        let rate = self.steady_rates.get(&(service.clone(), model.to_owned()));
+        self.unbiased(now, rate, STEADY_TIME)
+    }
+
+    /// `rate` without the bias of its start at zero: divided by the weight that the time of counting
+    /// covers.
+    fn unbiased(&self, now: TimePoint, rate: Option<&WorkSum>, time: Duration) -> WorkSum {
         let age = now.since(self.started_at.unwrap_or(now));
-        let rate =
-            self.rates.get(&(service.clone(), model.to_owned())).copied().unwrap_or_default();
-        // The smoothed rate starts at zero; dividing by the covered weight removes that bias.
-        let covered = 1.0 - (-age.as_secs_f64() / SMOOTHING_TIME.as_secs_f64()).exp();
-        if covered > 0.0 { rate.times(1.0 / covered) } else { WorkSum::default() }
+        let covered = covered_weight(age.as_secs_f64(), time);
+        match rate {
+            Some(rate) if covered > 0.0 => rate.times(1.0 / covered),
+            _ => WorkSum::default(),
+        }
     }
 
     /// Smoothed rates as one line for the log.
@@ -78,3 +101,8 @@
         self.rates.iter().map(describe).collect::<Vec<_>>().join(" ")
     }
 }
+
+/// Weight of the last `span` seconds in an exponential smoothing with the constant `time`.
+fn covered_weight(span: f64, time: Duration) -> f64 {
+    1.0 - (-span / time.as_secs_f64()).exp()
+}
--- a/crates/fleet/src/director/plan/form.rs
+++ b/crates/fleet/src/director/plan/form.rs
@@ -175,6 +175,9 @@
         let model = &self.models()[index];
         let mut domains = self.domains();
         domains.retain(|domain| self.free_in(domain).len() >= model.size);
+        if self.view.overload {
+            domains.retain(|domain| self.is_completable(domain, model));
+        }
         let domain = domains.into_iter().max_by_key(|domain| self.joinable_count(domain, model))?;
         Some((domain, index))
     }
--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -9,6 +9,7 @@
 
 mod form;
 mod host;
+mod idle;
 mod lateness;
 mod rebalance;
 mod stage;
@@ -41,6 +42,9 @@
     view: PlanView<'a>,
     /// Wanted number of groups of each model; the actions of one step hardly change it.
     wanted: Vec<f64>,
+    /// The same by the demand averaged over the time of a load; equal to `wanted` unless the view
+    /// has `overload` set.
+    steady_wanted: Vec<f64>,
     /// Positions of free hosts by domain; one action looks them up several times for each domain.
     free: DomainPositions,
     /// Positions of hosts that are ordered to leave, by domain.
@@ -57,8 +61,14 @@
     pub fn new(view: PlanView<'a>) -> Self {
         let [free, leaving, closing] =
             [&view.free, &view.leaving, &view.closing].map(|hosts| by_domain(hosts));
-        let mut planner = Self { view, wanted: Vec::new(), free, leaving, closing };
-        planner.wanted = planner.wanted_groups();
+        let mut planner =
+            Self { view, wanted: Vec::new(), steady_wanted: Vec::new(), free, leaving, closing };
+        planner.wanted = planner.wanted_groups(&planner.view.demand);
+        planner.steady_wanted = if planner.view.overload {
+            planner.wanted_groups(&planner.view.steady_demand)
+        } else {
+            planner.wanted.clone()
+        };
         planner
     }
 
@@ -124,13 +134,14 @@
         self.view.free.iter_mut().chain(grouped).find(|host| host.id == *id)
     }
 
-    /// Inputs of the plan as one line for the log: wanted groups of each model, hosts, and trust in
-    /// the demand.
+    /// Inputs of the plan as one line for the log: wanted groups of each model, hosts, trust in the
+    /// demand, and with `overload` the hosts that idle while a model is short.
     pub fn summary(&self) -> String {
         let describe = |(model, wanted): (&ModelSpec, &f64)| format!("{} {wanted:.1}", model.name);
         let wanted: Vec<String> = self.models().iter().zip(&self.wanted).map(describe).collect();
         let (hosts, trust) = (self.groupable_hosts(), self.view.trust);
-        format!("wanted {} on {hosts} hosts, trust {trust:.1}", wanted.join(" "))
+        let summary = format!("wanted {} on {hosts} hosts, trust {trust:.1}", wanted.join(" "));
+        if self.view.overload { format!("{summary}, idle {}", self.idle_hosts()) } else { summary }
     }
 
     /// Indices of the models, the largest shortage first.
--- a/crates/fleet/src/director/plan/stage.rs
+++ b/crates/fleet/src/director/plan/stage.rs
@@ -12,7 +12,7 @@
 
 /// Loads beyond those that the weight store handles at full speed: two on top of eight slow all
 /// down by a third, which is less than an empty host would wait.
-const MAX_EXTRA_LOADS: usize = 2;
+pub(super) const MAX_EXTRA_LOADS: usize = 2;
 
 /// Loads of the weight store that are reserved for hosts without weights.
 const RESERVED_LOADS: usize = 2;
@@ -30,8 +30,10 @@
         if self.view.serving && self.view.loading >= most + MAX_EXTRA_LOADS {
             return None;
         }
-        let urgent = self.stage_last_member(wanted).or_else(|| self.stage_empty(wanted));
-        let urgent = urgent.or_else(|| self.stage_unserved(wanted));
+        let urgent = self.stage_last_member(wanted).or_else(|| self.stage_nearly_complete());
+        let urgent = urgent.or_else(|| self.stage_empty(wanted));
+        let urgent =
+            urgent.or_else(|| self.stage_unserved(wanted)).or_else(|| self.stage_any_idle());
         if self.view.serving && self.view.loading >= most.saturating_sub(RESERVED_LOADS) {
             return urgent;
         }
@@ -100,6 +102,9 @@
     fn stage_empty(&self, wanted: &[f64]) -> Option<PlanAction> {
         let empty = |host: &&PoolHost| host.is_empty() && host.standby.is_none();
         let host = self.view.free.iter().find(empty)?;
+        if let Some(model) = self.completed_model(&host.domain) {
+            return Some(PlanAction::Stage { host: host.id.clone(), model: model.name.clone() });
+        }
         let (_, model) = self.least_supplied_model(host, wanted, &self.domain_supply())?;
         Some(PlanAction::Stage { host: host.id.clone(), model: model.name.clone() })
     }
--- a/crates/fleet/src/director/plan/view.rs
+++ b/crates/fleet/src/director/plan/view.rs
@@ -24,6 +24,8 @@
     pub groups: Vec<Vec<PlacedGroup>>,
     /// Demand per second, by model.
     pub demand: Vec<WorkSum>,
+    /// Demand per second, by model, averaged over the time of a load.
+    pub steady_demand: Vec<WorkSum>,
     /// Weight of the measured demand, 0 to 1; the declared or inherited `shares` count for the
     /// rest.
     pub trust: f64,
--- a/crates/fleet/src/director/plan/wanted.rs
+++ b/crates/fleet/src/director/plan/wanted.rs
@@ -5,28 +5,29 @@
 
 use super::{GroupPlanner, PoolHost, SPARES_PER_DOMAIN, lateness};
 use crate::deployment::ModelSpec;
+use crate::message::WorkSum;
 
 /// Utilization below which further groups of a model are of no use.
 const MIN_UTILIZATION: f64 = 0.5;
 
 impl GroupPlanner<'_> {
-    /// Wanted groups of each model: all hosts but some spares, split so that the fewest answers are
+    /// Wanted groups of each model for `demand` per second: all hosts but some spares, split so that the fewest answers are
     /// late; as far as the demand is not trusted, by the given shares.
     ///
     /// The split matters, not the sum: when only as many groups were wanted as the demand needs in
     /// total, two models with a shortage took hosts from each other, and hosts were idle at the
     /// start of a burst.
-    pub(super) fn wanted_groups(&self) -> Vec<f64> {
+    pub(super) fn wanted_groups(&self, demand: &[WorkSum]) -> Vec<f64> {
         let models = self.models();
         let work: Vec<f64> = models
             .iter()
-            .zip(&self.view.demand)
+            .zip(demand)
             .map(|(model, measured)| measured.work_ms / 1e3 * model.size as f64)
             .collect();
         let all: f64 = work.iter().sum();
         let trust = if all > 0.0 { self.view.trust } else { 0.0 };
         let hosts = self.target_hosts(all, trust);
-        let measured = match lateness::split_hosts(self.view.engine, &self.view.demand, hosts) {
+        let measured = match lateness::split_hosts(self.view.engine, demand, hosts) {
             Some(groups) => groups,
             None => group_counts(&normalized(&work), models, hosts),
         };
--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -239,6 +239,8 @@
         let (closing, free) = rest.into_iter().partition(serves);
         let model_rate = |model: &ModelSpec| self.demand.rate(now, service, &model.name);
         let demand = models.iter().map(model_rate).collect();
+        let steady_rate = |model: &ModelSpec| self.demand.steady_rate(now, service, &model.name);
+        let steady_demand = models.iter().map(steady_rate).collect();
         let trust = self.demand.trust(now);
         let loading = self.staging_count();
         let first_start_domains = self.is_first_start(now).then(|| self.domains(service));
@@ -251,6 +253,7 @@
             closing,
             groups,
             demand,
+            steady_demand,
             trust,
             shares: self.shares(service, engine),
             loading,
--- a/crates/fleet/tests/director/main.rs
+++ b/crates/fleet/tests/director/main.rs
@@ -3,6 +3,8 @@
 
 mod evacuation;
 mod fleet;
+mod idle;
+mod idle_plan;
 mod large;
 mod losses;
 mod models;
--- a/crates/fleet/tests/director/models.rs
+++ b/crates/fleet/tests/director/models.rs
@@ -13,6 +13,21 @@
 /// The small model, with groups of two hosts.
 pub const SMALL: &str = "small";
 
+/// The first deployment of `docs/design/hard-load.md`: groups of eight and of four hosts.
+pub fn large_groups() -> DeploymentPlan {
+    let mut plan = two_models();
+    let engine = plan.services[0].engine.as_mut().expect("the fixture has an engine");
+    engine.slots = 48;
+    engine.stride = 4;
+    engine.step = Duration::from_micros(6_070);
+    engine.per_writer_ms = 0.241;
+    engine.loads_per_second = 4.8;
+    engine.loads_at_once = 7;
+    engine.models[0].size = 8;
+    engine.models[1].size = 4;
+    plan
+}
+
 /// A deployment of two models over one pool of hosts.
 pub fn two_models() -> DeploymentPlan {
     let model = |name: &str, size, pace, load, warmup| ModelSpec {
--- a/crates/fleet/tests/director/planner.rs
+++ b/crates/fleet/tests/director/planner.rs
@@ -8,25 +8,25 @@
 use crate::models::{LARGE, SMALL, two_models};
 
 /// Index of the large model in the engine.
-const LARGE_INDEX: usize = 0;
+pub const LARGE_INDEX: usize = 0;
 
 /// Index of the small model in the engine.
-const SMALL_INDEX: usize = 1;
+pub const SMALL_INDEX: usize = 1;
 
 /// Builds hosts and groups of a pool.
-struct PoolFixture {
+pub struct PoolFixture {
     service: ServiceName,
-    engine: EngineModel,
+    pub engine: EngineModel,
     next: u32,
 }
 
 impl PoolFixture {
-    fn new() -> Self {
+    pub fn new() -> Self {
         let engine = two_models().services[0].engine.clone().expect("the fixture has an engine");
         Self { service: ServiceName::new("desk"), engine, next: 0 }
     }
 
-    fn host(&mut self, domain: &str, warm_model: Option<&str>, staged: &[&str]) -> PoolHost {
+    pub fn host(&mut self, domain: &str, warm_model: Option<&str>, staged: &[&str]) -> PoolHost {
         self.next += 1;
         PoolHost {
             id: IncarnationId::new(&format!("i-{:03}", self.next)),
@@ -43,7 +43,7 @@
         }
     }
 
-    fn group(&mut self, domain: &str, model: &str, staged: &[&str]) -> PlacedGroup {
+    pub fn group(&mut self, domain: &str, model: &str, staged: &[&str]) -> PlacedGroup {
         let size = self.engine.model(model).expect("the model exists").size;
         let hosts = (0..size).map(|_| self.host(domain, Some(model), staged)).collect();
         PlacedGroup { group: GroupId(u64::from(self.next)), domain: DomainName::new(domain), hosts }
@@ -59,7 +59,7 @@
         GroupPlanner::new(self.view(free, groups, demand)).next()
     }
 
-    fn view(
+    pub fn view(
         &self,
         free: Vec<PoolHost>,
         groups: [Vec<PlacedGroup>; 2],
@@ -73,6 +73,7 @@
             closing: Vec::new(),
             groups: groups.to_vec(),
             demand: demand.iter().map(busy_demand).collect(),
+            steady_demand: demand.iter().map(busy_demand).collect(),
             trust: 1.0,
             shares: self.engine.models.iter().map(|model| model.share).collect(),
             loading: 0,
