Keep idle hosts that wait for the last load of their own group

Cause: seven warm hosts whose eighth one is loading counted as idle, and loads of the other model were planned for them although their group forms first.

Change: a host is not idle if hosts with the weights, or loading them, make a whole group of its model that is short.

Measured: the new test fails without the change (a load of the small model is planned) and passes with it; 56 of 56 tests of the suite director pass in 48 s.

--- a/crates/fleet/src/director/plan/idle.rs
+++ b/crates/fleet/src/director/plan/idle.rs
@@ -121,8 +121,9 @@
         let warm = self.models().iter().position(|model| host.is_warm(&model.name));
         let Some(index) = warm else { return false };
         let model = &self.models()[index];
-        let joins_soon =
-            self.is_short(index, &self.wanted) && self.usable(&host.domain, model) >= model.size;
+        // Its own group may only wait for a load that is running.
+        let ready = self.usable(&host.domain, model).max(self.joinable_count(&host.domain, model));
+        let joins_soon = self.is_short(index, &self.wanted) && ready >= model.size;
         host.has_room() && !host.slow && !host.newly_seen && !joins_soon
     }
 
--- a/crates/fleet/tests/director/idle_plan.rs
+++ b/crates/fleet/tests/director/idle_plan.rs
@@ -1,7 +1,7 @@
 //! Single decisions of the planner on free hosts that cannot make a group of the model in which they
 //! are warm. The states are those of a leader of the first deployment of `docs/design/hard-load.md`.
 
-use briartray_fleet::director::{GroupPlanner, PlanAction, PlanView, PoolHost};
+use briartray_fleet::director::{GroupPlanner, PlacedGroup, PlanAction, PlanView, PoolHost};
 use briartray_model::names::IncarnationId;
 
 use crate::models::{LARGE, SMALL, large_groups};
@@ -24,18 +24,32 @@
 /// Second 26 of the recorded run: in domain a six hosts are warm in the large model and three load
 /// the small one; one large group forms and five small ones serve elsewhere.
 fn nine_free_hosts(fixture: &mut PoolFixture) -> (PlanView<'_>, Vec<IncarnationId>) {
-    let idle: Vec<PoolHost> = (0..6).map(|_| fixture.host("a", Some(LARGE), &[LARGE])).collect();
+    let idle = warm_hosts(fixture, 6);
     let ids = idle.iter().map(|host| host.id.clone()).collect();
     let mut free = idle;
     free.extend((0..3).map(|_| loading(fixture, "a", None)));
     free.push(loading(fixture, "b", None));
     free.extend((0..2).map(|_| loading(fixture, "b", Some(LARGE))));
     let large = vec![fixture.group("c", LARGE, &[LARGE])];
-    let small = ["a", "b", "b", "c", "c"].map(|domain| fixture.group(domain, SMALL, &[SMALL]));
-    let view = fixture.view(free, [large, small.to_vec()], DEMAND);
+    let small = small_groups(fixture, "abbcc", SMALL);
+    let view = fixture.view(free, [large, small], DEMAND);
     (PlanView { loading: 6, ..view }, ids)
 }
 
+/// Hosts of domain a, warm in the large model, with its weights staged.
+fn warm_hosts(fixture: &mut PoolFixture, count: usize) -> Vec<PoolHost> {
+    (0..count).map(|_| fixture.host("a", Some(LARGE), &[LARGE])).collect()
+}
+
+/// Small groups, one for each letter of `domains`, with `staged` as second model.
+fn small_groups(fixture: &mut PoolFixture, domains: &str, staged: &str) -> Vec<PlacedGroup> {
+    domains
+        .split("")
+        .filter(|d| !d.is_empty())
+        .map(|d| fixture.group(d, SMALL, &[staged]))
+        .collect()
+}
+
 fn next(view: &PlanView<'_>, overload: bool) -> Option<PlanAction> {
     GroupPlanner::new(PlanView { overload, ..view.clone() }).next()
 }
@@ -90,13 +104,11 @@
 #[test]
 fn hosts_serve_another_model_if_their_own_cannot_form() {
     let mut fixture = large_fixture();
-    let mut free: Vec<PoolHost> =
-        (0..3).map(|_| fixture.host("a", Some(LARGE), &[LARGE])).collect();
+    let mut free = warm_hosts(&mut fixture, 3);
     free.push(fixture.host("a", Some(LARGE), &[SMALL]));
     free.extend((0..3).map(|_| fixture.host("a", None, &[SMALL])));
     free.extend((0..2).map(|_| loading(&mut fixture, "a", None)));
-    let small: Vec<_> =
-        ["b", "b", "c", "c"].map(|domain| fixture.group(domain, SMALL, &[SMALL])).to_vec();
+    let small = small_groups(&mut fixture, "bbcc", SMALL);
     let view = fixture.view(free, [Vec::new(), small], DEMAND);
 
     let on = next(&view, true);
@@ -111,11 +123,9 @@
 #[test]
 fn hosts_are_kept_if_their_own_model_can_form_in_time() {
     let mut fixture = large_fixture();
-    let mut free: Vec<PoolHost> =
-        (0..5).map(|_| fixture.host("a", Some(LARGE), &[LARGE])).collect();
+    let mut free = warm_hosts(&mut fixture, 5);
     free.extend((0..4).map(|_| fixture.host("a", None, &[SMALL])));
-    let small: Vec<_> =
-        ["b", "b", "c", "c"].map(|domain| fixture.group(domain, SMALL, &[SMALL])).to_vec();
+    let small = small_groups(&mut fixture, "bbcc", SMALL);
     let view = fixture.view(free, [Vec::new(), small], DEMAND);
 
     let action = next(&view, true);
@@ -129,11 +139,11 @@
 #[test]
 fn the_group_ends_when_its_hosts_complete_a_larger_shortage() {
     let mut fixture = large_fixture();
-    let free: Vec<PoolHost> = (0..4).map(|_| fixture.host("a", Some(LARGE), &[LARGE])).collect();
+    let free = warm_hosts(&mut fixture, 4);
     let returning = fixture.group("a", SMALL, &[LARGE]);
     let group = returning.group;
-    let mut small = vec![returning];
-    small.extend(["b", "b", "c", "c", "c"].map(|domain| fixture.group(domain, SMALL, &[SMALL])));
+    let mut small = small_groups(&mut fixture, "bbccc", SMALL);
+    small.push(returning);
     let view = fixture.view(free, [Vec::new(), small], DEMAND);
 
     let action = next(&view, true);
@@ -146,11 +156,9 @@
 #[test]
 fn a_wave_is_not_worth_a_load() {
     let mut fixture = large_fixture();
-    let idle: Vec<PoolHost> = (0..6).map(|_| fixture.host("a", Some(LARGE), &[LARGE])).collect();
+    let idle = warm_hosts(&mut fixture, 6);
     let large = vec![fixture.group("b", LARGE, &[SMALL]), fixture.group("c", LARGE, &[SMALL])];
-    let small: Vec<_> = ["a", "a", "b", "b", "c", "c"]
-        .map(|domain| fixture.group(domain, SMALL, &[LARGE]))
-        .to_vec();
+    let small = small_groups(&mut fixture, "aabbcc", LARGE);
     let mut view = fixture.view(idle, [large, small], [1.0, 6.0]);
 
     let lasting = next(&view, true);
@@ -167,13 +175,11 @@
 #[test]
 fn an_empty_host_completes_the_group_of_idle_ones() {
     let mut fixture = large_fixture();
-    let mut free: Vec<PoolHost> =
-        (0..7).map(|_| fixture.host("a", Some(LARGE), &[LARGE])).collect();
+    let mut free = warm_hosts(&mut fixture, 7);
     let empty = fixture.host("a", None, &[]);
     free.push(empty.clone());
     let large = vec![fixture.group("b", LARGE, &[SMALL]), fixture.group("c", LARGE, &[SMALL])];
-    let small: Vec<_> =
-        ["b", "b", "c", "c"].map(|domain| fixture.group(domain, SMALL, &[LARGE])).to_vec();
+    let small = small_groups(&mut fixture, "bbcc", LARGE);
     let view = fixture.view(free, [large, small], DEMAND);
 
     let on = next(&view, true);
@@ -182,3 +188,19 @@
     assert_eq!(on, Some(PlanAction::Stage { host: empty.id.clone(), model: LARGE.to_owned() }));
     assert_eq!(off, Some(PlanAction::Stage { host: empty.id, model: SMALL.to_owned() }));
 }
+
+/// Guards against further loads for hosts whose own group waits for the last load: eight hosts make
+/// a large group of which there is none.
+#[test]
+fn hosts_that_wait_for_the_last_load_are_not_idle() {
+    let mut fixture = large_fixture();
+    let mut free = warm_hosts(&mut fixture, 7);
+    free.push(PoolHost { staging: Some(LARGE.to_owned()), ..fixture.host("a", None, &[]) });
+    free.extend((0..2).map(|_| loading(&mut fixture, "a", None)));
+    let small = small_groups(&mut fixture, "bbcc", SMALL);
+    let view = fixture.view(free, [Vec::new(), small], DEMAND);
+
+    let action = next(&PlanView { loading: 6, ..view }, true);
+
+    assert_eq!(action, None);
+}
