--- a/crates/gateway/src/control/replication.rs
+++ b/crates/gateway/src/control/replication.rs
@@ -4,18 +4,15 @@
 use briartray_control::agreement::{
     CommittedEntry, EntryPayload, LogDelivery, LogSnapshot, MemberRole,
 };
-use briartray_fleet::deployment::{DeploymentPlan, RouteBook};
 use briartray_fleet::state::{
     EndpointRecord, FleetCommand, FleetOutcome, StoredPlan, decode_state, encode_state,
 };
 use briartray_model::codec;
-use briartray_model::names::ServiceName;
 
 use super::core::ControlCore;
 use super::input::{ControlReply, CoreMessage};
 use super::leadership::Leadership;
 use super::origin::{CommandOrigin, CoreFailure, ReadOrigin};
-use crate::settings::ControlOverload;
 use crate::stored_plan::read_stored_plan;
 
 impl ControlCore {
@@ -129,11 +126,9 @@
         let Some(stored_plan) = self.state.plan() else { return };
         match read_stored_plan(stored_plan) {
             Ok(plan) => {
-                let overload = self.parts.role.overload.as_ref();
-                self.shared_services =
-                    overload.map_or_else(Vec::new, |overload| latency_bound(&plan, overload));
+                self.overload_scope.set_plan(&plan);
                 if let Some(leadership) = &mut self.leadership {
-                    leadership.director.set_shared_services(self.shared_services.clone());
+                    self.overload_scope.apply(&mut leadership.director);
                 }
                 self.plan = Some(plan);
             }
@@ -187,13 +182,6 @@
     }
 }
 
-/// Services of `plan` whose full groups miss the targets of their routes.
-fn latency_bound(plan: &DeploymentPlan, overload: &ControlOverload) -> Vec<ServiceName> {
-    let book = RouteBook::compile(plan.clone());
-    let names = plan.services.iter().map(|service| service.name.clone());
-    names.filter(|name| book.is_latency_bound(name, overload.late_percent)).collect()
-}
-
 /// The text of `plan`, as a reply to an operator.
 fn plan_reply(plan: &StoredPlan) -> ControlReply {
     match plan.text() {
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -22,6 +22,7 @@
 use super::crash_check;
 use super::returns::RefusalDetail;
 use super::state::EntryState;
+use crate::settings::EntryRole;
 use briartray_http::{Exchange, SendFailure};
 
 /// Time reserved for returning the response to the caller before the deadline.
@@ -276,7 +277,9 @@
 
     /// Terms of admission by latency; `None` where slots alone decide.
     fn latency_terms(&self, has_begun: bool) -> Option<LatencyTerms> {
-        let work = self.work.filter(|_| self.latency_bound)?;
+        let enabled = |entry: &EntryRole| entry.overload.as_ref().is_some_and(|part| part.forecast);
+        let enabled = self.latency_bound && self.state.settings.entry.as_ref().is_some_and(enabled);
+        let work = self.work.filter(|_| enabled)?;
         let target = self.rule.target_latency;
         // A caller that returns is late by its own clock; its time counts from its return.
         let budget = target.saturating_sub(self.state.now().since(self.arrived));
--- a/crates/gateway/src/entry/returns.rs
+++ b/crates/gateway/src/entry/returns.rs
@@ -99,7 +99,9 @@
     /// Time after which the schedule tells the caller to return; `None` unless the service is
     /// latency-bound.
     fn scheduled_return(&self) -> Option<Duration> {
-        let model = self.head.model.as_deref().filter(|_| self.latency_bound)?;
+        let overload = self.state.settings.entry.as_ref().and_then(|entry| entry.overload.as_ref());
+        let enabled = self.latency_bound && overload.is_some_and(|part| part.scheduled_returns);
+        let model = self.head.model.as_deref().filter(|_| enabled)?;
         let returned = has_returned(self.caller_age);
         Some(self.state.retry_after(&self.service, model, self.time_left(), returned))
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -82,6 +82,10 @@
     pub max_waiting: usize,
     /// Maximum size of the bodies of waiting requests, in KiB.
     pub max_waiting_kb: usize,
+    /// Whether groups are chosen by a forecast of the first event; otherwise by free slots.
+    pub forecast: bool,
+    /// Whether refused callers are told times by the capacity that frees up; otherwise random ones.
+    pub scheduled_returns: bool,
 }
 
 impl Default for EntryOverload {
@@ -91,6 +95,8 @@
             wait_percent: 30.0,
             max_waiting: 64,
             max_waiting_kb: 4_096,
+            forecast: true,
+            scheduled_returns: true,
         }
     }
 }
@@ -101,11 +107,15 @@
 pub struct ControlOverload {
     /// Late first events of a full group, in a hundred, above which the section applies to a service.
     pub late_percent: f64,
+    /// Whether entries get shares of capacity by demand; otherwise equal ones.
+    pub demand_shares: bool,
+    /// Whether hosts that idle beside refused callers are used for another model.
+    pub idle_hosts: bool,
 }
 
 impl Default for ControlOverload {
     fn default() -> Self {
-        Self { late_percent: DEFAULT_LATE_PERCENT }
+        Self { late_percent: DEFAULT_LATE_PERCENT, demand_shares: true, idle_hosts: true }
     }
 }
 
