--- a/crates/fleet/src/entry/forecast/group_forecast.rs
+++ b/crates/fleet/src/entry/forecast/group_forecast.rs
@@ -10,11 +10,6 @@
 /// quarter of the requests.
 const FORECAST_EXPONENT: i32 = 2;
 
-/// Part of the difference between the measured pass and that of the declared engine that is expected
-/// of the next passes. A measured pass contains the prompts that were read in it, which the forecast
-/// counts as unread besides; only a slow host stretches all passes alike.
-const MEASURED_PART: f64 = 0.4;
-
 /// Terms of one request, with the timing of the engine and the model that it asks for.
 #[derive(Debug, Clone, Copy)]
 pub(in crate::entry) struct ForecastTerms<'a> {
@@ -65,8 +60,7 @@
         // event does.
         let silence = load.silence(now).filter(|_| load.unread.has_streams());
         let silence_ms = silence.map_or(0.0, |silence| silence.as_secs_f64() * 1e3);
-        let measured_ms = load.pass.expected_ms(now, model_ms).max(silence_ms);
-        let pass_ms = model_ms + (measured_ms - model_ms).max(0.0) * MEASURED_PART;
+        let pass_ms = load.pass.expected_ms(now, model_ms).max(silence_ms);
         let unread_ms = load.unread.total_ms(now, pass_ms);
         // Callers with long prompts are not refused more often than others.
         let admitted_ms = reading_ms.min(self.engine.usual_work(self.model).reading_ms);
--- a/crates/fleet/src/entry/forecast/pass_meter.rs
+++ b/crates/fleet/src/entry/forecast/pass_meter.rs
@@ -4,30 +4,39 @@
 
 use briartray_model::TimePoint;
 
-/// Half-life of a gap's weight in the mean: some passes of a full group, so that one prompt that
-/// stretches a single pass counts little and a host that turns slow shows within half a second.
-const GAP_HALF_LIFE: Duration = Duration::from_millis(250);
+/// Time over which the shortest gap counts. It spans several passes of a full group, of which some
+/// prefill little.
+const WINDOW: Duration = Duration::from_millis(300);
 
 /// Time for which a measurement is valid. A slow group that gets no requests is not measured
 /// again; when its measurement expires, a request tries it.
 const PASS_VALIDITY: Duration = Duration::from_millis(1_000);
 
-/// Weighted mean of the latest gaps of one group.
+/// Shortest recent gap of one group.
+///
+/// Prompts that are prefilled between two events stretch single gaps, and the forecast counts those
+/// that are to come as unread. A slow host stretches all gaps, so only the shortest one tells.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PassMeter {
-    /// Weighted sum of the gaps, in milliseconds.
-    sum_ms: f64,
-    weight: f64,
+    /// Shortest gap in the window that began at `window_start`, in milliseconds.
+    shortest_ms: Option<f64>,
+    /// Shortest gap in the window before, in milliseconds.
+    earlier_ms: Option<f64>,
+    window_start: TimePoint,
     updated_at: Option<TimePoint>,
 }
 
 impl PassMeter {
     /// Records that an event of a stream came `gap` after its previous one.
     pub fn record(&mut self, now: TimePoint, gap: Duration) {
-        let age = self.updated_at.map_or(Duration::ZERO, |at| now.since(at));
-        let kept = 0.5_f64.powf(age.as_secs_f64() / GAP_HALF_LIFE.as_secs_f64());
-        self.sum_ms = self.sum_ms * kept + gap.as_secs_f64() * 1e3;
-        self.weight = self.weight * kept + 1.0;
+        let age = now.since(self.window_start);
+        if age >= WINDOW {
+            self.earlier_ms = self.shortest_ms.filter(|_| age < WINDOW * 2);
+            self.shortest_ms = None;
+            self.window_start = now;
+        }
+        let gap_ms = gap.as_secs_f64() * 1e3;
+        self.shortest_ms = Some(self.shortest_ms.map_or(gap_ms, |shortest| shortest.min(gap_ms)));
         self.updated_at = Some(now);
     }
 
@@ -36,14 +45,15 @@
         self.updated_at.is_some_and(|at| now.since(at) < PASS_VALIDITY)
     }
 
-    /// Returns the expected pass in milliseconds: the larger of the measured one and `model_ms`,
-    /// that of the declared engine. From when the next event is due, the measured one decays
-    /// towards `model_ms`, which it reaches at the end of its validity.
+    /// Returns the expected pass in milliseconds, besides prompts that are not read yet: the larger
+    /// of the measured one and `model_ms`, that of the declared engine. From when the next event is
+    /// due, the measured one decays towards `model_ms`, which it reaches at the end of its validity.
     pub fn expected_ms(&self, now: TimePoint, model_ms: f64) -> f64 {
+        let shortest = [self.shortest_ms, self.earlier_ms].into_iter().flatten();
+        let measured_ms = shortest.fold(f64::INFINITY, f64::min);
         let Some(updated_at) = self.updated_at.filter(|_| self.is_valid(now)) else {
             return model_ms;
         };
-        let measured_ms = self.sum_ms / self.weight;
         let validity_ms = PASS_VALIDITY.as_secs_f64() * 1e3;
         let age_ms = now.since(updated_at).as_secs_f64() * 1e3;
         let overdue_ms = (age_ms - measured_ms).max(0.0);
