Rank callers that repeat at once with those that returned

Cause: with new callers first in the queue, a caller that repeats its request at once would count as new and go before those that wait as told.

--- a/crates/fleet/tests/returns.rs
+++ b/crates/fleet/tests/returns.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use briartray_fleet::entry::{MIN_RETURN_DELAY, ReturnQuery, ReturnSchedule};
+use briartray_fleet::entry::{
+    MIN_RETURN_DELAY, ReturnQuery, ReturnSchedule, caller_age, has_returned,
+};
 use briartray_model::TimePoint;
 use briartray_model::names::ServiceName;
 use rand::{RngExt, SeedableRng};
@@ -321,3 +323,16 @@
     schedule.retry_after(at(100_000_000), &query(&service, DEADLINE, 5.0));
     assert!(schedule.bucket_count() <= 72, "{}", schedule.bucket_count());
 }
+
+/// Guards against callers that repeat at once and rank as new ones, before those that wait as told.
+#[test]
+fn a_repeat_at_once_ranks_as_a_return() {
+    let timeout = Duration::from_secs(6);
+    let age = |left_ms| caller_age(timeout, Some(Duration::from_millis(left_ms)));
+
+    assert!(!has_returned(age(6_000)));
+    assert!(!has_returned(age(8_000)), "a deadline beyond the timeout is a first attempt");
+    assert!(!has_returned(caller_age(timeout, None)));
+    assert!(has_returned(age(5_960)));
+    assert!(has_returned(age(4_500)));
+}
