Admit new callers with tolerance, and leave the last slots to them

Half of the slots in a burst went to callers that were refused before, whose answers are late in any case.

Change: admission_budget gives new callers 1.4 of their target, returned ones their target from their return. Returned callers use 0.85 of a group's slots as long as new ones would be on time there. A new caller waits no longer than its target leaves beyond the forecast.

--- a/crates/fleet/src/entry/forecast/group_forecast.rs
+++ b/crates/fleet/src/entry/forecast/group_forecast.rs
@@ -1,5 +1,7 @@
 //! Forecast for one request on one group, and whether the group may be chosen for it.
 
+use std::time::Duration;
+
 use briartray_model::TimePoint;
 use rand_chacha::ChaCha8Rng;
 
@@ -10,6 +12,25 @@
 /// quarter of the requests.
 const FORECAST_EXPONENT: i32 = 2;
 
+/// Part of the slots of a group that callers may use who were refused before. Under overload they
+/// would otherwise take half of the slots, with answers that are late in any case, and new callers
+/// would be refused for them and return in turn.
+const RETURNED_SLOT_PART: f64 = 0.85;
+
+/// Factor on the target latency up to which a forecast admits a new caller. Forecasts are rough: more
+/// than half of the requests that are expected somewhat beyond their target are on time.
+const NEW_CALLER_TOLERANCE: f64 = 1.4;
+
+/// Returns the time within which the first event of a request has to be expected, under a route with
+/// the latency `target`, when the request has waited at the entry for `waited`.
+///
+/// A caller that returned is late already and may not make others late, so its time counts from its
+/// return, without tolerance.
+pub fn admission_budget(target: Duration, waited: Duration, returned: bool) -> Duration {
+    let tolerance = if returned { 1.0 } else { NEW_CALLER_TOLERANCE };
+    target.mul_f64(tolerance).saturating_sub(waited)
+}
+
 /// Terms of one request, with the timing of the engine and the model that it asks for.
 #[derive(Debug, Clone, Copy)]
 pub(in crate::entry) struct ForecastTerms<'a> {
@@ -92,6 +113,13 @@
         first_ms <= self.budget_ms() && forecast.gap_ms <= self.gap_ms()
     }
 
+    /// Part of a group's slots that the request may use. The last ones are left to new callers, as
+    /// long as these would be on time there.
+    pub(in crate::entry) fn slot_part(&self, forecast: &GroupForecast) -> f64 {
+        let yields = self.latency.returned && forecast.admitted_ms <= self.budget_ms();
+        if yields { RETURNED_SLOT_PART } else { 1.0 }
+    }
+
     fn budget_ms(&self) -> f64 {
         self.latency.budget.map_or(f64::INFINITY, |budget| budget.as_secs_f64() * 1e3)
     }
--- a/crates/fleet/src/entry/forecast/mod.rs
+++ b/crates/fleet/src/entry/forecast/mod.rs
@@ -9,6 +9,7 @@
 mod pass_meter;
 mod sent_prompt;
 
+pub use group_forecast::admission_budget;
 pub use pass_meter::PassMeter;
 pub use sent_prompt::{SentPrompt, UnreadPrompts};
 
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -27,7 +27,7 @@
 pub use drain::DrainSchedule;
 pub use events::{EventSplitter, StreamEvent};
 pub use exclusion::{ChoiceDetail, ChoiceRefusal};
-pub use forecast::{PassMeter, SentPrompt, UnreadPrompts};
+pub use forecast::{PassMeter, SentPrompt, UnreadPrompts, admission_budget};
 pub use hold::{HoldBook, HoldCount, SLOW_START, SendHold};
 pub use lease::EntryLease;
 pub use load::{LoadSample, TargetLoad};
--- a/crates/fleet/src/entry/returns/schedule.rs
+++ b/crates/fleet/src/entry/returns/schedule.rs
@@ -17,9 +17,9 @@
 /// Fraction of the slots that become free which is promised to returning callers.
 const RETURN_FRACTION: f64 = 0.5;
 
-/// Earliest return in a free bucket. Slots that become free sooner go to requests that wait at the
-/// entry.
-const FIRST_RETURN_DELAY: Duration = Duration::from_millis(300);
+/// Earliest return in a free bucket. Bursts last for seconds, so callers that return sooner meet the
+/// same load and are refused again.
+const FIRST_RETURN_DELAY: Duration = Duration::from_millis(700);
 
 /// Latest return, which bounds the number of buckets. A rate of the last second says little about
 /// later times.
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -83,6 +83,8 @@
     pub budget: Option<Duration>,
     /// Longest gap between events that streams of the service may have.
     pub gap: Option<Duration>,
+    /// Whether the caller was refused before, so that its answer is late in any case.
+    pub returned: bool,
 }
 
 /// All targets of an entry, with its knowledge of their load and limits.
@@ -445,7 +447,8 @@
             // late.
             let free = match load {
                 Some(load) if candidate.capacity_shared => {
-                    load.free_share(now, candidate.slots, fraction)
+                    let part = terms.zip(forecast).map(|(terms, known)| terms.slot_part(&known));
+                    load.free_share(now, candidate.slots * part.unwrap_or(1.0), fraction)
                 }
                 _ => candidate.slots - total,
             };
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -8,7 +8,7 @@
 use briartray_fleet::deployment::{RepeatKind, RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
     AttemptEnd, CheckCause, ChoiceRefusal, LatencyTerms, NextStep, RetryState, SentPrompt,
-    TargetChoice, TargetId, TargetQuery, WaitRefusal,
+    TargetChoice, TargetId, TargetQuery, WaitRefusal, admission_budget, has_returned,
 };
 use briartray_model::TimePoint;
 use briartray_model::message::RunEnd;
@@ -281,13 +281,13 @@
         let enabled = self.latency_bound && self.state.settings.entry.as_ref().is_some_and(enabled);
         let work = self.work.filter(|_| enabled)?;
         let target = self.rule.target_latency;
-        // A caller that returns is late by its own clock; its time counts from its return.
-        let budget = target.saturating_sub(self.state.now().since(self.arrived));
+        let returned = has_returned(self.caller_age) && !has_begun;
+        let budget = admission_budget(target, self.state.now().since(self.arrived), returned);
         // A stream that has begun goes on even if its next event is late. A route without a target
         // has no late answers.
         let is_bound = !has_begun && !target.is_zero();
         let gap = self.rule.target_gap;
-        Some(LatencyTerms { work, budget: is_bound.then_some(budget), gap })
+        Some(LatencyTerms { work, budget: is_bound.then_some(budget), gap, returned })
     }
 
     /// Chooses the target for the next attempt.
--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -284,7 +284,11 @@
         tried: Option<TurnOutcome>,
     ) -> Option<WaitRequest<'_>> {
         let part = overload.wait_percent.clamp(0.0, 100.0) / 100.0;
-        let max_wait = self.rule.target_latency.mul_f64(part);
+        let target = self.rule.target_latency;
+        // A new caller that waits longer would not be on time even on the soonest group.
+        let expected = self.refusal.get().best.filter(|_| !has_returned(self.caller_age));
+        let spare = target.saturating_sub(expected.unwrap_or_default());
+        let max_wait = target.mul_f64(part).min(spare);
         Some(WaitRequest {
             service: &self.service,
             model: self.head.model.as_deref()?,
