--- a/crates/fleet/src/director/demand_share.rs
+++ b/crates/fleet/src/director/demand_share.rs
@@ -258,7 +258,8 @@
         let below = |rate: &&f64| **rate * scale < floor;
         let count = rates.iter().filter(below).count();
         // Raising some shares to the floor lowers the others, which may put more at the floor.
-        if count == at_floor || count == rates.len() {
+        // Rounding may lower the count again by a rate close to the floor.
+        if count <= at_floor || count == rates.len() {
             return scale;
         }
         at_floor = count;
--- a/crates/fleet/src/director/plan/form.rs
+++ b/crates/fleet/src/director/plan/form.rs
@@ -124,7 +124,7 @@
     }
 
     /// Whether the free hosts of `domain` are reserved for another model without any group.
-    fn is_reserved(&self, domain: &DomainName, index: usize) -> bool {
+    pub(super) fn is_reserved(&self, domain: &DomainName, index: usize) -> bool {
         self.reserved()
             .is_some_and(|(reserved_domain, other)| reserved_domain == *domain && other != index)
     }
--- a/crates/fleet/src/director/plan/idle.rs
+++ b/crates/fleet/src/director/plan/idle.rs
@@ -22,29 +22,30 @@
 
 impl GroupPlanner<'_> {
     /// Plans a load for an idle host towards a group of which free hosts make up half already: each
-    /// load puts two hosts or more to use, and that of an empty host one.
+    /// load puts two hosts or more to use. The load of an empty host puts one to use.
     pub(super) fn stage_nearly_complete(&self) -> Option<PlanAction> {
         self.stage_idle(true)
     }
 
     /// Plans a load for an idle host towards any group, at the full speed of the weight store.
     pub(super) fn stage_any_idle(&self) -> Option<PlanAction> {
-        if self.view.loading >= self.view.engine.loads_at_once {
-            return None;
-        }
         self.stage_idle(false)
     }
 
     /// Plans a load of a model that is short of groups for a free host that is warm in another one,
     /// if free hosts of its domain then make a group sooner.
     fn stage_idle(&self, nearly_complete: bool) -> Option<PlanAction> {
-        if !self.view.overload || !self.view.serving {
+        let is_store_busy = self.view.loading >= self.view.engine.loads_at_once;
+        if !self.view.overload || !self.view.serving || is_store_busy {
             return None;
         }
         let mut loads: Vec<(usize, PlanAction)> = Vec::new();
         for index in self.by_shortage(&self.wanted) {
             let Some(missing) = self.missing_groups(index) else { continue };
             for domain in self.domains() {
+                if self.is_reserved(&domain, index) {
+                    continue;
+                }
                 loads.extend(self.idle_load(&domain, index, missing));
             }
             let size = self.models()[index].size;
@@ -68,7 +69,9 @@
             let ready = self.joinable_count(domain, model);
             let next_group = ready / model.size + 1;
             let lacking = next_group * model.size - ready;
-            (next_group <= missing && lacking * 2 <= model.size).then_some((lacking, index))
+            let is_possible = self.free_in(domain).len() >= next_group * model.size;
+            let is_near = next_group <= missing && lacking * 2 <= model.size;
+            (is_near && is_possible).then_some((lacking, index))
         };
         let (_, index) = self.models().iter().enumerate().filter_map(lacking).min()?;
         Some(&self.models()[index])
@@ -137,8 +140,8 @@
             host.staging.is_none() && !host.newly_seen && !host.will_join(&model.name)
         };
         let loadable = free.iter().filter(may_load).count();
-        let most_loads = self.view.engine.loads_at_once + MAX_EXTRA_LOADS;
-        let loads = loadable.min(most_loads.saturating_sub(self.view.loading));
+        // Loads that run elsewhere end within the load time as well.
+        let loads = loadable.min(self.view.engine.loads_at_once + MAX_EXTRA_LOADS);
         ready + soon + loads >= model.size
     }
 
--- a/crates/fleet/src/entry/forecast/sent_prompt.rs
+++ b/crates/fleet/src/entry/forecast/sent_prompt.rs
@@ -18,6 +18,10 @@
 /// Time for which a drawn part is kept: one report interval of an entry.
 const DRAWN_FOR: Duration = Duration::from_millis(250);
 
+/// Gap below which two events were read together rather than made in two passes: a pass takes several
+/// steps of some milliseconds.
+const MIN_GAP: Duration = Duration::from_millis(5);
+
 /// Time to hand an event to the caller from which the caller counts as slow. While an event waits
 /// for the caller, the next one is not read, and the gap would be taken for a slow group.
 const SLOW_CALLER: Duration = Duration::from_millis(10);
@@ -128,7 +132,10 @@
     /// Records that an event arrived; the gap to the previous one measures a pass.
     pub fn event(&mut self, now: TimePoint, load: &mut TargetLoad) {
         if let Some(last) = self.last_event_at.replace(now) {
-            load.pass.record(now, now.since(last));
+            let gap = now.since(last);
+            if gap >= MIN_GAP {
+                load.pass.record(now, gap);
+            }
         }
     }
 
--- a/crates/fleet/src/entry/waiting/model_queue.rs
+++ b/crates/fleet/src/entry/waiting/model_queue.rs
@@ -30,14 +30,31 @@
     turns: u32,
     /// Requests that would have been late since the last check.
     passed: Vec<WaitTicket>,
-    /// Whether all targets were at capacity since the last change of it.
-    is_full: bool,
+    /// Rank for which all targets were at capacity since the last change of it, if any. Other ranks
+    /// may use slots that are kept from it.
+    full_from: Option<WaitRank>,
 }
 
 impl ModelQueue {
-    /// Whether a request of `rank` or a higher one waits.
+    /// Whether a request of `rank` or a higher one waits for a slot. One that waits because it would
+    /// be late holds up no other, which may be smaller.
     pub(super) fn precedes(&self, rank: WaitRank) -> bool {
-        self.requests.iter().any(|request| request.rank <= rank)
+        let waits_for_slot = |request: &WaitingRequest| {
+            self.is_full_for(request.rank) || !self.passed.contains(&request.ticket)
+        };
+        self.requests.iter().any(|request| request.rank <= rank && waits_for_slot(request))
+    }
+
+    /// Whether all targets were at capacity for requests of `rank`.
+    fn is_full_for(&self, rank: WaitRank) -> bool {
+        self.full_from.is_some_and(|full| full.is_full_for(rank))
+    }
+
+    fn mark_full(&mut self, rank: WaitRank) {
+        let broader = self.full_from.is_none_or(|full| !full.is_full_for(rank));
+        if broader {
+            self.full_from = Some(rank);
+        }
     }
 
     /// Adds `request`, whose ticket is the newest; `tried` is the outcome of its own choice.
@@ -47,7 +64,7 @@
             self.begin_check(true);
         }
         match tried {
-            Some(TurnOutcome::NoSlot) => self.is_full = true,
+            Some(TurnOutcome::NoSlot) => self.mark_full(request.rank),
             Some(TurnOutcome::Late) => self.passed.push(request.ticket),
             _ => {}
         }
@@ -76,17 +93,21 @@
         self.passed.clear();
         // A choice among nearly full targets is by lot, so repeating it without a change of capacity
         // would take more than this entry's share.
-        self.is_full &= !has_changed;
+        if has_changed {
+            self.full_from = None;
+        }
     }
 
     /// Gives the next request its turn and returns its ticket; `None` if one is choosing, or none
     /// may before the next check.
     pub(super) fn next_turn(&mut self) -> Option<WaitTicket> {
-        if self.turn.is_some() || self.is_full || self.turns >= MAX_TURNS_PER_CHECK {
+        if self.turn.is_some() || self.turns >= MAX_TURNS_PER_CHECK {
             return None;
         }
-        let open: Vec<&WaitingRequest> =
-            self.requests.iter().filter(|request| !self.passed.contains(&request.ticket)).collect();
+        let may_try = |request: &&WaitingRequest| {
+            !self.is_full_for(request.rank) && !self.passed.contains(&request.ticket)
+        };
+        let open: Vec<&WaitingRequest> = self.requests.iter().filter(may_try).collect();
         self.turn = first_in_order(&open, &self.charges).map(|index| open[index].ticket);
         self.turns += u32::from(self.turn.is_some());
         self.turn
@@ -110,7 +131,8 @@
             }
             TurnOutcome::Refused => self.remove(ticket),
             TurnOutcome::NoSlot => {
-                self.is_full = true;
+                let rank = self.requests.iter().find(|request| request.ticket == ticket)?.rank;
+                self.mark_full(rank);
                 None
             }
             TurnOutcome::Late => {
--- a/crates/fleet/src/entry/waiting/request.rs
+++ b/crates/fleet/src/entry/waiting/request.rs
@@ -27,7 +27,7 @@
     pub model: &'a str,
     /// Priority; 0 is the highest.
     pub priority: u8,
-    /// Whether its caller was refused before and waited as told.
+    /// Whether its caller was refused before.
     pub returned: bool,
     /// Team of the caller; requests without a team share one place in fair queueing.
     pub team: Option<&'a TeamName>,
@@ -74,7 +74,7 @@
     pub refusal: WaitRefusal,
 }
 
-/// What came of the turn of a waiting request.
+/// Outcome of the turn of a waiting request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TurnOutcome {
     /// It found a target and leaves the queue.
@@ -129,4 +129,10 @@
     pub(super) fn new(priority: u8, returned: bool) -> Self {
         Self { priority, returned }
     }
+
+    /// Whether a request of `other` finds no slot where one of this rank found none: only returned
+    /// callers may use fewer slots than others.
+    pub(super) fn is_full_for(self, other: Self) -> bool {
+        other.returned || !self.returned
+    }
 }
--- a/crates/fleet/tests/demand_shares.rs
+++ b/crates/fleet/tests/demand_shares.rs
@@ -153,6 +153,21 @@
     assert!(shared.refused_at[3] * 10 <= equal.refused_at[3] * 9, "{shared:?}, {equal:?}");
 }
 
+/// Guards against a leader that stops in the division of capacity: an entry whose demand lies at the
+/// floor, within rounding, moved above and below it without end.
+#[test]
+fn demand_at_the_floor_ends_the_division() {
+    for entries in 2..=17 {
+        let mut tracker = tracker();
+        let others = f64::from(u32::try_from(4 * entries - 1).expect("a few entries"));
+        let work = |number: usize| if number == 0 { (entries - 1) as f64 } else { others };
+
+        report_all(&mut tracker, entries, 0..3_000, |number| Some(work(number)));
+
+        assert_eq!(all_shares(&tracker, entries).len(), entries);
+    }
+}
+
 /// Guards against shares that do not sum to the whole, or that leave an entry without any, for any
 /// distribution of demand and up to 460 entries.
 #[test]
--- a/crates/fleet/tests/director/idle_plan.rs
+++ b/crates/fleet/tests/director/idle_plan.rs
@@ -189,6 +189,24 @@
     assert_eq!(off, Some(PlanAction::Stage { host: empty.id, model: SMALL.to_owned() }));
 }
 
+/// Guards against a load for a group that lacks another host besides: six warm hosts and an empty one
+/// make no group of eight, and the empty host would be of no use for the time of the load.
+#[test]
+fn an_empty_host_is_not_loaded_for_a_group_that_lacks_hosts() {
+    let mut fixture = large_fixture();
+    let mut free = warm_hosts(&mut fixture, 6);
+    free.push(fixture.host("a", None, &[]));
+    let large = vec![fixture.group("b", LARGE, &[SMALL]), fixture.group("c", LARGE, &[SMALL])];
+    let small = small_groups(&mut fixture, "bbcc", LARGE);
+    let view = fixture.view(free, [large, small], DEMAND);
+
+    let on = next(&view, true);
+
+    let loads_large =
+        |action: &PlanAction| matches!(action, PlanAction::Stage { model, .. } if model == LARGE);
+    assert!(!on.as_ref().is_some_and(loads_large), "{on:?}");
+}
+
 /// Guards against further loads for hosts whose own group waits for the last load: eight hosts make
 /// a large group of which there is none.
 #[test]
--- a/crates/fleet/tests/waiting.rs
+++ b/crates/fleet/tests/waiting.rs
@@ -452,3 +452,32 @@
         assert!(offered > 500 && offered == ended + open.len(), "{offered} {ended}");
     }
 }
+
+/// Guards against new callers that get no turns, and end as too late, because a returned caller
+/// found no slot: it may use fewer of them.
+#[test]
+fn a_returned_caller_without_a_slot_does_not_stop_new_ones() {
+    let returned = Offer { returned: true, ..OFFER };
+    let (mut queue, rate) = (WaitQueue::new(BOUNDS), rate_of(900));
+    offer_to(&mut queue, &rate, &returned, Some(TurnOutcome::NoSlot)).unwrap();
+
+    let new = offer_to(&mut queue, &rate, &OFFER, None).unwrap();
+
+    assert_eq!(queue.next_turn(), Some(new));
+    queue.settle(new, TurnOutcome::NoSlot);
+    queue.begin_check(CheckCause::Tick);
+    assert_eq!(queue.next_turn(), None, "what is full for new callers is full for all");
+}
+
+/// Guards against newcomers that are refused without a choice, behind a large prompt that waits
+/// because it would be late although groups have free slots.
+#[test]
+fn a_request_that_would_be_late_holds_up_no_newcomer() {
+    let (mut queue, rate) = (WaitQueue::new(BOUNDS), rate_of(5));
+    let large = Offer { group_ms: LARGE_MS, ..OFFER };
+
+    offer_to(&mut queue, &rate, &large, Some(TurnOutcome::Late)).unwrap();
+
+    assert!(!queue.must_join(&service(), MODEL, 1, false));
+    assert_eq!(offer_to(&mut queue, &rate, &OFFER, None), Err(WaitRefusal::TooLate));
+}
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -121,6 +121,11 @@
         }
     }
 
+    /// Records that the target was lost during the request, so that its end frees no slot.
+    pub(super) fn note_lost(&mut self) {
+        self.accepted = false;
+    }
+
     /// Records that bytes arrived from the target.
     pub(super) fn note_progress(&self) {
         self.state.table.borrow_mut().moved(self.state.now(), &self.target);
--- a/crates/gateway/src/entry/stream_relay.rs
+++ b/crates/gateway/src/entry/stream_relay.rs
@@ -116,6 +116,7 @@
                     }
                     StreamStep::End => return Ok((stream, None)),
                     StreamStep::Event(_) | StreamStep::Broken => {
+                        stream.answer.guard.note_lost();
                         request.runs += 1;
                         AttemptEnd::MayHaveRun
                     }
@@ -289,6 +290,7 @@
             }
             StreamStep::End => return true,
             StreamStep::Broken => {
+                stream.answer.guard.note_lost();
                 request.runs += 1;
                 if request.next_move(AttemptEnd::MayHaveRun) != NextStep::RetryElsewhere {
                     return false;
--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -57,7 +57,8 @@
         let overload = settings.entry.as_ref().and_then(|entry| entry.overload.as_ref());
         let bounds = WaitBounds {
             requests: overload.map_or(0, |overload| overload.max_waiting),
-            body_bytes: overload.map_or(0, |overload| overload.max_waiting_kb * KIB_BYTES),
+            body_bytes: overload
+                .map_or(0, |overload| overload.max_waiting_kb.saturating_mul(KIB_BYTES)),
         };
         Self {
             queue: RefCell::new(WaitQueue::new(bounds)),
@@ -225,7 +226,9 @@
         let state = Rc::clone(&self.state);
         let overload = state.settings.entry.as_ref().and_then(|entry| entry.overload.as_ref());
         let Some(overload) = overload else { return Ok(()) };
-        let tried = if self.must_join() {
+        // Without a limit for its wait, a request has nothing to gain from joining.
+        let may_wait = !self.max_wait(overload).is_zero();
+        let tried = if may_wait && self.must_join() {
             None
         } else {
             match self.reserve() {
@@ -277,18 +280,29 @@
         })
     }
 
+    /// Longest time that the request may wait; zero for a stream that its caller resumes, which no
+    /// forecast keeps from a group.
+    fn max_wait(&self, overload: &EntryOverload) -> Duration {
+        if self.head.last_event.is_some() {
+            return Duration::ZERO;
+        }
+        let percent = overload.wait_percent;
+        let part = if percent.is_finite() { percent.clamp(0.0, 100.0) / 100.0 } else { 0.0 };
+        let target = self.rule.target_latency;
+        // A new caller that waits longer would not be on time even on the soonest group. Groups that
+        // admit it beyond its target by tolerance are not worth a wait.
+        let expected = self.refusal.get().best.filter(|_| !has_returned(self.caller_age));
+        let spare = target.saturating_sub(expected.unwrap_or_default());
+        let left = self.time_left().saturating_sub(REFUSAL_MARGIN);
+        target.mul_f64(part).min(spare).min(left)
+    }
+
     /// The request as the queue knows it; `None` without a model.
     fn wait_request(
         &self,
         overload: &EntryOverload,
         tried: Option<TurnOutcome>,
     ) -> Option<WaitRequest<'_>> {
-        let part = overload.wait_percent.clamp(0.0, 100.0) / 100.0;
-        let target = self.rule.target_latency;
-        // A new caller that waits longer would not be on time even on the soonest group.
-        let expected = self.refusal.get().best.filter(|_| !has_returned(self.caller_age));
-        let spare = target.saturating_sub(expected.unwrap_or_default());
-        let max_wait = target.mul_f64(part).min(spare);
         Some(WaitRequest {
             service: &self.service,
             model: self.head.model.as_deref()?,
@@ -297,7 +311,7 @@
             team: self.team.as_ref(),
             group_ms: self.work.map_or(0.0, |work| work.group_ms),
             body_bytes: self.body.len(),
-            max_wait: max_wait.min(self.time_left().saturating_sub(REFUSAL_MARGIN)),
+            max_wait: self.max_wait(overload),
             tried,
         })
     }
