Reproduce the division that did not end

Cause: the first form of demand_at_the_floor_ends_the_division also passed without the fix: its rates did not meet the tie within rounding.

Change: it tries 39 multiples of the tie for each number of entries.

--- a/crates/fleet/tests/demand_shares.rs
+++ b/crates/fleet/tests/demand_shares.rs
@@ -157,12 +157,15 @@
 /// floor, within rounding, moved above and below it without end.
 #[test]
 fn demand_at_the_floor_ends_the_division() {
-    for entries in 2..=17 {
+    for (entries, factor) in [2, 8, 16, 17].into_iter().flat_map(|n| (1..40).map(move |k| (n, k))) {
         let mut tracker = tracker();
-        let others = f64::from(u32::try_from(4 * entries - 1).expect("a few entries"));
-        let work = |number: usize| if number == 0 { (entries - 1) as f64 } else { others };
+        let others = f64::from(factor * (4 * entries - 1));
+        let lowest = f64::from(factor * (entries - 1));
+        let entries = entries as usize;
 
-        report_all(&mut tracker, entries, 0..3_000, |number| Some(work(number)));
+        report_all(&mut tracker, entries, 0..1_500, |number| {
+            Some(if number == 0 { lowest } else { others })
+        });
 
         assert_eq!(all_shares(&tracker, entries).len(), entries);
     }
