--- a/crates/fleet/src/entry/forecast/group_forecast.rs
+++ b/crates/fleet/src/entry/forecast/group_forecast.rs
@@ -17,18 +17,15 @@
 /// would be refused for them and return in turn.
 const RETURNED_SLOT_PART: f64 = 0.85;
 
-/// Factor on the target latency up to which a forecast admits a new caller. Forecasts are rough: more
-/// than half of the requests that are expected somewhat beyond their target are on time.
-const NEW_CALLER_TOLERANCE: f64 = 1.4;
+/// Factor on the target latency up to which a forecast admits a request. Forecasts are rough: more
+/// than half of the requests that are expected somewhat beyond their target are on time, and a
+/// refused caller is late at best.
+const TARGET_TOLERANCE: f64 = 1.4;
 
 /// Returns the time within which the first event of a request has to be expected, under a route with
 /// the latency `target`, when the request has waited at the entry for `waited`.
-///
-/// A caller that returned is late already and may not make others late, so its time counts from its
-/// return, without tolerance.
-pub fn admission_budget(target: Duration, waited: Duration, returned: bool) -> Duration {
-    let tolerance = if returned { 1.0 } else { NEW_CALLER_TOLERANCE };
-    target.mul_f64(tolerance).saturating_sub(waited)
+pub fn admission_budget(target: Duration, waited: Duration) -> Duration {
+    target.mul_f64(TARGET_TOLERANCE).saturating_sub(waited)
 }
 
 /// Terms of one request, with the timing of the engine and the model that it asks for.
@@ -116,7 +113,10 @@
     /// Part of a group's slots that the request may use. The last ones are left to new callers, as
     /// long as these would be on time there.
     pub(in crate::entry) fn slot_part(&self, forecast: &GroupForecast) -> f64 {
-        let yields = self.latency.returned && forecast.admitted_ms <= self.budget_ms();
+        let yields = self
+            .latency
+            .yields_within
+            .is_some_and(|target| forecast.admitted_ms <= target.as_secs_f64() * 1e3);
         if yields { RETURNED_SLOT_PART } else { 1.0 }
     }
 
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -83,8 +83,9 @@
     pub budget: Option<Duration>,
     /// Longest gap between events that streams of the service may have.
     pub gap: Option<Duration>,
-    /// Whether the caller was refused before, so that its answer is late in any case.
-    pub returned: bool,
+    /// Target latency of the route if the caller was refused before, so that its answer is late in any
+    /// case: it leaves the last slots to new callers as long as these would be within the target.
+    pub yields_within: Option<Duration>,
 }
 
 /// All targets of an entry, with its knowledge of their load and limits.
--- a/crates/fleet/tests/forecast.rs
+++ b/crates/fleet/tests/forecast.rs
@@ -101,7 +101,7 @@
     let engine = engine(book);
     let work = engine.request_work(&engine.models[0], tokens, events * engine.stride);
     let budget = Some(Duration::from_secs_f64(TARGET_MS * 0.85 / 1e3));
-    LatencyTerms { work, budget, gap: Some(Duration::from_millis(GAP_MS)), returned: false }
+    LatencyTerms { work, budget, gap: Some(Duration::from_millis(GAP_MS)), yields_within: None }
 }
 
 fn choose(
@@ -421,3 +421,23 @@
     assert_eq!((sent, begun, load.unread.own_ms()), (158, 126, 0));
     assert!(!load.pass.is_valid(at(720)));
 }
+
+/// Under a burst, callers that were refused before took half of the slots with answers that are late
+/// in any case. They must leave the last slots to new callers that can be on time, and take them
+/// where new ones would be late as well.
+#[test]
+fn returned_callers_leave_the_last_slots_to_new_ones() {
+    let (book, mut table) = (book(), table(1, 1, 1));
+    let target = Duration::from_secs_f64(TARGET_MS / 1e3);
+    let new = LatencyTerms { gap: None, ..terms(&book, 1_420, 23) };
+    let returned = LatencyTerms { yields_within: Some(target), ..new };
+    let late = LatencyTerms { yields_within: Some(Duration::from_millis(50)), ..new };
+    record(&mut table, 0, 0, 42, 0);
+
+    assert!(choose(&mut table, at(1), &book, Some(new)).is_ok());
+    assert_eq!(choose(&mut table, at(1), &book, Some(returned)), Err(ChoiceRefusal::Full));
+    assert!(choose(&mut table, at(1), &book, Some(late)).is_ok());
+
+    record(&mut table, 2, 0, 30, 0);
+    assert!(choose(&mut table, at(3), &book, Some(returned)).is_ok());
+}
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -286,13 +286,13 @@
         let enabled = self.latency_bound && self.state.settings.entry.as_ref().is_some_and(enabled);
         let work = self.work.filter(|_| enabled)?;
         let target = self.rule.target_latency;
-        let returned = has_returned(self.caller_age) && !has_begun;
-        let budget = admission_budget(target, self.state.now().since(self.arrived), returned);
+        let budget = admission_budget(target, self.state.now().since(self.arrived));
         // A stream that has begun goes on even if its next event is late. A route without a target
         // has no late answers.
         let is_bound = !has_begun && !target.is_zero();
         let gap = self.rule.target_gap;
-        Some(LatencyTerms { work, budget: is_bound.then_some(budget), gap, returned })
+        let yields_within = (is_bound && has_returned(self.caller_age)).then_some(target);
+        Some(LatencyTerms { work, budget: is_bound.then_some(budget), gap, yields_within })
     }
 
     /// Chooses the target for the next attempt.
