Keep headroom on groups, and take age from deadlines only where that holds

Cause: callers of the two deployments choose the deadline of their first attempt freely.

Change: the last 15 percent of the slots are kept free of all requests while the group is on time (headroom). A caller counts as returned only with the setting full_deadlines (off). With max_waiting 0 nothing is offered to the queue, so a refusal names its real cause. Entries count unread prompts only for services to which the forecast applies.

--- a/crates/fleet/src/entry/forecast/group_forecast.rs
+++ b/crates/fleet/src/entry/forecast/group_forecast.rs
@@ -12,10 +12,10 @@
 /// quarter of the requests.
 const FORECAST_EXPONENT: i32 = 2;
 
-/// Part of the slots of a group that callers may use who were refused before. Under overload they
-/// would otherwise take half of the slots, with answers that are late in any case, and new callers
-/// would be refused for them and return in turn.
-const RETURNED_SLOT_PART: f64 = 0.85;
+/// Part of the slots of a group that requests use as long as it is on time. Entries learn of each
+/// other's requests up to a quarter of a second late, and what they send beyond the slots waits there
+/// and delays all first events.
+const HEADROOM_SLOT_PART: f64 = 0.85;
 
 /// Factor on the target latency up to which a forecast admits a request. Forecasts are rough: more
 /// than half of the requests that are expected somewhat beyond their target are on time, and a
@@ -110,14 +110,14 @@
         first_ms <= self.budget_ms() && forecast.gap_ms <= self.gap_ms()
     }
 
-    /// Part of a group's slots that the request may use. The last ones are left to new callers, as
-    /// long as these would be on time there.
+    /// Part of a group's slots that the request may use. The last ones are kept free as long as
+    /// requests of the usual size are on time there; a group that is late already has none to keep.
     pub(in crate::entry) fn slot_part(&self, forecast: &GroupForecast) -> f64 {
-        let yields = self
+        let has_headroom = self
             .latency
-            .yields_within
+            .headroom_within
             .is_some_and(|target| forecast.admitted_ms <= target.as_secs_f64() * 1e3);
-        if yields { RETURNED_SLOT_PART } else { 1.0 }
+        if has_headroom { HEADROOM_SLOT_PART } else { 1.0 }
     }
 
     fn budget_ms(&self) -> f64 {
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -83,9 +83,8 @@
     pub budget: Option<Duration>,
     /// Longest gap between events that streams of the service may have.
     pub gap: Option<Duration>,
-    /// Target latency of the route if the caller was refused before, so that its answer is late in any
-    /// case: it leaves the last slots to new callers as long as these would be within the target.
-    pub yields_within: Option<Duration>,
+    /// Forecast up to which the last slots of a group are kept free; `None` uses all slots.
+    pub headroom_within: Option<Duration>,
 }
 
 /// All targets of an entry, with its knowledge of their load and limits.
--- a/crates/fleet/tests/forecast.rs
+++ b/crates/fleet/tests/forecast.rs
@@ -101,7 +101,7 @@
     let engine = engine(book);
     let work = engine.request_work(&engine.models[0], tokens, events * engine.stride);
     let budget = Some(Duration::from_secs_f64(TARGET_MS * 0.85 / 1e3));
-    LatencyTerms { work, budget, gap: Some(Duration::from_millis(GAP_MS)), yields_within: None }
+    LatencyTerms { work, budget, gap: Some(Duration::from_millis(GAP_MS)), headroom_within: None }
 }
 
 fn choose(
@@ -422,22 +422,22 @@
     assert!(!load.pass.is_valid(at(720)));
 }
 
-/// Under a burst, callers that were refused before took half of the slots with answers that are late
-/// in any case. They must leave the last slots to new callers that can be on time, and take them
-/// where new ones would be late as well.
+/// Entries that each fill a group up to its slots exceed them together, since they learn of each other
+/// late; the excess waits there. The last slots must stay free while the group is on time, and be used
+/// where it is late already.
 #[test]
-fn returned_callers_leave_the_last_slots_to_new_ones() {
+fn groups_keep_headroom_while_they_are_on_time() {
     let (book, mut table) = (book(), table(1, 1, 1));
     let target = Duration::from_secs_f64(TARGET_MS / 1e3);
-    let new = LatencyTerms { gap: None, ..terms(&book, 1_420, 23) };
-    let returned = LatencyTerms { yields_within: Some(target), ..new };
-    let late = LatencyTerms { yields_within: Some(Duration::from_millis(50)), ..new };
+    let all = LatencyTerms { gap: None, ..terms(&book, 1_420, 23) };
+    let kept = LatencyTerms { headroom_within: Some(target), ..all };
+    let late = LatencyTerms { headroom_within: Some(Duration::from_millis(50)), ..all };
     record(&mut table, 0, 0, 42, 0);
 
-    assert!(choose(&mut table, at(1), &book, Some(new)).is_ok());
-    assert_eq!(choose(&mut table, at(1), &book, Some(returned)), Err(ChoiceRefusal::Full));
+    assert!(choose(&mut table, at(1), &book, Some(all)).is_ok());
+    assert_eq!(choose(&mut table, at(1), &book, Some(kept)), Err(ChoiceRefusal::Full));
     assert!(choose(&mut table, at(1), &book, Some(late)).is_ok());
 
     record(&mut table, 2, 0, 30, 0);
-    assert!(choose(&mut table, at(3), &book, Some(returned)).is_ok());
+    assert!(choose(&mut table, at(3), &book, Some(kept)).is_ok());
 }
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -8,7 +8,7 @@
 use briartray_fleet::deployment::{RepeatKind, RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
     AttemptEnd, CheckCause, ChoiceRefusal, LatencyTerms, NextStep, RetryState, SentPrompt,
-    TargetChoice, TargetId, TargetQuery, WaitRefusal, admission_budget, has_returned,
+    TargetChoice, TargetId, TargetQuery, WaitRefusal, admission_budget,
 };
 use briartray_model::TimePoint;
 use briartray_model::message::RunEnd;
@@ -22,7 +22,6 @@
 use super::crash_check;
 use super::returns::RefusalDetail;
 use super::state::EntryState;
-use crate::settings::EntryRole;
 use briartray_http::{Exchange, SendFailure};
 
 /// Time reserved for returning the response to the caller before the deadline.
@@ -104,7 +103,8 @@
     /// Counts `request` on the target of `choice`.
     pub(super) fn new(request: &ServedRequest, choice: &TargetChoice) -> Self {
         let state = &request.state;
-        let reading_ms = request.work.map_or(0.0, |work| work.reading_ms);
+        let work = request.work.filter(|_| request.latency_bound);
+        let reading_ms = work.map_or(0.0, |work| work.reading_ms);
         let mut table = state.table.borrow_mut();
         table.limits().send(state.now(), &choice.endpoint);
         table.begin(state.now(), &choice.target);
@@ -282,17 +282,17 @@
 
     /// Terms of admission by latency; `None` where slots alone decide.
     fn latency_terms(&self, has_begun: bool) -> Option<LatencyTerms> {
-        let enabled = |entry: &EntryRole| entry.overload.as_ref().is_some_and(|part| part.forecast);
-        let enabled = self.latency_bound && self.state.settings.entry.as_ref().is_some_and(enabled);
-        let work = self.work.filter(|_| enabled)?;
+        let entry = self.state.settings.entry.as_ref().filter(|_| self.latency_bound)?;
+        let overload = entry.overload.as_ref().filter(|overload| overload.forecast)?;
+        let work = self.work?;
         let target = self.rule.target_latency;
         let budget = admission_budget(target, self.state.now().since(self.arrived));
         // A stream that has begun goes on even if its next event is late. A route without a target
         // has no late answers.
         let is_bound = !has_begun && !target.is_zero();
         let gap = self.rule.target_gap;
-        let yields_within = (is_bound && has_returned(self.caller_age)).then_some(target);
-        Some(LatencyTerms { work, budget: is_bound.then_some(budget), gap, yields_within })
+        let headroom_within = (is_bound && overload.headroom).then_some(target);
+        Some(LatencyTerms { work, budget: is_bound.then_some(budget), gap, headroom_within })
     }
 
     /// Chooses the target for the next attempt.
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -132,8 +132,13 @@
     let service = state.table.borrow_mut().pick_service(&rule).ok_or(RefusalKind::NoReplica)?;
     state.count_request(&service);
     let work = state.count_demand(&book, &service, &head, &rule);
-    let latency_bound = work.is_some() && state.overload(&book, &service).is_some();
-    let caller_age = caller_age(rule.timeout, head.deadline);
+    let overload = state.overload(&book, &service).filter(|_| work.is_some());
+    let latency_bound = overload.is_some();
+    // Callers that choose their deadlines themselves would all be taken for returning ones.
+    let caller_age = match overload {
+        Some(overload) if overload.full_deadlines => caller_age(rule.timeout, head.deadline),
+        _ => Duration::ZERO,
+    };
     state.wait_for_replica(&service, head.model.as_deref(), deadline).await;
     let max_wait = deadline.min(rule.timeout);
     let idle_connections = idle_connections(state, &book, &service);
--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -225,7 +225,9 @@
         }
         let state = Rc::clone(&self.state);
         let overload = state.settings.entry.as_ref().and_then(|entry| entry.overload.as_ref());
-        let Some(overload) = overload else { return Ok(()) };
+        let Some(overload) = overload.filter(|overload| overload.max_waiting > 0) else {
+            return Ok(());
+        };
         // Without a limit for its wait, a request has nothing to gain from joining.
         let may_wait = !self.max_wait(overload).is_zero();
         let tried = if may_wait && self.must_join() {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -84,6 +84,11 @@
     pub max_waiting_kb: usize,
     /// Whether groups are chosen by a forecast of the first event; otherwise by free slots.
     pub forecast: bool,
+    /// Whether callers send the route's timeout as the deadline of their first attempt, so that a
+    /// shorter deadline marks a caller that was refused before.
+    pub full_deadlines: bool,
+    /// Whether the last slots of a group are kept free while it is on time; requires `forecast`.
+    pub headroom: bool,
     /// Whether refused callers are told times by the capacity that frees up; otherwise random ones.
     pub scheduled_returns: bool,
 }
@@ -96,6 +101,8 @@
             max_waiting: 64,
             max_waiting_kb: 4_096,
             forecast: true,
+            full_deadlines: false,
+            headroom: true,
             scheduled_returns: true,
         }
     }
--- a/crates/link/tests/handshake.rs
+++ b/crates/link/tests/handshake.rs
@@ -99,7 +99,8 @@
 fn unknown_kind_of_call_is_refused() {
     let server = counting_server();
 
-    let headers = [("x-briartray-token", TOKEN), ("x-briartray-version", "1")];
+    let headers =
+        [("x-briartray-token", TOKEN), ("x-briartray-version", briartray_link::PROTOCOL_VERSION)];
     let status = raw_status(server.address(), "/no-such-call", &headers);
 
     assert_eq!(status, StatusCode::NOT_FOUND);
