--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -7,8 +7,8 @@
 
 use briartray_fleet::deployment::{RepeatKind, RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
-    AttemptEnd, CheckCause, ChoiceRefusal, LatencyTerms, NextStep, RetryState, SentPrompt,
-    TargetChoice, TargetId, TargetQuery, WaitRefusal, admission_budget,
+    AttemptEnd, ChoiceRefusal, LatencyTerms, NextStep, RetryState, TargetChoice, TargetId,
+    TargetQuery, WaitRefusal, admission_budget,
 };
 use briartray_model::TimePoint;
 use briartray_model::message::RunEnd;
@@ -22,6 +22,7 @@
 use super::crash_check;
 use super::returns::RefusalDetail;
 use super::state::EntryState;
+use super::target_guard::TargetGuard;
 use briartray_http::{Exchange, SendFailure};
 
 /// Time reserved for returning the response to the caller before the deadline.
@@ -81,103 +82,12 @@
 /// request.
 const EXTRA_SENDS: u32 = 1;
 
-/// Counts a request on its target until dropped.
-pub(super) struct TargetGuard {
-    state: Rc<EntryState>,
-    began: TimePoint,
-    pub(super) target: TargetId,
-    /// Service and model, where admission by latency applies.
-    model: Option<(ServiceName, String)>,
-    /// Whether the target accepted the request, so that its end frees a slot.
-    accepted: bool,
-    prompt: Cell<SentPrompt>,
-}
-
 /// A target that was chosen for a request and counts it already.
 pub(super) struct ReservedTarget {
     pub(super) choice: TargetChoice,
     pub(super) guard: TargetGuard,
 }
 
-impl TargetGuard {
-    /// Counts `request` on the target of `choice`.
-    pub(super) fn new(request: &ServedRequest, choice: &TargetChoice) -> Self {
-        let state = &request.state;
-        let work = request.work.filter(|_| request.latency_bound);
-        let reading_ms = work.map_or(0.0, |work| work.reading_ms);
-        let mut table = state.table.borrow_mut();
-        table.limits().send(state.now(), &choice.endpoint);
-        table.begin(state.now(), &choice.target);
-        let prompt = Cell::new(SentPrompt::send(table.load(&choice.target), reading_ms));
-        drop(table);
-        let model = request.head.model.clone().filter(|_| request.latency_bound);
-        Self {
-            state: Rc::clone(state),
-            began: state.now(),
-            target: choice.target.clone(),
-            model: model.map(|model| (request.service.clone(), model)),
-            accepted: false,
-            prompt,
-        }
-    }
-
-    /// Records that the target was lost during the request, so that its end frees no slot.
-    pub(super) fn note_lost(&mut self) {
-        self.accepted = false;
-    }
-
-    /// Records that bytes arrived from the target.
-    pub(super) fn note_progress(&self) {
-        self.state.table.borrow_mut().moved(self.state.now(), &self.target);
-    }
-
-    /// Records that the first part of the response arrived.
-    pub(super) fn note_first_part(&self) {
-        let now = self.state.now();
-        let took = now.since(self.began);
-        let mut table = self.state.table.borrow_mut();
-        table.first_part(now, &self.target, took);
-        let mut prompt = self.prompt.get();
-        prompt.begin(table.load(&self.target));
-        self.prompt.set(prompt);
-    }
-
-    /// Records that an event of a stream arrived.
-    pub(super) fn note_event(&self, now: TimePoint) {
-        let mut prompt = self.prompt.get();
-        prompt.event(now, self.state.table.borrow_mut().load(&self.target));
-        self.prompt.set(prompt);
-    }
-
-    /// Records that the caller took `held` to accept an event.
-    pub(super) fn note_caller(&self, held: Duration) {
-        let mut prompt = self.prompt.get();
-        prompt.skip_gap(held);
-        self.prompt.set(prompt);
-    }
-
-    /// Whether the target has been silent for so long that no response is expected.
-    pub(super) fn is_given_up(&self) -> bool {
-        self.state.table.borrow().is_given_up(self.state.now(), &self.target)
-    }
-}
-
-impl Drop for TargetGuard {
-    fn drop(&mut self) {
-        let now = self.state.now();
-        let mut table = self.state.table.borrow_mut();
-        self.prompt.get().end(table.load(&self.target));
-        table.end(now, &self.target);
-        drop(table);
-        if let Some((service, model)) = &self.model {
-            if self.accepted {
-                self.state.completions.borrow_mut().record(now, service, model);
-            }
-            self.state.check_waiting(CheckCause::Ended { service, model });
-        }
-    }
-}
-
 /// A replica's response whose head has been validated and whose body has not been read.
 pub(super) struct LiveAnswer {
     pub(super) exchange: Exchange,
@@ -444,7 +354,7 @@
             log::warn!(status = status.as_u16(); "response lacks the replica's stamp; dropping it");
             return Err(self.end_attempt(AttemptEnd::MayHaveRun));
         }
-        guard.accepted = true;
+        guard.note_accepted();
         Ok(LiveAnswer { exchange, head, address, guard })
     }
 
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod state;
 mod stream_clock;
 mod stream_relay;
+mod target_guard;
 mod telemetry;
 mod waiting;
 mod whole_answer;
--- a/crates/gateway/src/entry/waiting.rs
+++ b/crates/gateway/src/entry/waiting.rs
@@ -15,8 +15,9 @@
 use briartray_model::{SortedTable, TimePoint};
 use tokio::sync::Notify;
 
-use super::dispatch::{ReservedTarget, ServedRequest, TargetGuard};
+use super::dispatch::{ReservedTarget, ServedRequest};
 use super::state::EntryState;
+use super::target_guard::TargetGuard;
 use crate::settings::{EntryOverload, GatewaySettings};
 
 /// Interval between checks while a request waits.
