Add failing tests of the split between models of different group sizes

Callers of the large model are refused for lack of slots while the small model has half as many groups again as its callers need. Cause: shown here, not mended: wanted groups of the large model below its work on 44 hosts, which suffice for both.

--- a/crates/fleet/tests/director/main.rs
+++ b/crates/fleet/tests/director/main.rs
@@ -10,3 +10,4 @@
 mod models;
 mod planner;
 mod seeded;
+mod split;
--- a/crates/fleet/tests/director/models.rs
+++ b/crates/fleet/tests/director/models.rs
@@ -28,6 +28,15 @@
     plan
 }
 
+/// Groups of eight and of two hosts.
+pub fn uneven_groups() -> DeploymentPlan {
+    let mut plan = two_models();
+    let engine = plan.services[0].engine.as_mut().expect("the fixture has an engine");
+    engine.slots = 48;
+    engine.models[0].size = 8;
+    plan
+}
+
 /// A deployment of two models over one pool of hosts.
 pub fn two_models() -> DeploymentPlan {
     let model = |name: &str, size, pace, load, warmup| ModelSpec {
--- a/crates/fleet/tests/director/planner.rs
+++ b/crates/fleet/tests/director/planner.rs
@@ -93,7 +93,7 @@
 
 /// Demand of `rate` requests a second for the model at `index`, with `prompt` tokens in and
 /// `answer` tokens out each.
-fn request_demand(
+pub fn request_demand(
     engine: &EngineModel,
     index: usize,
     rate: f64,
--- /dev/null
+++ b/crates/fleet/tests/director/split.rs
@@ -0,0 +1,83 @@
+//! Split of the hosts between models of very different group sizes.
+
+use briartray_fleet::director::{GroupPlanner, ModelSupply, PlacedGroup, PoolHost};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::models::{LARGE, SMALL, uneven_groups};
+use crate::planner::{LARGE_INDEX, PoolFixture, SMALL_INDEX, request_demand};
+
+/// Seeds of the test of random demands.
+const SEEDS: u64 = 200;
+
+/// Utilization up to which a group leaves callers room for fluctuations.
+const INTENDED_UTILIZATION: f64 = 0.85;
+
+fn uneven_fixture() -> PoolFixture {
+    let mut fixture = PoolFixture::new();
+    fixture.engine = uneven_groups().services[0].engine.clone().expect("the plan has an engine");
+    fixture
+}
+
+/// Supplies of both models for `rates` requests per second, on one domain of each group that serves
+/// and a spare in it. The prompts of the large model are twice as long.
+fn supplies(groups: [usize; 2], rates: [f64; 2]) -> Vec<ModelSupply> {
+    let mut fixture = uneven_fixture();
+    let mut placed = |model: &str, count: usize| -> Vec<PlacedGroup> {
+        (0..count).map(|number| fixture.group(&format!("{model}-{number}"), model, &[])).collect()
+    };
+    let groups = [placed(LARGE, groups[0]), placed(SMALL, groups[1])];
+    let domains = groups.iter().flatten().map(|group| group.domain.clone());
+    let domains: Vec<_> = domains.collect();
+    let free: Vec<PoolHost> =
+        domains.iter().map(|domain| fixture.host(domain.as_str(), Some(SMALL), &[])).collect();
+    let large = request_demand(&fixture.engine, LARGE_INDEX, rates[0], 1_650, 92);
+    let small = request_demand(&fixture.engine, SMALL_INDEX, rates[1], 714, 130);
+    let mut view = fixture.view(free, groups, [0.0, 0.0]);
+    view.demand = vec![large, small];
+    view.steady_demand = view.demand.clone();
+    GroupPlanner::new(view).supplies()
+}
+
+/// Guards against a model that is given up because its groups are large: one request in nine asks for
+/// it, and two groups of eight hosts were wanted for it where its callers needed two and a half,
+/// while the small model was to have half as many again as its callers needed.
+#[test]
+fn a_model_with_large_groups_gets_groups_for_its_work() {
+    let supplies = supplies([2, 14], [37.0, 285.0]);
+
+    let [large, small] = [&supplies[LARGE_INDEX], &supplies[SMALL_INDEX]];
+    assert!(large.wanted >= large.busy, "{large:?}, {small:?}");
+    assert!(small.wanted >= small.busy, "{large:?}, {small:?}");
+}
+
+/// Hosts that whole groups of both models take at the intended utilization.
+fn needed_hosts(supplies: &[ModelSupply]) -> f64 {
+    let groups = |index: usize| (supplies[index].busy / INTENDED_UTILIZATION).ceil();
+    groups(LARGE_INDEX) * 8.0 + groups(SMALL_INDEX) * 2.0
+}
+
+/// Guards against a split that refuses callers of one model while the hosts suffice for both: each
+/// model gets the groups that its work keeps busy.
+#[test]
+fn seeded_demands_leave_no_model_short() {
+    let mut checked = 0;
+    for seed in 0..SEEDS {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let groups = [random.random_range(1..8), random.random_range(4..40)];
+        let hosts = (groups[0] * 8 + groups[1] * 2) as f64;
+        let (part, load) = (random.random_range(0.1..0.9), random.random_range(0.5..0.85));
+        let unit = supplies(groups, [1.0, 1.0]);
+        let large = hosts * part * load / 8.0 / unit[LARGE_INDEX].busy;
+        let small = hosts * (1.0 - part) * load / 2.0 / unit[SMALL_INDEX].busy;
+
+        let supplies = supplies(groups, [large, small]);
+
+        if needed_hosts(&supplies) <= hosts {
+            checked += 1;
+            let is_met = |supply: &ModelSupply| supply.wanted >= supply.busy;
+            assert!(supplies.iter().all(is_met), "seed {seed}: {supplies:?}");
+        }
+    }
+    assert!(checked >= SEEDS / 2, "only {checked} seeds have enough hosts");
+}
