Spread the losses of callers over the models when hosts are split

Cause: the split minimized the sum of lost requests. A group of eight hosts serves a few costly requests, and its hosts save as many late answers of a model with eight times the callers, so half of one model's callers were refused for the last hundredths of the other's. Class: a sum over kinds hides the kind that loses everything. Change: the cost of a model is its requests times the square of the part that is lost.

--- a/crates/fleet/src/director/plan/lateness.rs
+++ b/crates/fleet/src/director/plan/lateness.rs
@@ -1,5 +1,4 @@
-//! Split of the hosts between models that makes the fewest answers late, by the published engine
-//! model.
+//! Split of the hosts between models that costs callers least, by the published engine model.
 //!
 //! Load pattern: two models share one pool of hosts, one of them with long prompts and large
 //! groups. With equal utilization, most answers of that model are late and few of the other one. A
@@ -50,8 +49,12 @@
     Some(groups)
 }
 
-/// Cost to the callers of `model` per second, in refused requests, when `groups` of it share the
-/// demand.
+/// Cost to the callers of `model` per second when `groups` of it share the demand: the requests times
+/// the square of the part of them that is lost.
+///
+/// The square spreads losses over the models. With the lost requests alone, a model whose groups are
+/// large is given up: its hosts save a few late answers of a model with many callers, while half of
+/// its own callers are refused.
 fn caller_cost(
     engine: &EngineModel,
     model: &ModelSpec,
@@ -64,7 +67,8 @@
     let most = groups * capacity(engine, model, model_demand);
     let served = model_demand.requests.min(most);
     let late = late_fraction(engine, model, model_demand, served / groups);
-    (model_demand.requests - served) + served * late * LATE_COST
+    let lost = (model_demand.requests - served) + served * late * LATE_COST;
+    lost * lost / model_demand.requests
 }
 
 /// Requests per second that one group answers at its average capacity.
--- a/crates/fleet/src/director/plan/wanted.rs
+++ b/crates/fleet/src/director/plan/wanted.rs
@@ -12,7 +12,7 @@
 
 impl GroupPlanner<'_> {
     /// Wanted groups of each model for `demand` per second: all hosts but some spares, split so that
-    /// the fewest answers are late; as far as the demand is not trusted, by the given shares.
+    /// callers lose least; as far as the demand is not trusted, by the given shares.
     ///
     /// The split matters, not the sum: when only as many groups were wanted as the demand needs in
     /// total, two models with a shortage took hosts from each other, and hosts were idle at the
