--- a/crates/fleet/tests/director/split.rs
+++ b/crates/fleet/tests/director/split.rs
@@ -1,6 +1,8 @@
 //! Split of the hosts between models of very different group sizes.
 
+use briartray_fleet::deployment::ModelSpec;
 use briartray_fleet::director::{GroupPlanner, ModelSupply, PlacedGroup, PoolHost};
+use briartray_model::names::IncarnationId;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -81,3 +83,37 @@
     }
     assert!(checked >= SEEDS / 2, "only {checked} seeds have enough hosts");
 }
+
+/// Guards against a third model that is given up: a thousandth of the callers ask for it. It keeps a
+/// group, and the other two still have groups for their work.
+#[test]
+fn a_model_with_few_callers_keeps_a_group() {
+    let mut fixture = uneven_fixture();
+    let rare = ModelSpec { name: "rare".to_owned(), ..fixture.engine.models[LARGE_INDEX].clone() };
+    fixture.engine.models.push(rare);
+    let small: Vec<PlacedGroup> =
+        (0..30).map(|number| fixture.group(&format!("small-{number}"), SMALL, &[])).collect();
+    let hosts = small.iter().flat_map(|group| &group.hosts).count();
+    let engine = &fixture.engine;
+    let demand = vec![
+        request_demand(engine, LARGE_INDEX, 37.0, 1_650, 92),
+        request_demand(engine, SMALL_INDEX, 285.0, 714, 130),
+        request_demand(engine, LARGE_INDEX, 0.3, 1_650, 92),
+    ];
+    let free = small.iter().map(|group| PoolHost {
+        id: IncarnationId::new(&format!("spare-{}", group.domain.as_str())),
+        ..group.hosts[0].clone()
+    });
+    let mut view = fixture.view(free.collect(), [Vec::new(), small.clone()], [0.0, 0.0]);
+    view.groups.push(Vec::new());
+    view.shares.push(0.5);
+    view.steady_demand = demand.clone();
+    view.demand = demand;
+
+    let supplies = GroupPlanner::new(view).supplies();
+
+    assert!(supplies[2].wanted >= 1.0, "{supplies:?}");
+    assert!(supplies.iter().all(|supply| supply.wanted >= supply.busy), "{supplies:?}");
+    let used = supplies[0].wanted * 8.0 + supplies[1].wanted * 2.0 + supplies[2].wanted * 8.0;
+    assert!(used <= hosts as f64, "{supplies:?}");
+}
