Weigh losses by the hosts that callers ask for, and serve all models' work first

Cause: the squared loss was weighed by the number of requests, of which the large model has few. Evidence: too_few_hosts_are_shared_by_the_work_of_the_models failed before (2.0 of 4.5 and 13.0 of 11.0 groups) and passes now.

--- a/crates/fleet/src/director/plan/lateness.rs
+++ b/crates/fleet/src/director/plan/lateness.rs
@@ -21,7 +21,8 @@
 /// demand.
 ///
 /// Hosts are assigned one group at a time, to the model in which one more group saves the most cost
-/// for each host.
+/// for each host. Models with fewer groups than their work keeps busy come first: no host makes the
+/// answers of one model sooner while callers of another one are refused.
 pub(super) fn split_hosts(
     engine: &EngineModel,
     demand: &[WorkSum],
@@ -39,22 +40,24 @@
             let (now, more) = (groups[index], groups[index] + 1.0);
             let saved = caller_cost(engine, model, model_demand, now)
                 - caller_cost(engine, model, model_demand, more);
-            (model.size as f64 <= left).then_some((saved / model.size as f64, index))
+            let lacks_work = now < model_demand.work_ms / 1e3;
+            (model.size as f64 <= left).then_some((lacks_work, saved / model.size as f64, index))
         };
         let gains = models.iter().enumerate().filter_map(gain);
-        let Some((_, best)) = gains.max_by(|a, b| a.0.total_cmp(&b.0)) else { break };
+        let best = gains.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let Some((_, _, best)) = best else { break };
         groups[best] += 1.0;
         left -= models[best].0.size as f64;
     }
     Some(groups)
 }
 
-/// Cost to the callers of `model` per second when `groups` of it share the demand: the requests times
-/// the square of the part of them that is lost.
+/// Cost to the callers of `model` when `groups` of it share the demand: the hosts that they ask for
+/// times the square of the part of their requests that is lost.
 ///
-/// The square spreads losses over the models. With the lost requests alone, a model whose groups are
-/// large is given up: its hosts save a few late answers of a model with many callers, while half of
-/// its own callers are refused.
+/// The square spreads losses over the models, each by its claim to hosts. With the sum of lost
+/// requests, a model whose groups are large is given up: its hosts save a few late answers of a model
+/// with many callers, while half of its own callers are refused.
 fn caller_cost(
     engine: &EngineModel,
     model: &ModelSpec,
@@ -68,7 +71,9 @@
     let served = model_demand.requests.min(most);
     let late = late_fraction(engine, model, model_demand, served / groups);
     let lost = (model_demand.requests - served) + served * late * LATE_COST;
-    lost * lost / model_demand.requests
+    let lost_part = lost / model_demand.requests;
+    let hosts = model_demand.work_ms / 1e3 * model.size as f64;
+    hosts * lost_part * lost_part
 }
 
 /// Requests per second that one group answers at its average capacity.
--- a/crates/fleet/tests/director/split.rs
+++ b/crates/fleet/tests/director/split.rs
@@ -84,6 +84,18 @@
     assert!(checked >= SEEDS / 2, "only {checked} seeds have enough hosts");
 }
 
+/// Guards against a model that bears the whole loss when hosts are few: 42 hosts, and work for 58. Its
+/// part of the work that has groups is at least half of the other model's.
+#[test]
+fn too_few_hosts_are_shared_by_the_work_of_the_models() {
+    let supplies = supplies([2, 13], [68.0, 320.0]);
+
+    let covered = |index: usize| (supplies[index].wanted / supplies[index].busy).min(1.0);
+    let (large, small) = (covered(LARGE_INDEX), covered(SMALL_INDEX));
+    assert!(supplies[LARGE_INDEX].busy * 8.0 + supplies[SMALL_INDEX].busy * 2.0 > 42.0);
+    assert!(large >= small / 2.0 && small >= large / 2.0, "{supplies:?}");
+}
+
 /// Guards against a third model that is given up: a thousandth of the callers ask for it. It keeps a
 /// group, and the other two still have groups for their work.
 #[test]
