Compute the supplies of a plan once, and settle wording

Cause: the line of the plan and the metrics each looked for the domain nearest to a group. Change: once a plan.

--- a/crates/fleet/src/director/plan/lateness.rs
+++ b/crates/fleet/src/director/plan/lateness.rs
@@ -21,8 +21,8 @@
 /// demand.
 ///
 /// Hosts are assigned one group at a time, to the model in which one more group saves the most cost
-/// for each host. Models with fewer groups than their work keeps busy come first: no host makes the
-/// answers of one model sooner while callers of another one are refused.
+/// for each host. Models with fewer groups than their work keeps busy come first, so that answers of
+/// one model do not get sooner at the price of refused callers of another one.
 pub(super) fn split_hosts(
     engine: &EngineModel,
     demand: &[WorkSum],
--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -137,13 +137,14 @@
     }
 
     /// Inputs of the plan as one line for the log: wanted groups of each model, hosts, trust in the
-    /// demand, what models lack, and with `overload` the hosts that idle while a model is short.
-    pub fn summary(&self) -> String {
+    /// demand, what models lack by their `supplies`, and with `overload` the hosts that idle while a
+    /// model is short.
+    pub fn summary(&self, supplies: &[ModelSupply]) -> String {
         let describe = |(model, wanted): (&ModelSpec, &f64)| format!("{} {wanted:.1}", model.name);
         let wanted: Vec<String> = self.models().iter().zip(&self.wanted).map(describe).collect();
         let (hosts, trust) = (self.groupable_hosts(), self.view.trust);
         let mut summary = format!("wanted {} on {hosts} hosts, trust {trust:.1}", wanted.join(" "));
-        for supply in self.supplies().iter().filter(|supply| supply.lacking() > 0) {
+        for supply in supplies.iter().filter(|supply| supply.lacking() > 0) {
             summary.push_str(&format!("; {}", supply.shortage()));
         }
         if self.view.overload { format!("{summary}, idle {}", self.idle_hosts()) } else { summary }
--- a/crates/fleet/tests/director/planner.rs
+++ b/crates/fleet/tests/director/planner.rs
@@ -341,7 +341,7 @@
     assert_eq!(supplies[LARGE_INDEX].lacking(), 1);
     assert_eq!(supplies[LARGE_INDEX].nearest, Some(nearest));
     assert_eq!(supplies[SMALL_INDEX].lacking(), 0);
-    assert!(planner.summary().contains("large lacks 1, a 2 ready 1 loading of 3 free"));
+    assert!(planner.summary(&supplies).contains("large lacks 1, a 2 ready 1 loading of 3 free"));
 }
 
 /// Checks the model order on which the demand and groups of the fixture depend.
