Test the bounds of the split without demand or trust and on slow hosts

Cause: no test asked whether the split stays within the hosts when nobody asks for a model, all hosts are slow or the leader has just changed.

--- a/crates/fleet/tests/director/split.rs
+++ b/crates/fleet/tests/director/split.rs
@@ -129,3 +129,37 @@
     let used = supplies[0].wanted * 8.0 + supplies[1].wanted * 2.0 + supplies[2].wanted * 8.0;
     assert!(used <= hosts as f64, "{supplies:?}");
 }
+
+/// Guards against more groups than hosts make, or a number that is none, when nobody asks for a model,
+/// when every host is slow, and when the leader has just changed: each model is to have a group, and
+/// together no more than the hosts.
+#[test]
+fn the_split_is_bounded_without_demand_or_trust_and_on_slow_hosts() {
+    for (rates, slow, trust) in [
+        ([0.0, 0.0], false, 1.0),
+        ([0.0, 285.0], false, 1.0),
+        ([37.0, 0.0], false, 1.0),
+        ([37.0, 285.0], true, 1.0),
+        ([37.0, 285.0], false, 0.0),
+    ] {
+        let mut fixture = uneven_fixture();
+        let large: Vec<_> = (0..2).map(|_| fixture.group("a", LARGE, &[SMALL])).collect();
+        let small: Vec<_> = (0..14).map(|_| fixture.group("b", SMALL, &[LARGE])).collect();
+        let demand =
+            [(LARGE_INDEX, 1_650, 92), (SMALL_INDEX, 714, 130)].map(|(index, prompt, answer)| {
+                request_demand(&fixture.engine, index, rates[index], prompt, answer)
+            });
+        let mut view = fixture.view(Vec::new(), [large, small], [0.0, 0.0]);
+        view.demand = demand.to_vec();
+        view.steady_demand = demand.to_vec();
+        view.trust = trust;
+        let hosts = view.groups.iter_mut().flatten().flat_map(|group| &mut group.hosts);
+        hosts.for_each(|host| host.slow = slow);
+
+        let supplies = GroupPlanner::new(view).supplies();
+
+        let used = supplies[LARGE_INDEX].wanted * 8.0 + supplies[SMALL_INDEX].wanted * 2.0;
+        assert!(supplies.iter().all(|supply| supply.wanted >= 1.0), "{rates:?} {supplies:?}");
+        assert!(used <= 44.0 + f64::EPSILON * 100.0, "{rates:?} {supplies:?}");
+    }
+}
