Wait for the storage thread when the control role stops

Cause: ControlNode::stop asked the control thread to end and returned. The storage thread went on writing; the caller removed the data folder, the write failed, and the role raised SIGTERM on its process, which here was the test binary. ControlProcess::stop of the gateway had the same gap.

Change: the control thread and the storage thread hold a token until they have ended; both stops wait for it, with a limit (10 s; what is left of the grace period in the gateway).

--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -13,6 +13,7 @@
 use briartray_model::names::NodeName;
 use briartray_model::{SortedTable, TimePoint, codec};
 use briartray_node::ClockReader;
+use briartray_web::WorkerToken;
 use crossbeam::channel::{RecvTimeoutError, Sender};
 use tokio::sync::mpsc;
 
@@ -49,6 +50,8 @@
     /// Notified when the role cannot continue.
     pub(super) failure: Sender<RoleFailure>,
     pub(super) files: FileSource,
+    /// Held until the role's threads have ended.
+    pub(super) running: WorkerToken,
 }
 
 impl CoreParts {
@@ -142,7 +145,7 @@
             times: AGREEMENT_TIMES,
             seed: rand::random(),
         };
-        match disk::start(opened.folder, self.parts.inputs.clone()) {
+        match disk::start(opened.folder, self.parts.inputs.clone(), self.parts.running.clone()) {
             Ok(disk) => self.disk = Some(disk),
             Err(error) => return log::error!("no storage thread: {error}; raise the thread limit"),
         }
--- a/crates/gateway/src/control/disk.rs
+++ b/crates/gateway/src/control/disk.rs
@@ -2,18 +2,20 @@
 
 use briartray_control::agreement::WriteBatch;
 use briartray_control::storage::{DataFolder, write_batches};
-use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
+use briartray_web::{WORKER_STACK_BYTES, WorkerToken, spawn_worker};
 use crossbeam::channel::{Sender, unbounded};
 
 use super::input::{CoreInput, InputSender};
 
-/// Starts the storage thread, which ends when the returned sender is dropped or a write fails.
+/// Starts the storage thread, which ends when the returned sender is dropped or a write fails, and
+/// holds `running` until the folder is released.
 ///
 /// The channel needs no limit of its own: a leader accepts a limited number of proposals, and a
 /// follower receives a limited number of bytes before it has acknowledged them.
 pub(super) fn start(
     folder: DataFolder,
     inputs: InputSender,
+    running: WorkerToken,
 ) -> std::io::Result<Sender<WriteBatch>> {
     let (batches, queue) = unbounded();
     let run = move || {
@@ -27,6 +29,7 @@
             };
             inputs.send(input)
         });
+        drop(running);
     };
     spawn_worker("storage", 2 * WORKER_STACK_BYTES, run)?;
     Ok(batches)
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -28,9 +28,11 @@
 mod streams;
 mod voters;
 
+use std::time::Duration;
+
 use briartray_link::LinkServer;
 use briartray_node::metrics::MetricsHub;
-use briartray_web::{WORKER_STACK_BYTES, spawn_worker};
+use briartray_web::{WORKER_STACK_BYTES, WorkerWatch, spawn_worker, worker_watch};
 use crossbeam::channel::{Receiver, bounded};
 use snafu::ResultExt;
 
@@ -51,6 +53,8 @@
     link: LinkServer,
     inputs: InputSender,
     failures: Receiver<RoleFailure>,
+    /// Watches the control thread and the storage thread.
+    workers: WorkerWatch,
 }
 
 impl ControlProcess {
@@ -65,6 +69,7 @@
     ) -> Result<Self, ProcessError> {
         let (inputs, queue) = input_queue();
         let (failure, failures) = bounded(1);
+        let (running, workers) = worker_watch();
         let hub = MetricsHub::default();
         let metrics = hub.add(ControlMetrics::register);
         let calls = api::start(role.listen, inputs.clone(), settings.metrics, hub)?;
@@ -81,6 +86,7 @@
             metrics,
             failure,
             files,
+            running,
         };
         spawn_worker("control", CONTROL_STACK_BYTES, move || {
             let folder = match parts.open_folder(&queue) {
@@ -91,7 +97,7 @@
             ControlCore::new(parts, folder).run(&queue);
         })
         .context(SetupSnafu { what: "the control thread" })?;
-        Ok(Self { link, inputs, failures })
+        Ok(Self { link, inputs, failures, workers })
     }
 
     /// Channel that receives a failure when the role cannot continue.
@@ -99,9 +105,13 @@
         &self.failures
     }
 
-    /// Stops the role's threads.
-    pub fn stop(&self) {
+    /// Stops the role's threads, and waits for at most `limit` until its writes have ended and the
+    /// data folder is released.
+    pub fn stop(&self, limit: Duration) {
         self.inputs.send(CoreInput::Stop);
         self.link.stop();
+        if !self.workers.wait(limit) {
+            log::warn!("the control role still uses its data folder; check the disk");
+        }
     }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,6 +1,7 @@
 //! Start, run and shutdown of one process.
 
 use std::path::Path;
+use std::time::Instant;
 
 use briartray_control::storage::FileAccess;
 use briartray_control::storage::StorageError;
@@ -88,12 +89,13 @@
     let never = crossbeam::channel::never();
     let failures = control.as_ref().map_or(&never, ControlProcess::failures);
     let failure = wait_for_shutdown(signals, failures, path, &settings)?;
+    let stop_deadline = Instant::now() + settings.limits.grace();
     let drained = entry.is_none_or(|entry| entry.drain(settings.limits.grace()));
     if !drained {
         log::warn!("grace period expired with requests still in progress; they are cut off");
     }
     if let Some(control) = control {
-        control.stop();
+        control.stop(stop_deadline.saturating_duration_since(Instant::now()));
     }
     log::info!("stopped");
     failure.map_or(Ok(()), |failure| Err(failure.into()))
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -26,6 +26,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use briartray_control::agreement::{
     AgreementCore, AgreementSettings, AgreementTimes, FolderId, MembershipMode, RecoveredState,
@@ -35,7 +36,7 @@
 use briartray_model::names::NodeName;
 use briartray_model::rules::RuleDocument;
 use briartray_model::settings::{ControlSettings, DaemonSettings};
-use briartray_web::{HttpListener, WORKER_STACK_BYTES, spawn_worker};
+use briartray_web::{HttpListener, WORKER_STACK_BYTES, WorkerWatch, spawn_worker, worker_watch};
 use crossbeam::channel::{Sender, bounded};
 
 use self::core::{ControlCore, ControlParts};
@@ -54,12 +55,17 @@
 /// Stack of the control thread, in bytes.
 const CONTROL_STACK_BYTES: usize = 8 * WORKER_STACK_BYTES;
 
+/// How long a stop waits for the disk.
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Handle of a running control role.
 pub struct ControlNode {
     link: LinkServer,
     operator: HttpListener,
     inputs: Sender<ControlInput>,
     shared: Arc<ControlShared>,
+    /// Watches the control thread and the storage thread.
+    workers: WorkerWatch,
 }
 
 impl ControlNode {
@@ -93,6 +99,7 @@
         let agreement_metrics = metrics.add(AgreementMetrics::register);
         let group_metrics = metrics.add(GroupMetrics::register);
         let (inputs, queue) = bounded(INPUT_QUEUE_CAPACITY);
+        let (running, workers) = worker_watch();
         let handler = {
             let (inputs, shared) = (inputs.clone(), Arc::clone(&shared));
             Box::new(move |stream| streams::accept(stream, &inputs, &shared))
@@ -108,6 +115,7 @@
                 inputs.clone(),
                 Arc::clone(&shared),
                 agreement_metrics.clone(),
+                running.clone(),
             )?,
             peers: PeerLinks::start(
                 &settings.cluster.token,
@@ -120,8 +128,11 @@
             first_rules,
             rules_hold: role.rules_hold,
         };
-        spawn_worker("control", CONTROL_STACK_BYTES, move || ControlCore::new(parts).run(&queue))?;
-        Ok(Self { link, operator, inputs, shared })
+        spawn_worker("control", CONTROL_STACK_BYTES, move || {
+            ControlCore::new(parts).run(&queue);
+            drop(running);
+        })?;
+        Ok(Self { link, operator, inputs, shared, workers })
     }
 
     /// Address of the link port, to which entries, agents and other control hosts connect.
@@ -139,11 +150,15 @@
         self.shared.failure()
     }
 
-    /// Closes both ports and asks the control thread to stop.
+    /// Closes both ports, and waits until the role's writes have ended and the data folder is
+    /// released.
     pub fn stop(&self) {
         self.operator.stop();
         self.link.stop();
         let _ = self.inputs.send(ControlInput::Stop);
+        if !self.workers.wait(STOP_TIMEOUT) {
+            log::warn!("the control role still uses its data folder; check the disk");
+        }
     }
 }
 
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -13,4 +13,4 @@
 pub use front_proxy::{ListenerLimits, connection_allowance};
 pub use listener::{HttpListener, ListenError};
 pub use reply::{JsonReply, header_value, reply_json, reply_text};
-pub use worker::{WORKER_STACK_BYTES, spawn_worker};
+pub use worker::{WORKER_STACK_BYTES, WorkerToken, WorkerWatch, spawn_worker, worker_watch};
