Try ports on every loopback address that a test uses

Cause: free_address tries a port on 127.0.0.1, but the hosts of a test deployment listen on 127.0.0.1 to 127.0.0.7. A port that another process has on one of the others passed as free.

Change: free_port takes the addresses and tries the port on each.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,5 +12,5 @@
 mod text;
 pub mod weights;
 
-pub use ports::{free_address, free_addresses};
+pub use ports::{free_address, free_addresses, free_port};
 pub use text::{expected_text, prompt_digest, token_text};
--- a/crates/standin/src/ports.rs
+++ b/crates/standin/src/ports.rs
@@ -1,4 +1,4 @@
-//! Allocates loopback addresses for processes that need each other's address before they start.
+//! Allocates loopback ports and addresses for processes that need each other's address before they start.
 
 use std::io::{Error, ErrorKind, Result};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -18,24 +18,29 @@
 /// Returns a loopback address whose port is currently free.
 ///
 /// # Errors
-/// The error of the last bind attempt when none of the tried ports is free.
+/// The same as [`free_port`].
 pub fn free_address() -> Result<SocketAddr> {
-    bind_free_port().map(|(address, _)| address)
+    let host = Ipv4Addr::LOCALHOST;
+    free_port(&[host]).map(|port| SocketAddr::from((host, port)))
 }
 
 /// Returns `count` distinct loopback addresses whose ports are currently free.
 ///
 /// # Errors
-/// The same as [`free_address`].
+/// The same as [`free_port`].
 pub fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
     (0..count).map(|_| free_address()).collect()
 }
 
-/// Binds the next free port; a process allocates none twice before it has used the whole range.
+/// Returns a port that is currently free on each of `hosts`; a process allocates none twice before
+/// it has used the whole range.
 ///
 /// The receiver of a port may not listen on it yet when the next one is allocated, and of two
 /// processes with the same port one could not start.
-fn bind_free_port() -> Result<(SocketAddr, TcpListener)> {
+///
+/// # Errors
+/// The error of the last bind attempt when none of the tried ports is free.
+pub fn free_port(hosts: &[Ipv4Addr]) -> Result<u16> {
     static START_OFFSET: OnceLock<u16> = OnceLock::new();
     static ALLOCATED: AtomicU16 = AtomicU16::new(0);
 
@@ -45,9 +50,8 @@
     for _ in 0..MAX_PORT_ATTEMPTS {
         let offset = ALLOCATED.fetch_add(1, Ordering::Relaxed) % range_len;
         let port = PORT_RANGE.start + (start + offset) % range_len;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        match TcpListener::bind(address) {
-            Ok(listener) => return Ok((address, listener)),
+        match hosts.iter().try_for_each(|host| TcpListener::bind((*host, port)).map(drop)) {
+            Ok(()) => return Ok(port),
             Err(error) => last_error = error,
         }
     }
