Tell why free hosts serve no group

Cause: the leader's lines told how many hosts idle while a model is short, with the section overload only, and metrics told neither that nor for how long groups lacked.

Change: GroupPlanner::idle_counts gives each free host one reason (newly_seen, slow, loading, spare, few_hosts, no_weights, reserved, ready); SupplyMeter sums group time that lacked and host time that idled between plans. The plan line ends with "idle 6 no_weights 3 loading"; metrics idle_hosts, idle_host_seconds_total by reason and lacking_group_seconds_total by model. "idle N" of overload goes. No decision of the planner reads any of it.

--- a/crates/fleet/src/director/mod.rs
+++ b/crates/fleet/src/director/mod.rs
@@ -21,6 +21,7 @@
 mod records;
 mod stale_member;
 mod step;
+mod supply_meter;
 mod view;
 
 pub use demand::DemandBook;
@@ -32,6 +33,8 @@
 pub use loads::LoadLimiter;
 pub use order::{CloseMethod, EndpointOrder, OrderCall, OrderOutcome, ProbeCall};
 pub use plan::{
-    GroupPlanner, ModelSupply, NearestDomain, PlacedGroup, PlanAction, PlanView, PoolHost,
+    GroupPlanner, IdleCount, IdleReason, ModelSupply, NearestDomain, PlacedGroup, PlanAction,
+    PlanView, PoolHost,
 };
 pub use step::{DirectorOutput, ENTRY_TIMEOUT, FleetDirector};
+pub use supply_meter::{ServiceSupply, SupplyMeter, SupplyTimes};
--- a/crates/fleet/src/director/plan/form.rs
+++ b/crates/fleet/src/director/plan/form.rs
@@ -136,7 +136,7 @@
     /// The members of a broken group become free one after the other, as do those of groups that
     /// are ended to free hosts. When the first ones were taken into another group, that group was
     /// ended again at once, and neither model was served for seconds.
-    fn is_needed_by_others(
+    pub(super) fn is_needed_by_others(
         &self,
         domain: &DomainName,
         index: usize,
--- a/crates/fleet/src/director/plan/idle.rs
+++ b/crates/fleet/src/director/plan/idle.rs
@@ -83,7 +83,7 @@
     /// The wanted number does not tell: it falls with every lost host, since it is what the hosts
     /// suffice for. With it, no model was short while eight hosts of a domain idled and all groups
     /// were full.
-    fn missing_groups(&self, index: usize) -> Option<usize> {
+    pub(super) fn missing_groups(&self, index: usize) -> Option<usize> {
         let busy = |demand: &[WorkSum]| demand.get(index).map_or(0.0, |sum| sum.work_ms / 1e3);
         // A wave that is over when the weights arrive is not worth a load.
         let lasting = busy(&self.view.demand).min(busy(&self.view.steady_demand));
@@ -144,12 +144,4 @@
         let loads = loadable.min(self.view.engine.loads_at_once + MAX_EXTRA_LOADS);
         ready + soon + loads >= model.size
     }
-
-    /// Free hosts beyond the spare of each domain while a model is short of groups.
-    pub(super) fn idle_hosts(&self) -> usize {
-        if (0..self.models().len()).all(|index| self.missing_groups(index).is_none()) {
-            return 0;
-        }
-        self.free.values().map(|hosts| hosts.len().saturating_sub(SPARES_PER_DOMAIN)).sum()
-    }
 }
--- /dev/null
+++ b/crates/fleet/src/director/plan/idleness.rs
@@ -0,0 +1,116 @@
+//! Why free hosts serve no group.
+//!
+//! While a model lacks groups for the demand, every free host is a cost. The reason tells what would
+//! put it to use: hosts of its domain, weights, or time.
+
+use briartray_model::names::DomainName;
+
+use super::{GroupPlanner, PoolHost};
+
+/// Reason why a free host serves no group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum IdleReason {
+    /// It was first heard from a moment ago.
+    NewlySeen,
+    /// It is much slower than nominal.
+    Slow,
+    /// It is loading weights.
+    Loading,
+    /// No model lacks groups.
+    Spare,
+    /// Its domain has fewer free hosts than a group of any lacking model.
+    FewHosts,
+    /// Its domain has enough free hosts for a lacking model, too few of them with its weights.
+    NoWeights,
+    /// Hosts of its domain can form a lacking group, but are kept for a model with a larger
+    /// shortage.
+    Reserved,
+    /// Hosts of its domain can form a lacking group, which is about to be ordered.
+    Ready,
+}
+
+impl IdleReason {
+    /// Name in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NewlySeen => "newly_seen",
+            Self::Slow => "slow",
+            Self::Loading => "loading",
+            Self::Spare => "spare",
+            Self::FewHosts => "few_hosts",
+            Self::NoWeights => "no_weights",
+            Self::Reserved => "reserved",
+            Self::Ready => "ready",
+        }
+    }
+}
+
+/// Number of free hosts that serve no group for one reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct IdleCount {
+    /// The reason.
+    pub reason: IdleReason,
+    /// Number of hosts, at least one.
+    pub hosts: usize,
+}
+
+impl GroupPlanner<'_> {
+    /// Counts the free hosts by the reason why they serve no group, sorted by reason.
+    pub fn idle_counts(&self) -> Vec<IdleCount> {
+        let lacking: Vec<usize> = (0..self.models().len())
+            .filter(|index| self.missing_groups(*index).is_some())
+            .collect();
+        let mut reasons: Vec<IdleReason> = Vec::new();
+        for domain in self.domains() {
+            let shared = self.domain_reason(&domain, &lacking);
+            let hosts = self.free_in(&domain);
+            reasons.extend(hosts.into_iter().map(|host| host_reason(host).unwrap_or(shared)));
+        }
+        reasons.sort_unstable();
+        let count = |same: &[IdleReason]| IdleCount { reason: same[0], hosts: same.len() };
+        reasons.chunk_by(|a, b| a == b).map(count).collect()
+    }
+
+    /// Reason that the free hosts of `domain` share, for `lacking` models by index.
+    fn domain_reason(&self, domain: &DomainName, lacking: &[usize]) -> IdleReason {
+        if lacking.is_empty() {
+            return IdleReason::Spare;
+        }
+        let hosts = self.free_in(domain);
+        let possible = lacking.iter().filter(|index| hosts.len() >= self.models()[**index].size);
+        let formable = possible.clone().filter(|index| {
+            let model = &self.models()[**index];
+            hosts.iter().filter(|host| host.can_join(&model.name)).count() >= model.size
+        });
+        let is_kept = |index: usize| {
+            self.is_reserved(domain, index)
+                || self.is_needed_by_others(domain, index, false, &self.wanted)
+        };
+        if formable.clone().any(|index| !is_kept(*index)) {
+            IdleReason::Ready
+        } else if formable.count() > 0 {
+            IdleReason::Reserved
+        } else if possible.count() > 0 {
+            IdleReason::NoWeights
+        } else {
+            IdleReason::FewHosts
+        }
+    }
+}
+
+/// Reason that applies to `host` alone.
+fn host_reason(host: &PoolHost) -> Option<IdleReason> {
+    let reasons = [
+        (host.newly_seen, IdleReason::NewlySeen),
+        (host.slow, IdleReason::Slow),
+        (host.staging.is_some(), IdleReason::Loading),
+    ];
+    reasons.into_iter().find_map(|(applies, reason)| applies.then_some(reason))
+}
+
+/// Describes `counts` for a log line.
+pub(super) fn describe_idle(counts: &[IdleCount]) -> String {
+    let describe = |count: &IdleCount| format!("{} {}", count.hosts, count.reason.as_str());
+    let descriptions: Vec<String> = counts.iter().map(describe).collect();
+    if descriptions.is_empty() { "none".to_owned() } else { descriptions.join(" ") }
+}
--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -10,6 +10,7 @@
 mod form;
 mod host;
 mod idle;
+mod idleness;
 mod lateness;
 mod rebalance;
 mod stage;
@@ -21,6 +22,8 @@
 use briartray_model::names::{DomainName, GroupId, IncarnationId};
 
 pub use self::host::{PlacedGroup, PoolHost};
+use self::idleness::describe_idle;
+pub use self::idleness::{IdleCount, IdleReason};
 pub use self::supply::{ModelSupply, NearestDomain};
 pub use self::view::{PlanAction, PlanView};
 use crate::deployment::ModelSpec;
@@ -137,9 +140,8 @@
     }
 
     /// Inputs of the plan as one line for the log: wanted groups of each model, hosts, trust in the
-    /// demand, what models lack by their `supplies`, and with `overload` the hosts that idle while a
-    /// model is short.
-    pub fn summary(&self, supplies: &[ModelSupply]) -> String {
+    /// demand, what models lack by their `supplies`, and why free hosts are `idle`.
+    pub fn summary(&self, supplies: &[ModelSupply], idle: &[IdleCount]) -> String {
         let describe = |(model, wanted): (&ModelSpec, &f64)| format!("{} {wanted:.1}", model.name);
         let wanted: Vec<String> = self.models().iter().zip(&self.wanted).map(describe).collect();
         let (hosts, trust) = (self.groupable_hosts(), self.view.trust);
@@ -147,7 +149,7 @@
         for supply in supplies.iter().filter(|supply| supply.lacking() > 0) {
             summary.push_str(&format!("; {}", supply.shortage()));
         }
-        if self.view.overload { format!("{summary}, idle {}", self.idle_hosts()) } else { summary }
+        format!("{summary}; idle {}", describe_idle(idle))
     }
 
     /// Indices of the models, the largest shortage first.
--- a/crates/fleet/src/director/planning.rs
+++ b/crates/fleet/src/director/planning.rs
@@ -55,8 +55,9 @@
         let hosts = self.hosts.of_service(&service.name).count().max(1);
         let mut planner = GroupPlanner::new(self.plan_view(now, state, &service.name, engine));
         let supplies = planner.supplies();
-        self.plan_summary = planner.summary(&supplies);
-        self.supplies.insert(service.name.clone(), supplies);
+        let idle = planner.idle_counts();
+        self.plan_summary = planner.summary(&supplies, &idle);
+        self.supply.record(now, &service.name, supplies, idle);
         for _ in 0..(HOST_BUDGET_PER_STEP / hosts).clamp(1, MAX_ACTIONS_PER_STEP) {
             let Some(action) = planner.next() else { return };
             let prepares = action.only_prepares();
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -13,9 +13,9 @@
 use super::hosts::HostTable;
 use super::loads::LoadLimiter;
 use super::order_window::OrderWindow;
-use super::plan::ModelSupply;
 use super::records::inherited_heartbeat;
 use super::stale_member;
+use super::supply_meter::{SupplyMeter, SupplyTimes};
 use super::{
     EndpointHeartbeat, EndpointOrder, EndpointReport, MemberState, OrderCall, OrderOutcome,
     ProbeCall,
@@ -85,8 +85,8 @@
     order_window: OrderWindow,
     /// Inputs of the last plan as one line for the log.
     pub(super) plan_summary: String,
-    /// Groups of each model as of the last plan, by service.
-    pub(super) supplies: SortedTable<ServiceName, Vec<ModelSupply>>,
+    /// What models lack and why hosts idle.
+    pub(super) supply: SupplyMeter,
     pub(super) serving: bool,
     /// Whether there is new information since the last plan.
     pub(super) replan_needed: bool,
@@ -330,6 +330,7 @@
         if self.pending_commands > 0 || !self.is_discovery_complete(now) || !self.is_plan_due(now) {
             return;
         }
+        self.supply.retain(|service| plan.service(service).is_some());
         for service in &plan.services {
             if let Some(engine) = &service.engine {
                 self.plan_groups(now, state, service, engine, output);
@@ -337,9 +338,14 @@
         }
     }
 
-    /// Groups of each model as of the last plan, by service.
-    pub fn supplies(&self) -> &SortedTable<ServiceName, Vec<ModelSupply>> {
-        &self.supplies
+    /// What models lack and why hosts idle, as of the last plan.
+    pub fn supply(&self) -> &SupplyMeter {
+        &self.supply
+    }
+
+    /// Time that groups lacked and hosts idled since the last call, by service.
+    pub fn take_supply_times(&mut self, now: TimePoint) -> Vec<(ServiceName, SupplyTimes)> {
+        self.supply.take_times(now)
     }
 
     /// All known endpoints.
--- a/crates/fleet/tests/director/main.rs
+++ b/crates/fleet/tests/director/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod idle;
 mod idle_plan;
+mod idleness;
 mod large;
 mod losses;
 mod models;
--- a/crates/fleet/tests/director/planner.rs
+++ b/crates/fleet/tests/director/planner.rs
@@ -16,6 +16,7 @@
 pub const SMALL_INDEX: usize = 1;
 
 /// Builds hosts and groups of a pool.
+#[derive(Clone)]
 pub struct PoolFixture {
     service: ServiceName,
     pub engine: EngineModel,
@@ -341,7 +342,8 @@
     assert_eq!(supplies[LARGE_INDEX].lacking(), 1);
     assert_eq!(supplies[LARGE_INDEX].nearest, Some(nearest));
     assert_eq!(supplies[SMALL_INDEX].lacking(), 0);
-    assert!(planner.summary(&supplies).contains("large lacks 1, a 2 ready 1 loading of 3 free"));
+    let summary = planner.summary(&supplies, &planner.idle_counts());
+    assert!(summary.contains("large lacks 1, a 2 ready 1 loading of 3 free"), "{summary}");
 }
 
 /// Checks the model order on which the demand and groups of the fixture depend.
--- a/crates/gateway/src/control/leader.rs
+++ b/crates/gateway/src/control/leader.rs
@@ -23,7 +23,7 @@
     /// Runs the periodic tasks.
     pub(super) fn tick(&mut self, now: TimePoint) {
         self.send_hellos(now);
-        self.update_metrics();
+        self.update_metrics(now);
         self.manage_voters(now);
         self.expire_quarantine(now);
         self.step_director(now);
@@ -35,7 +35,7 @@
     }
 
     /// Updates the metrics.
-    fn update_metrics(&self) {
+    fn update_metrics(&mut self, now: TimePoint) {
         let metrics = &self.parts.metrics;
         let number = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         metrics.leads.set(i64::from(self.is_established()));
@@ -43,9 +43,12 @@
         metrics.groups.set(number(self.state.groups().len() as u64));
         metrics.endpoints.set(number(self.state.endpoints().len() as u64));
         metrics.evacuated.set(number(self.state.evacuated().len() as u64));
-        match &self.leadership {
-            Some(leadership) => metrics.set_supplies(leadership.director.supplies()),
-            None => metrics.set_supplies(&SortedTable::new()),
+        match &mut self.leadership {
+            Some(leadership) => {
+                metrics.set_supply(leadership.director.supply().services());
+                metrics.count_supply_times(&leadership.director.take_supply_times(now));
+            }
+            None => metrics.set_supply(&SortedTable::new()),
         }
         if let Some(agreement) = &self.agreement {
             metrics.agreement.update(agreement);
--- a/crates/gateway/src/control/metrics.rs
+++ b/crates/gateway/src/control/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a control host.
 
-use briartray_fleet::director::ModelSupply;
+use std::sync::atomic::AtomicU64;
+
+use briartray_fleet::director::{IdleReason, ServiceSupply, SupplyTimes};
 use briartray_model::SortedTable;
 use briartray_model::names::ServiceName;
 use briartray_node::metrics::{AgreementMetrics, OutcomeLabel};
@@ -20,6 +22,16 @@
     model: String,
 }
 
+/// Label of free hosts of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct IdleLabel {
+    service: String,
+    reason: &'static str,
+}
+
+/// Counter of seconds.
+type SecondsCounter = Counter<f64, AtomicU64>;
+
 /// Metrics of one control host.
 #[derive(Debug, Clone)]
 pub(super) struct ControlMetrics {
@@ -49,6 +61,12 @@
     wanted_groups: Family<ModelLabel, Gauge>,
     /// Groups of each model that serve or form, on the leader.
     placed_groups: Family<ModelLabel, Gauge>,
+    /// Free hosts by the reason why they serve no group, on the leader.
+    idle_hosts: Family<IdleLabel, Gauge>,
+    /// Time for which groups of each model lacked.
+    lacking_groups: Family<ModelLabel, SecondsCounter>,
+    /// Time for which free hosts served no group, by reason.
+    idle_time: Family<IdleLabel, SecondsCounter>,
     orders: Family<OutcomeLabel, Counter>,
     /// Probes without a response.
     pub(super) silent_probes: Counter,
@@ -77,6 +95,9 @@
             busy_groups: Family::default(),
             wanted_groups: Family::default(),
             placed_groups: Family::default(),
+            idle_hosts: Family::default(),
+            lacking_groups: Family::default(),
+            idle_time: Family::default(),
             orders: Family::default(),
             silent_probes: Counter::default(),
             unread_probes: Counter::default(),
@@ -102,6 +123,12 @@
         control.register("wanted_groups_permille", help, metrics.wanted_groups.clone());
         let help = "Groups of a model that serve or form";
         control.register("placed_groups", help, metrics.placed_groups.clone());
+        let help = "Free hosts by the reason why they serve no group";
+        control.register("idle_hosts", help, metrics.idle_hosts.clone());
+        let help = "Time that a model lacked groups, summed over groups";
+        control.register("lacking_group_seconds", help, metrics.lacking_groups.clone());
+        let help = "Time that free hosts served no group, summed over hosts";
+        control.register("idle_host_seconds", help, metrics.idle_time.clone());
         control.register("orders", "Orders by what came of them", metrics.orders.clone());
         let help = "Probes without an answer";
         control.register("silent_probes", help, metrics.silent_probes.clone());
@@ -114,17 +141,20 @@
         metrics
     }
 
-    /// Sets the groups of each model to `supplies`; without any, this host does not lead.
-    pub(super) fn set_supplies(&self, supplies: &SortedTable<ServiceName, Vec<ModelSupply>>) {
+    /// Sets the groups of each model and the free hosts; without `services`, this host does not
+    /// lead.
+    pub(super) fn set_supply(&self, services: &SortedTable<ServiceName, ServiceSupply>) {
         self.busy_groups.clear();
         self.wanted_groups.clear();
         self.placed_groups.clear();
-        for (service, models) in supplies.iter() {
-            for supply in models {
-                let label = || ModelLabel {
-                    service: service.as_str().to_owned(),
-                    model: supply.model.clone(),
-                };
+        self.idle_hosts.clear();
+        for (service, supply) in services.iter() {
+            for count in &supply.idle {
+                let hosts = i64::try_from(count.hosts).unwrap_or(i64::MAX);
+                self.idle_hosts.get_or_create(&idle_label(service, count.reason)).set(hosts);
+            }
+            for supply in &supply.models {
+                let label = || model_label(service, &supply.model);
                 let placed = i64::try_from(supply.placed).unwrap_or(i64::MAX);
                 self.busy_groups.get_or_create(&label()).set((supply.busy * PERMILLE) as i64);
                 self.wanted_groups.get_or_create(&label()).set((supply.wanted * PERMILLE) as i64);
@@ -133,8 +163,30 @@
         }
     }
 
+    /// Counts the time that groups lacked and hosts idled.
+    pub(super) fn count_supply_times(&self, services: &[(ServiceName, SupplyTimes)]) {
+        for (service, times) in services {
+            for (model, time) in times.lacking.iter() {
+                let counter = self.lacking_groups.get_or_create(&model_label(service, model));
+                counter.inc_by(time.as_secs_f64());
+            }
+            for (reason, time) in times.idle.iter() {
+                let counter = self.idle_time.get_or_create(&idle_label(service, *reason));
+                counter.inc_by(time.as_secs_f64());
+            }
+        }
+    }
+
     /// Counts an order that ended with `outcome`.
     pub(super) fn count_order(&self, outcome: &'static str) {
         self.orders.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 }
+
+fn model_label(service: &ServiceName, model: &str) -> ModelLabel {
+    ModelLabel { service: service.as_str().to_owned(), model: model.to_owned() }
+}
+
+fn idle_label(service: &ServiceName, reason: IdleReason) -> IdleLabel {
+    IdleLabel { service: service.as_str().to_owned(), reason: reason.as_str() }
+}
