Tell hosts that wait for the weight store from hosts without a plan

Change: store_busy is a reason of its own, loading goes first, and newly_seen counts only where it keeps a host from a load.

--- a/crates/fleet/src/director/plan/idleness.rs
+++ b/crates/fleet/src/director/plan/idleness.rs
@@ -10,17 +10,20 @@
 /// Reason why a free host serves no group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum IdleReason {
-    /// It was first heard from a moment ago.
-    NewlySeen,
-    /// It is much slower than nominal.
-    Slow,
     /// It is loading weights.
     Loading,
+    /// It is much slower than nominal.
+    Slow,
     /// No model lacks groups.
     Spare,
     /// Its domain has fewer free hosts than a group of any lacking model.
     FewHosts,
-    /// Its domain has enough free hosts for a lacking model, too few of them with its weights.
+    /// Its domain has enough free hosts for a lacking model, too few of them with its weights, and
+    /// the weight store handles no further load at full speed.
+    StoreBusy,
+    /// The same while the weight store has room, but the host was first heard from a moment ago.
+    NewlySeen,
+    /// The same while the weight store has room.
     NoWeights,
     /// Hosts of its domain can form a lacking group, but are kept for a model with a larger
     /// shortage.
@@ -33,11 +36,12 @@
     /// Name in log lines and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::NewlySeen => "newly_seen",
-            Self::Slow => "slow",
             Self::Loading => "loading",
+            Self::Slow => "slow",
             Self::Spare => "spare",
             Self::FewHosts => "few_hosts",
+            Self::StoreBusy => "store_busy",
+            Self::NewlySeen => "newly_seen",
             Self::NoWeights => "no_weights",
             Self::Reserved => "reserved",
             Self::Ready => "ready",
@@ -64,7 +68,7 @@
         for domain in self.domains() {
             let shared = self.domain_reason(&domain, &lacking);
             let hosts = self.free_in(&domain);
-            reasons.extend(hosts.into_iter().map(|host| host_reason(host).unwrap_or(shared)));
+            reasons.extend(hosts.into_iter().map(|host| host_reason(host, shared)));
         }
         reasons.sort_unstable();
         let count = |same: &[IdleReason]| IdleCount { reason: same[0], hosts: same.len() };
@@ -91,21 +95,22 @@
         } else if formable.count() > 0 {
             IdleReason::Reserved
         } else if possible.count() > 0 {
-            IdleReason::NoWeights
+            let is_busy = self.view.loading >= self.view.engine.loads_at_once;
+            if is_busy { IdleReason::StoreBusy } else { IdleReason::NoWeights }
         } else {
             IdleReason::FewHosts
         }
     }
 }
 
-/// Reason that applies to `host` alone.
-fn host_reason(host: &PoolHost) -> Option<IdleReason> {
-    let reasons = [
-        (host.newly_seen, IdleReason::NewlySeen),
-        (host.slow, IdleReason::Slow),
-        (host.staging.is_some(), IdleReason::Loading),
-    ];
-    reasons.into_iter().find_map(|(applies, reason)| applies.then_some(reason))
+/// Reason of `host`, whose domain has the reason `shared`.
+fn host_reason(host: &PoolHost, shared: IdleReason) -> IdleReason {
+    match shared {
+        _ if host.staging.is_some() => IdleReason::Loading,
+        _ if host.slow => IdleReason::Slow,
+        IdleReason::NoWeights if host.newly_seen => IdleReason::NewlySeen,
+        shared => shared,
+    }
 }
 
 /// Describes `counts` for a log line.
--- a/crates/fleet/tests/director/idleness.rs
+++ b/crates/fleet/tests/director/idleness.rs
@@ -109,12 +109,27 @@
     free[0].newly_seen = true;
     free[1].slow = true;
     free[2].staging = Some(SMALL.to_owned());
-    let rest = IdleReason::NoWeights;
 
     let reasons: Vec<IdleReason> =
         counts(&fixture, free, HIGH_DEMAND).iter().map(|count| count.reason).collect();
 
-    assert_eq!(reasons, [IdleReason::NewlySeen, IdleReason::Slow, IdleReason::Loading, rest]);
+    let rest = IdleReason::NoWeights;
+    assert_eq!(reasons, [IdleReason::Loading, IdleReason::Slow, IdleReason::NewlySeen, rest]);
+}
+
+/// Guards against a weight store at its limit that looks like a planner without a plan.
+#[test]
+fn hosts_that_wait_for_the_weight_store_show_as_such() {
+    let mut fixture = PoolFixture::new();
+    let count = size(&fixture, LARGE_INDEX);
+    let free = hosts(&mut fixture, count, None, &[]);
+    let groups = one_group_each(&mut fixture);
+    let loading = fixture.engine.loads_at_once;
+    let view = PlanView { loading, ..fixture.view(free, groups, HIGH_DEMAND) };
+
+    let counts = GroupPlanner::new(view).idle_counts();
+
+    assert_eq!(counts, only(IdleReason::StoreBusy, count));
 }
 
 /// Guards against hosts that are counted twice or not at all, in any state.
