Look up the reserved domain once when idle hosts are counted

Cause: the reason of each domain asked for the domain that is kept for a model without any group, and that search walks all domains: quadratic in a large fleet while a model has no group.

Change: the search runs once per count.

--- a/crates/fleet/src/director/plan/form.rs
+++ b/crates/fleet/src/director/plan/form.rs
@@ -170,7 +170,7 @@
 
     /// Domain whose free hosts are reserved for a model without any group, and the model's index:
     /// of the domains with enough hosts, the one with most of its weights.
-    fn reserved(&self) -> Option<(DomainName, usize)> {
+    pub(super) fn reserved(&self) -> Option<(DomainName, usize)> {
         let index = self.unserved_model()?;
         let model = &self.models()[index];
         let mut domains = self.domains();
--- a/crates/fleet/src/director/plan/idleness.rs
+++ b/crates/fleet/src/director/plan/idleness.rs
@@ -64,9 +64,11 @@
         let lacking: Vec<usize> = (0..self.models().len())
             .filter(|index| self.missing_groups(*index).is_some())
             .collect();
+        let reserved = self.reserved();
         let mut reasons: Vec<IdleReason> = Vec::new();
         for domain in self.domains() {
-            let shared = self.domain_reason(&domain, &lacking);
+            let kept_for = reserved.as_ref().filter(|(kept, _)| *kept == domain);
+            let shared = self.domain_reason(&domain, &lacking, kept_for.map(|(_, index)| *index));
             let hosts = self.free_in(&domain);
             reasons.extend(hosts.into_iter().map(|host| host_reason(host, shared)));
         }
@@ -75,8 +77,14 @@
         reasons.chunk_by(|a, b| a == b).map(count).collect()
     }
 
-    /// Reason that the free hosts of `domain` share, for `lacking` models by index.
-    fn domain_reason(&self, domain: &DomainName, lacking: &[usize]) -> IdleReason {
+    /// Reason that the free hosts of `domain` share, for `lacking` models by index; the hosts may be
+    /// `kept_for` a model without any group.
+    fn domain_reason(
+        &self,
+        domain: &DomainName,
+        lacking: &[usize],
+        kept_for: Option<usize>,
+    ) -> IdleReason {
         if lacking.is_empty() {
             return IdleReason::Spare;
         }
@@ -87,7 +95,7 @@
             hosts.iter().filter(|host| host.can_join(&model.name)).count() >= model.size
         });
         let is_kept = |index: usize| {
-            self.is_reserved(domain, index)
+            kept_for.is_some_and(|other| other != index)
                 || self.is_needed_by_others(domain, index, false, &self.wanted)
         };
         if formable.clone().any(|index| !is_kept(*index)) {
