Hand a failure of the control role over by a channel, not by a signal

What was seen: a control role that could not store its state raised SIGTERM on its process, whoever embedded it.

Cause: the signal stood for a message to the daemon's main function.

Change: ControlShared tells a channel of the first failure. briartrayd waits for a signal or a failure, drains and exits with 2 as before; a further signal still aborts. `briartray demo` ends with the reason, also while the fleet becomes ready.

Evidence: a fleet whose folder was removed ended its test binary by SIGTERM before.

--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -62,7 +62,8 @@
     };
     let fleet = DemoFleet::start(&plan).map_err(CommandError::unusable)?;
     if !fleet.wait_until_ready(READY_TIMEOUT) {
-        return Err(CommandError::refused("the fleet did not become ready in time; see the log"));
+        let in_time = "the fleet did not become ready in time; see the log";
+        return Err(CommandError::refused(fleet.failure().unwrap_or(in_time)));
     }
     let address = fleet.caller_address();
     println!("callers    http://{address}");
@@ -78,19 +79,25 @@
     for service in fleet.service_addresses() {
         println!("service    {service}");
     }
-    wait_for_signal(options.seconds.map(Duration::from_secs))?;
+    wait_until(options.seconds.map(Duration::from_secs), || fleet.failure().is_some())?;
     fleet.stop();
     fleet.failure().map_or(Ok(()), |detail| Err(CommandError::refused(detail)))
 }
 
-/// Waits for `SIGINT` or `SIGTERM`, at most for `limit`.
-pub(super) fn wait_for_signal(limit: Option<Duration>) -> Result<(), CommandError> {
+/// Waits for `SIGINT` or `SIGTERM`.
+pub(super) fn wait_for_signal() -> Result<(), CommandError> {
+    wait_until(None, || false)
+}
+
+/// Waits for `SIGINT`, `SIGTERM` or the `end`, at most for `limit`.
+fn wait_until(limit: Option<Duration>, end: impl Fn() -> bool) -> Result<(), CommandError> {
     let stopped = Arc::new(AtomicBool::new(false));
     for signal in [SIGINT, SIGTERM] {
         signal_hook::flag::register(signal, Arc::clone(&stopped)).map_err(CommandError::refused)?;
     }
     let started = Instant::now();
-    while !stopped.load(Ordering::Relaxed) && limit.is_none_or(|limit| started.elapsed() < limit) {
+    let is_time_left = || limit.is_none_or(|limit| started.elapsed() < limit);
+    while !stopped.load(Ordering::Relaxed) && is_time_left() && !end() {
         std::thread::sleep(SIGNAL_POLL_INTERVAL);
     }
     Ok(())
--- a/crates/cli/src/cmd/stand_in.rs
+++ b/crates/cli/src/cmd/stand_in.rs
@@ -159,7 +159,7 @@
         .seed(options.seed);
     let engine = StandinEngine::start(settings).map_err(CommandError::unusable)?;
     println!("stand-in engine listens on {}", engine.address());
-    super::demo::wait_for_signal(None)
+    super::demo::wait_for_signal()
 }
 
 fn run_service(options: &ServiceOptions) -> Result<(), CommandError> {
@@ -168,7 +168,7 @@
         .faults(FaultPlan { seed: options.seed, faults: options.fault.clone() });
     let service = StandinService::start(settings).map_err(CommandError::unusable)?;
     println!("stand-in service listens on {}", service.address());
-    super::demo::wait_for_signal(None)
+    super::demo::wait_for_signal()
 }
 
 fn run_weights(options: &WeightsOptions) -> Result<(), CommandError> {
@@ -178,5 +178,5 @@
         .file_bytes(options.bytes);
     let store = StandinWeights::start(settings).map_err(CommandError::unusable)?;
     println!("stand-in weight store listens on {}", store.address());
-    super::demo::wait_for_signal(None)
+    super::demo::wait_for_signal()
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,9 +2,12 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use briartray_model::settings;
 use briartray_node::{RunningDaemon, logs};
+use crossbeam::channel::{Receiver, bounded, select};
 use gumdrop::Options;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -46,12 +49,19 @@
     let settings = settings::load(&options.settings).map_err(|error| error.to_string())?;
     logs::start(&settings.log.level);
     // Signal handlers are installed before any role starts, so that an early stop is graceful too.
-    let mut signals = Signals::new([SIGINT, SIGTERM]).map_err(|error| error.to_string())?;
+    let signals = Signals::new([SIGINT, SIGTERM]).map_err(|error| error.to_string())?;
     let daemon = RunningDaemon::start(&settings).map_err(|error| error.to_string())?;
     log::info!(node = settings.node.as_str(); "daemon started");
-    signals.forever().next();
-    log::info!("received a stop signal; draining work in progress");
-    exit_on_second_signal(signals);
+    let stopping = Arc::new(AtomicBool::new(false));
+    select! {
+        recv(forward_signals(signals, Arc::clone(&stopping))) -> _ => {
+            log::info!("received a stop signal; draining work in progress");
+        }
+        recv(daemon.failures()) -> _ => {
+            stopping.store(true, Ordering::SeqCst);
+            log::error!("a role failed; draining work in progress");
+        }
+    }
     if !daemon.drain(&settings.stop) {
         log::warn!(
             "work still in progress after draining for {} ms is dropped; raise stop.wait_ms",
@@ -64,12 +74,19 @@
     }
 }
 
-/// Starts a thread that exits the process at once on the next signal.
-fn exit_on_second_signal(mut signals: Signals) {
+/// Starts a thread that passes on the first stop signal, and exits the process at once on a signal
+/// while it is `stopping`.
+fn forward_signals(mut signals: Signals, stopping: Arc<AtomicBool>) -> Receiver<()> {
+    let (sender, receiver) = bounded(1);
     std::thread::spawn(move || {
-        if signals.forever().next().is_some() {
-            log::warn!("received a second signal; exiting without waiting for work in progress");
-            std::process::exit(EXIT_ABORTED);
+        for _ in signals.forever() {
+            if stopping.swap(true, Ordering::SeqCst) {
+                log::warn!("received another signal; exiting without waiting for work in progress");
+                std::process::exit(EXIT_ABORTED);
+            }
+            // The receiver is gone only while the process ends.
+            let _ = sender.send(());
         }
     });
+    receiver
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -37,7 +37,7 @@
 use briartray_model::rules::RuleDocument;
 use briartray_model::settings::{ControlSettings, DaemonSettings};
 use briartray_web::{HttpListener, WORKER_STACK_BYTES, WorkerWatch, spawn_worker, worker_watch};
-use crossbeam::channel::{Sender, bounded};
+use crossbeam::channel::{Receiver, Sender, bounded};
 
 use self::core::{ControlCore, ControlParts};
 use self::input::ControlInput;
@@ -64,6 +64,7 @@
     operator: HttpListener,
     inputs: Sender<ControlInput>,
     shared: Arc<ControlShared>,
+    failures: Receiver<()>,
     /// Watches the control thread and the storage thread.
     workers: WorkerWatch,
 }
@@ -95,7 +96,8 @@
         )?;
         let clock = ClockReader::start();
         let agreement = agreement_core(clock, settings, members, id, recovered);
-        let shared = Arc::new(ControlShared::default());
+        let (failed, failures) = bounded(1);
+        let shared = Arc::new(ControlShared::new(failed));
         let agreement_metrics = metrics.add(AgreementMetrics::register);
         let group_metrics = metrics.add(GroupMetrics::register);
         let (inputs, queue) = bounded(INPUT_QUEUE_CAPACITY);
@@ -132,7 +134,7 @@
             ControlCore::new(parts).run(&queue);
             drop(running);
         })?;
-        Ok(Self { link, operator, inputs, shared, workers })
+        Ok(Self { link, operator, inputs, shared, failures, workers })
     }
 
     /// Address of the link port, to which entries, agents and other control hosts connect.
@@ -145,6 +147,11 @@
         self.operator.address()
     }
 
+    /// Channel that is told when the role fails; [`Self::failure`] then has the error.
+    pub fn failures(&self) -> &Receiver<()> {
+        &self.failures
+    }
+
     /// The error that stopped the role, if its state could no longer be stored or read.
     pub fn failure(&self) -> Option<&str> {
         self.shared.failure()
--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -1,4 +1,5 @@
-//! How a new leader shows groups whose agents have not reported to it yet.
+//! How a new leader shows groups whose agents have not reported to it yet, and how a failure of the
+//! role is told.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use super::core::RECONNECT_GRACE;
 use super::fleet::FleetRoster;
 use super::input::SessionId;
+use super::shared::ControlShared;
 use super::version::SnapshotVersion;
 
 const START: TimePoint = TimePoint(5_000_000);
@@ -121,3 +123,17 @@
 
     assert!(new.number() > old.number());
 }
+
+/// Guards against a role that ends the process which embeds it by a signal, and against a later
+/// error that hides the first one.
+#[test]
+fn a_failed_role_tells_its_owner_once_with_the_first_error() {
+    let (failed, failures) = crossbeam::channel::bounded(1);
+    let shared = ControlShared::new(failed);
+
+    shared.fail("the disk is full");
+    shared.fail("the state cannot be decoded");
+
+    assert_eq!(shared.failure(), Some("the disk is full"));
+    assert_eq!(failures.try_iter().count(), 1);
+}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -6,6 +6,7 @@
 use briartray_link::LinkError;
 use briartray_model::settings::{DaemonSettings, StopSettings};
 use briartray_web::ListenError;
+use crossbeam::channel::Receiver;
 use snafu::Snafu;
 
 use crate::agent::AgentNode;
@@ -106,7 +107,13 @@
         entry && agent
     }
 
-    /// Why the process cannot continue, if it has failed; it has then raised a signal on itself.
+    /// Channel that is told when a role fails, after which the process is to be drained.
+    pub fn failures(&self) -> Receiver<()> {
+        let failures = |control: &ControlNode| control.failures().clone();
+        self.control.as_ref().map_or_else(crossbeam::channel::never, failures)
+    }
+
+    /// Why the process cannot continue, if a role has failed.
     pub fn failure(&self) -> Option<&str> {
         self.control.as_ref().and_then(ControlNode::failure)
     }
