--- a/crates/fleet/src/director/plan/idleness.rs
+++ b/crates/fleet/src/director/plan/idle_reason.rs
@@ -1,7 +1,8 @@
 //! Why free hosts serve no group.
 //!
 //! While a model lacks groups for the demand, every free host is a cost. The reason tells what would
-//! put it to use: hosts of its domain, weights, or time.
+//! put it to use: hosts of its domain, weights, or time. A model lacks groups here if the demand asks
+//! for more than it has: the wanted number falls with every lost host.
 
 use briartray_model::names::DomainName;
 
--- a/crates/fleet/src/director/plan/mod.rs
+++ b/crates/fleet/src/director/plan/mod.rs
@@ -10,7 +10,7 @@
 mod form;
 mod host;
 mod idle;
-mod idleness;
+mod idle_reason;
 mod lateness;
 mod rebalance;
 mod stage;
@@ -22,8 +22,8 @@
 use briartray_model::names::{DomainName, GroupId, IncarnationId};
 
 pub use self::host::{PlacedGroup, PoolHost};
-use self::idleness::describe_idle;
-pub use self::idleness::{IdleCount, IdleReason};
+use self::idle_reason::describe_idle;
+pub use self::idle_reason::{IdleCount, IdleReason};
 pub use self::supply::{ModelSupply, NearestDomain};
 pub use self::view::{PlanAction, PlanView};
 use crate::deployment::ModelSpec;
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -330,7 +330,7 @@
         if self.pending_commands > 0 || !self.is_discovery_complete(now) || !self.is_plan_due(now) {
             return;
         }
-        self.supply.retain(|service| plan.service(service).is_some());
+        self.supply.retain(|name| plan.service(name).is_some_and(|spec| spec.engine.is_some()));
         for service in &plan.services {
             if let Some(engine) = &service.engine {
                 self.plan_groups(now, state, service, engine, output);
--- a/crates/fleet/src/director/supply_meter.rs
+++ b/crates/fleet/src/director/supply_meter.rs
@@ -61,9 +61,9 @@
         self.services.iter_mut().map(take).collect()
     }
 
-    /// Drops services that are no longer `declared`.
-    pub(super) fn retain(&mut self, declared: impl Fn(&ServiceName) -> bool) {
-        self.services.retain(|service, _| declared(service));
+    /// Drops services that are no longer `planned`.
+    pub(super) fn retain(&mut self, planned: impl Fn(&ServiceName) -> bool) {
+        self.services.retain(|service, _| planned(service));
     }
 }
 
--- a/crates/fleet/tests/director/main.rs
+++ b/crates/fleet/tests/director/main.rs
@@ -5,7 +5,7 @@
 mod fleet;
 mod idle;
 mod idle_plan;
-mod idleness;
+mod idle_reason;
 mod large;
 mod losses;
 mod models;
