End the wait for a demonstration whose control host has failed

What was seen: `briartray demo` whose control host could not store its vote waited its 30 s for readiness before it told the reason.

Change: the wait ends with the failure.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -160,10 +160,10 @@
     }
 
     /// Waits until the entry accepts requests to every service; `false` if it does not within
-    /// `limit`.
+    /// `limit`, or the control host fails.
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
         let started = Instant::now();
-        while started.elapsed() < limit {
+        while started.elapsed() < limit && self.failure().is_none() {
             if self.control_entry.entry.as_ref().is_some_and(|entry| self.serves_all(entry)) {
                 return true;
             }
