Log the prompt parts of requests that run on an endpoint that crashes

The records of the incident cannot tell a part that many requests share from unrelated crashes: no line names the parts of a prompt.

--- a/crates/gateway/src/entry/crash_check.rs
+++ b/crates/gateway/src/entry/crash_check.rs
@@ -10,7 +10,7 @@
 
 use briartray_model::TimePoint;
 use briartray_model::message::RunEnd;
-use briartray_model::names::{IncarnationId, RequestFingerprint, TeamName};
+use briartray_model::names::{IncarnationId, PartId, RequestFingerprint, TeamName};
 
 use super::dispatch::{SentTo, ServedRequest};
 use super::state::EntryState;
@@ -23,6 +23,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct BrokenRun {
     print: RequestFingerprint,
+    parts: Vec<PartId>,
     rule: String,
     team: Option<TeamName>,
     /// When the request was sent to the endpoint.
@@ -42,6 +43,7 @@
     }
     let run = BrokenRun {
         print: request.fingerprint(),
+        parts: request.head.shared_parts.clone(),
         rule: request.rule.name.clone(),
         team: request.team.clone(),
         began: at,
@@ -68,11 +70,11 @@
         return;
     }
     state.metrics.crashes.inc();
-    log::warn!(endpoint:% = endpoint, requests = runs.len();
+    log::warn!(endpoint:% = endpoint, requests = runs.len(), parts = list_parts(&all_parts(&runs));
         "endpoint crashed while serving requests; reporting to the leader");
-    for BrokenRun { print, rule, team, began, broke } in runs {
+    for BrokenRun { print, parts, rule, team, began, broke } in runs {
         if state.log_budget.allows(state.now()) {
-            log::info!(print:%, endpoint:% = endpoint, rule;
+            log::info!(print:%, parts = list_parts(&parts), endpoint:% = endpoint, rule;
                 "request was running on an endpoint that crashed");
         }
         let ran_ms = u64::try_from(broke.since(began).as_millis()).unwrap_or(u64::MAX);
@@ -81,3 +83,17 @@
     }
     state.send_report();
 }
+
+/// The prompt parts of all `runs`, in ascending order.
+fn all_parts(runs: &[BrokenRun]) -> Vec<PartId> {
+    let mut parts: Vec<PartId> = runs.iter().flat_map(|run| run.parts.iter().copied()).collect();
+    parts.sort_unstable();
+    parts.dedup();
+    parts
+}
+
+/// The ids of `parts` for a log line, separated by commas.
+fn list_parts(parts: &[PartId]) -> String {
+    let ids: Vec<String> = parts.iter().map(PartId::to_string).collect();
+    ids.join(",")
+}
--- a/crates/model/src/names/mod.rs
+++ b/crates/model/src/names/mod.rs
@@ -50,4 +50,6 @@
     /// Fingerprint (keyed hash) of a request's content; the same for every copy of the request,
     /// whatever its id.
     RequestFingerprint;
+    /// One part of a prompt that several requests may share, such as a document or a system prompt.
+    PartId;
 }
