--- a/crates/standin/src/group_host/server.rs
+++ b/crates/standin/src/group_host/server.rs
@@ -1,7 +1,7 @@
 //! A stand-in endpoint on a socket: it applies orders, reports its state, sends heartbeats, and
 //! answers requests as the head of a group or as a plain service.
 //!
-//! A request with the fatal body crashes it: all of its connections are reset, and it restarts
+//! A request with the fatal body or the fatal prompt part crashes it: all of its connections are reset, and it restarts
 //! after `RESTART_DELAY` at the same address with a new incarnation id.
 
 use std::cell::RefCell;
@@ -15,7 +15,7 @@
 use briartray_fleet::director::{EndpointHeartbeat, MemberState};
 use briartray_http::{EndpointConnection, HttpServer, ResponseBody, ServerLimits};
 use briartray_model::TimePoint;
-use briartray_model::names::{DomainName, IncarnationId, ServiceName, ZoneName};
+use briartray_model::names::{DomainName, IncarnationId, PartId, ServiceName, ZoneName};
 use briartray_platform::stand_in::{
     ReceivedHead, heartbeat_request, outcome_status, read_order, report_body, start_response,
     with_advertised_limit, with_backoff, with_leaving,
@@ -67,6 +67,8 @@
     pub events: u64,
     /// Request body that crashes it.
     pub fatal_body: Option<String>,
+    /// Shared part of a prompt that crashes it.
+    pub fatal_part: Option<PartId>,
 }
 
 /// A running stand-in endpoint.
@@ -378,7 +380,9 @@
     if let Some(seconds) = state.shared.backoff() {
         return reject(state, head, &seconds);
     }
-    let fatal = state.settings.fatal_body.as_ref().is_some_and(|fatal| fatal.as_bytes() == body);
+    let settings = &state.settings;
+    let fatal = settings.fatal_body.as_ref().is_some_and(|fatal| fatal.as_bytes() == body)
+        || settings.fatal_part.is_some_and(|part| head.shared_parts.contains(&part));
     match state.settings.engine {
         Some(_) => run_engine(state, head, fatal),
         None => run_service(state, head, fatal),
