Tell a crash from the end of an answer without length

What callers saw: a stream whose endpoint failed between two events arrived as complete after five of thirty events, and an answer that a crash cut short as an empty one with status 200, when the answer had neither a length nor chunks.

Cause: such an answer ends with its connection, which a crash closes as well. It also counted as a completed run, which clears the request and the prompt part that caused the crash.

Change: at the end of such an answer the entry checks whether the endpoint still listens. If not, the end is a break: the stream is resumed, the answer is lost, and the crash is reported. A break inside an event is checked for a crash too. Only framed answers, or those of checked suspects, count as completed runs.

Streams of the product's own interface end with a mark, and agents reject unframed bodies; nothing changed there.

--- a/crates/gateway/src/entry/crash_check.rs
+++ b/crates/gateway/src/entry/crash_check.rs
@@ -57,12 +57,35 @@
     tokio::task::spawn_local(run_check(Rc::clone(state), endpoint, address));
 }
 
-async fn run_check(state: Rc<EntryState>, endpoint: IncarnationId, address: SocketAddr) {
-    let mut crashed = briartray_http::is_refused(address).await;
-    if !crashed {
-        tokio::time::sleep(RECHECK_DELAY).await;
-        crashed = briartray_http::is_refused(address).await;
+/// Whether a crash ended the connection of an answer that has no other end. Reports the crash to the
+/// leader.
+///
+/// The answer of a suspected request is evidence for it, so the endpoint is checked twice.
+pub(super) async fn ended_in_crash(request: &ServedRequest) -> bool {
+    let Some(SentTo { endpoint, address, .. }) = &request.sent_to else { return false };
+    if request.state.table.borrow().holds().is_leaving(endpoint) {
+        return false;
+    }
+    let crashed = match request.is_suspect() {
+        true => is_down(*address).await,
+        false => briartray_http::is_refused(*address).await,
+    };
+    if crashed {
+        check(request);
+    }
+    crashed
+}
+
+async fn is_down(address: SocketAddr) -> bool {
+    if briartray_http::is_refused(address).await {
+        return true;
     }
+    tokio::time::sleep(RECHECK_DELAY).await;
+    briartray_http::is_refused(address).await
+}
+
+async fn run_check(state: Rc<EntryState>, endpoint: IncarnationId, address: SocketAddr) {
+    let crashed = is_down(address).await;
     let runs = state.broken_runs.borrow_mut().remove(&endpoint).unwrap_or_default();
     if !crashed {
         log::debug!(endpoint:% = endpoint, requests = runs.len();
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -150,14 +150,24 @@
         by_parts.max(self.state.status(|| self.fingerprint()))
     }
 
-    /// Records that a response was written for the request, which clears the parts of its prompt if
-    /// they were suspected of crashes.
-    pub(super) fn record_completed_parts(&self) {
-        self.state.record_completed_parts(&self.head.shared_parts);
+    /// Whether the request or a part of its prompt is suspected of crashes.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.status() == QuarantineStatus::Suspect
     }
 
-    /// Records that the request ran to completion, which clears it if it was suspected of crashes.
-    pub(super) fn record_complete_run(&self) {
+    /// Records that the request ran to completion and got a response with `status`. This clears the
+    /// request, and the parts of its prompt, if they were suspected of crashes.
+    ///
+    /// An answer that is not framed proves less: only those of suspects were checked for a crash.
+    pub(super) fn record_complete_run(&self, status: StatusCode, framed: bool) {
+        // A server error does not prove that the request is harmless: a broken endpoint fails every
+        // request.
+        if status.is_server_error() || !(framed || self.is_suspect()) {
+            return;
+        }
+        if status.is_success() {
+            self.state.record_completed_parts(&self.head.shared_parts);
+        }
         if self.state.status(|| self.fingerprint()) != QuarantineStatus::Clear {
             let now = self.state.now();
             self.state.evidence_log.borrow_mut().note(now, self.fingerprint(), RunEnd::Whole);
--- a/crates/gateway/src/entry/stream_relay.rs
+++ b/crates/gateway/src/entry/stream_relay.rs
@@ -215,9 +215,12 @@
                     return StreamStep::Broken;
                 }
             }
-            Ok(None) if !splitter.has_partial_event() => return StreamStep::End,
-            Ok(None) => return StreamStep::Broken,
-            Err(_) => {
+            Ok(None) if !splitter.has_partial_event() => {
+                let is_end =
+                    answer.exchange.is_framed() || !crash_check::ended_in_crash(request).await;
+                return if is_end { StreamStep::End } else { StreamStep::Broken };
+            }
+            Ok(None) | Err(_) => {
                 crash_check::check(request);
                 return StreamStep::Broken;
             }
@@ -253,8 +256,8 @@
     };
     position.clock.log_if_late(&request);
     if complete {
-        request.record_complete_run();
-        request.record_completed_parts();
+        let exchange = &stream.answer.exchange;
+        request.record_complete_run(exchange.head.status, exchange.is_framed());
         stream.answer.release_connection(&request);
     } else {
         state.metrics.cut.inc();
--- a/crates/gateway/src/entry/whole_answer.rs
+++ b/crates/gateway/src/entry/whole_answer.rs
@@ -83,16 +83,13 @@
     answer.guard.note_progress();
     answer.guard.note_first_part();
     let (answer_head, address) = (answer.head, answer.address);
+    let framed = answer.exchange.is_framed();
     match answer.exchange.whole().await {
+        Ok(_) if !framed && crash_check::ended_in_crash(request).await => {
+            Err(request.end_attempt(AttemptEnd::MayHaveRun))
+        }
         Ok((head, body, connection)) => {
-            // A server error does not prove that the request is harmless: a broken endpoint fails
-            // every request.
-            if !head.status.is_server_error() {
-                request.record_complete_run();
-            }
-            if head.status.is_success() {
-                request.record_completed_parts();
-            }
+            request.record_complete_run(head.status, framed);
             if !answer_head.closes_connection {
                 let state = &request.state;
                 let now = state.now();
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -6,9 +6,10 @@
 
 use bytes::Bytes;
 use http::Request;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response::Parts;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
@@ -88,7 +89,10 @@
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 let (head, body) = response.into_parts();
-                Ok(Exchange { head, body, connection: self })
+                let framed = head.headers.contains_key(CONTENT_LENGTH)
+                    || head.headers.contains_key(TRANSFER_ENCODING)
+                    || body.is_end_stream();
+                Ok(Exchange { head, body, framed, connection: self })
             }
             // hyper returns the request only when none of it was sent.
             Err(error) if error.message().is_some() => Err(SendFailure::NotSent),
@@ -112,10 +116,17 @@
     /// Status and headers.
     pub head: Parts,
     body: Incoming,
+    framed: bool,
     connection: EndpointConnection,
 }
 
 impl Exchange {
+    /// Whether the head announces where the body ends. The end of any other body is the end of its
+    /// connection, which a crash of the endpoint looks like as well.
+    pub fn is_framed(&self) -> bool {
+        self.framed
+    }
+
     /// Next bytes of the body; `None` at its end.
     ///
     /// # Errors
--- a/crates/standin/src/group_host/server.rs
+++ b/crates/standin/src/group_host/server.rs
@@ -22,7 +22,7 @@
 };
 use briartray_platform::{ORDER_PATH, REPORT_PATH};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode, Version, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
@@ -94,6 +94,8 @@
     backoff: Arc<Mutex<Option<String>>>,
     /// Whether its answers state that it is leaving.
     answers_leaving: Arc<AtomicBool>,
+    /// Whether its answers have neither a length nor chunks and end with their connection.
+    answers_unframed: Arc<AtomicBool>,
     /// Whether it rejects calls for a report.
     rejects_reports: Arc<AtomicBool>,
     /// Number of rejected calls for a report.
@@ -190,6 +192,11 @@
         self.shared.answers_leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Makes its later answers end with their connection, without a length or chunks.
+    pub fn answer_unframed(&self) {
+        self.shared.answers_unframed.store(true, Ordering::SeqCst);
+    }
+
     /// Stops it immediately, without completing open requests.
     pub fn kill(&mut self) {
         if let Some(stop) = self.stop.take() {
@@ -414,11 +421,23 @@
         body
     } else {
         let team = head.team.as_deref().unwrap_or("nobody");
-        ResponseBody::whole(format!("{} {} {team}", state.settings.id, head.request_id))
+        service_body(state, format!("{} {} {team}", state.settings.id, head.request_id))
     };
     served(state, head).body(body).unwrap_or_else(|_| status(StatusCode::BAD_GATEWAY))
 }
 
+/// The body of a plain service's answer, whose length is left open if answers are unframed.
+fn service_body(state: &HostState, text: String) -> ResponseBody {
+    if !state.shared.answers_unframed.load(Ordering::SeqCst) {
+        return ResponseBody::whole(text);
+    }
+    let (sender, body) = ResponseBody::parts();
+    tokio::task::spawn_local(async move {
+        let _ = sender.send(Ok(Bytes::from(text))).await;
+    });
+    body
+}
+
 fn run_engine(state: &HostState, head: &ReceivedHead, fatal: bool) -> Response<ResponseBody> {
     let member = state.model.borrow().member.clone();
     let is_head = member.as_ref().is_some_and(|member| {
@@ -457,6 +476,10 @@
     if state.shared.answers_leaving() {
         answer = with_leaving(answer);
     }
+    if state.shared.answers_unframed.load(Ordering::SeqCst) {
+        // HTTP/1.0 has no chunks, so bodies of unknown length end with the connection.
+        answer = answer.version(Version::HTTP_10);
+    }
     answer
 }
 
