--- a/crates/fleet/tests/demand_shares.rs
+++ b/crates/fleet/tests/demand_shares.rs
@@ -16,7 +16,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use share_replay::{Division, replay};
+use share_replay::{Division, ReplayCounts, ReplaySize, replay, replay_sized};
 
 const ENTRIES: usize = 16;
 
@@ -113,6 +113,37 @@
     assert!(shared.refused <= equal.refused, "{shared:?}, equal {equal:?}");
 }
 
+/// One of `entries` entries gets nine of ten requests, and another one after 8 s more.
+fn concentrated(entries: usize) -> impl Fn(usize, u64) -> f64 + Copy {
+    move |number, millis| {
+        let busiest = if millis < 13_000 { 3 } else { 5 };
+        let others = 0.1 / (entries - 1) as f64;
+        entries as f64 * if number == busiest { 0.9 } else { others }
+    }
+}
+
+/// Part of the requests that are served at the first attempt.
+fn served(counts: &ReplayCounts) -> f64 {
+    counts.sent as f64 / (counts.sent + counts.refused) as f64
+}
+
+/// Guards against an entry that refuses most requests while groups are idle, because a load balancer
+/// hands it most connections and it keeps to an equal share of the capacity.
+#[test]
+fn an_entry_that_gets_most_requests_serves_them() {
+    let sizes = [(16, 5), (39, 40), (129, 40)];
+    let cases = sizes.into_iter().flat_map(|size| [0.4, 0.6, 0.8].map(|load| (size, load)));
+    for ((entries, groups), load) in cases {
+        let size = ReplaySize { entries, groups, seeds: 1 };
+        let run = |division| replay_sized(size, division, 0, 21_000, load, concentrated(entries));
+        let even = replay_sized(size, Division::Equal, 0, 21_000, load, |_, _| 1.0);
+        for counts in [run(Division::Equal), run(Division::ByDemand)] {
+            println!("{size:?}, load {load}: {} even, {} at one", served(&even), served(&counts));
+            assert!(served(&counts) >= 0.75 * served(&even), "load {load}: {counts:?}");
+        }
+    }
+}
+
 /// Guards against shares that lag behind a wave of half up and down in 17 s, shifted between the
 /// zones by a sixth of the period, so far that more requests are refused than with equal shares.
 #[test]
--- a/crates/fleet/tests/share_replay/mod.rs
+++ b/crates/fleet/tests/share_replay/mod.rs
@@ -10,11 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const ENTRIES: usize = 16;
-const GROUPS: usize = 5;
 const SLOTS: usize = 48;
-/// Replays that are summed up: the refusals of one vary by a tenth.
-const SEEDS: u64 = 6;
 
 const STEP_MS: u64 = 10;
 const REPORT_MS: u64 = 250;
@@ -36,6 +32,18 @@
     ByDemand,
 }
 
+/// Numbers of entries and groups, and of replays that are summed up: the refusals of one vary by a
+/// tenth.
+#[derive(Debug, Clone, Copy)]
+pub struct ReplaySize {
+    pub entries: usize,
+    pub groups: usize,
+    pub seeds: u64,
+}
+
+/// A small deployment.
+const SMALL: ReplaySize = ReplaySize { entries: 16, groups: 5, seeds: 6 };
+
 /// Counts of a replay after its first 5 s.
 #[derive(Debug, Clone, Default)]
 pub struct ReplayCounts {
@@ -59,23 +67,36 @@
 
     /// Refusals at the entries that `of` selects.
     pub fn refused_by(&self, of: impl Fn(usize) -> bool) -> usize {
-        (0..ENTRIES).filter(|number| of(*number)).map(|number| self.refused_at[number]).sum()
+        let entries = 0..self.refused_at.len();
+        entries.filter(|number| of(*number)).map(|number| self.refused_at[number]).sum()
     }
 }
 
-/// Runs `SEEDS` replays of `length` milliseconds at `load` of the slots under `division`, with
+/// As [`replay_sized`] for a small deployment.
+pub fn replay(
+    division: Division,
+    max_wait_ms: u64,
+    length: u64,
+    load: f64,
+    factor: impl Fn(usize, u64) -> f64 + Copy,
+) -> ReplayCounts {
+    replay_sized(SMALL, division, max_wait_ms, length, load, factor)
+}
+
+/// Runs replays of `length` milliseconds at `load` of the slots under `division`, with
 /// requests that wait for up to `max_wait_ms`; `factor(entry, millis)` scales the requests of an
 /// entry.
-pub fn replay(
+pub fn replay_sized(
+    size: ReplaySize,
     division: Division,
     max_wait_ms: u64,
     length: u64,
     load: f64,
     factor: impl Fn(usize, u64) -> f64 + Copy,
 ) -> ReplayCounts {
-    let empty = ReplayCounts { refused_at: vec![0; ENTRIES], ..ReplayCounts::default() };
-    let run = |seed| ShareReplay::new(division, max_wait_ms, seed).run(length, load, factor);
-    (0..SEEDS).map(run).fold(empty, |sum, counts| sum.add(&counts))
+    let empty = ReplayCounts { refused_at: vec![0; size.entries], ..ReplayCounts::default() };
+    let run = |seed| ShareReplay::new(size, division, max_wait_ms, seed).run(length, load, factor);
+    (0..size.seeds).map(run).fold(empty, |sum, counts| sum.add(&counts))
 }
 
 struct ReplayEntry {
@@ -95,6 +116,7 @@
 }
 
 struct ShareReplay {
+    size: ReplaySize,
     division: Division,
     entries: Vec<ReplayEntry>,
     /// Time for which a request waits at its entry for room, in milliseconds.
@@ -114,19 +136,20 @@
 }
 
 impl ShareReplay {
-    fn new(division: Division, max_wait_ms: u64, seed: u64) -> Self {
+    fn new(size: ReplaySize, division: Division, max_wait_ms: u64, seed: u64) -> Self {
         let mut shares = ShareTracker::default();
         shares.set_services(vec![service()]);
         let entry = |number| ReplayEntry {
             name: NodeName::new(&format!("10.0.0.{number}")),
-            loads: vec![TargetLoad::default(); GROUPS],
+            loads: vec![TargetLoad::default(); size.groups],
             book: ShareBook::default(),
             work_ms: 0.0,
             waiting: Vec::new(),
         };
         Self {
+            size,
             division,
-            entries: (0..ENTRIES).map(entry).collect(),
+            entries: (0..size.entries).map(entry).collect(),
             max_wait_ms,
             running: Vec::new(),
             shares,
@@ -139,11 +162,13 @@
     /// requests of an entry.
     fn run(mut self, length: u64, load: f64, factor: impl Fn(usize, u64) -> f64) -> ReplayCounts {
         let mean_ms = USUAL.0 as f64 * (1.0 - LONG_PART) + LONG.0 as f64 * LONG_PART;
-        let usual_rate = load * (GROUPS * SLOTS) as f64 / mean_ms / ENTRIES as f64;
-        let mut counts = ReplayCounts { refused_at: vec![0; ENTRIES], ..ReplayCounts::default() };
+        let usual_rate =
+            load * (self.size.groups * SLOTS) as f64 / mean_ms / self.size.entries as f64;
+        let mut counts =
+            ReplayCounts { refused_at: vec![0; self.size.entries], ..ReplayCounts::default() };
         for now in (0..length).step_by(STEP_MS as usize) {
             self.end_requests(now);
-            for number in 0..ENTRIES {
+            for number in 0..self.size.entries {
                 if (now + number as u64 * STEP_MS).is_multiple_of(REPORT_MS) {
                     self.report(now, number);
                 }
@@ -158,7 +183,7 @@
 
     /// Ends requests, and lets groups state their load with first events.
     fn end_requests(&mut self, now: u64) {
-        for at_group in 0..GROUPS {
+        for at_group in 0..self.size.groups {
             let running = u32::try_from(self.held_by(at_group)).expect("few requests");
             let sample = LoadSample { running, waiting: 0, slots: SLOTS as u32 };
             let first_events = self.running.iter().filter(|request| {
@@ -227,9 +252,11 @@
     /// room for it.
     fn send(&mut self, now: u64, number: usize, length: u64, counts: &mut ReplayCounts) -> bool {
         let entry = &mut self.entries[number];
-        let fraction = entry.book.fraction(at(now), &service(), "large", ENTRIES);
-        let first = self.random.random_range(0..GROUPS);
-        let chosen = (first..first + GROUPS).map(|group| group % GROUPS).find(|group| {
+        let entries = self.size.entries;
+        let fraction = entry.book.fraction(at(now), &service(), "large", entries);
+        let groups = self.size.groups;
+        let first = self.random.random_range(0..groups);
+        let chosen = (first..first + groups).map(|group| group % groups).find(|group| {
             let free = entry.loads[*group].free_share(at(now), SLOTS as f64, fraction);
             free >= 1.0 || free > self.random.random_range(0.0..1.0)
         });
