Close new connections unread while an entry is overloaded

Cause: nothing bounded what an entry accepts by what its processor can do.

Change: the delay of the housekeeping task shows a standing queue at the traffic thread; while there is one, a part of the new connections is closed unread, and their callers try another entry. Nothing is closed for a single pause or a processor with a quota.

Evidence: an_overloaded_entry_serves_what_it_accepts_in_time simulates 1.5 to 10 times the load; without the gate more than half are late, with it at most one in twenty.

--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of an entry about a request: which target gets it, whether it is admitted, and what
 //! follows a failed attempt. Nothing here reads a clock or opens a socket.
 
+mod accept_gate;
 mod answer_timeout;
 mod attempt;
 mod budget;
@@ -20,6 +21,7 @@
 mod table;
 mod waiting;
 
+pub use accept_gate::AcceptGate;
 pub use answer_timeout::AnswerTimeout;
 pub use attempt::{AttemptEnd, NextStep, RetryState};
 pub use budget::RetryBudget;
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -123,8 +123,9 @@
     else {
         return log::error!("cannot serve callers; failed to register the listening sockets");
     };
-    let traffic_state = Rc::clone(&state);
-    let traffic = HttpServer::start(callers, limits, move |request| {
+    let (traffic_state, gate_state) = (Rc::clone(&state), Rc::clone(&state));
+    let admits = move || gate_state.admits_connection();
+    let traffic = HttpServer::start_gated(callers, limits, admits, move |request| {
         serve::handle(Rc::clone(&traffic_state), request)
     });
     let readiness_state = Rc::clone(&state);
@@ -156,7 +157,9 @@
 
 async fn run_housekeeping(state: Rc<EntryState>) {
     loop {
+        let due = state.now().after(HOUSEKEEPING_INTERVAL);
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
+        state.record_delay(state.now().since(due));
         state.housekeeping_pass();
     }
 }
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -7,8 +7,8 @@
 
 use briartray_fleet::deployment::{RequestWork, RouteBook, RouteRule};
 use briartray_fleet::entry::{
-    CheckCause, CompletionRate, EntryLease, RetryBudget, ReturnSchedule, StartupWait, TargetTable,
-    report_interval, retry_interval,
+    AcceptGate, CheckCause, CompletionRate, EntryLease, RetryBudget, ReturnSchedule, StartupWait,
+    TargetTable, report_interval, retry_interval,
 };
 use briartray_fleet::limit::LimitHeader;
 use briartray_fleet::message::{EntryNotice, EntryReport, ModelDemand, WorkSum};
@@ -63,6 +63,7 @@
     /// Notified after each notice from the leader.
     notice_notify: Notify,
     startup_wait: StartupWait,
+    accept_gate: RefCell<AcceptGate>,
     report_sender: Sender<EntryReport>,
     demand: RefCell<SortedTable<(ServiceName, String), WorkSum>>,
     /// Requests that wait for capacity.
@@ -94,6 +95,7 @@
         EntryState {
             startup_wait: StartupWait::new(clock.now()),
             notice_notify: Notify::new(),
+            accept_gate: RefCell::default(),
             clock,
             book: RefCell::new(None),
             table: RefCell::new(TargetTable::new(settings.zone.clone(), rand::random())),
@@ -240,6 +242,26 @@
         self.budget.borrow_mut().take(self.now(), service, entries)
     }
 
+    /// Whether to accept a new connection of a caller.
+    pub(super) fn admits_connection(&self) -> bool {
+        let admits = self.accept_gate.borrow_mut().admits();
+        if !admits {
+            self.metrics.shed.inc();
+        }
+        admits
+    }
+
+    /// Records by how much the housekeeping task ran late.
+    pub(super) fn record_delay(&self, delay: Duration) {
+        let mut gate = self.accept_gate.borrow_mut();
+        let was_overloaded = gate.is_overloaded();
+        gate.record_delay(delay);
+        self.metrics.accepted_percent.set((gate.part() * 100.0).round() as i64);
+        if gate.is_overloaded() && !was_overloaded {
+            log::warn!("overloaded; closing some new connections, whose callers try another entry");
+        }
+    }
+
     pub(super) fn housekeeping_pass(&self) {
         let now = self.now();
         let silent = self.table.borrow_mut().detect_silent_groups(now);
--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -105,6 +105,10 @@
     pub(super) quarantined: Gauge,
     /// Quarantined prompt parts, as known to this entry.
     pub(super) quarantined_parts: Gauge,
+    /// Connections that were closed unread because this entry was overloaded.
+    pub(super) shed: Counter,
+    /// Part of the new connections that is accepted, in percent.
+    pub(super) accepted_percent: Gauge,
     /// Time from a request's arrival to the first part of its response, in seconds.
     pub(super) first_part: Histogram,
     /// Version of the deployment plan in force on this entry.
@@ -144,6 +148,8 @@
             withheld: Counter::default(),
             quarantined: Gauge::default(),
             quarantined_parts: Gauge::default(),
+            shed: Counter::default(),
+            accepted_percent: Gauge::default(),
             first_part: Histogram::new(buckets()),
             plan: Gauge::default(),
             lease_left: Gauge::default(),
@@ -183,6 +189,10 @@
         entry.register("quarantined", help, metrics.quarantined.clone());
         let help = "Prompt parts in quarantine, as far as this entry knows";
         entry.register("quarantined_parts", help, metrics.quarantined_parts.clone());
+        let help = "Connections closed unread while this entry was overloaded";
+        entry.register("shed_connections", help, metrics.shed.clone());
+        let help = "Part of the new connections that this entry accepts";
+        entry.register("accepted_connections_percent", help, metrics.accepted_percent.clone());
         let help = "Time to the first part of an answer";
         entry.register("first_part_seconds", help, metrics.first_part.clone());
         entry.register("plan_version", "Declaration in force", metrics.plan.clone());
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -43,11 +43,27 @@
     where
         H: Fn(Request<Incoming>) -> F + Clone + 'static,
         F: Future<Output = Response<ResponseBody>> + 'static,
+    {
+        Self::start_gated(listener, limits, || true, handle)
+    }
+
+    /// As [`Self::start`]; closes new connections, without reading from them, for which `admits`
+    /// returns `false`.
+    pub fn start_gated<A, H, F>(
+        listener: TcpListener,
+        limits: ServerLimits,
+        admits: A,
+        handle: H,
+    ) -> Self
+    where
+        A: Fn() -> bool + 'static,
+        H: Fn(Request<Incoming>) -> F + Clone + 'static,
+        F: Future<Output = Response<ResponseBody>> + 'static,
     {
         let (stop, stopped) = watch::channel(false);
         let open = Rc::new(Cell::new(0));
         let open_count = Rc::clone(&open);
-        tokio::task::spawn_local(accept_all(listener, limits, handle, stopped, open_count));
+        tokio::task::spawn_local(accept_all(listener, limits, admits, handle, stopped, open_count));
         Self { stop, open }
     }
 
@@ -62,13 +78,15 @@
     }
 }
 
-async fn accept_all<H, F>(
+async fn accept_all<A, H, F>(
     listener: TcpListener,
     limits: ServerLimits,
+    admits: A,
     handle: H,
     mut stopped: watch::Receiver<bool>,
     open: Rc<Cell<usize>>,
 ) where
+    A: Fn() -> bool + 'static,
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
@@ -78,6 +96,9 @@
             _ = stopped.wait_for(|stop| *stop) => return,
         };
         match accepted {
+            Ok((_, peer)) if !admits() => {
+                log::debug!("connection from {peer} was closed: the server is overloaded");
+            }
             Ok((stream, peer)) if open.get() < limits.connections => {
                 let serving =
                     serve(stream, peer, limits, handle.clone(), stopped.clone(), Rc::clone(&open));
