Count completed answers without length of suspected parts, and split the entry's state

An entry does not treat a suspected part as suspect once it has seen a request with it complete. Completed answers without length count only for suspects, so in a deployment where no answer has a length a popular part would have completed once and never again, and eight crashes in ten minutes would have quarantined it. Found by reading; whether a completed run counts follows the leader's suspects now.

The entry's side of the quarantine moves from state.rs to a module of its own. A request head is parsed once, not twice.

--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -150,9 +150,12 @@
         by_parts.max(self.state.status(|| self.fingerprint()))
     }
 
-    /// Whether the request or a part of its prompt is suspected of crashes.
+    /// Whether the leader suspects the request or a part of its prompt, so that its completed runs
+    /// count.
     pub(super) fn is_suspect(&self) -> bool {
-        self.status() == QuarantineStatus::Suspect
+        let status = self.state.status(|| self.fingerprint());
+        status == QuarantineStatus::Suspect
+            || self.state.has_suspected_part(&self.head.shared_parts)
     }
 
     /// Records that the request ran to completion and got a response with `status`. This clears the
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod control_link;
 mod crash_check;
 mod dispatch;
+mod quarantine;
 mod refusal;
 mod returns;
 mod serve;
--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -50,7 +50,8 @@
     },
     /// The replicas that were tried did not run the request.
     NotRun,
-    /// The request is quarantined: identical requests crashed the endpoints that ran them.
+    /// The request is quarantined: identical requests, or others with the same part of the prompt,
+    /// crashed the endpoints that ran them.
     Quarantined,
     /// The request may have run; the deadline passed without a response.
     TimedOut,
@@ -118,7 +119,7 @@
             }
             Self::NotRun => "the replicas that were asked did not take it; come back in a moment",
             Self::Quarantined => {
-                "it crashed the replicas that ran it; change it, or ask the operators to lift its quarantine"
+                "it, or a part of its prompt, crashed the replicas that ran it; change it, or ask the operators to lift its quarantine"
             }
             Self::TimedOut => "it may have run; look before you send it again",
             Self::Unknown => {
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -37,8 +37,9 @@
     let _running = state.begin_request();
     let arrived = state.now();
     let (parts, body) = request.into_parts();
-    let id = CallerHead::read(&parts).request_id;
-    let admitted = admit(&state, parts, body).await;
+    let head = CallerHead::read(&parts);
+    let id = head.request_id.clone();
+    let admitted = admit(&state, parts, head, body).await;
     let facts = admitted.as_ref().ok().and_then(ServedRequest::caller_facts);
     let mut answer = match admitted {
         Ok(request) if request.rule.kind.is_stream() => stream_relay::serve(request).await,
@@ -107,10 +108,10 @@
 async fn admit(
     state: &Rc<EntryState>,
     parts: Parts,
+    head: CallerHead,
     body: Incoming,
 ) -> Result<ServedRequest, RefusalKind> {
     let arrived = state.now();
-    let head = CallerHead::read(&parts);
     let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE);
     let book = state.wait_for_book(deadline).await.ok_or(RefusalKind::RulesUnconfirmed)?;
     let limits = &book.plan().limits;
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -13,15 +13,11 @@
 use briartray_fleet::limit::LimitHeader;
 use briartray_fleet::message::{EntryNotice, EntryReport, ModelDemand, WorkSum};
 use briartray_fleet::state::StoredPlan;
-use briartray_model::message::FingerprintView;
-use briartray_model::names::{IncarnationId, NodeName, PartId, RequestFingerprint, ServiceName};
+use briartray_model::names::{IncarnationId, NodeName, ServiceName};
 use briartray_model::{SortedTable, TimePoint};
 use briartray_node::ClockReader;
 use briartray_platform::CallerHead;
-use briartray_quarantine::{
-    CompletedParts, EvidenceLog, FingerprintKey, FingerprintParts, QuarantineGuard,
-    QuarantineStatus,
-};
+use briartray_quarantine::{CompletedParts, EvidenceLog, FingerprintKey, QuarantineGuard};
 use crossbeam::channel::Sender;
 use http::StatusCode;
 use tokio::sync::Notify;
@@ -33,10 +29,6 @@
 use crate::stored_plan::read_stored_plan;
 use briartray_http::ConnectionPool;
 
-/// Minimum interval between two reports only about completed runs of the same suspected prompt
-/// part.
-const COMPLETION_REPORT_INTERVAL: Duration = Duration::from_millis(100);
-
 /// State shared by all requests; used by a single thread.
 pub(super) struct EntryState {
     pub(super) settings: GatewaySettings,
@@ -50,12 +42,13 @@
     /// Times at which refused callers were told to return, for the same services.
     pub(super) returns: RefCell<ReturnSchedule>,
     pub(super) pool: RefCell<ConnectionPool>,
-    fingerprint_key: FingerprintKey,
-    quarantine_guard: RefCell<QuarantineGuard>,
+    pub(super) fingerprint_key: FingerprintKey,
+    pub(super) quarantine_guard: RefCell<QuarantineGuard>,
     /// Runs that ended in a crash, and completed runs of suspected requests, which are reported to
     /// the leader.
     pub(super) evidence_log: RefCell<EvidenceLog>,
-    completed_parts: RefCell<CompletedParts>,
+    /// Prompt parts whose requests this entry has seen complete.
+    pub(super) completed_parts: RefCell<CompletedParts>,
     /// Requests whose connections broke, by endpoint, while a crash check is running.
     pub(super) broken_runs: RefCell<SortedTable<IncarnationId, Vec<BrokenRun>>>,
     /// Notified at each housekeeping pass while a request waits for a silent target.
@@ -417,57 +410,6 @@
         self.notice_notify.notify_waiters();
     }
 
-    /// Adopts a view of the quarantine. Returns whether this entry knows completed runs of new
-    /// suspects, for which the leader waits before it decides.
-    fn adopt_quarantine(&self, view: FingerprintView) -> bool {
-        let (quarantined, suspects) = (view.quarantined.len(), view.suspects.len());
-        let (parts, suspected_parts) = (view.quarantined_parts.len(), view.suspected_parts.len());
-        log::info!(quarantined, suspects, parts, suspected_parts; "quarantine changed");
-        let gauge = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
-        self.metrics.quarantined.set(gauge(quarantined));
-        self.metrics.quarantined_parts.set(gauge(parts));
-        let asked = missing_in(self.quarantine_guard.borrow().suspected_parts(), &view);
-        let lifted = self.quarantine_guard.borrow_mut().adopt(view);
-        let mut log = self.evidence_log.borrow_mut();
-        lifted.requests.iter().for_each(|fingerprint| log.forget(*fingerprint));
-        lifted.parts.iter().for_each(|part| log.forget_part(*part));
-        !self.completed_parts.borrow().completions(self.now(), &asked).is_empty()
-    }
-
-    /// Records that a request with these prompt parts ran to completion.
-    pub(super) fn record_completed_parts(&self, parts: &[PartId]) {
-        let now = self.now();
-        let mut completed_parts = self.completed_parts.borrow_mut();
-        let guard = self.quarantine_guard.borrow();
-        let is_news = |part: &PartId| {
-            let age = completed_parts.age(now, *part);
-            guard.suspected_parts().binary_search(part).is_ok()
-                && age.is_none_or(|age| age >= COMPLETION_REPORT_INTERVAL)
-        };
-        let is_due = parts.iter().any(is_news);
-        completed_parts.record(now, parts);
-        drop((completed_parts, guard));
-        if is_due {
-            self.send_report();
-        }
-    }
-
-    /// Quarantine status of a request by the parts of its prompt. A suspect whose requests this
-    /// entry has seen complete counts as clear.
-    pub(super) fn parts_status(&self, parts: &[PartId]) -> QuarantineStatus {
-        let status = self.quarantine_guard.borrow().parts_status(parts);
-        if status != QuarantineStatus::Suspect {
-            return status;
-        }
-        let (now, completed_parts) = (self.now(), self.completed_parts.borrow());
-        let unproven: Vec<PartId> = parts
-            .iter()
-            .filter(|part| completed_parts.age(now, **part).is_none())
-            .copied()
-            .collect();
-        self.quarantine_guard.borrow().parts_status(&unproven)
-    }
-
     /// Records the rate limit that `endpoint` stated in a response.
     pub(super) fn record_limit(&self, endpoint: Option<&IncarnationId>, header: LimitHeader) {
         let Some(endpoint) = endpoint else { return };
@@ -520,18 +462,6 @@
         self.table.borrow_mut().shares_mut().begin_leader();
     }
 
-    /// Computes the fingerprint of a request from `parts`.
-    pub(super) fn fingerprint(&self, parts: &FingerprintParts<'_>) -> RequestFingerprint {
-        self.fingerprint_key.fingerprint(parts)
-    }
-
-    /// Quarantine status of a request; `compute` returns its fingerprint.
-    pub(super) fn status(&self, compute: impl FnOnce() -> RequestFingerprint) -> QuarantineStatus {
-        let guard = self.quarantine_guard.borrow();
-        // A fingerprint needs a pass over the body, so it is computed only after crashes.
-        if guard.is_watching() { guard.status(compute()) } else { QuarantineStatus::Clear }
-    }
-
     fn adopt_plan(&self, stored_plan: &StoredPlan) {
         let version = stored_plan.version;
         // A lagging leader must not bring back a replaced deployment plan.
@@ -565,12 +495,6 @@
     }
 }
 
-/// The suspected prompt parts of `view` that are not in `known`.
-fn missing_in(known: &[PartId], view: &FingerprintView) -> Vec<PartId> {
-    let is_new = |part: &&PartId| known.binary_search(part).is_err();
-    view.suspected_parts.iter().filter(is_new).copied().collect()
-}
-
 /// Adds hosts to `known` without duplicates.
 pub(super) fn merge_hosts(known: &mut Vec<NodeName>, more: Vec<NodeName>) {
     for host in more {
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -151,8 +151,8 @@
 
     /// A refusal because earlier runs of the request crashed their replicas.
     pub fn quarantined() -> Self {
-        let message = "it crashed the replicas that ran it; change it, or ask the operators to lift \
-                       its quarantine";
+        let message = "it, or a part of its prompt, crashed the replicas that ran it; change it, or \
+                       ask the operators to lift its quarantine";
         Self::not_run(RefusalCode::Quarantined, message)
     }
 
