--- a/crates/cli/src/trial/fleet.rs
+++ b/crates/cli/src/trial/fleet.rs
@@ -404,8 +404,8 @@
             }
             std::thread::sleep(READY_POLL_INTERVAL);
         }
-        let folder = self.folder.path().display().to_string();
-        Err(TrialError::NotReady { seconds: READY_TIMEOUT.as_secs(), folder })
+        let logs = last_log_lines(self.folder.path())?;
+        Err(TrialError::NotReady { seconds: READY_TIMEOUT.as_secs(), logs })
     }
 
     /// Number of groups that the hosts of the plan form.
@@ -472,6 +472,21 @@
     groups.iter().filter(|group| group["whole"] == true).count()
 }
 
+/// Name and last line of each log in `folder`.
+fn last_log_lines(folder: &Path) -> Result<String, TrialError> {
+    let mut lines = Vec::new();
+    for file in std::fs::read_dir(folder)? {
+        let path = file?.path();
+        if path.extension().is_some_and(|extension| extension == "log") {
+            let text = std::fs::read_to_string(&path)?;
+            let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+            lines.push(format!("{name}: {}", text.lines().last().unwrap_or("(empty)")));
+        }
+    }
+    lines.sort_unstable();
+    Ok(lines.join("\n"))
+}
+
 fn daemon_settings(node: &str, zone: &str, cluster: &ClusterSettings) -> DaemonSettings {
     let stop = StopSettings { notice_ms: 500, wait_ms: 30_000 };
     DaemonSettings { stop, ..DaemonSettings::new(node, zone, cluster) }
--- a/crates/cli/src/trial/process.rs
+++ b/crates/cli/src/trial/process.rs
@@ -27,12 +27,15 @@
         source: std::io::Error,
     },
     /// The fleet did not become ready in time.
-    #[snafu(display("the fleet is not ready after {seconds} s; look at the logs in {folder}"))]
+    #[snafu(display(
+        "the fleet is not ready after {seconds} s; look for the process that ended or waits in the \
+         last lines of the logs:\n{logs}"
+    ))]
     NotReady {
         /// Time limit that has passed, in seconds.
         seconds: u64,
-        /// Folder with the settings and logs of the processes.
-        folder: String,
+        /// Name and last line of each process's log; the logs go with the fleet.
+        logs: String,
     },
     /// The load failed, or its result could not be compared with the run logs.
     #[snafu(display("{detail}"))]
