Wait until requests are counted before metrics are compared

Cause: an entry counts a request after it has sent the last byte of its answer, and the test read the metrics at once. The test was wrong to expect the count at that moment; it now waits up to 30 s for exactly the same lines, and compares whole lines instead of beginnings.

--- a/crates/cli/tests/traces_and_metrics.rs
+++ b/crates/cli/tests/traces_and_metrics.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -16,6 +17,9 @@
 /// Time limit for the spans to reach the file; generous so that only a hang exceeds it.
 const SPAN_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time limit for requests to be counted; generous for the same reason.
+const METRICS_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Waits for `count` spans of the trace in `file` and returns them.
 fn read_spans(file: &Path, count: usize) -> Vec<Value> {
     let started = Instant::now();
@@ -34,6 +38,25 @@
     }
 }
 
+/// Waits until the metrics of the entry at `address` have all `expected` lines. A request is counted
+/// once its answer has been sent, so its caller may read the metrics before that.
+fn wait_for_metrics(address: SocketAddr, expected: &[&str]) {
+    let started = Instant::now();
+    loop {
+        let text = attohttpc::get(format!("http://{address}/metrics"))
+            .send()
+            .and_then(attohttpc::Response::text)
+            .expect("the entry answers");
+        let missing: Vec<&&str> =
+            expected.iter().filter(|line| !text.lines().any(|known| known == **line)).collect();
+        if missing.is_empty() {
+            return;
+        }
+        assert!(started.elapsed() < METRICS_TIMEOUT, "{missing:?} are missing in\n{text}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 #[test]
 fn request_has_four_spans_under_the_trace_of_its_caller() {
     let folder = tempfile::tempdir().expect("a folder");
@@ -67,20 +90,14 @@
     let (_, stream) = post(address, "/v1/completions", &completion("lot 8", 4, true));
     let (status, _) = post_keyed(address, "/v1/completions", "k", &completion("lot 9", 2, false));
 
-    let text = attohttpc::get(format!("http://{address}/metrics"))
-        .send()
-        .and_then(attohttpc::Response::text)
-        .expect("the entry answers");
-
     assert!(read_stream(&stream).1 && status == 200);
-    for line in [
+    let expected = [
         "briartray_requests_total{outcome=\"answered\"} 3",
         "briartray_first_token_seconds_count 1",
         "briartray_inter_token_seconds_count 3",
         "briartray_rules_revision 1",
         "briartray_spans_dropped 0",
-    ] {
-        assert!(text.contains(line), "{line} is missing in\n{text}");
-    }
+    ];
+    wait_for_metrics(address, &expected);
     fleet.stop();
 }
