--- a/crates/standin/src/group_host/server.rs
+++ b/crates/standin/src/group_host/server.rs
@@ -1,13 +1,13 @@
 //! A stand-in endpoint on a socket: it applies orders, reports its state, sends heartbeats, and
 //! answers requests as the head of a group or as a plain service.
 //!
-//! A request with the fatal body or the fatal prompt part crashes it: all of its connections are reset, and it restarts
-//! after `RESTART_DELAY` at the same address with a new incarnation id.
+//! A request with the fatal body or the fatal prompt part crashes it: all of its connections are
+//! reset, and it restarts after `RESTART_DELAY` at the same address with a new incarnation id.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -96,6 +96,8 @@
     answers_leaving: Arc<AtomicBool>,
     /// Whether its answers have neither a length nor chunks and end with their connection.
     answers_unframed: Arc<AtomicBool>,
+    /// Id of the event inside which its streams end unless they are resumed; 0 for none.
+    break_inside: Arc<AtomicU64>,
     /// Whether it rejects calls for a report.
     rejects_reports: Arc<AtomicBool>,
     /// Number of rejected calls for a report.
@@ -197,6 +199,11 @@
         self.shared.answers_unframed.store(true, Ordering::SeqCst);
     }
 
+    /// Makes later streams end inside event `id`, except resumed ones; the endpoint goes on.
+    pub fn break_inside_event(&self, id: u64) {
+        self.shared.break_inside.store(id, Ordering::SeqCst);
+    }
+
     /// Stops it immediately, without completing open requests.
     pub fn kill(&mut self) {
         if let Some(stop) = self.stop.take() {
@@ -455,10 +462,17 @@
     let first = head.last_event.map_or(1, |last| last + 1);
     let last = state.settings.events;
     let pause = if fatal { CRASH_DELAY * 2 } else { EVENT_INTERVAL };
+    let break_inside = state.shared.break_inside.load(Ordering::SeqCst);
+    let breaks_at = Some(break_inside).filter(|id| *id > 0 && head.last_event.is_none());
     tokio::task::spawn_local(async move {
         for id in first..=last {
             tokio::time::sleep(pause).await;
             let event = format!("id: {id}\ndata: part {id}\n\n");
+            if breaks_at == Some(id) {
+                let half = event[..event.len() / 2].to_owned();
+                let _ = sender.send(Ok(Bytes::from(half))).await;
+                return;
+            }
             if sender.send(Ok(Bytes::from(event))).await.is_err() {
                 return;
             }
