Review case 2: an entry hangs while nobody reads its log

Cause: log lines are written to standard output within the call that logs, on the traffic thread. Once the pipe is full, the entry stops as a whole.

Nothing outside review/ changes.

--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -4,6 +4,7 @@
 mod bootstrap;
 mod deployment;
 mod http;
+mod log_reader;
 mod operator;
 mod record;
 mod replica;
@@ -24,6 +25,9 @@
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
     let case = arguments.next().unwrap_or_default();
+    if case == "collect" {
+        return log_reader::collect(&arguments.next().unwrap_or_default());
+    }
     let path = arguments.next().unwrap_or_default();
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = match Record::create(Path::new(&path)) {
@@ -36,6 +40,7 @@
     record.line(format!("rig       case {case}, disruption: {trouble}"));
     let outcome = match case.as_str() {
         "bootstrap" => bootstrap::run(&record, trouble),
+        "log-reader" => log_reader::run(&record, trouble),
         _ => Ok(Outcome::Void(format!("there is no case {case}"))),
     };
     let outcome = outcome.unwrap_or_else(|error| Outcome::Void(error.to_string()));
