Review case 3: groups keep their old size after a change of the model's size

Cause: the director ends groups for lost or leaving members only, and does not compare a group with the size that the plan in force gives its model.

Nothing outside review/ changes.

--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -3,8 +3,10 @@
 
 mod bootstrap;
 mod deployment;
+mod engine;
 mod http;
 mod log_reader;
+mod model_size;
 mod operator;
 mod record;
 mod replica;
@@ -41,6 +43,7 @@
     let outcome = match case.as_str() {
         "bootstrap" => bootstrap::run(&record, trouble),
         "log-reader" => log_reader::run(&record, trouble),
+        "model-size" => model_size::run(&record, trouble),
         _ => Ok(Outcome::Void(format!("there is no case {case}"))),
     };
     let outcome = outcome.unwrap_or_else(|error| Outcome::Void(error.to_string()));
