--- a/review/rig/src/deployment.rs
+++ b/review/rig/src/deployment.rs
@@ -175,14 +175,9 @@
     }
 }
 
-/// A new folder, in memory where the system offers it: a busy disk would delay the first start.
+/// A new folder for settings, logs and data.
 fn temporary_folder(pid: u32, attempt: u8) -> Result<PathBuf> {
-    let name = format!("review-{pid}-{attempt}");
-    let in_memory = Path::new("/dev/shm").join(&name);
-    if fs::create_dir(&in_memory).is_ok() {
-        return Ok(in_memory);
-    }
-    let folder = std::env::temp_dir().join(&name);
+    let folder = std::env::temp_dir().join(format!("review-{pid}-{attempt}"));
     fs::create_dir(&folder)?;
     Ok(folder)
 }
