Review case 3: a request that crashes replicas late is never quarantined

Cause: an entry gives up the first attempt of a safe request after three times the route's aim and drops the connection. Only a connection that breaks by itself starts a check for a crash, so that a crash after that moment is not reported to the leader. Two crashes of second attempts make the request a suspect, which gets no second attempt: from then on no crash is seen, and the four that quarantine takes are never reached.

The stand-in of a plain replica learns to crash with a request, and to drop or to keep one whose connection has closed.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 rig=target/review/release/review-rig
 [ -x "$rig" ] || { echo "run review/build.sh first"; exit 2; }
-"$rig" model-size review/3/record.txt
+"$rig" crashing-request review/3/record.txt
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/rig/src/bootstrap.rs
+++ b/review/rig/src/bootstrap.rs
@@ -52,7 +52,8 @@
         let zone = ZONES[usize::from(number) - 1];
         let work = Duration::from_millis(30);
         let ip = deployment.ip(100 + number);
-        replicas.push(Replica::start(record, number, ip, zone, work, deployment.controls())?);
+        let controls = deployment.controls();
+        replicas.push(Replica::start(record, number, ip, zone, work, controls, None)?);
     }
     let started = record.now();
     let mut processes = Vec::new();
--- a/review/rig/src/log_reader.rs
+++ b/review/rig/src/log_reader.rs
@@ -76,7 +76,8 @@
         let zone = ZONES[usize::from(number) - 1];
         let ip = deployment.ip(100 + number);
         let work = Duration::from_millis(30);
-        replicas.push(Replica::start(record, number, ip, zone, work, deployment.controls())?);
+        let controls = deployment.controls();
+        replicas.push(Replica::start(record, number, ip, zone, work, controls, None)?);
     }
     let mut collector = Command::new(std::env::current_exe()?);
     collector.arg("collect").arg(deployment.folder.join("entry-1.log")).stdin(Stdio::piped());
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -2,6 +2,7 @@
 //! by what operators and callers see. `rig CASE RECORD`; with `TROUBLE=0` without the disruption.
 
 mod bootstrap;
+mod crashing_request;
 mod deployment;
 mod engine;
 mod http;
@@ -42,6 +43,7 @@
     record.line(format!("rig       case {case}, disruption: {trouble}"));
     let outcome = match case.as_str() {
         "bootstrap" => bootstrap::run(&record, trouble),
+        "crashing-request" => crashing_request::run(&record, trouble),
         "log-reader" => log_reader::run(&record, trouble),
         "model-size" => model_size::run(&record, trouble),
         _ => Ok(Outcome::Void(format!("there is no case {case}"))),
--- a/review/rig/src/replica.rs
+++ b/review/rig/src/replica.rs
@@ -2,9 +2,10 @@
 //! other on each connection.
 
 use std::io::{BufReader, Write};
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -18,6 +19,25 @@
 /// Time between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+/// A request that crashes each replica that begins to run it.
+#[derive(Clone)]
+pub struct FatalRequest {
+    /// Place of the replica, which a new one takes after a crash.
+    pub place: usize,
+    pub body: &'static [u8],
+    /// Time from its arrival at a replica to the crash.
+    pub crash_after: Duration,
+    /// Whether the replica drops the request when its connection closes, which saves it.
+    pub drops_abandoned: bool,
+    pub events: Sender<FatalEvent>,
+}
+
+/// What happened to a fatal request at a replica, and when.
+pub enum FatalEvent {
+    Reached(Duration),
+    Crashed(Duration, usize),
+}
+
 struct Shared {
     id: String,
     zone: String,
@@ -25,6 +45,10 @@
     running: AtomicU32,
     record: Record,
     stopped: AtomicBool,
+    fatal: Option<FatalRequest>,
+    address: SocketAddr,
+    /// Connections to close in a crash.
+    streams: Mutex<Vec<TcpStream>>,
 }
 
 /// A replica with the life of the rig.
@@ -47,6 +71,7 @@
         zone: &str,
         work: Duration,
         controls: Vec<SocketAddr>,
+        fatal: Option<FatalRequest>,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind((ip, 0))?;
         let address = listener.local_addr()?;
@@ -57,21 +82,32 @@
             running: AtomicU32::new(0),
             record: record.clone(),
             stopped: AtomicBool::new(false),
+            fatal,
+            address,
+            streams: Mutex::default(),
         });
         let accepting = Arc::clone(&shared);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.stopped.load(Ordering::Relaxed) {
+                    break;
+                }
                 let shared = Arc::clone(&accepting);
                 thread::spawn(move || serve(&shared, stream));
             }
+            drop(listener);
+            let mut streams = accepting.streams.lock().expect("no thread panics");
+            for stream in streams.drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
         });
         let beating = Arc::clone(&shared);
-        thread::spawn(move || send_heartbeats(&beating, address, &controls));
+        thread::spawn(move || send_heartbeats(&beating, &controls));
         Ok(Self { shared })
     }
 }
 
-fn send_heartbeats(shared: &Shared, address: SocketAddr, controls: &[SocketAddr]) {
+fn send_heartbeats(shared: &Shared, controls: &[SocketAddr]) {
     let born = std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |time| time.as_millis());
@@ -84,6 +120,7 @@
             "{{\"service\":\"{SERVICE}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"slots\":{SLOTS},\"state\":\"ready\",\"cold_remaining_ms\":0,\
              \"sequence\":{sequence},\"born\":{born}}}",
+            address = shared.address,
             zone = shared.zone,
         );
         let path = format!("/Instances.Heartbeat/{}", shared.id);
@@ -111,8 +148,15 @@
 fn serve(shared: &Shared, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
+    if shared.fatal.is_some() {
+        let copy = stream.try_clone().expect("a connection can be cloned");
+        shared.streams.lock().expect("no thread panics").push(copy);
+    }
     let mut reader = BufReader::new(stream);
     while let Ok(Some(request)) = read_message(&mut reader) {
+        if let Some(fatal) = shared.fatal.as_ref().filter(|fatal| fatal.body == request.body) {
+            return run_fatal(shared, fatal, &request, reader.get_ref());
+        }
         let answer = answer(shared, &request);
         if reader.get_mut().write_all(&answer).is_err() {
             return;
@@ -120,6 +164,35 @@
     }
 }
 
+/// Runs a fatal request: after it nothing listens at the replica's address, and its connections are
+/// closed.
+fn run_fatal(shared: &Shared, fatal: &FatalRequest, request: &Message, stream: &TcpStream) {
+    let request_id = request.header("request-id").unwrap_or("");
+    let began = shared.record.now();
+    let _ = fatal.events.send(FatalEvent::Reached(began));
+    shared.record.line(format!("replica   {} runs the fatal request {request_id}", shared.id));
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(10)));
+    let mut abandoned = false;
+    while shared.record.now() < began + fatal.crash_after {
+        thread::sleep(Duration::from_millis(5));
+        if !abandoned && matches!(stream.peek(&mut [0]), Ok(0)) {
+            abandoned = true;
+            let reaction = if fatal.drops_abandoned { "drops" } else { "goes on with" };
+            shared.record.line(format!("replica   {} {reaction} {request_id}", shared.id));
+        }
+        if abandoned && fatal.drops_abandoned {
+            return;
+        }
+    }
+    if shared.stopped.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    shared.record.line(format!("replica   {} crashes", shared.id));
+    let _ = fatal.events.send(FatalEvent::Crashed(shared.record.now(), fatal.place));
+    // Wakes the thread that accepts connections.
+    let _ = TcpStream::connect(shared.address);
+}
+
 fn answer(shared: &Shared, request: &Message) -> Vec<u8> {
     let request_id = request.header("request-id").unwrap_or("");
     let line = &request.first_line;
