Review case 3: route, deadline and amounts as the site file has them

Cause: the first form of the case had a timeout of 1,500 ms where the site file has 800, and its replicas paid no heed to the deadline that they receive, though PROTOCOL.md says that they do.

Change: the route's timeout is 800 ms, replicas stop at their deadline, the crash comes 600 ms after the arrival, and the requests come for 30 s.

--- a/review/rig/src/crashing_request.rs
+++ b/review/rig/src/crashing_request.rs
@@ -19,8 +19,8 @@
 const REPLICAS: usize = 3;
 
 /// Time from the arrival of the fatal request at a replica to its crash; with SOON=1 the shorter
-/// one. The route's aim is 150 ms.
-const CRASH_AFTER: Duration = Duration::from_millis(700);
+/// one. The route's aim is 150 ms, its timeout 800 ms.
+const CRASH_AFTER: Duration = Duration::from_millis(600);
 const CRASH_SOON: Duration = Duration::from_millis(200);
 
 /// Time from a crash to the start of a new replica in its place.
@@ -34,7 +34,7 @@
 const COUNTED_CRASHES: usize = 3;
 
 /// Requests that callers send, and the time between two of them.
-const COPIES: u32 = 20;
+const COPIES: u32 = 30;
 const COPY_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Pause of a client before it comes back after a 503 (`retry_after_s` is 0).
@@ -43,7 +43,7 @@
 const FATAL_BODY: &[u8] = b"a fatal certificate";
 const SOUND_BODY: &[u8] = b"a sound certificate";
 
-const STATUS: Route = ("cert-status", "/status/", "safe", 1_500);
+const STATUS: Route = ("cert-status", "/status/", "safe", 800);
 
 /// When the fatal request reached replicas, and when one crashed.
 #[derive(Default)]
--- a/review/rig/src/replica.rs
+++ b/review/rig/src/replica.rs
@@ -172,6 +172,8 @@
     let _ = fatal.events.send(FatalEvent::Reached(began));
     shared.record.line(format!("replica   {} runs the fatal request {request_id}", shared.id));
     let _ = stream.set_read_timeout(Some(Duration::from_millis(10)));
+    let deadline = request.header("deadline-ms").and_then(|left| left.parse().ok());
+    let deadline = deadline.map_or(Duration::MAX, Duration::from_millis);
     let mut abandoned = false;
     while shared.record.now() < began + fatal.crash_after {
         thread::sleep(Duration::from_millis(5));
@@ -183,6 +185,12 @@
         if abandoned && fatal.drops_abandoned {
             return;
         }
+        if shared.record.now() >= began.saturating_add(deadline) {
+            shared
+                .record
+                .line(format!("replica   {} stops {request_id} at its deadline", shared.id));
+            return;
+        }
     }
     if shared.stopped.swap(true, Ordering::Relaxed) {
         return;
