--- a/review/rig/src/crashing_request.rs
+++ b/review/rig/src/crashing_request.rs
@@ -37,8 +37,8 @@
 const COPIES: u32 = 30;
 const COPY_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Pause of a client before it comes back after a 503 (`retry_after_s` is 0).
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Time that a client waits for its answer, over its one retry.
+const CLIENT_DEADLINE: Duration = Duration::from_millis(1_500);
 
 const FATAL_BODY: &[u8] = b"a fatal certificate";
 const SOUND_BODY: &[u8] = b"a sound certificate";
@@ -180,36 +180,50 @@
 impl Caller<'_> {
     /// Sends a sound request to an entry; returns whether it was answered.
     fn is_served(&self, entry: u32) -> bool {
-        let served = self.send(entry, "warm", b"another certificate") == 200;
+        let served = self.send(entry, "warm", b"another certificate", CLIENT_DEADLINE).0 == 200;
         if !served {
             thread::sleep(Duration::from_millis(200));
         }
         served
     }
 
-    /// Sends a request, and once more if the answer promises that it has not run, as clients do.
+    /// Sends a request, and once more if the answer promises that it has not run. The client waits
+    /// as `Retry-After` says, up to a third of the time that it has left.
     fn send_twice(&self, entry: u32, id: &str, body: &[u8]) {
-        if self.send(entry, id, body) == 503 {
-            thread::sleep(RETRY_PAUSE);
-            self.send(entry, &format!("{id}-retry"), body);
+        let sent = self.record.now();
+        let (status, retry_after) = self.send(entry, id, body, CLIENT_DEADLINE);
+        if status != 503 {
+            return;
         }
+        let left = CLIENT_DEADLINE.saturating_sub(self.record.now() - sent);
+        thread::sleep(retry_after.min(left / 3));
+        let left = CLIENT_DEADLINE.saturating_sub(self.record.now() - sent);
+        self.send(entry, &format!("{id}-retry"), body, left);
     }
 
-    /// Sends a request on a connection of its own; returns the status of its answer.
-    fn send(&self, entry: u32, id: &str, body: &[u8]) -> u16 {
+    /// Sends a request on a connection of its own; returns the status of its answer, and the time
+    /// that its `Retry-After` names.
+    fn send(&self, entry: u32, id: &str, body: &[u8], left: Duration) -> (u16, Duration) {
         let key = format!("Bearer {KEY}");
+        let deadline = left.as_millis().to_string();
         let headers = [
             ("Host", HOST),
             ("Request-Id", id),
-            ("Deadline-Ms", "1500"),
+            ("Deadline-Ms", deadline.as_str()),
             ("Authorization", key.as_str()),
         ];
         let address = self.deployment.callers(u8::try_from(entry).expect("three entries"));
         self.record.line(format!("caller    {id} sent to entry {entry}"));
-        let wait = Duration::from_millis(2_000);
-        let answer = call_once(address, ("POST", "/status/1"), &headers, body, wait);
-        let (status, text) = answer.map_or((0, String::new()), |a| (a.status(), a.text()));
-        self.record.line(format!("caller    {id} at entry {entry}: {status} {}", text.trim_end()));
-        status
+        let answer = call_once(address, ("POST", "/status/1"), &headers, body, left);
+        let answer = answer.unwrap_or_default();
+        let seconds = answer.header("retry-after").and_then(|text| text.parse().ok());
+        let retry_after = Duration::from_secs_f64(seconds.unwrap_or(0.0));
+        self.record.line(format!(
+            "caller    {id} at entry {entry}: {}, Retry-After {:.2}, {}",
+            answer.status(),
+            retry_after.as_secs_f64(),
+            answer.text().trim_end()
+        ));
+        (answer.status(), retry_after)
     }
 }
--- a/review/rig/src/log_reader.rs
+++ b/review/rig/src/log_reader.rs
@@ -22,11 +22,11 @@
 const TAIL: Duration = Duration::from_secs(6);
 
 /// Timeout of the route, of which the rule speaks, and the slack that the rule gives.
-const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_500);
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(800);
 const RULE_SLACK: Duration = Duration::from_millis(500);
 
-/// Deadline that callers name: longer than the route's timeout.
-const CALLER_DEADLINE: Duration = Duration::from_millis(4_000);
+/// Deadline that callers name.
+const CALLER_DEADLINE: Duration = Duration::from_millis(1_500);
 
 /// Callers at each entry that keep their connections, and the pause between their requests.
 const KEPT_CALLERS: usize = 16;
@@ -35,7 +35,7 @@
 /// Pause between the requests, at each entry, of the callers whose key is not in force.
 const KEYLESS_PAUSE: Duration = Duration::from_millis(125);
 
-const LOOKUP: Route = ("file-lookup", "/lookup/", "unsafe", 1_500);
+const LOOKUP: Route = ("file-lookup", "/lookup/", "unsafe", 800);
 
 /// Copies standard input to a file, as a log collector does.
 pub fn collect(path: &str) -> ExitCode {
