--- a/crates/standin/src/group_host/server.rs
+++ b/crates/standin/src/group_host/server.rs
@@ -102,6 +102,8 @@
     rejects_reports: Arc<AtomicBool>,
     /// Number of rejected calls for a report.
     rejected_reports: Arc<AtomicUsize>,
+    /// Time for which its thread is to stand still, in milliseconds; 0 for none.
+    stand_still_ms: Arc<AtomicU64>,
 }
 
 impl HostShared {
@@ -204,6 +206,16 @@
         self.shared.break_inside.store(id, Ordering::SeqCst);
     }
 
+    /// Makes it stand still for `time`: its connections stay open, and nothing is read, sent or run.
+    /// Returns once it stands still.
+    pub fn stand_still(&self, time: Duration) {
+        let time_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        self.shared.stand_still_ms.store(time_ms, Ordering::SeqCst);
+        while self.shared.stand_still_ms.load(Ordering::SeqCst) > 0 {
+            std::thread::sleep(TICK_INTERVAL);
+        }
+    }
+
     /// Stops it immediately, without completing open requests.
     pub fn kill(&mut self) {
         if let Some(stop) = self.stop.take() {
@@ -317,6 +329,8 @@
     let mut next = 0;
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
+        let stand_still_ms = state.shared.stand_still_ms.swap(0, Ordering::SeqCst);
+        std::thread::sleep(Duration::from_millis(stand_still_ms));
         let changed = state.model.borrow_mut().tick(state.now());
         if !changed && Instant::now() < next_heartbeat {
             continue;
