Log and count why a request is not sent to another replica

Cause: a stream that its entry cuts off has one line, without the reason. Whether the retry budget, the attempts, the quarantine or the lack of a replica stood between a silent replica and the next one could not be told.

Change: a counter and a line with the cause.

--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -78,6 +78,34 @@
     pub(super) at: TimePoint,
 }
 
+/// Reason why a request is not sent to another replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum MoveRefusal {
+    /// It must not run twice, or has used up its attempts.
+    Attempts,
+    /// It, or a part of its prompt, is suspected of crashing endpoints.
+    Suspect,
+    /// Too little time is left before its deadline.
+    Deadline,
+    /// The retry budget of its service is used up.
+    Budget,
+    /// No other replica can take it.
+    NoTarget,
+}
+
+impl MoveRefusal {
+    /// Stable code for metrics and logs.
+    pub(super) fn code(self) -> &'static str {
+        match self {
+            Self::Attempts => "attempts",
+            Self::Suspect => "suspect",
+            Self::Deadline => "deadline",
+            Self::Budget => "budget",
+            Self::NoTarget => "no_target",
+        }
+    }
+}
+
 /// Additional sends beyond the rule's maximum attempts, for replicas that did not accept the
 /// request.
 const EXTRA_SENDS: u32 = 1;
@@ -183,10 +211,25 @@
         self.deadline.since(self.state.now())
     }
 
-    /// Whether the time left and the retry budget allow another attempt. Takes one retry from the
-    /// budget.
-    pub(super) fn may_retry(&self) -> bool {
-        self.time_left() > ANSWER_MARGIN * 2 && self.state.take_retry(&self.service)
+    /// Why neither time nor the retry budget allow another attempt; `None` if they do, which takes one
+    /// retry from the budget.
+    fn retry_refusal(&self) -> Option<MoveRefusal> {
+        if self.time_left() <= ANSWER_MARGIN * 2 {
+            return Some(MoveRefusal::Deadline);
+        }
+        (!self.state.take_retry(&self.service)).then_some(MoveRefusal::Budget)
+    }
+
+    /// Records and logs why the request is not sent to another replica.
+    pub(super) fn note_move_refusal(&self, refusal: MoveRefusal) {
+        self.state.metrics.count_move_refusal(refusal.code());
+        if self.state.log_budget.allows(self.state.now()) {
+            log::info!(
+                request = self.request_id(), cause = refusal.code(), sends = self.tried.len(),
+                runs = self.runs;
+                "request is not sent to another replica"
+            );
+        }
     }
 
     /// Decides how to proceed after an attempt.
@@ -199,16 +242,22 @@
             max_attempts: self.rule.max_attempts,
             may_try: may_send,
         };
-        match plan.next(end) {
+        let next = plan.next(end);
+        let refusal = match next {
             // A suspected request could crash a second endpoint.
             NextStep::RetryElsewhere if self.status() != QuarantineStatus::Clear => {
-                RetryState { may_try: false, ..plan }.next(end)
+                Some(MoveRefusal::Suspect)
             }
             // The retry budget is charged only if all other conditions allow another attempt.
-            NextStep::RetryElsewhere if !self.may_retry() => {
+            NextStep::RetryElsewhere => self.retry_refusal(),
+            _ => Some(MoveRefusal::Attempts),
+        };
+        match refusal {
+            None => next,
+            Some(refusal) => {
+                self.note_move_refusal(refusal);
                 RetryState { may_try: false, ..plan }.next(end)
             }
-            next => next,
         }
     }
 
--- a/crates/gateway/src/entry/stream_relay.rs
+++ b/crates/gateway/src/entry/stream_relay.rs
@@ -15,7 +15,7 @@
 use tokio::time::Sleep;
 
 use super::crash_check;
-use super::dispatch::{AttemptFailure, LiveAnswer, ServedRequest};
+use super::dispatch::{AttemptFailure, LiveAnswer, MoveRefusal, ServedRequest};
 use super::refusal::{RefusalKind, refuse};
 use super::stream_clock::StreamClock;
 use super::whole_answer::{quarantine_refusal, refusal_of_rejected, refusal_without_target};
@@ -124,6 +124,9 @@
             }
             Err(AttemptFailure::Ended(end)) => end,
             Err(AttemptFailure::NoTarget(refusal)) => {
+                if request.runs > 0 {
+                    request.note_move_refusal(MoveRefusal::NoTarget);
+                }
                 return Err(OpenFailure::Refused(refusal_without_target(request, refusal)));
             }
             Err(AttemptFailure::Quarantined) => {
--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -75,6 +75,7 @@
     requests: Family<OutcomeLabel, Counter>,
     attempts: Family<OutcomeLabel, Counter>,
     late: Family<OutcomeLabel, Counter>,
+    move_refusals: Family<OutcomeLabel, Counter>,
     refused: Family<RefusalLabels, Counter>,
     returned: Family<OutcomeLabel, Counter>,
     shares: Family<ModelLabel, Gauge>,
@@ -132,6 +133,7 @@
             requests: Family::default(),
             attempts: Family::default(),
             late: Family::default(),
+            move_refusals: Family::default(),
             refused: Family::default(),
             returned: Family::default(),
             shares: Family::default(),
@@ -162,6 +164,8 @@
         entry.register("requests", "Requests by how they ended", metrics.requests.clone());
         entry.register("attempts", "Attempts by how they ended", metrics.attempts.clone());
         entry.register("streams_late", "Late streams by cause", metrics.late.clone());
+        let help = "Requests that were not sent to another replica by cause";
+        entry.register("moves_refused", help, metrics.move_refusals.clone());
         let help = "Requests refused for lack of capacity by model and cause";
         entry.register("refused_requests", help, metrics.refused.clone());
         let help = "Requests of callers that came back after a refusal by how they ended";
@@ -247,6 +251,12 @@
     pub(super) fn count_late_stream(&self, cause: &'static str) {
         self.late.get_or_create(&OutcomeLabel { outcome: cause }).inc();
     }
+
+    /// Counts a request that was not sent to another replica because of `cause`.
+    pub(super) fn count_move_refusal(&self, cause: &'static str) {
+        self.move_refusals.get_or_create(&OutcomeLabel { outcome: cause }).inc();
+    }
+
     /// Counts a wait for capacity that ended with `outcome`.
     pub(super) fn count_wait(&self, outcome: &'static str) {
         self.waits.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/gateway/src/entry/whole_answer.rs
+++ b/crates/gateway/src/entry/whole_answer.rs
@@ -9,7 +9,7 @@
 use http::response::Parts;
 
 use super::crash_check;
-use super::dispatch::{AttemptFailure, ServedRequest};
+use super::dispatch::{AttemptFailure, MoveRefusal, ServedRequest};
 use super::refusal::{RefusalKind, refuse};
 use briartray_http::ResponseBody;
 
@@ -36,6 +36,9 @@
             }
             Err(AttemptFailure::Ended(end)) => end,
             Err(AttemptFailure::NoTarget(refusal)) => {
+                if request.runs > 0 {
+                    request.note_move_refusal(MoveRefusal::NoTarget);
+                }
                 return match failed_answer {
                     Some(answer) => forward_answer(answer),
                     None => request.refuse(refusal_without_target(&request, refusal)),
