Keep the run on a silent replica until a second one delivers

Cause: the entry dropped the connection to a silent replica as soon as some replica seemed free, and only then asked the retry budget, the quarantine and the choice of a replica, each of which may refuse. A first attempt that is no stream was given up at three times its target in the same way. Counters on the code before show both causes (budget and no_target) beside cuts.

Change: an attempt owns what it needs, so that a second one can run beside it. The second one starts only when target, quarantine, time and budget allow it; whichever delivers first goes on and the other one is dropped. A run in progress counts as one of the rule's attempts, so no request runs more often than before.

--- a/crates/fleet/src/entry/attempt.rs
+++ b/crates/fleet/src/entry/attempt.rs
@@ -58,4 +58,10 @@
             _ => NextStep::Unknown,
         }
     }
+
+    /// Whether the request may run at a second replica while a run is in progress, which `runs` does
+    /// not count.
+    pub fn may_run_beside(&self) -> bool {
+        self.kind.may_repeat() && self.may_try && self.runs + 1 < self.max_attempts
+    }
 }
--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -295,6 +295,17 @@
     RetryState { kind, runs, max_attempts: 2, may_try }
 }
 
+/// Guards against a second run beside the one in progress that runs a request once too often.
+#[test]
+fn a_second_run_beside_the_first_counts_as_an_attempt() {
+    let resumable = RepeatKind::Stream { resumable: true };
+
+    assert!(attempt(resumable, 0, true).may_run_beside());
+    assert!(!attempt(resumable, 1, true).may_run_beside(), "the first run is the last attempt");
+    assert!(!attempt(resumable, 0, false).may_run_beside());
+    assert!(!attempt(RepeatKind::Once, 0, true).may_run_beside());
+}
+
 /// The connection breaks under a request that may run only once. It may have run, so it must not be
 /// sent again, and the caller must not be notified that it did not run.
 #[test]
--- /dev/null
+++ b/crates/gateway/src/entry/attempt.rs
@@ -0,0 +1,311 @@
+//! A single attempt: sending the request to a target, and validating the response head.
+//!
+//! An attempt owns what it needs while it is sent, so that a request can have a second one beside
+//! it: an endpoint that is silent may go on, so its run is given up only for one that delivers.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use briartray_fleet::deployment::RepeatKind;
+use briartray_fleet::entry::{AttemptEnd, ChoiceRefusal, TargetChoice, TargetId};
+use briartray_model::TimePoint;
+use briartray_model::names::IncarnationId;
+use briartray_platform::{DispatchHeaders, ResponseHead, dispatch_request};
+use briartray_quarantine::QuarantineStatus;
+use bytes::Bytes;
+use http::StatusCode;
+
+use super::crash_check;
+use super::dispatch::{ANSWER_MARGIN, MoveRefusal, ReservedTarget, ServedRequest, StartFailure};
+use super::state::EntryState;
+use super::target_guard::TargetGuard;
+use briartray_http::{Exchange, SendFailure};
+
+/// Where and when a request was sent.
+#[derive(Debug, Clone)]
+pub(super) struct SentTo {
+    pub(super) endpoint: IncarnationId,
+    pub(super) address: SocketAddr,
+    pub(super) at: TimePoint,
+}
+
+/// An attempt whose target is chosen and counts the request.
+pub(super) struct PreparedAttempt {
+    state: Rc<EntryState>,
+    guard: TargetGuard,
+    request: http::Request<Bytes>,
+    sent_to: SentTo,
+    /// Whether the request must not run twice.
+    once: bool,
+}
+
+/// What came of sending a request.
+pub(super) struct AttemptReply {
+    outcome: Result<Exchange, SendFailure>,
+    guard: TargetGuard,
+    sent_to: SentTo,
+}
+
+/// An attempt that is being sent.
+pub(super) struct SendingAttempt {
+    reply: Pin<Box<dyn Future<Output = AttemptReply>>>,
+    pub(super) target: TargetId,
+    pub(super) sent_to: SentTo,
+}
+
+/// A replica's response whose head has been validated and whose body has not been read.
+pub(super) struct LiveAnswer {
+    pub(super) exchange: Exchange,
+    pub(super) head: ResponseHead,
+    pub(super) sent_to: SentTo,
+    pub(super) guard: TargetGuard,
+}
+
+impl PreparedAttempt {
+    /// Starts sending the request; it is sent while [`SendingAttempt::reply`] is awaited.
+    pub(super) fn start(self) -> SendingAttempt {
+        let (target, sent_to) = (self.guard.target.clone(), self.sent_to.clone());
+        SendingAttempt { reply: Box::pin(self.send()), target, sent_to }
+    }
+
+    async fn send(self) -> AttemptReply {
+        let Self { state, guard, request, sent_to, once } = self;
+        let outcome = exchange(&state, &sent_to, request, once).await;
+        AttemptReply { outcome, guard, sent_to }
+    }
+}
+
+impl SendingAttempt {
+    /// Waits for the response head. May be cancelled and called again, but not after it returned.
+    pub(super) async fn reply(&mut self) -> AttemptReply {
+        self.reply.as_mut().await
+    }
+}
+
+async fn exchange(
+    state: &EntryState,
+    sent_to: &SentTo,
+    request: http::Request<Bytes>,
+    once: bool,
+) -> Result<Exchange, SendFailure> {
+    let SentTo { endpoint, address, .. } = sent_to;
+    // A request that must not run twice uses a new connection: the endpoint may close a pooled
+    // connection while the request is in flight, which would leave the outcome unknown.
+    let idle = if once { None } else { state.pool.borrow_mut().take(state.now(), *address) };
+    let pooled = idle.is_some();
+    let connection = briartray_http::connect(idle, *address).await?;
+    check_hold(state, endpoint)?;
+    let sent = connection.send(request.clone()).await;
+    match sent {
+        Err(SendFailure::NotSent) if pooled => {
+            log::debug!("pooled connection to {address} was closed; opening a new one");
+            let connection = briartray_http::connect(None, *address).await?;
+            check_hold(state, endpoint)?;
+            connection.send(request).await
+        }
+        sent => sent,
+    }
+}
+
+/// Fails if the endpoint has stopped accepting requests since it was chosen.
+fn check_hold(state: &EntryState, endpoint: &IncarnationId) -> Result<(), SendFailure> {
+    if state.is_held(endpoint) {
+        state.metrics.withheld.inc();
+        return Err(SendFailure::NotSent);
+    }
+    Ok(())
+}
+
+/// Whether a rejection with `status` is due to the endpoint's load rather than to the request.
+fn is_overload(status: StatusCode) -> bool {
+    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+}
+
+impl ServedRequest {
+    /// Prepares the next attempt. `last_event` is the ID of the event after which a stream is resumed.
+    ///
+    /// # Errors
+    /// A `StartFailure` if there is no target, or the request is quarantined.
+    pub(super) fn prepare(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<PreparedAttempt, StartFailure> {
+        let (choice, reserved) = match self.reserved.take() {
+            Some(ReservedTarget { choice, guard }) => (choice, Some(guard)),
+            None => (self.choose_target().map_err(StartFailure::NoTarget)?, None),
+        };
+        let guard = reserved.unwrap_or_else(|| TargetGuard::new(self, &choice));
+        // It may have waited for capacity meanwhile.
+        if self.status() == QuarantineStatus::Quarantined {
+            return Err(StartFailure::Quarantined);
+        }
+        self.prepare_for(choice, guard, last_event)
+            .ok_or(StartFailure::NoTarget(ChoiceRefusal::NoReplica))
+    }
+
+    /// Prepares a second attempt beside the one in progress, as [`Self::prepare`].
+    ///
+    /// # Errors
+    /// A `MoveRefusal` if the attempt in progress has to go on alone.
+    pub(super) fn prepare_second(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<PreparedAttempt, MoveRefusal> {
+        let choice = self.choose_second()?;
+        let guard = TargetGuard::new(self, &choice);
+        self.prepare_for(choice, guard, last_event).ok_or(MoveRefusal::NoTarget)
+    }
+
+    fn prepare_for(
+        &mut self,
+        choice: TargetChoice,
+        guard: TargetGuard,
+        last_event: Option<u64>,
+    ) -> Option<PreparedAttempt> {
+        let address = EntryState::parse_address(&choice.address)?;
+        let request = dispatch_request(
+            &self.parts,
+            &DispatchHeaders {
+                endpoint: &choice.endpoint,
+                left: self.time_left().saturating_sub(ANSWER_MARGIN),
+                team: self.team.as_ref(),
+                priority: self.priority,
+                last_event,
+            },
+            self.body.clone(),
+        );
+        self.tried.push(choice.target);
+        Some(PreparedAttempt {
+            state: Rc::clone(&self.state),
+            guard,
+            request,
+            sent_to: SentTo { endpoint: choice.endpoint, address, at: self.state.now() },
+            once: self.rule.kind == RepeatKind::Once,
+        })
+    }
+
+    /// Validates the response head, and records the load and limit in it.
+    ///
+    /// # Errors
+    /// How the attempt ended without a valid response head.
+    pub(super) fn accept(&mut self, reply: AttemptReply) -> Result<LiveAnswer, AttemptEnd> {
+        let AttemptReply { outcome, guard, sent_to } = reply;
+        match outcome {
+            Ok(exchange) => self.check_head(exchange, sent_to, guard),
+            Err(SendFailure::NotConnected) => {
+                self.state.table.borrow_mut().failed(self.state.now(), &guard.target);
+                Err(self.end_attempt(&sent_to, AttemptEnd::NotRun))
+            }
+            Err(SendFailure::NotSent) => Err(self.end_attempt(&sent_to, AttemptEnd::NotRun)),
+            Err(SendFailure::Broken) => {
+                crash_check::check(self, &sent_to);
+                Err(self.end_attempt(&sent_to, AttemptEnd::MayHaveRun))
+            }
+        }
+    }
+
+    /// Checks that the response belongs to this request, and records the load and limit in its
+    /// head.
+    fn check_head(
+        &mut self,
+        exchange: Exchange,
+        sent_to: SentTo,
+        mut guard: TargetGuard,
+    ) -> Result<LiveAnswer, AttemptEnd> {
+        let status = exchange.head.status;
+        let head = ResponseHead::read(status, &exchange.head.headers);
+        if !head.matches_request(self.head.request_id.as_ref()) {
+            log::warn!(
+                "response from {} has the ID of another request; dropping it",
+                sent_to.address
+            );
+            return Err(self.end_attempt(&sent_to, AttemptEnd::MayHaveRun));
+        }
+        let now = self.state.now();
+        self.record_answer_state(&sent_to.endpoint, status, &head);
+        if let Some(load) = head.load {
+            self.state.table.borrow_mut().sample(now, &guard.target, load);
+        }
+        if !head.other_endpoint {
+            self.state.record_limit(Some(&sent_to.endpoint), head.limit);
+        } else {
+            self.state.table.borrow_mut().failed(now, &guard.target);
+        }
+        if head.not_run {
+            return Err(self.end_attempt_with(&sent_to, AttemptEnd::NotRun, Some(status)));
+        }
+        if !head.stamped {
+            log::warn!(status = status.as_u16(); "response lacks the replica's stamp; dropping it");
+            return Err(self.end_attempt(&sent_to, AttemptEnd::MayHaveRun));
+        }
+        guard.note_accepted();
+        Ok(LiveAnswer { exchange, head, sent_to, guard })
+    }
+
+    /// Records whether the endpoint accepts no requests for a time, or is leaving.
+    fn record_answer_state(
+        &self,
+        endpoint: &IncarnationId,
+        status: StatusCode,
+        head: &ResponseHead,
+    ) {
+        let is_other = head.endpoint.as_deref().is_some_and(|name| name != endpoint.endpoint());
+        if head.other_endpoint || is_other {
+            return;
+        }
+        if let Some(wait) = head.backoff {
+            self.state.record_backoff(endpoint, wait, status, self.request_id());
+        } else if head.not_run && is_overload(status) {
+            self.state.record_rejection(endpoint, head.retry_after);
+        }
+        if head.leaving {
+            self.state.record_leaving(endpoint);
+        }
+    }
+
+    /// Records and logs the end of an attempt without a complete response.
+    pub(super) fn end_attempt(&mut self, sent_to: &SentTo, end: AttemptEnd) -> AttemptEnd {
+        self.end_attempt_with(sent_to, end, None)
+    }
+
+    /// Records and logs the end of an attempt; `status` is that of a rejection.
+    fn end_attempt_with(
+        &mut self,
+        sent_to: &SentTo,
+        end: AttemptEnd,
+        status: Option<StatusCode>,
+    ) -> AttemptEnd {
+        self.runs += u32::from(end != AttemptEnd::NotRun);
+        let outcome = match end {
+            AttemptEnd::NotRun => "not_run",
+            AttemptEnd::MayHaveRun => "unknown",
+            AttemptEnd::RunFailed => "failed",
+        };
+        self.state.metrics.count_attempt(outcome);
+        if self.state.log_budget.allows(self.state.now()) {
+            log::info!(
+                request = self.request_id(), service = self.service.as_str(), outcome,
+                endpoint = sent_to.endpoint.endpoint(),
+                status = status.map(|status| status.as_u16()),
+                sends = self.tried.len(), runs = self.runs,
+                left_ms = u64::try_from(self.time_left().as_millis()).unwrap_or(u64::MAX);
+                "attempt failed"
+            );
+        }
+        end
+    }
+}
+
+impl LiveAnswer {
+    /// Returns the connection to the pool if the response was complete and the endpoint keeps it
+    /// open.
+    pub(super) fn release_connection(self, request: &ServedRequest) {
+        if !self.head.closes_connection {
+            let connection = self.exchange.into_connection();
+            let (now, limit) = (request.state.now(), self.head.idle_limit);
+            let mut pool = request.state.pool.borrow_mut();
+            pool.put(now, self.sent_to.address, connection, limit, request.idle_connections);
+        }
+    }
+}
--- a/crates/gateway/src/entry/crash_check.rs
+++ b/crates/gateway/src/entry/crash_check.rs
@@ -12,7 +12,8 @@
 use briartray_model::message::RunEnd;
 use briartray_model::names::{IncarnationId, PartId, RequestFingerprint, TeamName};
 
-use super::dispatch::{SentTo, ServedRequest};
+use super::attempt::SentTo;
+use super::dispatch::ServedRequest;
 use super::state::EntryState;
 
 /// Pause before the second connection attempt: a crashing endpoint may close its connections before
@@ -32,11 +33,11 @@
     broke: TimePoint,
 }
 
-/// Starts a check whether the endpoint that last received `request` has crashed, and reports a
-/// crash to the leader. Requests to the same endpoint whose connections break during the check
+/// Starts a check whether the endpoint that `request` was sent to has crashed, and reports a crash
+/// to the leader. Requests to the same endpoint whose connections break during the check
 /// share its result.
-pub(super) fn check(request: &ServedRequest) {
-    let Some(SentTo { endpoint, address, at }) = request.sent_to.clone() else { return };
+pub(super) fn check(request: &ServedRequest, sent_to: &SentTo) {
+    let SentTo { endpoint, address, at } = sent_to.clone();
     let state = &request.state;
     if state.table.borrow().holds().is_leaving(&endpoint) {
         return;
@@ -61,8 +62,8 @@
 /// leader.
 ///
 /// The answer of a suspected request is evidence for it, so the endpoint is checked twice.
-pub(super) async fn ended_in_crash(request: &ServedRequest) -> bool {
-    let Some(SentTo { endpoint, address, .. }) = &request.sent_to else { return false };
+pub(super) async fn ended_in_crash(request: &ServedRequest, sent_to: &SentTo) -> bool {
+    let SentTo { endpoint, address, .. } = sent_to;
     if request.state.table.borrow().holds().is_leaving(endpoint) {
         return false;
     }
@@ -71,7 +72,7 @@
         false => briartray_http::is_refused(*address).await,
     };
     if crashed {
-        check(request);
+        check(request, sent_to);
     }
     crashed
 }
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry role. The traffic thread serves callers; another thread maintains the link to the
 //! leading control host.
 
+mod attempt;
 mod control_link;
 mod crash_check;
 mod dispatch;
@@ -11,6 +12,7 @@
 mod state;
 mod stream_clock;
 mod stream_relay;
+mod stream_run;
 mod target_guard;
 mod telemetry;
 mod waiting;
--- a/crates/gateway/src/entry/target_guard.rs
+++ b/crates/gateway/src/entry/target_guard.rs
@@ -84,11 +84,6 @@
         prompt.skip_gap(held);
         self.prompt.set(prompt);
     }
-
-    /// Whether the target has been silent for so long that no response is expected.
-    pub(super) fn is_given_up(&self) -> bool {
-        self.state.table.borrow().is_given_up(self.state.now(), &self.target)
-    }
 }
 
 impl Drop for TargetGuard {
--- a/crates/gateway/src/entry/whole_answer.rs
+++ b/crates/gateway/src/entry/whole_answer.rs
@@ -1,21 +1,34 @@
 //! Responses that are read completely before anything is sent to the caller.
+//!
+//! A request that may run twice is sent to a second replica if the first one has not answered in
+//! time. The first one is not given up for it: whichever answers first serves the caller.
 
+use std::pin::Pin;
 use std::time::Duration;
 
 use briartray_fleet::entry::{AttemptEnd, ChoiceRefusal, NextStep};
-use briartray_platform::response_headers;
+use briartray_platform::{ResponseHead, response_headers};
 use bytes::Bytes;
 use http::Response;
 use http::response::Parts;
+use tokio::time::{Instant, Sleep};
 
+use super::attempt::{AttemptReply, LiveAnswer, PreparedAttempt, SendingAttempt, SentTo};
 use super::crash_check;
-use super::dispatch::{AttemptFailure, MoveRefusal, ServedRequest};
+use super::dispatch::{MoveRefusal, ServedRequest, StartFailure};
 use super::refusal::{RefusalKind, refuse};
-use briartray_http::ResponseBody;
+use super::target_guard::TargetGuard;
+use briartray_http::{EndpointConnection, ResponseBody, SendFailure};
 
-/// Timeout of a first attempt that may be retried, as a multiple of the rule's target latency. A
-/// hung replica gives no sign; the slowest 10 % of healthy responses take twice the target latency.
-const ATTEMPT_TIMEOUT_FACTOR: u32 = 3;
+/// Time after which a second replica is tried, as a multiple of the rule's target latency. A hung
+/// replica gives no sign; the slowest 10 % of healthy responses take twice the target latency.
+const SECOND_RUN_FACTOR: u32 = 3;
+
+/// Lower bound of that time, for rules without a target latency.
+const MIN_SECOND_RUN_DELAY: Duration = Duration::from_millis(50);
+
+/// If less time than this is left, a request without a response counts as timed out.
+const LATE_MARGIN: Duration = Duration::from_millis(60);
 
 /// A complete response of a replica.
 struct WholeAnswer {
@@ -23,36 +36,107 @@
     body: Bytes,
 }
 
+/// One run of the request.
+enum WholeRun {
+    /// The response head has not arrived.
+    Sending(SendingAttempt),
+    /// The body is being read.
+    Reading(ReadingBody),
+}
+
+/// A run whose body is being read.
+struct ReadingBody {
+    whole: Pin<Box<dyn Future<Output = BodyOutcome>>>,
+    framed: bool,
+    head: ResponseHead,
+    sent_to: SentTo,
+    _guard: TargetGuard,
+}
+
+/// Head, body and connection of a complete response.
+type BodyOutcome = Result<(Parts, Bytes, EndpointConnection), SendFailure>;
+
+/// Result of waiting for one run.
+enum RunProgress {
+    Replied(Box<AttemptReply>),
+    Read(Box<BodyOutcome>),
+}
+
+/// Result of waiting for all runs.
+enum RunSignal {
+    /// Progress of the run at this position.
+    Progress(usize, RunProgress),
+    /// No run has answered in time.
+    Overdue,
+    Deadline,
+}
+
+/// What progress of a run means for the request.
+enum RunStep {
+    /// The run goes on.
+    Continues,
+    Answered(WholeAnswer),
+    Ended(AttemptEnd),
+}
+
+/// The runs of one request: one, or two while the first one is overdue.
+struct WholeRuns {
+    runs: Vec<WholeRun>,
+    /// Fires when a second replica is to be tried.
+    second_timer: Pin<Box<Sleep>>,
+    second_delay: Duration,
+    deadline_timer: Pin<Box<Sleep>>,
+    /// Why no second run was started at the last try.
+    refused_second: Option<MoveRefusal>,
+}
+
 /// Serves `request`, with retries where they are allowed.
 pub(super) async fn serve(mut request: ServedRequest) -> Response<ResponseBody> {
     let mut failed_answer = None;
+    let mut runs = match WholeRuns::start(&mut request).await {
+        Ok(runs) => runs,
+        Err(failure) => return request.refuse(start_refusal(&request, failure)),
+    };
     loop {
-        let end = match attempt(&mut request).await {
-            Ok(answer) if !answer.head.status.is_server_error() => return forward_answer(answer),
-            Ok(answer) => {
+        let step = match runs.wait(&request).await {
+            RunSignal::Progress(position, progress) => {
+                runs.advance(&mut request, position, progress).await
+            }
+            RunSignal::Overdue => {
+                runs.start_second(&mut request);
+                RunStep::Continues
+            }
+            RunSignal::Deadline => {
+                runs.note_deadline(&mut request);
+                return failed_answer.map_or_else(|| refuse(RefusalKind::TimedOut), forward_answer);
+            }
+        };
+        let end = match step {
+            RunStep::Continues => continue,
+            RunStep::Answered(answer) if !answer.head.status.is_server_error() => {
+                return forward_answer(answer);
+            }
+            RunStep::Answered(answer) => {
                 request.runs += 1;
                 failed_answer = Some(answer);
                 AttemptEnd::RunFailed
             }
-            Err(AttemptFailure::Ended(end)) => end,
-            Err(AttemptFailure::NoTarget(refusal)) => {
-                if request.runs > 0 {
-                    request.note_move_refusal(MoveRefusal::NoTarget);
-                }
-                return match failed_answer {
-                    Some(answer) => forward_answer(answer),
-                    None => request.refuse(refusal_without_target(&request, refusal)),
-                };
-            }
-            Err(AttemptFailure::Quarantined) => {
-                return match failed_answer {
-                    Some(answer) => forward_answer(answer),
-                    None => request.refuse(quarantine_refusal(&request)),
-                };
-            }
+            RunStep::Ended(end) => end,
         };
+        if !runs.is_empty() {
+            continue;
+        }
         match (request.next_move(end), failed_answer.take()) {
-            (NextStep::RetryElsewhere, answer) => failed_answer = answer,
+            (NextStep::RetryElsewhere, answer) => match request.prepare(request.head.last_event) {
+                Ok(attempt) => {
+                    failed_answer = answer;
+                    runs.push(attempt);
+                }
+                Err(failure) => {
+                    let refusal = start_refusal(&request, failure);
+                    return answer.map_or_else(|| request.refuse(refusal), forward_answer);
+                }
+            },
             (_, Some(answer)) => return forward_answer(answer),
             (NextStep::Refuse, None) => return refuse(refusal_of_rejected(&request)),
             (_, None) if request.time_left() < LATE_MARGIN => return refuse(RefusalKind::TimedOut),
@@ -61,65 +145,163 @@
     }
 }
 
-/// If less time than this is left, a request without a response counts as timed out.
-const LATE_MARGIN: Duration = Duration::from_millis(60);
-
-async fn attempt(request: &mut ServedRequest) -> Result<WholeAnswer, AttemptFailure> {
-    // A request that waits has not been sent, so its wait is not part of the attempt.
-    request.reserve_target().await.map_err(AttemptFailure::NoTarget)?;
-    let left = request.time_left();
-    let first = request.tried.is_empty() && request.rule.max_attempts > 1;
-    let attempt_timeout = request.rule.target_latency * ATTEMPT_TIMEOUT_FACTOR;
-    let limit =
-        if first && request.rule.kind.may_repeat() { left.min(attempt_timeout) } else { left };
-    match tokio::time::timeout(limit, receive_whole(request)).await {
-        Ok(outcome) => outcome,
-        Err(_) => {
-            log::debug!("attempt at target {:?} timed out", request.tried.last());
-            Err(request.end_attempt(AttemptEnd::MayHaveRun))
+impl WholeRun {
+    /// Waits for the response head or the whole body. May be cancelled and called again.
+    async fn progress(&mut self) -> RunProgress {
+        match self {
+            Self::Sending(sending) => RunProgress::Replied(Box::new(sending.reply().await)),
+            Self::Reading(reading) => RunProgress::Read(Box::new(reading.whole.as_mut().await)),
         }
     }
 }
 
-async fn receive_whole(request: &mut ServedRequest) -> Result<WholeAnswer, AttemptFailure> {
-    let answer = request.attempt(request.head.last_event).await?;
-    answer.guard.note_progress();
-    answer.guard.note_first_part();
-    let (answer_head, address) = (answer.head, answer.address);
-    let framed = answer.exchange.is_framed();
-    match answer.exchange.whole().await {
-        Ok(_) if !framed && crash_check::ended_in_crash(request).await => {
-            Err(request.end_attempt(AttemptEnd::MayHaveRun))
+/// Waits for `run`; forever if there is none.
+async fn progress_of(run: Option<&mut WholeRun>) -> RunProgress {
+    match run {
+        Some(run) => run.progress().await,
+        None => std::future::pending().await,
+    }
+}
+
+impl ReadingBody {
+    fn new(answer: LiveAnswer) -> Self {
+        let LiveAnswer { exchange, head, sent_to, guard } = answer;
+        let framed = exchange.is_framed();
+        Self { whole: Box::pin(exchange.whole()), framed, head, sent_to, _guard: guard }
+    }
+}
+
+impl WholeRuns {
+    async fn start(request: &mut ServedRequest) -> Result<Self, StartFailure> {
+        // A request that waits has not been sent, so its wait is not part of the attempt.
+        request.reserve_target().await.map_err(StartFailure::NoTarget)?;
+        let attempt = request.prepare(request.head.last_event)?;
+        let second_delay =
+            (request.rule.target_latency * SECOND_RUN_FACTOR).max(MIN_SECOND_RUN_DELAY);
+        Ok(Self {
+            runs: vec![WholeRun::Sending(attempt.start())],
+            second_timer: Box::pin(tokio::time::sleep(second_delay)),
+            second_delay,
+            deadline_timer: Box::pin(tokio::time::sleep(request.time_left())),
+            refused_second: None,
+        })
+    }
+
+    fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    fn push(&mut self, attempt: PreparedAttempt) {
+        self.runs.push(WholeRun::Sending(attempt.start()));
+    }
+
+    async fn wait(&mut self, request: &ServedRequest) -> RunSignal {
+        let may_repeat = request.rule.kind.may_repeat();
+        let (first, second) = match self.runs.as_mut_slice() {
+            [first, second, ..] => (Some(first), Some(second)),
+            [first] => (Some(first), None),
+            [] => (None, None),
+        };
+        let is_alone = second.is_none();
+        tokio::select! {
+            progress = progress_of(first) => RunSignal::Progress(0, progress),
+            progress = progress_of(second) => RunSignal::Progress(1, progress),
+            () = self.second_timer.as_mut(), if is_alone && may_repeat => RunSignal::Overdue,
+            () = self.deadline_timer.as_mut() => RunSignal::Deadline,
         }
-        Ok((head, body, connection)) => {
-            request.record_complete_run(head.status, framed);
-            if !answer_head.closes_connection {
-                let state = &request.state;
-                let now = state.now();
-                let max_idle = request.idle_connections;
-                state.pool.borrow_mut().put(
-                    now,
-                    address,
-                    connection,
-                    answer_head.idle_limit,
-                    max_idle,
-                );
+    }
+
+    /// Handles progress of the run at `position`.
+    async fn advance(
+        &mut self,
+        request: &mut ServedRequest,
+        position: usize,
+        progress: RunProgress,
+    ) -> RunStep {
+        let run = self.runs.remove(position);
+        match (run, progress) {
+            (_, RunProgress::Replied(reply)) => match request.accept(*reply) {
+                Ok(answer) => {
+                    answer.guard.note_progress();
+                    answer.guard.note_first_part();
+                    let reading = WholeRun::Reading(ReadingBody::new(answer));
+                    self.runs.insert(position, reading);
+                    RunStep::Continues
+                }
+                Err(end) => RunStep::Ended(end),
+            },
+            (WholeRun::Reading(reading), RunProgress::Read(outcome)) => {
+                end_of_body(request, reading, *outcome).await
             }
-            Ok(WholeAnswer { head, body })
+            // Only a run that is being read delivers a body.
+            (WholeRun::Sending(_), RunProgress::Read(_)) => RunStep::Continues,
         }
-        Err(_) => {
-            crash_check::check(request);
-            Err(request.end_attempt(AttemptEnd::MayHaveRun))
+    }
+
+    /// Starts a second run if the request may have one.
+    fn start_second(&mut self, request: &mut ServedRequest) {
+        self.second_timer.as_mut().reset(Instant::now() + self.second_delay);
+        match request.prepare_second(request.head.last_event) {
+            Ok(attempt) => self.push(attempt),
+            Err(refusal) if self.refused_second == Some(refusal) => {}
+            Err(refusal) => {
+                request.note_move_refusal(refusal);
+                self.refused_second = Some(refusal);
+            }
+        }
+    }
+
+    /// Records that the deadline ended the runs.
+    fn note_deadline(&self, request: &mut ServedRequest) {
+        for run in &self.runs {
+            let sent_to = match run {
+                WholeRun::Sending(sending) => &sending.sent_to,
+                WholeRun::Reading(reading) => &reading.sent_to,
+            };
+            request.end_attempt(sent_to, AttemptEnd::MayHaveRun);
+        }
+    }
+}
+
+/// Handles the end of a body. An end without framing may be that of an endpoint that crashed.
+async fn end_of_body(
+    request: &mut ServedRequest,
+    reading: ReadingBody,
+    outcome: BodyOutcome,
+) -> RunStep {
+    let ReadingBody { framed, head: answer_head, sent_to, .. } = &reading;
+    let Ok((head, body, connection)) = outcome else {
+        crash_check::check(request, sent_to);
+        return RunStep::Ended(request.end_attempt(sent_to, AttemptEnd::MayHaveRun));
+    };
+    if !framed && crash_check::ended_in_crash(request, sent_to).await {
+        return RunStep::Ended(request.end_attempt(sent_to, AttemptEnd::MayHaveRun));
+    }
+    request.record_complete_run(head.status, *framed);
+    if !answer_head.closes_connection {
+        let (now, limit) = (request.state.now(), answer_head.idle_limit);
+        let mut pool = request.state.pool.borrow_mut();
+        pool.put(now, sent_to.address, connection, limit, request.idle_connections);
+    }
+    RunStep::Answered(WholeAnswer { head, body })
+}
+
+/// The refusal for a request whose next attempt did not begin.
+pub(super) fn start_refusal(request: &ServedRequest, failure: StartFailure) -> RefusalKind {
+    match failure {
+        StartFailure::NoTarget(refusal) => {
+            if request.runs > 0 {
+                request.note_move_refusal(MoveRefusal::NoTarget);
+            }
+            refusal_without_target(request, refusal)
         }
+        StartFailure::Quarantined => quarantine_refusal(request),
     }
 }
 
 /// The refusal for a request without an available target. It depends on whether the request may
 /// have run.
-pub(super) fn refusal_without_target(
-    request: &ServedRequest,
-    refusal: ChoiceRefusal,
-) -> RefusalKind {
+fn refusal_without_target(request: &ServedRequest, refusal: ChoiceRefusal) -> RefusalKind {
     match refusal {
         _ if request.runs > 0 => RefusalKind::Unknown,
         ChoiceRefusal::Full | ChoiceRefusal::Late { .. } => RefusalKind::ReplicasFull,
@@ -130,7 +312,7 @@
 }
 
 /// The refusal for a request that was quarantined while it was in progress.
-pub(super) fn quarantine_refusal(request: &ServedRequest) -> RefusalKind {
+fn quarantine_refusal(request: &ServedRequest) -> RefusalKind {
     if request.runs > 0 { RefusalKind::Unknown } else { RefusalKind::Quarantined }
 }
 
