End a stream whose silent group has been dissolved

Cause: since a silent run is kept, the caller of a group that is gone for good waits for its own patience or deadline if no other replica is free, and is gone before it could come back elsewhere.

Change: a group that has left a complete view has been ended by the leader, and its hosts serve elsewhere; a silent run there is given up. A group that closes as planned stays in the view until its requests have ended.

--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -336,14 +336,21 @@
         silent
     }
 
-    /// Whether a request on `target` should not wait for it any longer.
+    /// Whether a request on `target` should look for another one.
     ///
     /// This does not cover targets that accept no new work: a group that closes as planned finishes
     /// its running requests, and a request moved away from it might find no other target.
-    pub fn is_given_up(&self, now: TimePoint, target: &TargetId) -> bool {
+    pub fn is_silent(&self, now: TimePoint, target: &TargetId) -> bool {
         self.loads.get(target).is_some_and(|load| load.is_suspect(now))
     }
 
+    /// Whether `target` is a group that the leader has ended, so that its hosts may serve elsewhere. A
+    /// group that closes as planned stays in the view until its requests have ended.
+    pub fn has_ended(&self, target: &TargetId) -> bool {
+        let TargetId::Group(group) = target else { return false };
+        self.is_settled() && !self.view.groups.iter().any(|known| known.group == *group)
+    }
+
     /// Whether a request of this entry waits on a suspect target.
     pub fn waits_on_suspect(&self, now: TimePoint) -> bool {
         self.loads.values().any(|load| load.own_requests > 0 && load.is_suspect(now))
--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -265,6 +265,25 @@
     assert_eq!(restarted.entries(), 3);
 }
 
+/// Guards against a stream that is given up while its group closes as planned, and against one that waits
+/// for a group that has been dissolved.
+#[test]
+fn only_a_group_that_left_a_complete_view_has_ended() {
+    let mut table = table(2);
+    let (closing, ended) = (TargetId::Group(GroupId(1)), TargetId::Group(GroupId(2)));
+    let mut remaining = view(1);
+    remaining.groups[0].open = false;
+
+    table.adopt(TimePoint(0), FleetView { partial: true, ..FleetView::default() });
+    let ended_by_partial_view = table.has_ended(&ended);
+    table.adopt(TimePoint(0), remaining);
+
+    assert!(!ended_by_partial_view);
+    assert!(!table.has_ended(&closing));
+    assert!(table.has_ended(&ended));
+    assert!(!table.has_ended(&TargetId::Endpoint(IncarnationId::new("plain-9"))));
+}
+
 /// An endpoint leaves. Nothing more may be sent to it, even if a view still lists it.
 #[test]
 fn leaving_endpoints_are_not_chosen() {
--- a/crates/gateway/src/entry/stream_run.rs
+++ b/crates/gateway/src/entry/stream_run.rs
@@ -200,7 +200,7 @@
                     self.advance_second(request, last, progress).await
                 }
                 StreamSignal::Silence => {
-                    self.start_second(request, last);
+                    self.handle_silence(request, last)?;
                     None
                 }
                 StreamSignal::Deadline => {
@@ -326,18 +326,24 @@
         is_complete(request, &self.current).await
     }
 
-    /// Starts a second run if the current one is at a silent target.
-    fn start_second(&mut self, request: &mut ServedRequest, last: Option<u64>) {
+    /// Starts a second run if the current one is at a silent target. Gives the current one up only if
+    /// its group has ended, since its hosts then serve elsewhere.
+    fn handle_silence(
+        &mut self,
+        request: &mut ServedRequest,
+        last: Option<u64>,
+    ) -> Result<(), StreamFailure> {
         let now = request.state.now();
-        let is_silent = request.state.table.borrow().is_given_up(now, self.current.target());
+        let is_silent = request.state.table.borrow().is_silent(now, self.current.target());
         if !is_silent || now < self.second_due_at {
-            return;
+            return Ok(());
         }
         self.second_due_at = now.after(SECOND_RUN_INTERVAL);
         match request.prepare_second(last) {
             Ok(attempt) => {
                 self.second = Some(StreamRun::start(attempt));
                 self.refused_second = None;
+                return Ok(());
             }
             Err(refusal) if self.refused_second == Some(refusal) => {}
             Err(refusal) => {
@@ -345,6 +351,11 @@
                 self.refused_second = Some(refusal);
             }
         }
+        if request.state.table.borrow().has_ended(self.current.target()) {
+            lose(request, &mut self.current);
+            self.replace(request, last, AttemptEnd::MayHaveRun)?;
+        }
+        Ok(())
     }
 
     /// Goes on with `run` instead of the current run, which is given up.
