--- a/crates/fleet/src/entry/budget.rs
+++ b/crates/fleet/src/entry/budget.rs
@@ -49,17 +49,22 @@
     /// Takes one retry out of the budget of `service`; the allowance is divided by the number of
     /// `entries`. Returns `false` if the budget is used up.
     pub fn take(&mut self, now: TimePoint, service: &ServiceName, entries: usize) -> bool {
+        let allows = self.allows(now, service, entries);
+        if allows {
+            self.bucket(now, service).retries += 1;
+        }
+        allows
+    }
+
+    /// Whether the budget of `service` has a retry left.
+    pub fn allows(&mut self, now: TimePoint, service: &ServiceName, entries: usize) -> bool {
         self.bucket(now, service);
         let Some(counts) = self.services.get(service) else { return false };
         let requests: u32 = counts.iter().map(|count| count.requests).sum();
         let retries: u32 = counts.iter().map(|count| count.retries).sum();
         let share = self.allowance / entries.max(1) as f64;
         let allowed = (f64::from(requests) * self.ratio + share) * USED_FRACTION;
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
-        }
-        self.bucket(now, service).retries += 1;
-        true
+        f64::from(retries) + 1.0 <= allowed
     }
 
     fn bucket(&mut self, now: TimePoint, service: &ServiceName) -> &mut BucketCount {
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -33,6 +33,10 @@
 /// for a slot and for its prefill.
 const FIRST_BYTE_FACTOR: u32 = 2;
 
+/// Upper bound of the silence of a sound group, which may last for a second or so; callers leave their
+/// streams after two.
+const MAX_SOUND_SILENCE: Duration = Duration::from_millis(1_700);
+
 /// Time for which a failed target is suspect, until one request tries it again.
 const SUSPECT_PERIOD: Duration = Duration::from_millis(2_000);
 
@@ -325,10 +329,7 @@
         let mut silent = Vec::new();
         for (target, load) in self.loads.iter_mut() {
             let TargetId::Group(group) = target else { continue };
-            let limit = load.silence_limit.unwrap_or(DEFAULT_SILENCE_LIMIT);
-            let limit = if load.last_byte_at.is_some() { limit } else { limit * FIRST_BYTE_FACTOR };
-            let quiet = load.silence(now).is_some_and(|silence| silence >= limit);
-            if quiet && !load.is_suspect(now) {
+            if is_silent(now, load) && !load.is_suspect(now) {
                 load.suspect_until = Some(now.after(SUSPECT_PERIOD));
                 silent.push(*group);
             }
@@ -336,19 +337,23 @@
         silent
     }
 
-    /// Whether a request on `target` should look for another one.
+    /// Whether `target` has been silent for so long that a request there should look for another one. A
+    /// target that only refuses new connections is not silent.
     ///
     /// This does not cover targets that accept no new work: a group that closes as planned finishes
     /// its running requests, and a request moved away from it might find no other target.
     pub fn is_silent(&self, now: TimePoint, target: &TargetId) -> bool {
-        self.loads.get(target).is_some_and(|load| load.is_suspect(now))
+        self.loads.get(target).is_some_and(|load| load.is_suspect(now) && is_silent(now, load))
     }
 
-    /// Whether `target` is a group that the leader has ended, so that its hosts may serve elsewhere. A
-    /// group that closes as planned stays in the view until its requests have ended.
-    pub fn has_ended(&self, target: &TargetId) -> bool {
+    /// Whether `target` is a group that the leader has dissolved, and that has been silent for longer
+    /// than a sound one. A group that closes as planned stays in the view until its requests have ended.
+    pub fn is_lost(&self, now: TimePoint, target: &TargetId) -> bool {
         let TargetId::Group(group) = target else { return false };
-        self.is_settled() && !self.view.groups.iter().any(|known| known.group == *group)
+        let is_dissolved =
+            self.is_settled() && !self.view.groups.iter().any(|known| known.group == *group);
+        let silence = self.loads.get(target).and_then(|load| load.silence(now));
+        is_dissolved && silence.is_some_and(|silence| silence >= MAX_SOUND_SILENCE)
     }
 
     /// Whether a request of this entry waits on a suspect target.
@@ -503,3 +508,10 @@
         candidates.iter().map(|candidate| factor(candidate).clamp(1.0, MAX_SLOWNESS)).collect()
     }
 }
+
+/// Whether requests have waited for a byte of the target for longer than its limit.
+fn is_silent(now: TimePoint, load: &TargetLoad) -> bool {
+    let limit = load.silence_limit.unwrap_or(DEFAULT_SILENCE_LIMIT);
+    let limit = if load.last_byte_at.is_some() { limit } else { limit * FIRST_BYTE_FACTOR };
+    load.silence(now).is_some_and(|silence| silence >= limit)
+}
--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -265,23 +265,39 @@
     assert_eq!(restarted.entries(), 3);
 }
 
-/// Guards against a stream that is given up while its group closes as planned, and against one that waits
-/// for a group that has been dissolved.
+/// Guards against a stream that is given up while its group closes as planned or is silent for a second, and
+/// against one that waits for a group that has been dissolved.
 #[test]
-fn only_a_group_that_left_a_complete_view_has_ended() {
+fn only_a_dissolved_group_that_stays_silent_is_lost() {
     let mut table = table(2);
-    let (closing, ended) = (TargetId::Group(GroupId(1)), TargetId::Group(GroupId(2)));
+    let (closing, dissolved) = (TargetId::Group(GroupId(1)), TargetId::Group(GroupId(2)));
     let mut remaining = view(1);
     remaining.groups[0].open = false;
+    table.begin(at(0), &closing);
+    table.begin(at(0), &dissolved);
 
-    table.adopt(TimePoint(0), FleetView { partial: true, ..FleetView::default() });
-    let ended_by_partial_view = table.has_ended(&ended);
-    table.adopt(TimePoint(0), remaining);
+    table.adopt(at(0), FleetView { partial: true, ..FleetView::default() });
+    let lost_in_partial_view = table.is_lost(at(3_000), &dissolved);
+    table.adopt(at(0), remaining);
 
-    assert!(!ended_by_partial_view);
-    assert!(!table.has_ended(&closing));
-    assert!(table.has_ended(&ended));
-    assert!(!table.has_ended(&TargetId::Endpoint(IncarnationId::new("plain-9"))));
+    assert!(!lost_in_partial_view);
+    assert!(!table.is_lost(at(3_000), &closing));
+    assert!(!table.is_lost(at(1_200), &dissolved));
+    assert!(table.is_lost(at(3_000), &dissolved));
+}
+
+/// Guards against streams that leave a group that delivers, because one new connection to it failed.
+#[test]
+fn a_failed_connection_makes_no_group_silent() {
+    let mut table = table(1);
+    let group = TargetId::Group(GroupId(1));
+    table.begin(at(0), &group);
+
+    table.moved(at(1_000), &group);
+    table.failed(at(1_001), &group);
+
+    assert!(!table.is_silent(at(1_002), &group));
+    assert!(table.is_silent(at(2_500), &group));
 }
 
 /// An endpoint leaves. Nothing more may be sent to it, even if a view still lists it.
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -3,6 +3,7 @@
 //! An attempt owns what it needs while it is sent, so that a request can have a second one beside
 //! it: an endpoint that is silent may go on, so its run is given up only for one that delivers.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -20,7 +21,7 @@
 use super::dispatch::{ANSWER_MARGIN, MoveRefusal, ReservedTarget, ServedRequest, StartFailure};
 use super::state::EntryState;
 use super::target_guard::TargetGuard;
-use briartray_http::{Exchange, SendFailure};
+use briartray_http::{EndpointConnection, Exchange, SendFailure};
 
 /// Where and when a request was sent.
 #[derive(Debug, Clone)]
@@ -38,6 +39,8 @@
     sent_to: SentTo,
     /// Whether the request must not run twice.
     once: bool,
+    /// Set once the request may have been sent.
+    is_sent: Rc<Cell<bool>>,
 }
 
 /// What came of sending a request.
@@ -50,6 +53,7 @@
 /// An attempt that is being sent.
 pub(super) struct SendingAttempt {
     reply: Pin<Box<dyn Future<Output = AttemptReply>>>,
+    is_sent: Rc<Cell<bool>>,
     pub(super) target: TargetId,
     pub(super) sent_to: SentTo,
 }
@@ -66,13 +70,53 @@
     /// Starts sending the request; it is sent while [`SendingAttempt::reply`] is awaited.
     pub(super) fn start(self) -> SendingAttempt {
         let (target, sent_to) = (self.guard.target.clone(), self.sent_to.clone());
-        SendingAttempt { reply: Box::pin(self.send()), target, sent_to }
+        let is_sent = Rc::clone(&self.is_sent);
+        SendingAttempt { reply: Box::pin(self.send()), is_sent, target, sent_to }
     }
 
     async fn send(self) -> AttemptReply {
-        let Self { state, guard, request, sent_to, once } = self;
-        let outcome = exchange(&state, &sent_to, request, once).await;
-        AttemptReply { outcome, guard, sent_to }
+        let outcome = self.exchange().await;
+        AttemptReply { outcome, guard: self.guard, sent_to: self.sent_to }
+    }
+
+    async fn exchange(&self) -> Result<Exchange, SendFailure> {
+        let Self { state, sent_to: SentTo { address, .. }, request, .. } = self;
+        // A request that must not run twice uses a new connection: the endpoint may close a pooled
+        // connection while the request is in flight, which would leave the outcome unknown.
+        let idle =
+            if self.once { None } else { state.pool.borrow_mut().take(state.now(), *address) };
+        let pooled = idle.is_some();
+        match self.send_on(idle, request.clone()).await {
+            Err(SendFailure::NotSent) if pooled && !self.is_held() => {
+                log::debug!("pooled connection to {address} was closed; opening a new one");
+                self.send_on(None, request.clone()).await
+            }
+            sent => sent,
+        }
+    }
+
+    /// Sends the request on the `idle` connection, or a new one, unless the endpoint has stopped
+    /// accepting requests since it was chosen.
+    async fn send_on(
+        &self,
+        idle: Option<EndpointConnection>,
+        request: http::Request<Bytes>,
+    ) -> Result<Exchange, SendFailure> {
+        let connection = briartray_http::connect(idle, self.sent_to.address).await?;
+        if self.is_held() {
+            self.state.metrics.withheld.inc();
+            return Err(SendFailure::NotSent);
+        }
+        self.is_sent.set(true);
+        let sent = connection.send(request).await;
+        if matches!(sent, Err(SendFailure::NotSent)) {
+            self.is_sent.set(false);
+        }
+        sent
+    }
+
+    fn is_held(&self) -> bool {
+        self.state.is_held(&self.sent_to.endpoint)
     }
 }
 
@@ -81,42 +125,13 @@
     pub(super) async fn reply(&mut self) -> AttemptReply {
         self.reply.as_mut().await
     }
-}
 
-async fn exchange(
-    state: &EntryState,
-    sent_to: &SentTo,
-    request: http::Request<Bytes>,
-    once: bool,
-) -> Result<Exchange, SendFailure> {
-    let SentTo { endpoint, address, .. } = sent_to;
-    // A request that must not run twice uses a new connection: the endpoint may close a pooled
-    // connection while the request is in flight, which would leave the outcome unknown.
-    let idle = if once { None } else { state.pool.borrow_mut().take(state.now(), *address) };
-    let pooled = idle.is_some();
-    let connection = briartray_http::connect(idle, *address).await?;
-    check_hold(state, endpoint)?;
-    let sent = connection.send(request.clone()).await;
-    match sent {
-        Err(SendFailure::NotSent) if pooled => {
-            log::debug!("pooled connection to {address} was closed; opening a new one");
-            let connection = briartray_http::connect(None, *address).await?;
-            check_hold(state, endpoint)?;
-            connection.send(request).await
-        }
-        sent => sent,
+    /// Whether the endpoint may run the request.
+    pub(super) fn may_run(&self) -> bool {
+        self.is_sent.get()
     }
 }
 
-/// Fails if the endpoint has stopped accepting requests since it was chosen.
-fn check_hold(state: &EntryState, endpoint: &IncarnationId) -> Result<(), SendFailure> {
-    if state.is_held(endpoint) {
-        state.metrics.withheld.inc();
-        return Err(SendFailure::NotSent);
-    }
-    Ok(())
-}
-
 /// Whether a rejection with `status` is due to the endpoint's load rather than to the request.
 fn is_overload(status: StatusCode) -> bool {
     matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
@@ -182,6 +197,7 @@
             request,
             sent_to: SentTo { endpoint: choice.endpoint, address, at: self.state.now() },
             once: self.rule.kind == RepeatKind::Once,
+            is_sent: Rc::default(),
         })
     }
 
@@ -276,7 +292,9 @@
         end: AttemptEnd,
         status: Option<StatusCode>,
     ) -> AttemptEnd {
-        self.runs += u32::from(end != AttemptEnd::NotRun);
+        if end != AttemptEnd::NotRun {
+            self.count_run();
+        }
         let outcome = match end {
             AttemptEnd::NotRun => "not_run",
             AttemptEnd::MayHaveRun => "unknown",
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -59,8 +59,9 @@
     pub(super) latency_bound: bool,
     /// What a refusal of the request is to tell the log.
     pub(super) refusal: Cell<RefusalDetail>,
-    /// Number of replicas that may have run the request. A replica that reported that it did not
-    /// run it does not count towards the rule's maximum number of attempts.
+    /// Number of replicas that may have run the request, without those where it is still in
+    /// progress. A replica that reported that it did not run it does not count towards the rule's
+    /// maximum number of attempts.
     pub(super) runs: u32,
 }
 
@@ -77,6 +78,8 @@
     Budget,
     /// No other replica can take it.
     NoTarget,
+    /// It is a stream whose events have no IDs after which it could be resumed.
+    NoPosition,
 }
 
 impl MoveRefusal {
@@ -88,6 +91,7 @@
             Self::Deadline => "deadline",
             Self::Budget => "budget",
             Self::NoTarget => "no_target",
+            Self::NoPosition => "no_position",
         }
     }
 }
@@ -182,13 +186,12 @@
         self.deadline.since(self.state.now())
     }
 
-    /// Why neither time nor the retry budget allow another attempt; `None` if they do, which takes one
-    /// retry from the budget.
+    /// Why neither time nor the retry budget allow another attempt; `None` if they do.
     fn retry_refusal(&self) -> Option<MoveRefusal> {
         if self.time_left() <= ANSWER_MARGIN * 2 {
             return Some(MoveRefusal::Deadline);
         }
-        (!self.state.take_retry(&self.service)).then_some(MoveRefusal::Budget)
+        (!self.state.has_retry(&self.service)).then_some(MoveRefusal::Budget)
     }
 
     /// Records and logs why the request is not sent to another replica.
@@ -213,20 +216,34 @@
         }
     }
 
+    /// Whether the request has an attempt left for a second run beside the one in progress.
+    pub(super) fn may_run_beside(&self) -> bool {
+        self.retry_state().may_run_beside()
+    }
+
     /// Chooses the target of a second run beside the one in progress, and takes one retry from the
     /// budget.
     ///
     /// # Errors
     /// A `MoveRefusal` if the run in progress has to go on alone.
     pub(super) fn choose_second(&self) -> Result<TargetChoice, MoveRefusal> {
-        if !self.retry_state().may_run_beside() {
+        if !self.may_run_beside() {
             return Err(MoveRefusal::Attempts);
         }
         if self.status() != QuarantineStatus::Clear {
             return Err(MoveRefusal::Suspect);
         }
+        if let Some(refusal) = self.retry_refusal() {
+            return Err(refusal);
+        }
         let choice = self.choose_for(true).map_err(|_| MoveRefusal::NoTarget)?;
-        self.retry_refusal().map_or(Ok(choice), Err)
+        self.state.take_retry(&self.service);
+        Ok(choice)
+    }
+
+    /// Counts a run that ended without a complete response, or was given up.
+    pub(super) fn count_run(&mut self) {
+        self.runs += 1;
     }
 
     /// Decides how to proceed after an attempt, when no other one is in progress.
@@ -243,7 +260,10 @@
             _ => Some(MoveRefusal::Attempts),
         };
         match refusal {
-            None => next,
+            None => {
+                self.state.take_retry(&self.service);
+                next
+            }
             Some(refusal) => {
                 self.note_move_refusal(refusal);
                 RetryState { may_try: false, ..plan }.next(end)
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -235,6 +235,12 @@
         self.budget.borrow_mut().take(self.now(), service, entries)
     }
 
+    /// Whether the retry budget of `service` has a retry left.
+    pub(super) fn has_retry(&self, service: &ServiceName) -> bool {
+        let entries = self.table.borrow().entries();
+        self.budget.borrow_mut().allows(self.now(), service, entries)
+    }
+
     /// Whether to accept a new connection of a caller.
     pub(super) fn admits_connection(&self) -> bool {
         let admits = self.accept_gate.borrow_mut().admits();
--- a/crates/gateway/src/entry/stream_clock.rs
+++ b/crates/gateway/src/entry/stream_clock.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use briartray_fleet::deployment::RouteRule;
+use briartray_fleet::entry::TargetId;
 use briartray_model::TimePoint;
 
 use super::dispatch::ServedRequest;
@@ -58,8 +59,8 @@
         rule.target_gap.is_some_and(|gap| self.longest_pause > gap).then_some(LateCause::Pause)
     }
 
-    /// Counts and logs a finished stream if it was late.
-    pub(super) fn log_if_late(&self, request: &ServedRequest) {
+    /// Counts and logs a finished stream, whose last event came from `target`, if it was late.
+    pub(super) fn log_if_late(&self, request: &ServedRequest, target: &TargetId) {
         let Some(cause) = self.late_cause(&request.rule) else { return };
         let state = &request.state;
         state.metrics.count_late_stream(cause.code());
@@ -68,7 +69,7 @@
                 request = request.request_id(), cause = cause.code(),
                 rule = &*request.rule.name, sends = request.tried.len(),
                 first_ms = millis(self.first_latency), pause_ms = millis(self.longest_pause);
-                "stream from target {:?} missed its latency target", request.tried.last()
+                "stream from target {:?} missed its latency target", Some(target)
             );
         }
     }
--- a/crates/gateway/src/entry/stream_relay.rs
+++ b/crates/gateway/src/entry/stream_relay.rs
@@ -102,8 +102,11 @@
             () = sender.closed() => ForwardEnd::CallerLeft,
         }
     };
+    if !matches!(end, ForwardEnd::CallerLeft) {
+        position.clock.log_if_late(&request, runs.target());
+    }
     match end {
-        ForwardEnd::CallerLeft => return,
+        ForwardEnd::CallerLeft => {}
         ForwardEnd::Complete => {
             if let Some(answer) = runs.into_answer() {
                 let exchange = &answer.exchange;
@@ -121,7 +124,6 @@
             let _ = sender.send(Err(TruncatedStream)).await;
         }
     }
-    position.clock.log_if_late(&request);
 }
 
 /// Forwards events until the stream ends.
--- a/crates/gateway/src/entry/stream_run.rs
+++ b/crates/gateway/src/entry/stream_run.rs
@@ -3,7 +3,8 @@
 //! A silent replica has failed or goes on within a second or so, and only time tells. The stream
 //! therefore starts a second run at another replica, resumed after the last event that the caller
 //! got, and keeps the first one. Whichever delivers the next event goes on, and the other one is
-//! dropped. If no second run can start, the first one is not given up either.
+//! dropped. If no second run can start, the first one is kept until the deadline, or until its group
+//! is lost.
 
 use std::pin::Pin;
 use std::time::Duration;
@@ -38,7 +39,7 @@
 }
 
 /// Result of waiting for a run.
-enum RunProgress {
+enum StreamProgress {
     Replied(Box<AttemptReply>),
     Event(StreamEvent),
     /// The response ended after a complete event.
@@ -49,8 +50,8 @@
 
 /// Result of waiting for all runs.
 enum StreamSignal {
-    Current(RunProgress),
-    Second(RunProgress),
+    Current(StreamProgress),
+    Second(StreamProgress),
     /// Some target is silent.
     Silence,
     Deadline,
@@ -78,10 +79,14 @@
     deadline_timer: Pin<Box<Sleep>>,
     /// Earliest time of the next attempt to start a second run.
     second_due_at: TimePoint,
-    /// Why the last such attempt failed.
-    refused_second: Option<MoveRefusal>,
+    /// Whether a failure to start one has been logged.
+    has_noted_refusal: bool,
     /// Whether a run other than the first one delivers the next event.
     is_moved: bool,
+    /// Whether the caller got an event.
+    has_delivered: bool,
+    /// Error response of a replica, which the caller gets if no run delivers.
+    failed_answer: Option<Box<LiveAnswer>>,
 }
 
 impl StreamRun {
@@ -97,19 +102,35 @@
     }
 
     /// Waits for the response head or the next event. May be cancelled and called again.
-    async fn progress(&mut self) -> RunProgress {
+    async fn progress(&mut self) -> StreamProgress {
         match self {
-            Self::Sending(sending) => RunProgress::Replied(Box::new(sending.reply().await)),
+            Self::Sending(sending) => StreamProgress::Replied(Box::new(sending.reply().await)),
             Self::Reading(reading) => reading.progress().await,
         }
     }
 
-    /// Records that the run is given up or has failed, so that its end frees no slot.
-    fn note_lost(&mut self) {
-        if let Self::Reading(reading) = self {
-            reading.answer.guard.note_lost();
+    /// Records that the run is given up or has failed, so that its end frees no slot. It counts as a run
+    /// of `request` if the replica may run it.
+    fn note_lost(&mut self, request: &mut ServedRequest) {
+        let may_run = match self {
+            Self::Sending(sending) => sending.may_run(),
+            Self::Reading(reading) => {
+                reading.answer.guard.note_lost();
+                true
+            }
+        };
+        if may_run {
+            request.count_run();
         }
     }
+
+    /// Whether the end of the response is the end of the stream. An end without framing may be that of
+    /// an endpoint that crashed.
+    async fn is_complete(&self, request: &ServedRequest) -> bool {
+        let Self::Reading(reading) = self else { return false };
+        let LiveAnswer { exchange, sent_to, .. } = &reading.answer;
+        exchange.is_framed() || !crash_check::ended_in_crash(request, sent_to).await
+    }
 }
 
 impl ReadingRun {
@@ -117,34 +138,27 @@
         Self { answer, splitter: EventSplitter::default(), has_begun: false }
     }
 
-    async fn progress(&mut self) -> RunProgress {
+    async fn progress(&mut self) -> StreamProgress {
         loop {
             if let Some(event) = self.splitter.next_event() {
-                return RunProgress::Event(event);
+                return StreamProgress::Event(event);
             }
             match self.answer.exchange.next_bytes().await {
                 Ok(Some(bytes)) => {
                     self.answer.guard.note_progress();
                     if !self.splitter.push(&bytes) {
-                        return RunProgress::Broken;
+                        return StreamProgress::Broken;
                     }
                 }
-                Ok(None) if !self.splitter.has_partial_event() => return RunProgress::Ended,
-                Ok(None) | Err(_) => return RunProgress::Broken,
+                Ok(None) if !self.splitter.has_partial_event() => return StreamProgress::Ended,
+                Ok(None) | Err(_) => return StreamProgress::Broken,
             }
         }
     }
-
-    /// Whether the end of the response is the end of the stream. An end without framing may be that of
-    /// an endpoint that crashed.
-    async fn is_complete(&self, request: &ServedRequest) -> bool {
-        self.answer.exchange.is_framed()
-            || !crash_check::ended_in_crash(request, &self.answer.sent_to).await
-    }
 }
 
 /// Waits for `run`; forever if there is none.
-async fn progress_of(run: Option<&mut StreamRun>) -> RunProgress {
+async fn progress_of_run(run: Option<&mut StreamRun>) -> StreamProgress {
     match run {
         Some(run) => run.progress().await,
         None => std::future::pending().await,
@@ -154,7 +168,7 @@
 /// Whether an event with `id` may follow the last event that the caller received.
 fn follows(last: Option<u64>, id: Option<u64>) -> bool {
     match (last, id) {
-        (Some(last), Some(id)) => id == last + 1,
+        (Some(last), Some(id)) => last.checked_add(1) == Some(id),
         _ => true,
     }
 }
@@ -179,8 +193,10 @@
             second: None,
             deadline_timer: Box::pin(tokio::time::sleep(request.time_left())),
             second_due_at: request.state.now(),
-            refused_second: None,
+            has_noted_refusal: false,
             is_moved: false,
+            has_delivered: false,
+            failed_answer: None,
         })
     }
 
@@ -207,7 +223,7 @@
                     if let StreamRun::Sending(sending) = &self.current {
                         request.end_attempt(&sending.sent_to, AttemptEnd::MayHaveRun);
                     }
-                    return Err(StreamFailure::Refused(RefusalKind::TimedOut));
+                    return Err(self.fail(RefusalKind::TimedOut));
                 }
             };
             if let Some(step) = step {
@@ -232,6 +248,11 @@
         }
     }
 
+    /// Target that the last event came from.
+    pub(super) fn target(&self) -> &TargetId {
+        self.current.target()
+    }
+
     /// The count of the request at the replica that the last event came from.
     pub(super) fn guard(&self) -> Option<&TargetGuard> {
         self.answer().map(|answer| &answer.guard)
@@ -246,7 +267,7 @@
         let may_move = second.is_none() && request.rule.kind.may_repeat();
         tokio::select! {
             progress = current.progress() => StreamSignal::Current(progress),
-            progress = progress_of(second.as_mut()) => StreamSignal::Second(progress),
+            progress = progress_of_run(second.as_mut()) => StreamSignal::Second(progress),
             () = request.state.silence_notify.notified(), if may_move => StreamSignal::Silence,
             () = deadline_timer.as_mut() => StreamSignal::Deadline,
         }
@@ -257,32 +278,30 @@
         &mut self,
         request: &mut ServedRequest,
         last: Option<u64>,
-        progress: RunProgress,
+        progress: StreamProgress,
     ) -> Result<Option<StreamStep>, StreamFailure> {
         match progress {
-            RunProgress::Replied(reply) => match request.accept(*reply) {
+            StreamProgress::Replied(reply) => match request.accept(*reply) {
                 Ok(answer) if answer.exchange.head.status.is_success() => {
                     self.current = StreamRun::Reading(Box::new(ReadingRun::new(answer)));
                 }
-                Ok(answer) if self.second.is_none() => {
-                    return Err(StreamFailure::Answered(Box::new(answer)));
-                }
-                Ok(_) => {
-                    request.runs += 1;
+                Ok(answer) => {
+                    request.count_run();
+                    self.failed_answer = Some(Box::new(answer));
                     self.replace(request, last, AttemptEnd::RunFailed)?;
                 }
                 Err(end) => self.replace(request, last, end)?,
             },
-            RunProgress::Event(event) if follows(last, event.id) => {
+            StreamProgress::Event(event) if follows(last, event.id) => {
                 self.drop_second(request);
                 self.note_event(request, last);
                 return Ok(Some(StreamStep::Event(event)));
             }
-            RunProgress::Ended if self.is_complete(request).await => {
+            StreamProgress::Ended if self.current.is_complete(request).await => {
                 self.drop_second(request);
                 return Ok(Some(StreamStep::End));
             }
-            RunProgress::Event(_) | RunProgress::Ended | RunProgress::Broken => {
+            StreamProgress::Event(_) | StreamProgress::Ended | StreamProgress::Broken => {
                 lose(request, &mut self.current);
                 self.replace(request, last, AttemptEnd::MayHaveRun)?;
             }
@@ -295,39 +314,40 @@
         &mut self,
         request: &mut ServedRequest,
         last: Option<u64>,
-        progress: RunProgress,
+        progress: StreamProgress,
     ) -> Option<StreamStep> {
         let mut run = self.second.take()?;
         match progress {
-            RunProgress::Replied(reply) => match request.accept(*reply) {
+            StreamProgress::Replied(reply) => match request.accept(*reply) {
                 Ok(answer) if answer.exchange.head.status.is_success() => {
                     self.second = Some(StreamRun::Reading(Box::new(ReadingRun::new(answer))));
                 }
-                Ok(_) => request.runs += 1,
-                Err(_) => {}
+                Ok(answer) => {
+                    request.count_run();
+                    request.state.metrics.count_second_run("failed");
+                    self.failed_answer = Some(Box::new(answer));
+                }
+                Err(_) => request.state.metrics.count_second_run("failed"),
             },
-            RunProgress::Event(event) if follows(last, event.id) => {
+            StreamProgress::Event(event) if follows(last, event.id) => {
                 self.switch_to(request, run);
                 self.note_event(request, last);
                 return Some(StreamStep::Event(event));
             }
-            RunProgress::Ended if is_complete(request, &run).await => {
+            StreamProgress::Ended if run.is_complete(request).await => {
                 self.switch_to(request, run);
                 return Some(StreamStep::End);
             }
-            RunProgress::Event(_) | RunProgress::Ended | RunProgress::Broken => {
+            StreamProgress::Event(_) | StreamProgress::Ended | StreamProgress::Broken => {
+                request.state.metrics.count_second_run("failed");
                 lose(request, &mut run);
             }
         }
         None
     }
 
-    async fn is_complete(&self, request: &ServedRequest) -> bool {
-        is_complete(request, &self.current).await
-    }
-
     /// Starts a second run if the current one is at a silent target. Gives the current one up only if
-    /// its group has ended, since its hosts then serve elsewhere.
+    /// its group is lost, so that its caller may come back elsewhere.
     fn handle_silence(
         &mut self,
         request: &mut ServedRequest,
@@ -339,38 +359,48 @@
             return Ok(());
         }
         self.second_due_at = now.after(SECOND_RUN_INTERVAL);
-        match request.prepare_second(last) {
-            Ok(attempt) => {
-                self.second = Some(StreamRun::start(attempt));
-                self.refused_second = None;
-                return Ok(());
-            }
-            Err(refusal) if self.refused_second == Some(refusal) => {}
-            Err(refusal) => {
-                request.note_move_refusal(refusal);
-                self.refused_second = Some(refusal);
-            }
+        let Err(refusal) = self.start_second(request, last) else { return Ok(()) };
+        if !std::mem::replace(&mut self.has_noted_refusal, true) {
+            request.note_move_refusal(refusal);
         }
-        if request.state.table.borrow().has_ended(self.current.target()) {
+        if request.state.table.borrow().is_lost(now, self.current.target()) {
             lose(request, &mut self.current);
-            self.replace(request, last, AttemptEnd::MayHaveRun)?;
+            return Err(self.fail(RefusalKind::Unknown));
+        }
+        Ok(())
+    }
+
+    fn start_second(
+        &mut self,
+        request: &mut ServedRequest,
+        last: Option<u64>,
+    ) -> Result<(), MoveRefusal> {
+        if !self.can_resume(last) {
+            return Err(MoveRefusal::NoPosition);
         }
+        self.second = Some(StreamRun::start(request.prepare_second(last)?));
+        request.state.metrics.count_second_run("started");
         Ok(())
     }
 
+    /// Whether another run can go on after `last`: without the ID of an event it would begin anew.
+    fn can_resume(&self, last: Option<u64>) -> bool {
+        last.is_some() || !self.has_delivered
+    }
+
     /// Goes on with `run` instead of the current run, which is given up.
     fn switch_to(&mut self, request: &mut ServedRequest, run: StreamRun) {
         let mut silent = std::mem::replace(&mut self.current, run);
-        silent.note_lost();
-        request.runs += 1;
+        silent.note_lost(request);
+        request.state.metrics.count_second_run("delivered");
         self.is_moved = true;
     }
 
     /// Gives up the second run, since the current one goes on.
     fn drop_second(&mut self, request: &mut ServedRequest) {
         if let Some(mut run) = self.second.take() {
-            run.note_lost();
-            request.runs += 1;
+            run.note_lost(request);
+            request.state.metrics.count_second_run("dropped");
         }
     }
 
@@ -386,6 +416,13 @@
             self.current = second;
             return Ok(());
         }
+        if self.failed_answer.is_some() {
+            return Err(self.fail(RefusalKind::Unknown));
+        }
+        if !self.can_resume(last) {
+            request.note_move_refusal(MoveRefusal::NoPosition);
+            return Err(self.fail(RefusalKind::Unknown));
+        }
         match request.next_move(end) {
             NextStep::RetryElsewhere => {
                 let attempt =
@@ -396,14 +433,19 @@
             NextStep::Refuse => Err(StreamFailure::Refused(refusal_of_rejected(request))),
             NextStep::Unknown | NextStep::ForwardFailure => {
                 let late = request.time_left().is_zero();
-                let kind = if late { RefusalKind::TimedOut } else { RefusalKind::Unknown };
-                Err(StreamFailure::Refused(kind))
+                Err(self.fail(if late { RefusalKind::TimedOut } else { RefusalKind::Unknown }))
             }
         }
     }
 
+    /// How the stream fails: with the error response of a replica, or else with `kind`.
+    fn fail(&mut self, kind: RefusalKind) -> StreamFailure {
+        self.failed_answer.take().map_or(StreamFailure::Refused(kind), StreamFailure::Answered)
+    }
+
     /// Records that the current run delivers the event after `last`.
     fn note_event(&mut self, request: &ServedRequest, last: Option<u64>) {
+        self.has_delivered = true;
         let StreamRun::Reading(reading) = &mut self.current else { return };
         if !std::mem::replace(&mut reading.has_begun, true) {
             reading.answer.guard.note_first_part();
@@ -420,17 +462,9 @@
     }
 }
 
-async fn is_complete(request: &ServedRequest, run: &StreamRun) -> bool {
-    match run {
-        StreamRun::Sending(_) => false,
-        StreamRun::Reading(reading) => reading.is_complete(request).await,
-    }
-}
-
 /// Records that `run` was lost, and checks whether its endpoint has crashed.
 fn lose(request: &mut ServedRequest, run: &mut StreamRun) {
-    run.note_lost();
-    request.runs += 1;
+    run.note_lost(request);
     if let StreamRun::Reading(reading) = run {
         crash_check::check(request, &reading.answer.sent_to);
     }
--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -76,6 +76,7 @@
     attempts: Family<OutcomeLabel, Counter>,
     late: Family<OutcomeLabel, Counter>,
     move_refusals: Family<OutcomeLabel, Counter>,
+    second_runs: Family<OutcomeLabel, Counter>,
     refused: Family<RefusalLabels, Counter>,
     returned: Family<OutcomeLabel, Counter>,
     shares: Family<ModelLabel, Gauge>,
@@ -134,6 +135,7 @@
             attempts: Family::default(),
             late: Family::default(),
             move_refusals: Family::default(),
+            second_runs: Family::default(),
             refused: Family::default(),
             returned: Family::default(),
             shares: Family::default(),
@@ -166,6 +168,8 @@
         entry.register("streams_late", "Late streams by cause", metrics.late.clone());
         let help = "Requests that were not sent to another replica by cause";
         entry.register("moves_refused", help, metrics.move_refusals.clone());
+        let help = "Second runs beside silent or overdue ones by how they ended, and those started";
+        entry.register("second_runs", help, metrics.second_runs.clone());
         let help = "Requests refused for lack of capacity by model and cause";
         entry.register("refused_requests", help, metrics.refused.clone());
         let help = "Requests of callers that came back after a refusal by how they ended";
@@ -257,6 +261,11 @@
         self.move_refusals.get_or_create(&OutcomeLabel { outcome: cause }).inc();
     }
 
+    /// Counts the start or end of a second run beside a silent or overdue one.
+    pub(super) fn count_second_run(&self, outcome: &'static str) {
+        self.second_runs.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts a wait for capacity that ended with `outcome`.
     pub(super) fn count_wait(&self, outcome: &'static str) {
         self.waits.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/gateway/src/entry/whole_answer.rs
+++ b/crates/gateway/src/entry/whole_answer.rs
@@ -50,29 +50,29 @@
     framed: bool,
     head: ResponseHead,
     sent_to: SentTo,
-    _guard: TargetGuard,
+    guard: TargetGuard,
 }
 
 /// Head, body and connection of a complete response.
 type BodyOutcome = Result<(Parts, Bytes, EndpointConnection), SendFailure>;
 
 /// Result of waiting for one run.
-enum RunProgress {
+enum WholeProgress {
     Replied(Box<AttemptReply>),
     Read(Box<BodyOutcome>),
 }
 
 /// Result of waiting for all runs.
-enum RunSignal {
+enum WholeSignal {
     /// Progress of the run at this position.
-    Progress(usize, RunProgress),
+    Progress(usize, WholeProgress),
     /// No run has answered in time.
     Overdue,
     Deadline,
 }
 
 /// What progress of a run means for the request.
-enum RunStep {
+enum WholeStep {
     /// The run goes on.
     Continues,
     Answered(WholeAnswer),
@@ -86,8 +86,8 @@
     second_timer: Pin<Box<Sleep>>,
     second_delay: Duration,
     deadline_timer: Pin<Box<Sleep>>,
-    /// Why no second run was started at the last try.
-    refused_second: Option<MoveRefusal>,
+    /// Whether a failure to start a second run has been logged.
+    has_noted_refusal: bool,
 }
 
 /// Serves `request`, with retries where they are allowed.
@@ -99,29 +99,30 @@
     };
     loop {
         let step = match runs.wait(&request).await {
-            RunSignal::Progress(position, progress) => {
+            WholeSignal::Progress(position, progress) => {
                 runs.advance(&mut request, position, progress).await
             }
-            RunSignal::Overdue => {
+            WholeSignal::Overdue => {
                 runs.start_second(&mut request);
-                RunStep::Continues
+                WholeStep::Continues
             }
-            RunSignal::Deadline => {
+            WholeSignal::Deadline => {
                 runs.note_deadline(&mut request);
                 return failed_answer.map_or_else(|| refuse(RefusalKind::TimedOut), forward_answer);
             }
         };
         let end = match step {
-            RunStep::Continues => continue,
-            RunStep::Answered(answer) if !answer.head.status.is_server_error() => {
+            WholeStep::Continues => continue,
+            WholeStep::Answered(answer) if !answer.head.status.is_server_error() => {
+                runs.give_up();
                 return forward_answer(answer);
             }
-            RunStep::Answered(answer) => {
-                request.runs += 1;
+            WholeStep::Answered(answer) => {
+                request.count_run();
                 failed_answer = Some(answer);
                 AttemptEnd::RunFailed
             }
-            RunStep::Ended(end) => end,
+            WholeStep::Ended(end) => end,
         };
         if !runs.is_empty() {
             continue;
@@ -147,16 +148,16 @@
 
 impl WholeRun {
     /// Waits for the response head or the whole body. May be cancelled and called again.
-    async fn progress(&mut self) -> RunProgress {
+    async fn progress(&mut self) -> WholeProgress {
         match self {
-            Self::Sending(sending) => RunProgress::Replied(Box::new(sending.reply().await)),
-            Self::Reading(reading) => RunProgress::Read(Box::new(reading.whole.as_mut().await)),
+            Self::Sending(sending) => WholeProgress::Replied(Box::new(sending.reply().await)),
+            Self::Reading(reading) => WholeProgress::Read(Box::new(reading.whole.as_mut().await)),
         }
     }
 }
 
 /// Waits for `run`; forever if there is none.
-async fn progress_of(run: Option<&mut WholeRun>) -> RunProgress {
+async fn progress_of_run(run: Option<&mut WholeRun>) -> WholeProgress {
     match run {
         Some(run) => run.progress().await,
         None => std::future::pending().await,
@@ -167,7 +168,7 @@
     fn new(answer: LiveAnswer) -> Self {
         let LiveAnswer { exchange, head, sent_to, guard } = answer;
         let framed = exchange.is_framed();
-        Self { whole: Box::pin(exchange.whole()), framed, head, sent_to, _guard: guard }
+        Self { whole: Box::pin(exchange.whole()), framed, head, sent_to, guard }
     }
 }
 
@@ -183,7 +184,7 @@
             second_timer: Box::pin(tokio::time::sleep(second_delay)),
             second_delay,
             deadline_timer: Box::pin(tokio::time::sleep(request.time_left())),
-            refused_second: None,
+            has_noted_refusal: false,
         })
     }
 
@@ -195,19 +196,18 @@
         self.runs.push(WholeRun::Sending(attempt.start()));
     }
 
-    async fn wait(&mut self, request: &ServedRequest) -> RunSignal {
-        let may_repeat = request.rule.kind.may_repeat();
+    async fn wait(&mut self, request: &ServedRequest) -> WholeSignal {
+        let may_run_beside = self.runs.len() == 1 && request.may_run_beside();
         let (first, second) = match self.runs.as_mut_slice() {
             [first, second, ..] => (Some(first), Some(second)),
             [first] => (Some(first), None),
             [] => (None, None),
         };
-        let is_alone = second.is_none();
         tokio::select! {
-            progress = progress_of(first) => RunSignal::Progress(0, progress),
-            progress = progress_of(second) => RunSignal::Progress(1, progress),
-            () = self.second_timer.as_mut(), if is_alone && may_repeat => RunSignal::Overdue,
-            () = self.deadline_timer.as_mut() => RunSignal::Deadline,
+            progress = progress_of_run(first) => WholeSignal::Progress(0, progress),
+            progress = progress_of_run(second) => WholeSignal::Progress(1, progress),
+            () = self.second_timer.as_mut(), if may_run_beside => WholeSignal::Overdue,
+            () = self.deadline_timer.as_mut() => WholeSignal::Deadline,
         }
     }
 
@@ -216,25 +216,27 @@
         &mut self,
         request: &mut ServedRequest,
         position: usize,
-        progress: RunProgress,
-    ) -> RunStep {
+        progress: WholeProgress,
+    ) -> WholeStep {
         let run = self.runs.remove(position);
         match (run, progress) {
-            (_, RunProgress::Replied(reply)) => match request.accept(*reply) {
+            (_, WholeProgress::Replied(reply)) => match request.accept(*reply) {
                 Ok(answer) => {
                     answer.guard.note_progress();
                     answer.guard.note_first_part();
                     let reading = WholeRun::Reading(ReadingBody::new(answer));
                     self.runs.insert(position, reading);
-                    RunStep::Continues
+                    WholeStep::Continues
                 }
-                Err(end) => RunStep::Ended(end),
+                Err(end) => WholeStep::Ended(end),
             },
-            (WholeRun::Reading(reading), RunProgress::Read(outcome)) => {
+            (WholeRun::Reading(reading), WholeProgress::Read(outcome)) => {
                 end_of_body(request, reading, *outcome).await
             }
             // Only a run that is being read delivers a body.
-            (WholeRun::Sending(_), RunProgress::Read(_)) => RunStep::Continues,
+            (WholeRun::Sending(sending), WholeProgress::Read(_)) => {
+                WholeStep::Ended(request.end_attempt(&sending.sent_to, AttemptEnd::MayHaveRun))
+            }
         }
     }
 
@@ -242,11 +244,23 @@
     fn start_second(&mut self, request: &mut ServedRequest) {
         self.second_timer.as_mut().reset(Instant::now() + self.second_delay);
         match request.prepare_second(request.head.last_event) {
-            Ok(attempt) => self.push(attempt),
-            Err(refusal) if self.refused_second == Some(refusal) => {}
+            Ok(attempt) => {
+                self.push(attempt);
+                request.state.metrics.count_second_run("started");
+            }
             Err(refusal) => {
-                request.note_move_refusal(refusal);
-                self.refused_second = Some(refusal);
+                if !std::mem::replace(&mut self.has_noted_refusal, true) {
+                    request.note_move_refusal(refusal);
+                }
+            }
+        }
+    }
+
+    /// Gives up the runs that are left, since another one has answered. Their ends free no slots.
+    fn give_up(self) {
+        for run in self.runs {
+            if let WholeRun::Reading(mut reading) = run {
+                reading.guard.note_lost();
             }
         }
     }
@@ -268,14 +282,14 @@
     request: &mut ServedRequest,
     reading: ReadingBody,
     outcome: BodyOutcome,
-) -> RunStep {
+) -> WholeStep {
     let ReadingBody { framed, head: answer_head, sent_to, .. } = &reading;
     let Ok((head, body, connection)) = outcome else {
         crash_check::check(request, sent_to);
-        return RunStep::Ended(request.end_attempt(sent_to, AttemptEnd::MayHaveRun));
+        return WholeStep::Ended(request.end_attempt(sent_to, AttemptEnd::MayHaveRun));
     };
-    if !framed && crash_check::ended_in_crash(request, sent_to).await {
-        return RunStep::Ended(request.end_attempt(sent_to, AttemptEnd::MayHaveRun));
+    if !framed && has_crashed(request, sent_to).await {
+        return WholeStep::Ended(request.end_attempt(sent_to, AttemptEnd::MayHaveRun));
     }
     request.record_complete_run(head.status, *framed);
     if !answer_head.closes_connection {
@@ -283,7 +297,14 @@
         let mut pool = request.state.pool.borrow_mut();
         pool.put(now, sent_to.address, connection, limit, request.idle_connections);
     }
-    RunStep::Answered(WholeAnswer { head, body })
+    WholeStep::Answered(WholeAnswer { head, body })
+}
+
+/// Whether a crash ended an answer without framing. At the deadline it counts as one, since a part of an
+/// answer must not look complete.
+async fn has_crashed(request: &ServedRequest, sent_to: &SentTo) -> bool {
+    let check = crash_check::ended_in_crash(request, sent_to);
+    tokio::time::timeout(request.time_left(), check).await.unwrap_or(true)
 }
 
 /// The refusal for a request whose next attempt did not begin.
