Count and log requests and connections that end without an answer

Cause: an entry had no line and no metric for a request that it began and did not answer, nor for a connection that was closed after a part of a request had arrived.

Change: a guard in the request handler counts and logs a request that is dropped without an answer, by cause: the caller left, the task panicked, cut off at the end of a planned stop. The server tells its gate of connections that it closed because too many are open, and of those that ended with a part of a request received. Lines are limited like all lines about requests.

--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod stream_relay;
 mod target_guard;
 mod telemetry;
+mod unanswered;
 mod waiting;
 mod whole_answer;
 
@@ -35,7 +36,7 @@
 use crate::metrics_port;
 use crate::process::{ProcessError, SetupSnafu};
 use crate::settings::{EntryRole, GatewaySettings};
-use briartray_http::{HttpServer, ResponseBody, ServerLimits};
+use briartray_http::{ConnectionGate, ConnectionLoss, HttpServer, ResponseBody, ServerLimits};
 
 /// Stack size of the traffic thread, in bytes.
 const TRAFFIC_STACK_BYTES: usize = 2 * 1024 * 1024;
@@ -124,9 +125,8 @@
     else {
         return log::error!("cannot serve callers; failed to register the listening sockets");
     };
-    let (traffic_state, gate_state) = (Rc::clone(&state), Rc::clone(&state));
-    let admits = move || gate_state.admits_connection();
-    let traffic = HttpServer::start_gated(callers, limits, admits, move |request| {
+    let (traffic_state, gate) = (Rc::clone(&state), CallerGate(Rc::clone(&state)));
+    let traffic = HttpServer::start_gated(callers, limits, gate, move |request| {
         serve::handle(Rc::clone(&traffic_state), request)
     });
     let readiness_state = Rc::clone(&state);
@@ -144,6 +144,22 @@
     let _ = end.send(all_closed);
 }
 
+/// Gate for connections of callers.
+struct CallerGate(Rc<EntryState>);
+
+impl ConnectionGate for CallerGate {
+    fn admits(&self) -> bool {
+        self.0.admits_connection()
+    }
+
+    fn note_loss(&self, loss: ConnectionLoss) {
+        self.0.metrics.count_lost_connection(match loss {
+            ConnectionLoss::TooMany => "too_many",
+            ConnectionLoss::PartialRequest => "partial_request",
+        });
+    }
+}
+
 fn readiness_response(state: &EntryState, request: &Request<Incoming>) -> Response<ResponseBody> {
     let is_readiness = request.uri().path() == briartray_platform::READINESS_PATH;
     let status = match (is_readiness, state.is_ready()) {
@@ -176,6 +192,7 @@
     while traffic.open() > 0 && started.elapsed() < schedule.cut {
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
     }
+    state.end_drain();
     log::info!(left = traffic.open(), running = state.running(); "stopped draining connections");
     started.elapsed() < schedule.cut
 }
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -20,6 +20,7 @@
 use super::refusal::{RefusalKind, refuse};
 use super::returns::{CallerFacts, RefusalDetail};
 use super::state::EntryState;
+use super::unanswered::UnansweredGuard;
 use super::{stream_relay, whole_answer};
 use briartray_http::ResponseBody;
 
@@ -39,13 +40,16 @@
     let (parts, body) = request.into_parts();
     let head = CallerHead::read(&parts);
     let id = head.request_id.clone();
+    let mut unanswered = UnansweredGuard::new(&state, id.as_ref());
     let admitted = admit(&state, parts, head, body).await;
+    unanswered.set_read(admitted.is_ok());
     let facts = admitted.as_ref().ok().and_then(ServedRequest::caller_facts);
     let mut answer = match admitted {
         Ok(request) if request.rule.kind.is_stream() => stream_relay::serve(request).await,
         Ok(request) => whole_answer::serve(request).await,
         Err(kind) => refuse(kind),
     };
+    unanswered.disarm();
     record_answer(&state, id.as_ref(), arrived, facts.as_ref(), &answer);
     if state.is_draining() {
         // The caller's next request should go to an entry that is not draining.
@@ -100,7 +104,7 @@
 }
 
 /// Whole milliseconds of `time`.
-fn millis(time: Duration) -> u64 {
+pub(super) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -64,6 +64,7 @@
     /// Consecutive reports without a confirmation.
     unconfirmed_reports: Cell<u32>,
     draining: Cell<bool>,
+    cut_off: Cell<bool>,
     serving: Cell<bool>,
     running: Cell<usize>,
     pub(super) log_budget: LogBudget,
@@ -108,6 +109,7 @@
             waiting: WaitingRequests::new(&settings),
             unconfirmed_reports: Cell::new(0),
             draining: Cell::new(false),
+            cut_off: Cell::new(false),
             serving: Cell::new(false),
             running: Cell::new(0),
             log_budget: LogBudget::default(),
@@ -201,6 +203,16 @@
         self.draining.set(true);
     }
 
+    /// Marks the end of a planned stop, which cuts off the requests that still run.
+    pub(super) fn end_drain(&self) {
+        self.cut_off.set(true);
+    }
+
+    /// Whether a planned stop has cut off the requests that still ran.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.cut_off.get()
+    }
+
     pub(super) fn running(&self) -> usize {
         self.running.get()
     }
--- a/crates/gateway/src/entry/telemetry.rs
+++ b/crates/gateway/src/entry/telemetry.rs
@@ -84,6 +84,8 @@
     pub(super) resumed: Counter,
     /// Streams that were cut off.
     pub(super) cut: Counter,
+    unanswered: Family<OutcomeLabel, Counter>,
+    lost_connections: Family<OutcomeLabel, Counter>,
     /// Endpoint crashes during requests of this entry.
     pub(super) crashes: Counter,
     /// Endpoints with a rate limit, as known to this entry.
@@ -138,6 +140,8 @@
             shown_shares: RefCell::default(),
             resumed: Counter::default(),
             cut: Counter::default(),
+            unanswered: Family::default(),
+            lost_connections: Family::default(),
             crashes: Counter::default(),
             limited: Gauge::default(),
             backoffs: Counter::default(),
@@ -169,6 +173,10 @@
         let help = "Streams that went on at another replica";
         entry.register("streams_resumed", help, metrics.resumed.clone());
         entry.register("streams_cut", "Streams that were cut off", metrics.cut.clone());
+        let help = "Requests that ended without an answer by cause";
+        entry.register("unanswered_requests", help, metrics.unanswered.clone());
+        let help = "Connections closed with a part of a request received, or unread, by cause";
+        entry.register("lost_connections", help, metrics.lost_connections.clone());
         let help = "Endpoints that crashed while requests of this entry ran there";
         entry.register("endpoint_crashes", help, metrics.crashes.clone());
         let help = "Endpoints that name a limit, as far as this entry knows";
@@ -213,6 +221,16 @@
         self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a request that ended without an answer because of `cause`.
+    pub(super) fn count_unanswered(&self, cause: &'static str) {
+        self.unanswered.get_or_create(&OutcomeLabel { outcome: cause }).inc();
+    }
+
+    /// Counts a connection that was lost because of `cause`.
+    pub(super) fn count_lost_connection(&self, cause: &'static str) {
+        self.lost_connections.get_or_create(&OutcomeLabel { outcome: cause }).inc();
+    }
+
     /// Counts an attempt that ended with `outcome`.
     pub(super) fn count_attempt(&self, outcome: &'static str) {
         self.attempts.get_or_create(&OutcomeLabel { outcome }).inc();
--- /dev/null
+++ b/crates/http/src/activity.rs
@@ -0,0 +1,99 @@
+//! What a server knows about an open connection: bytes of requests and requests in progress.
+
+use std::cell::Cell;
+use std::io::{IoSlice, Result};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Requests of a connection.
+#[derive(Debug, Default)]
+pub(crate) struct ConnectionActivity {
+    /// Whether bytes have arrived since the last response.
+    has_bytes: Cell<bool>,
+    running: Cell<bool>,
+}
+
+impl ConnectionActivity {
+    /// Records that a request head was read, until the guard is dropped.
+    pub(crate) fn begin_request(self: &Rc<Self>) -> RequestGuard {
+        self.running.set(true);
+        RequestGuard(Rc::clone(self))
+    }
+
+    /// Whether a part of a request head has arrived.
+    pub(crate) fn has_partial_request(&self) -> bool {
+        self.has_bytes.get() && !self.running.get()
+    }
+}
+
+/// A request in progress.
+pub(crate) struct RequestGuard(Rc<ConnectionActivity>);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.running.set(false);
+        self.0.has_bytes.set(false);
+    }
+}
+
+/// Connection that records when bytes arrive.
+#[derive(Debug)]
+pub(crate) struct ObservedStream {
+    stream: TcpStream,
+    activity: Rc<ConnectionActivity>,
+}
+
+impl ObservedStream {
+    pub(crate) fn new(stream: TcpStream, activity: Rc<ConnectionActivity>) -> Self {
+        Self { stream, activity }
+    }
+}
+
+impl AsyncRead for ObservedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let before = buffer.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.activity.has_bytes.set(true);
+        }
+        poll
+    }
+}
+
+impl AsyncWrite for ObservedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client connections to endpoints and an HTTP/1.1 server for callers, on a
 //! current-thread Tokio runtime.
 
+mod activity;
 mod body;
 mod connection;
 mod pool;
@@ -9,4 +10,4 @@
 pub use body::{BodySender, ResponseBody, TruncatedStream};
 pub use connection::{EndpointConnection, Exchange, SendFailure, is_refused};
 pub use pool::{ConnectionPool, connect};
-pub use server::{HttpServer, ServerLimits};
+pub use server::{ConnectionGate, ConnectionLoss, HttpServer, ServerLimits};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 
 use super::ResponseBody;
+use super::activity::{ConnectionActivity, ObservedStream};
 
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -29,6 +30,30 @@
     pub idle: Duration,
 }
 
+/// Why a connection was lost to its caller, other than after complete responses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionLoss {
+    /// It was closed unread, since too many connections were open.
+    TooMany,
+    /// It ended after a part of a request had arrived.
+    PartialRequest,
+}
+
+/// Decides which connections a server accepts, and hears of those that are lost.
+pub trait ConnectionGate {
+    /// Whether to accept the next connection; others are closed unread.
+    fn admits(&self) -> bool;
+
+    /// Records a lost connection.
+    fn note_loss(&self, _loss: ConnectionLoss) {}
+}
+
+impl<F: Fn() -> bool> ConnectionGate for F {
+    fn admits(&self) -> bool {
+        self()
+    }
+}
+
 /// Running HTTP server.
 #[derive(Debug)]
 pub struct HttpServer {
@@ -47,23 +72,29 @@
         Self::start_gated(listener, limits, || true, handle)
     }
 
-    /// As [`Self::start`]; closes new connections, without reading from them, for which `admits`
-    /// returns `false`.
-    pub fn start_gated<A, H, F>(
+    /// As [`Self::start`]; closes new connections, without reading from them, that `gate` does not
+    /// admit.
+    pub fn start_gated<G, H, F>(
         listener: TcpListener,
         limits: ServerLimits,
-        admits: A,
+        gate: G,
         handle: H,
     ) -> Self
     where
-        A: Fn() -> bool + 'static,
+        G: ConnectionGate + 'static,
         H: Fn(Request<Incoming>) -> F + Clone + 'static,
         F: Future<Output = Response<ResponseBody>> + 'static,
     {
         let (stop, stopped) = watch::channel(false);
         let open = Rc::new(Cell::new(0));
-        let open_count = Rc::clone(&open);
-        tokio::task::spawn_local(accept_all(listener, limits, admits, handle, stopped, open_count));
+        let acceptor = ConnectionAcceptor {
+            limits,
+            gate: Rc::new(gate),
+            handle,
+            stopped,
+            open: Rc::clone(&open),
+        };
+        tokio::task::spawn_local(acceptor.run(listener));
         Self { stop, open }
     }
 
@@ -78,62 +109,90 @@
     }
 }
 
-async fn accept_all<A, H, F>(
-    listener: TcpListener,
+/// What a server needs to accept connections.
+struct ConnectionAcceptor<G, H> {
     limits: ServerLimits,
-    admits: A,
+    gate: Rc<G>,
     handle: H,
-    mut stopped: watch::Receiver<bool>,
+    stopped: watch::Receiver<bool>,
     open: Rc<Cell<usize>>,
-) where
-    A: Fn() -> bool + 'static,
+}
+
+impl<G, H, F> ConnectionAcceptor<G, H>
+where
+    G: ConnectionGate + 'static,
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stop| *stop) => return,
-        };
-        match accepted {
-            Ok((_, peer)) if !admits() => {
-                log::debug!("connection from {peer} was closed: the server is overloaded");
-            }
-            Ok((stream, peer)) if open.get() < limits.connections => {
-                let serving =
-                    serve(stream, peer, limits, handle.clone(), stopped.clone(), Rc::clone(&open));
-                open.set(open.get() + 1);
-                tokio::task::spawn_local(serving);
-            }
-            Ok((_, peer)) => {
-                log::warn!("connection from {peer} was closed: too many connections are open");
-            }
-            Err(error) => {
-                log::warn!("accepting a connection failed: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+    async fn run(mut self, listener: TcpListener) {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = self.stopped.wait_for(|stop| *stop) => return,
+            };
+            match accepted {
+                Ok((stream, peer)) => self.admit(stream, peer),
+                Err(error) => {
+                    log::warn!("accepting a connection failed: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
             }
         }
     }
+
+    /// Serves a new connection, or closes it unread.
+    fn admit(&self, stream: TcpStream, peer: SocketAddr) {
+        if !self.gate.admits() {
+            log::debug!("connection from {peer} was closed: the server is overloaded");
+            return;
+        }
+        if self.open.get() >= self.limits.connections {
+            log::warn!("connection from {peer} was closed: too many connections are open");
+            self.gate.note_loss(ConnectionLoss::TooMany);
+            return;
+        }
+        let serving = serve(
+            stream,
+            peer,
+            self.limits,
+            Rc::clone(&self.gate),
+            self.handle.clone(),
+            self.stopped.clone(),
+            Rc::clone(&self.open),
+        );
+        self.open.set(self.open.get() + 1);
+        tokio::task::spawn_local(serving);
+    }
 }
 
-async fn serve<H, F>(
+async fn serve<G, H, F>(
     stream: TcpStream,
     peer: SocketAddr,
     limits: ServerLimits,
+    gate: Rc<G>,
     handle: H,
     mut stopped: watch::Receiver<bool>,
     open: Rc<Cell<usize>>,
 ) where
+    G: ConnectionGate,
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on the connection from {peer}: {error}");
     }
+    let activity = Rc::<ConnectionActivity>::default();
+    let requests = Rc::clone(&activity);
     let service = service_fn(move |request| {
+        let running = requests.begin_request();
         let answer = handle(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move {
+            let answer = answer.await;
+            drop(running);
+            Ok::<_, Infallible>(answer)
+        }
     });
+    let stream = ObservedStream::new(stream, Rc::clone(&activity));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
@@ -149,5 +208,8 @@
     if let Err(error) = result {
         log::debug!("connection from {peer} failed: {error}");
     }
+    if activity.has_partial_request() {
+        gate.note_loss(ConnectionLoss::PartialRequest);
+    }
     open.set(open.get() - 1);
 }
--- /dev/null
+++ b/crates/http/tests/unanswered.rs
@@ -0,0 +1,87 @@
+//! Requests that arrive whole get a response, also beside failures and stops of the server.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use briartray_http::{HttpServer, ResponseBody, ServerLimits};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use self::common::run;
+
+const REQUEST: &[u8] = b"GET /whole HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/// Time after which the second part of a request is sent.
+const PART_DELAY: Duration = Duration::from_millis(60);
+
+async fn answer(_request: Request<Incoming>) -> Response<ResponseBody> {
+    Response::new(ResponseBody::whole("served"))
+}
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("the listener has an address");
+    (listener, address)
+}
+
+fn start(listener: TcpListener) -> HttpServer {
+    let limits = ServerLimits { connections: 64, idle: Duration::from_secs(10) };
+    HttpServer::start(listener, limits, answer)
+}
+
+async fn serving() -> (HttpServer, TcpStream) {
+    let (listener, address) = listener().await;
+    let server = start(listener);
+    (server, TcpStream::connect(address).await.expect("the server listens"))
+}
+
+/// Everything that the server sends until it closes the connection.
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    // A reset ends the answer too.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Sends a request on a kept connection and reads its response.
+async fn exchange(stream: &mut TcpStream) {
+    stream.write_all(REQUEST).await.expect("the server reads");
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"served") {
+        answer.push(stream.read_u8().await.expect("the server answers"));
+    }
+}
+
+/// Guards against a stop that waits for kept connections without a request.
+#[test]
+fn a_stop_closes_idle_connections() {
+    run(async {
+        let (server, mut stream) = serving().await;
+        exchange(&mut stream).await;
+
+        server.stop();
+        let rest = read_all(&mut stream).await;
+        tokio::time::sleep(PART_DELAY).await;
+
+        assert_eq!((rest.as_str(), server.open()), ("", 0));
+    });
+}
+
+/// Guards against pipelined requests of which only the first is answered.
+#[test]
+fn pipelined_requests_are_answered_in_turn() {
+    run(async {
+        let (_server, mut stream) = serving().await;
+
+        stream.write_all(&REQUEST.repeat(3)).await.expect("the server reads");
+        let last = b"GET /whole HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        stream.write_all(last).await.expect("the server reads");
+        let answers = read_all(&mut stream).await;
+
+        assert_eq!(answers.matches("HTTP/1.1 200 ").count(), 4, "{answers:?}");
+    });
+}
