Read the rest of a refused request's body before the refusal

Cause: an entry refused a request for its route, key, size or lease before it had read the body. The server then answered and closed the connection. Body bytes that arrived later, some milliseconds after the head, met a closed socket, which resets the connection: the caller could not send its request, or lost the refusal. Around a change of the configuration, where routes come and go, whole requests thus got neither an answer nor a refusal.

Change: before a refusal the rest of the body is read and discarded, at most 8 MiB and one second; the connection then stays usable. A caller that waits for 100 Continue is refused at once. The control port does the same for a body that is too large.

--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -27,7 +27,7 @@
 use super::quarantine_call::{QuarantineCall, quarantine_answer};
 use crate::metrics_port;
 use crate::process::{ProcessError, SetupSnafu};
-use briartray_http::{HttpServer, ResponseBody, ServerLimits};
+use briartray_http::{HttpServer, ResponseBody, ServerLimits, discard_body};
 
 /// Maximum size of a deployment plan, in bytes: 25 KB hold 110 routes, so thousands of routes fit.
 const MAX_PLAN_BYTES: usize = 4 * 1024 * 1024;
@@ -117,8 +117,9 @@
     async fn handle(self, request: Request<Incoming>) -> Response<ResponseBody> {
         let call = ControlCall::read(&request);
         let path = request.uri().path().to_owned();
-        let (head, body) = request.into_parts();
-        let Ok(body) = Limited::new(body, MAX_PLAN_BYTES).collect().await else {
+        let (head, mut body) = request.into_parts();
+        let Ok(body) = Limited::new(&mut body, MAX_PLAN_BYTES).collect().await else {
+            discard_body(&mut body).await;
             return error_response(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "the body is too large or incomplete",
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -22,7 +22,7 @@
 use super::state::EntryState;
 use super::unanswered::UnansweredGuard;
 use super::{stream_relay, whole_answer};
-use briartray_http::ResponseBody;
+use briartray_http::{ResponseBody, discard_body};
 
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 16;
@@ -37,11 +37,16 @@
 ) -> Response<ResponseBody> {
     let _running = state.begin_request();
     let arrived = state.now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let head = CallerHead::read(&parts);
     let id = head.request_id.clone();
     let mut unanswered = UnansweredGuard::new(&state, id.as_ref());
-    let admitted = admit(&state, parts, head, body).await;
+    // A caller that waits for a `100 Continue` sends no body after a refusal.
+    let awaits_continue = parts.headers.contains_key(header::EXPECT);
+    let admitted = admit(&state, parts, head, &mut body).await;
+    if admitted.is_err() && !awaits_continue {
+        discard_body(&mut body).await;
+    }
     unanswered.set_read(admitted.is_ok());
     let facts = admitted.as_ref().ok().and_then(ServedRequest::caller_facts);
     let mut answer = match admitted {
@@ -113,7 +118,7 @@
     state: &Rc<EntryState>,
     parts: Parts,
     head: CallerHead,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<ServedRequest, RefusalKind> {
     let arrived = state.now();
     let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE);
@@ -206,7 +211,7 @@
     Ok(Some((access.team.clone(), access.priority)))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, RefusalKind> {
+async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, RefusalKind> {
     match Limited::new(body, limit).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(RefusalKind::BodyTooLarge),
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,16 +1,24 @@
-//! Response bodies sent to callers.
+//! Response bodies sent to callers, and the rest of request bodies.
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
 /// Capacity of a streamed body's channel, in parts; a slow reader blocks the sender beyond it.
 const STREAM_QUEUE_PARTS: usize = 16;
 
+/// Maximum size of the rest of a request body that is discarded, in bytes.
+const MAX_DISCARDED_BYTES: usize = 8 * 1024 * 1024;
+
+/// Maximum time in which the rest of a request body is discarded.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// Error that ends a streamed body before the response is complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 #[snafu(display("the response stream was cut off before its end"))]
@@ -73,3 +81,18 @@
         }
     }
 }
+
+/// Reads and discards the rest of a request body, within limits. A connection that is closed with
+/// unread bytes is reset, and the caller may lose the response.
+pub async fn discard_body(body: &mut Incoming) {
+    let discard = async {
+        let mut size = 0;
+        while size < MAX_DISCARDED_BYTES {
+            match body.frame().await {
+                Some(Ok(frame)) => size += frame.data_ref().map_or(0, Bytes::len),
+                Some(Err(_)) | None => return,
+            }
+        }
+    };
+    let _ = tokio::time::timeout(MAX_DISCARD_TIME, discard).await;
+}
