Write what was sent of a stream before it is cut off

Cause: when a streamed body failed, the server dropped what it had not written yet. A stream whose first events and failure were taken in one turn ended as a closed connection without a response.

Change: the body returns its error with the next poll, after the server had its turn to write.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,7 +1,7 @@
 //! Response bodies sent to callers, and the rest of request bodies.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -27,13 +27,40 @@
 /// Sending half of a streamed body.
 pub type BodySender = mpsc::Sender<Result<Bytes, TruncatedStream>>;
 
+/// Receiving half of a streamed body.
+#[derive(Debug)]
+pub struct BodyParts {
+    parts: mpsc::Receiver<Result<Bytes, TruncatedStream>>,
+    /// Error to return with the next poll. The server drops what it has not written when a body
+    /// fails, so it gets the time to write first.
+    cut: Option<TruncatedStream>,
+}
+
+impl BodyParts {
+    fn poll_part(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, TruncatedStream>>> {
+        if let Some(error) = self.cut.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        let part = ready!(self.parts.poll_recv(context));
+        if let Some(Err(error)) = part {
+            self.cut = Some(error);
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        Poll::Ready(part)
+    }
+}
+
 /// Response body: in one piece or streamed.
 #[derive(Debug)]
 pub enum ResponseBody {
     /// Complete body; `None` once it has been sent.
     Whole(Option<Bytes>),
     /// Streamed parts; an error aborts the connection without the final chunk.
-    Parts(mpsc::Receiver<Result<Bytes, TruncatedStream>>),
+    Parts(BodyParts),
 }
 
 impl ResponseBody {
@@ -44,8 +71,8 @@
 
     /// Creates a streamed body and its sender.
     pub fn parts() -> (BodySender, Self) {
-        let (sender, receiver) = mpsc::channel(STREAM_QUEUE_PARTS);
-        (sender, Self::Parts(receiver))
+        let (sender, parts) = mpsc::channel(STREAM_QUEUE_PARTS);
+        (sender, Self::Parts(BodyParts { parts, cut: None }))
     }
 }
 
@@ -60,7 +87,7 @@
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Parts(parts) => {
-                parts.poll_recv(context).map(|part| part.map(|part| part.map(Frame::data)))
+                parts.poll_part(context).map(|part| part.map(|part| part.map(Frame::data)))
             }
         }
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,7 +7,7 @@
 mod pool;
 mod server;
 
-pub use body::{BodySender, ResponseBody, TruncatedStream, discard_body};
+pub use body::{BodyParts, BodySender, ResponseBody, TruncatedStream, discard_body};
 pub use connection::{EndpointConnection, Exchange, SendFailure, is_refused};
 pub use pool::{ConnectionPool, connect};
 pub use server::{ConnectionGate, ConnectionLoss, HttpServer, ServerLimits};
--- a/crates/http/tests/unanswered.rs
+++ b/crates/http/tests/unanswered.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use briartray_http::{HttpServer, ResponseBody, ServerLimits};
+use briartray_http::{HttpServer, ResponseBody, ServerLimits, TruncatedStream};
+use bytes::Bytes;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -18,8 +19,17 @@
 /// Time after which the second part of a request is sent.
 const PART_DELAY: Duration = Duration::from_millis(60);
 
-async fn answer(_request: Request<Incoming>) -> Response<ResponseBody> {
-    Response::new(ResponseBody::whole("served"))
+/// Serves `/whole`, and a stream that fails at once on the other paths.
+async fn answer(request: Request<Incoming>) -> Response<ResponseBody> {
+    if request.uri().path() == "/whole" {
+        return Response::new(ResponseBody::whole("served"));
+    }
+    let (sender, body) = ResponseBody::parts();
+    tokio::task::spawn_local(async move {
+        let _ = sender.send(Ok(Bytes::from_static(b"first"))).await;
+        let _ = sender.send(Err(TruncatedStream)).await;
+    });
+    Response::new(body)
 }
 
 async fn listener() -> (TcpListener, SocketAddr) {
@@ -47,6 +57,12 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+async fn answer_to(request: &[u8]) -> String {
+    let (_server, mut stream) = serving().await;
+    stream.write_all(request).await.expect("the server reads");
+    read_all(&mut stream).await
+}
+
 /// Sends a request on a kept connection and reads its response.
 async fn exchange(stream: &mut TcpStream) {
     stream.write_all(REQUEST).await.expect("the server reads");
@@ -56,6 +72,17 @@
     }
 }
 
+/// Guards against a stream that is cut off together with the events before the cut.
+#[test]
+fn a_stream_that_fails_at_once_delivers_what_came_before() {
+    run(async {
+        let stream = answer_to(b"GET /cut HTTP/1.1\r\nhost: a\r\n\r\n").await;
+
+        assert!(stream.starts_with("HTTP/1.1 200 ") && stream.contains("first"), "{stream:?}");
+        assert!(!stream.ends_with("0\r\n\r\n"), "{stream:?}");
+    });
+}
+
 /// Guards against a stop that waits for kept connections without a request.
 #[test]
 fn a_stop_closes_idle_connections() {
