Answer a request whose task panics, and cut a stream whose task panics

Cause: a panic in a request's task ended the connection's task: the caller's connection closed without an answer, and counted as open for good, so that a planned stop waited for it up to its cut-off time. A panic in the task of a stream dropped its sender, which completes the body: the caller got a stream that looked complete.

Change: the server answers 500, which promises nothing, for a task that panics, and counts connections with a guard. A sender that is dropped in a panic cuts the body off.

No panic was seen outside of these tests.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,6 +1,9 @@
 //! Response bodies sent to callers, and the rest of request bodies.
 
+use std::cell::Cell;
+use std::ops::Deref;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -24,13 +27,34 @@
 #[snafu(display("the response stream was cut off before its end"))]
 pub struct TruncatedStream;
 
-/// Sending half of a streamed body.
-pub type BodySender = mpsc::Sender<Result<Bytes, TruncatedStream>>;
+/// Sending half of a streamed body. Dropping it completes the body, unless its task panics.
+#[derive(Debug)]
+pub struct BodySender {
+    parts: mpsc::Sender<Result<Bytes, TruncatedStream>>,
+    panicked: Rc<Cell<bool>>,
+}
+
+impl Deref for BodySender {
+    type Target = mpsc::Sender<Result<Bytes, TruncatedStream>>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.parts
+    }
+}
+
+impl Drop for BodySender {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.panicked.set(true);
+        }
+    }
+}
 
 /// Receiving half of a streamed body.
 #[derive(Debug)]
 pub struct BodyParts {
     parts: mpsc::Receiver<Result<Bytes, TruncatedStream>>,
+    panicked: Rc<Cell<bool>>,
     /// Error to return with the next poll. The server drops what it has not written when a body
     /// fails, so it gets the time to write first.
     cut: Option<TruncatedStream>,
@@ -44,7 +68,10 @@
         if let Some(error) = self.cut.take() {
             return Poll::Ready(Some(Err(error)));
         }
-        let part = ready!(self.parts.poll_recv(context));
+        let part = match ready!(self.parts.poll_recv(context)) {
+            None if self.panicked.take() => Some(Err(TruncatedStream)),
+            part => part,
+        };
         if let Some(Err(error)) = part {
             self.cut = Some(error);
             context.waker().wake_by_ref();
@@ -71,8 +98,10 @@
 
     /// Creates a streamed body and its sender.
     pub fn parts() -> (BodySender, Self) {
-        let (sender, parts) = mpsc::channel(STREAM_QUEUE_PARTS);
-        (sender, Self::Parts(BodyParts { parts, cut: None }))
+        let (parts, receiver) = mpsc::channel(STREAM_QUEUE_PARTS);
+        let panicked = Rc::new(Cell::new(false));
+        let sender = BodySender { parts, panicked: Rc::clone(&panicked) };
+        (sender, Self::Parts(BodyParts { parts: receiver, panicked, cut: None }))
     }
 }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -4,10 +4,12 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -158,9 +160,8 @@
             Rc::clone(&self.gate),
             self.handle.clone(),
             self.stopped.clone(),
-            Rc::clone(&self.open),
+            OpenGuard::new(&self.open),
         );
-        self.open.set(self.open.get() + 1);
         tokio::task::spawn_local(serving);
     }
 }
@@ -172,7 +173,7 @@
     gate: Rc<G>,
     handle: H,
     mut stopped: watch::Receiver<bool>,
-    open: Rc<Cell<usize>>,
+    _open: OpenGuard,
 ) where
     G: ConnectionGate,
     H: Fn(Request<Incoming>) -> F + 'static,
@@ -185,7 +186,7 @@
     let requests = Rc::clone(&activity);
     let service = service_fn(move |request| {
         let running = requests.begin_request();
-        let answer = handle(request);
+        let answer = answer_despite_panic(handle(request));
         async move {
             let answer = answer.await;
             drop(running);
@@ -211,5 +212,39 @@
     if activity.has_partial_request() {
         gate.note_loss(ConnectionLoss::PartialRequest);
     }
-    open.set(open.get() - 1);
+}
+
+/// Counts a connection as open until dropped.
+struct OpenGuard(Rc<Cell<usize>>);
+
+impl OpenGuard {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// The response of `answer`; if it panics, a response that leaves open what was done.
+async fn answer_despite_panic(
+    answer: impl Future<Output = Response<ResponseBody>>,
+) -> Response<ResponseBody> {
+    let mut answer = std::pin::pin!(answer);
+    let polled = std::future::poll_fn(|context| {
+        match catch_unwind(AssertUnwindSafe(|| answer.as_mut().poll(context))) {
+            Ok(poll) => poll.map(Some),
+            Err(_) => Poll::Ready(None),
+        }
+    });
+    polled.await.unwrap_or_else(|| {
+        log::error!("the task of a request panicked");
+        let mut failed = Response::new(ResponseBody::whole(Vec::new()));
+        *failed.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        failed
+    })
 }
--- a/crates/http/tests/unanswered.rs
+++ b/crates/http/tests/unanswered.rs
@@ -19,16 +19,24 @@
 /// Time after which the second part of a request is sent.
 const PART_DELAY: Duration = Duration::from_millis(60);
 
-/// Serves `/whole`, and a stream that fails at once on the other paths.
+/// Serves `/whole`, a stream that fails at once on `/cut`, and panics on the other paths.
 async fn answer(request: Request<Incoming>) -> Response<ResponseBody> {
-    if request.uri().path() == "/whole" {
+    let path = request.uri().path().to_owned();
+    if path == "/whole" {
         return Response::new(ResponseBody::whole("served"));
     }
+    if path == "/panic" {
+        panic!("a request task panics in a test");
+    }
     let (sender, body) = ResponseBody::parts();
-    tokio::task::spawn_local(async move {
+    let stream = async move {
         let _ = sender.send(Ok(Bytes::from_static(b"first"))).await;
-        let _ = sender.send(Err(TruncatedStream)).await;
-    });
+        match path.as_str() {
+            "/cut" => drop(sender.send(Err(TruncatedStream)).await),
+            _ => panic!("a stream task panics in a test"),
+        }
+    };
+    tokio::task::spawn_local(stream);
     Response::new(body)
 }
 
@@ -72,6 +80,35 @@
     }
 }
 
+/// Guards against a caller whose connection is closed because its request's task panicked.
+#[test]
+fn a_request_whose_task_panics_is_answered() {
+    run(async {
+        let (server, mut stream) = serving().await;
+
+        stream
+            .write_all(b"GET /panic HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+            .await
+            .expect("sent");
+        let failed = read_all(&mut stream).await;
+        tokio::time::sleep(PART_DELAY).await;
+
+        assert!(failed.starts_with("HTTP/1.1 500 "), "{failed:?}");
+        assert_eq!(server.open(), 0, "a closed connection counts as open");
+    });
+}
+
+/// Guards against a stream that looks complete although its task panicked.
+#[test]
+fn a_stream_whose_task_panics_does_not_look_complete() {
+    run(async {
+        let stream = answer_to(b"GET /panic-later HTTP/1.1\r\nhost: a\r\n\r\n").await;
+
+        assert!(stream.contains("first"), "{stream:?}");
+        assert!(!stream.ends_with("0\r\n\r\n"), "{stream:?}");
+    });
+}
+
 /// Guards against a stream that is cut off together with the events before the cut.
 #[test]
 fn a_stream_that_fails_at_once_delivers_what_came_before() {
