Answer requests that are on their way when the server stops

Cause: at a planned stop the server dropped its listener, which resets the connections that wait for acceptance; closed new connections before their first request; and closed kept connections with a request that had arrived in part, or whole but unread while the thread was busy.

Change: at a stop the server accepts what waits, and reads what has arrived on kept connections before it closes them. A new connection's first request, and the rest of a request head, have one second. A planned stop checks for open connections after the first interval, so that those are counted.

--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -189,8 +189,12 @@
     let schedule = DrainSchedule::new(grace);
     tokio::time::sleep(schedule.listen).await;
     traffic.stop();
-    while traffic.open() > 0 && started.elapsed() < schedule.cut {
+    loop {
+        // Connections that waited for acceptance are counted as open after the first interval.
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
+        if traffic.open() == 0 || started.elapsed() >= schedule.cut {
+            break;
+        }
     }
     state.end_drain();
     log::info!(left = traffic.open(), running = state.running(); "stopped draining connections");
--- a/crates/http/src/activity.rs
+++ b/crates/http/src/activity.rs
@@ -5,9 +5,18 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Time for reading bytes of a kept connection that had arrived when the server stopped.
+const UNREAD_BYTES_WAIT: Duration = Duration::from_millis(20);
+
+/// Time within which a new connection's first request, or the rest of a request head that has
+/// arrived in part, must arrive after the server has stopped.
+const REQUEST_HEAD_WAIT: Duration = Duration::from_secs(1);
 
 /// Requests of a connection.
 #[derive(Debug, Default)]
@@ -15,12 +24,17 @@
     /// Whether bytes have arrived since the last response.
     has_bytes: Cell<bool>,
     running: Cell<bool>,
+    /// Whether a request was ever read.
+    used: Cell<bool>,
+    request_begun: Notify,
 }
 
 impl ConnectionActivity {
     /// Records that a request head was read, until the guard is dropped.
     pub(crate) fn begin_request(self: &Rc<Self>) -> RequestGuard {
         self.running.set(true);
+        self.used.set(true);
+        self.request_begun.notify_waiters();
         RequestGuard(Rc::clone(self))
     }
 
@@ -30,6 +44,26 @@
     }
 }
 
+impl ConnectionActivity {
+    /// Waits for a request that is on its way, when the server stops.
+    pub(crate) async fn wait_for_arrival(&self) {
+        if self.running.get() {
+            return;
+        }
+        let is_new = !self.used.get();
+        if !is_new && self.begins_within(UNREAD_BYTES_WAIT).await {
+            return;
+        }
+        if is_new || self.has_partial_request() {
+            self.begins_within(REQUEST_HEAD_WAIT).await;
+        }
+    }
+
+    async fn begins_within(&self, limit: Duration) -> bool {
+        tokio::time::timeout(limit, self.request_begun.notified()).await.is_ok()
+    }
+}
+
 /// A request in progress.
 pub(crate) struct RequestGuard(Rc<ConnectionActivity>);
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -126,11 +126,12 @@
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
-    async fn run(mut self, listener: TcpListener) {
+    async fn run(self, listener: TcpListener) {
+        let mut stopped = self.stopped.clone();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = self.stopped.wait_for(|stop| *stop) => return,
+                _ = stopped.wait_for(|stop| *stop) => return self.admit_waiting(listener),
             };
             match accepted {
                 Ok((stream, peer)) => self.admit(stream, peer),
@@ -142,6 +143,18 @@
         }
     }
 
+    /// Admits the connections that wait for acceptance; closing the listener would reset them.
+    fn admit_waiting(&self, listener: TcpListener) {
+        let Ok(listener) = listener.into_std() else { return };
+        while let Ok((stream, peer)) = listener.accept() {
+            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+            match stream {
+                Ok(stream) => self.admit(stream, peer),
+                Err(error) => log::warn!("accepting a connection failed: {error}"),
+            }
+        }
+    }
+
     /// Serves a new connection, or closes it unread.
     fn admit(&self, stream: TcpStream, peer: SocketAddr) {
         if !self.gate.admits() {
@@ -199,9 +212,15 @@
         .header_read_timeout(limits.idle)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let stopping = async {
+        let _ = stopped.wait_for(|stop| *stop).await;
+        activity.wait_for_arrival().await;
+    };
     let result = tokio::select! {
+        // Bytes that have arrived are read before the connection is closed.
+        biased;
         result = connection.as_mut() => result,
-        _ = stopped.wait_for(|stop| *stop) => {
+        () = stopping => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/http/tests/unanswered.rs
+++ b/crates/http/tests/unanswered.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -80,6 +81,14 @@
     }
 }
 
+/// Opens a connection and sends `bytes` without giving the server a turn.
+fn send_unnoticed(address: SocketAddr, bytes: &[u8]) -> TcpStream {
+    let mut stream = std::net::TcpStream::connect(address).expect("the server listens");
+    stream.write_all(bytes).expect("the bytes fit into the socket");
+    stream.set_nonblocking(true).expect("the socket is open");
+    TcpStream::from_std(stream).expect("the socket is open")
+}
+
 /// Guards against a caller whose connection is closed because its request's task panicked.
 #[test]
 fn a_request_whose_task_panics_is_answered() {
@@ -120,6 +129,74 @@
     });
 }
 
+/// Guards against connections that wait to be accepted when the server stops, and are reset.
+#[test]
+fn requests_that_wait_for_acceptance_at_a_stop_are_answered() {
+    run(async {
+        let (listener, address) = listener().await;
+        let mut callers: Vec<_> = (0..8).map(|_| send_unnoticed(address, REQUEST)).collect();
+        let server = start(listener);
+
+        server.stop();
+
+        for caller in &mut callers {
+            let answer = read_all(caller).await;
+            assert!(answer.ends_with("served"), "{answer:?}");
+        }
+    });
+}
+
+/// Guards against a new connection that is closed at a stop before its first request arrives.
+#[test]
+fn the_first_request_of_a_new_connection_is_answered_after_a_stop() {
+    run(async {
+        let (server, mut stream) = serving().await;
+        tokio::time::sleep(PART_DELAY).await;
+
+        server.stop();
+        tokio::time::sleep(PART_DELAY).await;
+        let sent = stream.write_all(REQUEST).await;
+        let answer = read_all(&mut stream).await;
+
+        assert!(sent.is_ok() && answer.ends_with("served"), "{answer:?}");
+    });
+}
+
+/// Guards against a request on a kept connection that has arrived in part when the server stops.
+#[test]
+fn a_request_that_arrives_in_parts_around_a_stop_is_answered() {
+    run(async {
+        let (server, mut stream) = serving().await;
+        exchange(&mut stream).await;
+        let (begin, rest) = REQUEST.split_at(10);
+        stream.write_all(begin).await.expect("the server reads");
+        tokio::time::sleep(PART_DELAY).await;
+
+        server.stop();
+        tokio::time::sleep(PART_DELAY).await;
+        let sent = stream.write_all(rest).await;
+        let answer = read_all(&mut stream).await;
+
+        assert!(sent.is_ok() && answer.ends_with("served"), "{answer:?}");
+    });
+}
+
+/// Guards against a request on a kept connection that has arrived, but has not been read when a busy
+/// server stops.
+#[test]
+fn a_request_that_is_still_unread_at_a_stop_is_answered() {
+    run(async {
+        let (server, mut stream) = serving().await;
+        exchange(&mut stream).await;
+
+        stream.try_write(REQUEST).expect("the request fits into the socket");
+        server.stop();
+        let answer = read_all(&mut stream).await;
+
+        assert!(answer.ends_with("served"), "{answer:?}");
+    });
+}
+
 /// Guards against a stop that waits for kept connections without a request.
 #[test]
 fn a_stop_closes_idle_connections() {
