Refuse a request whose body does not arrive by its deadline

Cause: an entry read a body without a time limit. A caller whose body stalled was held past its deadline and the route's timeout, and never got an answer.

Change: a body that has not arrived by the deadline or the route's timeout is refused with 408 body_timeout, which states that the request has not run.

--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -34,6 +34,8 @@
     BodyTooLarge,
     /// The body could not be read completely.
     BadBody,
+    /// The body did not arrive by the deadline.
+    BodyTimeout,
     /// No replica currently serves the service or model.
     NoReplica,
     /// All replicas are at capacity.
@@ -67,6 +69,7 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::RulesUnconfirmed
             | Self::NoReplica
             | Self::ReplicasFull
@@ -88,6 +91,7 @@
             Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "too_large",
             Self::BadBody => "bad_body",
+            Self::BodyTimeout => "body_timeout",
             Self::NoReplica => "no_replica",
             Self::ReplicasFull => "full",
             Self::EndpointLimit { .. } => "endpoint_limit",
@@ -109,6 +113,7 @@
             Self::HeadTooLarge => "send fewer or shorter headers",
             Self::BodyTooLarge => "send a smaller body",
             Self::BadBody => "send the whole body",
+            Self::BodyTimeout => "send the whole body before the deadline",
             Self::NoReplica => "replicas are being set up; come back in a moment",
             Self::ReplicasFull => "all replicas are busy; come back in a moment",
             Self::EndpointLimit { .. } => {
@@ -128,6 +133,11 @@
         }
     }
 
+    /// Whether the rest of the body is worth waiting for before the response.
+    pub(super) fn awaits_body(self) -> bool {
+        !matches!(self, Self::BadBody | Self::BodyTimeout)
+    }
+
     /// Randomized retry delay, for requests that did not run.
     pub(super) fn retry_after(self) -> Option<Duration> {
         let (min_ms, max_ms) = match self {
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -44,7 +44,7 @@
     // A caller that waits for a `100 Continue` sends no body after a refusal.
     let awaits_continue = parts.headers.contains_key(header::EXPECT);
     let admitted = admit(&state, parts, head, &mut body).await;
-    if admitted.is_err() && !awaits_continue {
+    if admitted.as_ref().is_err_and(|kind| kind.awaits_body()) && !awaits_continue {
         discard_body(&mut body).await;
     }
     unanswered.set_read(admitted.is_ok());
@@ -129,7 +129,9 @@
     }
     let rule = book.find(&head.host, parts.uri.path()).ok_or(RefusalKind::NoRoute)?.clone();
     let team = check_key(&book, &rule, &head)?;
-    let body = read_body(body, limits.max_body_bytes).await?;
+    let max_wait = deadline.min(rule.timeout);
+    let left = arrived.after(max_wait).since(state.now());
+    let body = read_body(body, limits.max_body_bytes, left).await?;
     let priority = team.as_ref().and_then(|(_, priority)| *priority).or(Some(rule.priority));
     let team = team.map(|(team, _)| team);
     let fingerprint = OnceCell::new();
@@ -150,7 +152,6 @@
         _ => Duration::ZERO,
     };
     state.wait_for_replica(&service, head.model.as_deref(), deadline).await;
-    let max_wait = deadline.min(rule.timeout);
     let idle_connections = idle_connections(state, &book, &service);
     Ok(ServedRequest {
         idle_connections,
@@ -211,8 +212,13 @@
     Ok(Some((access.team.clone(), access.priority)))
 }
 
-async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, RefusalKind> {
-    match Limited::new(body, limit).collect().await {
+async fn read_body(
+    body: &mut Incoming,
+    limit: usize,
+    left: Duration,
+) -> Result<Bytes, RefusalKind> {
+    let reading = tokio::time::timeout(left, Limited::new(body, limit).collect());
+    match reading.await.map_err(|_| RefusalKind::BodyTimeout)? {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(RefusalKind::BodyTooLarge),
         Err(error) => {
