Answer requests that a planned stop cuts off

Cause: at the end of a planned stop the connections of requests that still ran were closed without an answer.

A stream in progress is cut off as before.

--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -196,7 +196,12 @@
             break;
         }
     }
-    state.end_drain();
+    state.cut_off.reach();
+    let in_time = started.elapsed() < schedule.cut;
+    if !in_time {
+        // The responses to the requests that are cut off are written in this time.
+        tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
+    }
     log::info!(left = traffic.open(), running = state.running(); "stopped draining connections");
-    started.elapsed() < schedule.cut
+    in_time
 }
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -37,30 +37,47 @@
 ) -> Response<ResponseBody> {
     let _running = state.begin_request();
     let arrived = state.now();
-    let (parts, mut body) = request.into_parts();
+    let (parts, body) = request.into_parts();
     let head = CallerHead::read(&parts);
     let id = head.request_id.clone();
     let mut unanswered = UnansweredGuard::new(&state, id.as_ref());
+    let (mut answer, facts) = tokio::select! {
+        biased;
+        answer = answer_to(&state, parts, head, body, &mut unanswered) => answer,
+        // It may have run, and its answer would come too late.
+        () = state.cut_off.wait() => (refuse(RefusalKind::Unknown), None),
+    };
+    unanswered.disarm();
+    record_answer(&state, id.as_ref(), arrived, facts.as_ref(), &answer);
+    if state.is_draining() {
+        // The caller's next request should go to an entry that is not draining.
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+/// The response to a request, and facts about its caller if it was admitted.
+async fn answer_to(
+    state: &Rc<EntryState>,
+    parts: Parts,
+    head: CallerHead,
+    mut body: Incoming,
+    unanswered: &mut UnansweredGuard,
+) -> (Response<ResponseBody>, Option<CallerFacts>) {
     // A caller that waits for a `100 Continue` sends no body after a refusal.
     let awaits_continue = parts.headers.contains_key(header::EXPECT);
-    let admitted = admit(&state, parts, head, &mut body).await;
+    let admitted = admit(state, parts, head, &mut body).await;
     if admitted.as_ref().is_err_and(|kind| kind.awaits_body()) && !awaits_continue {
         discard_body(&mut body).await;
     }
     unanswered.set_read(admitted.is_ok());
     let facts = admitted.as_ref().ok().and_then(ServedRequest::caller_facts);
-    let mut answer = match admitted {
+    let answer = match admitted {
         Ok(request) if request.rule.kind.is_stream() => stream_relay::serve(request).await,
         Ok(request) => whole_answer::serve(request).await,
         Err(kind) => refuse(kind),
     };
-    unanswered.disarm();
-    record_answer(&state, id.as_ref(), arrived, facts.as_ref(), &answer);
-    if state.is_draining() {
-        // The caller's next request should go to an entry that is not draining.
-        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
-    answer
+    (answer, facts)
 }
 
 /// Counts a response, and logs it if it is not a success.
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -24,6 +24,7 @@
 
 use super::crash_check::BrokenRun;
 use super::telemetry::{EntryMetrics, LogBudget};
+use super::unanswered::CutOff;
 use super::waiting::WaitingRequests;
 use crate::settings::{EntryOverload, GatewaySettings};
 use crate::stored_plan::read_stored_plan;
@@ -64,7 +65,8 @@
     /// Consecutive reports without a confirmation.
     unconfirmed_reports: Cell<u32>,
     draining: Cell<bool>,
-    cut_off: Cell<bool>,
+    /// Notified when a planned stop cuts off the requests that still run.
+    pub(super) cut_off: CutOff,
     serving: Cell<bool>,
     running: Cell<usize>,
     pub(super) log_budget: LogBudget,
@@ -109,7 +111,7 @@
             waiting: WaitingRequests::new(&settings),
             unconfirmed_reports: Cell::new(0),
             draining: Cell::new(false),
-            cut_off: Cell::new(false),
+            cut_off: CutOff::default(),
             serving: Cell::new(false),
             running: Cell::new(0),
             log_budget: LogBudget::default(),
@@ -203,16 +205,6 @@
         self.draining.set(true);
     }
 
-    /// Marks the end of a planned stop, which cuts off the requests that still run.
-    pub(super) fn end_drain(&self) {
-        self.cut_off.set(true);
-    }
-
-    /// Whether a planned stop has cut off the requests that still ran.
-    pub(super) fn is_cut_off(&self) -> bool {
-        self.cut_off.get()
-    }
-
     pub(super) fn running(&self) -> usize {
         self.running.get()
     }
--- a/crates/gateway/src/entry/unanswered.rs
+++ b/crates/gateway/src/entry/unanswered.rs
@@ -1,13 +1,35 @@
-//! Requests that end without an answer.
+//! Requests that end without an answer, and the end of a planned stop.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use briartray_model::TimePoint;
 use http::HeaderValue;
+use tokio::sync::Notify;
 
 use super::serve::millis;
 use super::state::EntryState;
 
+/// End of a planned stop, which cuts off the requests that still run.
+#[derive(Debug, Default)]
+pub(super) struct CutOff {
+    is_reached: Cell<bool>,
+    notify: Notify,
+}
+
+impl CutOff {
+    pub(super) fn reach(&self) {
+        self.is_reached.set(true);
+        self.notify.notify_waiters();
+    }
+
+    pub(super) async fn wait(&self) {
+        if !self.is_reached.get() {
+            self.notify.notified().await;
+        }
+    }
+}
+
 /// Records a request as unanswered when dropped, unless it was disarmed.
 pub(super) struct UnansweredGuard {
     state: Rc<EntryState>,
@@ -37,7 +59,7 @@
     fn cause(&self) -> &'static str {
         if std::thread::panicking() {
             "panicked"
-        } else if self.state.is_cut_off() {
+        } else if self.state.cut_off.is_reached.get() {
             "stopped"
         } else {
             // The server drops a request when its caller closes or resets the connection.
