Count requests whose callers leave before their tasks run

Cause: the server drops a request's future unpolled if the caller's close arrives with the request, and the guard that counts unanswered requests existed only from the first poll on.

Change: the guards of a request are made with its future. A panic while it is made is answered like one of the task.

--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -30,25 +30,41 @@
 /// Deadline for callers that do not name one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
-/// Serves one request.
-pub(super) async fn handle(
+/// Serves one request. Its guards exist before the first poll: the server drops the future unpolled if
+/// the caller has already left.
+pub(super) fn handle(
     state: Rc<EntryState>,
     request: Request<Incoming>,
-) -> Response<ResponseBody> {
-    let _running = state.begin_request();
-    let arrived = state.now();
+) -> impl Future<Output = Response<ResponseBody>> {
+    let running = state.begin_request();
     let (parts, body) = request.into_parts();
     let head = CallerHead::read(&parts);
+    let unanswered = UnansweredGuard::new(&state, head.request_id.as_ref());
+    async move {
+        let answer = answer_counted(&state, parts, head, body, unanswered).await;
+        drop(running);
+        answer
+    }
+}
+
+/// The response to a request, which is counted and logged.
+async fn answer_counted(
+    state: &Rc<EntryState>,
+    parts: Parts,
+    head: CallerHead,
+    body: Incoming,
+    mut unanswered: UnansweredGuard,
+) -> Response<ResponseBody> {
+    let arrived = state.now();
     let id = head.request_id.clone();
-    let mut unanswered = UnansweredGuard::new(&state, id.as_ref());
     let (mut answer, facts) = tokio::select! {
         biased;
-        answer = answer_to(&state, parts, head, body, &mut unanswered) => answer,
+        answer = answer_to(state, parts, head, body, &mut unanswered) => answer,
         // It may have run, and its answer would come too late.
         () = state.cut_off.wait() => (refuse(RefusalKind::Unknown), None),
     };
     unanswered.disarm();
-    record_answer(&state, id.as_ref(), arrived, facts.as_ref(), &answer);
+    record_answer(state, id.as_ref(), arrived, facts.as_ref(), &answer);
     if state.is_draining() {
         // The caller's next request should go to an entry that is not draining.
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -199,7 +199,8 @@
     let requests = Rc::clone(&activity);
     let service = service_fn(move |request| {
         let running = requests.begin_request();
-        let answer = answer_despite_panic(handle(request));
+        let answer = catch_unwind(AssertUnwindSafe(|| handle(request)));
+        let answer = answer_despite_panic(answer.ok());
         async move {
             let answer = answer.await;
             drop(running);
@@ -249,13 +250,14 @@
     }
 }
 
-/// The response of `answer`; if it panics, a response that leaves open what was done.
+/// The response of `answer`; if it panics or did before it was there, a response that leaves open what was done.
 async fn answer_despite_panic(
-    answer: impl Future<Output = Response<ResponseBody>>,
+    answer: Option<impl Future<Output = Response<ResponseBody>>>,
 ) -> Response<ResponseBody> {
     let mut answer = std::pin::pin!(answer);
     let polled = std::future::poll_fn(|context| {
-        match catch_unwind(AssertUnwindSafe(|| answer.as_mut().poll(context))) {
+        let Some(answer) = answer.as_mut().as_pin_mut() else { return Poll::Ready(None) };
+        match catch_unwind(AssertUnwindSafe(|| answer.poll(context))) {
             Ok(poll) => poll.map(Some),
             Err(_) => Poll::Ready(None),
         }
