Reset connections on which a response without length is cut off

Cause: a response to an HTTP/1.0 caller has no chunks and ends with its connection. A stream that was cut off closed it in an orderly way, and looked complete.

Change: a connection whose last request was HTTP/1.0 is reset unless it ended after complete responses.

--- a/crates/http/src/activity.rs
+++ b/crates/http/src/activity.rs
@@ -7,6 +7,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use http::Version;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -27,17 +28,26 @@
     /// Whether a request was ever read.
     used: Cell<bool>,
     request_begun: Notify,
+    /// Whether a response may have neither a length nor chunks, and end with the connection.
+    is_unframed: Cell<bool>,
+    is_complete: Cell<bool>,
 }
 
 impl ConnectionActivity {
     /// Records that a request head was read, until the guard is dropped.
-    pub(crate) fn begin_request(self: &Rc<Self>) -> RequestGuard {
+    pub(crate) fn begin_request(self: &Rc<Self>, version: Version) -> RequestGuard {
+        self.is_unframed.set(version < Version::HTTP_11);
         self.running.set(true);
         self.used.set(true);
         self.request_begun.notify_waiters();
         RequestGuard(Rc::clone(self))
     }
 
+    /// Records that the connection has ended after complete responses.
+    pub(crate) fn set_complete(&self) {
+        self.is_complete.set(true);
+    }
+
     /// Whether a part of a request head has arrived.
     pub(crate) fn has_partial_request(&self) -> bool {
         self.has_bytes.get() && !self.running.get()
@@ -87,6 +97,15 @@
     }
 }
 
+impl Drop for ObservedStream {
+    /// Resets the connection if an orderly close would make a response look complete that is not.
+    fn drop(&mut self) {
+        if self.activity.is_unframed.get() && !self.activity.is_complete.get() {
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
+
 impl AsyncRead for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -197,8 +197,8 @@
     }
     let activity = Rc::<ConnectionActivity>::default();
     let requests = Rc::clone(&activity);
-    let service = service_fn(move |request| {
-        let running = requests.begin_request();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let running = requests.begin_request(request.version());
         let answer = catch_unwind(AssertUnwindSafe(|| handle(request)));
         let answer = answer_despite_panic(answer.ok());
         async move {
@@ -226,8 +226,9 @@
             connection.await
         }
     };
-    if let Err(error) = result {
-        log::debug!("connection from {peer} failed: {error}");
+    match result {
+        Ok(()) => activity.set_complete(),
+        Err(error) => log::debug!("connection from {peer} failed: {error}"),
     }
     if activity.has_partial_request() {
         gate.note_loss(ConnectionLoss::PartialRequest);
--- a/crates/http/tests/unanswered.rs
+++ b/crates/http/tests/unanswered.rs
@@ -129,6 +129,22 @@
     });
 }
 
+/// Guards against a stream to an HTTP/1.0 caller, which ends with its connection, that looks complete
+/// although it was cut off.
+#[test]
+fn a_stream_without_chunks_that_fails_is_reset() {
+    run(async {
+        let (_server, mut stream) = serving().await;
+        stream.write_all(b"GET /cut HTTP/1.0\r\nhost: a\r\n\r\n").await.expect("the server reads");
+
+        let mut answer = Vec::new();
+        let end = stream.read_to_end(&mut answer).await;
+
+        assert!(end.is_err(), "{:?}", String::from_utf8_lossy(&answer));
+        assert!(answer.ends_with(b"first"), "{:?}", String::from_utf8_lossy(&answer));
+    });
+}
+
 /// Guards against connections that wait to be accepted when the server stops, and are reset.
 #[test]
 fn requests_that_wait_for_acceptance_at_a_stop_are_answered() {
