--- a/crates/fleet/tests/accept_gate.rs
+++ b/crates/fleet/tests/accept_gate.rs
@@ -95,3 +95,19 @@
     assert!(overloaded <= 0.05, "{overloaded}");
     assert_eq!(gate.part(), 1.0);
 }
+
+/// Guards against connections that are closed while long tasks follow one another, for example because
+/// large configurations are applied, although the thread is idle between them.
+#[test]
+fn long_tasks_with_pauses_between_them_close_no_connections() {
+    for (task_ms, interval_ms) in [(40, 100), (200, 300), (400, 500), (900, 1_000)] {
+        let mut gate = AcceptGate::default();
+        let mut due_ms = MEASURE_INTERVAL_MS;
+        while due_ms < 20_000 {
+            let task_left_ms = u64::saturating_sub(task_ms, due_ms % interval_ms);
+            gate.record_delay(Duration::from_millis(task_left_ms));
+            assert_eq!(gate.part(), 1.0, "{task_ms} ms of {interval_ms} ms");
+            due_ms += task_left_ms + MEASURE_INTERVAL_MS;
+        }
+    }
+}
