--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod stream_run;
 mod target_guard;
 mod telemetry;
+mod unanswered;
 mod waiting;
 mod whole_answer;
 
@@ -37,7 +38,7 @@
 use crate::metrics_port;
 use crate::process::{ProcessError, SetupSnafu};
 use crate::settings::{EntryRole, GatewaySettings};
-use briartray_http::{HttpServer, ResponseBody, ServerLimits};
+use briartray_http::{ConnectionGate, ConnectionLoss, HttpServer, ResponseBody, ServerLimits};
 
 /// Stack size of the traffic thread, in bytes.
 const TRAFFIC_STACK_BYTES: usize = 2 * 1024 * 1024;
@@ -126,9 +127,8 @@
     else {
         return log::error!("cannot serve callers; failed to register the listening sockets");
     };
-    let (traffic_state, gate_state) = (Rc::clone(&state), Rc::clone(&state));
-    let admits = move || gate_state.admits_connection();
-    let traffic = HttpServer::start_gated(callers, limits, admits, move |request| {
+    let (traffic_state, gate) = (Rc::clone(&state), CallerGate(Rc::clone(&state)));
+    let traffic = HttpServer::start_gated(callers, limits, gate, move |request| {
         serve::handle(Rc::clone(&traffic_state), request)
     });
     let readiness_state = Rc::clone(&state);
@@ -146,6 +146,22 @@
     let _ = end.send(all_closed);
 }
 
+/// Gate for connections of callers.
+struct CallerGate(Rc<EntryState>);
+
+impl ConnectionGate for CallerGate {
+    fn admits(&self) -> bool {
+        self.0.admits_connection()
+    }
+
+    fn note_loss(&self, loss: ConnectionLoss) {
+        self.0.metrics.count_lost_connection(match loss {
+            ConnectionLoss::TooMany => "too_many",
+            ConnectionLoss::PartialRequest => "partial_request",
+        });
+    }
+}
+
 fn readiness_response(state: &EntryState, request: &Request<Incoming>) -> Response<ResponseBody> {
     let is_readiness = request.uri().path() == briartray_platform::READINESS_PATH;
     let status = match (is_readiness, state.is_ready()) {
@@ -175,9 +191,19 @@
     let schedule = DrainSchedule::new(grace);
     tokio::time::sleep(schedule.listen).await;
     traffic.stop();
-    while traffic.open() > 0 && started.elapsed() < schedule.cut {
+    loop {
+        // Connections that waited for acceptance are counted as open after the first interval.
+        tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
+        if traffic.open() == 0 || started.elapsed() >= schedule.cut {
+            break;
+        }
+    }
+    state.cut_off.reach();
+    let in_time = started.elapsed() < schedule.cut;
+    if !in_time {
+        // The responses to the requests that are cut off are written in this time.
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
     }
     log::info!(left = traffic.open(), running = state.running(); "stopped draining connections");
-    started.elapsed() < schedule.cut
+    in_time
 }
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -20,8 +20,9 @@
 use super::refusal::{RefusalKind, refuse};
 use super::returns::{CallerFacts, RefusalDetail};
 use super::state::EntryState;
+use super::unanswered::UnansweredGuard;
 use super::{stream_relay, whole_answer};
-use briartray_http::ResponseBody;
+use briartray_http::{ResponseBody, discard_body};
 
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 16;
@@ -29,24 +30,41 @@
 /// Deadline for callers that do not name one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
-/// Serves one request.
-pub(super) async fn handle(
+/// Serves one request. Its guards exist before the first poll: the server drops the future unpolled if
+/// the caller has already left.
+pub(super) fn handle(
     state: Rc<EntryState>,
     request: Request<Incoming>,
-) -> Response<ResponseBody> {
-    let _running = state.begin_request();
-    let arrived = state.now();
+) -> impl Future<Output = Response<ResponseBody>> {
+    let running = state.begin_request();
     let (parts, body) = request.into_parts();
     let head = CallerHead::read(&parts);
+    let unanswered = UnansweredGuard::new(&state, head.request_id.as_ref());
+    async move {
+        let answer = answer_counted(&state, parts, head, body, unanswered).await;
+        drop(running);
+        answer
+    }
+}
+
+/// The response to a request, which is counted and logged.
+async fn answer_counted(
+    state: &Rc<EntryState>,
+    parts: Parts,
+    head: CallerHead,
+    body: Incoming,
+    mut unanswered: UnansweredGuard,
+) -> Response<ResponseBody> {
+    let arrived = state.now();
     let id = head.request_id.clone();
-    let admitted = admit(&state, parts, head, body).await;
-    let facts = admitted.as_ref().ok().and_then(ServedRequest::caller_facts);
-    let mut answer = match admitted {
-        Ok(request) if request.rule.kind.is_stream() => stream_relay::serve(request).await,
-        Ok(request) => whole_answer::serve(request).await,
-        Err(kind) => refuse(kind),
+    let (mut answer, facts) = tokio::select! {
+        biased;
+        answer = answer_to(state, parts, head, body, &mut unanswered) => answer,
+        // It may have run, and its answer would come too late.
+        () = state.cut_off.wait() => (refuse(RefusalKind::Unknown), None),
     };
-    record_answer(&state, id.as_ref(), arrived, facts.as_ref(), &answer);
+    unanswered.disarm();
+    record_answer(state, id.as_ref(), arrived, facts.as_ref(), &answer);
     if state.is_draining() {
         // The caller's next request should go to an entry that is not draining.
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -54,6 +72,29 @@
     answer
 }
 
+/// The response to a request, and facts about its caller if it was admitted.
+async fn answer_to(
+    state: &Rc<EntryState>,
+    parts: Parts,
+    head: CallerHead,
+    mut body: Incoming,
+    unanswered: &mut UnansweredGuard,
+) -> (Response<ResponseBody>, Option<CallerFacts>) {
+    let awaits_continue = parts.headers.contains_key(header::EXPECT);
+    let admitted = admit(state, parts, head, &mut body).await;
+    if admitted.as_ref().is_err_and(|kind| kind.awaits_body(awaits_continue)) {
+        discard_body(&mut body).await;
+    }
+    unanswered.set_read(admitted.is_ok());
+    let facts = admitted.as_ref().ok().and_then(ServedRequest::caller_facts);
+    let answer = match admitted {
+        Ok(request) if request.rule.kind.is_stream() => stream_relay::serve(request).await,
+        Ok(request) => whole_answer::serve(request).await,
+        Err(kind) => refuse(kind),
+    };
+    (answer, facts)
+}
+
 /// Counts a response, and logs it if it is not a success.
 fn record_answer(
     state: &EntryState,
@@ -100,7 +141,7 @@
 }
 
 /// Whole milliseconds of `time`.
-fn millis(time: Duration) -> u64 {
+pub(super) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -109,7 +150,7 @@
     state: &Rc<EntryState>,
     parts: Parts,
     head: CallerHead,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<ServedRequest, RefusalKind> {
     let arrived = state.now();
     let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE);
@@ -120,7 +161,9 @@
     }
     let rule = book.find(&head.host, parts.uri.path()).ok_or(RefusalKind::NoRoute)?.clone();
     let team = check_key(&book, &rule, &head)?;
-    let body = read_body(body, limits.max_body_bytes).await?;
+    let max_wait = deadline.min(rule.timeout);
+    let left = arrived.after(max_wait).since(state.now());
+    let body = read_body(body, limits.max_body_bytes, left).await?;
     let priority = team.as_ref().and_then(|(_, priority)| *priority).or(Some(rule.priority));
     let team = team.map(|(team, _)| team);
     let fingerprint = OnceCell::new();
@@ -141,7 +184,6 @@
         _ => Duration::ZERO,
     };
     state.wait_for_replica(&service, head.model.as_deref(), deadline).await;
-    let max_wait = deadline.min(rule.timeout);
     let idle_connections = idle_connections(state, &book, &service);
     Ok(ServedRequest {
         idle_connections,
@@ -200,8 +242,13 @@
     Ok(Some((access.team.clone(), access.priority)))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, RefusalKind> {
-    match Limited::new(body, limit).collect().await {
+async fn read_body(
+    body: &mut Incoming,
+    limit: usize,
+    left: Duration,
+) -> Result<Bytes, RefusalKind> {
+    let reading = tokio::time::timeout(left, Limited::new(body, limit).collect());
+    match reading.await.map_err(|_| RefusalKind::BodyTimeout)? {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(RefusalKind::BodyTooLarge),
         Err(error) => {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,12 +1,13 @@
 //! HTTP/1.1 client connections to endpoints and an HTTP/1.1 server for callers, on a
 //! current-thread Tokio runtime.
 
+mod activity;
 mod body;
 mod connection;
 mod pool;
 mod server;
 
-pub use body::{BodySender, ResponseBody, TruncatedStream};
+pub use body::{BodyParts, BodySender, ResponseBody, TruncatedStream, discard_body};
 pub use connection::{EndpointConnection, Exchange, SendFailure, is_refused};
 pub use pool::{ConnectionPool, connect};
-pub use server::{HttpServer, ServerLimits};
+pub use server::{ConnectionGate, ConnectionLoss, HttpServer, ServerLimits};
