Bound the response heads of endpoints and the interim responses before them

Cause: a connection to an endpoint read a response head of up to 417,792 bytes, the default of the HTTP library, and interim responses (1xx) for as long as they came. 340 heads without end at once took 140 MB of an entry; interim responses without end kept their request until its deadline.

Change: a head and the read buffer of a connection are at most 32 KiB.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -16,10 +16,15 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::endpoint_stream::{EndpointStream, HeadAllowance};
+
 /// Connect timeout: round trips between hosts take a few milliseconds, and a host that is down
 /// does not reply at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Largest response head, in bytes. The read buffer of a connection has the same bound.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
 /// Largest response body that is buffered, in bytes.
 const MAX_BUFFERED_BODY_BYTES: usize = 8 * 1024 * 1024;
 
@@ -42,6 +47,7 @@
 pub struct EndpointConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    allowance: HeadAllowance,
 }
 
 impl Drop for EndpointConnection {
@@ -62,14 +68,16 @@
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY on the connection to {address}: {error}");
         }
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let allowance = HeadAllowance::default();
+        let stream = TokioIo::new(EndpointStream::new(stream, allowance.clone()));
+        let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await;
         let Ok((sender, connection)) = handshake else { return Err(SendFailure::NotConnected) };
         let driver = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to an endpoint failed: {error}");
             }
         });
-        Ok(Self { sender, driver: driver.abort_handle() })
+        Ok(Self { sender, driver: driver.abort_handle(), allowance })
     }
 
     /// Whether a request can be sent on the connection now.
@@ -86,8 +94,10 @@
             return Err(SendFailure::NotSent);
         }
         let request = request.map(Full::new);
+        self.allowance.begin();
         match self.sender.try_send_request(request).await {
             Ok(response) => {
+                self.allowance.end();
                 let (head, body) = response.into_parts();
                 let framed = head.headers.contains_key(CONTENT_LENGTH)
                     || head.headers.contains_key(TRANSFER_ENCODING)
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod body;
 mod connection;
+mod endpoint_stream;
 mod pool;
 mod server;
 
