Bound the unfinished event of a stream by 64 KiB, and search each byte of it once

Cause: an entry kept up to 1 MiB of an event without end for each stream: 340 such streams took more than the 260 MB of an entry. Each piece that arrived made the splitter search the whole event again, and each event that was returned moved all later ones. The bound counted complete events that arrived together as one.

Change: the largest event has 64 KiB; the bound holds for the first event only.

The third guards what was right already: the empty line at the end of an event may arrive in two pieces.

--- a/crates/fleet/tests/entry_decisions.rs
+++ b/crates/fleet/tests/entry_decisions.rs
@@ -339,6 +339,54 @@
     assert_eq!(splitter.next_event().and_then(|event| event.id), Some(8));
 }
 
+/// Guards against an event without end that takes the memory of an entry, with many such streams at once.
+#[test]
+fn an_event_without_end_is_given_up() {
+    const MAX_UNFINISHED_BYTES: usize = 64 * 1024;
+    let mut splitter = EventSplitter::default();
+    let mut pushed = 0;
+
+    while splitter.push(b"x") {
+        pushed += 1;
+        assert!(pushed <= MAX_UNFINISHED_BYTES, "{pushed} bytes without an event");
+        assert_eq!(splitter.next_event(), None);
+    }
+
+    assert_eq!(pushed, MAX_UNFINISHED_BYTES);
+}
+
+/// Guards against a stream that is taken for none because many complete events arrive at once.
+#[test]
+fn many_events_may_arrive_at_once() {
+    const EVENTS: usize = 600_000;
+    let events = "\n\n".repeat(EVENTS);
+    let mut splitter = EventSplitter::default();
+
+    assert!(splitter.push(events.as_bytes()));
+    let split = std::iter::from_fn(|| splitter.next_event()).count();
+
+    assert_eq!(split, EVENTS);
+    assert!(!splitter.has_partial_event());
+}
+
+/// Guards against an event whose empty line arrives in two pieces and is overlooked, or joined with the line
+/// end of the event before.
+#[test]
+fn an_event_may_end_between_two_pieces() {
+    let mut splitter = EventSplitter::default();
+
+    assert!(splitter.push(b"id: 1\n"));
+    assert_eq!(splitter.next_event(), None);
+    assert!(splitter.push(b"\n"));
+    assert_eq!(splitter.next_event().and_then(|event| event.id), Some(1));
+    assert!(splitter.push(b"\nid: 2\n"));
+    assert_eq!(splitter.next_event(), None);
+    assert!(splitter.push(b"\n"));
+
+    let second = splitter.next_event().expect("a complete event");
+    assert_eq!((second.id, second.bytes.as_slice()), (Some(2), b"\nid: 2\n\n".as_slice()));
+}
+
 /// All processes restart at once, and callers arrive before the new leader is known. They were
 /// refused, most of them for the second time. They must wait for the second that an election takes,
 /// but not longer than their deadlines allow.
