Bound the bodies that a process buffers together, and refuse announced ones at once

Cause: an entry buffers answers that are no streams whole, each of up to 8 MiB, and had no bound for all of them: 34 bodies without end were enough for its 260 MB. A body whose announced length no buffer may hold was read up to the bound all the same, or waited for until the deadline.

Change: all buffers of a process share 64 MiB, which count until the caller has taken the body. Beyond that, bodies over 32 KiB fail as broken ones; smaller ones still arrive. A body that is announced with more than 8 MiB fails with its head, and its connection is closed.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::body_buffer::BodyBuffer;
 use crate::endpoint_stream::{EndpointStream, HeadAllowance};
 
 /// Connect timeout: round trips between hosts take a few milliseconds, and a host that is down
@@ -26,7 +27,7 @@
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
 /// Largest response body that is buffered, in bytes.
-const MAX_BUFFERED_BODY_BYTES: usize = 8 * 1024 * 1024;
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
 /// Reason why a request got no complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
@@ -161,16 +162,30 @@
     /// Reads the body to its end; returns the head, the body and the connection for reuse.
     ///
     /// # Errors
-    /// `SendFailure::Broken` when the body ends early or is larger than 8 MiB.
-    pub async fn whole(mut self) -> Result<(Parts, Bytes, EndpointConnection), SendFailure> {
-        let mut whole = Vec::new();
+    /// `SendFailure::Broken` when the body ends early, is larger than 8 MiB, or is large while the
+    /// process has no room for more of such bodies.
+    pub async fn whole(self) -> Result<(Parts, Bytes, EndpointConnection), SendFailure> {
+        self.whole_within(MAX_BODY_BYTES).await
+    }
+
+    /// As [`Self::whole`] for a body of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// `SendFailure::Broken` as [`Self::whole`].
+    pub async fn whole_within(
+        mut self,
+        limit: usize,
+    ) -> Result<(Parts, Bytes, EndpointConnection), SendFailure> {
+        if self.body.size_hint().lower() > limit as u64 {
+            return Err(SendFailure::Broken);
+        }
+        let mut buffer = BodyBuffer::new(limit);
         while let Some(bytes) = self.next_bytes().await? {
-            whole.extend_from_slice(&bytes);
-            if whole.len() > MAX_BUFFERED_BODY_BYTES {
+            if !buffer.push(&bytes) {
                 return Err(SendFailure::Broken);
             }
         }
-        Ok((self.head, Bytes::from(whole), self.connection))
+        Ok((self.head, buffer.into_bytes(), self.connection))
     }
 
     /// Returns the connection for reuse; valid only after the body was read to its end.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 //! current-thread Tokio runtime.
 
 mod body;
+mod body_buffer;
 mod connection;
 mod endpoint_stream;
 mod pool;
--- a/crates/http/tests/endless/heads.rs
+++ b/crates/http/tests/endless/heads.rs
@@ -4,7 +4,7 @@
 use briartray_model::TimePoint;
 
 use crate::common::run;
-use crate::endpoint::EndlessAnswer;
+use crate::endpoint::{EndlessAnswer, Writing};
 
 const NOW: TimePoint = TimePoint(1_000_000);
 
@@ -27,7 +27,7 @@
             EndlessAnswer { begin: "", repeated: "no response" },
         ];
         for head in heads {
-            let endpoint = head.serve().await;
+            let endpoint = head.serve(Writing::Stepwise).await;
 
             let outcome = endpoint.send_request().await;
             endpoint.wait_until_closed().await;
@@ -45,7 +45,7 @@
     run(async {
         let interim = ["HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n"];
         for repeated in interim {
-            let endpoint = EndlessAnswer { begin: "", repeated }.serve().await;
+            let endpoint = EndlessAnswer { begin: "", repeated }.serve(Writing::Stepwise).await;
 
             let outcome = endpoint.send_request().await;
             endpoint.wait_until_closed().await;
@@ -63,7 +63,7 @@
     run(async {
         const ANSWER: &str =
             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
-        let endpoint = EndlessAnswer { begin: ANSWER, repeated: "" }.serve().await;
+        let endpoint = EndlessAnswer { begin: ANSWER, repeated: "" }.serve(Writing::Stepwise).await;
 
         let exchange = endpoint.send_request().await.expect("a head arrives");
         let (_, body, _) = exchange.whole().await.expect("the response is complete");
@@ -78,7 +78,7 @@
     run(async {
         const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
         for repeated in [WHOLE, "no response"] {
-            let endpoint = EndlessAnswer { begin: WHOLE, repeated }.serve().await;
+            let endpoint = EndlessAnswer { begin: WHOLE, repeated }.serve(Writing::Stepwise).await;
 
             let exchange = endpoint.send_request().await.expect("a head arrives");
             let (_, body, connection) = exchange.whole().await.expect("it is complete");
--- a/crates/http/tests/endless/main.rs
+++ b/crates/http/tests/endless/main.rs
@@ -1,5 +1,6 @@
 //! Responses without end, on real sockets.
 
+mod bodies;
 #[path = "../common/mod.rs"]
 mod common;
 mod endpoint;
