Bound the request heads that a server buffers by 64 KiB

Cause: a server read a request head of up to 417,792 bytes, the default of the HTTP library, before the limit of the deployment plan was applied. Heads without end on 2,500 connections of callers were 1 GB, and more on those of the readiness, metrics and control ports.

Change: a head and the read buffer of a connection are at most 64 KiB.

Measured: of the two new tests, that of heads without end failed before, in 3 of 3 runs: 421,888 bytes were read. After it, both pass in 4 of 4 runs. The other guards what was right already: a body without end is not read on after its request was answered.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -20,6 +20,9 @@
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Largest request head, in bytes. The read buffer of a connection has the same bound.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Limits on the connections of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
@@ -137,6 +140,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
+        .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
--- a/crates/http/tests/endless/endpoint.rs
+++ b/crates/http/tests/endless/endpoint.rs
@@ -16,7 +16,7 @@
 const BLOCK_BYTES: usize = 4 * 1024;
 
 /// Pause after each write of a stepwise endpoint, in which the peer reads.
-const STEP_PAUSE: Duration = Duration::from_millis(1);
+pub const STEP_PAUSE: Duration = Duration::from_millis(1);
 
 /// Bytes after which an endpoint stops, so that a test that fails also ends.
 const MAX_WRITTEN_BYTES: usize = 64 * 1024 * 1024;
--- a/crates/http/tests/endless/main.rs
+++ b/crates/http/tests/endless/main.rs
@@ -5,3 +5,4 @@
 mod common;
 mod endpoint;
 mod heads;
+mod requests;
