Bound the responses to probes and orders by 64 KiB

Cause: a control host read the response of each endpoint to a probe or an order up to 8 MiB, for all endpoints at once, and logged the whole body of a refused order in one line.

Change: such a response has at most 64 KiB, and 200 characters of a refusal are logged.

--- a/crates/gateway/src/control/endpoint_client.rs
+++ b/crates/gateway/src/control/endpoint_client.rs
@@ -27,6 +27,12 @@
 /// Timeout for the response to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Largest response to a probe or an order, in bytes.
+const MAX_RESPONSE_BYTES: usize = 64 * 1024;
+
+/// Maximum number of characters of a refusal that are logged.
+const MAX_LOGGED_CHARS: usize = 200;
+
 /// Idle connections to keep per endpoint: calls to one endpoint are sequential.
 const IDLE_CONNECTIONS_PER_ENDPOINT: usize = 1;
 
@@ -112,8 +118,10 @@
         {
             Ok(Ok((status, _, body))) => {
                 if !status.is_success() {
+                    let detail: String =
+                        String::from_utf8_lossy(&body).chars().take(MAX_LOGGED_CHARS).collect();
                     log::warn!(endpoint:% = call.id, status = status.as_u16();
-                        "endpoint refused order: {}", String::from_utf8_lossy(&body));
+                        "endpoint refused order: {detail}");
                 }
                 order_outcome(status)
             }
@@ -130,7 +138,7 @@
         let idle = self.pool.borrow_mut().take(self.clock.now(), address);
         let connection = briartray_http::connect(idle, address).await?;
         let exchange = connection.send(request).await?;
-        let (head, body, connection) = exchange.whole().await?;
+        let (head, body, connection) = exchange.whole_within(MAX_RESPONSE_BYTES).await?;
         let answer_head = ResponseHead::read(head.status, &head.headers);
         if !answer_head.closes_connection {
             let now = self.clock.now();
--- a/crates/http/tests/endless/bodies.rs
+++ b/crates/http/tests/endless/bodies.rs
@@ -54,6 +54,24 @@
     });
 }
 
+/// Guards against a body that is read up to the largest one although its reader expects a short one.
+#[test]
+fn a_body_without_end_is_given_up_at_the_bound_of_its_reader() {
+    run(async {
+        const LIMIT_BYTES: usize = 64 * 1024;
+        let answer = EndlessAnswer { begin: "HTTP/1.1 200 OK\r\n\r\n", repeated: "more" };
+        let endpoint = answer.serve(Writing::Stepwise).await;
+
+        let exchange = endpoint.send_request().await.expect("a head arrives");
+        let outcome = ended(exchange.whole_within(LIMIT_BYTES)).await;
+        endpoint.wait_until_closed().await;
+
+        assert_eq!(outcome.err(), Some(SendFailure::Broken));
+        let written = endpoint.written();
+        assert!(written <= 2 * LIMIT_BYTES, "{written} bytes");
+    });
+}
+
 /// Guards against a chunk whose size line or trailers have no end.
 #[test]
 fn chunks_without_end_are_given_up_early() {
