Bound the number of pieces of a buffered body

Cause: a body in chunks of a few bytes without end was read up to 8 MiB, and each chunk costs a turn of the connection and of its reader. One body in chunks of one byte took the test process 16 s or more. In an end-to-end test 34 requests at once, a third of them in chunks of eight bytes, made others miss their deadlines of 8 s in 1 of 3 runs beside a compiler.

Change: a buffered body has at most 65,536 pieces.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -29,6 +29,10 @@
 /// Largest response body that is buffered, in bytes.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Maximum number of pieces of a response body that is buffered. Each piece costs processor time, also if it
+/// has a single byte.
+const MAX_BODY_PIECES: usize = 65_536;
+
 /// Reason why a request got no complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum SendFailure {
@@ -162,8 +166,8 @@
     /// Reads the body to its end; returns the head, the body and the connection for reuse.
     ///
     /// # Errors
-    /// `SendFailure::Broken` when the body ends early, is larger than 8 MiB, or is large while the
-    /// process has no room for more of such bodies.
+    /// `SendFailure::Broken` when the body ends early, is larger than 8 MiB, has more than 65,536
+    /// pieces, or is large while the process has no room for more of such bodies.
     pub async fn whole(self) -> Result<(Parts, Bytes, EndpointConnection), SendFailure> {
         self.whole_within(MAX_BODY_BYTES).await
     }
@@ -179,9 +183,10 @@
         if self.body.size_hint().lower() > limit as u64 {
             return Err(SendFailure::Broken);
         }
-        let mut buffer = BodyBuffer::new(limit);
+        let (mut buffer, mut pieces) = (BodyBuffer::new(limit), 0);
         while let Some(bytes) = self.next_bytes().await? {
-            if !buffer.push(&bytes) {
+            pieces += 1;
+            if pieces > MAX_BODY_PIECES || !buffer.push(&bytes) {
                 return Err(SendFailure::Broken);
             }
         }
--- a/crates/http/tests/endless/bodies.rs
+++ b/crates/http/tests/endless/bodies.rs
@@ -54,6 +54,23 @@
     });
 }
 
+/// Guards against the processor time that a body without end in tiny chunks takes up to the largest body.
+#[test]
+fn tiny_chunks_without_end_are_given_up_early() {
+    run(async {
+        let answer = EndlessAnswer { begin: CHUNKED, repeated: "1\r\nm\r\n" };
+        let endpoint = answer.serve(Writing::Fast).await;
+
+        let exchange = endpoint.send_request().await.expect("a head arrives");
+        let outcome = ended(exchange.whole()).await;
+        endpoint.wait_until_closed().await;
+
+        assert_eq!(outcome.err(), Some(SendFailure::Broken));
+        let written = endpoint.written();
+        assert!(written <= MAX_ANNOUNCED_WRITTEN_BYTES, "{written} bytes");
+    });
+}
+
 /// Guards against a body that is read up to the largest one although its reader expects a short one.
 #[test]
 fn a_body_without_end_is_given_up_at_the_bound_of_its_reader() {
