End a call of an engine at its deadline, also while its head arrives

Cause: an agent called an engine for a stream without a timeout for the whole call. The library reads a head for as long as bytes arrive, and drops headers with invalid names without counting them, so that a head without end, or one that arrives byte by byte, kept a thread of the agent for good. An answer whose announced length no buffer may hold was read up to the bound all the same; one without an announced length would have passed as whole at the bound.

Change: calls for streams have the timeout that other calls have, as have the requests for the rest of a stream; the library uses a thread for each. An answer that is announced as too large fails with its head, and one that is larger than the bound fails.

--- a/crates/node/src/agent/endpoint.rs
+++ b/crates/node/src/agent/endpoint.rs
@@ -13,6 +13,10 @@
 use serde::Deserialize;
 use snafu::Snafu;
 
+#[cfg(test)]
+#[path = "endpoint_tests.rs"]
+mod tests;
+
 /// Maximum length of a line in an event stream.
 const MAX_EVENT_BYTES: u64 = 1024 * 1024;
 
@@ -124,17 +128,15 @@
         .map_err(|error| EndpointError::Unreachable { detail: error.to_string() })?;
     let left = Duration::from_millis(u64::from(order.deadline_ms.max(1)));
     let resumes = settings.kind == EndpointKind::Engine && order.stream;
+    // The library reads a head for as long as bytes arrive, unless there is a timeout for the whole call.
     let mut request = RequestBuilder::new(method, url)
         .connect_timeout(CONNECT_TIMEOUT)
         .read_timeout(if resumes { left.min(STREAM_SILENCE_TIMEOUT) } else { left })
+        .timeout(left)
         .follow_redirects(false)
         .header("x-request-id", order.attempt.to_string())
         .header("traceparent", order.trace.to_header())
         .header("x-priority", order.priority.to_string());
-    if !resumes {
-        // The library needs a thread for this timeout. `DeadlineReader` limits a stream instead.
-        request = request.timeout(left);
-    }
     for field in &order.target.headers {
         let name = attohttpc::header::HeaderName::from_bytes(field.name.as_bytes());
         let value = attohttpc::header::HeaderValue::from_str(&field.value);
@@ -290,6 +292,7 @@
         attohttpc::get(format!("http://{address}/requests/{attempt}?from={from}"))
             .connect_timeout(CONNECT_TIMEOUT)
             .read_timeout(left.min(STREAM_SILENCE_TIMEOUT))
+            .timeout(left)
             .send()
     }
 
@@ -300,12 +303,16 @@
             let detail = "the body has neither a length nor chunks".to_owned();
             return Err(EndpointError::Broken { detail });
         }
+        if self.length.is_some_and(|length| length > MAX_ANSWER_BYTES) {
+            return Err(EndpointError::Broken { detail: "the body is too large".to_owned() });
+        }
         let mut body = Vec::new();
         (&mut self.body)
-            .take(MAX_ANSWER_BYTES)
+            .take(MAX_ANSWER_BYTES + 1)
             .read_to_end(&mut body)
             .map_err(|error| EndpointError::Broken { detail: error.to_string() })?;
-        if self.length.is_some_and(|length| length != body.len() as u64) {
+        let size = body.len() as u64;
+        if size > MAX_ANSWER_BYTES || self.length.is_some_and(|length| length != size) {
             let detail = "the body is truncated or exceeds the size limit".to_owned();
             return Err(EndpointError::Broken { detail });
         }
