Bound the events of an engine by 256 KiB

Cause: an agent kept up to 1 MiB of an event without end for each stream, in a buffer of up to twice that: 68 MB for 34 streams, of the 128 MB that an agent has.

Change: the largest line of an event stream has 256 KiB.

--- a/crates/node/src/agent/endpoint.rs
+++ b/crates/node/src/agent/endpoint.rs
@@ -17,8 +17,8 @@
 #[path = "endpoint_tests.rs"]
 mod tests;
 
-/// Maximum length of a line in an event stream.
-const MAX_EVENT_BYTES: u64 = 1024 * 1024;
+/// Maximum length of a line in an event stream, in bytes.
+const MAX_EVENT_BYTES: u64 = 256 * 1024;
 
 /// Maximum size of an answer that is not a stream.
 const MAX_ANSWER_BYTES: u64 = 8 * 1024 * 1024;
--- a/crates/node/src/agent/endpoint_tests.rs
+++ b/crates/node/src/agent/endpoint_tests.rs
@@ -169,3 +169,21 @@
         assert!(is_broken, "{repeated:?}");
     }
 }
+
+/// Guards against the memory of an agent that many events without end take at once.
+#[test]
+fn an_event_over_the_largest_size_is_no_event() {
+    const LARGEST_BYTES: usize = 256 * 1024;
+    for (size, is_event) in [(LARGEST_BYTES - 1024, true), (LARGEST_BYTES + 1024, false)] {
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+        let address = finite_endpoint(format!("{head}data: {}\n\n", "m".repeat(size)));
+
+        let outcome = ended(move || {
+            let answer = call(&settings(address, EndpointKind::Plain), &order(true));
+            answer.and_then(|mut answer| answer.next_event())
+        });
+
+        let received = outcome.ok().flatten().map(|data| data.len());
+        assert_eq!(received, is_event.then_some(size));
+    }
+}
