Bound the answers that an entry buffers together

Cause: an entry buffers answers that are no streams until they are complete, each of up to 8 MiB, and had no bound for all of them: 34 such answers are more than the 260 MB that an entry may have.

Change: all buffered answers of a process share 64 MiB. Beyond that, an answer over 32 KiB is given up: its attempt is cancelled, and its caller learns that the outcome is unknown. Smaller ones still have room.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at a request: performs the input and output that an [`AttemptTracker`] decides on.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use briartray_link::{CallKind, LinkReader, LinkWriter};
@@ -18,6 +19,10 @@
 use crate::new_attempt_id;
 use crate::trace::SpanHop;
 
+#[cfg(test)]
+#[path = "attempt_tests.rs"]
+mod tests;
+
 /// Timeout for an agent to acknowledge a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -47,12 +52,33 @@
     },
 }
 
+/// Maximum total size of the answers that the process buffers, in bytes.
+const MAX_BUFFERED_BYTES: usize = 64 * 1024 * 1024;
+
+/// Size up to which an answer is buffered although the total is used up, in bytes, so that large answers do
+/// not fail small ones.
+const SMALL_ANSWER_BYTES: usize = 32 * 1024;
+
+/// Total size of the answers that the process buffers, in bytes.
+static BUFFERED_BYTES: AtomicUsize = AtomicUsize::new(0);
+
 /// An answer that is not a stream, buffered until it is complete.
 #[derive(Default)]
 struct BufferedAnswer {
     status: u16,
     content_type: String,
     body: Vec<u8>,
+    counted: CountedBytes,
+}
+
+/// Part of the total that an answer counts for, until it has been delivered or dropped.
+#[derive(Default)]
+struct CountedBytes(usize);
+
+impl Drop for CountedBytes {
+    fn drop(&mut self) {
+        BUFFERED_BYTES.fetch_sub(self.0, Ordering::Relaxed);
+    }
 }
 
 /// The link stream that the attempt uses now.
@@ -137,7 +163,13 @@
                     self.answer.content_type = content_type;
                 }
                 TrackerAction::Deliver(data) if !self.answer.is_event_stream() => {
-                    self.answer.body.extend_from_slice(&data);
+                    if !self.answer.push(&data) {
+                        self.cancel();
+                        output.mark_may_have_run();
+                        let detail = "the entry has no room for the answer";
+                        let refusal = replica_failure(CallOutcome::Unknown, detail);
+                        return (AttemptEnd::Failed { refusal, crashed: None }, Some(output));
+                    }
                 }
                 TrackerAction::Deliver(data) => {
                     self.tracker.mark_delivered();
@@ -242,6 +274,17 @@
         self.status == 200 && self.content_type.starts_with("text/event-stream")
     }
 
+    /// Appends `data`; returns `false` if there is no room for it.
+    fn push(&mut self, data: &[u8]) -> bool {
+        let total = BUFFERED_BYTES.fetch_add(data.len(), Ordering::Relaxed) + data.len();
+        self.counted.0 += data.len();
+        if self.body.len() + data.len() > SMALL_ANSWER_BYTES && total > MAX_BUFFERED_BYTES {
+            return false;
+        }
+        self.body.extend_from_slice(data);
+        true
+    }
+
     fn deliver(self, output: CallerOutput) {
         if !self.is_event_stream() {
             output.finish_body(self.status, &self.content_type, self.body);
