Bound the bodies of calls to a control host, and test bytes without end end to end

Cause: a control host read the body of any call, also of a heartbeat, up to the 4 MiB of a deployment plan, without a timeout, and kept each piece of it by itself: a body in chunks of one byte takes over 30 bytes for each byte.

Change: a body is read into one buffer, which counts for the total of the process and has at most 65,536 pieces, within 10 s. Calls other than a deployment plan have at most 64 KiB. A stand-in endpoint sends heads, bodies, interim responses, or the rest after an answer without end, and engines go on with an event without end; ten end-to-end tests use them.

--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -13,7 +13,6 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde_json::json;
 use snafu::ResultExt;
@@ -27,11 +26,17 @@
 use super::quarantine_call::{QuarantineCall, quarantine_answer};
 use crate::metrics_port;
 use crate::process::{ProcessError, SetupSnafu};
-use briartray_http::{HttpServer, ResponseBody, ServerLimits};
+use briartray_http::{BodyFailure, HttpServer, ResponseBody, ServerLimits, read_request_body};
 
 /// Maximum size of a deployment plan, in bytes: 25 KB hold 110 routes, so thousands of routes fit.
 const MAX_PLAN_BYTES: usize = 4 * 1024 * 1024;
 
+/// Maximum size of the body of any other call, in bytes: a heartbeat has a few hundred.
+const MAX_CALL_BYTES: usize = 64 * 1024;
+
+/// Timeout for receiving the body of a call.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Timeout for a reply from the control thread. Callers time out after one second or more.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -118,13 +123,25 @@
         let call = ControlCall::read(&request);
         let path = request.uri().path().to_owned();
         let (head, body) = request.into_parts();
-        let Ok(body) = Limited::new(body, MAX_PLAN_BYTES).collect().await else {
-            return error_response(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is too large or incomplete",
-            );
+        let limit = match call {
+            ControlCall::PutPlan => MAX_PLAN_BYTES,
+            _ => MAX_CALL_BYTES,
+        };
+        let received = read_request_body(body, limit);
+        let body = match tokio::time::timeout(BODY_TIMEOUT, received).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(BodyFailure::NoRoom)) => {
+                let message = BodyFailure::NoRoom.to_string();
+                return error_response(StatusCode::SERVICE_UNAVAILABLE, &message);
+            }
+            Ok(Err(failure)) => {
+                return error_response(StatusCode::PAYLOAD_TOO_LARGE, &failure.to_string());
+            }
+            Err(_) => {
+                let message = "the body did not arrive in time; send it faster";
+                return error_response(StatusCode::REQUEST_TIMEOUT, message);
+            }
         };
-        let body = body.to_bytes();
         if let Some(answer) = self.handle_gateway_call(&path, &head, &body).await {
             return answer;
         }
--- a/crates/http/src/body_buffer.rs
+++ b/crates/http/src/body_buffer.rs
@@ -1,4 +1,4 @@
-//! Buffer of a whole response body. All buffers of a process share one bound.
+//! Buffer of a whole request or response body. All buffers of a process share one bound.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -11,6 +11,10 @@
 /// fail small ones.
 const SMALL_BODY_BYTES: usize = 32 * 1024;
 
+/// Maximum number of pieces of a body that is buffered. Each piece costs processor time, also if it has a
+/// single byte.
+pub(crate) const MAX_BODY_PIECES: usize = 65_536;
+
 /// Total size of all buffers of the process, in bytes.
 static TOTAL_BYTES: AtomicUsize = AtomicUsize::new(0);
 
@@ -28,13 +32,18 @@
         Self { bytes: Vec::new(), limit, counted: 0 }
     }
 
-    /// Appends `bytes`. Returns `false` if the body becomes too large.
+    /// Whether the body would become larger than its limit with `bytes`.
+    pub(crate) fn exceeds_limit(&self, bytes: &[u8]) -> bool {
+        self.bytes.len() + bytes.len() > self.limit
+    }
+
+    /// Appends `bytes`. Returns `false` if the body becomes larger than its limit, or there is no room for it.
     #[must_use]
     pub(crate) fn push(&mut self, bytes: &[u8]) -> bool {
-        let needed = self.bytes.len() + bytes.len();
-        if needed > self.limit {
+        if self.exceeds_limit(bytes) {
             return false;
         }
+        let needed = self.bytes.len() + bytes.len();
         if needed > self.counted {
             let capacity = needed.max(self.counted * 2).min(self.limit);
             if !count(capacity - self.counted, capacity) {
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use crate::body_buffer::BodyBuffer;
+use crate::body_buffer::{BodyBuffer, MAX_BODY_PIECES};
 use crate::endpoint_stream::{EndpointStream, HeadAllowance};
 
 /// Connect timeout: round trips between hosts take a few milliseconds, and a host that is down
@@ -29,10 +29,6 @@
 /// Largest response body that is buffered, in bytes.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
-/// Maximum number of pieces of a response body that is buffered. Each piece costs processor time, also if it
-/// has a single byte.
-const MAX_BODY_PIECES: usize = 65_536;
-
 /// Reason why a request got no complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum SendFailure {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,9 +6,11 @@
 mod connection;
 mod endpoint_stream;
 mod pool;
+mod request_body;
 mod server;
 
 pub use body::{BodySender, ResponseBody, TruncatedStream};
 pub use connection::{EndpointConnection, Exchange, SendFailure, is_refused};
 pub use pool::{ConnectionPool, connect};
+pub use request_body::{BodyFailure, read_request_body};
 pub use server::{HttpServer, ServerLimits};
--- a/crates/standin/src/group_host/mod.rs
+++ b/crates/standin/src/group_host/mod.rs
@@ -4,8 +4,10 @@
 //! be staged in advance. [`HostModel`] is the state machine without sockets or a clock;
 //! [`HostModel::tick`] advances it to a given time. [`HostServer`] serves it on a socket.
 
+mod endless;
 mod model;
 mod server;
 
+pub use endless::{EndlessHost, EndlessPart, EndlessStreams};
 pub use model::{HostModel, IncarnationPlace, Membership};
 pub use server::{HostServer, HostSettings};
--- a/crates/standin/src/group_host/server.rs
+++ b/crates/standin/src/group_host/server.rs
@@ -28,13 +28,14 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+use super::endless::EndlessStreams;
 use super::{HostModel, IncarnationPlace};
 
 /// Time between two ticks of the state machine.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Time between two heartbeats without a change.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
@@ -104,6 +105,8 @@
     rejected_reports: Arc<AtomicUsize>,
     /// Time for which its thread is to stand still, in milliseconds; 0 for none.
     stand_still_ms: Arc<AtomicU64>,
+    /// Whether its streams go on with an event without end.
+    endless: EndlessStreams,
 }
 
 impl HostShared {
@@ -206,6 +209,11 @@
         self.shared.break_inside.store(id, Ordering::SeqCst);
     }
 
+    /// Returns the switch that makes its streams go on with an event without end.
+    pub fn endless_streams(&self) -> &EndlessStreams {
+        &self.shared.endless
+    }
+
     /// Makes it stand still for `time`: its connections stay open, and nothing is read, sent or run.
     /// Returns once it stands still.
     pub fn stand_still(&self, time: Duration) {
@@ -352,7 +360,7 @@
 /// Sends a heartbeat to `control` and follows its redirects to the leader.
 ///
 /// Returns whether the heartbeat was acknowledged.
-async fn send_heartbeat(control: SocketAddr, heartbeat: &EndpointHeartbeat) -> bool {
+pub(super) async fn send_heartbeat(control: SocketAddr, heartbeat: &EndpointHeartbeat) -> bool {
     let mut address = control;
     for _ in 0..3 {
         let request = heartbeat_request(&address.to_string(), heartbeat);
@@ -477,10 +485,14 @@
     let last = state.settings.events;
     let pause = if fatal { CRASH_DELAY * 2 } else { EVENT_INTERVAL };
     let break_inside = state.shared.break_inside.load(Ordering::SeqCst);
+    let (endless, resumed) = (state.shared.endless.clone(), head.last_event.is_some());
     let breaks_at = Some(break_inside).filter(|id| *id > 0 && head.last_event.is_none());
     tokio::task::spawn_local(async move {
         for id in first..=last {
             tokio::time::sleep(pause).await;
+            if endless.begins_at(id, resumed) {
+                return endless.send_event(&sender).await;
+            }
             let event = format!("id: {id}\ndata: part {id}\n\n");
             if breaks_at == Some(id) {
                 let half = event[..event.len() / 2].to_owned();
