Refuse a huge announced body without ending the process

Cause: the HTTP library of the product's own interface allocates the unread rest of a body when its request is dropped. One request with a Content-Length of 900 TB, which any caller may send, was refused, and then ended the entry or control process, since the allocation fails.

Change: a request that announces more than 64 MiB is not dropped. The front proxy sends its reply and closes the connection. The library's thread of that connection stays behind, which costs a thread and a descriptor for each.

--- a/crates/web/src/front_proxy/relay.rs
+++ b/crates/web/src/front_proxy/relay.rs
@@ -39,8 +39,9 @@
 const LINGER_BYTES: usize = 1024 * 1024;
 
 /// Reason for which the proxy closes a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum CloseReason {
+    LastReply(Vec<u8>),
     TooSlow,
     HeadTooLarge,
     BadHead,
@@ -49,7 +50,8 @@
 }
 
 impl CloseReason {
-    fn reply(self) -> Option<JsonReply> {
+    /// Bytes to send before the connection is closed.
+    fn reply(self) -> Option<Vec<u8>> {
         let (status, code, message) = match self {
             Self::TooSlow => {
                 (408, "request_too_slow", "the request did not arrive in time; send it faster")
@@ -63,9 +65,10 @@
             Self::TooMany => {
                 (503, "too_many_connections", "too many connections; try again in a second")
             }
+            Self::LastReply(bytes) => return Some(bytes),
             Self::Idle => return None,
         };
-        Some(JsonReply::not_run(status, code, message))
+        Some(JsonReply::not_run(status, code, message).to_bytes())
     }
 }
 
@@ -210,6 +213,9 @@
     let mut sent = 0;
     loop {
         sleep(CHECK_INTERVAL).await;
+        if let Some(reply) = state.take_last_reply() {
+            return CloseReason::LastReply(reply);
+        }
         quiet_checks =
             if state.is_flushing() && !state.is_writing() { quiet_checks + 1 } else { 0 };
         if quiet_checks >= QUIET_CHECKS {
@@ -235,9 +241,11 @@
 }
 
 async fn refuse(client: &mut TcpStream, reason: CloseReason) {
+    if !matches!(reason, CloseReason::LastReply(_)) {
+        log::debug!("connection is closed: {reason:?}");
+    }
     if let Some(reply) = reason.reply() {
-        log::debug!("connection was refused: {reason:?}");
-        let _ = timeout(LINGER_TIME, client.write_all(&reply.to_bytes())).await;
+        let _ = timeout(LINGER_TIME, client.write_all(&reply)).await;
     }
     linger(client).await;
 }
--- a/crates/web/src/front_proxy/state.rs
+++ b/crates/web/src/front_proxy/state.rs
@@ -1,8 +1,8 @@
 //! State of one connection, shared by the front proxy and the request threads.
 
 use std::cell::RefCell;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Byte and request counts of one connection.
@@ -25,6 +25,8 @@
     flushing: AtomicBool,
     /// Whether a write to the caller is in progress.
     writing: AtomicBool,
+    /// Reply that the proxy is to send in the place of the library before it closes the connection.
+    last_reply: Mutex<Option<Vec<u8>>>,
 }
 
 impl ConnectionState {
@@ -39,6 +41,7 @@
             body_pending: AtomicBool::new(false),
             flushing: AtomicBool::new(false),
             writing: AtomicBool::new(false),
+            last_reply: Mutex::new(None),
         }
     }
 
@@ -104,6 +107,15 @@
         self.flushing.store(false, Ordering::SeqCst);
     }
 
+    /// Removes and returns the reply to send before the connection is closed.
+    pub(super) fn take_last_reply(&self) -> Option<Vec<u8>> {
+        self.last_reply.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+
+    fn set_last_reply(&self, reply: Vec<u8>) {
+        *self.last_reply.lock().unwrap_or_else(PoisonError::into_inner) = Some(reply);
+    }
+
     fn begin(&self, has_body: bool) {
         self.body_pending.store(has_body, Ordering::SeqCst);
         self.running.fetch_add(1, Ordering::SeqCst);
@@ -159,3 +171,12 @@
         }
     });
 }
+
+/// Makes the proxy send `reply` to the request served by this thread, and close the connection.
+pub(crate) fn send_last_reply(reply: Vec<u8>) {
+    SERVED_CONNECTION.with(|served| {
+        if let Some(state) = &*served.borrow() {
+            state.set_last_reply(reply);
+        }
+    });
+}
--- a/crates/web/src/reply.rs
+++ b/crates/web/src/reply.rs
@@ -3,6 +3,8 @@
 use serde_json::{Value, json};
 use tiny_http::{Header, Request, Response, StatusCode};
 
+use crate::front_proxy::send_last_reply;
+
 /// JSON reply with its status and extra headers.
 #[derive(Debug, Clone, PartialEq)]
 pub struct JsonReply {
@@ -64,8 +66,26 @@
     }
 }
 
+/// Largest announced body of a request that the library may drop, in bytes.
+const MAX_DROPPED_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Sends `reply` through the front proxy if the announced body is too large to drop the request; returns the
+/// request otherwise.
+///
+/// The library allocates the unread rest of a body when its request is dropped, and a failed
+/// allocation ends the process. Such a request is therefore kept, with the library's thread of its connection.
+fn keep_huge_request(request: Request, reply: &JsonReply) -> Option<Request> {
+    if request.body_length().is_none_or(|length| length <= MAX_DROPPED_BODY_BYTES) {
+        return Some(request);
+    }
+    send_last_reply(reply.to_bytes());
+    std::mem::forget(request);
+    None
+}
+
 /// Sends a JSON reply; a caller that has disconnected is not an error.
 pub fn reply_json(request: Request, reply: &JsonReply) {
+    let Some(request) = keep_huge_request(request, reply) else { return };
     let mut response = Response::from_string(reply.body.to_string())
         .with_status_code(reply.status)
         .with_header(make_header("Content-Type", "application/json"));
@@ -79,6 +99,8 @@
 
 /// Sends a reply of type `content_type`; a caller that has disconnected is not an error.
 pub fn reply_text(request: Request, status: u16, content_type: &str, body: Vec<u8>) {
+    let refusal = JsonReply::not_run(413, "body_too_large", "the body is too large; send less");
+    let Some(request) = keep_huge_request(request, &refusal) else { return };
     let response = Response::from_data(body)
         .with_status_code(status)
         .with_header(make_header("Content-Type", content_type));
