Bound the bytes of a request body that the front proxy relays

Cause: the HTTP library of the product's own interface buffers the line with the size of a chunk, whatever its length, so that a line without end took memory for as long as 20 s, at the rate of the caller. The limit of a body counts only what the library has decoded.

Change: while a body is read, the front proxy relays at most six times its limit and 64 KiB, the framing of chunks included; then it answers 413 and closes the connection.

--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -32,6 +32,8 @@
     if request.body_length().is_some_and(|length| length > limit) {
         return TooLargeSnafu { limit }.fail();
     }
+    // The library buffers the line with the size of a chunk, whatever its length.
+    front_proxy::limit_body(limit);
     // Content-Length is not trusted: the buffer grows with the bytes received, not with that value.
     let mut body = Vec::new();
     let max_read = u64::try_from(limit).unwrap_or(u64::MAX).saturating_add(1);
--- a/crates/web/src/front_proxy/mod.rs
+++ b/crates/web/src/front_proxy/mod.rs
@@ -12,7 +12,9 @@
 mod table;
 
 pub use limits::{ListenerLimits, connection_allowance};
-pub(crate) use state::{RunningGuard, mark_body_complete, send_last_reply, set_served_connection};
+pub(crate) use state::{
+    RunningGuard, limit_body, mark_body_complete, send_last_reply, set_served_connection,
+};
 pub(crate) use table::ConnectionTable;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
--- a/crates/web/src/front_proxy/relay.rs
+++ b/crates/web/src/front_proxy/relay.rs
@@ -44,6 +44,7 @@
     LastReply(Vec<u8>),
     TooSlow,
     HeadTooLarge,
+    BodyTooLarge,
     BadHead,
     TooMany,
     Idle,
@@ -59,6 +60,7 @@
             Self::HeadTooLarge => {
                 (431, "head_too_large", "the request head is too large; send fewer headers")
             }
+            Self::BodyTooLarge => (413, "body_too_large", "the body is too large; send less"),
             Self::BadHead => {
                 (400, "bad_request", "the request head is not HTTP/1.1; correct and send it again")
             }
@@ -141,6 +143,9 @@
         }
         let Some(chunk) = read_chunk(from).await? else { break };
         state.add_received(chunk.len());
+        if state.exceeds_body() {
+            return Ok(Some(CloseReason::BodyTooLarge));
+        }
         if to.write_all(&chunk).await.is_err() {
             // The library closed its end; its remaining response bytes arrive through `copy_responses`.
             break;
--- a/crates/web/src/front_proxy/state.rs
+++ b/crates/web/src/front_proxy/state.rs
@@ -5,6 +5,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+/// Maximum ratio of the bytes of a body with the framing of its chunks to those without: a chunk of one byte has
+/// six.
+const MAX_FRAMING_FACTOR: u64 = 6;
+
+/// Number of bytes that every body may have, with the framing of its chunks.
+const MIN_BODY_BYTES: u64 = 64 * 1024;
+
 /// Byte and request counts of one connection.
 #[derive(Debug)]
 pub(crate) struct ConnectionState {
@@ -25,6 +32,8 @@
     flushing: AtomicBool,
     /// Whether a write to the caller is in progress.
     writing: AtomicBool,
+    /// Maximum number of bytes, with the framing of chunks, of the body that is being read.
+    max_body_bytes: AtomicU64,
     /// Reply that the proxy is to send in the place of the library before it closes the connection.
     last_reply: Mutex<Option<Vec<u8>>>,
 }
@@ -41,6 +50,7 @@
             body_pending: AtomicBool::new(false),
             flushing: AtomicBool::new(false),
             writing: AtomicBool::new(false),
+            max_body_bytes: AtomicU64::new(u64::MAX),
             last_reply: Mutex::new(None),
         }
     }
@@ -107,6 +117,13 @@
         self.flushing.store(false, Ordering::SeqCst);
     }
 
+    /// Whether more bytes were received than the body that is being read may have.
+    pub(super) fn exceeds_body(&self) -> bool {
+        let received = self.received().saturating_sub(self.consumed.load(Ordering::SeqCst));
+        self.body_pending.load(Ordering::SeqCst)
+            && received > self.max_body_bytes.load(Ordering::SeqCst)
+    }
+
     /// Removes and returns the reply to send before the connection is closed.
     pub(super) fn take_last_reply(&self) -> Option<Vec<u8>> {
         self.last_reply.lock().unwrap_or_else(PoisonError::into_inner).take()
@@ -117,6 +134,7 @@
     }
 
     fn begin(&self, has_body: bool) {
+        self.max_body_bytes.store(u64::MAX, Ordering::SeqCst);
         self.body_pending.store(has_body, Ordering::SeqCst);
         self.running.fetch_add(1, Ordering::SeqCst);
         self.heads_read.fetch_add(1, Ordering::SeqCst);
@@ -172,6 +190,17 @@
     });
 }
 
+/// Limits the bytes that are received of the body that this thread reads to those that a body of `limit` bytes
+/// may have with the framing of its chunks.
+pub(crate) fn limit_body(limit: usize) {
+    let bytes = (limit as u64).saturating_mul(MAX_FRAMING_FACTOR).saturating_add(MIN_BODY_BYTES);
+    SERVED_CONNECTION.with(|served| {
+        if let Some(state) = &*served.borrow() {
+            state.max_body_bytes.store(bytes, Ordering::SeqCst);
+        }
+    });
+}
+
 /// Makes the proxy send `reply` to the request served by this thread, and close the connection.
 pub(crate) fn send_last_reply(reply: Vec<u8>) {
     SERVED_CONNECTION.with(|served| {
--- a/crates/web/tests/endless.rs
+++ b/crates/web/tests/endless.rs
@@ -48,3 +48,26 @@
 
     assert_eq!((refused.as_str(), served.as_str()), ("HTTP/1.1 413", "HTTP/1.1 200"));
 }
+
+/// Guards against memory that grows with a line without end that gives the size of a chunk.
+#[test]
+fn a_chunk_size_without_end_is_refused() {
+    const BLOCK_BYTES: usize = 4 * 1024;
+    const MAX_WRITTEN_BYTES: usize = 4 * 1024 * 1024;
+    let listener = start_listener();
+    for begin in ["5", "5;extension="] {
+        let mut stream = TcpStream::connect(listener.address()).expect("a connection");
+        let head = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+        stream.write_all(format!("{head}{begin}").as_bytes()).expect("the listener reads");
+
+        let mut written = 0;
+        while written <= MAX_WRITTEN_BYTES && stream.write_all(&[b'5'; BLOCK_BYTES]).is_ok() {
+            written += BLOCK_BYTES;
+            std::thread::sleep(Duration::from_millis(1));
+        }
+
+        assert!(written <= MAX_WRITTEN_BYTES, "{written} bytes after {begin:?}");
+    }
+    let served = status_of(&listener, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}");
+    assert_eq!(served, "HTTP/1.1 200");
+}
