--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -16,12 +16,18 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::body_buffer::{BodyBuffer, MAX_BODY_PIECES};
+use crate::endpoint_stream::{EndpointStream, HeadAllowance};
+
 /// Connect timeout: round trips between hosts take a few milliseconds, and a host that is down
 /// does not reply at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Largest response head, in bytes. The read buffer of a connection has the same bound.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
 /// Largest response body that is buffered, in bytes.
-const MAX_BUFFERED_BODY_BYTES: usize = 8 * 1024 * 1024;
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
 /// Reason why a request got no complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
@@ -42,6 +48,7 @@
 pub struct EndpointConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    allowance: HeadAllowance,
 }
 
 impl Drop for EndpointConnection {
@@ -62,14 +69,16 @@
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY on the connection to {address}: {error}");
         }
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let allowance = HeadAllowance::default();
+        let stream = TokioIo::new(EndpointStream::new(stream, allowance.clone()));
+        let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await;
         let Ok((sender, connection)) = handshake else { return Err(SendFailure::NotConnected) };
         let driver = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to an endpoint failed: {error}");
             }
         });
-        Ok(Self { sender, driver: driver.abort_handle() })
+        Ok(Self { sender, driver: driver.abort_handle(), allowance })
     }
 
     /// Whether a request can be sent on the connection now.
@@ -86,8 +95,10 @@
             return Err(SendFailure::NotSent);
         }
         let request = request.map(Full::new);
+        self.allowance.begin();
         match self.sender.try_send_request(request).await {
             Ok(response) => {
+                self.allowance.end();
                 let (head, body) = response.into_parts();
                 let framed = head.headers.contains_key(CONTENT_LENGTH)
                     || head.headers.contains_key(TRANSFER_ENCODING)
@@ -151,16 +162,31 @@
     /// Reads the body to its end; returns the head, the body and the connection for reuse.
     ///
     /// # Errors
-    /// `SendFailure::Broken` when the body ends early or is larger than 8 MiB.
-    pub async fn whole(mut self) -> Result<(Parts, Bytes, EndpointConnection), SendFailure> {
-        let mut whole = Vec::new();
+    /// `SendFailure::Broken` when the body ends early, is larger than 8 MiB, has more than 65,536
+    /// pieces, or is large while the process has no room for more of such bodies.
+    pub async fn whole(self) -> Result<(Parts, Bytes, EndpointConnection), SendFailure> {
+        self.whole_within(MAX_BODY_BYTES).await
+    }
+
+    /// As [`Self::whole`] for a body of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// `SendFailure::Broken` as [`Self::whole`].
+    pub async fn whole_within(
+        mut self,
+        limit: usize,
+    ) -> Result<(Parts, Bytes, EndpointConnection), SendFailure> {
+        if self.body.size_hint().lower() > limit as u64 {
+            return Err(SendFailure::Broken);
+        }
+        let (mut buffer, mut pieces) = (BodyBuffer::new(limit), 0);
         while let Some(bytes) = self.next_bytes().await? {
-            whole.extend_from_slice(&bytes);
-            if whole.len() > MAX_BUFFERED_BODY_BYTES {
+            pieces += 1;
+            if pieces > MAX_BODY_PIECES || !buffer.push(&bytes) {
                 return Err(SendFailure::Broken);
             }
         }
-        Ok((self.head, Bytes::from(whole), self.connection))
+        Ok((self.head, buffer.into_bytes(), self.connection))
     }
 
     /// Returns the connection for reuse; valid only after the body was read to its end.
--- a/crates/web/src/front_proxy/relay.rs
+++ b/crates/web/src/front_proxy/relay.rs
@@ -39,17 +39,20 @@
 const LINGER_BYTES: usize = 1024 * 1024;
 
 /// Reason for which the proxy closes a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum CloseReason {
+    LastReply(Vec<u8>),
     TooSlow,
     HeadTooLarge,
+    BodyTooLarge,
     BadHead,
     TooMany,
     Idle,
 }
 
 impl CloseReason {
-    fn reply(self) -> Option<JsonReply> {
+    /// Bytes to send before the connection is closed.
+    fn reply(self) -> Option<Vec<u8>> {
         let (status, code, message) = match self {
             Self::TooSlow => {
                 (408, "request_too_slow", "the request did not arrive in time; send it faster")
@@ -57,15 +60,17 @@
             Self::HeadTooLarge => {
                 (431, "head_too_large", "the request head is too large; send fewer headers")
             }
+            Self::BodyTooLarge => (413, "body_too_large", "the body is too large; send less"),
             Self::BadHead => {
                 (400, "bad_request", "the request head is not HTTP/1.1; correct and send it again")
             }
             Self::TooMany => {
                 (503, "too_many_connections", "too many connections; try again in a second")
             }
+            Self::LastReply(bytes) => return Some(bytes),
             Self::Idle => return None,
         };
-        Some(JsonReply::not_run(status, code, message))
+        Some(JsonReply::not_run(status, code, message).to_bytes())
     }
 }
 
@@ -138,6 +143,9 @@
         }
         let Some(chunk) = read_chunk(from).await? else { break };
         state.add_received(chunk.len());
+        if state.exceeds_body() {
+            return Ok(Some(CloseReason::BodyTooLarge));
+        }
         if to.write_all(&chunk).await.is_err() {
             // The library closed its end; its remaining response bytes arrive through `copy_responses`.
             break;
@@ -210,6 +218,9 @@
     let mut sent = 0;
     loop {
         sleep(CHECK_INTERVAL).await;
+        if let Some(reply) = state.take_last_reply() {
+            return CloseReason::LastReply(reply);
+        }
         quiet_checks =
             if state.is_flushing() && !state.is_writing() { quiet_checks + 1 } else { 0 };
         if quiet_checks >= QUIET_CHECKS {
@@ -235,9 +246,11 @@
 }
 
 async fn refuse(client: &mut TcpStream, reason: CloseReason) {
+    if !matches!(reason, CloseReason::LastReply(_)) {
+        log::debug!("connection is closed: {reason:?}");
+    }
     if let Some(reply) = reason.reply() {
-        log::debug!("connection was refused: {reason:?}");
-        let _ = timeout(LINGER_TIME, client.write_all(&reply.to_bytes())).await;
+        let _ = timeout(LINGER_TIME, client.write_all(&reply)).await;
     }
     linger(client).await;
 }
