Count the seats of the log's last entry in elections

Cause: a host counted the voters that it knew to be committed, and granted votes only if it knew of a committed seat of its own. After a power loss each host knows the commit index that its last vote file held. When a disk is lost at the same time, around a change of seats, the hosts that are left hold every acknowledged change but count different voters: a new voter refuses its vote because it doesn't know its seat, or two candidates don't count each other. Nobody is elected any more, and what was acknowledged can't be read. The old seats were given up before the new ones were known to their holders.

Change: elections and majorities use the seats as of the last entry of the log. Votes are granted by any folder; the candidate counts those that hold a seat. While a leader's own seat change is not committed, a majority of the previous voters must have synced it too, so a new folder still doesn't count for its own seat.

--- a/crates/control/src/agreement/core.rs
+++ b/crates/control/src/agreement/core.rs
@@ -109,7 +109,10 @@
     random: ChaCha8Rng,
     pub(super) hard: HardState,
     pub(super) founding: Option<Vec<VoterSeat>>,
+    /// Seats as of the last committed entry.
     pub(super) seats: Vec<VoterSeat>,
+    /// Seats as of the last entry of the log.
+    pub(super) latest_seats: Vec<VoterSeat>,
     pub(super) role: RoleState,
     pub(super) leader: Option<NodeName>,
     pub(super) last_leader_contact: Option<TimePoint>,
@@ -119,7 +122,7 @@
     pub(super) log: EntryLog,
     pub(super) snapshot: Option<LogSnapshot>,
     pub(super) commit: LogIndex,
-    last_delivered: LogIndex,
+    pub(super) last_delivered: LogIndex,
     pub(super) incoming: Option<IncomingSnapshot>,
     pub(super) sync: SyncTracker,
     pub(super) output: CoreOutput,
@@ -152,6 +155,7 @@
             hard,
             founding,
             seats,
+            latest_seats: Vec::new(),
             role: RoleState::Following,
             leader: None,
             last_leader_contact: None,
@@ -170,6 +174,7 @@
             core.output.deliveries.push(LogDelivery::Restore(snapshot));
         }
         core.deliver();
+        core.recompute_latest_seats();
         // A single member needs no votes from others, so it starts its election at once.
         if core.membership != MembershipMode::Fixed || core.members.len() > 1 {
             core.schedule_pre_vote(now);
@@ -338,14 +343,6 @@
         self.snapshot = Some(snapshot);
     }
 
-    /// Number of voters that form a majority.
-    pub(super) fn majority(&self) -> usize {
-        match self.membership {
-            MembershipMode::Fixed => self.members.len() / 2 + 1,
-            MembershipMode::Dynamic { .. } => self.seats.len() / 2 + 1,
-        }
-    }
-
     pub(super) fn reset_election_timer(&mut self, now: TimePoint) {
         let base = u64::try_from(self.times.election.as_micros()).unwrap_or(u64::MAX);
         let wait = self.random.random_range(base..base * 2);
@@ -388,6 +385,7 @@
         self.commit = snapshot.meta.index;
         self.last_delivered = snapshot.meta.index;
         self.seats.clone_from(&snapshot.meta.seats);
+        self.recompute_latest_seats();
         self.snapshot = Some(snapshot.clone());
         self.output.deliveries.push(LogDelivery::Restore(snapshot));
     }
@@ -396,16 +394,9 @@
         while self.last_delivered < self.commit {
             let Some(entry) = self.log.get(self.last_delivered.next()).cloned() else { return };
             self.last_delivered = entry.index;
-            match &entry.payload {
-                EntryPayload::Admit(seat) => {
-                    self.grant_seat(seat.clone());
-                    self.request_heartbeat();
-                }
-                EntryPayload::Dismiss(node) => {
-                    self.revoke_seat(node);
-                    self.request_heartbeat();
-                }
-                EntryPayload::Blank | EntryPayload::Command(_) => {}
+            if matches!(entry.payload, EntryPayload::Admit(_) | EntryPayload::Dismiss(_)) {
+                self.commit_seat_change(&entry.payload);
+                self.request_heartbeat();
             }
             let token = self.pop_proposal_token(&entry);
             self.output.deliveries.push(LogDelivery::Entry(CommittedEntry { entry, token }));
--- a/crates/control/src/agreement/election.rs
+++ b/crates/control/src/agreement/election.rs
@@ -86,6 +86,10 @@
         }
     }
 
+    /// Answers a pre-vote, whether or not this host knows of a voter seat of its own.
+    ///
+    /// The candidate counts only folders that hold a seat, and every folder keeps its promises. A new
+    /// voter may not have its seat's entry yet; without its vote the others could lack a majority.
     pub(super) fn handle_pre_vote(
         &mut self,
         now: TimePoint,
@@ -93,8 +97,7 @@
         term: TermNumber,
         call: &VoteCall,
     ) {
-        let granted = self.is_self_voter()
-            && term > self.hard.term
+        let granted = term > self.hard.term
             && !self.has_live_leader(now)
             && self.is_up_to_date(call)
             && !self.outranks_candidate(&from, call);
@@ -153,7 +156,7 @@
 
     pub(super) fn handle_vote(&mut self, now: TimePoint, from: NodeName, call: &VoteCall) {
         let may_vote_for = self.hard.voted.as_ref().is_none_or(|voted| *voted == from);
-        let granted = self.is_self_voter() && may_vote_for && self.is_up_to_date(call);
+        let granted = may_vote_for && self.is_up_to_date(call);
         if granted && self.hard.voted.is_none() {
             self.hard.voted = Some(from.clone());
             self.write_hard_state();
--- a/crates/control/src/agreement/follower.rs
+++ b/crates/control/src/agreement/follower.rs
@@ -103,11 +103,13 @@
                 Some(term) if term == entry.term => continue,
                 Some(_) => {
                     self.log.truncate(entry.index);
+                    self.recompute_latest_seats();
                     self.sync.truncate(entry.index);
                     self.sync.write(StorageWrite::Truncate(entry.index));
                 }
                 None => {}
             }
+            self.note_appended(&entry.payload);
             self.log.push(entry.clone());
             new_entries.push(entry);
         }
--- a/crates/control/src/agreement/leader.rs
+++ b/crates/control/src/agreement/leader.rs
@@ -7,6 +7,7 @@
 
 use super::core::{AgreementCore, RoleState};
 use super::progress::PeerProgress;
+use super::seats::holds_seat;
 use super::{
     AppendReply, EntryPayload, FolderId, LogEntry, ProposalRefusal, ProposalToken, ReadToken,
     StorageWrite, VoterSeat,
@@ -127,6 +128,7 @@
     /// Appends an entry of the current term to the log.
     pub(super) fn append(&mut self, payload: EntryPayload) {
         let entry = LogEntry { index: self.log.last_index().next(), term: self.hard.term, payload };
+        self.note_appended(&entry.payload);
         self.log.push(entry.clone());
         self.sync.write(StorageWrite::Append(vec![entry]));
     }
@@ -172,7 +174,7 @@
             .iter()
             .filter(|(node, peer)| {
                 peer.folder.is_none()
-                    && self.seats.iter().any(|seat| seat.node == **node)
+                    && self.latest_seats.iter().any(|seat| seat.node == **node)
                     && now.since(peer.last_contact) < self.times.election
             })
             .count();
@@ -302,19 +304,17 @@
     }
 
     /// Advances the commit index to the newest entry synced by this host and a majority.
+    ///
+    /// While a seat change of this leader is not committed, a majority of the previous voters must
+    /// agree too: a new folder does not count for its own seat.
     pub(super) fn advance_commit(&mut self) {
         let RoleState::Leading(state) = &self.role else { return };
-        let mut synced: Vec<LogIndex> = state
-            .peers
-            .iter()
-            .filter(|(node, peer)| peer.folder.is_some_and(|folder| self.is_voter(node, folder)))
-            .map(|(_, peer)| peer.matched)
-            .collect();
-        let own = self.sync.durable();
-        synced.push(own);
-        synced.sort_by(|a, b| b.cmp(a));
-        let Some(index) = synced.get(self.majority() - 1).copied() else { return };
-        let index = index.min(own);
+        let is_pending = self.commit < state.seat_change_index;
+        let Some(mut index) = self.synced_by_majority(state, &self.latest_seats) else { return };
+        if is_pending {
+            let Some(previous) = self.synced_by_majority(state, &self.seats) else { return };
+            index = index.min(previous);
+        }
         // Entries of earlier terms are committed only together with an entry of this term: even
         // when a majority holds them, another leader may still overwrite them.
         if self.log.term_at(index) == Some(self.hard.term) {
@@ -322,6 +322,20 @@
         }
     }
 
+    /// Index of the newest entry synced by this host and a majority of `seats`.
+    fn synced_by_majority(&self, state: &LeaderState, seats: &[VoterSeat]) -> Option<LogIndex> {
+        let holds = |node: &NodeName, peer: &PeerProgress| {
+            peer.folder.is_some_and(|folder| holds_seat(seats, node, folder))
+        };
+        let peers = state.peers.iter().filter(|(node, peer)| holds(node, peer));
+        let mut synced: Vec<LogIndex> = peers.map(|(_, peer)| peer.matched).collect();
+        let own = self.sync.durable();
+        synced.push(own);
+        synced.sort_by(|a, b| b.cmp(a));
+        let index = synced.get(self.majority_of(seats) - 1).copied()?;
+        Some(index.min(own))
+    }
+
     /// Outputs the reads that a majority has confirmed.
     pub(super) fn confirm_reads(&mut self) {
         let majority = self.majority();
--- a/crates/control/src/agreement/membership.rs
+++ b/crates/control/src/agreement/membership.rs
@@ -38,7 +38,8 @@
     ///
     /// Hosts that hold a seat remain members even if `nodes` does not list them.
     pub fn set_peers(&mut self, now: TimePoint, nodes: &[NodeName]) {
-        let seated = self.seats.iter().map(|seat| seat.node.clone());
+        let seats = self.seats.iter().chain(&self.latest_seats);
+        let seated = seats.map(|seat| seat.node.clone());
         let mut members: Vec<NodeName> = nodes.iter().cloned().chain(seated).collect();
         members.push(self.node.clone());
         members.sort();
@@ -108,19 +109,14 @@
         self.append(payload);
     }
 
-    /// Schedules an immediate heartbeat after a seat change. Until the voters know of the change,
-    /// they compute majorities differently from the leader and could not elect a leader without it.
+    /// Schedules an immediate heartbeat after a seat change, so that the voters learn soon that it is
+    /// committed.
     pub(super) fn request_heartbeat(&mut self) {
         if let RoleState::Leading(state) = &mut self.role {
             state.heartbeat_due = true;
         }
     }
 
-    pub(super) fn revoke_seat(&mut self, node: &NodeName) {
-        self.seats.retain(|seat| seat.node != *node);
-        self.write_hard_state();
-    }
-
     /// Whether the last seat change and an entry of the current term are committed.
     fn no_seat_change_pending(&self) -> bool {
         let RoleState::Leading(state) = &self.role else { return false };
--- a/crates/control/src/agreement/seats.rs
+++ b/crates/control/src/agreement/seats.rs
@@ -6,12 +6,15 @@
 //! count as voters. The founding seats are determined once, when all control hosts are up with
 //! empty folders. Later, a folder gets a seat through a log entry that is committed without its
 //! own acknowledgement.
+//!
+//! Elections count the seats as of the last entry of the log, committed or not. After a power loss
+//! a host knows its log for certain, but may not know which of its entries were committed.
 
 use briartray_model::TimePoint;
 use briartray_model::names::NodeName;
 
 use super::core::{AgreementCore, MembershipMode};
-use super::{FolderId, PeerBody, StorageWrite, VoterSeat};
+use super::{EntryPayload, FolderId, PeerBody, StorageWrite, VoterSeat};
 
 impl AgreementCore {
     /// Whether the data folder of this host may vote.
@@ -21,14 +24,41 @@
 
     /// Whether `folder` may vote for `node`.
     pub(super) fn is_voter(&self, node: &NodeName, folder: FolderId) -> bool {
-        self.seats.iter().any(|seat| seat.node == *node && seat.folder == folder)
+        holds_seat(&self.latest_seats, node, folder)
     }
 
-    /// Grants a seat to a data folder, replacing any earlier folder of the same host.
-    pub(super) fn grant_seat(&mut self, seat: VoterSeat) {
-        self.seats.retain(|known| known.node != seat.node);
-        self.seats.push(seat);
-        self.seats.sort_by(|a, b| a.node.cmp(&b.node));
+    /// Number of voters that form a majority.
+    pub(super) fn majority(&self) -> usize {
+        self.majority_of(&self.latest_seats)
+    }
+
+    /// Number of voters that form a majority of `seats`.
+    pub(super) fn majority_of(&self, seats: &[VoterSeat]) -> usize {
+        match self.membership {
+            MembershipMode::Fixed => self.members.len() / 2 + 1,
+            MembershipMode::Dynamic { .. } => seats.len() / 2 + 1,
+        }
+    }
+
+    /// Updates the latest seats for an entry that was appended to the log.
+    pub(super) fn note_appended(&mut self, payload: &EntryPayload) {
+        change_seats(&mut self.latest_seats, payload);
+    }
+
+    /// Computes the latest seats from the committed ones and the entries after them.
+    pub(super) fn recompute_latest_seats(&mut self) {
+        let mut seats = self.seats.clone();
+        let mut index = self.last_delivered.next();
+        while let Some(entry) = self.log.get(index) {
+            change_seats(&mut seats, &entry.payload);
+            index = index.next();
+        }
+        self.latest_seats = seats;
+    }
+
+    /// Applies a committed seat change.
+    pub(super) fn commit_seat_change(&mut self, payload: &EntryPayload) {
+        change_seats(&mut self.seats, payload);
         // Stored with the commit index, so that the seat is still valid after all hosts restart.
         self.write_hard_state();
     }
@@ -115,6 +145,7 @@
             }
         }
         self.seats.sort_by(|a, b| a.node.cmp(&b.node));
+        self.recompute_latest_seats();
         self.founding = Some(seats.clone());
         self.sync.write(StorageWrite::Founding(seats));
         // Votes and replies must wait until the founding seats are synced, as they do for a term.
@@ -124,3 +155,21 @@
         }
     }
 }
+
+/// Whether `seats` lists `folder` as voter of `node`.
+pub(super) fn holds_seat(seats: &[VoterSeat], node: &NodeName, folder: FolderId) -> bool {
+    seats.iter().any(|seat| seat.node == *node && seat.folder == folder)
+}
+
+/// Applies a seat change; a seat replaces that of any earlier folder of the same host.
+fn change_seats(seats: &mut Vec<VoterSeat>, payload: &EntryPayload) {
+    match payload {
+        EntryPayload::Admit(seat) => {
+            seats.retain(|known| known.node != seat.node);
+            seats.push(seat.clone());
+            seats.sort_by(|a, b| a.node.cmp(&b.node));
+        }
+        EntryPayload::Dismiss(node) => seats.retain(|seat| seat.node != *node),
+        EntryPayload::Blank | EntryPayload::Command(_) => {}
+    }
+}
