Sync the folder after each removed log file

After a power loss each name may be kept or lost on its own, so a file in the middle can be gone while its neighbours are back; a file may also be shortened while a later one that was removed returns. Such a folder reads as damaged. The control role then clears it, and an acknowledged entry has one copy less than was counted, besides the disk whose loss is tolerated.

Change: log files are removed from the end of the log, or from its start at a compaction, with a sync of the folder after each, also at the start after an interrupted installation.

--- a/crates/control/src/storage/folder.rs
+++ b/crates/control/src/storage/folder.rs
@@ -94,7 +94,7 @@
         };
         check_owner(path, &identity, node, &members)?;
         let mut contents = FolderContents::read(path)?;
-        contents.remove_superseded_segments()?;
+        contents.remove_superseded_segments(&mut access, path)?;
         if !created {
             rewrite_newest_data(&mut access, path, &contents)?;
         }
@@ -207,8 +207,7 @@
         self.needs_new_segment = true;
         while let Some(segment) = self.segments.last_mut() {
             if segment.first >= index {
-                let path = segment.path.clone();
-                std::fs::remove_file(&path).context(SystemSnafu { path, action: "remove" })?;
+                remove_log_file(&mut self.access, &self.path, &segment.path)?;
                 self.segments.pop();
                 continue;
             }
@@ -220,14 +219,14 @@
             }
             break;
         }
-        sync_folder(&mut self.access, &self.path)
+        Ok(())
     }
 
     /// Removes files whose entries all have an index of at most `keep_after`.
     fn remove_compacted_segments(&mut self, keep_after: LogIndex) -> Result<(), StorageError> {
         while self.segments.len() > 1 && self.segments[1].first.0 <= keep_after.0 + 1 {
             let path = self.segments.remove(0).path;
-            std::fs::remove_file(&path).context(SystemSnafu { path, action: "remove" })?;
+            remove_log_file(&mut self.access, &self.path, &path)?;
         }
         // Start a new file early, so that the next snapshot can remove the current one.
         self.needs_new_segment |=
@@ -278,7 +277,11 @@
     ///
     /// Such records are not contiguous with the snapshot. Keeping them could leave a gap, or
     /// entries after the snapshot that were never committed.
-    fn remove_superseded_segments(&mut self) -> Result<(), StorageError> {
+    fn remove_superseded_segments(
+        &mut self,
+        access: &mut FileAccess,
+        folder: &Path,
+    ) -> Result<(), StorageError> {
         let Some(meta) = self.snapshot.as_ref().map(|snapshot| &snapshot.meta) else {
             return Ok(());
         };
@@ -289,9 +292,8 @@
         if continues_snapshot || entry_at_snapshot.is_some_and(|entry| entry.term == meta.term) {
             return Ok(());
         }
-        for scan in self.scans.drain(..) {
-            let path = scan.segment.path;
-            std::fs::remove_file(&path).context(SystemSnafu { path, action: "remove" })?;
+        for scan in self.scans.drain(..).rev() {
+            remove_log_file(access, folder, &scan.segment.path)?;
         }
         Ok(())
     }
@@ -420,6 +422,19 @@
     checked_file::replace_file(access, folder, path, &[&bytes])
 }
 
+/// Removes a log file at either end of the log, and syncs the folder.
+///
+/// Without a sync after each file, a power loss may bring back some of several removed files, and the
+/// gaps between them would read as damage.
+fn remove_log_file(
+    access: &mut FileAccess,
+    folder: &Path,
+    path: &Path,
+) -> Result<(), StorageError> {
+    std::fs::remove_file(path).context(SystemSnafu { path, action: "remove" })?;
+    sync_folder(access, folder)
+}
+
 fn truncate_file(access: &mut FileAccess, path: &Path, size: u64) -> Result<(), StorageError> {
     let file =
         File::options().write(true).open(path).context(SystemSnafu { path, action: "open" })?;
