Refuse leave notices and ends of quarantines while there are too few voters

Cause: a deployment that starts for the first time has one voter until others have caught up. Plans and evacuations are refused until there are enough for the tolerated losses; leave notices and ends of quarantines were acknowledged at once, held by a single disk.

Change: both are refused in the same way (503, try again).

--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -334,12 +334,12 @@
                 self.change_zone(now, zone, change, reply)
             }
             CoreInput::LiftQuarantine { fingerprint, reply } => {
-                self.lift_quarantine(fingerprint, reply)
+                self.lift_quarantine(now, fingerprint, reply)
             }
             CoreInput::Heartbeat { heartbeat, reply } => {
                 self.receive_heartbeat(now, heartbeat, reply)
             }
-            CoreInput::Leave { id, reply } => self.receive_leave(id, reply),
+            CoreInput::Leave { id, reply } => self.receive_leave(now, id, reply),
             CoreInput::Probed { answer, requester: None } => self.receive_probe_answer(now, answer),
             CoreInput::Probed { answer, requester: Some(requester) } => {
                 self.relay_buffer.buffer_answer(now, requester, answer);
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -42,7 +42,7 @@
         let (id, leaving) = (heartbeat.id.clone(), heartbeat.leaving);
         self.receive_heartbeats(now, vec![heartbeat]);
         if leaving && !self.state.is_leaving(&id) {
-            self.receive_leave(id, reply);
+            self.receive_leave(now, id, reply);
         } else {
             let _ = reply.send(ControlReply::Done);
         }
@@ -50,10 +50,14 @@
 
     /// Records that an endpoint is leaving. The notice is acknowledged only after a majority stored
     /// it: a later leader must not send work there again.
-    pub(super) fn receive_leave(&mut self, id: IncarnationId, reply: ReplySender) {
+    pub(super) fn receive_leave(&mut self, now: TimePoint, id: IncarnationId, reply: ReplySender) {
         let Some(leadership) = self.leadership.as_ref().filter(|lead| lead.established) else {
             return self.redirect(reply);
         };
+        if !self.has_voters(now) {
+            let _ = reply.send(ControlReply::Unavailable);
+            return;
+        }
         let id = leadership.director.resolve_incarnation(id);
         log::info!(endpoint:% = id; "endpoint is leaving; recording that it takes no new work");
         self.submit(&FleetCommand::MarkLeaving(id), CommandOrigin::Caller(reply));
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -7,7 +7,7 @@
 use briartray_model::names::{PartId, RequestFingerprint};
 
 use super::core::ControlCore;
-use super::input::ReplySender;
+use super::input::{ControlReply, ReplySender};
 use super::origin::CommandOrigin;
 
 impl ControlCore {
@@ -48,10 +48,19 @@
 
     /// Lifts the quarantine of a request, or of the prompt part with that id, on behalf of an
     /// operator.
-    pub(super) fn lift_quarantine(&mut self, fingerprint: RequestFingerprint, reply: ReplySender) {
+    pub(super) fn lift_quarantine(
+        &mut self,
+        now: TimePoint,
+        fingerprint: RequestFingerprint,
+        reply: ReplySender,
+    ) {
         if !self.is_established() {
             return self.redirect(reply);
         }
+        if !self.has_voters(now) {
+            let _ = reply.send(ControlReply::Unavailable);
+            return;
+        }
         let part = PartId(fingerprint.0);
         let command = match self.state.quarantine().holds_part(part) {
             true => FleetCommand::LiftPart(part),
