Clear a damaged data folder with its identity first

Cause: the gateway clears a folder that reads as damaged by removing its files in any order, without a sync. After a power loss in that moment some of the names may be back without the damaged file. Under the old identity, which holds a seat, the folder then opened with entries missing that it had acknowledged, and could vote.

Change: storage::clear_folder removes the identity and syncs the folder before it removes the rest. A folder with a log and no identity is refused as damaged, and is cleared again.

Test: a_cleared_folder_does_not_come_back_in_part, on real files. After, it passes, with all tests of the crate.

--- a/crates/control/src/storage/mod.rs
+++ b/crates/control/src/storage/mod.rs
@@ -17,6 +17,7 @@
 
 mod access;
 mod checked_file;
+mod clearing;
 mod error;
 mod folder;
 mod record;
@@ -25,6 +26,7 @@
 mod writer;
 
 pub use access::{FileAccess, FileSync, FileWrite};
+pub use clearing::clear_folder;
 pub use error::StorageError;
 pub use folder::{DataFolder, FolderIdentity, OpenedFolder};
 pub use report::{FolderReport, inspect};
--- a/crates/control/tests/storage_power_loss.rs
+++ b/crates/control/tests/storage_power_loss.rs
@@ -11,7 +11,9 @@
     EntryPayload, FolderId, HardState, LogEntry, LogSnapshot, RecoveredState, SnapshotMeta,
     StorageWrite, VoterSeat, WriteBatch,
 };
-use briartray_control::storage::{DataFolder, FileAccess, OpenedFolder, StorageError};
+use briartray_control::storage::{
+    DataFolder, FileAccess, OpenedFolder, StorageError, clear_folder,
+};
 use briartray_model::SortedTable;
 use briartray_model::names::{LogIndex, NodeName, TermNumber};
 use tempfile::TempDir;
@@ -102,7 +104,7 @@
 /// have been lost.
 fn lose_power_during(writes: &[StorageWrite], check: impl Fn(&RecoveredState)) {
     let filled = filled();
-    lose_power_in(&read_files(filled.path()), check, |path, access| {
+    lose_power_in(&read_files(filled.path()), whole(check), |path, access| {
         let Ok(mut opened) = open_with(path, access) else { return };
         let _ = opened.folder.write(&WriteBatch { ticket: 1, writes: writes.to_vec() });
     });
@@ -111,7 +113,7 @@
 /// As [`lose_power_during`], for an operation on a folder that holds `files`.
 fn lose_power_in(
     files: &Files,
-    check: impl Fn(&RecoveredState),
+    check: impl Fn(&Result<OpenedFolder, StorageError>),
     operate: impl Fn(&Path, FileAccess),
 ) {
     for syncs in 0..MAX_SYNCS {
@@ -128,16 +130,19 @@
         let durable = supply.lock().expect("no test panicked").durable.clone();
         for found in outcomes(&durable, &current) {
             write_files(&path, &found);
-            let names: Vec<&String> = found.keys().collect();
-            let opened = open_with(&path, FileAccess::default());
-            match opened {
-                Ok(opened) => check(&opened.recovered),
-                Err(error) => panic!("after {syncs} syncs, with {names:?}: {error}"),
-            }
+            check(&open_with(&path, FileAccess::default()));
         }
     }
 }
 
+/// Checks the contents of a folder that must open.
+fn whole(check: impl Fn(&RecoveredState)) -> impl Fn(&Result<OpenedFolder, StorageError>) {
+    move |opened| match opened {
+        Ok(opened) => check(&opened.recovered),
+        Err(error) => panic!("the folder does not open: {error}"),
+    }
+}
+
 /// All states in which each change from `durable` to `current` is kept or lost.
 fn outcomes(durable: &Files, current: &Files) -> Vec<Files> {
     let mut names: Vec<&String> = durable.keys().chain(current.keys()).collect();
@@ -224,7 +229,7 @@
     }
 
     let check = |found: &RecoveredState| assert_eq!(last_index(found), 20);
-    lose_power_in(&interrupted, check, |path, access| drop(open_with(path, access)));
+    lose_power_in(&interrupted, whole(check), |path, access| drop(open_with(path, access)));
 }
 
 /// Guards against a commit index that is kept although the entries up to it are lost.
@@ -244,5 +249,24 @@
 fn a_new_folder_survives_a_power_loss() {
     let check = |found: &RecoveredState| assert_eq!(*found, RecoveredState::default());
 
-    lose_power_in(&Files::new(), check, |path, access| drop(open_with(path, access)));
+    lose_power_in(&Files::new(), whole(check), |path, access| drop(open_with(path, access)));
+}
+
+/// Guards against a damaged folder that is cleared in part and then opens as before, without entries that it
+/// had acknowledged.
+#[test]
+fn a_cleared_folder_does_not_come_back_in_part() {
+    let filled = filled();
+    let mut files = read_files(filled.path());
+    let newest = files.keys().filter(|name| name.starts_with("log-")).max().cloned();
+    let middle = files.keys().filter(|name| name.starts_with("log-")).nth(2).cloned();
+    assert!(middle < newest);
+    let bytes = files.get_mut(&middle.expect("a log file")).expect("it is there");
+    bytes[40] ^= 0xff;
+
+    let check = |opened: &Result<OpenedFolder, StorageError>| match opened {
+        Ok(opened) => assert_eq!(opened.recovered, RecoveredState::default()),
+        Err(error) => assert!(error.is_unusable_contents(), "{error}"),
+    };
+    lose_power_in(&files, check, |path, access| drop(clear_folder(path, access)));
 }
--- a/crates/gateway/src/control/folder.rs
+++ b/crates/gateway/src/control/folder.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use briartray_control::agreement::FolderId;
-use briartray_control::storage::{DataFolder, FileAccess, OpenedFolder};
+use briartray_control::storage::{DataFolder, FileAccess, OpenedFolder, clear_folder};
 use briartray_model::names::NodeName;
 use crossbeam::channel::RecvTimeoutError;
 
@@ -46,7 +46,9 @@
                 log::error!(
                     "data folder is unreadable; clearing it and rejoining as empty: {error}"
                 );
-                clear_folder(path);
+                if let Err(error) = clear_folder(path, files()) {
+                    log::error!("cannot clear the data folder; trying again: {error}");
+                }
             }
             Err(error) => log::error!("cannot open the data folder; trying again: {error}"),
         }
@@ -71,12 +73,3 @@
         }
     }
 }
-
-fn clear_folder(path: &Path) {
-    let Ok(entries) = std::fs::read_dir(path) else { return };
-    for entry in entries.flatten() {
-        if let Err(error) = std::fs::remove_file(entry.path()) {
-            log::error!("cannot remove {}: {error}", entry.path().display());
-        }
-    }
-}
