Keep a silent attempt until another replica has answered

Cause: the tracker ended an attempt after one reconnect (repeatable, nothing delivered) or five (all others), and the entry cancelled it. Only afterwards were retry budget, attempts, rules and the choice of a replica asked, each of which may refuse: then a running answer had been given up with nothing in its place.

Change: the tracker reports such an attempt as silent instead of lost. The call keeps it while it tries another replica, cancels it once that one has answered or begun to, and goes back to it when no other takes the request; it then waits until the deadline. What cannot run elsewhere (begun, or not repeatable) waits until the deadline from the start. Six connections in a row that the agent closes or refuses still end an attempt, since its process has ended; the link tells them apart from connections that were not answered.

The decisions are new tests of attempts.rs; they do not compile with the interface before, so there is no run of them on it.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -1,5 +1,6 @@
 //! The client side of links, which opens streams.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -50,9 +51,17 @@
 /// Distinguishes successive connections to one address.
 type Generation = u64;
 
+/// Why no connection could be made.
+#[derive(Debug, Clone)]
+struct ConnectFailure {
+    detail: String,
+    /// Whether the other end did not answer.
+    silent: bool,
+}
+
 #[derive(Debug)]
 enum PoolEvent {
-    Opened(SocketAddr, Generation, Result<SendRequest<Bytes>, String>),
+    Opened(SocketAddr, Generation, Result<SendRequest<Bytes>, ConnectFailure>),
     Closed(SocketAddr, Generation),
 }
 
@@ -183,7 +192,7 @@
         &mut self,
         address: SocketAddr,
         generation: Generation,
-        outcome: Result<SendRequest<Bytes>, String>,
+        outcome: Result<SendRequest<Bytes>, ConnectFailure>,
     ) {
         let Some(entry) = self.entries.get_mut(&address) else { return };
         if entry.generation != generation {
@@ -197,10 +206,11 @@
                     start_call(&self.settings, sender.clone(), call);
                 }
             }
-            Err(detail) => {
+            Err(failure) => {
                 let Some(entry) = self.entries.remove(&address) else { return };
                 for call in waiting_calls(entry.state) {
-                    fail_call(call, LinkError::Connect { address, detail: detail.clone() });
+                    let ConnectFailure { detail, silent } = failure.clone();
+                    fail_call(call, LinkError::Connect { address, detail, silent });
                 }
             }
         }
@@ -232,33 +242,40 @@
     events: mpsc::UnboundedSender<PoolEvent>,
 ) {
     let attempt = async {
-        let socket = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
-        socket.set_nodelay(true).map_err(|error| error.to_string())?;
+        let socket = TcpStream::connect(address).await.map_err(|error| connect_failure(&error))?;
+        socket.set_nodelay(true).map_err(|error| connect_failure(&error))?;
         h2::client::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .handshake::<_, Bytes>(socket)
             .await
-            .map_err(|error| error.to_string())
+            .map_err(|error| ConnectFailure { detail: error.to_string(), silent: false })
     };
-    let failed = |detail: &str| {
-        let _ = events.send(PoolEvent::Opened(address, generation, Err(detail.to_owned())));
+    let failed = |failure: ConnectFailure| {
+        let _ = events.send(PoolEvent::Opened(address, generation, Err(failure)));
     };
+    let silence = |detail: &str| ConnectFailure { detail: detail.to_owned(), silent: true };
     let (sender, mut connection) = match tokio::time::timeout(timeout, attempt).await {
         Ok(Ok(parts)) => parts,
-        Ok(Err(detail)) => return failed(&detail),
-        Err(_) => return failed("connection attempt timed out"),
+        Ok(Err(failure)) => return failed(failure),
+        Err(_) => return failed(silence("connection attempt timed out")),
+    };
+    let Some(mut ping) = connection.ping_pong() else {
+        return failed(ConnectFailure { detail: "pings unavailable".to_owned(), silent: false });
     };
-    let Some(mut ping) = connection.ping_pong() else { return failed("pings unavailable") };
     let mut connection = std::pin::pin!(connection);
     // The kernel accepts connections even for a suspended process. Nothing is sent before the first
     // ping is answered, so if that fails, the waiting calls have certainly not been sent.
-    let answered = tokio::select! {
-        _ = &mut connection => false,
-        answered = ping_answered(&mut ping, timeout) => answered,
+    let failure = tokio::select! {
+        _ = &mut connection => Some(ConnectFailure {
+            detail: "the process closed the connection".to_owned(),
+            silent: false,
+        }),
+        answered = ping_answered(&mut ping, timeout) =>
+            (!answered).then(|| silence("the process does not answer pings")),
     };
-    if !answered {
-        return failed("the process does not answer pings");
+    if let Some(failure) = failure {
+        return failed(failure);
     }
     let _ = events.send(PoolEvent::Opened(address, generation, Ok(sender)));
     tokio::select! {
@@ -269,6 +286,14 @@
     let _ = events.send(PoolEvent::Closed(address, generation));
 }
 
+fn connect_failure(error: &std::io::Error) -> ConnectFailure {
+    let silent = matches!(
+        error.kind(),
+        ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
+    );
+    ConnectFailure { detail: error.to_string(), silent }
+}
+
 fn start_call(settings: &ClientSettings, sender: SendRequest<Bytes>, call: OpenCall) {
     tokio::spawn(run_call(settings.token.clone(), sender, call));
 }
@@ -290,7 +315,9 @@
     let (response, body) = match opened.await {
         Ok(parts) => parts,
         Err(error) => {
-            incoming.push(Err(LinkError::Connect { address, detail: error.to_string() })).await;
+            incoming
+                .push(Err(LinkError::Connect { address, detail: error.to_string(), silent: false }))
+                .await;
             return;
         }
     };
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -16,6 +16,8 @@
         address: SocketAddr,
         /// What went wrong.
         detail: String,
+        /// Whether the other end did not answer, rather than refuse or close the connection.
+        silent: bool,
     },
     /// The other end refused the stream and accepted no message.
     #[snafu(display("{address} refused the call with status {status}: {remedy}"))]
@@ -78,4 +80,9 @@
     pub fn nothing_sent(&self) -> bool {
         matches!(self, Self::Connect { .. } | Self::Handshake { .. })
     }
+
+    /// Whether the other end did not answer in time: it may be paused or cut off and go on later.
+    pub fn is_silent(&self) -> bool {
+        matches!(self, Self::TimedOut | Self::Connect { silent: true, .. })
+    }
 }
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at a request: performs the input and output that an [`AttemptTracker`] decides on.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use briartray_link::{CallKind, LinkReader, LinkWriter};
@@ -9,14 +10,14 @@
     TraceContext,
 };
 use briartray_model::names::{AttemptId, IncarnationId};
-use briartray_routing::attempt::{AttemptTracker, TrackerAction, TrackerPlan};
+use briartray_routing::attempt::{AttemptTracker, DisconnectCause, TrackerAction, TrackerPlan};
 
 use super::call::CallPlan;
 use super::output::CallerOutput;
 use super::refusal::{CallRefusal, RefusalCode};
 use super::shared::{EntryShared, EntryView};
 use crate::new_attempt_id;
-use crate::trace::SpanHop;
+use crate::trace::{HopSpan, SpanHop};
 
 /// Timeout for an agent to acknowledge a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -38,6 +39,8 @@
     AnsweredFailure(LoadReport),
     /// Not run; another replica may be tried.
     Refused(RefusalReason, Option<LoadReport>),
+    /// Not ended, but its agent is silent: another replica should be tried.
+    Silent,
     /// Ended without a whole answer.
     Failed {
         /// The refusal for the caller.
@@ -61,55 +64,15 @@
     reader: LinkReader,
 }
 
-/// Runs one attempt.
-///
-/// Returns the output unless the caller was answered or has disconnected.
-pub(super) fn run_attempt(
-    shared: &EntryShared,
-    view: &EntryView,
-    plan: &CallPlan,
-    record: &GroupRecord,
-    deadline: TimePoint,
-    output: CallerOutput,
-) -> (AttemptEnd, Option<CallerOutput>) {
-    let attempt = new_attempt_id();
-    let mut span = shared.traces.span(SpanHop::Link, plan.trace);
-    span.set_attribute("attempt", attempt);
-    span.set_attribute("group", record.group);
-    let order = build_order(shared, view, plan, record, attempt, deadline, span.context());
-    let tracker = AttemptTracker::new(
-        shared.clock.now(),
-        TrackerPlan {
-            attempt,
-            incarnation: record.incarnation,
-            repeatable: plan.repeatable,
-            deadline,
-        },
-    );
-    let (writer, reader) = shared.link.open(record.link, CallKind::Dispatch);
-    let stream = AttemptStream { writer, reader };
-    if let Err(error) = stream.writer.send(&EntryRequest::Dispatch(order)) {
-        // The reader reports why the stream ended, and with it whether anything was sent.
-        log::debug!("dispatch could not be sent: {error}");
-    }
-    let run =
-        AttemptRun { shared, record, attempt, tracker, stream, answer: BufferedAnswer::default() };
-    let (end, returned) = run.follow(output);
-    if let AttemptEnd::Failed { refusal, .. } = &end {
-        span.fail(&refusal.message);
-    } else if let AttemptEnd::Refused(reason, _) = &end {
-        span.set_attribute("refused", format!("{reason:?}"));
-    }
-    (end, returned)
-}
-
-struct AttemptRun<'a> {
+/// An attempt that has not ended.
+pub(super) struct AttemptRun<'a> {
     shared: &'a EntryShared,
-    record: &'a GroupRecord,
+    link: SocketAddr,
     attempt: AttemptId,
     tracker: AttemptTracker,
     stream: AttemptStream,
     answer: BufferedAnswer,
+    span: HopSpan,
 }
 
 impl Drop for AttemptRun<'_> {
@@ -118,8 +81,59 @@
     }
 }
 
-impl AttemptRun<'_> {
-    fn follow(mut self, mut output: CallerOutput) -> (AttemptEnd, Option<CallerOutput>) {
+impl<'a> AttemptRun<'a> {
+    /// Sends the dispatch of a new attempt.
+    pub(super) fn start(
+        shared: &'a EntryShared,
+        view: &EntryView,
+        plan: &CallPlan,
+        record: &GroupRecord,
+        deadline: TimePoint,
+    ) -> Self {
+        let attempt = new_attempt_id();
+        let mut span = shared.traces.span(SpanHop::Link, plan.trace);
+        span.set_attribute("attempt", attempt);
+        span.set_attribute("group", record.group);
+        let order = build_order(shared, view, plan, record, attempt, deadline, span.context());
+        let tracker = AttemptTracker::new(
+            shared.clock.now(),
+            TrackerPlan {
+                attempt,
+                incarnation: record.incarnation,
+                repeatable: plan.repeatable,
+                deadline,
+            },
+        );
+        let (writer, reader) = shared.link.open(record.link, CallKind::Dispatch);
+        let stream = AttemptStream { writer, reader };
+        if let Err(error) = stream.writer.send(&EntryRequest::Dispatch(order)) {
+            // The reader reports why the stream ended, and with it whether anything was sent.
+            log::debug!("dispatch could not be sent: {error}");
+        }
+        let (link, answer) = (record.link, BufferedAnswer::default());
+        Self { shared, link, attempt, tracker, stream, answer, span }
+    }
+
+    /// Follows the attempt to its end, or until its agent is silent.
+    ///
+    /// Returns the output unless the caller was answered or has disconnected.
+    pub(super) fn follow(&mut self, output: CallerOutput) -> (AttemptEnd, Option<CallerOutput>) {
+        let (end, returned) = self.relay(output);
+        if let AttemptEnd::Failed { refusal, .. } = &end {
+            self.span.fail(&refusal.message);
+        } else if let AttemptEnd::Refused(reason, _) = &end {
+            self.span.set_attribute("refused", format!("{reason:?}"));
+        }
+        (end, returned)
+    }
+
+    /// Follows a silent attempt to its end, because no other replica can take the request.
+    pub(super) fn keep(&mut self, output: CallerOutput) -> (AttemptEnd, Option<CallerOutput>) {
+        self.tracker.keep(self.shared.clock.now());
+        self.follow(output)
+    }
+
+    fn relay(&mut self, mut output: CallerOutput) -> (AttemptEnd, Option<CallerOutput>) {
         loop {
             let (action, is_progress) = self.next_action();
             match action {
@@ -161,6 +175,7 @@
                 TrackerAction::Refused(reason, load) => {
                     return (AttemptEnd::Refused(reason, load), Some(output));
                 }
+                TrackerAction::Silent => return (AttemptEnd::Silent, Some(output)),
                 TrackerAction::Lost { outcome, detail, crashed } => {
                     self.cancel();
                     output.mark_may_have_run();
@@ -193,7 +208,11 @@
             Err(briartray_link::LinkError::TimedOut) => (self.tracker.on_timeout(now), false),
             Err(error) => {
                 log::debug!("stream of attempt {} ended: {error}", self.attempt);
-                (self.tracker.on_disconnect(now, error.nothing_sent()), false)
+                let cause = match error.is_silent() {
+                    true => DisconnectCause::Silent,
+                    false => DisconnectCause::Closed,
+                };
+                (self.tracker.on_disconnect(now, error.nothing_sent(), cause), false)
             }
         }
     }
@@ -205,7 +224,7 @@
         let now = Instant::now();
         let connected_after = now.checked_sub(FRESH_CONNECTION_AGE).unwrap_or(now);
         let (writer, reader) =
-            self.shared.link.open_since(self.record.link, CallKind::Dispatch, connected_after);
+            self.shared.link.open_since(self.link, CallKind::Dispatch, connected_after);
         if let Err(error) = writer.send(request) {
             log::debug!("request could not be sent after a reconnect: {error}");
         }
@@ -219,8 +238,8 @@
     }
 
     /// Cancels the attempt at the agent, so that the engine stops generating.
-    fn cancel(&self) {
-        let (link, address, attempt) = (self.shared.link.clone(), self.record.link, self.attempt);
+    pub(super) fn cancel(&self) {
+        let (link, address, attempt) = (self.shared.link.clone(), self.link, self.attempt);
         let send_cancel = move || {
             let (writer, reader) = link.open(address, CallKind::Dispatch);
             let sent = writer.send(&EntryRequest::Cancel { attempt });
@@ -280,6 +299,11 @@
     }
 }
 
+/// The refusal of a request whose replica is silent.
+pub(super) fn silent_replica() -> CallRefusal {
+    replica_failure(CallOutcome::Unknown, "replica is unreachable")
+}
+
 fn replica_failure(outcome: CallOutcome, detail: &str) -> CallRefusal {
     let message = format!("{detail}; look up whether it ran before you send it again");
     CallRefusal { code: RefusalCode::ReplicaFailed, message, outcome }
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -19,7 +19,7 @@
     AttemptEffect, AttemptHistory, RetryDecision, StopReason, decide_retry,
 };
 
-use super::attempt::{AttemptEnd, run_attempt};
+use super::attempt::{AttemptEnd, AttemptRun, silent_replica};
 use super::decide::{CallDecision, CallFacts};
 use super::gate::SlotPermit;
 use super::output::CallerOutput;
@@ -72,6 +72,25 @@
     Other(CallRefusal),
 }
 
+/// An attempt that has not ended, and its replica.
+struct OpenAttempt<'a> {
+    run: AttemptRun<'a>,
+    group: GroupId,
+    started_at: TimePoint,
+    /// Whether its agent was silent, so that its replica no longer counts it as load.
+    was_silent: bool,
+}
+
+/// What a request does next.
+enum CallStep {
+    /// It is attempted on a replica.
+    Attempt(Arc<GroupRecord>),
+    /// It waits for a slot again, because the replicas are full.
+    Requeue,
+    /// It is refused; `ran` is whether a replica may have run it.
+    Refuse { failure: CallFailure, ran: bool },
+}
+
 /// Waits for admission, runs `plan` and answers the caller.
 pub(super) fn run_call(shared: &EntryShared, plan: &CallPlan, output: CallerOutput) {
     let arrived = shared.clock.now();
@@ -103,6 +122,7 @@
         request,
         deadline,
         crash_count: 0,
+        silent: Vec::new(),
     };
     run.run(permit, output);
 }
@@ -120,6 +140,8 @@
     deadline: TimePoint,
     /// Number of endpoints that crashed while running this request.
     crash_count: usize,
+    /// Attempts whose agents are silent. One of them continues if no other replica answers.
+    silent: Vec<OpenAttempt<'a>>,
 }
 
 impl<'a> CallRun<'a> {
@@ -131,22 +153,21 @@
             repeatable: self.plan.repeatable,
             delivered: false,
         };
+        let mut decided: Option<CallStep> = None;
         loop {
-            if let Err(failure) = self.refresh_decision() {
-                return self.refuse(permit, output, failure);
-            }
-            // It may have waited for a slot meanwhile.
-            if history.attempts == 0 && self.status() == QuarantineStatus::Quarantined {
-                let failure = CallFailure::Other(CallRefusal::quarantined());
-                return self.refuse(permit, output, failure);
-            }
-            let record = match self.choose(&excluded) {
-                ChoiceOutcome::Chosen(record) => record,
-                ChoiceOutcome::Absent if history.full_refusals == 0 => {
-                    return self.refuse(permit, output, no_replica(DEFAULT_RETRY_AFTER));
+            let step = decided.take().unwrap_or_else(|| self.next_step(&excluded, &history));
+            let (mut attempt, (end, returned)) = match step {
+                CallStep::Attempt(record) => {
+                    let mut attempt = self.start_attempt(&record);
+                    let ended = attempt.run.follow(output);
+                    (attempt, ended)
+                }
+                _ if !self.silent.is_empty() => {
+                    let mut attempt = self.silent.remove(0);
+                    let ended = attempt.run.keep(output);
+                    (attempt, ended)
                 }
-                ChoiceOutcome::Down(wait) => return self.refuse(permit, output, no_replica(wait)),
-                ChoiceOutcome::Full | ChoiceOutcome::Absent => {
+                CallStep::Requeue => {
                     match self.requeue_request(permit, &mut excluded, &mut history) {
                         Ok(new_permit) => permit = new_permit,
                         Err(refusal) => {
@@ -155,12 +176,15 @@
                     }
                     continue;
                 }
+                CallStep::Refuse { failure, ran } => {
+                    permit.finish(ran);
+                    return refuse_call(self.shared, output, &failure);
+                }
             };
-            let started_at = self.shared.clock.now();
-            let (end, returned) =
-                run_attempt(self.shared, &self.view, self.plan, &record, self.deadline, output);
-            let (effect, refusal) = match self.finish_attempt(&record, started_at, end) {
+            let is_silent = matches!(end, AttemptEnd::Silent);
+            let (effect, failure) = match self.finish_attempt(&attempt, end) {
                 None => {
+                    self.cancel_silent();
                     permit.finish(true);
                     self.shared.metrics.record_outcome("answered");
                     return;
@@ -169,31 +193,66 @@
             };
             let Some(returned) = returned else { return };
             output = returned;
-            excluded.push(record.group);
             history.delivered = !output.is_unsent();
-            if effect == AttemptEffect::ReplicaFull {
-                history.full_refusals += 1;
-            } else {
-                history.attempts += 1;
+            if history.delivered {
+                // The caller has the start of another answer, so none of these can follow it.
+                self.cancel_silent();
+            }
+            excluded.push(attempt.group);
+            match effect {
+                AttemptEffect::ReplicaFull => history.full_refusals += 1,
+                // It was counted when its agent was found to be silent.
+                AttemptEffect::NotRun | AttemptEffect::Unknown if attempt.was_silent => {}
+                AttemptEffect::NotRun | AttemptEffect::Unknown => history.attempts += 1,
+            }
+            if is_silent {
+                attempt.was_silent = true;
+                self.silent.push(attempt);
             }
             match self.decide(effect, &history) {
                 RetryDecision::Retry(wait) => std::thread::sleep(wait),
-                RetryDecision::Requeue => {
-                    match self.requeue_request(permit, &mut excluded, &mut history) {
-                        Ok(new_permit) => permit = new_permit,
-                        Err(refusal) => {
-                            return refuse_call(self.shared, output, &admission_failure(&refusal));
-                        }
-                    }
-                }
+                RetryDecision::Requeue => decided = Some(CallStep::Requeue),
                 RetryDecision::Stop(_) => {
-                    permit.finish(effect == AttemptEffect::Unknown);
-                    return refuse_call(self.shared, output, &refusal);
+                    let ran = effect == AttemptEffect::Unknown;
+                    decided = Some(CallStep::Refuse { failure, ran });
                 }
             }
         }
     }
 
+    /// Chooses a replica, unless the rules or the state of the replicas forbid it.
+    fn next_step(&mut self, excluded: &[GroupId], history: &AttemptHistory) -> CallStep {
+        let refuse = |failure| CallStep::Refuse { failure, ran: false };
+        if let Err(failure) = self.refresh_decision() {
+            return refuse(failure);
+        }
+        // It may have waited for a slot meanwhile.
+        if history.attempts == 0 && self.status() == QuarantineStatus::Quarantined {
+            return refuse(CallFailure::Other(CallRefusal::quarantined()));
+        }
+        match self.choose(excluded) {
+            ChoiceOutcome::Chosen(record) => CallStep::Attempt(record),
+            ChoiceOutcome::Absent if history.full_refusals == 0 => {
+                refuse(no_replica(DEFAULT_RETRY_AFTER))
+            }
+            ChoiceOutcome::Down(wait) => refuse(no_replica(wait)),
+            ChoiceOutcome::Full | ChoiceOutcome::Absent => CallStep::Requeue,
+        }
+    }
+
+    fn start_attempt(&self, record: &GroupRecord) -> OpenAttempt<'a> {
+        let started_at = self.shared.clock.now();
+        let run = AttemptRun::start(self.shared, &self.view, self.plan, record, self.deadline);
+        OpenAttempt { run, group: record.group, started_at, was_silent: false }
+    }
+
+    /// Cancels the attempts whose agents are silent, because another one has answered.
+    fn cancel_silent(&mut self) {
+        for attempt in self.silent.drain(..) {
+            attempt.run.cancel();
+            self.shared.admission_metrics.record_attempt("unknown");
+        }
+    }
     /// Evaluates the rules again if their revision has changed.
     ///
     /// A request may wait in the queue for longer than a rule change takes to be accepted. Once a
@@ -245,8 +304,7 @@
     /// `None` when the caller was answered or has disconnected.
     fn finish_attempt(
         &mut self,
-        record: &GroupRecord,
-        started_at: TimePoint,
+        attempt: &OpenAttempt<'a>,
         end: AttemptEnd,
     ) -> Option<(AttemptEffect, CallFailure)> {
         let (name, result, report, failure) = match end {
@@ -262,8 +320,12 @@
             AttemptEnd::AnsweredFailure(load) => {
                 ("answered", AttemptResult::Answered, Some(load), None)
             }
+            AttemptEnd::Silent => {
+                self.release(attempt, AttemptResult::Broken, None);
+                return Some((AttemptEffect::Unknown, CallFailure::Other(silent_replica())));
+            }
             AttemptEnd::Refused(reason, load) => {
-                log::debug!(group = record.group.0; "attempt refused: {reason:?}");
+                log::debug!(group = attempt.group.0; "attempt refused: {reason:?}");
                 let (effect, failure) = classify_refusal(reason, load.as_ref());
                 let name = if effect == AttemptEffect::ReplicaFull { "bounced" } else { "not_run" };
                 (name, AttemptResult::Refused(reason), load, Some((effect, failure)))
@@ -272,7 +334,12 @@
                 if let Some(endpoint) = crashed {
                     self.crash_count += 1;
                     let now = self.shared.clock.now();
-                    self.shared.quarantine.record_crash(now, started_at, self.plan, endpoint);
+                    self.shared.quarantine.record_crash(
+                        now,
+                        attempt.started_at,
+                        self.plan,
+                        endpoint,
+                    );
                 }
                 let not_run = refusal.outcome == CallOutcome::NotRun;
                 let (name, effect) = if not_run {
@@ -284,10 +351,21 @@
             }
         };
         self.shared.admission_metrics.record_attempt(name);
+        if !attempt.was_silent {
+            self.release(attempt, result, report.as_ref());
+        }
+        failure
+    }
+
+    fn release(
+        &self,
+        attempt: &OpenAttempt<'a>,
+        result: AttemptResult,
+        report: Option<&LoadReport>,
+    ) {
         let now = self.shared.clock.now();
         let mut replicas = self.shared.replicas();
-        replicas.release(now, record.group, result, report.as_ref(), &mut rand::rng());
-        failure
+        replicas.release(now, attempt.group, result, report, &mut rand::rng());
     }
 
     fn decide(&self, effect: AttemptEffect, history: &AttemptHistory) -> RetryDecision {
@@ -323,12 +401,6 @@
             decide_retry(now, self.deadline, effect, history, retry, budget, &mut rand::rng())
         })
     }
-
-    /// Releases the slot, then refuses the request.
-    fn refuse(&self, permit: SlotPermit<'a>, output: CallerOutput, failure: CallFailure) {
-        permit.finish(false);
-        refuse_call(self.shared, output, &failure);
-    }
 }
 
 fn refuse_call(shared: &EntryShared, output: CallerOutput, failure: &CallFailure) {
--- a/crates/routing/src/attempt/mod.rs
+++ b/crates/routing/src/attempt/mod.rs
@@ -14,4 +14,6 @@
     AttemptBook, AttemptState, BeginDecision, BookLimits, MAX_DISPATCH_AGE, TOMBSTONE_RETENTION,
 };
 pub use buffer::{AnswerBuffer, AnswerEnd, AnswerHead, BufferItem, BufferReader};
-pub use tracker::{ACCEPT_TIMEOUT, AttemptTracker, FRAME_TIMEOUT, TrackerAction, TrackerPlan};
+pub use tracker::{
+    ACCEPT_TIMEOUT, AttemptTracker, DisconnectCause, FRAME_TIMEOUT, TrackerAction, TrackerPlan,
+};
--- a/crates/routing/src/attempt/tracker.rs
+++ b/crates/routing/src/attempt/tracker.rs
@@ -20,8 +20,12 @@
 /// The same before the first frame, which the agent sends as soon as the attempt has a slot.
 pub const ACCEPT_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Maximum number of reconnects while there is no alternative for the caller.
-const MAX_RECONNECTS: u32 = 5;
+/// Maximum number of reconnects in a row for another cause than silence: an agent that closes or
+/// refuses connections has probably ended.
+const MAX_FAILED_RECONNECTS: u32 = 5;
+
+/// Maximum number of reconnects before a repeatable request should be tried elsewhere.
+const MAX_REPEATABLE_RECONNECTS: u32 = 1;
 
 /// Delay before each reconnect after the first.
 const RECONNECT_WAIT: Duration = Duration::from_millis(200);
@@ -66,6 +70,9 @@
     },
     /// The attempt was not run and never will be.
     Refused(RefusalReason, Option<LoadReport>),
+    /// The agent is silent, so another replica should be tried. The attempt may still go on; unless
+    /// another one takes its place, continue it with [`AttemptTracker::keep`].
+    Silent,
     /// The attempt ended without a complete answer.
     Lost {
         /// What is known about the effect of the call.
@@ -89,6 +96,15 @@
     Tombstoning,
 }
 
+/// Why the answer does not continue on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DisconnectCause {
+    /// The agent refused or closed the connection, or left out a part of the answer.
+    Closed,
+    /// The agent did not answer: it may be paused or cut off and go on later.
+    Silent,
+}
+
 /// Tracks one attempt.
 #[derive(Debug)]
 pub struct AttemptTracker {
@@ -100,7 +116,12 @@
     accepted: bool,
     next_sequence: u64,
     delivered: bool,
+    /// Reconnects since the last chunk.
     reconnects: u32,
+    /// How many of them had another cause than silence.
+    failures: u32,
+    /// Whether no other replica can take the request.
+    kept: bool,
     doubled: u64,
 }
 
@@ -116,6 +137,8 @@
             next_sequence: 0,
             delivered: false,
             reconnects: 0,
+            failures: 0,
+            kept: false,
             doubled: 0,
         }
     }
@@ -132,6 +155,12 @@
         self.delivered = true;
     }
 
+    /// Continues a silent attempt until its deadline, because no other replica can take the request.
+    pub fn keep(&mut self, now: TimePoint) {
+        self.kept = true;
+        self.last_frame_at = now;
+    }
+
     /// Number of duplicate chunks that were dropped.
     pub fn doubled(&self) -> u64 {
         self.doubled
@@ -170,11 +199,16 @@
 
     /// Handles the end of the stream before the end of the answer. `nothing_sent` tells whether the
     /// dispatch was certainly not sent.
-    pub fn on_disconnect(&mut self, now: TimePoint, nothing_sent: bool) -> TrackerAction {
+    pub fn on_disconnect(
+        &mut self,
+        now: TimePoint,
+        nothing_sent: bool,
+        cause: DisconnectCause,
+    ) -> TrackerAction {
         if self.phase == TrackerPhase::Dispatched && nothing_sent {
             return TrackerAction::Refused(RefusalReason::EndpointUnreachable, None);
         }
-        self.reconnect(now)
+        self.reconnect(now, cause)
     }
 
     /// Handles the expiry of [`AttemptTracker::wait`] without a frame.
@@ -182,7 +216,7 @@
         if now >= self.plan.deadline {
             return TrackerAction::Late;
         }
-        self.reconnect(now)
+        self.reconnect(now, DisconnectCause::Silent)
     }
 
     fn on_chunk(&mut self, now: TimePoint, sequence: u64, data: Vec<u8>) -> TrackerAction {
@@ -193,17 +227,18 @@
         if sequence > self.next_sequence {
             // A chunk was lost. Delivering this one would leave a gap that the caller cannot
             // detect, so the agent is asked to resume at the gap.
-            return self.reconnect(now);
+            return self.reconnect(now, DisconnectCause::Closed);
         }
         self.next_sequence += 1;
         self.reconnects = 0;
+        self.failures = 0;
         TrackerAction::Deliver(data)
     }
 
     fn on_end(&mut self, now: TimePoint, count: u64, load: LoadReport) -> TrackerAction {
         match count.cmp(&self.next_sequence) {
             std::cmp::Ordering::Equal => TrackerAction::Finish(load),
-            std::cmp::Ordering::Greater => self.reconnect(now),
+            std::cmp::Ordering::Greater => self.reconnect(now, DisconnectCause::Closed),
             std::cmp::Ordering::Less => {
                 self.lost("more chunks received than the end of the answer counts")
             }
@@ -224,16 +259,29 @@
         }
     }
 
+    /// Whether another replica should be tried if this one is silent.
+    fn is_replaceable(&self) -> bool {
+        self.plan.repeatable && !self.delivered && !self.kept
+    }
+
     fn request_tombstone(&mut self, now: TimePoint) -> TrackerAction {
         self.phase = TrackerPhase::Tombstoning;
         TrackerAction::Reconnect { request: self.next_request(now), wait: Duration::ZERO }
     }
 
-    fn reconnect(&mut self, now: TimePoint) -> TrackerAction {
-        let limit = if self.plan.repeatable && !self.delivered { 1 } else { MAX_RECONNECTS };
-        if self.reconnects >= limit || now >= self.plan.deadline {
+    fn reconnect(&mut self, now: TimePoint, cause: DisconnectCause) -> TrackerAction {
+        if now >= self.plan.deadline {
+            return TrackerAction::Late;
+        }
+        if cause == DisconnectCause::Closed {
+            self.failures += 1;
+        }
+        if self.failures > MAX_FAILED_RECONNECTS {
             return self.lost("replica is unreachable");
         }
+        if self.is_replaceable() && self.reconnects >= MAX_REPEATABLE_RECONNECTS {
+            return TrackerAction::Silent;
+        }
         if self.phase == TrackerPhase::Dispatched {
             self.phase = TrackerPhase::Resuming;
         }
--- a/crates/routing/tests/attempts.rs
+++ b/crates/routing/tests/attempts.rs
@@ -8,7 +8,8 @@
 use briartray_model::names::AttemptId;
 use briartray_routing::attempt::{
     AnswerBuffer, AnswerEnd, AnswerHead, AttemptBook, AttemptTracker, BeginDecision, BookLimits,
-    BufferItem, BufferReader, FRAME_TIMEOUT, TOMBSTONE_RETENTION, TrackerAction, TrackerPlan,
+    BufferItem, BufferReader, DisconnectCause, FRAME_TIMEOUT, TOMBSTONE_RETENTION, TrackerAction,
+    TrackerPlan,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -102,7 +103,7 @@
     // The agent crashed after it handed the call to the service, and its successor does not know
     // the attempt. A caller notified of `not_run` would repeat a booking.
     let mut tracker = tracker(false);
-    tracker.on_disconnect(seconds(1), false);
+    tracker.on_disconnect(seconds(1), false, DisconnectCause::Closed);
     tracker.on_reply(seconds(2), AgentReply::NotHeld { attempt: ATTEMPT });
 
     let action = tracker.on_reply(seconds(3), tombstone(TombstoneState::NeverRuns, 2));
@@ -166,6 +167,91 @@
     assert!(buffer.attach(4).is_some());
 }
 
+/// Actions of `tracker` while its agent sends nothing, up to the first that is no reconnect.
+fn actions_in_silence(tracker: &mut AttemptTracker, from: TimePoint) -> Vec<TrackerAction> {
+    let (mut now, mut actions) = (from, Vec::new());
+    loop {
+        now = now.after(tracker.wait(now));
+        let action = tracker.on_timeout(now);
+        let is_reconnect = matches!(action, TrackerAction::Reconnect { .. });
+        actions.push(action);
+        if !is_reconnect {
+            return actions;
+        }
+    }
+}
+
+/// A tracker of which the caller has received a chunk.
+fn delivered_tracker() -> AttemptTracker {
+    let mut tracker = tracker(true);
+    tracker.on_reply(seconds(1), chunk(0));
+    tracker.mark_delivered();
+    tracker
+}
+
+/// Guards against a stream that is cut because its agent was silent, although only that agent can
+/// continue it.
+#[test]
+fn begun_stream_is_kept_in_silence_until_its_deadline() {
+    let mut tracker = delivered_tracker();
+
+    let actions = actions_in_silence(&mut tracker, seconds(1));
+
+    assert_eq!(actions.last(), Some(&TrackerAction::Late));
+}
+
+/// Guards against a call that is given up because its agent was silent, although no other replica
+/// may run it.
+#[test]
+fn call_that_must_not_be_repeated_is_kept_in_silence_until_its_deadline() {
+    let mut tracker = tracker(false);
+
+    let actions = actions_in_silence(&mut tracker, seconds(0));
+
+    assert_eq!(actions.last(), Some(&TrackerAction::Late));
+}
+
+/// Guards against a repeatable request that waits for a silent agent while another replica is free,
+/// and against one that is given up while none is.
+#[test]
+fn repeatable_request_in_silence_is_tried_elsewhere_and_can_be_kept() {
+    let mut tracker = tracker(true);
+
+    let before = actions_in_silence(&mut tracker, seconds(0));
+    tracker.keep(seconds(3));
+    let after = actions_in_silence(&mut tracker, seconds(3));
+
+    assert_eq!(before.last(), Some(&TrackerAction::Silent));
+    assert_eq!(after.last(), Some(&TrackerAction::Late));
+}
+
+/// Guards against an answer that is lost because its request was kept for a while.
+#[test]
+fn kept_request_gets_the_answer_of_its_agent() {
+    let mut tracker = tracker(true);
+    actions_in_silence(&mut tracker, seconds(0));
+    tracker.keep(seconds(3));
+    let end = AgentReply::End { attempt: ATTEMPT, count: 1, load: LoadReport::default() };
+
+    let actions = [tracker.on_reply(seconds(4), chunk(0)), tracker.on_reply(seconds(4), end)];
+
+    assert_eq!(actions[0], TrackerAction::Deliver(vec![0]));
+    assert_matches!(actions[1], TrackerAction::Finish(_));
+}
+
+/// Guards against a caller that waits until its deadline for an agent whose process has ended.
+#[test]
+fn begun_stream_of_an_ended_agent_is_lost_before_its_deadline() {
+    let mut tracker = delivered_tracker();
+
+    // The first connection had carried a chunk; the others are never made.
+    let actions: Vec<TrackerAction> = (0..10)
+        .map(|number| tracker.on_disconnect(seconds(2), number > 0, DisconnectCause::Closed))
+        .collect();
+
+    assert_matches!(actions.last(), Some(TrackerAction::Lost { .. }));
+}
+
 /// An agent and the connection to it, both driven by one seed.
 struct FaultyConnection {
     random: ChaCha8Rng,
@@ -271,6 +357,7 @@
                     received.extend(data);
                 }
                 TrackerAction::Reconnect { request, .. } => self.ask(&request),
+                TrackerAction::Silent => tracker.keep(self.now),
                 TrackerAction::Wait | TrackerAction::Head { .. } | TrackerAction::Crossed => {}
                 end => return (received, end),
             }
@@ -282,7 +369,7 @@
         if self.chance(5) {
             self.reader = None;
             self.held_reply = None;
-            return tracker.on_disconnect(self.now, false);
+            return tracker.on_disconnect(self.now, false, DisconnectCause::Closed);
         }
         let Some(reply) = self.receive() else { return TrackerAction::Wait };
         if self.chance(5) {
