Resume an attempt whose dispatch arrives after the request to resume it

Cause: an agent that was paused for a second gets the dispatch and, over a newer connection, the request to resume. When the latter is handled first the agent does not hold the attempt, and answers the tombstone that follows with Running, since the dispatch has been handled meanwhile. The entry took that for an answer that is no longer available, and gave a running attempt up. If the tombstone comes first, the request has certainly not run, yet its retry was charged to the attempts and the retry budget, and refused without them.

Change: after Running or Ended the attempt is resumed again, up to the limit of failed reconnects. A tombstoned attempt did no work, so its retry is charged like that after a refusal by a full replica: not at all.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -428,6 +428,8 @@
             let refusal = CallRefusal::not_run(RefusalCode::DeadlinePassed, message);
             (AttemptEffect::NotRun, CallFailure::Other(refusal))
         }
+        // The agent did no work for the attempt.
+        RefusalReason::Tombstoned => (AttemptEffect::ReplicaFull, no_replica(DEFAULT_RETRY_AFTER)),
         RefusalReason::EndpointBackoff { left_ms } => {
             let wait = Duration::from_millis(u64::from(left_ms));
             (AttemptEffect::ReplicaFull, no_replica(wait))
--- a/crates/routing/src/attempt/tracker.rs
+++ b/crates/routing/src/attempt/tracker.rs
@@ -192,7 +192,7 @@
             }
             AgentReply::NotHeld { .. } => self.request_tombstone(now),
             AgentReply::Tombstone { state, incarnation, .. } => {
-                self.on_tombstone(state, incarnation)
+                self.on_tombstone(now, state, incarnation)
             }
         }
     }
@@ -245,13 +245,28 @@
         }
     }
 
-    fn on_tombstone(&self, state: TombstoneState, incarnation: u64) -> TrackerAction {
+    fn on_tombstone(
+        &mut self,
+        now: TimePoint,
+        state: TombstoneState,
+        incarnation: u64,
+    ) -> TrackerAction {
         match state {
             // Another process does not know what its predecessor handed to the endpoint.
             TombstoneState::NeverRuns if incarnation == self.plan.incarnation => {
                 TrackerAction::Refused(RefusalReason::Tombstoned, None)
             }
             TombstoneState::NeverRuns => self.lost("agent restarted"),
+            TombstoneState::Running | TombstoneState::Ended
+                if self.failures < MAX_FAILED_RECONNECTS =>
+            {
+                // The dispatch arrived after the agent was asked to resume the answer.
+                self.phase = TrackerPhase::Resuming;
+                self.failures += 1;
+                let wait = if self.failures == 1 { Duration::ZERO } else { RECONNECT_WAIT };
+                self.last_frame_at = now.after(wait);
+                TrackerAction::Reconnect { request: self.next_request(now), wait }
+            }
             TombstoneState::Running | TombstoneState::Ended => {
                 self.lost("attempt ran, but its answer is no longer available")
             }
--- a/crates/routing/tests/attempts.rs
+++ b/crates/routing/tests/attempts.rs
@@ -252,6 +252,22 @@
     assert_matches!(actions.last(), Some(TrackerAction::Lost { .. }));
 }
 
+/// Guards against a running attempt that is given up because its agent got the request to resume
+/// before the dispatch.
+#[test]
+fn attempt_that_began_after_a_resume_is_resumed_again() {
+    let mut tracker = tracker(true);
+    tracker.on_timeout(seconds(1));
+    tracker.on_reply(seconds(2), AgentReply::NotHeld { attempt: ATTEMPT });
+
+    let action = tracker.on_reply(seconds(2), tombstone(TombstoneState::Running, INCARNATION));
+
+    assert_matches!(
+        action,
+        TrackerAction::Reconnect { request: EntryRequest::Resume { offset: 0, .. }, .. }
+    );
+}
+
 /// An agent and the connection to it, both driven by one seed.
 struct FaultyConnection {
     random: ChaCha8Rng,
