Hold an answer while a lease of its group has expired

Cause: an agent ended each running answer as soon as a lease of its group had expired ("the group lost a member"), also one of which the caller had a part. A member, or the first host itself, that was silent for two seconds, or for less when a renewal had just been due, renews its lease afterwards.

Change: the agent holds the answer back while a lease has expired and goes on once all are held again at the same fencing number. It ends the answer when a member has refused its lease or reported its endpoint as not ready, when the group got another fencing number, or at the deadline. Meanwhile it tells the entry that the attempt is stalled, so that a request that may run elsewhere is tried there.

Evidence, before: stream_survives_a_silence_of_a_member, stream_survives_a_silence_of_its_agent and call_that_must_not_be_repeated_survives_a_silence_of_its_agent failed with "the group lost a member", 1 of 1 run. After: all passed in 3 of 3 runs. stream_ends_when_a_member_restarts guards what the change must not permit; it passed in 2 of 2 runs and was not run on the code before.

--- a/crates/cli/tests/silence.rs
+++ b/crates/cli/tests/silence.rs
@@ -13,6 +13,9 @@
 /// Silence of a sound process.
 const SHORT_SILENCE: Duration = Duration::from_millis(1_200);
 
+/// Silence for which an entry waits only while there is no other replica to try.
+const MEDIUM_SILENCE: Duration = Duration::from_secs(4);
+
 /// Delay after which a request that was sent has reached its endpoint.
 const SEND_DELAY: Duration = Duration::from_millis(400);
 
@@ -206,24 +209,44 @@
     }
 }
 
+/// Guards against a stream that is given up because its agent is silent for a moment.
+#[test]
+fn stream_survives_a_silence_of_its_agent() {
+    for silence in [SHORT_SILENCE, MEDIUM_SILENCE] {
+        let fleet = start_fleet(2, 0, 1, RETRIES);
+        let (mut lines, mut stream) = fleet.begun_stream();
+
+        pause(fleet.agent(fleet.runner()), silence);
+        let rest = lines.read_to_string(&mut stream);
+
+        assert!(rest.is_ok(), "{silence:?}: cut off: {rest:?}");
+        assert_whole(&stream);
+        assert_eq!(fleet.runs(), 1);
+    }
+}
+
 /// Guards against a request that is given up before its first byte because its agent is silent,
 /// although no retry is left.
 #[test]
 fn stream_begins_after_a_silence_of_its_agent_when_no_retry_is_left() {
-    let fleet = start_fleet(1, 0, 1, NO_RETRY);
+    for silence in [SHORT_SILENCE, MEDIUM_SILENCE] {
+        let fleet = start_fleet(1, 0, 1, NO_RETRY);
 
-    let answer = call_during_pause(fleet.agent(0), SHORT_SILENCE, false, || fleet.stream());
-    let (status, stream) = read_stream(answer);
+        let answer = call_during_pause(fleet.agent(0), silence, false, || fleet.stream());
+        let (status, stream) = read_stream(answer);
 
-    assert_eq!(status, 200, "{stream}");
-    assert_whole(&stream);
-    assert_eq!(fleet.runs(), 1);
+        assert_eq!(status, 200, "{silence:?}: {stream}");
+        assert_whole(&stream);
+        assert_eq!(fleet.runs(), 1);
+    }
 }
 
 /// Guards against a repeatable request that is given up for a retry that no replica takes.
 #[test]
 fn request_survives_a_silence_of_the_only_replica() {
-    for (silence, sent_first) in [(SHORT_SILENCE, false), (SHORT_SILENCE, true)] {
+    for (silence, sent_first) in
+        [(SHORT_SILENCE, false), (SHORT_SILENCE, true), (MEDIUM_SILENCE, true)]
+    {
         let fleet = start_fleet(0, 1, 1, REPEATABLE);
 
         let (status, body) =
@@ -234,6 +257,72 @@
     }
 }
 
+/// Guards against a call that fails, or runs twice, because its agent is silent for a moment.
+#[test]
+fn call_that_must_not_be_repeated_survives_a_silence_of_its_agent() {
+    for silence in [SHORT_SILENCE, MEDIUM_SILENCE] {
+        let fleet = start_fleet(0, 2, 1, RETRIES);
+        // The log of the service that runs the call tells which agent to pause.
+        let entry = fleet.entry();
+
+        let (status, body) = std::thread::scope(|scope| {
+            let caller = scope.spawn(move || call_service(entry));
+            std::thread::sleep(SEND_DELAY);
+            pause(fleet.agent(fleet.runner()), silence);
+            caller.join().expect("the caller ends")
+        });
+
+        assert_eq!(status, 200, "{silence:?}: {body}");
+        assert_eq!(fleet.runs(), 1);
+    }
+}
+
+/// Guards against a stream that is given up because the lease of a silent member has expired,
+/// although the member renews it a moment later.
+#[test]
+fn stream_survives_a_silence_of_a_member() {
+    for silence in [SHORT_SILENCE, MEDIUM_SILENCE] {
+        let fleet = start_fleet(2, 0, 2, RETRIES);
+        let (mut lines, mut stream) = fleet.begun_stream();
+
+        pause(fleet.agent(1 - fleet.runner()), silence);
+        let rest = lines.read_to_string(&mut stream);
+
+        assert!(rest.is_ok(), "{silence:?}: cut off: {rest:?}");
+        assert_whole(&stream);
+        assert_eq!(fleet.runs(), 1);
+    }
+}
+
+/// Guards against an answer that goes on although a member of its group has restarted meanwhile, and
+/// has lost its part of the replica.
+#[test]
+fn stream_ends_when_a_member_restarts() {
+    let mut fleet = start_fleet(2, 0, 2, RETRIES);
+    let (mut lines, mut stream) = fleet.begun_stream();
+
+    let member = 1 - fleet.runner();
+    fleet.fleet.restart_agent(member).expect("the agent starts again");
+    let _ = lines.read_to_string(&mut stream);
+
+    assert!(!stream.contains("[DONE]"), "{stream}");
+    assert_eq!(fleet.runs(), 1);
+}
+
+/// Guards against a request that waits for an engine that stays silent, although another replica
+/// is free.
+#[test]
+fn request_moves_off_an_engine_that_stays_silent() {
+    let fleet = start_fleet(2, 0, 1, RETRIES);
+
+    fleet.endpoint(0).signal(ProcessSignal::Stop);
+    let streams: Vec<(u16, String)> = (0..4).map(|_| read_stream(fleet.stream())).collect();
+    fleet.endpoint(0).signal(ProcessSignal::Continue);
+
+    assert!(streams.iter().all(|(status, _)| *status == 200), "{streams:?}");
+    streams.iter().for_each(|(_, stream)| assert_whole(stream));
+}
+
 /// Guards against a request that waits for an agent that stays silent, although another replica
 /// is free.
 #[test]
--- a/crates/model/src/message/dispatch.rs
+++ b/crates/model/src/message/dispatch.rs
@@ -164,6 +164,11 @@
             /// The attempt.
             attempt: AttemptId,
         },
+        /// The attempt is still running, but its endpoint or a member of its group is silent.
+        Stalled {
+            /// The attempt.
+            attempt: AttemptId,
+        },
     }
 
     /// Load of one group as seen by its first host.
@@ -243,7 +248,8 @@
             | Self::End { attempt, .. }
             | Self::Failed { attempt, .. }
             | Self::Tombstone { attempt, .. }
-            | Self::NotHeld { attempt } => *attempt,
+            | Self::NotHeld { attempt }
+            | Self::Stalled { attempt } => *attempt,
         }
     }
 }
--- a/crates/node/src/agent/core.rs
+++ b/crates/node/src/agent/core.rs
@@ -53,6 +53,8 @@
     gate: GroupGate,
     renewing: Arc<AtomicBool>,
     reported_whole: bool,
+    /// How often a member has refused its lease or reported that its endpoint is not ready.
+    refusals: u64,
 }
 
 impl Drop for LeadRole {
@@ -188,7 +190,8 @@
                 log::error!("cannot start renewing a lease: {error}; raise the thread limit");
             }
         }
-        self.lead = Some(LeadRole { assignment, gate, renewing, reported_whole: false });
+        self.lead =
+            Some(LeadRole { assignment, gate, renewing, reported_whole: false, refusals: 0 });
         self.publish_gate();
     }
 
@@ -220,7 +223,10 @@
                 let duration = Duration::from_millis(u64::from(*duration_ms));
                 lead.gate.record(&renewal.member, renewal.sent_at, duration);
             }
-            Some(_) => lead.gate.revoke(&renewal.member),
+            Some(_) => {
+                lead.gate.revoke(&renewal.member);
+                lead.refusals += 1;
+            }
             // A missing answer is not a refusal: the current lease stays valid until it expires.
             None => {}
         }
@@ -232,6 +238,7 @@
             group: lead.gate.group(),
             fencing: lead.gate.fencing(),
             whole_until: lead.gate.whole_until(),
+            refusals: lead.refusals,
             capacity: lead.assignment.capacity,
         });
         self.shared.publish_gate(view);
--- a/crates/node/src/agent/running.rs
+++ b/crates/node/src/agent/running.rs
@@ -2,7 +2,7 @@
 //! reads from it; either can end some time before the other.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use briartray_model::message::DispatchOrder;
@@ -20,6 +20,22 @@
 /// Longest wait for a change of the buffer.
 const MAX_CHANGE_WAIT: Duration = Duration::from_millis(500);
 
+/// Whether an attempt makes no progress for now, because its endpoint or its group is silent.
+#[derive(Debug, Clone, Default)]
+pub(super) struct StallFlag {
+    stalled: Arc<AtomicBool>,
+}
+
+impl StallFlag {
+    pub(super) fn set(&self, stalled: bool) {
+        self.stalled.store(stalled, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_set(&self) -> bool {
+        self.stalled.load(Ordering::Relaxed)
+    }
+}
+
 /// An attempt and the answer received for it so far.
 #[derive(Debug)]
 pub(super) struct RunningAttempt {
@@ -28,6 +44,7 @@
     buffer: Mutex<AnswerBuffer>,
     changed: Condvar,
     cancelled: AtomicBool,
+    pub(super) stall: StallFlag,
 }
 
 impl RunningAttempt {
@@ -39,6 +56,7 @@
             buffer: Mutex::new(buffer),
             changed: Condvar::new(),
             cancelled: AtomicBool::new(false),
+            stall: StallFlag::default(),
         }
     }
 
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -24,6 +24,9 @@
 /// Timeout for the entry's confirmation that it has received the whole answer.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Interval between checks whether expired leases are held again.
+const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Serves one stream of an entry.
 pub(super) fn serve(stream: &LinkStream, shared: &Arc<AgentShared>) {
     let request = match stream.reader.receive::<EntryRequest>(FIRST_MESSAGE_TIMEOUT) {
@@ -213,6 +216,7 @@
                 AgentReply::Head { attempt, status, content_type }
             }
             BufferItem::Chunk { sequence, data } => AgentReply::Chunk { attempt, sequence, data },
+            BufferItem::Nothing if running.stall.is_set() => AgentReply::Stalled { attempt },
             BufferItem::Nothing => {
                 AgentReply::Progress { attempt, next_sequence: reader.next_sequence() }
             }
@@ -255,8 +259,9 @@
     if let Some(reason) = shared.backoff_reason() {
         return AnswerEnd::Refused(reason);
     }
-    let began = shared.clock.now();
-    let mut answer = match endpoint::call(&shared.settings.endpoint, &running.order) {
+    let (began, refusals) = (shared.clock.now(), shared.lease_refusals());
+    let answer = endpoint::call(&shared.settings.endpoint, &running.order);
+    let mut answer = match answer {
         Ok(answer) => answer,
         Err(EndpointError::Unreachable { detail }) => {
             log::warn!("endpoint unreachable; refusing the attempt: {detail}");
@@ -272,26 +277,52 @@
     }
     let (status, content_type) = (answer.status, answer.content_type.clone());
     running.update(|buffer| buffer.push_head(AnswerHead { status, content_type }));
-    match fill_buffer(&mut answer, shared, running) {
-        Ok(()) if shared.is_still_whole(&running.order) => AnswerEnd::Whole,
+    let is_whole = || wait_until_whole(shared, running, began, refusals);
+    match fill_buffer(&mut answer, running, is_whole) {
+        Ok(()) if is_whole() => AnswerEnd::Whole,
         Ok(()) => failed_end("the group lost a member"),
         Err(detail) => broken_end(shared, began, &detail),
     }
 }
 
+/// Waits while the leases of the group have expired, so that no answer passes meanwhile; `false`
+/// when the group has lost a member or the answer is no longer needed.
+///
+/// A member that was silent for a moment renews its lease afterwards. Ending the answer before
+/// would lose it for good if the caller already has a part of it.
+fn wait_until_whole(
+    shared: &AgentShared,
+    running: &RunningAttempt,
+    began: TimePoint,
+    refusals: u64,
+) -> bool {
+    let order = &running.order;
+    let deadline = began.after(Duration::from_millis(order.deadline_ms.into()));
+    while !shared.is_still_whole(order) {
+        let is_over = running.is_unwanted() || shared.clock.now() >= deadline;
+        if is_over || !shared.may_become_whole(order, refusals) {
+            return false;
+        }
+        running.stall.set(true);
+        std::thread::sleep(LEASE_POLL_INTERVAL);
+    }
+    running.stall.set(false);
+    shared.may_become_whole(order, refusals)
+}
+
 /// Copies the endpoint's answer into the buffer. Returning early closes the connection to the
 /// endpoint, which stops its stream.
 fn fill_buffer(
     answer: &mut EndpointAnswer,
-    shared: &AgentShared,
     running: &RunningAttempt,
+    is_whole: impl Fn() -> bool,
 ) -> Result<(), String> {
     if !answer.is_stream() {
         let data = answer.read_body().map_err(|error| error.to_string())?;
         return push_chunk(running, data);
     }
     while let Some(data) = answer.next_event().map_err(|error| error.to_string())? {
-        if !shared.is_still_whole(&running.order) {
+        if !is_whole() {
             return Err("the group lost a member".to_owned());
         }
         push_chunk(running, data)?;
--- a/crates/node/src/agent/shared.rs
+++ b/crates/node/src/agent/shared.rs
@@ -27,6 +27,8 @@
     pub(super) fencing: FencingNumber,
     /// Time until which the leases of all members are held.
     pub(super) whole_until: Option<TimePoint>,
+    /// How often a member has refused its lease or reported that its endpoint is not ready.
+    pub(super) refusals: u64,
     /// Maximum number of attempts in flight.
     pub(super) capacity: u32,
 }
@@ -255,6 +257,19 @@
         (gate.group, gate.fencing) == (order.group, order.fencing) && self.is_whole(&gate)
     }
 
+    /// Number of refused leases of the group that this host leads.
+    pub(super) fn lease_refusals(&self) -> u64 {
+        self.gate.load().refusals
+    }
+
+    /// Whether the group of `order` has lost no member since `refusals` leases were refused. The
+    /// leases may have expired: a member that was silent for a while can still renew its lease, and
+    /// has been in no other group meanwhile.
+    pub(super) fn may_become_whole(&self, order: &DispatchOrder, refusals: u64) -> bool {
+        let gate = self.gate.load();
+        (gate.group, gate.fencing) == (order.group, order.fencing) && gate.refusals == refusals
+    }
+
     /// The current load, for reports to entries.
     pub(super) fn load(&self) -> LoadReport {
         let slots = self.lock_slots();
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -202,7 +202,8 @@
         let now = self.shared.clock.now();
         match received {
             Ok(reply) => {
-                let is_progress = matches!(reply, AgentReply::Progress { .. });
+                let is_progress =
+                    matches!(reply, AgentReply::Progress { .. } | AgentReply::Stalled { .. });
                 (self.tracker.on_reply(now, reply), is_progress)
             }
             Err(briartray_link::LinkError::TimedOut) => (self.tracker.on_timeout(now), false),
--- a/crates/routing/src/attempt/tracker.rs
+++ b/crates/routing/src/attempt/tracker.rs
@@ -70,7 +70,7 @@
     },
     /// The attempt was not run and never will be.
     Refused(RefusalReason, Option<LoadReport>),
-    /// The agent is silent, so another replica should be tried. The attempt may still go on; unless
+    /// The agent or its endpoint is silent, so another replica should be tried. The attempt may still go on; unless
     /// another one takes its place, continue it with [`AttemptTracker::keep`].
     Silent,
     /// The attempt ended without a complete answer.
@@ -175,6 +175,8 @@
         self.accepted = true;
         match reply {
             AgentReply::Accepted { .. } | AgentReply::Progress { .. } => TrackerAction::Wait,
+            AgentReply::Stalled { .. } if self.is_replaceable() => TrackerAction::Silent,
+            AgentReply::Stalled { .. } => TrackerAction::Wait,
             AgentReply::Head { status, content_type, .. } => {
                 TrackerAction::Head { status, content_type }
             }
--- a/crates/routing/tests/attempts.rs
+++ b/crates/routing/tests/attempts.rs
@@ -268,6 +268,22 @@
     );
 }
 
+/// Guards against a stalled attempt that keeps its request although another replica is free, and
+/// against one that is given up although none is.
+#[test]
+fn stalled_attempt_is_tried_elsewhere_only_before_its_first_chunk() {
+    let stalled = || AgentReply::Stalled { attempt: ATTEMPT };
+    let (mut waiting, mut begun) = (tracker(true), delivered_tracker());
+
+    let first = waiting.on_reply(seconds(2), stalled());
+    waiting.keep(seconds(2));
+
+    assert_eq!(first, TrackerAction::Silent);
+    assert_eq!(waiting.on_reply(seconds(3), stalled()), TrackerAction::Wait);
+    assert_eq!(begun.on_reply(seconds(2), stalled()), TrackerAction::Wait);
+    assert_eq!(tracker(false).on_reply(seconds(2), stalled()), TrackerAction::Wait);
+}
+
 /// An agent and the connection to it, both driven by one seed.
 struct FaultyConnection {
     random: ChaCha8Rng,
