Wait for a silent engine until the deadline of its request

Cause: an agent ended the call of an engine that had sent no head for 3 s, and a stream of which the engine had left four requests to resume unanswered, 3 s each; a stream without a first event after the second.

Change: the agent asks for the stream anew until the deadline, also when the engine does not know the call yet after it went on. Meanwhile it tells the entry that the attempt is stalled, and the entry decides whether to try another replica, as for a silent agent.

A silence of more than 12 s within a stream has no test.

--- a/crates/cli/tests/silence.rs
+++ b/crates/cli/tests/silence.rs
@@ -193,6 +193,21 @@
     assert_eq!(fleet.runs(), 1);
 }
 
+/// Guards against a stream that fails before its first event because its engine is silent.
+#[test]
+fn stream_begins_after_a_silence_of_its_engine() {
+    for silence in [SHORT_SILENCE, MEDIUM_SILENCE] {
+        let fleet = start_fleet(1, 0, 1, NO_RETRY);
+
+        let answer = call_during_pause(fleet.endpoint(0), silence, false, || fleet.stream());
+        let (status, stream) = read_stream(answer);
+
+        assert_eq!(status, 200, "{silence:?}: {stream}");
+        assert_whole(&stream);
+        assert_eq!(fleet.runs(), 1);
+    }
+}
+
 /// Guards against a call that fails, or runs twice, because its service is silent for a moment.
 #[test]
 fn call_that_must_not_be_repeated_survives_a_silence_of_its_service() {
--- a/crates/node/src/agent/endpoint.rs
+++ b/crates/node/src/agent/endpoint.rs
@@ -13,6 +13,8 @@
 use serde::Deserialize;
 use snafu::Snafu;
 
+use super::running::StallFlag;
+
 /// Maximum length of a line in an event stream.
 const MAX_EVENT_BYTES: u64 = 1024 * 1024;
 
@@ -28,8 +30,15 @@
 /// How often a stream is resumed without receiving a new event in between.
 const MAX_RESUMES: u32 = 20;
 
-/// How many unanswered requests to resume are retried if only this engine can continue the answer.
-const MAX_SILENT_RESUMES: u32 = 3;
+/// How often an engine is asked for an answer that it does not know: it may not have read the call
+/// yet.
+const MAX_UNKNOWN_RESUMES: u32 = 5;
+
+/// Delay before an engine is asked again for an answer that it did not know.
+const UNKNOWN_RESUME_WAIT: Duration = Duration::from_millis(200);
+
+/// Lower bound of the timeout of one read; a timeout of zero is invalid.
+const MIN_READ_TIMEOUT: Duration = Duration::from_millis(1);
 
 /// Timeout for connecting to the endpoint, which runs on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -80,8 +89,8 @@
     attempt: AttemptId,
     deadline: Instant,
     kind: EndpointKind,
-    /// Whether the call must not be repeated.
-    once: bool,
+    /// Set while the endpoint is silent.
+    stall: StallFlag,
     length: Option<u64>,
     /// Whether a truncated body can be distinguished from a complete one.
     framed: bool,
@@ -118,6 +127,7 @@
 pub(super) fn call(
     settings: &EndpointSettings,
     order: &DispatchOrder,
+    stall: &StallFlag,
 ) -> Result<EndpointAnswer, EndpointError> {
     let url = format!("http://{}{}", settings.address, order.target.path);
     let method = Method::from_bytes(order.target.method.as_bytes())
@@ -142,7 +152,14 @@
             request = request.header(name, value);
         }
     }
-    let response = request.bytes(order.body.as_slice()).send().map_err(classify_error)?;
+    let deadline = Instant::now() + left;
+    let response = match request.bytes(order.body.as_slice()).send() {
+        Err(error) if resumes && is_timeout(&error) => {
+            let resumption = StreamResumption { address: settings.address, deadline, stall };
+            resumption.request_started(order.attempt).map_err(classify_error)?
+        }
+        sent => sent.map_err(classify_error)?,
+    };
     let (status, headers, body) = response.split();
     let header_text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     // A plain service need not return the request id, but if it does, the id must match.
@@ -151,13 +168,12 @@
     {
         return CrossedSnafu { attempt: order.attempt, given }.fail();
     }
-    let deadline = Instant::now() + left;
     Ok(EndpointAnswer {
         address: settings.address,
         attempt: order.attempt,
         deadline,
         kind: settings.kind,
-        once: order.once,
+        stall: stall.clone(),
         status: status.as_u16(),
         content_type: header_text("content-type").unwrap_or("application/octet-stream").to_owned(),
         backoff: header_text("retry-after")
@@ -259,40 +275,26 @@
 
     /// Requests the rest of the stream from the engine over a new connection.
     ///
-    /// An engine that does not answer may only be paused for a moment. If the caller has received
-    /// a part of the answer, or the call must not be repeated, only this engine can continue, so
-    /// the request is retried. Otherwise the attempt fails and another replica can be tried.
+    /// An engine that does not answer may only be paused, so the request is repeated until the
+    /// deadline.
     fn resume(&mut self, detail: String) -> Result<(), EndpointError> {
-        let engine_required = self.once || self.next_index > 0;
-        let mut silent_retries_left = if engine_required { MAX_SILENT_RESUMES } else { 0 };
-        loop {
-            let left = self.deadline.saturating_duration_since(Instant::now());
-            if self.kind != EndpointKind::Engine || self.resumes_left == 0 || left.is_zero() {
-                return Err(EndpointError::Broken { detail });
-            }
-            self.resumes_left -= 1;
-            match self.request_rest(left) {
-                Ok(response) if response.is_success() => {
-                    let (_, _, body) = response.split();
-                    self.body = buffer_body(body, self.deadline);
-                    return Ok(());
-                }
-                Err(error) if silent_retries_left > 0 && is_timeout(&error) => {
-                    silent_retries_left -= 1
-                }
-                _ => return Err(EndpointError::Broken { detail }),
+        if self.kind != EndpointKind::Engine || self.resumes_left == 0 {
+            return Err(EndpointError::Broken { detail });
+        }
+        self.resumes_left -= 1;
+        let (address, deadline, stall) = (self.address, self.deadline, &self.stall);
+        stall.set(true);
+        let resumption = StreamResumption { address, deadline, stall };
+        match resumption.request(self.attempt, self.next_index) {
+            Ok(response) if response.is_success() => {
+                let (_, _, body) = response.split();
+                self.body = buffer_body(body, self.deadline);
+                Ok(())
             }
+            _ => Err(EndpointError::Broken { detail }),
         }
     }
 
-    fn request_rest(&self, left: Duration) -> attohttpc::Result<attohttpc::Response> {
-        let (address, attempt, from) = (self.address, self.attempt, self.next_index);
-        attohttpc::get(format!("http://{address}/requests/{attempt}?from={from}"))
-            .connect_timeout(CONNECT_TIMEOUT)
-            .read_timeout(left.min(STREAM_SILENCE_TIMEOUT))
-            .send()
-    }
-
     /// Reads the whole body of an answer that is not a stream.
     pub(super) fn read_body(&mut self) -> Result<Vec<u8>, EndpointError> {
         if !self.framed {
@@ -331,6 +333,47 @@
     }
 }
 
+/// Requests a stream that an engine has begun, over a new connection.
+struct StreamResumption<'a> {
+    address: SocketAddr,
+    deadline: Instant,
+    stall: &'a StallFlag,
+}
+
+impl StreamResumption<'_> {
+    /// Requests the events of `attempt` from the index `from` on, until the engine answers or the
+    /// deadline has passed.
+    fn request(&self, attempt: AttemptId, from: u64) -> attohttpc::Result<attohttpc::Response> {
+        loop {
+            let left = self.deadline.saturating_duration_since(Instant::now());
+            let sent =
+                attohttpc::get(format!("http://{}/requests/{attempt}?from={from}", self.address))
+                    .connect_timeout(CONNECT_TIMEOUT)
+                    .read_timeout(left.clamp(MIN_READ_TIMEOUT, STREAM_SILENCE_TIMEOUT))
+                    .send();
+            let is_silent = sent.as_ref().is_err_and(is_timeout);
+            self.stall.set(is_silent);
+            if !is_silent || left.is_zero() {
+                return sent;
+            }
+        }
+    }
+
+    /// Requests a stream whose call got no answer in time, and which the engine may not know yet.
+    fn request_started(&self, attempt: AttemptId) -> attohttpc::Result<attohttpc::Response> {
+        self.stall.set(true);
+        let mut answer = self.request(attempt, 0)?;
+        for _ in 0..MAX_UNKNOWN_RESUMES {
+            if answer.status() != StatusCode::NOT_FOUND {
+                break;
+            }
+            std::thread::sleep(UNKNOWN_RESUME_WAIT);
+            answer = self.request(attempt, 0)?;
+        }
+        answer.error_for_status()
+    }
+}
+
 /// Whether the engine did not answer in time.
 fn is_timeout(error: &attohttpc::Error) -> bool {
     match error.kind() {
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -260,7 +260,7 @@
         return AnswerEnd::Refused(reason);
     }
     let (began, refusals) = (shared.clock.now(), shared.lease_refusals());
-    let answer = endpoint::call(&shared.settings.endpoint, &running.order);
+    let answer = endpoint::call(&shared.settings.endpoint, &running.order, &running.stall);
     let mut answer = match answer {
         Ok(answer) => answer,
         Err(EndpointError::Unreachable { detail }) => {
