Keep an endpoint ready while it only takes no connection

Cause: the agent's probe took an endpoint that did not accept a connection within 500 ms, as a paused one with full queues does, for one that had restarted and lost its model. The group closed, its running answers ended, and the model was loaded again.

Change: only a connection that is refused shows that the endpoint has ended.

--- a/crates/node/src/agent/orders.rs
+++ b/crates/node/src/agent/orders/mod.rs
@@ -4,6 +4,7 @@
 //! latter are safe because only this thread sends orders to them: it sends one at a time, always
 //! according to the latest assignment by control, and never an older one than before.
 
+use std::io::ErrorKind;
 use std::net::TcpStream;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -121,11 +122,19 @@
     /// Probes the endpoint and sends the orders that are missing. Returns the fencing number for
     /// which the endpoint is ready.
     fn reconcile(&mut self) -> Option<FencingNumber> {
-        if TcpStream::connect_timeout(&self.endpoint.address, CONNECT_TIMEOUT).is_err() {
-            // An endpoint that was down has restarted and lost its model and role.
-            self.loaded_service = None;
-            self.role = None;
-            return None;
+        match TcpStream::connect_timeout(&self.endpoint.address, CONNECT_TIMEOUT) {
+            Ok(_) => {}
+            // The endpoint is paused or busy and has lost nothing.
+            Err(error) if error.kind() == ErrorKind::TimedOut => {
+                let desired = self.desired_state()?.fencing;
+                return self.reported.filter(|fencing| *fencing == desired);
+            }
+            Err(_) => {
+                // An endpoint that was down has restarted and lost its model and role.
+                self.loaded_service = None;
+                self.role = None;
+                return None;
+            }
         }
         let desired = self.desired_state()?;
         if self.endpoint.kind == EndpointKind::Plain {
@@ -170,3 +179,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
