--- a/crates/node/src/agent/endpoint_tests.rs
+++ b/crates/node/src/agent/endpoint_tests.rs
@@ -9,7 +9,7 @@
 use briartray_model::names::{AttemptId, FencingNumber, GroupId, RequestId};
 use briartray_model::settings::{EndpointKind, EndpointSettings};
 
-use super::{EndpointError, MAX_ANSWER_BYTES, call};
+use super::{EndpointAnswer, EndpointError, MAX_ANSWER_BYTES, StallFlag, call};
 
 /// Time that a caller waits for an answer.
 const DEADLINE: Duration = Duration::from_millis(800);
@@ -95,6 +95,14 @@
     receiver.recv_timeout(WAIT_TIMEOUT).expect("the call ends")
 }
 
+fn call_endpoint(
+    address: SocketAddr,
+    kind: EndpointKind,
+    order: &DispatchOrder,
+) -> Result<EndpointAnswer, EndpointError> {
+    call(&settings(address, kind), order, &StallFlag::default())
+}
+
 /// Guards against a body without end whose first part is taken for the whole answer.
 #[test]
 fn a_body_without_end_is_no_answer() {
@@ -108,7 +116,7 @@
 
         let outcome = ended(move || {
             let order = DispatchOrder { deadline_ms: 10_000, ..order(false) };
-            call(&settings(address, EndpointKind::Plain), &order)?.read_body()
+            call_endpoint(address, EndpointKind::Plain, &order)?.read_body()
         });
 
         let detail = outcome.map(|body| body.len());
@@ -123,7 +131,7 @@
     let address = finite_endpoint(format!("{chunked}5\r\nwhole\r\n0\r\n\r\n"));
 
     let received =
-        ended(move || call(&settings(address, EndpointKind::Plain), &order(false))?.read_body());
+        ended(move || call_endpoint(address, EndpointKind::Plain, &order(false))?.read_body());
 
     assert_eq!(received.ok().as_deref(), Some(b"whole".as_slice()));
 }
@@ -138,7 +146,7 @@
 
     let received = ended(move || {
         let order = DispatchOrder { deadline_ms: 10_000, ..order(false) };
-        call(&settings(address, EndpointKind::Plain), &order)?.read_body()
+        call_endpoint(address, EndpointKind::Plain, &order)?.read_body()
     });
 
     assert_eq!(received.map(|body| body.len()).ok(), Some(length));
@@ -157,7 +165,7 @@
         let address = endless_endpoint(begin, repeated, Duration::from_millis(1));
 
         let is_broken = ended(move || {
-            let outcome = call(&settings(address, EndpointKind::Engine), &order(true));
+            let outcome = call_endpoint(address, EndpointKind::Engine, &order(true));
             matches!(outcome, Err(EndpointError::Broken { .. }))
         });
 
@@ -173,7 +181,7 @@
         let address = endless_endpoint(head, repeated, Duration::from_millis(1));
 
         let is_broken = ended(move || {
-            let answer = call(&settings(address, EndpointKind::Engine), &order(true));
+            let answer = call_endpoint(address, EndpointKind::Engine, &order(true));
             let outcome = answer.and_then(|mut answer| answer.next_event());
             matches!(outcome, Err(EndpointError::Broken { .. }))
         });
@@ -191,7 +199,7 @@
         let address = finite_endpoint(format!("{head}data: {}\n\n", "m".repeat(size)));
 
         let outcome = ended(move || {
-            let answer = call(&settings(address, EndpointKind::Plain), &order(true));
+            let answer = call_endpoint(address, EndpointKind::Plain, &order(true));
             answer.and_then(|mut answer| answer.next_event())
         });
 
