Read the rest of a body that was asked for and is too large

Cause: a caller that waits for 100 Continue was told to send its body; when the body proved too large, the 413 left the rest unread, and the caller met a reset.

Change: whether the rest of a body is read depends on the refusal; a body that was asked for is.

--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -133,9 +133,14 @@
         }
     }
 
-    /// Whether the rest of the body is worth waiting for before the response.
-    pub(super) fn awaits_body(self) -> bool {
-        !matches!(self, Self::BadBody | Self::BodyTimeout)
+    /// Whether the rest of the body is read before the response. A caller that waits for a
+    /// `100 Continue` sends no body after a refusal, unless the body was asked for.
+    pub(super) fn awaits_body(self, awaits_continue: bool) -> bool {
+        match self {
+            Self::BadBody | Self::BodyTimeout => false,
+            Self::BodyTooLarge => true,
+            _ => !awaits_continue,
+        }
     }
 
     /// Randomized retry delay, for requests that did not run.
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -80,10 +80,9 @@
     mut body: Incoming,
     unanswered: &mut UnansweredGuard,
 ) -> (Response<ResponseBody>, Option<CallerFacts>) {
-    // A caller that waits for a `100 Continue` sends no body after a refusal.
     let awaits_continue = parts.headers.contains_key(header::EXPECT);
     let admitted = admit(state, parts, head, &mut body).await;
-    if admitted.as_ref().is_err_and(|kind| kind.awaits_body()) && !awaits_continue {
+    if admitted.as_ref().is_err_and(|kind| kind.awaits_body(awaits_continue)) {
         discard_body(&mut body).await;
     }
     unanswered.set_read(admitted.is_ok());
