Keep the group of a host that is silent for about a second

Cause: the leader took a host for lost after two probes without an answer, or one while an entry found its group silent: 0.2 to 0.6 s after a silence began. It ended the group, ordered its members to leave and to join other groups, and the head could not finish its streams when it went on.

Change: a probe tells a refused connection from no answer in time. Two refusals are a loss at once, since no process listens at the address. Without an answer an endpoint is lost only when a probe fails that was sent 1.2 s after the first of the failed ones. Meanwhile the view shows the group as closed, as before, and its members get no orders. An endpoint that answers after two failed probes has to report the group that it was in; otherwise it is unverified, as one that was lost. New leaders apply the same times.

Conclusion: the wait costs 1.1 to 1.2 s where a host is gone and refuses no connection, and nothing where its process is gone.

--- a/crates/fleet/src/director/group.rs
+++ b/crates/fleet/src/director/group.rs
@@ -119,10 +119,12 @@
         self.host.is_some_and(|host| host.inherited)
     }
 
-    /// Whether it counts as missing: two probes failed, or one failed while an entry finds its
+    /// Whether it is lost or silent: two probes failed, or one failed while an entry finds its
     /// group silent. The second source saves the time of a probe.
-    fn is_missing(&self, suspect: impl Fn() -> bool) -> bool {
-        self.is_lost() || (self.host.is_some_and(|host| host.failures > 0) && suspect())
+    fn is_silent(&self, suspect: impl Fn() -> bool) -> bool {
+        let has_failed = self.host.is_some_and(|host| host.failures > 0);
+        let unresponsive = self.host.is_some_and(HostRecord::is_unresponsive);
+        self.is_lost() || unresponsive || (has_failed && suspect())
     }
 }
 
@@ -175,25 +177,29 @@
         self.members.first()
     }
 
-    /// Whether the group serves: its head reports so, and no member is missing or leaving.
+    /// Whether the group takes requests: its head reports so, no member is leaving, and none is
+    /// silent while no entry observes that the group works. A silent member may go on, so this
+    /// alone is no reason to end the group.
     pub(super) fn is_open(&self) -> bool {
-        self.head().is_some_and(|head| head.state == Some(MemberState::Open)) && !self.is_impaired()
+        let suspect =
+            || self.context.activity.is_suspect(self.context.now, self.group, self.silence_limit());
+        let is_silent = || self.members.iter().any(|member| member.is_silent(suspect));
+        self.head().is_some_and(|head| head.state == Some(MemberState::Open))
+            && !self.has_leaving()
+            && (!is_silent() || self.is_active())
     }
 
-    /// Whether a member is leaving, or one is missing and no entry observes that the group works.
+    /// Whether a member is leaving, or one is lost and no entry observes that the group works.
     fn is_impaired(&self) -> bool {
-        self.members.iter().any(|member| member.leaving)
-            || (self.lacks_member() && !self.is_active())
+        self.has_leaving() || (self.lacks_member() && !self.is_active())
     }
 
-    fn lacks_member(&self) -> bool {
-        self.members.iter().any(|member| self.is_missing(member))
+    fn has_leaving(&self) -> bool {
+        self.members.iter().any(|member| member.leaving)
     }
 
-    fn is_missing(&self, member: &MemberView<'_>) -> bool {
-        let suspect =
-            || self.context.activity.is_suspect(self.context.now, self.group, self.silence_limit());
-        member.is_missing(suspect)
+    fn lacks_member(&self) -> bool {
+        self.members.iter().any(MemberView::is_lost)
     }
 
     /// Whether an entry observes that the whole group works.
@@ -287,7 +293,7 @@
 /// that joined elsewhere earlier would be in two groups at once.
 fn end_step(status: &GroupStatus<'_>, tracker: &mut GroupTracker, since: TimePoint) -> GroupStep {
     let Some(head) = status.head() else { return GroupStep::End };
-    if status.is_missing(head) {
+    if head.is_lost() {
         return GroupStep::End;
     }
     match head.state {
--- a/crates/fleet/src/director/host_record.rs
+++ b/crates/fleet/src/director/host_record.rs
@@ -4,7 +4,7 @@
 
 use briartray_model::TimePoint;
 
-use super::{EndpointHeartbeat, EndpointOrder};
+use super::{EndpointHeartbeat, EndpointOrder, GroupMembership};
 use crate::deployment::ColdTerms;
 use crate::limit::EndpointRate;
 
@@ -18,8 +18,23 @@
 /// more time than it saves.
 const SLOW_PACE_FACTOR: f64 = 2.0;
 
-/// Consecutive failed probes after which an endpoint counts as lost.
-const LOST_PROBE_FAILURES: u32 = 2;
+/// Consecutive probes that an endpoint fails before its group counts as silent; one may be a lost
+/// packet.
+const SILENT_PROBE_FAILURES: u32 = 2;
+
+/// Consecutive refused connections after which an endpoint counts as lost: no process listens at
+/// its address.
+const LOST_PROBE_REFUSALS: u32 = 2;
+
+/// Silence after which another probe without an answer counts as a loss. A sound endpoint may be
+/// silent for about a second, and what is sent to it meanwhile may get lost.
+const LOST_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Time between two probes of a silent endpoint.
+const SILENT_PROBE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time between two probes of a lost endpoint; its first heartbeat tells of its return sooner.
+const LOST_PROBE_INTERVAL: Duration = Duration::from_millis(2_500);
 
 /// An endpoint as the leader knows it.
 #[derive(Debug, Clone, PartialEq)]
@@ -32,6 +47,12 @@
     pub last_contact: TimePoint,
     /// Consecutive failed probes.
     pub failures: u32,
+    /// Consecutive probes for which it refused the connection.
+    refusals: u32,
+    /// When the first of the failed probes was sent.
+    silent_since: Option<TimePoint>,
+    /// Whether the failed probes show that it is gone.
+    gone: bool,
     /// When the probe that is in flight was sent.
     pub(super) probe_sent_at: Option<TimePoint>,
     pub(super) next_probe_at: TimePoint,
@@ -81,6 +102,9 @@
             first_seen: now,
             last_contact: now,
             failures: 0,
+            refusals: 0,
+            silent_since: None,
+            gone: false,
             probe_sent_at: None,
             next_probe_at,
             probes_held_until: now,
@@ -101,7 +125,34 @@
 
     /// Whether the endpoint counts as lost.
     pub fn is_lost(&self) -> bool {
-        self.failures >= LOST_PROBE_FAILURES || self.unverified
+        self.gone || self.unverified
+    }
+
+    /// Whether it has failed enough probes to be silent, for whatever reason.
+    pub(super) fn is_unresponsive(&self) -> bool {
+        self.failures >= SILENT_PROBE_FAILURES
+    }
+
+    /// Records that the probe sent at `sent_at` got no answer.
+    pub(super) fn record_silence(&mut self, now: TimePoint, sent_at: TimePoint) {
+        self.failures += 1;
+        self.refusals = 0;
+        let silent_since = *self.silent_since.get_or_insert(sent_at);
+        self.gone |= sent_at.since(silent_since) >= LOST_SILENCE;
+        let last_probe_at = silent_since.after(LOST_SILENCE).max(now);
+        self.next_probe_at = match self.failures {
+            _ if self.gone => now.after(LOST_PROBE_INTERVAL),
+            1 => now,
+            _ => now.after(SILENT_PROBE_INTERVAL).min(last_probe_at),
+        };
+    }
+
+    /// Records that it refused the connection of a probe.
+    pub(super) fn record_refusal(&mut self, now: TimePoint) {
+        self.failures += 1;
+        self.refusals += 1;
+        self.gone |= self.refusals >= LOST_PROBE_REFUSALS;
+        self.next_probe_at = if self.gone { now.after(LOST_PROBE_INTERVAL) } else { now };
     }
 
     /// Rate that it accepts from all entries together while it is cold or may be; `None` otherwise.
@@ -111,17 +162,20 @@
         (now < self.cold_until || recently_readmitted).then_some(terms.rate)
     }
 
-    /// Records a sign of life; an endpoint that was lost becomes unverified until it answers an
-    /// order.
+    /// Records a sign of life with the `membership` that it reports. An endpoint that was lost, or
+    /// that has left its group during a silence, becomes unverified until it answers an order.
     ///
     /// When a domain came back, its endpoints answered probes meant for their earlier incarnations
     /// before their own first heartbeats arrived. Without the check, groups were formed of
     /// endpoints that no longer existed, six times in half a second.
-    pub(super) fn record_contact(&mut self, now: TimePoint) {
-        if self.failures >= LOST_PROBE_FAILURES && self.serves_in_groups() {
+    pub(super) fn record_contact(&mut self, now: TimePoint, membership: Option<&GroupMembership>) {
+        let known = self.heartbeat.report.mark.as_ref().map(|known| known.group);
+        // A later incarnation is in no group at first.
+        let goes_on = membership.is_some_and(|now| self.inherited || known == Some(now.group));
+        if self.serves_in_groups() && (self.gone || (self.is_unresponsive() && !goes_on)) {
             self.unverified = true;
         }
-        self.failures = 0;
+        (self.failures, self.refusals, self.silent_since, self.gone) = (0, 0, None, false);
         self.inherited = false;
         if !self.unverified {
             self.last_contact = now;
--- a/crates/fleet/src/director/hosts.rs
+++ b/crates/fleet/src/director/hosts.rs
@@ -3,8 +3,8 @@
 //! A heartbeat every second or so detects a loss too late: a group stalls as soon as one member is
 //! lost, while its head goes on accepting requests. So members are probed for a report every
 //! [`PROBE_INTERVAL`], at once when an entry finds a group silent, and again right after a failure.
-//! Two consecutive failures without a sign of life count as a loss; a single one may be a lost
-//! packet.
+//! An endpoint that refuses connections is lost: no process is left at its address. One that does
+//! not answer may be sound and silent for about a second, and counts as lost only after that.
 
 use std::time::Duration;
 
@@ -14,9 +14,6 @@
 use super::host_record::{HostRecord, PROBE_INTERVAL};
 use super::{EndpointHeartbeat, EndpointOrder, EndpointReport, ProbeCall};
 
-/// Time between two probes of a lost endpoint; its first heartbeat tells of its return sooner.
-const LOST_PROBE_INTERVAL: Duration = Duration::from_millis(2_500);
-
 /// Silence after which an endpoint is removed unless it answers probes.
 const FORGET_AFTER: Duration = Duration::from_secs(12);
 
@@ -78,7 +75,7 @@
             return false;
         }
         record.address_contested = address_contested;
-        record.record_contact(now);
+        record.record_contact(now, heartbeat.report.mark.as_ref());
         record.cold_until = now.after(Duration::from_millis(heartbeat.cold_ms));
         let leaving = record.heartbeat.leaving || heartbeat.leaving;
         let report = heartbeat.report.clone().completed(&record.heartbeat.report);
@@ -175,7 +172,7 @@
         let probe_sent_at = record.probe_sent_at.take();
         match report {
             Some(report) => {
-                record.record_contact(now);
+                record.record_contact(now, report.mark.as_ref());
                 record.last_answer_at = Some(now);
                 record.next_probe_at = now.after(PROBE_INTERVAL);
                 let domain = report.domain.clone().or(record.heartbeat.report.domain.take());
@@ -186,11 +183,16 @@
             // The probe was given up before; its failure is already handled or another probe is in
             // flight.
             None if probe_sent_at.is_none() => {}
-            None => {
-                record.failures += 1;
-                record.next_probe_at =
-                    if record.is_lost() { now.after(LOST_PROBE_INTERVAL) } else { now };
-            }
+            None => record.record_silence(now, probe_sent_at.unwrap_or(now)),
+        }
+    }
+
+    /// Records that `id` refused the connection of a probe.
+    pub fn probe_refused(&mut self, now: TimePoint, id: &IncarnationId) {
+        if let Some(record) = self.records.get_mut(id)
+            && record.probe_sent_at.take().is_some()
+        {
+            record.record_refusal(now);
         }
     }
 
@@ -207,7 +209,8 @@
     pub fn probe_rejected(&mut self, now: TimePoint, id: &IncarnationId, wait: Duration) {
         if let Some(record) = self.records.get_mut(id) {
             record.probe_sent_at = None;
-            record.record_contact(now);
+            let membership = record.heartbeat.report.mark.clone();
+            record.record_contact(now, membership.as_ref());
             record.next_probe_at = now.after(PROBE_INTERVAL);
             record.probes_held_until = now.after(wait);
         }
--- a/crates/fleet/src/director/step.rs
+++ b/crates/fleet/src/director/step.rs
@@ -149,6 +149,12 @@
         changed
     }
 
+    /// Records that an endpoint refused the connection of a probe.
+    pub fn probe_refused(&mut self, now: TimePoint, id: &IncarnationId) {
+        self.hosts.probe_refused(now, id);
+        self.replan_needed = true;
+    }
+
     /// Records that an endpoint rejected a probe and accepts none for `wait`.
     pub fn probe_rejected(&mut self, now: TimePoint, id: &IncarnationId, wait: Duration) {
         self.hosts.probe_rejected(now, id, wait);
--- a/crates/fleet/tests/probes.rs
+++ b/crates/fleet/tests/probes.rs
@@ -6,6 +6,9 @@
 use briartray_model::TimePoint;
 use briartray_model::names::{DomainName, IncarnationId, ServiceName, ZoneName};
 
+/// Longest silence of a sound endpoint.
+const SOUND_SILENCE: Duration = Duration::from_millis(1_200);
+
 fn host() -> IncarnationId {
     IncarnationId::new("i-1")
 }
@@ -83,3 +86,30 @@
 
     assert!(table.get(&host()).is_some_and(|host| !host.is_lost() && host.failures == 0));
 }
+
+/// Guards against ending the group of an endpoint that is silent for about a second and goes on, and
+/// against waiting as long for one whose process is gone.
+#[test]
+fn refused_probes_are_a_loss_sooner_than_unanswered_ones() {
+    let is_lost = |table: &HostTable| table.get(&host()).is_some_and(|host| host.is_lost());
+    let (mut refusing, start) = probed_host();
+    let (mut silent, _) = probed_host();
+    let mut lost_after = None;
+
+    for _ in 0..2 {
+        assert!(!is_lost(&refusing));
+        due_probes(&mut refusing, start);
+        refusing.probe_refused(start, &host());
+    }
+    for step in 0..200 {
+        let now = start.after(Duration::from_millis(step * 10));
+        due_probes(&mut silent, now);
+        silent.probed(now.after(Duration::from_millis(9)), &host(), None);
+        if is_lost(&silent) {
+            lost_after.get_or_insert(now.since(start));
+        }
+    }
+
+    assert!(is_lost(&refusing));
+    assert!(lost_after.is_some_and(|after| after >= SOUND_SILENCE), "{lost_after:?}");
+}
--- a/crates/gateway/src/control/endpoint_client.rs
+++ b/crates/gateway/src/control/endpoint_client.rs
@@ -83,6 +83,10 @@
             tokio::time::timeout(PROBE_TIMEOUT, self.call_endpoint(&probe.address, request)).await;
         let Ok(Ok((status, head, body))) = outcome else {
             let late = self.clock.now().since(began) > PROBE_TIMEOUT + MAX_THREAD_DELAY;
+            // A connection may break for other reasons than a refusal.
+            if outcome.is_ok() && refuses_connections(&probe.address).await {
+                return ProbeResult::Refused;
+            }
             return if late { ProbeResult::Unread } else { ProbeResult::Silent };
         };
         let is_other = head.endpoint.is_some_and(|endpoint| endpoint != probe.id.endpoint());
@@ -145,3 +149,10 @@
         Ok((head.status, answer_head, body))
     }
 }
+
+/// Whether `address` refuses connections within the timeout of a probe.
+async fn refuses_connections(address: &str) -> bool {
+    let Ok(address) = address.parse() else { return false };
+    let refused = tokio::time::timeout(PROBE_TIMEOUT, briartray_http::is_refused(address));
+    refused.await.unwrap_or(false)
+}
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -95,6 +95,12 @@
                 log::info!(endpoint:% = id; "endpoint rejected a probe; it counts as working");
                 leadership.director.probe_rejected(now, id, *wait);
             }
+            ProbeResult::Refused => {
+                self.parts.metrics.silent_probes.inc();
+                log::info!(endpoint:% = id; "endpoint refused the connection of a probe");
+                leadership.director.probe_refused(now, id);
+                leadership.step_due = true;
+            }
             ProbeResult::Silent => {
                 self.parts.metrics.silent_probes.inc();
                 log::info!(endpoint:% = id; "endpoint did not answer a probe");
--- a/crates/gateway/src/control/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -96,6 +96,8 @@
         /// Time for which it accepts no further call; zero if it named none.
         wait: Duration,
     },
+    /// The address refuses connections: no process listens there any longer.
+    Refused,
 }
 
 /// An input of the control thread.
