Let a group complete its answers when control hosts cannot reach a host

Cause: a group that ends as planned (a member leaves, or the planner ends it) was ended at once if its head counted as lost, and its answers were cut off if another member did. Control hosts may be cut off from these hosts while entries still get bytes of the answers; the check for such bytes was made only before a group began to end.

Change: while an entry gets bytes of the group, an ending group with a lost head is kept, and one with a lost member is closed without cutting answers off, both for the six seconds that a planned end may take.

In the fixture a group that closes now sends bytes until it has closed.

--- a/crates/fleet/src/director/group.rs
+++ b/crates/fleet/src/director/group.rs
@@ -191,15 +191,16 @@
 
     /// Whether a member is leaving, or one is lost and no entry observes that the group works.
     fn is_impaired(&self) -> bool {
-        self.has_leaving() || (self.lacks_member() && !self.is_active())
+        self.has_leaving() || self.has_stalled()
     }
 
-    fn has_leaving(&self) -> bool {
-        self.members.iter().any(|member| member.leaving)
+    /// Whether a member is lost and no entry observes that the group works.
+    fn has_stalled(&self) -> bool {
+        self.members.iter().any(MemberView::is_lost) && !self.is_active()
     }
 
-    fn lacks_member(&self) -> bool {
-        self.members.iter().any(MemberView::is_lost)
+    fn has_leaving(&self) -> bool {
+        self.members.iter().any(|member| member.leaving)
     }
 
     /// Whether an entry observes that the whole group works.
@@ -293,8 +294,11 @@
 /// that joined elsewhere earlier would be in two groups at once.
 fn end_step(status: &GroupStatus<'_>, tracker: &mut GroupTracker, since: TimePoint) -> GroupStep {
     let Some(head) = status.head() else { return GroupStep::End };
+    let timed_out = status.context.now.since(since) > CLOSE_TIMEOUT;
     if head.is_lost() {
-        return GroupStep::End;
+        // An entry that gets bytes shows that the head completes answers with its members.
+        let completes = status.is_active() && !timed_out;
+        return if completes { GroupStep::Nothing } else { GroupStep::End };
     }
     match head.state {
         // The members are ordered to leave once the group has ended in the log.
@@ -302,9 +306,8 @@
             GroupStep::End
         }
         Some(MemberState::Open | MemberState::Closing) => {
-            let timed_out = status.context.now.since(since) > CLOSE_TIMEOUT;
             // With a member missing no request progresses, and waiting would only hold the hosts.
-            let truncate = status.lacks_member() || timed_out;
+            let truncate = status.has_stalled() || timed_out;
             let method = if truncate { CloseMethod::Truncate } else { CloseMethod::Wait };
             order_member(
                 status,
--- a/crates/fleet/tests/director/fleet.rs
+++ b/crates/fleet/tests/director/fleet.rs
@@ -251,14 +251,25 @@
 
     /// Open groups of which no member is silent.
     pub fn serving_groups(&self) -> Vec<GroupId> {
+        self.open_groups().into_iter().filter(|group| !self.is_silent(*group)).collect()
+    }
+
+    /// Groups that send bytes of running answers.
+    fn sending_groups(&self) -> Vec<GroupId> {
+        let sends = |group: &GroupId| {
+            let state = self.state_of_whole(*group);
+            matches!(state, Some(MemberState::Open | MemberState::Closing))
+        };
+        let groups = self.state.groups().keys().copied().filter(sends);
+        groups.filter(|group| !self.is_silent(*group)).collect()
+    }
+
+    fn is_silent(&self, group: GroupId) -> bool {
         let is_silent = |id: &IncarnationId| {
             self.position(id).is_some_and(|host| self.now < self.hosts[host].silent_until)
         };
-        let sounds = |group: &GroupId| {
-            let record = self.state.groups().get(group);
-            record.is_some_and(|record| !record.members.iter().any(|host| is_silent(&host.id)))
-        };
-        self.open_groups().into_iter().filter(sounds).collect()
+        let record = self.state.groups().get(&group);
+        record.is_some_and(|record| record.members.iter().any(|host| is_silent(&host.id)))
     }
 
     /// Number of serving groups of `model`.
@@ -333,14 +344,20 @@
     }
 
     fn is_whole(&self, group: GroupId) -> bool {
-        let Some(record) = self.state.groups().get(&group) else { return false };
+        self.state_of_whole(group) == Some(MemberState::Open)
+    }
+
+    /// State of the head if all members are present.
+    fn state_of_whole(&self, group: GroupId) -> Option<MemberState> {
+        let record = self.state.groups().get(&group)?;
         let member = |id: &IncarnationId| {
             let host = &self.hosts[self.position(id)?];
             let member = host.model.member.as_ref().filter(|_| host.alive)?;
             (member.group == group).then_some(member.state)
         };
-        let states: Vec<_> = record.members.iter().map(|host| member(&host.id)).collect();
-        states.first() == Some(&Some(MemberState::Open)) && states.iter().all(Option::is_some)
+        let states: Option<Vec<MemberState>> =
+            record.members.iter().map(|host| member(&host.id)).collect();
+        states?.first().copied()
     }
 
     fn step_hosts(&mut self) {
@@ -376,9 +393,10 @@
         self.director.heartbeat(self.now, heartbeat);
     }
 
-    /// Sends the report of an entry: whole groups send bytes, the others are silent.
+    /// Sends the report of an entry: whole groups send bytes until they have closed, the others are
+    /// silent.
     fn report(&mut self) {
-        for group in self.serving_groups() {
+        for group in self.sending_groups() {
             self.last_active.retain(|(known, _)| *known != group);
             self.last_active.push((group, self.now));
         }
--- a/crates/fleet/tests/director/losses.rs
+++ b/crates/fleet/tests/director/losses.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use briartray_fleet::director::{CloseMethod, EndpointOrder};
+
 use crate::fleet::{OrderFaults, TestFleet};
 use crate::models::{LARGE, SMALL};
 
@@ -107,6 +109,55 @@
     assert!(!fleet.grouped().contains(&leaving));
 }
 
+/// Guards against taking the members from a head that the control hosts cannot reach while its group
+/// ends as planned: its running answers were cut off, though entries still got bytes of them.
+#[test]
+fn an_isolated_head_completes_answers_when_its_group_ends() {
+    let mut fleet = TestFleet::serving(14);
+    let head = member_of(&fleet, LARGE, true);
+    let leaving = member_of(&fleet, LARGE, false);
+    let groups = fleet.open_groups();
+    fleet.hosts[head].isolated = true;
+    fleet.run_for(Duration::from_secs(3));
+
+    fleet.hosts[leaving].model.leaving = true;
+    fleet.run_for(Duration::from_secs(4));
+    let during = fleet.open_groups();
+    fleet.hosts[leaving].alive = false;
+    fleet.run_for(Duration::from_secs(4));
+
+    assert_eq!(during, groups);
+    assert!(!fleet.grouped().contains(&leaving));
+    assert_eq!(fleet.open_groups_of(LARGE), 3);
+}
+
+/// Guards against cutting off the answers of a group that ends as planned because the control hosts
+/// cannot reach one of its members: its head still completes them.
+#[test]
+fn a_group_with_an_isolated_member_completes_answers_when_it_ends() {
+    let mut fleet = TestFleet::serving(15);
+    let head = member_of(&fleet, LARGE, true);
+    let [isolated, leaving] = [1, 2].map(|index| {
+        let members = &fleet.hosts[head].model.member.as_ref().expect("it is a head").members;
+        let id = &members[index];
+        fleet.hosts.iter().position(|host| host.model.place.id == *id).expect("a host")
+    });
+    fleet.hosts[isolated].isolated = true;
+    fleet.run_for(Duration::from_secs(3));
+    fleet.ordered.clear();
+
+    fleet.hosts[leaving].model.leaving = true;
+    fleet.run_for(Duration::from_secs(6));
+
+    let closed = |method: CloseMethod| {
+        let id = &fleet.hosts[head].model.place.id;
+        let closes = |order: &EndpointOrder| matches!(order, EndpointOrder::Close { method: used, .. } if *used == method);
+        fleet.ordered.iter().any(|call| call.id == *id && closes(&call.order))
+    };
+    assert!(closed(CloseMethod::Wait) && !closed(CloseMethod::Truncate));
+    assert!(!fleet.grouped().contains(&leaving));
+}
+
 /// Guards against a repair that ends with its leader: the next leader knows the endpoints from the
 /// log, probes them at once and completes the repair.
 #[test]
