Bound the bodies that an entry buffers together

Cause: an entry kept each piece of a request body until the body was whole. By calculation 4 MiB in pieces of one byte take over 128 MB for one request; not measured.

A body for which there is no room is refused as not run.

--- a/crates/gateway/src/entry/refusal.rs
+++ b/crates/gateway/src/entry/refusal.rs
@@ -36,6 +36,8 @@
     BadBody,
     /// The body did not arrive by the deadline.
     BodyTimeout,
+    /// The entry buffers as many bodies as it can.
+    NoRoom,
     /// No replica currently serves the service or model.
     NoReplica,
     /// All replicas are at capacity.
@@ -71,6 +73,7 @@
             Self::BadBody => StatusCode::BAD_REQUEST,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::RulesUnconfirmed
+            | Self::NoRoom
             | Self::NoReplica
             | Self::ReplicasFull
             | Self::EndpointLimit { .. }
@@ -92,6 +95,7 @@
             Self::BodyTooLarge => "too_large",
             Self::BadBody => "bad_body",
             Self::BodyTimeout => "body_timeout",
+            Self::NoRoom => "no_room",
             Self::NoReplica => "no_replica",
             Self::ReplicasFull => "full",
             Self::EndpointLimit { .. } => "endpoint_limit",
@@ -114,6 +118,7 @@
             Self::BodyTooLarge => "send a smaller body",
             Self::BadBody => "send the whole body",
             Self::BodyTimeout => "send the whole body before the deadline",
+            Self::NoRoom => "this entry has no room for the body; come back in a moment",
             Self::NoReplica => "replicas are being set up; come back in a moment",
             Self::ReplicasFull => "all replicas are busy; come back in a moment",
             Self::EndpointLimit { .. } => {
@@ -153,7 +158,7 @@
             // On each group some request finishes within 0.1 s. The delay is spread over several
             // such intervals, so that callers refused together do not return together.
             Self::ReplicasFull => (700, 1_900),
-            Self::NotRun => (300, 800),
+            Self::NotRun | Self::NoRoom => (300, 800),
             Self::EndpointLimit { wait } => {
                 let wait = wait.clamp(MIN_LIMIT_DELAY, MAX_LIMIT_DELAY).as_millis();
                 let wait = u64::try_from(wait).unwrap_or(u64::MAX);
--- a/crates/gateway/src/entry/serve.rs
+++ b/crates/gateway/src/entry/serve.rs
@@ -13,7 +13,6 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use super::dispatch::{ServedRequest, request_fingerprint};
@@ -22,7 +21,7 @@
 use super::state::EntryState;
 use super::unanswered::UnansweredGuard;
 use super::{stream_relay, whole_answer};
-use briartray_http::{ResponseBody, discard_body};
+use briartray_http::{BodyFailure, ResponseBody, discard_body, read_request_body};
 
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 16;
@@ -247,13 +246,10 @@
     limit: usize,
     left: Duration,
 ) -> Result<Bytes, RefusalKind> {
-    let reading = tokio::time::timeout(left, Limited::new(body, limit).collect());
-    match reading.await.map_err(|_| RefusalKind::BodyTimeout)? {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(RefusalKind::BodyTooLarge),
-        Err(error) => {
-            log::debug!("failed to read request body: {error}");
-            Err(RefusalKind::BadBody)
-        }
-    }
+    let reading = tokio::time::timeout(left, read_request_body(body, limit));
+    reading.await.map_err(|_| RefusalKind::BodyTimeout)?.map_err(|failure| match failure {
+        BodyFailure::TooLarge => RefusalKind::BodyTooLarge,
+        BodyFailure::Incomplete => RefusalKind::BadBody,
+        BodyFailure::NoRoom => RefusalKind::NoRoom,
+    })
 }
