Discard no more than 256 KiB of a refused body without length

Bodies without end were read for up to a second.

Change: a body with an announced length of at most 8 MiB is discarded whole, others up to 256 KiB.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -16,8 +16,11 @@
 /// Capacity of a streamed body's channel, in parts; a slow reader blocks the sender beyond it.
 const STREAM_QUEUE_PARTS: usize = 16;
 
-/// Maximum size of the rest of a request body that is discarded, in bytes.
-const MAX_DISCARDED_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum size of a request body whose rest is discarded, in bytes, if its length is announced.
+const MAX_DISCARDED_BYTES: u64 = 8 * 1024 * 1024;
+
+/// Maximum size of the rest of other request bodies, which may have no end, in bytes.
+const MAX_DISCARDED_CHUNKS_BYTES: u64 = 256 * 1024;
 
 /// Maximum time in which the rest of a request body is discarded.
 const MAX_DISCARD_TIME: Duration = Duration::from_secs(1);
@@ -141,11 +144,17 @@
 /// Reads and discards the rest of a request body, within limits. A connection that is closed with
 /// unread bytes is reset, and the caller may lose the response.
 pub async fn discard_body(body: &mut Incoming) {
+    let announced = body.size_hint().exact();
+    let limit = if announced.is_some_and(|length| length <= MAX_DISCARDED_BYTES) {
+        MAX_DISCARDED_BYTES
+    } else {
+        MAX_DISCARDED_CHUNKS_BYTES
+    };
     let discard = async {
         let mut size = 0;
-        while size < MAX_DISCARDED_BYTES {
+        while size < limit {
             match body.frame().await {
-                Some(Ok(frame)) => size += frame.data_ref().map_or(0, Bytes::len),
+                Some(Ok(frame)) => size += frame.data_ref().map_or(0, Bytes::len) as u64,
                 Some(Err(_)) | None => return,
             }
         }
