review: nobody leads after a removal that is not committed

Cause: the host that the newest entry removes may not stand for election, and refuses those that may, since their logs are older.

--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -3,7 +3,7 @@
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
-use crate::deployment::{CONTROL_HOSTS, Deployment, Process};
+use crate::deployment::{wait, Deployment, Process, ADDED_HOST, CONTROL_HOSTS};
 use crate::http::{self, Answer};
 use crate::record::Record;
 use crate::replica::BODY_BYTES;
@@ -26,6 +26,10 @@
 /// Time after which a machine that was lost counts as back.
 const CATCH_UP: Duration = Duration::from_secs(4);
 
+/// Bound of the sheet after which service must be back, and `contact_ms` for reading back.
+const RECOVERY: Duration = Duration::from_secs(15);
+const READ_BACK: Duration = Duration::from_secs(6);
+
 /// Time after the opening of its port at which a control host is struck.
 const STRIKE_DELAY: Duration = Duration::from_millis(100);
 
@@ -43,13 +47,13 @@
     /// Length of a cut of the core in the site file.
     const CUT: Duration = Duration::from_millis(5_500);
     let deployment = Deployment::create(record, 0)?;
-    let gate = deployment.start_proxies(1)?;
+    let gates = deployment.start_proxies()?;
     let started = Instant::now();
-    gate.set_cut(trouble);
+    gates.set_host_cut(1, trouble);
     record.line(&format!("links of control host 1 to the other two are cut: {trouble}"));
     let _hosts = start_control_hosts(&deployment)?;
     sleep_until(started + CUT);
-    gate.set_cut(false);
+    gates.set_host_cut(1, false);
     record.line("all links work");
     sleep_until(started + CUT + CATCH_UP);
     change_and_read(record, &deployment, started)
@@ -64,7 +68,7 @@
     for round in 1..=ROUNDS {
         record.line(&format!("round {round}"));
         let deployment = Deployment::create(record, round)?;
-        let _gate = deployment.start_proxies(1)?;
+        let _gates = deployment.start_proxies()?;
         let started = Instant::now();
         let hosts = start_control_hosts(&deployment)?;
         deployment.wait_for_control(1)?;
@@ -133,7 +137,7 @@
     const REQUEST_INTERVAL: Duration = Duration::from_millis(500);
     const SERVED_ENOUGH: u32 = 20;
     let deployment = Deployment::create(record, 0)?;
-    let _gate = deployment.start_proxies(1)?;
+    let _gates = deployment.start_proxies()?;
     let started = Instant::now();
     let mut hosts = start_control_hosts(&deployment)?;
     let _entry = deployment.start_entry()?;
@@ -162,13 +166,97 @@
     Ok(if served == 0 { Verdict::Broken } else { Verdict::Held })
 }
 
+/// The leading control host loses its disk while the removal of a voter is not committed. The operator
+/// then reads the configuration back.
+pub fn open_removal(record: &Record, trouble: bool) -> CaseResult {
+    const ROUNDS: u32 = 3;
+    for round in 1..=ROUNDS {
+        record.line(&format!("round {round}"));
+        let deployment = Deployment::create(record, round)?;
+        if removal_round(record, &deployment, trouble)? == Verdict::Broken {
+            return Ok(Verdict::Broken);
+        }
+    }
+    Ok(Verdict::Held)
+}
+
+fn removal_round(record: &Record, deployment: &Deployment, trouble: bool) -> CaseResult {
+    const ADMISSION: &str = "proposing a voter seat";
+    const REMOVAL: &str = "proposing to remove one";
+    /// Time in which an entry reaches all hosts and their disks.
+    const SYNC_TIME: Duration = Duration::from_millis(20);
+    let gates = deployment.start_proxies()?;
+    let mut hosts = start_control_hosts(deployment)?;
+    let admissions = || deployment.count_log_lines(1, ADMISSION);
+    wait(Duration::from_secs(8), "three voters", || admissions() == 2)?;
+    hosts.push(deployment.start_control(ADDED_HOST, false)?);
+    if !deployment.put(1, 1, Duration::from_secs(8)) {
+        return Err("the configuration was not acknowledged".to_owned());
+    }
+    std::thread::sleep(CATCH_UP);
+    if trouble {
+        record.line("links of control host 3 are cut");
+        gates.set_host_cut(3, true);
+        wait_short(Duration::from_secs(4), || admissions() == 3)?;
+        std::thread::sleep(SYNC_TIME / 2);
+        record.line("host 4 has a seat; links of control host 3 work");
+        gates.set_host_cut(3, false);
+        std::thread::sleep(SYNC_TIME);
+        record.line("links of host 1 to hosts 2 and 3 are cut");
+        gates.between(1, 2).set_cut(true);
+        gates.between(1, 3).set_cut(true);
+        let removals = || deployment.count_log_lines(1, REMOVAL);
+        if wait_short(Duration::from_millis(400), || removals() > 0).is_err() {
+            record.line("no voter was removed");
+        }
+        std::thread::sleep(SYNC_TIME);
+    }
+    if trouble {
+        hosts[0].kill();
+        deployment.wipe_control(1)?;
+        for other in [2, 3] {
+            gates.between(1, other).drop_held();
+        }
+        std::thread::sleep(Duration::from_millis(500));
+        gates.set_host_cut(1, false);
+        hosts[0] = deployment.start_control(1, false)?;
+    }
+    let recovered = Instant::now() + RECOVERY;
+    sleep_until(recovered);
+    let deadline = Instant::now() + READ_BACK;
+    let mut number = 0;
+    while Instant::now() < deadline {
+        number = number % CONTROL_HOSTS + 1;
+        let read = read_version(deployment, number);
+        record.line(&format!("read at host {number}: {read:?}"));
+        if read.is_ok() {
+            return Ok(Verdict::Held);
+        }
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    record.line("broken: the acknowledged configuration is not read back");
+    Ok(Verdict::Broken)
+}
+
+/// Polls every millisecond until `done` holds.
+fn wait_short(limit: Duration, done: impl Fn() -> bool) -> Result<(), String> {
+    let deadline = Instant::now() + limit;
+    while !done() {
+        if Instant::now() > deadline {
+            return Err("an event of the control log did not come".to_owned());
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    Ok(())
+}
+
 /// A replica that has announced that it leaves is gone two seconds later, while it answers.
 pub fn cut_answer(record: &Record, trouble: bool) -> CaseResult {
     const REQUESTS: usize = 6;
     /// Time from the notice to the end of the replica.
     const NOTICE: Duration = Duration::from_millis(2_000);
     let deployment = Deployment::create(record, 0)?;
-    let _gate = deployment.start_proxies(1)?;
+    let _gates = deployment.start_proxies()?;
     let _hosts = start_control_hosts(&deployment)?;
     let _entry = deployment.start_entry()?;
     let mut leaving = deployment.start_replica(1)?;
--- a/review/rig-2/deployment.rs
+++ b/review/rig-2/deployment.rs
@@ -9,7 +9,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use crate::gate::LinkGate;
+use crate::gate::LinkGates;
 use crate::http::{self, Answer};
 use crate::record::Record;
 
@@ -17,6 +17,9 @@
 
 /// Addresses of the control hosts end with 1, 2 and 3.
 pub const CONTROL_HOSTS: u8 = 3;
+
+/// The number of a further control host, which is added later.
+pub const ADDED_HOST: u8 = 4;
 const ENTRY_HOST: u8 = 10;
 
 /// Time after which the operator moves on to another host.
@@ -90,8 +93,8 @@
 /// Addresses, ports and the data of a deployment.
 pub struct Deployment {
     net: u8,
-    /// Ports of the links: one for each control host, and one for the entry.
-    link_ports: [u16; 4],
+    /// Ports of the links: one for each control host, the added one included, and one for the entry.
+    link_ports: [u16; 5],
     control_port: u16,
     callers_port: u16,
     ready_port: u16,
@@ -116,13 +119,13 @@
         let folder = std::env::temp_dir().join(format!("briartray-review-{id}-{round}"));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let mut ports = Vec::new();
-        while ports.len() < 9 {
+        while ports.len() < 10 {
             let port = free_port(net)?;
             if !ports.contains(&port) {
                 ports.push(port);
             }
         }
-        let [a, b, c, d, control_port, callers_port, ready_port, metrics_port, replica_port] =
+        let [a, b, c, d, e, control_port, callers_port, ready_port, metrics_port, replica_port] =
             ports[..]
         else {
             return Err("no free ports".to_owned());
@@ -130,7 +133,7 @@
         let record = record.clone();
         Ok(Self {
             net,
-            link_ports: [a, b, c, d],
+            link_ports: [a, b, c, d, e],
             control_port,
             callers_port,
             ready_port,
@@ -154,21 +157,33 @@
     }
 
     fn link_port(&self, number: u8) -> u16 {
-        self.link_ports[usize::from(number.min(CONTROL_HOSTS + 1)) - 1]
+        self.link_ports[usize::from(number.min(ADDED_HOST + 1)) - 1]
     }
 
-    /// Starts the proxies on all links to control hosts; those of the host `number` can be cut.
-    pub fn start_proxies(&self, number: u8) -> Result<LinkGate, String> {
-        let gate = LinkGate::default();
-        for to in 1..=CONTROL_HOSTS {
+    /// Starts the proxies on all links to control hosts.
+    pub fn start_proxies(&self) -> Result<LinkGates, String> {
+        let gates = LinkGates::new(ADDED_HOST);
+        for to in 1..=ADDED_HOST {
             let target = SocketAddr::from((self.host(to), self.link_port(to)));
-            for from in (1..=CONTROL_HOSTS + 1).filter(|from| *from != to) {
+            for from in (1..=ADDED_HOST + 1).filter(|from| *from != to) {
                 let listen = SocketAddr::from((self.host(to), self.link_port(from)));
-                let between_hosts = from <= CONTROL_HOSTS;
-                gate.forward(listen, target, between_hosts && (from == number || to == number))?;
+                gates.between(from, to).forward(listen, target)?;
             }
         }
-        Ok(gate)
+        Ok(gates)
+    }
+
+    /// Number of log lines of a control host that contain `text`.
+    pub fn count_log_lines(&self, number: u8, text: &str) -> usize {
+        let log = fs::read_to_string(self.folder.join(format!("control-{number}.log")));
+        log.map_or(0, |log| log.lines().filter(|line| line.contains(text)).count())
+    }
+
+    /// Empties the disk of a control host.
+    pub fn wipe_control(&self, number: u8) -> Result<(), String> {
+        self.record.line(&format!("control host {number} loses its disk"));
+        let data = self.folder.join(format!("data-{number}"));
+        fs::remove_dir_all(data).map_err(|error| error.to_string())
     }
 
     /// The part of the settings that both templates of the deploy file share.
@@ -301,8 +316,7 @@
         let deadline = Instant::now() + limit;
         let mut number = first;
         while Instant::now() < deadline {
-            let answer =
-                self.call_control(number, "POST", "/Configuration.Put", body.as_bytes());
+            let answer = self.call_control(number, "POST", "/Configuration.Put", body.as_bytes());
             let outcome = match &answer {
                 Ok(answer) => format!("status {}", answer.status),
                 Err(error) => error.clone(),
@@ -324,7 +338,7 @@
     for _ in 0..100 {
         let first = bind(1, 0).map_err(|error| error.to_string())?;
         let port = first.local_addr().map_err(|error| error.to_string())?.port();
-        let others = [2, 3, ENTRY_HOST, 21, 22];
+        let others = [2, 3, ADDED_HOST, ENTRY_HOST, 21, 22];
         if others.iter().all(|host| bind(*host, port).is_ok()) {
             return Ok(port);
         }
--- a/review/rig-2/gate.rs
+++ b/review/rig-2/gate.rs
@@ -1,4 +1,4 @@
-//! Proxies on the links between control hosts, which cut one host off.
+//! Proxies on the links between control hosts, which cut pairs of hosts.
 //!
 //! Each control host has a link port of its own, and connects to all others at that port. So the proxy
 //! for connections from one host to another listens at the address of the other one and the port of the
@@ -6,17 +6,46 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Pause between two looks at the cut.
-const POLL_INTERVAL: Duration = Duration::from_millis(5);
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
-/// The links between one host and all others.
+/// The links between control hosts, by pair.
+pub struct LinkGates {
+    gates: Vec<((u8, u8), LinkGate)>,
+}
+
+impl LinkGates {
+    /// Creates a gate for each pair of hosts with numbers from 1 to `hosts`.
+    pub fn new(hosts: u8) -> Self {
+        let pairs = (1..=hosts).flat_map(|a| (a + 1..=hosts).map(move |b| (a, b)));
+        Self { gates: pairs.map(|pair| (pair, LinkGate::default())).collect() }
+    }
+
+    /// The gate between two hosts; one that is never cut for any other pair.
+    pub fn between(&self, one: u8, other: u8) -> LinkGate {
+        let pair = (one.min(other), one.max(other));
+        let found = self.gates.iter().find(|(known, _)| *known == pair);
+        found.map(|(_, gate)| gate.clone()).unwrap_or_default()
+    }
+
+    /// Cuts or restores all links of a host.
+    pub fn set_host_cut(&self, host: u8, is_cut: bool) {
+        for (_, gate) in self.gates.iter().filter(|((a, b), _)| *a == host || *b == host) {
+            gate.set_cut(is_cut);
+        }
+    }
+}
+
+/// The links between two hosts.
 #[derive(Clone, Default)]
 pub struct LinkGate {
     is_cut: Arc<AtomicBool>,
+    /// Number of times that held bytes were dropped.
+    drops: Arc<AtomicU32>,
 }
 
 impl LinkGate {
@@ -24,13 +53,19 @@
         self.is_cut.store(is_cut, Ordering::SeqCst);
     }
 
-    /// Forwards connections from `listen` to `target`. They can be cut if they are `gated`.
+    /// Closes the connections whose bytes are held up, without delivering these, as for a sender that
+    /// has lost its power.
+    pub fn drop_held(&self) {
+        self.drops.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Forwards connections from `listen` to `target`.
     ///
     /// # Errors
     /// Why `listen` cannot be used.
-    pub fn forward(&self, listen: SocketAddr, target: SocketAddr, gated: bool) -> Result<(), String> {
+    pub fn forward(&self, listen: SocketAddr, target: SocketAddr) -> Result<(), String> {
         let listener = TcpListener::bind(listen).map_err(|error| error.to_string())?;
-        let gate = if gated { self.clone() } else { Self::default() };
+        let gate = self.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 let gate = gate.clone();
@@ -41,8 +76,8 @@
     }
 
     fn serve(&self, stream: TcpStream, target: SocketAddr) {
-        self.wait();
-        let Ok(other) = TcpStream::connect(target) else {
+        let other = if self.wait() { TcpStream::connect(target).ok() } else { None };
+        let Some(other) = other else {
             let _ = stream.shutdown(Shutdown::Both);
             return;
         };
@@ -56,8 +91,7 @@
         let _ = to.set_nodelay(true);
         let mut buffer = [0; 16 * 1024];
         while let Ok(count) = from.read(&mut buffer) {
-            self.wait();
-            if count == 0 || to.write_all(&buffer[..count]).is_err() {
+            if !self.wait() || count == 0 || to.write_all(&buffer[..count]).is_err() {
                 break;
             }
         }
@@ -65,10 +99,15 @@
         let _ = from.shutdown(Shutdown::Both);
     }
 
-    /// Waits while the links are cut.
-    fn wait(&self) {
+    /// Waits while the links are cut; returns whether to go on.
+    fn wait(&self) -> bool {
+        let drops = self.drops.load(Ordering::SeqCst);
         while self.is_cut.load(Ordering::SeqCst) {
+            if self.drops.load(Ordering::SeqCst) != drops {
+                return false;
+            }
             std::thread::sleep(POLL_INTERVAL);
         }
+        true
     }
 }
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -40,6 +40,7 @@
     let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match *case {
         "first-start-cut" => cases::first_start_cut(&record, trouble),
         "first-start-freeze" => cases::first_start_freeze(&record, trouble),
+        "open-removal" => cases::open_removal(&record, trouble),
         "first-start-kill" => cases::first_start_kill(&record, trouble),
         "cut-answer" => cases::cut_answer(&record, trouble),
         _ => Err(format!("there is no case {case}")),
