--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::deployment::{wait, Deployment, Process, ADDED_HOST, CONTROL_HOSTS};
+use crate::gate::LinkGates;
 use crate::http::{self, Answer};
 use crate::record::Record;
 use crate::replica::BODY_BYTES;
@@ -202,9 +203,8 @@
         record.line("host 4 has a seat; links of control host 3 work");
         gates.set_host_cut(3, false);
         std::thread::sleep(SYNC_TIME);
-        record.line("links of host 1 to hosts 2 and 3 are cut");
-        gates.between(1, 2).set_cut(true);
-        gates.between(1, 3).set_cut(true);
+        record.line("hosts 1 and 4 are split from hosts 2 and 3");
+        set_split(&gates, true);
         let removals = || deployment.count_log_lines(1, REMOVAL);
         if wait_short(Duration::from_millis(400), || removals() > 0).is_err() {
             record.line("no voter was removed");
@@ -218,7 +218,8 @@
             gates.between(1, other).drop_held();
         }
         std::thread::sleep(Duration::from_millis(500));
-        gates.set_host_cut(1, false);
+        record.line("all links work");
+        set_split(&gates, false);
         hosts[0] = deployment.start_control(1, false)?;
     }
     let recovered = Instant::now() + RECOVERY;
@@ -226,7 +227,7 @@
     let deadline = Instant::now() + READ_BACK;
     let mut number = 0;
     while Instant::now() < deadline {
-        number = number % CONTROL_HOSTS + 1;
+        number = number % ADDED_HOST + 1;
         let read = read_version(deployment, number);
         record.line(&format!("read at host {number}: {read:?}"));
         if read.is_ok() {
@@ -238,6 +239,13 @@
     Ok(Verdict::Broken)
 }
 
+/// Cuts or restores the links between two halves of the control hosts: 1 and 4, and 2 and 3.
+fn set_split(gates: &LinkGates, is_cut: bool) {
+    for (one, other) in [(1, 2), (1, 3), (4, 2), (4, 3)] {
+        gates.between(one, other).set_cut(is_cut);
+    }
+}
+
 /// Polls every millisecond until `done` holds.
 fn wait_short(limit: Duration, done: impl Fn() -> bool) -> Result<(), String> {
     let deadline = Instant::now() + limit;
@@ -252,7 +260,9 @@
 
 /// A replica that has announced that it leaves is gone two seconds later, while it answers.
 pub fn cut_answer(record: &Record, trouble: bool) -> CaseResult {
-    const REQUESTS: usize = 6;
+    /// One of seven leaves: a share of 0.143.
+    const REPLICAS: u8 = 7;
+    const REQUESTS: usize = 28;
     /// Time from the notice to the end of the replica.
     const NOTICE: Duration = Duration::from_millis(2_000);
     let deployment = Deployment::create(record, 0)?;
@@ -260,7 +270,8 @@
     let _hosts = start_control_hosts(&deployment)?;
     let _entry = deployment.start_entry()?;
     let mut leaving = deployment.start_replica(1)?;
-    let _other = deployment.start_replica(2)?;
+    let _others: Vec<Process> =
+        (2..=REPLICAS).map(|number| deployment.start_replica(number)).collect::<Result<_, _>>()?;
     if !deployment.put(1, 1, Duration::from_secs(20)) {
         return Err("the configuration was not acknowledged".to_owned());
     }
--- a/review/rig-2/deployment.rs
+++ b/review/rig-2/deployment.rs
@@ -338,7 +338,7 @@
     for _ in 0..100 {
         let first = bind(1, 0).map_err(|error| error.to_string())?;
         let port = first.local_addr().map_err(|error| error.to_string())?.port();
-        let others = [2, 3, ADDED_HOST, ENTRY_HOST, 21, 22];
+        let others = [2, 3, ADDED_HOST, ENTRY_HOST, 21, 22, 23, 24, 25, 26, 27];
         if others.iter().all(|host| bind(*host, port).is_ok()) {
             return Ok(port);
         }
