agreement: log election attempts that end without a majority

Cause: while no control host leads, the logs do not tell a host that asks for no votes from one that is refused, nor for what reason. Change: a host logs attempts without a majority, less often the longer nobody leads, with the phase, the votes, the votes needed and the end of its log; a refusal for the log's position is logged at level debug.

--- a/crates/control/src/agreement/core.rs
+++ b/crates/control/src/agreement/core.rs
@@ -117,6 +117,8 @@
     pub(super) leader: Option<NodeName>,
     pub(super) last_leader_contact: Option<TimePoint>,
     pub(super) election_deadline: TimePoint,
+    /// Election attempts without a majority since this host last knew a leader.
+    pub(super) failed_attempts: u32,
     pub(super) next_hello_at: TimePoint,
     pub(super) discovered: SortedTable<NodeName, FolderId>,
     pub(super) log: EntryLog,
@@ -160,6 +162,7 @@
             leader: None,
             last_leader_contact: None,
             election_deadline: now,
+            failed_attempts: 0,
             next_hello_at: now,
             discovered: SortedTable::new(),
             sync: SyncTracker::new(log.last_index()),
--- a/crates/control/src/agreement/election.rs
+++ b/crates/control/src/agreement/election.rs
@@ -72,6 +72,7 @@
     }
 
     pub(super) fn start_pre_vote(&mut self, now: TimePoint) {
+        self.note_failed_attempt();
         self.leader = None;
         self.schedule_pre_vote(now);
         self.role = RoleState::PreVoting(vec![self.node.clone()]);
@@ -86,6 +87,25 @@
         }
     }
 
+    /// Logs an attempt that ended without a majority, less often the longer no host leads.
+    fn note_failed_attempt(&mut self) {
+        let (phase, votes) = match &self.role {
+            RoleState::PreVoting(votes) => ("pre-vote", votes),
+            RoleState::Voting(votes) => ("vote", votes),
+            RoleState::Following | RoleState::Leading(_) => return,
+        };
+        self.failed_attempts += 1;
+        if !self.failed_attempts.is_power_of_two() {
+            return;
+        }
+        log::warn!(
+            phase, votes = votes.len(), needed = self.majority(), attempts = self.failed_attempts,
+            term = self.hard.term.0, last_index = self.log.last_index().0,
+            last_term = self.log.last_term().0;
+            "election attempt without a majority of the voters"
+        );
+    }
+
     /// Answers a pre-vote, whether or not this host knows of a voter seat of its own.
     ///
     /// The candidate counts only folders that hold a seat, and every folder keeps its promises. A new
@@ -105,6 +125,13 @@
             self.role = RoleState::Following;
             self.schedule_pre_vote(now);
         }
+        if !self.is_up_to_date(call) {
+            log::debug!(
+                from = from.as_str(), last_index = call.last_index.0,
+                own_last_index = self.log.last_index().0;
+                "refused a pre-vote: the candidate's log is older"
+            );
+        }
         let mut message = self.message(PeerBody::PreVoteReply { granted });
         if granted {
             message.term = term;
@@ -202,6 +229,7 @@
             "became leader of the control log"
         );
         self.leader = Some(self.node.clone());
+        self.failed_attempts = 0;
         let first = self.log.last_index().next();
         self.role = RoleState::Leading(LeaderState::new(now, first, &self.peers()));
         self.append(EntryPayload::Blank);
--- a/crates/control/src/agreement/follower.rs
+++ b/crates/control/src/agreement/follower.rs
@@ -65,6 +65,7 @@
         }
         self.role = RoleState::Following;
         self.leader = Some(from.clone());
+        self.failed_attempts = 0;
         self.last_leader_contact = Some(now);
         self.reset_election_timer(now);
         if self.hard.voted.is_none() {
