agreement: let a host whose removal is not committed stand for election

Cause: a host asked for votes only if the last entry of its log names it as voter. The host that is being removed may hold the newest log; the others then refuse each other for their older logs, and it does not stand itself. Change: as in Raft, a host stands until its removal is known to be committed. Its own vote, copy of the log and confirmation do not count unless its log names it as voter. A leader whose removal is committed tells the others and steps down. The new message makes the protocol version 6. Evidence: with the line for failed attempts, the removed host logged none and the others two of three votes needed.

--- a/crates/control/src/agreement/core.rs
+++ b/crates/control/src/agreement/core.rs
@@ -26,7 +26,7 @@
 const TRAILING_ENTRIES: u64 = 512;
 
 /// Fraction (numerator, denominator) of the election timeout to wait after a start.
-const INITIAL_ELECTION_FRACTION: (u32, u32) = (1, 8);
+const SHORT_ELECTION_FRACTION: (u32, u32) = (1, 8);
 
 /// Timing parameters of the consensus protocol.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -196,19 +196,24 @@
         self.reset_election_timer(now);
         let is_new = self.last_leader_contact.is_none();
         if is_new && matches!(self.membership, MembershipMode::Dynamic { .. }) {
-            let usual = self.election_deadline.since(now);
-            self.election_deadline =
-                now.after(usual * INITIAL_ELECTION_FRACTION.0 / INITIAL_ELECTION_FRACTION.1);
+            self.shorten_election_timer(now);
         }
     }
 
+    /// Reduces the election timer to a fraction, for use where no leader can be disturbed.
+    pub(super) fn shorten_election_timer(&mut self, now: TimePoint) {
+        let usual = self.election_deadline.since(now);
+        self.election_deadline =
+            now.after(usual * SHORT_ELECTION_FRACTION.0 / SHORT_ELECTION_FRACTION.1);
+    }
+
     /// Advances time: starts elections, sends heartbeats, and steps down when a majority no longer
     /// responds.
     pub fn tick(&mut self, now: TimePoint) {
         self.check_quorum(now);
         match &self.role {
             RoleState::Leading(_) => self.schedule_heartbeat(now),
-            _ if !self.is_self_voter() => self.discover_peers(now),
+            _ if !self.may_stand() => self.discover_peers(now),
             _ if now >= self.election_deadline => self.start_pre_vote(now),
             _ => {}
         }
@@ -240,6 +245,7 @@
             PeerBody::Append(call) => self.handle_append(now, from, call),
             PeerBody::AppendReply(reply) => self.handle_append_reply(now, &from, folder, &reply),
             PeerBody::Install(call) => self.handle_install(now, from, call),
+            PeerBody::Resigned => self.handle_resignation(now, &from),
             PeerBody::InstallReply { index, offset, round } => {
                 self.handle_install_reply(now, &from, folder, (index, offset, round));
             }
@@ -252,14 +258,14 @@
         let released = self.sync.mark_synced(ticket);
         self.output.messages.extend(released);
         self.count_own_vote(now);
-        self.advance_commit();
+        self.advance_commit(now);
     }
 
     /// Returns all output produced since the last drain.
     pub fn drain(&mut self, now: TimePoint) -> CoreOutput {
         self.check_quorum(now);
         self.replicate(now);
-        self.advance_commit();
+        self.advance_commit(now);
         self.confirm_reads();
         self.output.batch = self.sync.take_batch(now, self.log.last_index());
         std::mem::take(&mut self.output)
@@ -269,7 +275,7 @@
     pub fn deadline(&self) -> TimePoint {
         match &self.role {
             RoleState::Leading(state) => state.next_heartbeat_at,
-            _ if !self.is_self_voter() => self.next_hello_at,
+            _ if !self.may_stand() => self.next_hello_at,
             _ => self.election_deadline,
         }
     }
--- a/crates/control/src/agreement/election.rs
+++ b/crates/control/src/agreement/election.rs
@@ -75,8 +75,11 @@
         self.note_failed_attempt();
         self.leader = None;
         self.schedule_pre_vote(now);
-        self.role = RoleState::PreVoting(vec![self.node.clone()]);
-        if self.majority() == 1 {
+        let own_vote = self.is_self_voter().then(|| self.node.clone());
+        let votes: Vec<NodeName> = own_vote.into_iter().collect();
+        let has_majority = votes.len() >= self.majority();
+        self.role = RoleState::PreVoting(votes);
+        if has_majority {
             return self.start_vote(now);
         }
         let call = self.vote_call();
@@ -204,9 +207,10 @@
         }
     }
 
-    /// Counts this host's own vote once it is synced.
+    /// Counts this host's own vote once it is synced, unless its log removes it from the voters.
     pub(super) fn count_own_vote(&mut self, now: TimePoint) {
         if matches!(self.role, RoleState::Voting(_))
+            && self.is_self_voter()
             && self.sync.is_synced(self.sync.hard_state_ticket())
         {
             self.count_vote(now, self.node.clone());
@@ -214,11 +218,12 @@
     }
 
     fn count_vote(&mut self, now: TimePoint, from: NodeName) {
-        let majority = self.majority();
+        let (majority, is_voter) = (self.majority(), self.is_self_voter());
         let RoleState::Voting(votes) = &mut self.role else { return };
         // Require the own synced vote: without it, this host could vote for another one after a
-        // restart.
-        if add_vote(votes, from) >= majority && votes.contains(&self.node) {
+        // restart. A host that its log removes has no vote; its requests were sent after the sync.
+        let has_majority = add_vote(votes, from) >= majority;
+        if has_majority && (!is_voter || votes.contains(&self.node)) {
             self.become_leader(now);
         }
     }
@@ -235,6 +240,31 @@
         self.append(EntryPayload::Blank);
     }
 
+    /// Ends the leadership of this host once its removal from the voters is committed.
+    ///
+    /// The others are told, so that they need not wait until this host has been silent for a while.
+    pub(super) fn resign_if_removed(&mut self, now: TimePoint) {
+        let RoleState::Leading(state) = &self.role else { return };
+        if self.commit < state.term_start_index || self.may_stand() {
+            return;
+        }
+        log::info!(term = self.hard.term.0; "this host is no voter any more; ending its leadership");
+        for peer in self.peers() {
+            self.send(peer, PeerBody::Resigned);
+        }
+        self.step_down(now, self.hard.term);
+    }
+
+    /// Forgets a leader that has resigned and stands for election soon.
+    pub(super) fn handle_resignation(&mut self, now: TimePoint, from: &NodeName) {
+        if self.leader.as_ref() != Some(from) {
+            return;
+        }
+        self.leader = None;
+        self.reset_election_timer(now);
+        self.shorten_election_timer(now);
+    }
+
     fn vote_call(&self) -> VoteCall {
         VoteCall { last_index: self.log.last_index(), last_term: self.log.last_term() }
     }
--- a/crates/control/src/agreement/leader.rs
+++ b/crates/control/src/agreement/leader.rs
@@ -153,7 +153,8 @@
     pub(super) fn check_quorum(&mut self, now: TimePoint) {
         let RoleState::Leading(state) = &self.role else { return };
         let sync_stalled = self.sync.oldest_wait(now) >= self.times.election * MAX_SYNC_TIMEOUTS;
-        if sync_stalled && self.majority() > 1 {
+        let own = self.own_share(&self.latest_seats);
+        if sync_stalled && self.majority() > own {
             log::warn!(
                 term = self.hard.term.0;
                 "log write or sync exceeds the time limit; stepping down"
@@ -178,7 +179,7 @@
                     && now.since(peer.last_contact) < self.times.election
             })
             .count();
-        if identified + unidentified + 1 < self.majority() {
+        if identified + unidentified + own < self.majority() {
             log::warn!(
                 term = self.hard.term.0;
                 "no replies from a majority of voters; stepping down"
@@ -228,7 +229,7 @@
         if peer.in_flight.is_empty() {
             peer.awaiting_since = None;
         }
-        self.advance_commit();
+        self.advance_commit(now);
         self.propose_seat(from, folder);
     }
 
@@ -307,7 +308,7 @@
     ///
     /// While a seat change of this leader is not committed, a majority of the previous voters must
     /// agree too: a new folder does not count for its own seat.
-    pub(super) fn advance_commit(&mut self) {
+    pub(super) fn advance_commit(&mut self, now: TimePoint) {
         let RoleState::Leading(state) = &self.role else { return };
         let is_pending = self.commit < state.seat_change_index;
         let Some(mut index) = self.synced_by_majority(state, &self.latest_seats) else { return };
@@ -319,6 +320,7 @@
         // when a majority holds them, another leader may still overwrite them.
         if self.log.term_at(index) == Some(self.hard.term) {
             self.commit_to(index);
+            self.resign_if_removed(now);
         }
     }
 
@@ -330,7 +332,9 @@
         let peers = state.peers.iter().filter(|(node, peer)| holds(node, peer));
         let mut synced: Vec<LogIndex> = peers.map(|(_, peer)| peer.matched).collect();
         let own = self.sync.durable();
-        synced.push(own);
+        if holds_seat(seats, &self.node, self.folder) {
+            synced.push(own);
+        }
         synced.sort_by(|a, b| b.cmp(a));
         let index = synced.get(self.majority_of(seats) - 1).copied()?;
         Some(index.min(own))
@@ -350,7 +354,9 @@
             .filter(|(node, peer)| peer.folder.is_some_and(|folder| self.is_voter(node, folder)))
             .map(|(_, peer)| peer.round)
             .collect();
-        rounds.push(state.round);
+        if self.is_self_voter() {
+            rounds.push(state.round);
+        }
         rounds.sort_unstable_by(|a, b| b.cmp(a));
         let Some(confirmed) = rounds.get(majority - 1).copied() else { return };
         let RoleState::Leading(state) = &mut self.role else { return };
--- a/crates/control/src/agreement/log.rs
+++ b/crates/control/src/agreement/log.rs
@@ -52,6 +52,12 @@
         self.entries.get(usize::try_from(offset).ok()?)
     }
 
+    /// Entries after `index`, in order.
+    pub(super) fn entries_after(&self, index: LogIndex) -> impl Iterator<Item = &LogEntry> {
+        let covered = index.0.saturating_sub(self.base.0);
+        self.entries.iter().skip(usize::try_from(covered).unwrap_or(usize::MAX))
+    }
+
     /// Appends the entry that follows the last one.
     pub(super) fn push(&mut self, entry: LogEntry) {
         debug_assert_eq!(entry.index, self.last_index().next());
--- a/crates/control/src/agreement/message.rs
+++ b/crates/control/src/agreement/message.rs
@@ -115,6 +115,8 @@
             /// Round of the chunk.
             round: u64,
         },
+        /// The sender has led this term and does not any more: its removal is committed.
+        Resigned,
     }
 
     /// A vote request with the position of the candidate's log.
--- a/crates/control/src/agreement/seats.rs
+++ b/crates/control/src/agreement/seats.rs
@@ -9,6 +9,10 @@
 //!
 //! Elections count the seats as of the last entry of the log, committed or not. After a power loss
 //! a host knows its log for certain, but may not know which of its entries were committed.
+//!
+//! A host whose log removes it stands for election, and may lead, until the removal is committed: it may
+//! be the only one with the newest log, without which nobody is elected. It counts neither its own vote
+//! nor its own copy of the log, since it is no voter of the set that its log names.
 
 use briartray_model::TimePoint;
 use briartray_model::names::NodeName;
@@ -27,6 +31,27 @@
         holds_seat(&self.seats, &self.node, self.folder) && self.is_self_voter()
     }
 
+    /// Whether this host may stand for election: it has a voter seat, or has had one that may still be
+    /// valid because its removal is not known to be committed.
+    pub(super) fn may_stand(&self) -> bool {
+        self.is_self_voter()
+            || holds_seat(&self.seats, &self.node, self.folder)
+            || self.has_open_admission()
+    }
+
+    /// Whether an entry that is not known to be committed gives this host a voter seat.
+    fn has_open_admission(&self) -> bool {
+        let is_own = |seat: &VoterSeat| seat.node == self.node && seat.folder == self.folder;
+        self.log
+            .entries_after(self.last_delivered)
+            .any(|entry| matches!(&entry.payload, EntryPayload::Admit(seat) if is_own(seat)))
+    }
+
+    /// Number of votes, or copies of the log, that this host itself contributes to a majority of `seats`.
+    pub(super) fn own_share(&self, seats: &[VoterSeat]) -> usize {
+        usize::from(holds_seat(seats, &self.node, self.folder))
+    }
+
     /// Whether `folder` may vote for `node`.
     pub(super) fn is_voter(&self, node: &NodeName, folder: FolderId) -> bool {
         holds_seat(&self.latest_seats, node, folder)
@@ -53,10 +78,8 @@
     /// Computes the latest seats from the committed ones and the entries after them.
     pub(super) fn recompute_latest_seats(&mut self) {
         let mut seats = self.seats.clone();
-        let mut index = self.last_delivered.next();
-        while let Some(entry) = self.log.get(index) {
+        for entry in self.log.entries_after(self.last_delivered) {
             change_seats(&mut seats, &entry.payload);
-            index = index.next();
         }
         self.latest_seats = seats;
     }
--- a/crates/control/tests/agreement/cluster.rs
+++ b/crates/control/tests/agreement/cluster.rs
@@ -6,7 +6,8 @@
 
 use briartray_control::agreement::{
     AgreementCore, AgreementSettings, AgreementTimes, CoreOutput, EntryPayload, FolderId,
-    LogDelivery, LogEntry, MemberRole, MembershipMode, PeerMessage, ProposalToken, ReadToken,
+    LogDelivery, LogEntry, MemberRole, MembershipMode, PeerBody, PeerMessage, ProposalToken,
+    ReadToken,
 };
 use briartray_control::state::{CommandOutcome, ControlCommand, ControlState};
 use briartray_model::names::{ChangeId, LogIndex, NodeName, RevisionNumber};
@@ -87,6 +88,8 @@
     membership: MembershipMode,
     /// For each host, the time since which it has no process.
     down_since: Vec<Option<TimePoint>>,
+    /// Number of messages with a change of voters.
+    pub seat_changes_sent: usize,
 }
 
 /// Time without a process after which a voter is marked absent.
@@ -121,6 +124,7 @@
             next_folder: 1,
             membership,
             down_since: vec![None; size],
+            seat_changes_sent: 0,
         };
         for _ in 0..size {
             let folder = cluster.new_folder();
@@ -363,6 +367,12 @@
     fn enqueue_message(&mut self, from: usize, to: &NodeName, message: PeerMessage) {
         let to = (0..self.hosts.len()).find(|host| Self::name(*host) == *to);
         let to = to.expect("messages go to members");
+        if let PeerBody::Append(call) = &message.body {
+            let changes_seats = |entry: &LogEntry| {
+                matches!(entry.payload, EntryPayload::Admit(_) | EntryPayload::Dismiss(_))
+            };
+            self.seat_changes_sent += usize::from(call.entries.iter().any(changes_seats));
+        }
         // Encode and decode the message as on a real connection.
         let bytes = codec::encode(&message).expect("a message has an encoding");
         let message: PeerMessage = codec::decode(&bytes).expect("a message decodes");
--- a/crates/control/tests/agreement/main.rs
+++ b/crates/control/tests/agreement/main.rs
@@ -5,5 +5,6 @@
 mod faults;
 mod membership;
 mod power_loss;
+mod removal;
 mod seeded;
 mod steps;
--- a/crates/control/tests/agreement/membership.rs
+++ b/crates/control/tests/agreement/membership.rs
@@ -42,7 +42,7 @@
 }
 
 /// Proposes a change to the current leader until one is committed.
-fn commit(cluster: &mut TestCluster, number: u64) {
+pub fn commit(cluster: &mut TestCluster, number: u64) {
     let end = cluster.now.after(TIME_LIMIT);
     let mut tries = 0;
     loop {
--- a/crates/control/tests/agreement/power_loss.rs
+++ b/crates/control/tests/agreement/power_loss.rs
@@ -34,10 +34,10 @@
 
 /// An operator that sends one change after another.
 #[derive(Default)]
-struct ChangeStream {
+pub struct ChangeStream {
     sent: u64,
     /// Newest revision that was acknowledged.
-    accepted: RevisionNumber,
+    pub accepted: RevisionNumber,
 }
 
 impl ChangeStream {
@@ -51,7 +51,7 @@
     }
 
     /// Sends changes for `steps` steps; returns whether one was acknowledged in the last of them.
-    fn run(&mut self, cluster: &mut TestCluster, steps: u32) -> bool {
+    pub fn run(&mut self, cluster: &mut TestCluster, steps: u32) -> bool {
         let mut fresh = false;
         for _ in 0..steps {
             if cluster.random.random_range(0..3) == 0 {
@@ -74,7 +74,7 @@
     }
 
     /// Reads the newest revision back, confirmed by a majority.
-    fn read_back(&mut self, cluster: &mut TestCluster) -> RevisionNumber {
+    pub fn read_back(&mut self, cluster: &mut TestCluster) -> RevisionNumber {
         let end = cluster.now.after(TIME_LIMIT);
         loop {
             assert!(
@@ -265,3 +265,13 @@
 fn changes_outlive_two_lost_disks_among_five_hosts() {
     run_seeds(|seed| run_seed(TestCluster::new(5, 7_000 + seed, faults(seed)), 2, all_seated));
 }
+
+/// Guards against a control plane without a leader: the only host with the newest log is being removed, and does
+/// not stand for election.
+#[test]
+fn removed_host_with_the_newest_log_is_elected_after_a_power_loss() {
+    const SEED: u64 = 1_844;
+    let cluster = TestCluster::dynamic(HOSTS, VOTERS, 5_000 + SEED, faults(SEED));
+
+    run_seed(cluster, 1, voters_seated);
+}
--- a/crates/control/tests/agreement/steps.rs
+++ b/crates/control/tests/agreement/steps.rs
@@ -40,7 +40,7 @@
     AgreementCore::new(START, settings, recovered)
 }
 
-fn message(host: usize, term: u64, body: PeerBody) -> PeerMessage {
+pub fn message(host: usize, term: u64, body: PeerBody) -> PeerMessage {
     PeerMessage {
         from: TestCluster::name(host),
         folder: FolderId(host as u64),
@@ -50,7 +50,7 @@
 }
 
 /// Drains the core and marks all writes as synced.
-fn drain_synced(core: &mut AgreementCore, now: TimePoint) -> CoreOutput {
+pub fn drain_synced(core: &mut AgreementCore, now: TimePoint) -> CoreOutput {
     let output = core.drain(now);
     if let Some(batch) = &output.batch {
         core.stored(now, batch.ticket);
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -24,7 +24,7 @@
 use std::fmt;
 
 /// Version of the message types; both ends of a link must have the same one.
-pub const PROTOCOL_VERSION: &str = "5";
+pub const PROTOCOL_VERSION: &str = "6";
 
 /// Header that carries [`PROTOCOL_VERSION`].
 pub(crate) const VERSION_HEADER: &str = "x-briartray-version";
