quarantine: three crashes of a lone request are enough

Cause: four crashes are needed because three happen to sound requests among others. A request that ran alone on each of the crashed endpoints, and crashed them after about the same time, is no such case. Change: the leader keeps which requests ran on a crashed endpoint. Three crashes suffice where no other request is reported for any of them within 500 ms and the running times are alike. An entry that has seen a crash of a request reports its next completed run, not only those of suspects, so that the crashes of popular requests count no longer. The check of a run that was given up is spared by any sign of life of its endpoint.

--- a/crates/fleet/src/entry/load.rs
+++ b/crates/fleet/src/entry/load.rs
@@ -107,6 +107,11 @@
         self.suspect_until = None;
     }
 
+    /// Whether bytes have arrived after `at`.
+    pub fn has_moved_after(&self, at: TimePoint) -> bool {
+        self.last_byte_at.is_some_and(|byte| byte > at)
+    }
+
     /// Records that the first part of an answer arrived `took` after the request.
     pub fn first_part(&mut self, now: TimePoint, took: Duration) {
         let took = took.as_secs_f64();
--- a/crates/fleet/src/entry/table.rs
+++ b/crates/fleet/src/entry/table.rs
@@ -308,6 +308,11 @@
         self.load(target).moved(now);
     }
 
+    /// Whether bytes have arrived from `target` after `at`.
+    pub fn has_moved_after(&self, at: TimePoint, target: &TargetId) -> bool {
+        self.loads.get(target).is_some_and(|load| load.has_moved_after(at))
+    }
+
     /// Records that the first part of an answer from `target` arrived `took` after the request.
     pub fn first_part(&mut self, now: TimePoint, target: &TargetId, took: Duration) {
         self.load(target).first_part(now, took);
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -31,7 +31,7 @@
             return;
         };
         let parts = leadership.quarantine.take_fatal_parts(now);
-        let requests = leadership.quarantine.take_fatal();
+        let requests = leadership.quarantine.take_fatal(now);
         for record in parts {
             let (part, crashes) = (record.part, record.endpoints.len());
             log::warn!(part:%, rule = record.rule;
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -61,7 +61,6 @@
     pending: Option<(SendingExchange, TargetGuard)>,
     progress: Rc<SendProgress>,
     watch: RunWatch,
-    pub(super) target: TargetId,
 }
 
 /// A replica's response whose head has been validated and whose body has not been read.
@@ -84,9 +83,8 @@
             once,
             progress: Rc::clone(&progress),
         };
-        let target = guard.target.clone();
         let exchange: SendingExchange = Box::pin(async move { sender.send().await });
-        SendingAttempt { pending: Some((exchange, guard)), progress, watch, target }
+        SendingAttempt { pending: Some((exchange, guard)), progress, watch }
     }
 }
 
@@ -150,6 +148,11 @@
         self.progress.is_sent()
     }
 
+    /// The target that the request is sent to.
+    pub(super) fn target(&self) -> &TargetId {
+        &self.watch.target
+    }
+
     /// Where and when the request was sent.
     pub(super) fn sent_to(&self) -> &SentTo {
         &self.watch.sent_to
@@ -228,6 +231,7 @@
             state: Rc::clone(&self.state),
             identity: Rc::clone(&self.identity),
             sent_to: SentTo { endpoint: choice.endpoint, address, at: now },
+            target: guard.target.clone(),
             deadline: now.after(left),
         };
         Some(PreparedAttempt { guard, request, once: self.rule.kind == RepeatKind::Once, watch })
--- a/crates/gateway/src/entry/crash_check.rs
+++ b/crates/gateway/src/entry/crash_check.rs
@@ -14,6 +14,7 @@
 
 use super::attempt::SentTo;
 use super::dispatch::{RequestIdentity, ServedRequest};
+use super::given_up::RunWatch;
 use super::state::EntryState;
 
 /// Pause before the second connection attempt: a crashing endpoint may close its connections before
@@ -59,30 +60,28 @@
     tokio::task::spawn_local(run_check(Rc::clone(state), endpoint, address));
 }
 
-/// As [`check`] for a request that the entry had given up. Most endpoints close such connections, so
-/// the check takes a moment longer, and an open connection to the endpoint spares it.
-pub(super) fn check_given_up(
-    state: &Rc<EntryState>,
-    identity: &Rc<RequestIdentity>,
-    sent_to: &SentTo,
-) {
-    let SentTo { endpoint, address, .. } = sent_to.clone();
-    if state.table.borrow().holds().is_leaving(&endpoint) {
+/// As [`check`] for a run that the entry had given up. Most endpoints close such connections, so the
+/// check takes a moment longer, and a sign of life of the endpoint spares it.
+pub(super) fn check_given_up(watch: &RunWatch) {
+    let RunWatch { state, identity, sent_to, target, .. } = watch.clone();
+    if state.table.borrow().holds().is_leaving(&sent_to.endpoint) {
         return;
     }
-    let run = BrokenRun::new(state, identity, sent_to);
+    let run = BrokenRun::new(&state, &identity, &sent_to);
+    let closed = run.broke;
     let mut given_up = state.given_up_runs.borrow_mut();
-    if let Some(runs) = given_up.get_mut(&endpoint) {
+    if let Some(runs) = given_up.get_mut(&sent_to.endpoint) {
         return runs.push(run);
     }
-    given_up.insert(endpoint.clone(), vec![run]);
-    let state = Rc::clone(state);
+    given_up.insert(sent_to.endpoint.clone(), vec![run]);
+    drop(given_up);
     tokio::task::spawn_local(async move {
         tokio::time::sleep(GIVEN_UP_DELAY).await;
-        let is_open = state.pool.borrow().has_open(address);
-        let crashed = !is_open && briartray_http::is_refused(address).await;
-        let runs = state.given_up_runs.borrow_mut().remove(&endpoint).unwrap_or_default();
-        report(&state, &endpoint, runs, crashed);
+        let is_alive = state.pool.borrow().has_open(sent_to.address)
+            || state.table.borrow().has_moved_after(closed.after(RECHECK_DELAY), &target);
+        let crashed = !is_alive && briartray_http::is_refused(sent_to.address).await;
+        let runs = state.given_up_runs.borrow_mut().remove(&sent_to.endpoint).unwrap_or_default();
+        report(&state, &sent_to.endpoint, runs, crashed);
     });
 }
 
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -172,7 +172,7 @@
     }
 
     /// Records that the request ran to completion and got a response with `status`. This clears the
-    /// request, and the parts of its prompt, if they were suspected of crashes.
+    /// request of its crashes, and the parts of its prompt if they were suspected.
     pub(super) fn record_complete_run(&self, state: &EntryState, status: StatusCode) {
         // A server error does not prove that the request is harmless: a broken endpoint fails every
         // request.
@@ -182,7 +182,8 @@
         if status.is_success() {
             state.record_completed_parts(&self.shared_parts);
         }
-        if state.status(|| self.fingerprint(state)) != QuarantineStatus::Clear {
+        let is_watched = state.status(|| self.fingerprint(state)) != QuarantineStatus::Clear;
+        if is_watched || state.evidence_log.borrow().awaits_completion(|| self.fingerprint(state)) {
             let fingerprint = self.fingerprint(state);
             state.evidence_log.borrow_mut().note(state.now(), fingerprint, RunEnd::Whole);
             state.send_report();
--- a/crates/gateway/src/entry/given_up.rs
+++ b/crates/gateway/src/entry/given_up.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use briartray_fleet::entry::TargetId;
 use briartray_http::{Exchange, SendFailure, SendingHalf, UnreadBody};
 use briartray_model::TimePoint;
 use http::StatusCode;
@@ -72,6 +73,7 @@
     pub(super) state: Rc<EntryState>,
     pub(super) identity: Rc<RequestIdentity>,
     pub(super) sent_to: SentTo,
+    pub(super) target: TargetId,
     /// When the deadline is over that the endpoint was given.
     pub(super) deadline: TimePoint,
 }
@@ -153,7 +155,7 @@
                 "complete"
             }
             ObservedEnd::Closed => {
-                crash_check::check_given_up(&self.state, &self.identity, &self.sent_to);
+                crash_check::check_given_up(self);
                 "closed"
             }
             ObservedEnd::NotSent => "not_sent",
--- a/crates/gateway/src/entry/stream_run.rs
+++ b/crates/gateway/src/entry/stream_run.rs
@@ -96,7 +96,7 @@
 
     fn target(&self) -> &TargetId {
         match self {
-            Self::Sending(sending) => &sending.target,
+            Self::Sending(sending) => sending.target(),
             Self::Reading(reading) => &reading.answer.guard.target,
         }
     }
--- a/crates/node/src/control/quarantine.rs
+++ b/crates/node/src/control/quarantine.rs
@@ -33,7 +33,7 @@
     /// Proposes to quarantine what the evidence is sufficient for.
     fn quarantine_fatal(&mut self, now: TimePoint) {
         let parts = self.quarantine.take_fatal_parts(now);
-        let requests = self.quarantine.take_fatal();
+        let requests = self.quarantine.take_fatal(now);
         for record in parts {
             let (part, crashes) = (record.part, record.endpoints.len());
             log::warn!(
--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -124,8 +124,10 @@
         let mut state = self.state();
         let is_suspected = state.guard.parts_status(&plan.parts) == QuarantineStatus::Suspect;
         state.completed_parts.record(now, &plan.parts);
+        let awaited = state.runs.awaits_completion(|| self.fingerprint_of(plan));
         drop(state);
-        if self.status(&plan.target.path, &plan.team, &plan.body, &[]) != QuarantineStatus::Clear {
+        let status = self.status(&plan.target.path, &plan.team, &plan.body, &[]);
+        if awaited || status != QuarantineStatus::Clear {
             let fingerprint = self.fingerprint_of(plan);
             self.state().runs.note(now, fingerprint, RunEnd::Whole);
             self.wake_up();
--- a/crates/quarantine/src/crash_book.rs
+++ b/crates/quarantine/src/crash_book.rs
@@ -6,8 +6,10 @@
 use briartray_model::names::{IncarnationId, RequestFingerprint, TeamName};
 use briartray_model::{SortedTable, TimePoint};
 
-use super::reported_crash::{EVIDENCE_LIFETIME, ReportedCrash, count_distinct, time_before};
-use super::{FATAL_CRASHES, QuarantineRecord, SUSPECT_CRASHES};
+use super::reported_crash::{
+    EVIDENCE_LIFETIME, ReportedCrash, count_distinct, ran_alike, time_before,
+};
+use super::{FATAL_CRASHES, LONE_FATAL_CRASHES, QuarantineRecord, SUSPECT_CRASHES};
 
 /// Maximum number of requests that are kept. One crash adds up to a whole batch of them, most of
 /// which never recur.
@@ -19,6 +21,23 @@
 /// Maximum number of suspects that are sent to entries.
 const MAX_SUSPECTS: usize = 64;
 
+/// Maximum number of crashed endpoints that are kept.
+const MAX_ENDPOINTS: usize = 512;
+
+/// Time in which entries report all requests that ran on a crashed endpoint, those included that
+/// they had given up.
+const REPORT_TIME: Duration = Duration::from_millis(500);
+
+/// The requests that ran on a crashed endpoint.
+#[derive(Debug, Clone)]
+struct CrashedEndpoint {
+    /// When its crash was first reported.
+    learned: TimePoint,
+    print: RequestFingerprint,
+    /// Whether any other request ran there as well.
+    is_shared: bool,
+}
+
 #[derive(Debug, Clone, Default)]
 struct FingerprintRecord {
     /// Crashes since the last complete run, oldest first; at most one for each endpoint.
@@ -34,6 +53,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct CrashBook {
     records: SortedTable<RequestFingerprint, FingerprintRecord>,
+    endpoints: SortedTable<IncarnationId, CrashedEndpoint>,
 }
 
 impl CrashBook {
@@ -47,6 +67,7 @@
         match &event.end {
             RunEnd::Whole => self.record_whole_run(event.print, at),
             RunEnd::Crashed { endpoint, ran_ms, rule, team } => {
+                self.note_endpoint(now, endpoint, event.print);
                 let record = self.record(event.print);
                 let started_at = time_before(now, age + Duration::from_millis(*ran_ms));
                 let reported = ReportedCrash { at, started_at, endpoint: endpoint.clone() };
@@ -62,10 +83,11 @@
 
     /// Returns the requests to quarantine now. Each request is returned once, until
     /// [`Self::forget`] or [`Self::lost`].
-    pub fn take_fatal(&mut self) -> Vec<QuarantineRecord> {
+    pub fn take_fatal(&mut self, now: TimePoint) -> Vec<QuarantineRecord> {
         let mut fatal = Vec::new();
+        let endpoints = &self.endpoints;
         for (fingerprint, record) in self.records.iter_mut() {
-            if record.proposed || record.distinct_crashes() < FATAL_CRASHES {
+            if record.proposed || !record.is_fatal(now, endpoints) {
                 continue;
             }
             record.proposed = true;
@@ -79,6 +101,27 @@
         fatal
     }
 
+    /// Records that `print` ran on `endpoint`, which crashed, although it is not counted here.
+    pub fn note_endpoint(
+        &mut self,
+        now: TimePoint,
+        endpoint: &IncarnationId,
+        print: RequestFingerprint,
+    ) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.is_shared |= known.print != print;
+            return;
+        }
+        if self.endpoints.len() >= MAX_ENDPOINTS {
+            let oldest = self.endpoints.iter().min_by_key(|(_, known)| known.learned);
+            if let Some(oldest) = oldest.map(|(endpoint, _)| endpoint.clone()) {
+                self.endpoints.remove(&oldest);
+            }
+        }
+        let crashed = CrashedEndpoint { learned: now, print, is_shared: false };
+        self.endpoints.insert(endpoint.clone(), crashed);
+    }
+
     /// Records that the proposal to quarantine `fingerprint` was lost, so that it is repeated.
     pub fn lost(&mut self, fingerprint: RequestFingerprint) {
         if let Some(record) = self.records.get_mut(&fingerprint) {
@@ -134,6 +177,7 @@
         let before = self.records.len();
         let oldest = time_before(now, EVIDENCE_LIFETIME);
         self.records.retain(|_, record| record.newest() > oldest);
+        self.endpoints.retain(|_, known| now.since(known.learned) < EVIDENCE_LIFETIME);
         self.records.len() < before
     }
 
@@ -192,6 +236,19 @@
         true
     }
 
+    /// Whether the request is to be quarantined.
+    fn is_fatal(
+        &self,
+        now: TimePoint,
+        endpoints: &SortedTable<IncarnationId, CrashedEndpoint>,
+    ) -> bool {
+        let distinct = self.distinct_crashes();
+        distinct >= FATAL_CRASHES
+            || (distinct >= LONE_FATAL_CRASHES
+                && ran_alike(&self.crashes)
+                && self.crashes.iter().all(|crash| is_lone(now, endpoints.get(&crash.endpoint))))
+    }
+
     /// Number of crashes with separate causes.
     fn distinct_crashes(&self) -> usize {
         count_distinct(self.crashes.iter())
@@ -202,3 +259,8 @@
         crash.max(self.whole_at).unwrap_or_default()
     }
 }
+
+/// Whether no other request ran on the endpoint, as far as entries had time to report.
+fn is_lone(now: TimePoint, crashed: Option<&CrashedEndpoint>) -> bool {
+    crashed.is_some_and(|known| !known.is_shared && now.since(known.learned) >= REPORT_TIME)
+}
--- a/crates/quarantine/src/evidence_log.rs
+++ b/crates/quarantine/src/evidence_log.rs
@@ -57,6 +57,17 @@
         }
     }
 
+    /// Whether a completed run of the request is worth reporting: the log holds a crash of it, and no
+    /// completed run since.
+    pub fn awaits_completion(&self, compute: impl FnOnce() -> RequestFingerprint) -> bool {
+        if self.runs.is_empty() {
+            return false;
+        }
+        let fingerprint = compute();
+        let last = self.runs.iter().rfind(|run| run.fingerprint == fingerprint);
+        last.is_some_and(|run| matches!(run.end, RunEnd::Crashed { .. }))
+    }
+
     /// Records that the report after `nonce` may be the first one to a new leader.
     pub fn begin_leader(&mut self, nonce: u64) {
         self.full_report_from = Some(nonce + 1);
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -38,6 +38,10 @@
 /// Consecutive crashes after which a request is quarantined.
 pub const FATAL_CRASHES: usize = 4;
 
+/// The same if no other request ran on any of the crashed endpoints, and each of them crashed after about the
+/// same running time.
+pub const LONE_FATAL_CRASHES: usize = 3;
+
 /// Consecutive crashes from which a request is a suspect: it is not retried on another endpoint
 /// after a crash, and its complete runs are reported.
 pub const SUSPECT_CRASHES: usize = 2;
--- a/crates/quarantine/src/quarantine_tracker.rs
+++ b/crates/quarantine/src/quarantine_tracker.rs
@@ -60,10 +60,11 @@
         };
         let is_guilty = |part: &PartId| list.holds_part(*part) || self.parts.is_proposed(*part);
         if event.parts.iter().any(is_guilty) {
+            self.crashes.note_endpoint(now, endpoint, event.print);
             return self.explain(now, endpoint);
         }
         if list.holds(event.print) || self.parts.is_explained(endpoint) {
-            return;
+            return self.crashes.note_endpoint(now, endpoint, event.print);
         }
         self.view_stale |= self.crashes.record_run(now, event);
         self.view_stale |= self.parts.record_crash(now, event);
@@ -75,8 +76,8 @@
     }
 
     /// Returns the requests to quarantine now, each of them once.
-    pub fn take_fatal(&mut self) -> Vec<QuarantineRecord> {
-        let fatal = self.crashes.take_fatal();
+    pub fn take_fatal(&mut self, now: TimePoint) -> Vec<QuarantineRecord> {
+        let fatal = self.crashes.take_fatal(now);
         fatal.iter().for_each(|record| self.parts.drop_request(record.print));
         fatal
     }
--- a/crates/quarantine/src/reported_crash.rs
+++ b/crates/quarantine/src/reported_crash.rs
@@ -16,6 +16,12 @@
 /// Tolerance for the start of a run: ages are reported in whole milliseconds.
 const START_TOLERANCE: Duration = Duration::from_millis(3);
 
+/// Largest ratio of running times that count as alike.
+const ALIKE_FACTOR: f64 = 1.25;
+
+/// Difference of running times that always counts as alike.
+const ALIKE_TOLERANCE: Duration = Duration::from_millis(50);
+
 /// A crash of an endpoint during a run.
 #[derive(Debug, Clone)]
 pub(super) struct ReportedCrash {
@@ -43,6 +49,14 @@
     distinct_crashes
 }
 
+/// Whether the runs that ended in `crashes` took about the same time: the longest at most
+/// `ALIKE_FACTOR` times as long as the shortest, or `ALIKE_TOLERANCE` longer.
+pub(super) fn ran_alike(crashes: &[ReportedCrash]) -> bool {
+    let times = || crashes.iter().map(|crash| crash.at.since(crash.started_at));
+    let (Some(shortest), Some(longest)) = (times().min(), times().max()) else { return false };
+    longest <= shortest.mul_f64(ALIKE_FACTOR).max(shortest + ALIKE_TOLERANCE)
+}
+
 /// The time `age` before `now`, on a clock shifted forward by the lifetime of a crash. A new leader
 /// learns of events from before its own clock began, whose times would otherwise be negative.
 pub(super) fn time_before(now: TimePoint, age: Duration) -> TimePoint {
--- a/crates/quarantine/tests/decisions.rs
+++ b/crates/quarantine/tests/decisions.rs
@@ -20,9 +20,13 @@
 }
 
 fn crashed(endpoint: &str) -> RunEnd {
+    crashed_after(endpoint, 1_000)
+}
+
+fn crashed_after(endpoint: &str, ran_ms: u64) -> RunEnd {
     let team = Some(TeamName::new("traders"));
     let (endpoint, rule) = (IncarnationId::new(endpoint), "draft".to_owned());
-    RunEnd::Crashed { endpoint, ran_ms: 1_000, rule, team }
+    RunEnd::Crashed { endpoint, ran_ms, rule, team }
 }
 
 fn event(print: RequestFingerprint, end: RunEnd) -> RunEvent {
@@ -39,8 +43,8 @@
     book
 }
 
-fn fatal_prints(book: &mut CrashBook) -> Vec<RequestFingerprint> {
-    book.take_fatal().into_iter().map(|record| record.print).collect()
+fn fatal_prints(book: &mut CrashBook, now: TimePoint) -> Vec<RequestFingerprint> {
+    book.take_fatal(now).into_iter().map(|record| record.print).collect()
 }
 
 fn record(fingerprint: u128) -> QuarantineRecord {
@@ -57,18 +61,18 @@
 #[test]
 fn several_crashes_in_a_row_are_fatal() {
     let mut book = nearly_fatal(FATAL);
-    let suspected = (fatal_prints(&mut book), book.suspects());
+    let suspected = (fatal_prints(&mut book, at(1_500)), book.suspects());
 
     book.record_run(at(3_000), &event(FATAL, crashed("i-9")));
-    let fatal = book.take_fatal();
+    let fatal = book.take_fatal(at(3_000));
 
     assert_eq!(suspected, (Vec::new(), vec![FATAL]));
     assert_eq!(fatal.len(), 1);
     assert_eq!((fatal[0].print, &*fatal[0].rule), (FATAL, "draft"));
     assert_eq!(fatal[0].endpoints.len(), FATAL_CRASHES);
-    assert!(book.take_fatal().is_empty(), "a quarantine is proposed once");
+    assert!(book.take_fatal(at(3_000)).is_empty(), "a quarantine is proposed once");
     book.lost(FATAL);
-    assert_eq!(fatal_prints(&mut book), [FATAL], "a lost proposal is repeated");
+    assert_eq!(fatal_prints(&mut book, at(3_000)), [FATAL], "a lost proposal is repeated");
 }
 
 /// Guards against counting a crash once for each entry that reports it.
@@ -80,7 +84,7 @@
         book.record_run(at(entry * 300), &event(FATAL, crashed("i-0")));
     }
 
-    assert!(fatal_prints(&mut book).is_empty());
+    assert!(fatal_prints(&mut book, at(8 * 300)).is_empty());
     assert!(book.suspects().is_empty());
 }
 
@@ -93,7 +97,7 @@
         book.record_run(at(number * 20), &event(FATAL, crashed(&format!("i-{number}"))));
     }
 
-    assert!(fatal_prints(&mut book).is_empty());
+    assert!(fatal_prints(&mut book, at(1_000)).is_empty());
 }
 
 /// Guards against counting consecutive crashes as one because a request is retried faster than the
@@ -101,19 +105,12 @@
 #[test]
 fn crashes_of_consecutive_runs_count_separately() {
     let mut book = CrashBook::default();
-    let short_run = |endpoint: &str| match crashed(endpoint) {
-        RunEnd::Crashed { endpoint, rule, team, .. } => {
-            RunEnd::Crashed { endpoint, ran_ms: 30, rule, team }
-        }
-        RunEnd::Whole => unreachable!("the run ended in a crash"),
-    };
-
     for number in 0..FATAL_CRASHES {
         let millis = 35 * u64::try_from(number).expect("the number of crashes fits into u64");
-        book.record_run(at(millis), &event(FATAL, short_run(&format!("i-{number}"))));
+        book.record_run(at(millis), &event(FATAL, crashed_after(&format!("i-{number}"), 30)));
     }
 
-    assert_eq!(fatal_prints(&mut book), [FATAL]);
+    assert_eq!(fatal_prints(&mut book, at(200)), [FATAL]);
 }
 
 /// Guards against quarantine of a harmless request after three coincidental crashes in a day.
@@ -125,7 +122,7 @@
     book.record_run(at(3_000), &event(FATAL, crashed("i-8")));
     book.record_run(at(3_500), &event(FATAL, crashed("i-9")));
 
-    assert!(fatal_prints(&mut book).is_empty());
+    assert!(fatal_prints(&mut book, at(4_000)).is_empty());
     // An entry that reports late sends a crash from before the complete run.
     let late = RunEvent { age_ms: 1_500, ..event(FATAL, crashed("i-7")) };
     assert!(!book.record_run(at(4_000), &late));
@@ -149,7 +146,7 @@
         book.record_run(TimePoint(0), event);
     }
 
-    assert_eq!(fatal_prints(&mut book), [FATAL]);
+    assert_eq!(fatal_prints(&mut book, TimePoint(0)), [FATAL]);
     log.confirmed(40);
     assert_eq!(
         log.events_to_report(now).len(),
@@ -197,7 +194,7 @@
     assert!(book.len() <= 2_048, "{} requests are stored", book.len());
     let reported = codec::encode(&log.events_to_report(at(22_000))).expect("events encode").len();
     assert!(reported <= 10_000, "{reported} bytes in one report");
-    assert_eq!(fatal_prints(&mut book), [FATAL]);
+    assert_eq!(fatal_prints(&mut book, at(30_000)), [FATAL]);
 }
 
 /// Guards against suspects that are never removed.
@@ -209,7 +206,7 @@
     assert!(book.prune(now));
     book.record_run(now, &event(FATAL, crashed("i-9")));
 
-    assert!(fatal_prints(&mut book).is_empty());
+    assert!(fatal_prints(&mut book, now).is_empty());
     assert!(book.suspects().is_empty());
 }
 
@@ -257,7 +254,7 @@
             let age_ms = now - number * 500;
             tracker.take(at(now), &RunEvent { age_ms, ..late }, list);
         }
-        tracker.take_fatal().len()
+        tracker.take_fatal(at(now)).len()
     };
     assert_eq!(report_old_crashes(&mut tracker, &list, 2_000), 1);
     list.add(&record(7));
@@ -314,6 +311,10 @@
 struct SimulatedRequest {
     fingerprint: RequestFingerprint,
     group: usize,
+    /// When its current run began.
+    began: TimePoint,
+    /// The entry that its caller reached.
+    entry: usize,
     /// Number of endpoints that have run this copy.
     runs: u32,
     /// Number of times that its caller will still retry.
@@ -324,6 +325,13 @@
 /// suspect to one.
 struct CrashSimulation {
     random: ChaCha8Rng,
+    /// Number of requests that run at the same time.
+    load: usize,
+    /// Whether running times are exact, and entries report completed runs of requests whose crashes they
+    /// have seen.
+    exact: bool,
+    /// Requests whose crashes an entry has seen, since their last completed run there.
+    seen_crashes: Vec<(usize, RequestFingerprint)>,
     book: CrashBook,
     running: Vec<SimulatedRequest>,
     incarnations: Vec<u32>,
@@ -333,10 +341,18 @@
 impl CrashSimulation {
     const GROUPS: usize = 9;
     const RUNNING: usize = 160;
+    const ENTRIES: usize = 7;
 
     fn new(seed: u64) -> Self {
+        Self::with_load(seed, Self::RUNNING, false)
+    }
+
+    fn with_load(seed: u64, load: usize, exact: bool) -> Self {
         Self {
             random: ChaCha8Rng::seed_from_u64(seed),
+            load,
+            exact,
+            seen_crashes: Vec::new(),
             book: CrashBook::default(),
             running: Vec::new(),
             incarnations: vec![0; Self::GROUPS],
@@ -350,30 +366,39 @@
 
     /// Starts a request: one in five has the popular body, all others a body of their own. Most
     /// callers retry once, one in ten retries four times.
-    fn begin(&mut self) {
+    fn begin(&mut self, began: TimePoint) {
         let popular = self.random.random_bool(0.2);
         self.next_print += 1;
         let fingerprint =
             if popular { RequestFingerprint(1) } else { RequestFingerprint(self.next_print) };
         let retries_left = if self.random.random_bool(0.1) { 4 } else { 1 };
         let group = self.random_group();
-        self.running.push(SimulatedRequest { fingerprint, group, runs: 1, retries_left });
+        let entry = if self.exact { self.random.random_range(0..Self::ENTRIES) } else { 0 };
+        let request = SimulatedRequest { fingerprint, group, began, entry, runs: 1, retries_left };
+        self.running.push(request);
     }
 
     /// Simulates a tenth of a second: a tenth of the requests ends, and new ones start.
     fn tick(&mut self, now: TimePoint) {
-        for _ in 0..Self::RUNNING / 10 {
+        let ends = match self.load / 10 {
+            0 => usize::from(self.random.random_bool(0.1 * self.load as f64)),
+            ends => ends,
+        };
+        for _ in 0..ends {
             if self.running.is_empty() {
                 break;
             }
             let ended = self.random.random_range(0..self.running.len());
-            let fingerprint = self.running.swap_remove(ended).fingerprint;
-            if self.book.suspects().contains(&fingerprint) {
+            let SimulatedRequest { fingerprint, entry, .. } = self.running.swap_remove(ended);
+            let seen = self.seen_crashes.len();
+            self.seen_crashes.retain(|known| *known != (entry, fingerprint));
+            let awaited = self.exact && self.seen_crashes.len() < seen;
+            if awaited || self.book.suspects().contains(&fingerprint) {
                 self.book.record_run(now, &event(fingerprint, RunEnd::Whole));
             }
         }
-        while self.running.len() < Self::RUNNING {
-            self.begin();
+        while self.running.len() < self.load {
+            self.begin(now);
         }
     }
 
@@ -387,7 +412,11 @@
             .partition(|request: &SimulatedRequest| request.group == group);
         self.running = rest;
         for mut request in hit {
-            self.book.record_run(now, &event(request.fingerprint, crashed(&endpoint)));
+            let ran = u64::try_from(now.since(request.began).as_millis()).unwrap_or(u64::MAX);
+            let ran_ms = if self.exact { ran } else { 1_000 };
+            self.seen_crashes.push((request.entry, request.fingerprint));
+            let end = crashed_after(&endpoint, ran_ms);
+            self.book.record_run(now, &event(request.fingerprint, end));
             if request.runs < 2 && !self.book.suspects().contains(&request.fingerprint) {
                 request.runs += 1;
             } else if request.retries_left > 0 {
@@ -397,6 +426,7 @@
                 continue;
             }
             request.group = self.random_group();
+            request.began = now;
             self.running.push(request);
         }
     }
@@ -419,7 +449,7 @@
             if simulation.random.random_bool(0.01) {
                 (0..3).for_each(|group| simulation.crash(now, group));
             }
-            fatal.extend(simulation.book.take_fatal());
+            fatal.extend(simulation.book.take_fatal(now));
         }
         assert!(fatal.is_empty(), "seed {seed}: {fatal:?}");
     }
@@ -440,6 +470,8 @@
                 simulation.running.push(SimulatedRequest {
                     fingerprint: FATAL,
                     group,
+                    began: now,
+                    entry: 0,
                     runs: 2,
                     retries_left: 0,
                 });
@@ -448,8 +480,73 @@
             } else if simulation.random.random_bool(0.05) {
                 simulation.crash(now, group);
             }
-            found |= fatal_prints(&mut simulation.book).contains(&FATAL);
+            found |= fatal_prints(&mut simulation.book, now).contains(&FATAL);
         }
         assert_eq!((found, runs), (true, FATAL_CRASHES), "seed {seed}");
     }
 }
+
+/// Plays a minute of a fleet that runs `load` requests at a time, with one crash of an endpoint every seven
+/// seconds on average; returns the harmless requests that were quarantined.
+fn play_quiet_minute(seed: u64, load: usize) -> Vec<RequestFingerprint> {
+    let mut simulation = CrashSimulation::with_load(seed, load, true);
+    let mut quarantined = Vec::new();
+    for tick in 0..600 {
+        let now = at(tick * 100);
+        simulation.tick(now);
+        if simulation.random.random_bool(0.014) {
+            let group = simulation.random_group();
+            simulation.crash(now, group);
+        }
+        quarantined.extend(fatal_prints(&mut simulation.book, now));
+    }
+    quarantined
+}
+
+/// Guards against quarantine of a harmless request that is often the only one on its endpoint.
+#[test]
+fn unrelated_crashes_of_a_quiet_fleet_quarantine_no_harmless_request() {
+    for load in [1, 2, 3, 5, 9] {
+        for seed in 0..400 {
+            let quarantined = play_quiet_minute(seed, load);
+            assert!(quarantined.is_empty(), "load {load}, seed {seed}: {quarantined:?}");
+        }
+    }
+}
+
+/// Returns a book in which `FATAL` alone crashed one endpoint after each of `times`, with the time of the last crash.
+fn lone_crashes(times: &[u64]) -> (CrashBook, u64) {
+    let mut book = CrashBook::default();
+    let mut millis = 0;
+    for (number, ran_ms) in times.iter().enumerate() {
+        millis += 6_000;
+        book.record_run(at(millis), &event(FATAL, crashed_after(&format!("i-{number}"), *ran_ms)));
+    }
+    (book, millis)
+}
+
+/// Guards against a fatal request that goes on reaching endpoints after its third crash: most endpoints stop it when
+/// its callers leave, so that the fourth crash takes long.
+#[test]
+fn three_crashes_of_a_lone_request_after_the_same_time_are_fatal() {
+    let (mut book, last) = lone_crashes(&[600, 610, 590]);
+
+    let early = fatal_prints(&mut book, at(last + 100));
+    let later = fatal_prints(&mut book, at(last + 600));
+
+    assert_eq!((early, later), (Vec::new(), vec![FATAL]));
+}
+
+/// Guards against quarantine of a request after three crashes that other requests may have caused, or that came
+/// at any time of its runs.
+#[test]
+fn three_crashes_are_not_fatal_beside_other_requests_or_after_different_times() {
+    let (mut beside, last) = lone_crashes(&[600, 610, 590]);
+    beside.record_run(at(last + 50), &event(RequestFingerprint(8), crashed_after("i-1", 900)));
+    let (mut different, _) = lone_crashes(&[600, 90, 1_500]);
+
+    let quarantined = |book: &mut CrashBook| fatal_prints(book, at(last + 10_000));
+
+    assert!(quarantined(&mut beside).is_empty());
+    assert!(quarantined(&mut different).is_empty());
+}
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -184,7 +184,7 @@
     }
 
     assert!(tracker.take_fatal_parts(at(6_000)).is_empty());
-    let fatal = tracker.take_fatal();
+    let fatal = tracker.take_fatal(at(6_000));
     assert_eq!(
         fatal.iter().map(|record| record.print).collect::<Vec<_>>(),
         [RequestFingerprint(7)]
@@ -208,7 +208,7 @@
     let parts: Vec<PartId> =
         tracker.take_fatal_parts(at(2_000)).iter().map(|record| record.part).collect();
     let requests: Vec<RequestFingerprint> =
-        tracker.take_fatal().iter().map(|record| record.print).collect();
+        tracker.take_fatal(at(2_000)).iter().map(|record| record.print).collect();
 
     assert_eq!(parts, [FATAL]);
     assert_eq!(requests, [RequestFingerprint(50)], "the part explains the crashes of request 60");
