--- a/crates/quarantine/src/crash_book.rs
+++ b/crates/quarantine/src/crash_book.rs
@@ -101,7 +101,7 @@
         fatal
     }
 
-    /// Records that `print` ran on `endpoint`, which crashed, although it is not counted here.
+    /// Records that `print` ran on `endpoint` when it crashed, also if the crash does not count against it.
     pub fn note_endpoint(
         &mut self,
         now: TimePoint,
