agreement: let a candidate wait for the sync of its vote

What was seen: on a busy disk hosts stood for election again and again without an end: in trials of review/4 beside four writers that sync 600 MB files the first host logged attempts 1, 2, 4 and 8 in the phase vote with no vote of the one needed, terms 1 to 8 within 6 s, and the case could not run. Cause: when the election timeout ended before the candidate's vote was synced, it began anew. Its requests leave only after the sync, and the new attempt needs a sync of its own, so that none ends while a sync takes longer than the timeout. Change: a candidate whose vote is not synced does not begin anew.

--- a/crates/control/src/agreement/core.rs
+++ b/crates/control/src/agreement/core.rs
@@ -214,6 +214,10 @@
         match &self.role {
             RoleState::Leading(_) => self.schedule_heartbeat(now),
             _ if !self.may_stand() => self.discover_peers(now),
+            // A new attempt would need another sync, so that none would end on a slow disk.
+            _ if now >= self.election_deadline && self.awaits_own_vote() => {
+                self.reset_election_timer(now);
+            }
             _ if now >= self.election_deadline => self.start_pre_vote(now),
             _ => {}
         }
--- a/crates/control/src/agreement/election.rs
+++ b/crates/control/src/agreement/election.rs
@@ -207,6 +207,13 @@
         }
     }
 
+    /// Whether this host stands for election and its disk has not synced that yet; the others are asked
+    /// for their votes only then.
+    pub(super) fn awaits_own_vote(&self) -> bool {
+        matches!(self.role, RoleState::Voting(_))
+            && !self.sync.is_synced(self.sync.hard_state_ticket())
+    }
+
     /// Counts this host's own vote once it is synced, unless its log removes it from the voters.
     pub(super) fn count_own_vote(&mut self, now: TimePoint) {
         if matches!(self.role, RoleState::Voting(_))
--- a/crates/control/tests/agreement/steps.rs
+++ b/crates/control/tests/agreement/steps.rs
@@ -211,6 +211,30 @@
     assert_ne!(core.role(), MemberRole::Leader);
 }
 
+/// Guards against elections that never end on a slow disk: a candidate that began anew before its vote was synced
+/// would need another sync each time.
+#[test]
+fn candidate_waits_for_the_sync_of_its_vote() {
+    let mut core = core_with(0);
+    let mut now = START.after(TIME_LIMIT);
+    core.tick(now);
+    drain_synced(&mut core, now);
+    core.receive(now, message(1, 2, PeerBody::PreVoteReply { granted: true }));
+    let vote = core.drain(now).batch.expect("the vote is written");
+
+    for _ in 0..20 {
+        now = now.after(AgreementTimes::default().election / 4);
+        core.tick(now);
+        core.drain(now);
+    }
+    core.stored(now, vote.ticket);
+    core.tick(now);
+    drain_synced(&mut core, now);
+    core.receive(now, message(1, 2, PeerBody::VoteReply { granted: true }));
+
+    assert_eq!((core.role(), core.term()), (MemberRole::Leader, TermNumber(2)));
+}
+
 /// Guards against a host that is reported as a voter before its seat is committed: an operator who then
 /// stops another voter leaves too few to commit the seat, and no change is accepted any more.
 #[test]
