entry: check each given-up run in its own time, and bound the bytes held

What was seen: found by reading. A run that was closed while the check of another run of its endpoint was under way shared that check: it could come a few milliseconds after its close, and bytes from before its close counted as a sign of life, so that a crash went unreported. Observed runs kept the bodies of their requests with no bound on their size. Cause: one check for each endpoint, timed by the first closed run; the bound counted runs only. Change: ClosedRuns gives each run its delay, and a sign of life counts from the last run that is checked. Observed requests hold 16 MiB of bodies at most, or a single larger one; what is beyond is counted as unobserved.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -44,6 +44,7 @@
     state: Rc<EntryState>,
     request: http::Request<Bytes>,
     sent_to: SentTo,
+    /// Whether the request must not run twice.
     once: bool,
     progress: Rc<SendProgress>,
 }
--- a/crates/gateway/src/entry/crash_check.rs
+++ b/crates/gateway/src/entry/crash_check.rs
@@ -8,9 +8,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use briartray_fleet::entry::TargetId;
 use briartray_model::TimePoint;
 use briartray_model::message::RunEnd;
 use briartray_model::names::{IncarnationId, PartId};
+use briartray_quarantine::ClosedRuns;
 
 use super::attempt::SentTo;
 use super::dispatch::{RequestIdentity, ServedRequest};
@@ -21,11 +23,6 @@
 /// it stops listening.
 const RECHECK_DELAY: Duration = Duration::from_millis(40);
 
-/// Time from the end of a connection that the entry had given up to the check. The endpoint may have
-/// closed it for that reason and go on with the request for a moment. Shorter than the interval at which
-/// crashes count separately, so that crashes at the same time still count as one.
-const GIVEN_UP_DELAY: Duration = Duration::from_millis(240);
-
 /// A request whose connection to the endpoint broke.
 #[derive(Debug, Clone)]
 pub(super) struct BrokenRun {
@@ -68,21 +65,37 @@
         return;
     }
     let run = BrokenRun::new(&state, &identity, &sent_to);
-    let closed = run.broke;
     let mut given_up = state.given_up_runs.borrow_mut();
-    if let Some(runs) = given_up.get_mut(&sent_to.endpoint) {
-        return runs.push(run);
-    }
-    given_up.insert(sent_to.endpoint.clone(), vec![run]);
+    let is_checked = given_up.contains_key(&sent_to.endpoint);
+    let runs = given_up.get_or_insert_with(sent_to.endpoint.clone(), ClosedRuns::default);
+    runs.push(state.now(), run);
     drop(given_up);
-    tokio::task::spawn_local(async move {
-        tokio::time::sleep(GIVEN_UP_DELAY).await;
-        let is_alive = state.pool.borrow().has_open(sent_to.address)
+    if !is_checked {
+        tokio::task::spawn_local(run_given_up_checks(state, sent_to, target));
+    }
+}
+
+/// Checks the closed runs of an endpoint, each when it is due, until none is left.
+async fn run_given_up_checks(state: Rc<EntryState>, sent_to: SentTo, target: TargetId) {
+    let SentTo { endpoint, address, .. } = sent_to;
+    loop {
+        let due_at = state.given_up_runs.borrow().get(&endpoint).and_then(ClosedRuns::due_at);
+        let Some(due_at) = due_at else {
+            state.given_up_runs.borrow_mut().remove(&endpoint);
+            return;
+        };
+        tokio::time::sleep(due_at.since(state.now())).await;
+        let due = state
+            .given_up_runs
+            .borrow_mut()
+            .get_mut(&endpoint)
+            .and_then(|runs| runs.take_due(state.now()));
+        let Some((closed, runs)) = due else { continue };
+        let is_alive = state.pool.borrow().has_open(address)
             || state.table.borrow().has_moved_after(closed.after(RECHECK_DELAY), &target);
-        let crashed = !is_alive && briartray_http::is_refused(sent_to.address).await;
-        let runs = state.given_up_runs.borrow_mut().remove(&sent_to.endpoint).unwrap_or_default();
-        report(&state, &sent_to.endpoint, runs, crashed);
-    });
+        let crashed = !is_alive && briartray_http::is_refused(address).await;
+        report(&state, &endpoint, runs, crashed);
+    }
 }
 
 /// Whether a crash ended the connection of an answer that has no other end. Reports the crash to the
--- a/crates/gateway/src/entry/dispatch.rs
+++ b/crates/gateway/src/entry/dispatch.rs
@@ -150,6 +150,11 @@
         }
     }
 
+    /// Size of the body, which the identity holds.
+    pub(super) fn body_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     /// Fingerprint of the request, which does not depend on its ID.
     pub(super) fn fingerprint(&self, state: &EntryState) -> RequestFingerprint {
         let Self { host, path, body, .. } = self;
--- a/crates/gateway/src/entry/given_up.rs
+++ b/crates/gateway/src/entry/given_up.rs
@@ -23,6 +23,9 @@
 /// Maximum number of runs that are observed at the same time. Each holds a connection.
 const MAX_OBSERVED_RUNS: usize = 128;
 
+/// Maximum size of the bodies that observed requests hold, in bytes. A single larger one is held alone.
+const MAX_OBSERVED_BYTES: usize = 16 * 1024 * 1024;
+
 /// Longest time for which a run is observed.
 const MAX_OBSERVATION: Duration = Duration::from_secs(10);
 
@@ -90,13 +93,36 @@
     Expired,
 }
 
-/// Counts an observed run until dropped.
-struct ObservedGuard(Rc<EntryState>);
+/// Number of observed runs, and the size of the bodies of their requests.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ObservedLoad {
+    runs: usize,
+    bytes: usize,
+}
+
+/// Counts an observed run with a body of `bytes` until dropped.
+struct ObservedGuard {
+    state: Rc<EntryState>,
+    bytes: usize,
+}
+
+impl ObservedGuard {
+    /// Counts the run; `None` if too many are observed.
+    fn new(state: &Rc<EntryState>, bytes: usize) -> Option<Self> {
+        let ObservedLoad { runs, bytes: held } = state.observed.get();
+        let has_room = runs == 0 || held + bytes <= MAX_OBSERVED_BYTES;
+        if runs >= MAX_OBSERVED_RUNS || !has_room {
+            return None;
+        }
+        state.observed.set(ObservedLoad { runs: runs + 1, bytes: held + bytes });
+        Some(Self { state: Rc::clone(state), bytes })
+    }
+}
 
 impl Drop for ObservedGuard {
     fn drop(&mut self) {
-        let observed = &self.0.observed_runs;
-        observed.set(observed.get() - 1);
+        let ObservedLoad { runs, bytes } = self.state.observed.get();
+        self.state.observed.set(ObservedLoad { runs: runs - 1, bytes: bytes - self.bytes });
     }
 }
 
@@ -135,11 +161,9 @@
         if state.table.borrow().holds().is_leaving(&self.sent_to.endpoint) {
             return;
         }
-        if state.observed_runs.get() >= MAX_OBSERVED_RUNS {
+        let Some(guard) = ObservedGuard::new(&state, self.identity.body_bytes()) else {
             return state.metrics.count_given_up("unobserved");
-        }
-        state.observed_runs.set(state.observed_runs.get() + 1);
-        let guard = ObservedGuard(Rc::clone(&state));
+        };
         let left = self.deadline.after(STOP_MARGIN).since(state.now()).min(MAX_OBSERVATION);
         tokio::task::spawn_local(async move {
             let end = tokio::time::timeout(left, end).await.unwrap_or(ObservedEnd::Expired);
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state.rs
@@ -18,12 +18,15 @@
 use briartray_model::{SortedTable, TimePoint};
 use briartray_node::ClockReader;
 use briartray_platform::CallerHead;
-use briartray_quarantine::{CompletedParts, EvidenceLog, FingerprintKey, QuarantineGuard};
+use briartray_quarantine::{
+    ClosedRuns, CompletedParts, EvidenceLog, FingerprintKey, QuarantineGuard,
+};
 use crossbeam::channel::Sender;
 use http::StatusCode;
 use tokio::sync::Notify;
 
 use super::crash_check::BrokenRun;
+use super::given_up::ObservedLoad;
 use super::telemetry::{EntryMetrics, LogBudget};
 use super::unanswered::CutOff;
 use super::waiting::WaitingRequests;
@@ -54,9 +57,9 @@
     /// Requests whose connections broke, by endpoint, while a crash check is running.
     pub(super) broken_runs: RefCell<SortedTable<IncarnationId, Vec<BrokenRun>>>,
     /// The same for requests that were given up before.
-    pub(super) given_up_runs: RefCell<SortedTable<IncarnationId, Vec<BrokenRun>>>,
-    /// Number of runs that are observed after they were given up.
-    pub(super) observed_runs: Cell<usize>,
+    pub(super) given_up_runs: RefCell<SortedTable<IncarnationId, ClosedRuns<BrokenRun>>>,
+    /// Runs that are observed after they were given up.
+    pub(super) observed: Cell<ObservedLoad>,
     /// Notified at each housekeeping pass while a request waits for a silent target.
     pub(super) silence_notify: Notify,
     /// Notified after each notice from the leader.
@@ -110,7 +113,7 @@
             completed_parts: RefCell::default(),
             broken_runs: RefCell::default(),
             given_up_runs: RefCell::default(),
-            observed_runs: Cell::new(0),
+            observed: Cell::default(),
             silence_notify: Notify::new(),
             report_sender,
             demand: RefCell::default(),
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -14,6 +14,7 @@
 //! Different requests may share a fatal part of their prompts. The [`PartBook`] counts crashes by
 //! part in the same way, and requests with a quarantined part are refused whatever else they hold.
 
+mod closed_runs;
 mod completed_parts;
 mod crash_book;
 mod evidence_log;
@@ -24,6 +25,7 @@
 mod quarantine_tracker;
 mod reported_crash;
 
+pub use closed_runs::ClosedRuns;
 pub use completed_parts::CompletedParts;
 pub use crash_book::CrashBook;
 pub use evidence_log::EvidenceLog;
