--- a/crates/control/src/agreement/core.rs
+++ b/crates/control/src/agreement/core.rs
@@ -25,7 +25,7 @@
 /// Entries kept before a snapshot, so that a slightly lagging host can catch up without one.
 const TRAILING_ENTRIES: u64 = 512;
 
-/// Fraction (numerator, denominator) of the election timeout to wait after a start.
+/// Fraction (numerator, denominator) of the election timeout to wait after a start or a resignation of the leader.
 const SHORT_ELECTION_FRACTION: (u32, u32) = (1, 8);
 
 /// Timing parameters of the consensus protocol.
--- a/crates/control/src/agreement/election.rs
+++ b/crates/control/src/agreement/election.rs
@@ -262,7 +262,7 @@
         self.step_down(now, self.hard.term);
     }
 
-    /// Forgets a leader that has resigned and stands for election soon.
+    /// Forgets a leader that has resigned; this host stands for election soon.
     pub(super) fn handle_resignation(&mut self, now: TimePoint, from: &NodeName) {
         if self.leader.as_ref() != Some(from) {
             return;
--- a/crates/gateway/src/entry/state.rs
+++ b/crates/gateway/src/entry/state/mod.rs
@@ -1,5 +1,7 @@
 //! State that the traffic thread shares between requests.
 
+mod builder;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -81,55 +83,6 @@
     pub(super) metrics: EntryMetrics,
 }
 
-/// The parts of an entry's state that can be sent to another thread.
-pub(super) struct StateBuilder {
-    settings: GatewaySettings,
-    report_sender: Sender<EntryReport>,
-    metrics: EntryMetrics,
-}
-
-impl StateBuilder {
-    /// Builds the state on the thread that uses it.
-    pub(super) fn build(self) -> EntryState {
-        let Self { settings, report_sender, metrics } = self;
-        let limits = &settings.limits;
-        let budget = RetryBudget::new(limits.retry_terms(), rand::random());
-        let clock = ClockReader::start();
-        EntryState {
-            startup_wait: StartupWait::new(clock.now()),
-            notice_notify: Notify::new(),
-            accept_gate: RefCell::default(),
-            clock,
-            book: RefCell::new(None),
-            table: RefCell::new(TargetTable::new(settings.zone.clone(), rand::random())),
-            lease: RefCell::new(EntryLease::new(limits.lease_bound())),
-            budget: RefCell::new(budget),
-            completions: RefCell::default(),
-            returns: RefCell::new(ReturnSchedule::new(rand::random())),
-            pool: RefCell::new(ConnectionPool::default()),
-            fingerprint_key: FingerprintKey::new(&settings.link_token),
-            quarantine_guard: RefCell::default(),
-            evidence_log: RefCell::default(),
-            completed_parts: RefCell::default(),
-            broken_runs: RefCell::default(),
-            given_up_runs: RefCell::default(),
-            observed: Cell::default(),
-            silence_notify: Notify::new(),
-            report_sender,
-            demand: RefCell::default(),
-            waiting: WaitingRequests::new(&settings),
-            unconfirmed_reports: Cell::new(0),
-            draining: Cell::new(false),
-            cut_off: CutOff::default(),
-            serving: Cell::new(false),
-            running: Cell::new(0),
-            log_budget: LogBudget::default(),
-            metrics,
-            settings,
-        }
-    }
-}
-
 /// Counts a request as running until dropped.
 pub(super) struct RunningGuard(Rc<EntryState>);
 
@@ -141,14 +94,6 @@
 }
 
 impl EntryState {
-    pub(super) fn builder(
-        settings: GatewaySettings,
-        report_sender: Sender<EntryReport>,
-        metrics: EntryMetrics,
-    ) -> StateBuilder {
-        StateBuilder { settings, report_sender, metrics }
-    }
-
     pub(super) fn now(&self) -> TimePoint {
         self.clock.now()
     }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -207,7 +207,7 @@
     }
 }
 
-/// The part of a response that has not been read.
+/// The part of a response that has not been read, with its connection.
 #[derive(Debug)]
 pub struct UnreadBody {
     body: Incoming,
