entry: check an endpoint again a moment after a connection to it broke

Where the answer was lost and the endpoint went on, the request crashed it later. Change: an endpoint that listens is checked once more 240 ms after the last of the connections broke, as for runs that were given up, unless a connection to it is open.

--- a/crates/gateway/src/entry/crash_check.rs
+++ b/crates/gateway/src/entry/crash_check.rs
@@ -2,7 +2,8 @@
 //!
 //! A broken connection alone is not evidence of a crash: links fail, responses are lost, and an
 //! endpoint may abort one response and keep running. After a crash nothing listens at the
-//! endpoint's address until it is restarted, so its host refuses a new connection.
+//! endpoint's address until it is restarted, so its host refuses a new connection. A request whose
+//! connection was lost may still run, so an endpoint that listens is checked once more after a moment.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,7 +13,7 @@
 use briartray_model::TimePoint;
 use briartray_model::message::RunEnd;
 use briartray_model::names::{IncarnationId, PartId};
-use briartray_quarantine::ClosedRuns;
+use briartray_quarantine::{CHECK_DELAY, ClosedRuns};
 
 use super::attempt::SentTo;
 use super::dispatch::{RequestIdentity, ServedRequest};
@@ -128,9 +129,18 @@
 async fn run_check(state: Rc<EntryState>, endpoint: IncarnationId, address: SocketAddr) {
     let crashed = is_down(address).await;
     let runs = state.broken_runs.borrow_mut().remove(&endpoint).unwrap_or_default();
+    let crashed = crashed || crashes_soon(&state, address, &runs).await;
     report(&state, &endpoint, runs, crashed);
 }
 
+/// Whether the endpoint, which listened when the connections of `runs` broke, is down `CHECK_DELAY` after
+/// the last of them.
+async fn crashes_soon(state: &EntryState, address: SocketAddr, runs: &[BrokenRun]) -> bool {
+    let Some(last) = runs.iter().map(|run| run.broke).max() else { return false };
+    tokio::time::sleep(last.after(CHECK_DELAY).since(state.now())).await;
+    !state.pool.borrow().has_open(address) && briartray_http::is_refused(address).await
+}
+
 /// Reports `runs` to the leader if their endpoint has crashed.
 fn report(state: &EntryState, endpoint: &IncarnationId, runs: Vec<BrokenRun>, crashed: bool) {
     if !crashed {
--- a/crates/quarantine/src/closed_runs.rs
+++ b/crates/quarantine/src/closed_runs.rs
@@ -5,10 +5,10 @@
 
 use briartray_model::TimePoint;
 
-/// Time from the end of a connection that an entry had given up to the check. The endpoint may have
-/// closed it for that reason and go on with the request for a moment. Shorter than the interval at which
-/// crashes count separately, so that crashes at the same time still count as one.
-const CHECK_DELAY: Duration = Duration::from_millis(240);
+/// Time from the end of a connection to the check whether its endpoint has crashed since. The endpoint may
+/// go on with the request for a moment. Shorter than the interval at which crashes count separately, so
+/// that crashes at the same time still count as one.
+pub const CHECK_DELAY: Duration = Duration::from_millis(240);
 
 /// Closed runs of one endpoint, oldest first.
 #[derive(Debug, Clone)]
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -25,7 +25,7 @@
 mod quarantine_tracker;
 mod reported_crash;
 
-pub use closed_runs::ClosedRuns;
+pub use closed_runs::{CHECK_DELAY, ClosedRuns};
 pub use completed_parts::CompletedParts;
 pub use crash_book::CrashBook;
 pub use evidence_log::EvidenceLog;
--- a/crates/standin/src/group_host/server.rs
+++ b/crates/standin/src/group_host/server.rs
@@ -13,7 +13,7 @@
 
 use briartray_fleet::deployment::EngineModel;
 use briartray_fleet::director::{EndpointHeartbeat, MemberState};
-use briartray_http::{EndpointConnection, HttpServer, ResponseBody, ServerLimits};
+use briartray_http::{EndpointConnection, HttpServer, ResponseBody, ServerLimits, TruncatedStream};
 use briartray_model::TimePoint;
 use briartray_model::names::{DomainName, IncarnationId, PartId, ServiceName, ZoneName};
 use briartray_platform::stand_in::{
@@ -46,6 +46,9 @@
 /// Time from the start of a fatal request to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
 
+/// The same if the connection of the request broke before.
+const LATE_CRASH_DELAY: Duration = Duration::from_millis(120);
+
 /// Time from a crash to the restart.
 const RESTART_DELAY: Duration = Duration::from_millis(1_000);
 
@@ -97,6 +100,8 @@
     answers_leaving: Arc<AtomicBool>,
     /// Whether its answers have neither a length nor chunks and end with their connection.
     answers_unframed: Arc<AtomicBool>,
+    /// Whether its plain service breaks the connection of a fatal request before the crash.
+    loses_fatal_answers: Arc<AtomicBool>,
     /// Id of the event inside which its streams end unless they are resumed; 0 for none.
     break_inside: Arc<AtomicU64>,
     /// Whether it rejects calls for a report.
@@ -204,6 +209,11 @@
         self.shared.answers_unframed.store(true, Ordering::SeqCst);
     }
 
+    /// Makes its plain service break the connection of later fatal requests at once, and crash 120 ms after that.
+    pub fn lose_fatal_answers(&self) {
+        self.shared.loses_fatal_answers.store(true, Ordering::SeqCst);
+    }
+
     /// Makes later streams end inside event `id`, except resumed ones; the endpoint goes on.
     pub fn break_inside_event(&self, id: u64) {
         self.shared.break_inside.store(id, Ordering::SeqCst);
@@ -425,11 +435,11 @@
     }
 }
 
-/// Crashes this incarnation after `CRASH_DELAY`.
-fn crash_soon(state: &HostState) {
+/// Crashes this incarnation after `delay`.
+fn crash_after(state: &HostState, delay: Duration) {
     let crash = Rc::clone(&state.crash);
     tokio::task::spawn_local(async move {
-        tokio::time::sleep(CRASH_DELAY).await;
+        tokio::time::sleep(delay).await;
         crash.notify_one();
     });
 }
@@ -443,11 +453,7 @@
         return answer.body(body).unwrap_or_else(|_| status(code));
     }
     let body = if fatal {
-        crash_soon(state);
-        let (sender, body) = ResponseBody::parts();
-        // Keeps the answer open until the crash.
-        tokio::task::spawn_local(async move { sender.closed().await });
-        body
+        fatal_body(state)
     } else {
         let team = head.team.as_deref().unwrap_or("nobody");
         service_body(state, format!("{} {} {team}", state.settings.id, head.request_id))
@@ -455,6 +461,21 @@
     served(state, head).body(body).unwrap_or_else(|_| status(StatusCode::BAD_GATEWAY))
 }
 
+/// The body of a plain service's answer to a fatal request: open until the crash, or broken before it.
+fn fatal_body(state: &HostState) -> ResponseBody {
+    let is_lost = state.shared.loses_fatal_answers.load(Ordering::SeqCst);
+    crash_after(state, if is_lost { LATE_CRASH_DELAY } else { CRASH_DELAY });
+    let (sender, body) = ResponseBody::parts();
+    tokio::task::spawn_local(async move {
+        if is_lost {
+            let _ = sender.send(Err(TruncatedStream)).await;
+        } else {
+            sender.closed().await;
+        }
+    });
+    body
+}
+
 /// The body of a plain service's answer, whose length is left open if answers are unframed.
 fn service_body(state: &HostState, text: String) -> ResponseBody {
     if !state.shared.answers_unframed.load(Ordering::SeqCst) {
@@ -478,7 +499,7 @@
     }
     state.shared.record_run(&head.request_id);
     if fatal {
-        crash_soon(state);
+        crash_after(state, CRASH_DELAY);
     }
     let (sender, body) = ResponseBody::parts();
     let first = head.last_event.map_or(1, |last| last + 1);
