--- a/crates/cli/tests/crashing_requests.rs
+++ b/crates/cli/tests/crashing_requests.rs
@@ -105,6 +105,48 @@
     assert_eq!(fleet.restart_ended_endpoints().expect("none has ended"), 0);
 }
 
+/// Sends the fatal request and disconnects before it crashes the engine.
+fn leave_fatal(entry: SocketAddr) {
+    const STAY: Duration = Duration::from_millis(15);
+    let body = json!({ "model": "desk", "prompt": FATAL_PROMPT, "max_tokens": 20, "stream": true });
+    let request = attohttpc::post(format!("http://{entry}/v1/completions")).timeout(STAY);
+    let _ = request.text(body.to_string()).send();
+}
+
+/// Whether the control host lists a request in quarantine.
+fn is_listed(fleet: &ProcessFleet) -> bool {
+    let url = format!("http://{}/v1/quarantine", fleet.operator_address());
+    let listed = attohttpc::get(url).send().and_then(attohttpc::Response::text);
+    let listed: Value = serde_json::from_str(&listed.unwrap_or_default()).unwrap_or_default();
+    listed.as_array().is_some_and(|records| !records.is_empty())
+}
+
+/// Guards against crashes that nobody reports because the caller left before its first event.
+#[test]
+fn a_prompt_whose_callers_leave_before_the_crash_is_refused_by_every_entry() {
+    /// Longer than an engine runs the prompt.
+    const LEAVE_INTERVAL: Duration = Duration::from_millis(100);
+    let mut fleet = fleet();
+    let entries = fleet.entry_addresses().to_vec();
+    wait_for_answer(entries[0]);
+    let mut crashes = 0;
+    let started = Instant::now();
+
+    for entry in entries.iter().cycle() {
+        if is_listed(&fleet) || crashes > MAX_CRASHES {
+            break;
+        }
+        assert!(started.elapsed() < TIMEOUT, "not quarantined after {crashes} crashes");
+        leave_fatal(*entry);
+        std::thread::sleep(LEAVE_INTERVAL);
+        crashes += fleet.restart_ended_endpoints().expect("engines start again");
+    }
+
+    assert!((1..=MAX_CRASHES).contains(&crashes), "{crashes} engines crashed");
+    let crashes = crashes + crash_until_quarantined(&mut fleet);
+    assert!(crashes <= MAX_CRASHES, "{crashes} engines crashed");
+}
+
 /// Guards against different chats that share one fatal message and crash one engine after another, and
 /// against a quarantine that refuses sound chats with the same first message.
 #[test]
