--- a/crates/gateway/src/entry/crash_check.rs
+++ b/crates/gateway/src/entry/crash_check.rs
@@ -129,13 +129,13 @@
 async fn run_check(state: Rc<EntryState>, endpoint: IncarnationId, address: SocketAddr) {
     let crashed = is_down(address).await;
     let runs = state.broken_runs.borrow_mut().remove(&endpoint).unwrap_or_default();
-    let crashed = crashed || crashes_soon(&state, address, &runs).await;
+    let crashed = crashed || is_down_later(&state, address, &runs).await;
     report(&state, &endpoint, runs, crashed);
 }
 
 /// Whether the endpoint, which listened when the connections of `runs` broke, is down `CHECK_DELAY` after
 /// the last of them.
-async fn crashes_soon(state: &EntryState, address: SocketAddr, runs: &[BrokenRun]) -> bool {
+async fn is_down_later(state: &EntryState, address: SocketAddr, runs: &[BrokenRun]) -> bool {
     let Some(last) = runs.iter().map(|run| run.broke).max() else { return false };
     tokio::time::sleep(last.after(CHECK_DELAY).since(state.now())).await;
     !state.pool.borrow().has_open(address) && briartray_http::is_refused(address).await
--- a/crates/quarantine/src/quarantine_tracker.rs
+++ b/crates/quarantine/src/quarantine_tracker.rs
@@ -178,8 +178,8 @@
         &self.view
     }
 
-    /// Records that a request in quarantine explains the crash of `endpoint`. It goes on to count against
-    /// other requests that ran there, of which each is quarantined by its own evidence.
+    /// Records that a request in quarantine explains the crash of `endpoint`. Other requests that ran there
+    /// keep what counts against them, but it no longer counts against those that are reported later.
     fn explain_parts(&mut self, now: TimePoint, endpoint: &IncarnationId) {
         self.view_stale |= self.parts.counts(endpoint);
         self.parts.explain(now, endpoint);
